--- /dev/null
+++ b/sched/vec.go
@@ -0,0 +1,86 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package sched
+
+// Dim is one dimension of a Vec.
+type Dim int
+
+// The dimensions of a Vec.
+const (
+	// Milli is thousandths of a processor.
+	Milli Dim = iota
+	// MiB is memory.
+	MiB
+	// Accel is whole accelerators.
+	Accel
+	// Slots is places for a task.
+	Slots
+	// Conns is connections to the worker.
+	Conns
+	// NumDims is the number of dimensions.
+	NumDims
+)
+
+// String returns the name of d as settings carry it.
+func (d Dim) String() string {
+	return [...]string{"cpu", "memory", "accelerators", "slots", "connections"}[d]
+}
+
+// Vec is an amount in every dimension: a capacity, a demand, or what is free.
+type Vec [NumDims]int64
+
+// Add returns v + o.
+func (v Vec) Add(o Vec) Vec {
+	for d := range v {
+		v[d] += o[d]
+	}
+	return v
+}
+
+// Sub returns v - o.
+func (v Vec) Sub(o Vec) Vec {
+	for d := range v {
+		v[d] -= o[d]
+	}
+	return v
+}
+
+// Scale returns v times n.
+func (v Vec) Scale(n int64) Vec {
+	for d := range v {
+		v[d] *= n
+	}
+	return v
+}
+
+// Covers reports whether v is at least o in every dimension.
+func (v *Vec) Covers(o *Vec) bool {
+	return v[Milli] >= o[Milli] &&
+		v[MiB] >= o[MiB] &&
+		v[Accel] >= o[Accel] &&
+		v[Slots] >= o[Slots] &&
+		v[Conns] >= o[Conns]
+}
+
+// Max returns the larger of v and o in every dimension.
+func (v Vec) Max(o Vec) Vec {
+	for d := range v {
+		v[d] = max(v[d], o[d])
+	}
+	return v
+}
+
+// IsZero reports whether v is zero in every dimension.
+func (v Vec) IsZero() bool { return v == Vec{} }
+
+// Share returns the dominant share of v in whole: the largest quotient over
+// the dimensions that whole has any of.
+func (v Vec) Share(whole Vec) float64 {
+	var share float64
+	for d := range v {
+		if whole[d] > 0 {
+			share = max(share, float64(v[d])/float64(whole[d]))
+		}
+	}
+	return share
+}
