--- /dev/null
+++ b/internal/fault/on.go
@@ -0,0 +1,102 @@
+// SPDX-License-Identifier: Apache-2.0
+
+//go:build faults
+
+package fault
+
+import (
+	"encoding/json"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"time"
+
+	"dewpass.org/kind"
+)
+
+// Rule is what befalls a point or a link.
+type Rule struct {
+	// Point is the point, or "" for a rule on links.
+	Point Point `json:"point,omitempty"`
+	// Addr is the start of the addresses of the links, for a rule on links.
+	Addr string `json:"addr,omitempty"`
+	// Skip lets the point pass so many times first.
+	Skip int `json:"skip,omitempty"`
+	// DelayMS holds the step up.
+	DelayMS int64 `json:"delay_ms,omitempty"`
+	// Exit ends the process at once.
+	Exit bool `json:"exit,omitempty"`
+	// Cut fails the link.
+	Cut bool `json:"cut,omitempty"`
+}
+
+var table struct {
+	mu    sync.Mutex
+	rules []Rule
+}
+
+const exitCode = 86
+
+// At is a step of the program at which tests may bring a failure about.
+func At(p Point) {
+	if r, ok := match(func(r *Rule) bool { return r.Point == p && p != "" }); ok {
+		apply(r)
+	}
+}
+
+// Link returns an error if tests have cut the link to an address.
+func Link(addr string) error {
+	r, ok := match(func(r *Rule) bool { return r.Addr != "" && strings.Contains(addr, r.Addr) })
+	if !ok {
+		return nil
+	}
+	apply(r)
+	if r.Cut {
+		return kind.New(kind.Unavailable, "the link to "+addr+" is cut by a test")
+	}
+	return nil
+}
+
+// match finds the rule and counts its uses: a rule on a point is used once.
+func match(f func(*Rule) bool) (Rule, bool) {
+	table.mu.Lock()
+	defer table.mu.Unlock()
+	for i := range table.rules {
+		r := &table.rules[i]
+		if !f(r) {
+			continue
+		}
+		if r.Skip > 0 {
+			r.Skip--
+			return Rule{}, false
+		}
+		hit := *r
+		if r.Point != "" {
+			table.rules = append(table.rules[:i], table.rules[i+1:]...)
+		}
+		return hit, true
+	}
+	return Rule{}, false
+}
+
+func apply(r Rule) {
+	time.Sleep(time.Duration(r.DelayMS) * time.Millisecond)
+	if r.Exit {
+		os.Exit(exitCode)
+	}
+}
+
+// Handler changes the table of faults: PUT replaces it.
+func Handler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		var rules []Rule
+		if err := json.NewDecoder(r.Body).Decode(&rules); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		table.mu.Lock()
+		table.rules = rules
+		table.mu.Unlock()
+	})
+}
