--- /dev/null
+++ b/tree/compile.go
@@ -0,0 +1,376 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package tree
+
+import (
+	"encoding/json"
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+
+	"dewpass.org/internal/schema"
+	"dewpass.org/kind"
+	"dewpass.org/platform"
+	"dewpass.org/sched"
+)
+
+// Kind is the kind of a workload.
+type Kind string
+
+// The kinds of workload.
+const (
+	Call    Kind = "call"
+	Batch   Kind = "batch"
+	Service Kind = "service"
+)
+
+// CutOff says what becomes of tasks whose hall is cut off.
+type CutOff string
+
+const (
+	// Hold never starts such a task elsewhere until its hall is back or an
+	// operator sets it as lost.
+	Hold CutOff = "hold"
+	// Move starts it elsewhere after MoveAfter; the hall that is cut off stops
+	// it by then.
+	Move CutOff = "move"
+)
+
+// Workload is a workload with all of its settings resolved.
+type Workload struct {
+	Path string `json:"path"`
+	// Team is the path of the nearest branch with a quota, or else the first
+	// branch on the way.
+	Team        string          `json:"team"`
+	Kind        Kind            `json:"kind"`
+	Class       sched.Class     `json:"class"`
+	Demand      sched.Vec       `json:"demand"`
+	Repeat      platform.Repeat `json:"repeat"`
+	Deadline    time.Duration   `json:"deadline"`
+	StartWithin time.Duration   `json:"start_within"`
+	Estimate    time.Duration   `json:"estimate"`
+	Queue       int             `json:"queue"`
+	Rate        float64         `json:"rate"`
+	Window      *Window         `json:"window,omitempty"`
+	Ladder      sched.Ladder    `json:"ladder"`
+	Retries     int             `json:"retries"`
+	CutOff      CutOff          `json:"cut_off"`
+	MoveAfter   time.Duration   `json:"move_after"`
+	Count       int             `json:"count"`
+	// Values holds every setting in force with the branch that it came from.
+	Values map[string]Value `json:"values"`
+}
+
+// Value is a setting in force.
+type Value struct {
+	Value json.RawMessage `json:"value"`
+	// From is the path of the branch that sets it, "" for the root, and
+	// "default" for the built-in value.
+	From string `json:"from"`
+}
+
+// Team is a branch with a quota.
+type Team struct {
+	Path   string    `json:"path"`
+	Quota  sched.Vec `json:"quota"`
+	Borrow bool      `json:"borrow"`
+}
+
+// Compiled is a tree resolved. It is not changed once made.
+type Compiled struct {
+	Version   uint64
+	Doc       *Doc
+	Workloads map[string]*Workload
+	Teams     map[string]Team
+	// Halls lists the halls that the tree names, none if it names none.
+	Halls []string
+	// Lost holds the halls and workers that an operator has set as lost.
+	Lost map[string]bool
+	// Reserve is the number of calls that each owner always keeps room for.
+	Reserve int64
+}
+
+// Names returns the paths of the workloads in order.
+func (c *Compiled) Names() []string {
+	names := make([]string, 0, len(c.Workloads))
+	for name := range c.Workloads {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return names
+}
+
+// Compile resolves a checked document.
+func Compile(d *Doc, version uint64) (*Compiled, error) {
+	c, faults := compile(d, version)
+	if len(faults) > 0 {
+		return nil, badTree(faults)
+	}
+	return c, nil
+}
+
+// defaults are the settings in force where no branch sets them.
+var defaults = map[string]string{
+	"class":        `"standard"`,
+	"accelerators": `0`,
+	"connections":  `1`,
+	"repeat":       `"safe"`,
+	"deadline":     `"0s"`,
+	"start-within": `"0s"`,
+	"estimate":     `"0s"`,
+	"queue":        `1000`,
+	"rate":         `100000`,
+	"yield":        `[]`,
+	"retries":      `3`,
+	"cut-off":      `"hold"`,
+	"move-after":   `"10m"`,
+	"borrow":       `true`,
+}
+
+type compiler struct {
+	out    *Compiled
+	faults []schema.Fault
+}
+
+func compile(d *Doc, version uint64) (*Compiled, []schema.Fault) {
+	c := &compiler{out: &Compiled{
+		Version:   version,
+		Doc:       d,
+		Workloads: make(map[string]*Workload),
+		Teams:     make(map[string]Team),
+		Lost:      make(map[string]bool),
+	}}
+	inherited := make(map[string]Value, len(defaults))
+	for name, v := range defaults {
+		inherited[name] = Value{Value: json.RawMessage(v), From: "default"}
+	}
+	c.root(&d.Branch)
+	c.branch(nil, &d.Branch, inherited, "")
+	c.references()
+	sort.Slice(c.faults, func(i, j int) bool { return c.faults[i].Path < c.faults[j].Path })
+	return c.out, c.faults
+}
+
+func (c *compiler) fault(names []string, setting, detail string) {
+	path := ""
+	for _, n := range names {
+		path += "/branches/" + n
+	}
+	if setting != "" {
+		path += "/settings/" + setting
+	}
+	c.faults = append(c.faults, schema.Fault{Path: path, Detail: detail})
+}
+
+// rootOnly lists the settings that speak of the cell as a whole.
+var rootOnly = []string{"halls", "lost", "reserve"}
+
+func (c *compiler) root(b *Branch) {
+	decode(b.Settings["halls"], &c.out.Halls)
+	decode(b.Settings["reserve"], &c.out.Reserve)
+	var lost []string
+	decode(b.Settings["lost"], &lost)
+	for _, name := range lost {
+		c.out.Lost[name] = true
+	}
+}
+
+// decode reads a value whose type the schema has checked. An absent one is
+// left as it is.
+func decode(raw json.RawMessage, out any) {
+	if raw != nil {
+		_ = json.Unmarshal(raw, out)
+	}
+}
+
+func (c *compiler) branch(names []string, b *Branch, inherited map[string]Value, team string) {
+	path := strings.Join(names, "/")
+	values := make(map[string]Value, len(inherited)+len(b.Settings))
+	for name, v := range inherited {
+		values[name] = v
+	}
+	for name, raw := range b.Settings {
+		values[name] = Value{Value: raw, From: path}
+	}
+	c.misplaced(names, b)
+	if _, ok := b.Settings["quota"]; ok || len(names) == 1 {
+		team = path
+		c.team(path, b, values)
+	}
+	for name, child := range b.Branches {
+		c.branch(append(names[:len(names):len(names)], name), child, values, team)
+	}
+	if _, ok := values["kind"]; ok && len(b.Branches) == 0 && len(names) > 0 {
+		c.workload(names, values, team)
+	}
+}
+
+func (c *compiler) misplaced(names []string, b *Branch) {
+	if len(names) == 0 {
+		return
+	}
+	for _, name := range rootOnly {
+		if _, ok := b.Settings[name]; ok {
+			c.fault(names, name, "may be set at the root only")
+		}
+	}
+}
+
+func (c *compiler) team(path string, b *Branch, values map[string]Value) {
+	t := Team{Path: path}
+	decode(values["borrow"].Value, &t.Borrow)
+	var q struct {
+		CPU          string `json:"cpu"`
+		Memory       string `json:"memory"`
+		Accelerators int64  `json:"accelerators"`
+		Slots        int64  `json:"slots"`
+	}
+	decode(b.Settings["quota"], &q)
+	t.Quota = sched.Vec{
+		sched.Milli: parseCPU(q.CPU),
+		sched.MiB:   parseMemory(q.Memory),
+		sched.Accel: q.Accelerators,
+		sched.Slots: q.Slots,
+	}
+	c.out.Teams[path] = t
+}
+
+func (c *compiler) workload(names []string, values map[string]Value, team string) {
+	w := &Workload{Path: strings.Join(names, "/"), Team: team, Values: values}
+	var class, cpu, memory string
+	var yield []string
+	get := func(name string, out any) { decode(values[name].Value, out) }
+	get("kind", &w.Kind)
+	get("class", &class)
+	get("cpu", &cpu)
+	get("memory", &memory)
+	get("repeat", &w.Repeat)
+	get("queue", &w.Queue)
+	get("rate", &w.Rate)
+	get("yield", &yield)
+	get("retries", &w.Retries)
+	get("cut-off", &w.CutOff)
+	get("count", &w.Count)
+	get("accelerators", &w.Demand[sched.Accel])
+	get("connections", &w.Demand[sched.Conns])
+	w.Demand[sched.Milli] = parseCPU(cpu)
+	w.Demand[sched.MiB] = parseMemory(memory)
+	w.Demand[sched.Slots] = 1
+	w.Class, _ = sched.ParseClass(class)
+	w.Deadline = parseDuration(values["deadline"].Value)
+	w.StartWithin = parseDuration(values["start-within"].Value)
+	w.Estimate = parseDuration(values["estimate"].Value)
+	w.MoveAfter = parseDuration(values["move-after"].Value)
+	w.Ladder = ladder(yield)
+	c.window(names, w)
+	c.required(names, w)
+	c.out.Workloads[w.Path] = w
+}
+
+func ladder(steps []string) sched.Ladder {
+	var l sched.Ladder
+	for _, s := range steps {
+		switch s {
+		case "throttle":
+			l |= sched.MayThrottle
+		case "checkpoint":
+			l |= sched.MayCheckpoint
+		case "stop":
+			l |= sched.MayStop
+		}
+	}
+	return l
+}
+
+func (c *compiler) window(names []string, w *Workload) {
+	raw := w.Values["window"].Value
+	if raw == nil {
+		return
+	}
+	win, err := parseWindow(raw)
+	if err != nil {
+		c.fault(names, "window", err.Error())
+		return
+	}
+	w.Window = win
+}
+
+func (c *compiler) required(names []string, w *Workload) {
+	for _, name := range []string{"cpu", "memory"} {
+		if _, ok := w.Values[name]; !ok {
+			c.fault(names, "", "a workload needs the setting "+name)
+		}
+	}
+	if _, ok := w.Values["count"]; !ok && w.Kind == Service {
+		c.fault(names, "", "a service needs the setting count")
+	}
+	if w.Kind == Call && w.Deadline == 0 {
+		c.fault(names, "", "a call needs the setting deadline")
+	}
+	if w.Kind == Service && w.Repeat == platform.RepeatNever {
+		c.fault(names, "repeat", "a service is started again by its nature")
+	}
+	if w.CutOff == Move && w.MoveAfter < minMoveAfter {
+		c.fault(names, "move-after", "must be at least "+minMoveAfter.String())
+	}
+}
+
+// minMoveAfter is the shortest time after which a cut hall can be sure to have
+// stopped its tasks.
+const minMoveAfter = 10 * time.Second
+
+// references checks the settings that name each other.
+func (c *compiler) references() {
+	known := make(map[string]bool, len(c.out.Halls))
+	for _, h := range c.out.Halls {
+		known[h] = true
+	}
+	for name := range c.out.Lost {
+		hall, _, isWorker := strings.Cut(name, "/")
+		if len(known) > 0 && !known[hall] {
+			what := "hall"
+			if isWorker {
+				what = "hall of a worker"
+			}
+			c.fault(nil, "lost", strconv.Quote(name)+": no such "+what+" in the setting halls")
+		}
+	}
+}
+
+func parseDuration(raw json.RawMessage) time.Duration {
+	var s string
+	decode(raw, &s)
+	d, _ := time.ParseDuration(s)
+	return d
+}
+
+const milliPerCPU = 1000
+
+func parseCPU(s string) int64 {
+	if m, ok := strings.CutSuffix(s, "m"); ok {
+		n, _ := strconv.ParseInt(m, 10, 64)
+		return n
+	}
+	f, _ := strconv.ParseFloat(s, 64)
+	return int64(f*milliPerCPU + 0.5)
+}
+
+const mibPerGiB = 1024
+
+func parseMemory(s string) int64 {
+	if g, ok := strings.CutSuffix(s, "GiB"); ok {
+		n, _ := strconv.ParseInt(g, 10, 64)
+		return n * mibPerGiB
+	}
+	n, _ := strconv.ParseInt(strings.TrimSuffix(s, "MiB"), 10, 64)
+	return n
+}
+
+// Lookup returns a workload, or an error of kind UnknownWorkload.
+func (c *Compiled) Lookup(path string) (*Workload, error) {
+	if w := c.Workloads[path]; w != nil {
+		return w, nil
+	}
+	return nil, kind.At(kind.UnknownWorkload, "/workload", strconv.Quote(path))
+}
