--- /dev/null
+++ b/link/dialer.go
@@ -0,0 +1,153 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package link
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/yamux"
+
+	"dewpass.org/internal/fault"
+	"dewpass.org/kind"
+	"dewpass.org/wire"
+)
+
+const (
+	dialTimeout = time.Second
+	// redialPause keeps an unreachable peer from being dialled for every
+	// request.
+	redialPause = 200 * time.Millisecond
+)
+
+// Dialer keeps one session to each peer.
+type Dialer struct {
+	// TLS returns the configuration for a host; it is nil for plain TCP.
+	TLS func(host string) *tls.Config
+
+	mu    sync.Mutex
+	peers map[string]*peer
+}
+
+type peer struct {
+	mu      sync.Mutex
+	session *yamux.Session
+	failed  time.Time
+	err     error
+}
+
+// Do sends a request to the peer at an address and returns its reply. An error
+// that the reply carries is returned as an error.
+func (d *Dialer) Do(ctx context.Context, addr string, req *wire.Request) (*wire.Reply, error) {
+	if err := fault.Link("peer/" + addr); err != nil {
+		return nil, err
+	}
+	stream, err := d.open(ctx, addr)
+	if err != nil {
+		return nil, kind.Wrap(kind.Unavailable, err, "peer "+addr)
+	}
+	stop := context.AfterFunc(ctx, func() { _ = stream.SetDeadline(time.Now()) })
+	defer stop()
+	defer stream.Close()
+	if err := writeFrame(stream, req); err != nil {
+		return nil, kind.Wrap(kind.Lost, err, "peer "+addr)
+	}
+	var reply wire.Reply
+	if err := readFrame(stream, &reply); err != nil {
+		return nil, kind.Wrap(kind.Lost, err, "peer "+addr)
+	}
+	if err := wire.ErrorOf(reply.Error); err != nil {
+		return nil, err
+	}
+	return &reply, nil
+}
+
+// Close ends all sessions.
+func (d *Dialer) Close() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, p := range d.peers {
+		p.drop()
+	}
+}
+
+// Forget ends the session to an address that is no longer a peer's.
+func (d *Dialer) Forget(addr string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if p := d.peers[addr]; p != nil {
+		p.drop()
+		delete(d.peers, addr)
+	}
+}
+
+func (d *Dialer) peer(addr string) *peer {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.peers == nil {
+		d.peers = make(map[string]*peer)
+	}
+	p := d.peers[addr]
+	if p == nil {
+		p = &peer{}
+		d.peers[addr] = p
+	}
+	return p
+}
+
+func (d *Dialer) open(ctx context.Context, addr string) (*yamux.Stream, error) {
+	session, err := d.peer(addr).get(ctx, addr, d.TLS)
+	if err != nil {
+		return nil, err
+	}
+	return session.OpenStream()
+}
+
+// get returns the session, dialling if there is none.
+func (p *peer) get(ctx context.Context, addr string, conf func(string) *tls.Config) (*yamux.Session, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.session != nil && !p.session.IsClosed() {
+		return p.session, nil
+	}
+	if p.err != nil && time.Since(p.failed) < redialPause {
+		return nil, p.err
+	}
+	p.session, p.err = dial(ctx, addr, conf)
+	if p.err != nil {
+		p.failed = time.Now()
+	}
+	return p.session, p.err
+}
+
+func dial(ctx context.Context, addr string, conf func(string) *tls.Config) (*yamux.Session, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	var nd net.Dialer
+	c, err := nd.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	if conf != nil {
+		host, _, _ := net.SplitHostPort(addr)
+		t := tls.Client(c, conf(host))
+		if err := t.HandshakeContext(ctx); err != nil {
+			_ = c.Close()
+			return nil, err
+		}
+		c = t
+	}
+	return yamux.Client(c, sessionConfig())
+}
+
+func (p *peer) drop() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.session != nil {
+		_ = p.session.Close()
+		p.session = nil
+	}
+}
--- /dev/null
+++ b/wire/doc.go
@@ -0,0 +1,43 @@
+// SPDX-License-Identifier: Apache-2.0
+
+// Package wire holds the messages that entry instances send each other. They
+// are generated from wire.proto by `make generate`; the generated file is
+// committed. ErrorOf and ToError carry errors of package kind across.
+package wire
+
+import (
+	"time"
+
+	"dewpass.org/kind"
+)
+
+// ToError returns err as a message, nil for nil.
+func ToError(err error) *Error {
+	if err == nil {
+		return nil
+	}
+	e := kind.Of(err)
+	return &Error{
+		Kind:         e.Kind.String(),
+		Detail:       e.Detail,
+		Path:         e.Path,
+		Outcome:      uint32(e.Outcome),
+		RetryAfterMs: e.RetryAfter.Milliseconds(),
+		Id:           e.ID,
+	}
+}
+
+// ErrorOf returns the error that a message carries, nil for nil.
+func ErrorOf(m *Error) error {
+	if m == nil {
+		return nil
+	}
+	return &kind.Error{
+		Kind:       kind.Parse(m.Kind),
+		Detail:     m.Detail,
+		Path:       m.Path,
+		Outcome:    kind.Outcome(m.Outcome),
+		RetryAfter: time.Duration(m.RetryAfterMs) * time.Millisecond,
+		ID:         m.Id,
+	}
+}
