--- /dev/null
+++ b/hall/keeper.go
@@ -0,0 +1,581 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package hall
+
+import (
+	"context"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"dewpass.org/internal/fault"
+	"dewpass.org/kind"
+	"dewpass.org/lease"
+	"dewpass.org/platform"
+	"dewpass.org/wire"
+)
+
+// The times of ownership. See docs/design/ownership.md for how they relate.
+const (
+	tick = 250 * time.Millisecond
+	// beatEvery is how often an instance shows in the table that it lives.
+	beatEvery = time.Second
+	// MemberLease is how long the row of an instance must stay unchanged
+	// before its racks are taken over.
+	MemberLease = 3 * time.Second
+	// auditEvery is how often an owner reads the rows of its racks although
+	// nothing points at a change.
+	auditEvery = 30 * time.Second
+	// cutOffAfter is how long the table may not have answered before a hall
+	// decides by itself.
+	cutOffAfter = 3 * time.Second
+	// moveEvery spaces the handovers that only level the load.
+	moveEvery  = time.Second
+	pauseLimit = time.Second
+	rowTimeout = 2 * time.Second
+)
+
+// Racks is what a Keeper tells of the racks to own.
+type Racks interface {
+	// Adopt starts to own a rack under an epoch; row is the version of its
+	// row. A rack that is owned already is attached again under the epoch.
+	Adopt(rack string, epoch lease.Epoch, row uint64, workers []platform.Instance)
+	// Drop ends to own a rack.
+	Drop(rack string)
+	// Owned returns the epochs of the racks that are owned.
+	Owned() map[string]lease.Epoch
+	// Workers tells of the workers of the hall as the platform lists them.
+	Workers(list []platform.Instance)
+}
+
+// Sender sends a message to a peer.
+type Sender interface {
+	Do(ctx context.Context, addr string, req *wire.Request) (*wire.Reply, error)
+}
+
+// Keeper decides which racks an instance owns. Fill in the exported fields,
+// then call Run.
+type Keeper struct {
+	Instance string
+	Boot     string
+	Hall     string
+	Table    platform.Table
+	List     platform.Instances
+	Peers    *Peers
+	Racks    Racks
+	Send     Sender
+	Log      log.Logger
+
+	mu        sync.Mutex
+	directory []platform.Instance
+	listed    string
+	rows      map[string]uint64
+	watched   map[string]watch
+	last      map[string]Claim
+	beat      uint64
+	beatSent  time.Time
+	contact   time.Time
+	audited   time.Time
+	moved     time.Time
+	stopping  bool
+	guard     lease.Guard
+	nudge     chan struct{}
+}
+
+// watch is the row of a silent owner as first seen.
+type watch struct {
+	version uint64
+	since   time.Time
+}
+
+// Name returns the name under which this start of the instance owns racks.
+func (k *Keeper) Name() string { return OwnerName(k.Instance, k.Boot) }
+
+// OwnerName returns the name under which one start of an instance owns racks.
+func OwnerName(instance, boot string) string { return instance + "@" + boot }
+
+// Init makes k ready for use.
+func (k *Keeper) Init() {
+	k.rows = make(map[string]uint64)
+	k.watched = make(map[string]watch)
+	k.last = make(map[string]Claim)
+	k.guard.Limit = pauseLimit
+	k.nudge = make(chan struct{}, 1)
+}
+
+// Run keeps deciding until ctx ends.
+func (k *Keeper) Run(ctx context.Context) {
+	t := time.NewTicker(tick)
+	defer t.Stop()
+	for {
+		k.step(ctx)
+		select {
+		case <-t.C:
+		case <-k.nudge:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// Nudge makes the Keeper look at once: a peer has handed a rack over, or a
+// worker has refused this instance's epoch.
+func (k *Keeper) Nudge() {
+	k.mu.Lock()
+	k.audited = time.Time{}
+	k.mu.Unlock()
+	select {
+	case k.nudge <- struct{}{}:
+	default:
+	}
+}
+
+// Contact returns when the table last answered, by a request sent then.
+func (k *Keeper) Contact() time.Time {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.contact
+}
+
+// CutOff reports whether the table has not answered for some time.
+func (k *Keeper) CutOff(now time.Time) bool { return now.Sub(k.Contact()) > cutOffAfter }
+
+// Directory returns the last list of instances that is known.
+func (k *Keeper) Directory() []platform.Instance {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.directory
+}
+
+// Offer gives the Keeper a list of instances from a peer, for as long as it
+// has none from the platform.
+func (k *Keeper) Offer(list []platform.Instance) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if len(k.directory) == 0 {
+		k.directory = list
+	}
+}
+
+func (k *Keeper) step(ctx context.Context) {
+	now := time.Now()
+	if k.guard.Tick(now) {
+		level.Warn(k.Log).Log("msg", "this process was paused", "action", "reading the rows of its racks again")
+		k.mu.Lock()
+		k.audited = time.Time{}
+		k.mu.Unlock()
+	}
+	k.refresh(ctx, now)
+	k.renew(ctx, now)
+	k.audit(ctx, now)
+	k.decide(ctx)
+}
+
+// refresh reads the platform's list, which also tells of leaving workers.
+func (k *Keeper) refresh(ctx context.Context, now time.Time) {
+	if now.Sub(k.beatSent) < beatEvery {
+		return
+	}
+	list, err := k.List.List(ctx, "", k.listed)
+	if err != nil {
+		return
+	}
+	k.mu.Lock()
+	if !list.Unchanged {
+		k.directory = list.Instances
+		k.listed = list.Version
+	}
+	directory := k.directory
+	k.mu.Unlock()
+	for _, in := range directory {
+		if in.Role == platform.RoleEntry && in.ID != k.Instance {
+			k.Peers.Hint(in.Addr, now)
+		}
+	}
+	if !list.Unchanged {
+		k.Racks.Workers(directory)
+	}
+}
+
+// renew shows in the table that this instance lives.
+func (k *Keeper) renew(ctx context.Context, now time.Time) {
+	if now.Sub(k.beatSent) < beatEvery {
+		return
+	}
+	k.beatSent = now
+	k.beat++
+	row := encodeRow(memberRow{Boot: k.Boot, Beat: k.beat})
+	txn := platform.Txn{Puts: []platform.Put{{Key: memberKey(k.Hall, k.Name()), Value: row}}}
+	ctx, cancel := context.WithTimeout(ctx, rowTimeout)
+	defer cancel()
+	if _, err := k.Table.Commit(ctx, txn); err != nil {
+		return
+	}
+	fault.At(fault.Renewed)
+	k.touch(now)
+}
+
+func (k *Keeper) touch(sent time.Time) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if now := time.Now(); now.Sub(k.contact) > MemberLease {
+		// Others may have taken racks over while the table was out of reach.
+		k.audited = time.Time{}
+	}
+	k.contact = sent
+}
+
+// audit reads the rows of the owned racks and drops those that are another's.
+func (k *Keeper) audit(ctx context.Context, now time.Time) {
+	k.mu.Lock()
+	due := now.Sub(k.audited) > auditEvery
+	k.mu.Unlock()
+	owned := k.Racks.Owned()
+	if !due || len(owned) == 0 {
+		return
+	}
+	rows, err := k.rackRows(ctx, names(owned))
+	if err != nil {
+		return
+	}
+	k.mu.Lock()
+	k.audited = now
+	k.mu.Unlock()
+	for rack, row := range rows {
+		mine := owned[rack]
+		lost := row.owner != k.Name() && row.epoch > mine.Table
+		if lost {
+			level.Info(k.Log).Log("msg", "rack lost", "rack", rack, "owner", row.owner, "epoch", row.epoch)
+			k.Racks.Drop(rack)
+		}
+	}
+}
+
+func names(owned map[string]lease.Epoch) []string {
+	out := make([]string, 0, len(owned))
+	for r := range owned {
+		out = append(out, r)
+	}
+	sort.Strings(out)
+	return out
+}
+
+// rackState is a rack's row with its version.
+type rackState struct {
+	owner   string
+	epoch   uint64
+	version uint64
+}
+
+func (k *Keeper) rackRows(ctx context.Context, racks []string) (map[string]rackState, error) {
+	keys := make([]string, len(racks))
+	for i, r := range racks {
+		keys[i] = RackKey(k.Hall, r)
+	}
+	sent := time.Now()
+	rows, err := k.Table.Get(ctx, keys...)
+	if err != nil {
+		return nil, err
+	}
+	k.touch(sent)
+	out := make(map[string]rackState, len(rows))
+	for i, row := range rows {
+		r, err := DecodeRack(row.Value)
+		if err != nil {
+			return nil, err
+		}
+		out[racks[i]] = rackState{owner: r.Owner, epoch: r.Epoch, version: row.Version}
+	}
+	return out, nil
+}
+
+// racks returns the racks of the hall with their workers, as listed.
+func (k *Keeper) racks() map[string][]platform.Instance {
+	out := make(map[string][]platform.Instance)
+	for _, in := range k.Directory() {
+		if in.Role == platform.RoleWorker && in.Hall == k.Hall && in.Rack != "" {
+			out[in.Rack] = append(out[in.Rack], in)
+		}
+	}
+	return out
+}
+
+// members returns the live instances of the hall that may own racks.
+func (k *Keeper) members(now time.Time) []string {
+	var out []string
+	if !k.isStopping() {
+		out = append(out, k.Instance)
+	}
+	for _, p := range k.Peers.Live(k.Hall, now) {
+		if !p.Leaving {
+			out = append(out, p.Instance)
+		}
+	}
+	return out
+}
+
+// decide takes over, hands over and drops racks.
+func (k *Keeper) decide(ctx context.Context) {
+	if k.isStopping() {
+		return
+	}
+	now := time.Now()
+	racks := k.racks()
+	claims := k.claims(now)
+	present := make(map[string]string, len(claims))
+	for r, c := range claims {
+		present[r] = c.Owner
+	}
+	var all []string
+	for r := range racks {
+		all = append(all, r)
+	}
+	target := Assign(all, k.members(now), present)
+	var wanted []string
+	for _, r := range all {
+		if _, claimed := claims[r]; !claimed && target[r] == k.Instance {
+			wanted = append(wanted, r)
+		}
+	}
+	k.takeOver(ctx, wanted, racks)
+	k.confirm(ctx, racks)
+	k.level(ctx, target)
+}
+
+// claims returns the owners of the racks of the hall, this instance included.
+// It drops a rack that a peer owns at a higher epoch.
+func (k *Keeper) claims(now time.Time) map[string]Claim {
+	claims := k.Peers.Claims(k.Hall, now)
+	for r, e := range k.Racks.Owned() {
+		if c, ok := claims[r]; ok && e.Less(c.Epoch) {
+			level.Info(k.Log).Log("msg", "rack lost", "rack", r, "owner", c.Owner, "epoch", c.Epoch)
+			k.Racks.Drop(r)
+			continue
+		}
+		claims[r] = Claim{Owner: k.Instance, Epoch: e}
+	}
+	for r, c := range claims {
+		k.last[r] = c
+	}
+	return claims
+}
+
+// takeOver tries to own racks that nobody live claims.
+func (k *Keeper) takeOver(ctx context.Context, wanted []string, racks map[string][]platform.Instance) {
+	if len(wanted) == 0 {
+		return
+	}
+	sort.Strings(wanted)
+	rows, err := k.rackRows(ctx, wanted)
+	if err != nil {
+		k.takeLocally(wanted, racks)
+		return
+	}
+	members, err := k.memberVersions(ctx, rows)
+	if err != nil {
+		return
+	}
+	for _, r := range wanted {
+		row := rows[r]
+		switch {
+		case row.owner == k.Name():
+			k.adopt(r, lease.Epoch{Table: row.epoch}, row.version, racks[r])
+		case row.owner == "" || k.lapsed(row.owner, members[row.owner]):
+			k.claim(ctx, r, row, members[row.owner], racks[r])
+		}
+	}
+}
+
+// memberVersions returns the versions of the rows of the owners; 0 for those
+// that have none.
+func (k *Keeper) memberVersions(ctx context.Context, rows map[string]rackState) (map[string]uint64, error) {
+	set := make(map[string]bool)
+	for _, row := range rows {
+		if row.owner != "" && row.owner != k.Name() {
+			set[row.owner] = true
+		}
+	}
+	if len(set) == 0 {
+		return nil, nil
+	}
+	owners := sorted(set)
+	keys := make([]string, len(owners))
+	for i, o := range owners {
+		keys[i] = memberKey(k.Hall, o)
+	}
+	found, err := k.Table.Get(ctx, keys...)
+	if err != nil {
+		return nil, err
+	}
+	out := make(map[string]uint64, len(owners))
+	for i, row := range found {
+		out[owners[i]] = row.Version
+	}
+	return out, nil
+}
+
+// lapsed reports whether the row of an owner has not changed for the length of
+// its lease. A row that is gone has lapsed: its owner took its leave.
+func (k *Keeper) lapsed(owner string, version uint64) bool {
+	now := time.Now()
+	if version == 0 {
+		return true
+	}
+	w, ok := k.watched[owner]
+	if !ok || w.version != version {
+		k.watched[owner] = watch{version: version, since: now}
+		return false
+	}
+	return now.Sub(w.since) > MemberLease+lease.Margin(MemberLease)
+}
+
+// claim writes this instance into the row of a rack. The check on the row of
+// the last owner makes it fail if that owner has shown itself meanwhile.
+func (k *Keeper) claim(ctx context.Context, rack string, row rackState, member uint64, workers []platform.Instance) {
+	next := RackRow{Owner: k.Name(), Epoch: row.epoch + 1}
+	txn := platform.Txn{
+		Checks: []platform.Check{{Key: RackKey(k.Hall, rack), Version: row.version}},
+		Puts:   []platform.Put{{Key: RackKey(k.Hall, rack), Value: encodeRow(next)}},
+	}
+	if row.owner != "" {
+		key := memberKey(k.Hall, row.owner)
+		txn.Checks = append(txn.Checks, platform.Check{Key: key, Version: member})
+	}
+	ctx, cancel := context.WithTimeout(ctx, rowTimeout)
+	defer cancel()
+	res, err := k.Table.Commit(ctx, txn)
+	if err != nil || len(res.Failed) > 0 {
+		// A lost answer shows in the row, which the next step reads.
+		return
+	}
+	fault.At(fault.LeaseTaken)
+	level.Info(k.Log).Log("msg", "rack taken", "rack", rack, "epoch", next.Epoch, "before", row.owner)
+	k.adopt(rack, lease.Epoch{Table: next.Epoch}, res.Version, workers)
+}
+
+func (k *Keeper) adopt(rack string, epoch lease.Epoch, version uint64, workers []platform.Instance) {
+	k.rows[rack] = version
+	k.Racks.Adopt(rack, epoch, version, workers)
+}
+
+// takeLocally takes racks over without the table, when it has not answered for
+// some time. The workers decide: they accept a new owner only once the control
+// of the last one has lapsed.
+func (k *Keeper) takeLocally(wanted []string, racks map[string][]platform.Instance) {
+	if !k.CutOff(time.Now()) {
+		return
+	}
+	for _, r := range wanted {
+		before, ok := k.last[r]
+		if !ok {
+			continue
+		}
+		level.Warn(k.Log).Log("msg", "rack taken without the table", "rack", r, "before", before.Owner)
+		k.adopt(r, before.Epoch.NextLocal(), 0, racks[r])
+	}
+}
+
+// confirm writes down the racks that were taken without the table once it is
+// back. Until then their row still names the last owner.
+func (k *Keeper) confirm(ctx context.Context, racks map[string][]platform.Instance) {
+	var local []string
+	for r := range k.Racks.Owned() {
+		if k.rows[r] == 0 {
+			local = append(local, r)
+		}
+	}
+	if len(local) == 0 || k.CutOff(time.Now()) {
+		return
+	}
+	k.takeOver(ctx, local, racks)
+}
+
+// level hands on a rack that another instance should own.
+func (k *Keeper) level(ctx context.Context, target map[string]string) {
+	now := time.Now()
+	if now.Sub(k.moved) < moveEvery {
+		return
+	}
+	for _, r := range names(k.Racks.Owned()) {
+		to := target[r]
+		if to == "" || to == k.Instance {
+			continue
+		}
+		k.moved = now
+		k.handOver(ctx, r, to)
+		return
+	}
+}
+
+// handOver writes a peer into the row of a rack and tells it.
+func (k *Keeper) handOver(ctx context.Context, rack, to string) {
+	peer, ok := k.Peers.Get(to)
+	version := k.rows[rack]
+	epoch, owned := k.Racks.Owned()[rack]
+	if !ok || !owned || version == 0 {
+		return
+	}
+	next := RackRow{Owner: OwnerName(peer.Instance, peer.Boot), Epoch: epoch.Table + 1}
+	key := RackKey(k.Hall, rack)
+	txn := platform.Txn{
+		Checks: []platform.Check{{Key: key, Version: version}},
+		Puts:   []platform.Put{{Key: key, Value: encodeRow(next)}},
+	}
+	ctx, cancel := context.WithTimeout(ctx, rowTimeout)
+	defer cancel()
+	res, err := k.Table.Commit(ctx, txn)
+	if kind.Is(err, kind.Lost) {
+		// The row says who owns the rack; the next audit reads it.
+		k.Nudge()
+		return
+	}
+	if err != nil || len(res.Failed) > 0 {
+		return
+	}
+	fault.At(fault.HandedOver)
+	level.Info(k.Log).Log("msg", "rack handed over", "rack", rack, "to", to, "epoch", next.Epoch)
+	k.Racks.Drop(rack)
+	req := &wire.Request{Body: &wire.Request_Handover{Handover: &wire.Handover{Rack: rack, EpochTable: next.Epoch}}}
+	if _, err := k.Send.Do(ctx, peer.Addr, req); err != nil {
+		level.Warn(k.Log).Log("msg", "handover not delivered", "rack", rack, "to", to, "err", err)
+	}
+}
+
+func (k *Keeper) isStopping() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.stopping
+}
+
+// Leave hands all racks on, for a planned stop. Run must have ended. Racks for
+// which there is no peer keep their row; the row of this instance is removed,
+// so that whoever comes next need not wait.
+func (k *Keeper) Leave(ctx context.Context) {
+	k.mu.Lock()
+	k.stopping = true
+	k.mu.Unlock()
+	now := time.Now()
+	owned := k.Racks.Owned()
+	claims := k.Peers.Claims(k.Hall, now)
+	present := make(map[string]string)
+	all := names(owned)
+	for r, c := range claims {
+		present[r] = c.Owner
+		if _, mine := owned[r]; !mine {
+			all = append(all, r)
+		}
+	}
+	target := Assign(all, k.members(now), present)
+	for _, r := range names(owned) {
+		if target[r] != "" {
+			k.handOver(ctx, r, target[r])
+		}
+	}
+	txn := platform.Txn{Puts: []platform.Put{{Key: memberKey(k.Hall, k.Name()), Delete: true}}}
+	if _, err := k.Table.Commit(ctx, txn); err != nil {
+		level.Warn(k.Log).Log("msg", "member row not removed", "err", err)
+	}
+}
--- /dev/null
+++ b/hall/rows.go
@@ -0,0 +1,51 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package hall
+
+import (
+	"encoding/json"
+
+	"dewpass.org/kind"
+)
+
+// RackRow is the row of a rack in the platform's table.
+type RackRow struct {
+	Owner string `json:"owner"`
+	Epoch uint64 `json:"epoch"`
+}
+
+// memberRow is the row by which an instance shows that it lives.
+type memberRow struct {
+	Boot string `json:"boot"`
+	Beat uint64 `json:"beat"`
+}
+
+const (
+	rackPrefix   = "rack/"
+	memberPrefix = "member/"
+)
+
+// RackKey returns the key of the row of a rack.
+func RackKey(hall, rack string) string { return rackPrefix + hall + "/" + rack }
+
+func memberKey(hall, instance string) string { return memberPrefix + hall + "/" + instance }
+
+func encodeRow(v any) []byte {
+	raw, err := json.Marshal(v)
+	if err != nil {
+		panic(err) // A struct of strings and numbers always has a JSON form.
+	}
+	return raw
+}
+
+// DecodeRack reads the row of a rack. An absent row has no owner.
+func DecodeRack(raw []byte) (RackRow, error) {
+	var r RackRow
+	if len(raw) == 0 {
+		return r, nil
+	}
+	if err := json.Unmarshal(raw, &r); err != nil {
+		return r, kind.Wrap(kind.Internal, err, "a rack's row is damaged")
+	}
+	return r, nil
+}
--- /dev/null
+++ b/owner/owner.go
@@ -0,0 +1,511 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package owner
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"go.opentelemetry.io/otel/trace"
+
+	"github.com/uber-go/tally/v4"
+
+	"dewpass.org/hall"
+	"dewpass.org/job"
+	"dewpass.org/journal"
+	"dewpass.org/kind"
+	"dewpass.org/lease"
+	"dewpass.org/platform"
+	"dewpass.org/sched"
+	"dewpass.org/tree"
+	"dewpass.org/wire"
+)
+
+// Config is what an Owner works with.
+type Config struct {
+	// Name is the name under which this start of the instance owns racks.
+	Name    string
+	Hall    string
+	Connect func(addr string) platform.Worker
+	Table   platform.Table
+	Objects platform.Objects
+	Journal *journal.Journal
+	Tree    *tree.Register
+	// Contact returns when the table last answered.
+	Contact func() time.Time
+	// Lost is called when a worker or the table shows that a rack may be
+	// another's.
+	Lost   func()
+	Log    log.Logger
+	Scope  tally.Scope
+	Tracer trace.Tracer
+	// TaskLease is how long tasks go on at a worker that hears nothing; 0 is
+	// DefaultTaskLease.
+	TaskLease time.Duration
+}
+
+const (
+	// DefaultTaskLease is longer than a takeover, so that one ends no task.
+	DefaultTaskLease = 12 * time.Second
+	tickEvery        = 50 * time.Millisecond
+	pauseLimit       = 750 * time.Millisecond
+)
+
+// Owner runs the racks that an instance owns. Make one with New.
+type Owner struct {
+	Config
+	start time.Time
+	// base ends when the instance does.
+	base context.Context
+
+	mu       sync.Mutex
+	cell     sched.Cell
+	guard    lease.Guard
+	racks    map[string]*rack
+	workers  map[sched.WorkerID]*worker
+	byRef    map[uint64]*task
+	byID     map[string]*task
+	jobs     map[string]*jobState
+	names    numbers
+	history  map[string]*estimate
+	leaving  map[string]bool
+	nextRef  uint64
+	treeSeen uint64
+	share    float64
+	cellSize int
+	out      []sched.Decision
+	draining bool
+}
+
+// rack is a rack that is owned.
+type rack struct {
+	name    string
+	id      sched.RackID
+	epoch   lease.Epoch
+	row     uint64
+	since   time.Time
+	workers map[string]*worker
+	loaded  bool
+	// ignored is set when a worker reported work whose row was not loaded yet.
+	ignored bool
+	ctx     context.Context
+	cancel  context.CancelFunc
+}
+
+// task is a task that waits or runs.
+type task struct {
+	ref      uint64
+	handle   sched.Handle
+	spec     platform.Task
+	workload *tree.Workload
+	rack     *rack
+	// worker is where it was placed; nil while it waits.
+	worker *worker
+	// epoch and incarnation are those of its last start.
+	epoch       lease.Epoch
+	incarnation string
+	sent        bool
+	// absent is set when the worker has shown that it does not have the task.
+	absent bool
+	// call is set while a caller waits for a place.
+	call *pendingCall
+	// callerWaits is set while a caller's goroutine holds the task.
+	callerWaits bool
+	// job is set for work with a row.
+	job     *jobState
+	placed  time.Duration
+	stopped bool
+}
+
+// New returns an Owner without racks. ctx ends with the instance.
+func New(ctx context.Context, c Config) *Owner {
+	if c.TaskLease == 0 {
+		c.TaskLease = DefaultTaskLease
+	}
+	return &Owner{
+		Config:  c,
+		base:    ctx,
+		start:   time.Now(),
+		guard:   lease.Guard{Limit: pauseLimit},
+		racks:   make(map[string]*rack),
+		workers: make(map[sched.WorkerID]*worker),
+		byRef:   make(map[uint64]*task),
+		byID:    make(map[string]*task),
+		jobs:    make(map[string]*jobState),
+		history: make(map[string]*estimate),
+		leaving: make(map[string]bool),
+		names:   newNumbers(),
+		share:   1,
+	}
+}
+
+// now is the time as the cell counts it.
+func (o *Owner) now() time.Duration { return time.Since(o.start) }
+
+// Run keeps the books until ctx ends.
+func (o *Owner) Run(ctx context.Context) {
+	t := time.NewTicker(tickEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-t.C:
+			o.tick()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (o *Owner) tick() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.checkPause()
+	o.followTree()
+	o.sweep()
+	o.moveOn()
+	o.step()
+}
+
+// checkPause makes every worker attach again if this process was paused: what
+// it knew before may be long over. The lock is held. It comes before every
+// decision.
+func (o *Owner) checkPause() {
+	if !o.guard.Tick(time.Now()) {
+		return
+	}
+	level.Warn(o.Log).Log("msg", "this process was paused", "action", "attaching all workers again")
+	for _, r := range o.racks {
+		for _, w := range r.workers {
+			o.suspect(w)
+		}
+	}
+	o.Lost()
+}
+
+// Adopt implements hall.Racks.
+func (o *Owner) Adopt(name string, epoch lease.Epoch, row uint64, workers []platform.Instance) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	r := o.racks[name]
+	if r != nil && r.row == 0 && row != 0 {
+		o.promote(r, epoch, row)
+		return
+	}
+	if r != nil {
+		return
+	}
+	ctx, cancel := context.WithCancel(o.base)
+	r = &rack{
+		name: name, id: sched.RackID(o.names.of("rack/" + name)),
+		epoch: epoch, row: row, since: time.Now(),
+		workers: make(map[string]*worker), ctx: ctx, cancel: cancel,
+	}
+	o.racks[name] = r
+	for _, in := range workers {
+		o.addWorker(r, in)
+	}
+	if row != 0 {
+		go o.load(r)
+	}
+	o.quotas()
+}
+
+// promote puts a rack that was taken without the table under its table epoch.
+func (o *Owner) promote(r *rack, epoch lease.Epoch, row uint64) {
+	r.epoch, r.row = epoch, row
+	for _, w := range r.workers {
+		o.suspect(w)
+	}
+	for _, js := range o.jobs {
+		if js.rack == r && js.dirty {
+			o.persist(js)
+		}
+	}
+	go o.load(r)
+}
+
+// Drop implements hall.Racks. Calls in progress go on to their answers; jobs
+// are the next owner's.
+func (o *Owner) Drop(name string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	r := o.racks[name]
+	if r == nil {
+		return
+	}
+	delete(o.racks, name)
+	r.cancel()
+	for _, t := range o.byRef {
+		if t.rack == r || (t.worker != nil && t.worker.rack == r) {
+			o.abandon(t)
+		}
+	}
+	for id, js := range o.jobs {
+		if js.rack == r {
+			js.finish(kind.New(kind.Fenced, "the rack has another owner"))
+			delete(o.jobs, id)
+		}
+	}
+	for _, w := range r.workers {
+		o.removeWorker(w)
+	}
+	o.quotas()
+}
+
+// abandon takes a task off the books of a rack that is no longer owned.
+func (o *Owner) abandon(t *task) {
+	if t.worker == nil && t.call != nil {
+		t.call.fail(kind.New(kind.Fenced, "the rack has another owner"))
+	}
+	o.forget(t)
+}
+
+// forget takes a task off the books.
+func (o *Owner) forget(t *task) {
+	if !o.cell.Cancel(t.handle) {
+		o.cell.Finish(t.handle, o.now())
+	}
+	delete(o.byRef, t.ref)
+	if o.byID[t.spec.ID] == t {
+		delete(o.byID, t.spec.ID)
+	}
+}
+
+// Owned implements hall.Racks.
+func (o *Owner) Owned() map[string]lease.Epoch {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	out := make(map[string]lease.Epoch, len(o.racks))
+	for name, r := range o.racks {
+		out[name] = r.epoch
+	}
+	return out
+}
+
+// Workers implements hall.Racks.
+func (o *Owner) Workers(list []platform.Instance) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.cellSize = 0
+	listed := make(map[string]bool)
+	for _, in := range list {
+		if in.Role != platform.RoleWorker {
+			continue
+		}
+		o.cellSize++
+		listed[in.ID] = true
+		r := o.racks[in.Rack]
+		if r == nil || in.Hall != o.Hall {
+			continue
+		}
+		o.meet(r, in)
+	}
+	for name := range o.leaving {
+		if !listed[name] {
+			delete(o.leaving, name)
+		}
+	}
+	o.quotas()
+	o.step()
+}
+
+// meet takes in what the list says of a worker of an owned rack.
+func (o *Owner) meet(r *rack, in platform.Instance) {
+	w := r.workers[in.ID]
+	if w == nil {
+		o.addWorker(r, in)
+		w = r.workers[in.ID]
+	}
+	if w.addr != in.Addr {
+		w.addr = in.Addr
+		w.api = o.Connect(in.Addr)
+		o.suspect(w)
+	}
+	w.listedLeaving = in.Leaving
+	o.gate(w)
+}
+
+// Leaving tells of workers that a peer has seen leaving.
+func (o *Owner) Leaving(names []string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, name := range names {
+		for _, r := range o.racks {
+			if w := r.workers[name]; w != nil && !w.leaving {
+				w.listedLeaving = true
+				o.gate(w)
+			}
+		}
+	}
+}
+
+// quotas gives the cell the part of each team's quota that falls to this
+// owner: its part of all workers that are listed.
+func (o *Owner) quotas() {
+	own := 0
+	for _, r := range o.racks {
+		own += len(r.workers)
+	}
+	o.share = 1
+	if o.cellSize > 0 {
+		o.share = float64(own) / float64(o.cellSize)
+	}
+	c := o.Tree.Now()
+	o.cell.SetReserveFloor(c.Reserve)
+	for path, t := range c.Teams {
+		quota := t.Quota
+		for d := range quota {
+			quota[d] = int64(float64(quota[d]) * o.share)
+		}
+		o.cell.SetTeam(sched.TeamID(o.names.of("team/"+path)), quota, t.Borrow)
+	}
+}
+
+// followTree takes in a new version of the tree.
+func (o *Owner) followTree() {
+	c := o.Tree.Now()
+	if c.Version == o.treeSeen {
+		return
+	}
+	o.treeSeen = c.Version
+	o.quotas()
+	for _, js := range o.jobs {
+		o.release(js)
+	}
+}
+
+// Summary returns what peers are told of the racks.
+func (o *Owner) Summary() []*wire.Rack {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	out := make([]*wire.Rack, 0, len(o.racks))
+	for _, r := range o.racks {
+		out = append(out, o.summary(r))
+	}
+	return out
+}
+
+func (o *Owner) summary(r *rack) *wire.Rack {
+	free, hole := o.cell.Hole(r.id)
+	s := &wire.Rack{
+		Rack: r.name, EpochTable: r.epoch.Table, EpochLocal: r.epoch.Local,
+		Free: free[:], Hole: hole[:], Workers: uint32(len(r.workers)),
+		Queued: uint32(o.cell.Queued()),
+	}
+	var capacity sched.Vec
+	for _, w := range r.workers {
+		if w.attached {
+			s.Attached++
+			capacity = capacity.Add(o.cell.Capacity(w.id))
+			s.Running += uint32(o.cell.RunningOn(w.id))
+		}
+	}
+	s.Capacity = capacity[:]
+	s.Ready = s.Attached > 0 && !o.draining
+	return s
+}
+
+// SeenLeaving returns the workers that have said themselves that they leave.
+func (o *Owner) SeenLeaving() []string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	var out []string
+	for _, r := range o.racks {
+		for name, w := range r.workers {
+			if w.leaving || w.listedLeaving {
+				out = append(out, name)
+			}
+		}
+	}
+	return out
+}
+
+// Ready reports whether every owned rack has an attached worker.
+func (o *Owner) Ready() bool {
+	for _, s := range o.Summary() {
+		if s.Attached == 0 && s.Workers > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+var _ hall.Racks = (*Owner)(nil)
+
+// numbers hands out a number for each name.
+type numbers struct {
+	known map[string]int32
+}
+
+func newNumbers() numbers { return numbers{known: make(map[string]int32)} }
+
+func (n numbers) of(name string) int32 {
+	id, ok := n.known[name]
+	if !ok {
+		id = int32(len(n.known) + 1)
+		n.known[name] = id
+	}
+	return id
+}
+
+// task makes the record of a task. The lock is held.
+func (o *Owner) newTask(w *tree.Workload, spec platform.Task) *task {
+	o.nextRef++
+	spec.Demand = w.Demand
+	spec.Workload = w.Path
+	t := &task{ref: o.nextRef, workload: w, spec: spec}
+	o.byRef[t.ref] = t
+	o.byID[spec.ID] = t
+	return t
+}
+
+// schedTask returns what the cell needs to know of t.
+func (o *Owner) schedTask(t *task) sched.Task {
+	s := sched.Task{
+		Ref:      t.ref,
+		Team:     sched.TeamID(o.names.of("team/" + t.workload.Team)),
+		Class:    t.workload.Class,
+		Demand:   t.spec.Demand,
+		Rack:     sched.AnyRack,
+		Call:     t.spec.Call,
+		Estimate: o.estimate(t.workload),
+		Ladder:   t.workload.Ladder,
+	}
+	if t.job != nil && t.job.rack != nil && !t.spec.Call {
+		s.Rack = t.job.rack.id
+		o.jobTimes(t.job, &s)
+	}
+	if t.spec.Call || t.spec.Repeat == platform.RepeatNever {
+		s.Ladder = 0
+	}
+	if t.workload.Kind == tree.Service {
+		s.Group = o.names.of("group/" + t.workload.Path)
+	}
+	return s
+}
+
+func (o *Owner) jobTimes(js *jobState, s *sched.Task) {
+	if js.row.NotBefore != nil {
+		s.NotBefore = js.row.NotBefore.Sub(o.wall())
+	}
+	if js.row.Deadline != nil {
+		s.Deadline = js.row.Deadline.Sub(o.wall())
+	}
+}
+
+// wall is the wall clock's time at which the cell's clock began.
+func (o *Owner) wall() time.Time { return time.Now().Add(-o.now()) }
+
+// Job returns a job of an owned rack.
+func (o *Owner) Job(id string) (job.Job, bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	js := o.jobs[id]
+	if js == nil {
+		return job.Job{}, false
+	}
+	return js.row, true
+}
