front, entry, cmd: callers, operators, the instance and its command line

The front passes a call on only after a definite refusal, with a budget for further tries, and closes the key of a request that it answers not_run.

--- /dev/null
+++ b/cmd/dewpass/main.go
@@ -0,0 +1,75 @@
+// SPDX-License-Identifier: Apache-2.0
+
+// Command dewpass is the whole product in one binary: the entry instance, and
+// the command line of the operators.
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/urfave/cli/v3"
+
+	"dewpass.org/kind"
+)
+
+// version is set by the build.
+var version = "dev"
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	os.Exit(run(ctx, os.Args, os.Stdout, os.Stderr))
+}
+
+// run runs the command line and returns its exit code.
+func run(ctx context.Context, args []string, out, errs io.Writer) int {
+	app := newApp(out, errs)
+	err := app.Run(ctx, args)
+	if err == nil {
+		return 0
+	}
+	fmt.Fprintln(errs, "dewpass:", err)
+	return exitCode(err)
+}
+
+// exitCode returns the code of an error: that of its kind, or 2 for a command
+// line that cannot be read.
+func exitCode(err error) int {
+	e := kind.Of(err)
+	if e.Kind == kind.Internal && e.Cause == err {
+		return kind.BadRequest.Row().Exit
+	}
+	return e.Kind.Row().Exit
+}
+
+func newApp(out, errs io.Writer) *cli.Command {
+	return &cli.Command{
+		Name:                  "dewpass",
+		Usage:                 "a cluster scheduler for unlike workloads on one cell of workers",
+		Version:               version,
+		EnableShellCompletion: true,
+		ConfigureShellCompletionCommand: func(c *cli.Command) {
+			c.Hidden = false
+		},
+		Suggest:     true,
+		Writer:      out,
+		ErrWriter:   errs,
+		Description: "Operators only edit the tree of settings; dewpass decides where and when each\ntask runs. Exit codes: 0 done, 2 bad input, 3 not found, 4 conflict,\n6 refused for now, 7 too late, 8 out of reach, 9 unknown, 1 anything else.\n\nExample: dewpass status --server http://10.0.0.1:8080",
+		ExitErrHandler: func(context.Context, *cli.Command, error) {
+			// run prints the error and chooses the exit code.
+		},
+		Commands: []*cli.Command{
+			entryCommand(),
+			treeCommand(),
+			workloadCommand(),
+			jobsCommand(),
+			statusCommand(),
+			settingsCommand(),
+		},
+	}
+}
--- /dev/null
+++ b/cmd/dewpass/output.go
@@ -0,0 +1,99 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"dewpass.org/internal/client"
+	"dewpass.org/kind"
+)
+
+const (
+	defaultServer = "http://127.0.0.1:8080"
+	clientTimeout = 10 * time.Second
+)
+
+// serverFlags are the flags of every command that asks an instance.
+func serverFlags(more ...cli.Flag) []cli.Flag {
+	return append([]cli.Flag{
+		&cli.StringFlag{
+			Name: "server", Value: defaultServer, Sources: cli.EnvVars("DEWPASS_SERVER"),
+			Usage: "`URL` of any instance, or of the balancer",
+		},
+		&cli.StringFlag{
+			Name: "output", Aliases: []string{"o"}, Value: "table",
+			Usage: "`FORMAT` of the output: json or table",
+			Validator: func(s string) error {
+				if s != "json" && s != "table" {
+					return kind.At(kind.BadRequest, "--output", "must be json or table")
+				}
+				return nil
+			},
+		},
+	}, more...)
+}
+
+func server(c *cli.Command) *client.Client {
+	return &client.Client{
+		Base: strings.TrimSuffix(c.String("server"), "/"),
+		HTTP: &http.Client{Timeout: clientTimeout},
+	}
+}
+
+// argument returns the argument at a position, or an error that names it.
+func argument(c *cli.Command, i int, name string) (string, error) {
+	if c.Args().Len() <= i {
+		return "", kind.At(kind.BadRequest, name, "is missing; see --help")
+	}
+	return c.Args().Get(i), nil
+}
+
+// table is a table as it is printed.
+type table struct {
+	head []string
+	rows [][]string
+}
+
+func (t *table) add(cells ...any) {
+	row := make([]string, len(cells))
+	for i, cell := range cells {
+		row[i] = fmt.Sprint(cell)
+	}
+	t.rows = append(t.rows, row)
+}
+
+func (t *table) write(w io.Writer) error {
+	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(tw, strings.Join(t.head, "\t"))
+	for _, r := range t.rows {
+		fmt.Fprintln(tw, strings.Join(r, "\t"))
+	}
+	return tw.Flush()
+}
+
+// show prints a value as JSON, or as the table that f makes of it.
+func show(c *cli.Command, v any, f func() *table) error {
+	w := c.Root().Writer
+	if c.String("output") == "table" && f != nil {
+		return f().write(w)
+	}
+	enc := json.NewEncoder(w)
+	enc.SetIndent("", "  ")
+	return enc.Encode(v)
+}
+
+func orDash(s string) string {
+	if s == "" {
+		return "-"
+	}
+	return s
+}
--- /dev/null
+++ b/cmd/dewpass/tree.go
@@ -0,0 +1,339 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/url"
+	"os"
+	"sort"
+	"strconv"
+	"time"
+
+	"github.com/oklog/ulid/v2"
+	"github.com/urfave/cli/v3"
+
+	"dewpass.org/front"
+	"dewpass.org/kind"
+	"dewpass.org/tree"
+)
+
+func treeCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "tree",
+		Usage: "read and edit the tree of settings",
+		Description: "Paths name a branch (tinting/shade-lookup), one of its settings\n" +
+			"(tinting/shade-lookup.deadline) or one of the root (.class).\n\nExample: dewpass tree get tinting/shade-lookup.deadline",
+		Commands: []*cli.Command{
+			treeGet(), treeSet(), treeUnset(), treeDiff(), treeLog(), treeCheck(), treeWait(),
+		},
+	}
+}
+
+func treeGet() *cli.Command {
+	return &cli.Command{
+		Name: "get", ArgsUsage: "[PATH]",
+		Usage:       "print what is set at a path",
+		Description: "Example: dewpass tree get tinting",
+		Flags:       serverFlags(),
+		Action: func(ctx context.Context, c *cli.Command) error {
+			view, err := getTree(ctx, c, c.Args().First())
+			if err != nil {
+				return err
+			}
+			return show(c, view.Value, nil)
+		},
+	}
+}
+
+func getTree(ctx context.Context, c *cli.Command, path string) (front.TreeView, error) {
+	var view front.TreeView
+	err := server(c).Do(ctx, http.MethodGet, "/v1/tree?path="+url.QueryEscape(path), nil, &view)
+	return view, err
+}
+
+// editFlags are the flags of the commands that edit.
+func editFlags() []cli.Flag {
+	return serverFlags(
+		&cli.Uint64Flag{Name: "base", Usage: "`VERSION` that the edit was made on; 0 is the newest"},
+		&cli.StringFlag{Name: "id", Usage: "`ID` of the edit, so that it can be repeated safely"},
+	)
+}
+
+func treeSet() *cli.Command {
+	return &cli.Command{
+		Name: "set", ArgsUsage: "PATH VALUE [PATH VALUE ...]",
+		Usage:       "set values, all of them or none",
+		Description: "A VALUE is JSON; a word that is none is taken as a string.\nAn empty PATH with @FILE as its VALUE sets the whole tree.\n\nExample: dewpass tree set tinting/shade-lookup.deadline 800ms",
+		Flags:       editFlags(),
+		Action: func(ctx context.Context, c *cli.Command) error {
+			if c.Args().Len() == 0 || c.Args().Len()%2 != 0 {
+				return kind.At(kind.BadRequest, "VALUE", "is missing; see --help")
+			}
+			var ops []tree.Op
+			for i := 0; i < c.Args().Len(); i += 2 {
+				v, err := value(c.Args().Get(i + 1))
+				if err != nil {
+					return err
+				}
+				ops = append(ops, tree.Op{Path: c.Args().Get(i), Value: v})
+			}
+			return edit(ctx, c, ops)
+		},
+	}
+}
+
+// value reads a value of the command line.
+func value(s string) (json.RawMessage, error) {
+	if len(s) > 1 && s[0] == '@' {
+		raw, err := os.ReadFile(s[1:])
+		if err != nil {
+			return nil, kind.Wrap(kind.BadRequest, err, "value")
+		}
+		return raw, nil
+	}
+	if json.Valid([]byte(s)) {
+		return json.RawMessage(s), nil
+	}
+	return json.Marshal(s)
+}
+
+func treeUnset() *cli.Command {
+	return &cli.Command{
+		Name: "unset", ArgsUsage: "PATH [PATH ...]",
+		Usage:       "unset values, so that they are inherited again",
+		Description: "Example: dewpass tree unset tinting/shade-lookup.deadline",
+		Flags:       editFlags(),
+		Action: func(ctx context.Context, c *cli.Command) error {
+			if _, err := argument(c, 0, "PATH"); err != nil {
+				return err
+			}
+			var ops []tree.Op
+			for _, p := range c.Args().Slice() {
+				ops = append(ops, tree.Op{Path: p})
+			}
+			return edit(ctx, c, ops)
+		},
+	}
+}
+
+func edit(ctx context.Context, c *cli.Command, ops []tree.Op) error {
+	e := tree.Edit{ID: c.String("id"), Base: c.Uint64("base"), Ops: ops, Who: os.Getenv("USER")}
+	if e.ID == "" {
+		e.ID = ulid.Make().String()
+	}
+	if e.Base == 0 {
+		view, err := getTree(ctx, c, "")
+		if err != nil {
+			return err
+		}
+		e.Base = view.Version
+	}
+	var entry tree.Entry
+	if err := server(c).Do(ctx, http.MethodPost, "/v1/tree/edits", e, &entry); err != nil {
+		return err
+	}
+	return show(c, entry, func() *table { return changeTable(entry.Version, entry.Changes) })
+}
+
+func changeTable(version uint64, changes []tree.Change) *table {
+	t := &table{head: []string{"VERSION", "PATH", "FROM", "TO"}}
+	for _, ch := range changes {
+		t.add(version, ch.Path, orDash(string(ch.From)), orDash(string(ch.To)))
+	}
+	return t
+}
+
+func treeDiff() *cli.Command {
+	return &cli.Command{
+		Name: "diff", ArgsUsage: "FILE",
+		Usage:       "print what would change if a file became the tree",
+		Description: "Example: dewpass tree diff comhar-dathanna.json",
+		Flags:       serverFlags(),
+		Action: func(ctx context.Context, c *cli.Command) error {
+			name, err := argument(c, 0, "FILE")
+			if err != nil {
+				return err
+			}
+			next, err := readDoc(name)
+			if err != nil {
+				return err
+			}
+			view, err := getTree(ctx, c, "")
+			if err != nil {
+				return err
+			}
+			var now tree.Doc
+			if err := json.Unmarshal(view.Value, &now); err != nil {
+				return kind.Wrap(kind.Damaged, err, "tree")
+			}
+			changes := tree.Diff(&now, next)
+			return show(c, changes, func() *table { return changeTable(view.Version, changes) })
+		},
+	}
+}
+
+func readDoc(name string) (*tree.Doc, error) {
+	raw, err := os.ReadFile(name)
+	if err != nil {
+		return nil, kind.Wrap(kind.BadRequest, err, "tree")
+	}
+	return tree.Parse(raw)
+}
+
+func treeLog() *cli.Command {
+	return &cli.Command{
+		Name:        "log",
+		Usage:       "print the accepted edits",
+		Description: "Example: dewpass tree log --after 41",
+		Flags:       serverFlags(&cli.Uint64Flag{Name: "after", Usage: "`VERSION` after which to begin"}),
+		Action: func(ctx context.Context, c *cli.Command) error {
+			var entries []tree.Entry
+			path := "/v1/tree/log?after=" + strconv.FormatUint(c.Uint64("after"), 10)
+			if err := server(c).Do(ctx, http.MethodGet, path, nil, &entries); err != nil {
+				return err
+			}
+			return show(c, entries, func() *table {
+				t := &table{head: []string{"VERSION", "AT", "WHO", "PATH", "FROM", "TO"}}
+				for _, e := range entries {
+					for _, ch := range e.Changes {
+						t.add(e.Version, e.At.Format(time.RFC3339), orDash(e.Edit.Who), ch.Path,
+							orDash(string(ch.From)), orDash(string(ch.To)))
+					}
+				}
+				return t
+			})
+		},
+	}
+}
+
+func treeCheck() *cli.Command {
+	return &cli.Command{
+		Name: "check", ArgsUsage: "FILE",
+		Usage:       "check a file without an instance and name every fault with its path",
+		Description: "Example: dewpass tree check comhar-dathanna.json",
+		Action: func(_ context.Context, c *cli.Command) error {
+			name, err := argument(c, 0, "FILE")
+			if err != nil {
+				return err
+			}
+			doc, err := readDoc(name)
+			if err != nil {
+				return err
+			}
+			compiled, err := tree.Compile(doc, 0)
+			if err != nil {
+				return err
+			}
+			for _, w := range compiled.Names() {
+				fmt.Fprintln(c.Root().Writer, w)
+			}
+			return nil
+		},
+	}
+}
+
+const waitPoll = 200 * time.Millisecond
+
+func treeWait() *cli.Command {
+	return &cli.Command{
+		Name: "wait", ArgsUsage: "VERSION",
+		Usage:       "wait until a version is in force at every instance that can be reached",
+		Description: "Example: dewpass tree wait 42 --timeout 5s",
+		Flags:       serverFlags(&cli.DurationFlag{Name: "timeout", Value: clientTimeout, Usage: "`DURATION` to wait for"}),
+		Action: func(ctx context.Context, c *cli.Command) error {
+			arg, err := argument(c, 0, "VERSION")
+			if err != nil {
+				return err
+			}
+			version, err := strconv.ParseUint(arg, 10, 64)
+			if err != nil {
+				return kind.At(kind.BadRequest, "VERSION", arg+" is not a number")
+			}
+			ctx, cancel := context.WithTimeout(ctx, c.Duration("timeout"))
+			defer cancel()
+			return awaitVersion(ctx, c, version)
+		},
+	}
+}
+
+func awaitVersion(ctx context.Context, c *cli.Command, version uint64) error {
+	for {
+		s, err := getStatus(ctx, c)
+		if err == nil && inForce(s, version) {
+			_, err = fmt.Fprintf(c.Root().Writer, "version %d is in force at %d instances\n", version, len(s.Instances))
+			return err
+		}
+		select {
+		case <-time.After(waitPoll):
+		case <-ctx.Done():
+			return kind.New(kind.Deadline, fmt.Sprintf("version %d is not in force everywhere yet", version))
+		}
+	}
+}
+
+func inForce(s front.Status, version uint64) bool {
+	for _, in := range s.Instances {
+		if in.TreeVersion < version {
+			return false
+		}
+	}
+	return true
+}
+
+func workloadCommand() *cli.Command {
+	return &cli.Command{
+		Name: "workload", ArgsUsage: "[PATH]",
+		Usage:       "print the workloads, or one with the branch that each value came from",
+		Description: "Example: dewpass workload tinting/shade-lookup",
+		Flags:       serverFlags(),
+		Action: func(ctx context.Context, c *cli.Command) error {
+			if c.Args().Len() == 0 {
+				return listWorkloads(ctx, c)
+			}
+			var w struct {
+				Path   string                `json:"path"`
+				Team   string                `json:"team"`
+				Values map[string]tree.Value `json:"values"`
+			}
+			if err := server(c).Do(ctx, http.MethodGet, "/v1/workloads/"+c.Args().First(), nil, &w); err != nil {
+				return err
+			}
+			return show(c, w, func() *table { return valueTable(w.Values) })
+		},
+	}
+}
+
+func listWorkloads(ctx context.Context, c *cli.Command) error {
+	var names []string
+	if err := server(c).Do(ctx, http.MethodGet, "/v1/workloads", nil, &names); err != nil {
+		return err
+	}
+	return show(c, names, func() *table {
+		t := &table{head: []string{"WORKLOAD"}}
+		for _, n := range names {
+			t.add(n)
+		}
+		return t
+	})
+}
+
+func valueTable(values map[string]tree.Value) *table {
+	names := make([]string, 0, len(values))
+	for n := range values {
+		names = append(names, n)
+	}
+	sort.Strings(names)
+	t := &table{head: []string{"SETTING", "VALUE", "FROM"}}
+	for _, n := range names {
+		from := values[n].From
+		if from == "" {
+			from = "(root)"
+		}
+		t.add(n, string(values[n].Value), from)
+	}
+	return t
+}
--- /dev/null
+++ b/entry/greet.go
@@ -0,0 +1,256 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"dewpass.org/job"
+	"dewpass.org/kind"
+	"dewpass.org/platform"
+	"dewpass.org/telemetry"
+	"dewpass.org/wire"
+)
+
+const (
+	greetEvery   = 300 * time.Millisecond
+	greetTimeout = 700 * time.Millisecond
+	pullTimeout  = 2 * time.Second
+)
+
+// spread keeps the number of this instance's rack summaries.
+type spread struct {
+	boot string
+
+	mu    sync.Mutex
+	seq   uint64
+	racks []*wire.Rack
+}
+
+// number returns the number of the given summaries, a new one if they changed.
+func (s *spread) number(racks []*wire.Rack) uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.seq == 0 || !same(s.racks, racks) {
+		s.seq++
+		s.racks = racks
+	}
+	return s.seq
+}
+
+func same(a, b []*wire.Rack) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	byName := make(map[string]*wire.Rack, len(a))
+	for _, r := range a {
+		byName[r.Rack] = r
+	}
+	for _, r := range b {
+		if !proto.Equal(byName[r.Rack], r) {
+			return false
+		}
+	}
+	return true
+}
+
+// greet says hello to peers again and again until ctx ends.
+func (e *Entry) greet(ctx context.Context) {
+	t := time.NewTicker(greetEvery)
+	defer t.Stop()
+	for {
+		e.greetOnce(ctx)
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// greetOnce says hello to every peer that is to be greeted, and does not wait
+// for those that are slow.
+func (e *Entry) greetOnce(ctx context.Context) {
+	racks := e.owner.Summary()
+	seq := e.spread.number(racks)
+	seen := e.seenBy()
+	for _, addr := range e.peers.Greet(time.Now()) {
+		if addr == e.settings.Listen.Peer {
+			continue
+		}
+		h := e.hello(racks, seq, seen[addr])
+		go e.greetPeer(ctx, addr, h)
+	}
+}
+
+// peerView is what a peer has of this instance, and this one of it.
+type peerView struct {
+	seen  uint64
+	racks uint64
+}
+
+func (e *Entry) seenBy() map[string]peerView {
+	out := make(map[string]peerView)
+	for _, p := range e.peers.Live("", time.Now()) {
+		out[p.Addr] = peerView{seen: p.SeenRacks, racks: p.RacksSeq}
+	}
+	return out
+}
+
+func (e *Entry) greetPeer(ctx context.Context, addr string, h *wire.Hello) {
+	ctx, cancel := context.WithTimeout(ctx, greetTimeout)
+	defer cancel()
+	reply, err := e.dialer.Do(ctx, addr, &wire.Request{Body: &wire.Request_Hello{Hello: h}})
+	if err != nil {
+		return
+	}
+	e.heard(reply.GetHello())
+}
+
+// hello makes a hello for a peer. Racks that it has already are left out.
+func (e *Entry) hello(racks []*wire.Rack, seq uint64, view peerView) *wire.Hello {
+	h := &wire.Hello{
+		Instance: e.settings.Instance, Hall: e.settings.Hall, Boot: e.boot,
+		PeerAddr: e.settings.Listen.Peer, Leaving: e.leaving.Load(),
+		TreeVersion: e.register.Now().Version, RacksSeq: seq, SeenRacksSeq: view.racks,
+		LeavingWorkers: e.owner.SeenLeaving(), Refusals: e.front.Refusals(),
+		CutOff: e.keeper.CutOff(time.Now()),
+	}
+	if view.seen == seq {
+		h.RacksOmitted = true
+	} else {
+		h.Racks = racks
+	}
+	return h
+}
+
+// heard takes in a hello.
+func (e *Entry) heard(h *wire.Hello) {
+	if h == nil {
+		return
+	}
+	_, known := e.peers.Get(h.Instance)
+	e.peers.Heard(h, time.Now())
+	if h.Hall == e.settings.Hall {
+		e.owner.Leaving(h.LeavingWorkers)
+	}
+	e.front.HeardRefusals(h.Refusals)
+	if h.TreeVersion > e.register.Now().Version {
+		go e.pull(h.PeerAddr)
+	}
+	if !known && len(e.keeper.Directory()) == 0 {
+		go e.askDirectory(h.PeerAddr)
+	}
+}
+
+// askDirectory learns the list of instances from a peer: a new instance of a
+// hall that is cut off finds its workers in this way.
+func (e *Entry) askDirectory(addr string) {
+	ctx, cancel := context.WithTimeout(context.Background(), pullTimeout)
+	defer cancel()
+	body := &wire.Request_Directory{Directory: &wire.DirectoryQuery{}}
+	reply, err := e.dialer.Do(ctx, addr, &wire.Request{Body: body})
+	if err != nil {
+		return
+	}
+	var list []platform.Instance
+	if err := json.Unmarshal(reply.GetDirectory().GetInstances(), &list); err == nil {
+		e.keeper.Offer(list)
+	}
+}
+
+// Handle implements link.Handler.
+func (e *Entry) Handle(ctx context.Context, req *wire.Request) *wire.Reply {
+	ctx = telemetry.Extract(ctx, req.Traceparent)
+	reply, err := e.handle(ctx, req)
+	if err != nil {
+		return &wire.Reply{Error: wire.ToError(err)}
+	}
+	return reply
+}
+
+func (e *Entry) handle(ctx context.Context, req *wire.Request) (*wire.Reply, error) {
+	switch b := req.Body.(type) {
+	case *wire.Request_Hello:
+		return e.handleHello(b.Hello), nil
+	case *wire.Request_Call:
+		out, err := e.owner.Call(ctx, b.Call)
+		return &wire.Reply{Body: &wire.Reply_Call{Call: out}}, err
+	case *wire.Request_Submit:
+		return e.handleSubmit(ctx, b.Submit)
+	case *wire.Request_Job:
+		return e.handleJob(b.Job)
+	case *wire.Request_Tree:
+		return e.handleTree(b.Tree)
+	case *wire.Request_Handover:
+		e.keeper.Nudge()
+		return &wire.Reply{Body: &wire.Reply_Handover{Handover: &wire.HandoverReply{}}}, nil
+	case *wire.Request_Status:
+		raw, err := json.Marshal(e.front.HallStatus())
+		return &wire.Reply{Body: &wire.Reply_Status{Status: &wire.Status{Status: raw}}}, err
+	case *wire.Request_Directory:
+		raw, err := json.Marshal(e.keeper.Directory())
+		return &wire.Reply{Body: &wire.Reply_Directory{Directory: &wire.Directory{Instances: raw}}}, err
+	}
+	return nil, kind.New(kind.BadRequest, "a message of a newer version")
+}
+
+func (e *Entry) handleHello(h *wire.Hello) *wire.Reply {
+	e.heard(h)
+	racks := e.owner.Summary()
+	view := peerView{seen: h.SeenRacksSeq}
+	if p, ok := e.peers.Get(h.Instance); ok {
+		view.racks = p.RacksSeq
+	}
+	mine := e.hello(racks, e.spread.number(racks), view)
+	return &wire.Reply{Body: &wire.Reply_Hello{Hello: mine}}
+}
+
+func (e *Entry) handleSubmit(ctx context.Context, s *wire.Submit) (*wire.Reply, error) {
+	row, err := job.Decode(s.Row)
+	if err != nil {
+		return nil, err
+	}
+	row, err = e.owner.Submit(ctx, row)
+	if err != nil {
+		return nil, err
+	}
+	return jobReply(row), nil
+}
+
+func jobReply(row job.Job) *wire.Reply {
+	return &wire.Reply{Body: &wire.Reply_Job{Job: &wire.JobReply{Row: job.Encode(row)}}}
+}
+
+func (e *Entry) handleJob(q *wire.JobQuery) (*wire.Reply, error) {
+	if q.Cancel {
+		row, err := e.owner.Cancel(q.Id)
+		if err != nil {
+			return nil, err
+		}
+		return jobReply(row), nil
+	}
+	row, ok := e.owner.Job(q.Id)
+	if !ok {
+		return nil, kind.New(kind.NotFound, q.Id)
+	}
+	return jobReply(row), nil
+}
+
+func (e *Entry) handleTree(q *wire.TreeQuery) (*wire.Reply, error) {
+	now := e.register.Now()
+	t := &wire.Tree{Version: now.Version}
+	if now.Version > q.Above {
+		raw, err := json.Marshal(now.Doc)
+		if err != nil {
+			return nil, kind.Wrap(kind.Internal, err, "encode")
+		}
+		t.Doc = raw
+	}
+	return &wire.Reply{Body: &wire.Reply_Tree{Tree: t}}, nil
+}
--- /dev/null
+++ b/entry/services.go
@@ -0,0 +1,125 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package entry
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/go-kit/log/level"
+	"github.com/oklog/ulid/v2"
+
+	"dewpass.org/hall"
+	"dewpass.org/job"
+	"dewpass.org/platform"
+	"dewpass.org/tree"
+)
+
+const (
+	servicesRole  = "services"
+	servicesEvery = 2 * time.Second
+	// servicesAudit is how often the replicas are counted although the tree
+	// has not changed.
+	servicesAudit = 10 * time.Second
+	replicaPrefix = "svc-"
+	replicaPage   = 1000
+	serviceShop   = "dewpass"
+)
+
+// serve keeps the services at their count until ctx ends. One instance of each
+// hall does it for the replicas that fall to its hall.
+func (e *Entry) serve(ctx context.Context) {
+	t := time.NewTicker(servicesEvery)
+	defer t.Stop()
+	var counted time.Time
+	var version uint64
+	for {
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return
+		}
+		now := time.Now()
+		c := e.register.Now()
+		due := c.Version != version || now.Sub(counted) > servicesAudit
+		if !due || !e.ready() || e.keeper.CutOff(now) || !e.leads(servicesRole, now) {
+			continue
+		}
+		if e.countServices(ctx, c) {
+			counted, version = now, c.Version
+		}
+	}
+}
+
+// leads reports whether this instance does what one of its hall has to do.
+func (e *Entry) leads(role string, now time.Time) bool {
+	members := []string{e.settings.Instance}
+	for _, p := range e.peers.Live(e.settings.Hall, now) {
+		if !p.Leaving {
+			members = append(members, p.Instance)
+		}
+	}
+	return hall.Rank(role, members)[0] == e.settings.Instance
+}
+
+// countServices starts the replicas that are missing and ends those that are
+// too many.
+func (e *Entry) countServices(ctx context.Context, c *tree.Compiled) bool {
+	for _, w := range c.Workloads {
+		if w.Kind != tree.Service {
+			continue
+		}
+		if err := e.countService(ctx, c, w); err != nil {
+			level.Warn(e.kit.Log).Log("msg", "service not counted", "workload", w.Path, "err", err)
+			return false
+		}
+	}
+	return true
+}
+
+// part returns how many replicas of a service fall to this hall.
+func (e *Entry) part(c *tree.Compiled, w *tree.Workload) int {
+	for i, h := range c.Halls {
+		if h == e.settings.Hall {
+			n := len(c.Halls)
+			return (w.Count + n - 1 - i) / n
+		}
+	}
+	if len(c.Halls) == 0 {
+		return w.Count
+	}
+	return 0
+}
+
+func (e *Entry) countService(ctx context.Context, c *tree.Compiled, w *tree.Workload) error {
+	prefix := replicaPrefix + strings.ReplaceAll(w.Path, "/", "-") + "-" + e.settings.Hall + "-"
+	rows, err := e.platform.Scan(ctx, job.RowKey(prefix), "", replicaPage)
+	if err != nil {
+		return err
+	}
+	var live []job.Job
+	for _, raw := range rows {
+		if row, err := job.Decode(raw.Value); err == nil && !row.State.Over() {
+			live = append(live, row)
+		}
+	}
+	want := e.part(c, w)
+	for i := len(live); i < want; i++ {
+		row := job.Job{
+			ID:   fmt.Sprintf("%s%s", prefix, ulid.Make()),
+			Shop: serviceShop, Workload: w.Path, Repeat: platform.RepeatSafe,
+			Service: true, Payload: []byte(`{"service":true}`), Submitted: time.Now().UTC(),
+		}
+		if _, err := e.front.Place(ctx, row, w); err != nil {
+			return err
+		}
+	}
+	for i := want; i < len(live); i++ {
+		if _, err := e.front.Cancel(ctx, live[i].ID); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/front/jobs.go
@@ -0,0 +1,284 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package front
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/oklog/ulid/v2"
+
+	"dewpass.org/internal/fault"
+	"dewpass.org/job"
+	"dewpass.org/kind"
+	"dewpass.org/tree"
+	"dewpass.org/wire"
+)
+
+const (
+	submitTries  = 4
+	submitTime   = 4 * time.Second
+	defaultLimit = 100
+	maxLimit     = 1000
+	jobRows      = "job/"
+)
+
+func (f *Front) submit(r *http.Request) (*response, error) {
+	req, err := decodeRequest(r)
+	if err != nil {
+		return nil, err
+	}
+	f.Confirm(r.Context())
+	w, err := req.bind(f.Tree.Now(), time.Now(), tree.Batch)
+	if err != nil {
+		return nil, err
+	}
+	if err := f.refusals.check(req); err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(r.Context()), submitTime)
+	defer cancel()
+	row, err := f.accept(ctx, req, w)
+	if err != nil {
+		return nil, err
+	}
+	return &response{status: http.StatusAccepted, body: shown(row)}, nil
+}
+
+// accept admits a job and has it written down.
+func (f *Front) accept(ctx context.Context, req *request, w *tree.Workload) (job.Job, error) {
+	row := f.newJob(req, w, time.Now())
+	err := f.limits.allow(w, f.instances())
+	if err == nil {
+		fault.At(fault.Admitted)
+		row, err = f.Place(ctx, row, w)
+	}
+	if err == nil || req.Key == "" {
+		return row, err
+	}
+	if kind.Is(err, kind.Conflict) {
+		return f.earlier(ctx, req, job.RequestDigest(req.Workload, req.Payload), err)
+	}
+	return f.settleKeyed(ctx, req, err)
+}
+
+func (f *Front) newJob(req *request, w *tree.Workload, now time.Time) job.Job {
+	row := job.Job{
+		ID: ulid.Make().String(), Shop: req.Shop, Key: req.Key, Workload: w.Path,
+		Payload: req.Payload, Repeat: req.repeat(), Submitted: now.UTC(),
+		Deadline: req.Deadline,
+	}
+	if w.Window != nil {
+		from, to := w.Window.Next(now)
+		row.NotBefore = &from
+		if row.Deadline == nil || to.Before(*row.Deadline) {
+			row.Deadline = &to
+		}
+	}
+	if row.Deadline == nil && w.Deadline > 0 {
+		by := now.Add(w.Deadline).UTC()
+		row.Deadline = &by
+	}
+	return row
+}
+
+// Place has a job written down by the owner of a rack. The hall of this
+// instance is its home, unless none of its racks can take it.
+func (f *Front) Place(ctx context.Context, row job.Job, w *tree.Workload) (job.Job, error) {
+	now := time.Now()
+	list := order(f.places(f.Hall, now), w.Demand)
+	list = append(list, order(f.places("", now), w.Demand)...)
+	var last error = kind.New(kind.NoCapacity, "no owner can be reached")
+	for i := 0; i < len(list) && i < submitTries; i++ {
+		row.Hall = list[i].hall
+		row.Rack = bestRack(list[i], w)
+		out, err := f.submitTo(ctx, list[i], row)
+		if err == nil || !passedBy(err) {
+			return out, err
+		}
+		last = err
+	}
+	return row, last
+}
+
+// bestRack returns the rack of a place with the most free slots, preferring
+// those where the job fits now.
+func bestRack(p place, w *tree.Workload) string {
+	best, most := "", int64(-1)
+	for _, r := range p.racks {
+		if !r.Ready {
+			continue
+		}
+		free := int64(0)
+		if fits(r, w.Demand) {
+			free = 1 + r.Free[0]
+		}
+		if free > most {
+			best, most = r.Rack, free
+		}
+	}
+	return best
+}
+
+func (f *Front) submitTo(ctx context.Context, p place, row job.Job) (job.Job, error) {
+	if p.self {
+		return f.Owner.Submit(ctx, row)
+	}
+	body := &wire.Submit{Rack: row.Rack, Row: job.Encode(row)}
+	reply, err := f.Send.Do(ctx, p.addr, &wire.Request{Body: &wire.Request_Submit{Submit: body}})
+	if err != nil {
+		if e := kind.Of(err); e.Outcome == kind.Unknown {
+			return row, e.Uncertain(row.ID)
+		}
+		return row, err
+	}
+	return job.Decode(reply.GetJob().GetRow())
+}
+
+// find returns a job by its id: from the table, or from a peer while the table
+// cannot be asked.
+func (f *Front) find(ctx context.Context, id string) (job.Job, error) {
+	if row, ok := f.Owner.Job(id); ok {
+		return row, nil
+	}
+	rows, err := f.Table.Get(ctx, job.RowKey(id))
+	if err == nil && rows[0].Version == 0 {
+		return job.Job{}, kind.New(kind.NotFound, id)
+	}
+	if err == nil {
+		return job.Decode(rows[0].Value)
+	}
+	for _, p := range f.Peers.Live(f.Hall, time.Now()) {
+		if row, asked := f.ask(ctx, p.Addr, &wire.JobQuery{Id: id}); asked == nil {
+			return row, nil
+		}
+	}
+	return job.Job{}, err
+}
+
+func (f *Front) ask(ctx context.Context, addr string, q *wire.JobQuery) (job.Job, error) {
+	reply, err := f.Send.Do(ctx, addr, &wire.Request{Body: &wire.Request_Job{Job: q}})
+	if err != nil {
+		return job.Job{}, err
+	}
+	return job.Decode(reply.GetJob().GetRow())
+}
+
+// whole fetches an answer that is kept in the object store.
+func (f *Front) whole(ctx context.Context, row job.Job) (job.Job, error) {
+	if row.AnswerObject == "" || row.Answer == nil {
+		return row, nil
+	}
+	body, err := f.Objects.GetObject(ctx, row.AnswerObject)
+	if err != nil {
+		return row, kind.Of(err).Uncertain(row.ID)
+	}
+	full := *row.Answer
+	full.Body = body
+	if err := full.Whole(row.ID, full.Attempt); err != nil {
+		return row, kind.Of(err).Uncertain(row.ID)
+	}
+	row.Answer = &full
+	return row, nil
+}
+
+// shown leaves out what only concerns the owner.
+func shown(row job.Job) job.Job {
+	row.Incarnation = ""
+	row.Payload = nil
+	return row
+}
+
+func (f *Front) job(r *http.Request) (*response, error) {
+	row, err := f.find(r.Context(), mux.Vars(r)["id"])
+	if err != nil {
+		return nil, err
+	}
+	row, err = f.whole(r.Context(), row)
+	if err != nil {
+		return nil, err
+	}
+	return ok(shown(row))
+}
+
+func (f *Front) cancel(r *http.Request) (*response, error) {
+	row, err := f.Cancel(r.Context(), mux.Vars(r)["id"])
+	if err != nil {
+		return nil, err
+	}
+	return &response{status: http.StatusAccepted, body: shown(row)}, nil
+}
+
+// Cancel asks the owner of a job's rack to end it.
+func (f *Front) Cancel(ctx context.Context, id string) (job.Job, error) {
+	row, err := f.find(ctx, id)
+	if err != nil || row.State.Over() {
+		return row, err
+	}
+	if _, here := f.Owner.Job(id); here {
+		return f.Owner.Cancel(id)
+	}
+	claim, claimed := f.Peers.Claims(row.Hall, time.Now())[row.Rack]
+	peer, known := f.Peers.Get(claim.Owner)
+	if !claimed || !known {
+		return row, kind.New(kind.Unavailable, "the owner of the job's rack cannot be reached")
+	}
+	return f.ask(ctx, peer.Addr, &wire.JobQuery{Id: id, Rack: row.Rack, Cancel: true})
+}
+
+// JobList is the body of a list of jobs.
+type JobList struct {
+	Jobs []job.Job `json:"jobs"`
+	// After is where the next page begins, "" at the end.
+	After string `json:"after,omitempty"`
+}
+
+func (f *Front) list(r *http.Request) (*response, error) {
+	q := r.URL.Query()
+	limit := defaultLimit
+	if s := q.Get("limit"); s != "" {
+		n, err := strconv.Atoi(s)
+		if err != nil || n < 1 || n > maxLimit {
+			return nil, kind.At(kind.BadRequest, "?limit", "must be from 1 to 1000")
+		}
+		limit = n
+	}
+	var out JobList
+	after := ""
+	if a := q.Get("after"); a != "" {
+		after = jobRows + a
+	}
+	for len(out.Jobs) < limit {
+		rows, err := f.Table.Scan(r.Context(), jobRows, after, maxLimit)
+		if err != nil {
+			return nil, err
+		}
+		if len(rows) == 0 {
+			return ok(out)
+		}
+		for _, raw := range rows {
+			after = raw.Key
+			row, err := job.Decode(raw.Value)
+			if err != nil || !matches(row, q.Get("state"), q.Get("workload")) {
+				continue
+			}
+			out.Jobs = append(out.Jobs, shown(row))
+			if len(out.Jobs) == limit {
+				break
+			}
+		}
+	}
+	out.After = strings.TrimPrefix(after, jobRows)
+	return ok(out)
+}
+
+func matches(row job.Job, state, workload string) bool {
+	if state != "" && string(row.State) != state {
+		return false
+	}
+	return workload == "" || row.Workload == workload
+}
--- /dev/null
+++ b/front/request.go
@@ -0,0 +1,145 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package front
+
+import (
+	"bytes"
+	_ "embed"
+	"encoding/json"
+	"io"
+	"mime"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"dewpass.org/internal/schema"
+	"dewpass.org/kind"
+	"dewpass.org/platform"
+	"dewpass.org/tree"
+)
+
+//go:embed schema.json
+var schemaJSON []byte
+
+var requestSchema = schema.MustCompile("request.json", schemaJSON)
+
+// maxBody bounds the body of a request, its payload included.
+const maxBody = 256 << 10
+
+// request is the body of a call or of a job.
+type request struct {
+	Workload string `json:"workload"`
+	Shop     string `json:"shop"`
+	// Key makes a retry of the request safe.
+	Key string `json:"key"`
+	// Once marks work that must not be repeated.
+	Once bool `json:"once"`
+	// FirstTry is set by a caller that has not sent the key before.
+	FirstTry bool `json:"first_try"`
+	// DeadlineMS is the time that the caller waits for a call, in milliseconds.
+	DeadlineMS int64 `json:"deadline_ms"`
+	// Deadline is when a job should be over.
+	Deadline *time.Time `json:"deadline"`
+	// Expires is the time after which the request is void.
+	Expires *time.Time      `json:"expires"`
+	Payload json.RawMessage `json:"payload"`
+}
+
+// readBody reads a whole JSON body.
+func readBody(r *http.Request) ([]byte, error) {
+	media, _, err := mime.ParseMediaType(r.Header.Get("Content-Type"))
+	if err != nil || media != "application/json" {
+		return nil, kind.At(kind.ContentType, "Content-Type", "got "+r.Header.Get("Content-Type"))
+	}
+	raw, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, maxBody))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, kind.At(kind.TooLarge, "/", "the body is over 256 KiB")
+	}
+	if err != nil {
+		return nil, kind.At(kind.BadRequest, "/", "the body is cut short")
+	}
+	return raw, nil
+}
+
+// decodeRequest reads and checks the body of a call or a job. The schema runs
+// only if the plain decoder finds a fault: it names every fault with its path.
+func decodeRequest(r *http.Request) (*request, error) {
+	raw, err := readBody(r)
+	if err != nil {
+		return nil, err
+	}
+	return parseRequest(raw)
+}
+
+func parseRequest(raw []byte) (*request, error) {
+	var req request
+	dec := json.NewDecoder(bytes.NewReader(raw))
+	dec.DisallowUnknownFields()
+	err := dec.Decode(&req)
+	if err == nil && !dec.More() && plain(&req) {
+		return &req, nil
+	}
+	if faults := requestSchema.Check(raw); len(faults) > 0 {
+		return nil, kind.At(kind.BadRequest, faults[0].Path, schema.Join(faults))
+	}
+	if err != nil {
+		return nil, kind.At(kind.BadRequest, "/", err.Error())
+	}
+	return &req, nil
+}
+
+// plain reports whether the fields are within the bounds of the schema beyond
+// doubt.
+func plain(r *request) bool {
+	return r.Workload != "" && len(r.Workload) <= 256 &&
+		r.Shop != "" && word(r.Shop, 64, "._-") &&
+		word(r.Key, 128, "._:-") &&
+		r.DeadlineMS > 0 && r.DeadlineMS <= 86400000
+}
+
+// word reports whether s is short and made of letters, digits and a few marks.
+func word(s string, most int, marks string) bool {
+	if len(s) > most {
+		return false
+	}
+	for i := range len(s) {
+		c := s[i]
+		letter := c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= '0' && c <= '9'
+		if !letter && bytes.IndexByte([]byte(marks), c) < 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// bind checks a request against its workload.
+func (r *request) bind(c *tree.Compiled, now time.Time, kinds ...tree.Kind) (*tree.Workload, error) {
+	w, err := c.Lookup(r.Workload)
+	if err != nil {
+		return nil, err
+	}
+	fits := false
+	for _, k := range kinds {
+		fits = fits || w.Kind == k
+	}
+	if !fits {
+		return nil, kind.At(kind.BadRequest, "/workload", r.Workload+" is a "+string(w.Kind))
+	}
+	r.Once = r.Once || w.Repeat == platform.RepeatNever
+	if r.Once && r.Key == "" {
+		return nil, kind.At(kind.BadRequest, "/key", "work that must not be repeated needs a key")
+	}
+	if r.Expires != nil && now.After(*r.Expires) {
+		return nil, kind.At(kind.Deadline, "/expires", "the request is void")
+	}
+	return w, nil
+}
+
+func (r *request) repeat() platform.Repeat {
+	if r.Once {
+		return platform.RepeatNever
+	}
+	return platform.RepeatSafe
+}
--- /dev/null
+++ b/internal/client/client.go
@@ -0,0 +1,99 @@
+// SPDX-License-Identifier: Apache-2.0
+
+// Package client speaks to an instance over HTTP for the command line and for
+// tests. A refusal comes back as an error of package kind.
+package client
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"dewpass.org/front"
+	"dewpass.org/kind"
+)
+
+// Client speaks to one instance, or to the balancer in front of several.
+type Client struct {
+	// Base is the URL, such as "http://10.0.0.1:8080".
+	Base string
+	// HTTP is the client to use; nil is http.DefaultClient.
+	HTTP *http.Client
+}
+
+// Do sends one request and decodes the answer into out, if it is not nil.
+func (c *Client) Do(ctx context.Context, method, path string, in, out any) error {
+	raw, err := c.Raw(ctx, method, path, in)
+	if err != nil || out == nil {
+		return err
+	}
+	if err := json.Unmarshal(raw, out); err != nil {
+		return kind.Wrap(kind.Damaged, err, path)
+	}
+	return nil
+}
+
+// Raw sends one request and returns the whole answer.
+func (c *Client) Raw(ctx context.Context, method, path string, in any) ([]byte, error) {
+	var body io.Reader = http.NoBody
+	if in != nil {
+		raw, err := json.Marshal(in)
+		if err != nil {
+			return nil, kind.Wrap(kind.BadRequest, err, "encode")
+		}
+		body = bytes.NewReader(raw)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, c.Base+path, body)
+	if err != nil {
+		return nil, kind.Wrap(kind.BadRequest, err, "request")
+	}
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := c.client().Do(req)
+	if err != nil {
+		return nil, kind.Wrap(kind.Lost, err, "no answer")
+	}
+	defer resp.Body.Close()
+	raw, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return nil, kind.Wrap(kind.Lost, err, "answer cut short")
+	}
+	if n := resp.Header.Get("Content-Length"); n != "" && n != strconv.Itoa(len(raw)) {
+		return nil, kind.New(kind.Damaged, "answer cut short")
+	}
+	if resp.StatusCode >= http.StatusBadRequest {
+		return nil, refusal(raw)
+	}
+	return raw, nil
+}
+
+func (c *Client) client() *http.Client {
+	if c.HTTP == nil {
+		return http.DefaultClient
+	}
+	return c.HTTP
+}
+
+func refusal(raw []byte) error {
+	var f front.Failure
+	if err := json.Unmarshal(raw, &f); err != nil {
+		return kind.New(kind.Damaged, "the refusal is damaged")
+	}
+	e := kind.At(kind.Parse(f.Kind), f.Path, f.Detail)
+	e.ID = f.ID
+	e.RetryAfter = time.Duration(f.RetryAfterMS) * time.Millisecond
+	e.Outcome = outcome(f.Outcome)
+	return e
+}
+
+func outcome(s string) kind.Outcome {
+	for _, o := range []kind.Outcome{kind.NotRun, kind.Ran} {
+		if o.String() == s {
+			return o
+		}
+	}
+	return kind.Unknown
+}
--- /dev/null
+++ b/settings/settings.go
@@ -0,0 +1,141 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package settings
+
+import (
+	_ "embed"
+	"encoding/json"
+	"net/netip"
+	"os"
+	"time"
+
+	"dewpass.org/internal/schema"
+	"dewpass.org/keys"
+	"dewpass.org/kind"
+)
+
+//go:embed schema.json
+var schemaJSON []byte
+
+var settingsSchema = schema.MustCompile("settings.json", schemaJSON)
+
+// Settings are the settings of one instance.
+type Settings struct {
+	Instance string   `json:"instance"`
+	Hall     string   `json:"hall"`
+	Listen   Listen   `json:"listen"`
+	Platform Platform `json:"platform"`
+	// Peers are addresses at which other instances may be found at first.
+	Peers   []string `json:"peers"`
+	TLS     TLS      `json:"tls"`
+	Log     Log      `json:"log"`
+	Tracing Tracing  `json:"tracing"`
+	Pprof   bool     `json:"pprof"`
+	// TaskLease is how long tasks go on at a worker that hears nothing.
+	TaskLease Duration `json:"task-lease"`
+	// StopWithin bounds a planned stop.
+	StopWithin Duration `json:"stop-within"`
+	// MemoryLimitMiB is the memory that the runtime tries to stay within.
+	MemoryLimitMiB int64 `json:"memory-limit-mib"`
+}
+
+// Listen holds the addresses that an instance listens on, by IP number.
+type Listen struct {
+	HTTP string `json:"http"`
+	Peer string `json:"peer"`
+}
+
+// Platform says where the platform is.
+type Platform struct {
+	URL string `json:"url"`
+}
+
+// TLS names the key files; nil is plain TCP.
+type TLS struct {
+	HTTP *keys.Files `json:"http"`
+	Peer *keys.Files `json:"peer"`
+}
+
+// Log says what is logged.
+type Log struct {
+	Level string `json:"level"`
+}
+
+// Tracing says where traces go.
+type Tracing struct {
+	// OTLP is the URL of a receiver over HTTP; "" is none.
+	OTLP string `json:"otlp"`
+}
+
+// Duration is a time.Duration written as "12s".
+type Duration time.Duration
+
+// UnmarshalJSON reads d from a string.
+func (d *Duration) UnmarshalJSON(raw []byte) error {
+	var s string
+	if err := json.Unmarshal(raw, &s); err != nil {
+		return err
+	}
+	v, err := time.ParseDuration(s)
+	*d = Duration(v)
+	return err
+}
+
+// The defaults of the settings.
+const (
+	defaultTaskLease  = 12 * time.Second
+	defaultStopWithin = 30 * time.Second
+	defaultMemoryMiB  = 28
+	minTaskLease      = 2 * time.Second
+)
+
+// Load reads a file of settings.
+func Load(path string) (*Settings, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, kind.Wrap(kind.BadSettings, err, "settings")
+	}
+	return Parse(raw)
+}
+
+// Parse checks settings and fills in the defaults. Its error, of kind
+// BadSettings, names every fault with its path.
+func Parse(raw []byte) (*Settings, error) {
+	faults := settingsSchema.Check(raw)
+	s := &Settings{
+		TaskLease:      Duration(defaultTaskLease),
+		StopWithin:     Duration(defaultStopWithin),
+		MemoryLimitMiB: defaultMemoryMiB,
+	}
+	if err := json.Unmarshal(raw, s); err == nil {
+		faults = append(faults, s.check()...)
+	}
+	if len(faults) > 0 {
+		return nil, kind.At(kind.BadSettings, faults[0].Path, schema.Join(faults))
+	}
+	return s, nil
+}
+
+// check finds what the schema cannot.
+func (s *Settings) check() []schema.Fault {
+	var faults []schema.Fault
+	add := func(path, detail string) { faults = append(faults, schema.Fault{Path: path, Detail: detail}) }
+	for path, addr := range map[string]string{"/listen/http": s.Listen.HTTP, "/listen/peer": s.Listen.Peer} {
+		if addr == "" {
+			continue
+		}
+		if _, err := netip.ParseAddrPort(addr); err != nil {
+			add(path, err.Error())
+		}
+	}
+	if s.Listen.HTTP != "" && s.Listen.HTTP == s.Listen.Peer {
+		add("/listen/peer", "is the same as /listen/http")
+	}
+	if time.Duration(s.TaskLease) < minTaskLease {
+		add("/task-lease", "must be at least "+minTaskLease.String())
+	}
+	if s.TLS.Peer != nil && s.TLS.Peer.CA == "" {
+		add("/tls/peer/ca", "is needed, so that instances know each other")
+	}
+	return faults
+}
