internal/standin, test: stand-ins, a bed of processes, and the whole path

The stand-in workers trust what they are told and write down what was given to them; proofs are judged from that record.

--- /dev/null
+++ b/internal/standin/platform.go
@@ -0,0 +1,236 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package standin
+
+import (
+	"io"
+	"net/http"
+	"net/url"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"dewpass.org/kind"
+	"dewpass.org/platform"
+)
+
+// Objects is the stand-in of the object store.
+type Objects struct {
+	switches
+	dataMu sync.Mutex
+	data   map[string][]byte
+}
+
+// Put stores an object.
+func (o *Objects) Put(key string, body []byte) {
+	o.dataMu.Lock()
+	defer o.dataMu.Unlock()
+	if o.data == nil {
+		o.data = make(map[string][]byte)
+	}
+	o.data[key] = body
+}
+
+// Get returns an object, or nil.
+func (o *Objects) Get(key string) []byte {
+	o.dataMu.Lock()
+	defer o.dataMu.Unlock()
+	return o.data[key]
+}
+
+func (o *Objects) handler(w http.ResponseWriter, r *http.Request) {
+	key, err := url.PathUnescape(strings.TrimPrefix(r.URL.EscapedPath(), "/objects/"))
+	if err != nil {
+		refuse(w, kind.Wrap(kind.BadRequest, err, "key"))
+		return
+	}
+	if r.Method == http.MethodPut {
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			refuse(w, kind.Wrap(kind.BadRequest, err, "body"))
+			return
+		}
+		o.Put(key, body)
+		return
+	}
+	body := o.Get(key)
+	if body == nil {
+		refuse(w, kind.New(kind.NotFound, key))
+		return
+	}
+	_, _ = w.Write(body)
+}
+
+// List is the stand-in of the list of instances.
+type List struct {
+	switches
+	listMu sync.Mutex
+	lag    time.Duration
+	shown  []platform.Instance
+	actual []platform.Instance
+	// version counts the changes that are shown.
+	version int
+}
+
+// Put adds or replaces an instance.
+func (l *List) Put(in platform.Instance) {
+	l.change(func(list []platform.Instance) []platform.Instance {
+		list = slices.DeleteFunc(list, func(o platform.Instance) bool { return o.ID == in.ID })
+		return append(list, in)
+	})
+}
+
+// Delete removes an instance.
+func (l *List) Delete(id string) {
+	l.change(func(list []platform.Instance) []platform.Instance {
+		return slices.DeleteFunc(list, func(o platform.Instance) bool { return o.ID == id })
+	})
+}
+
+// SetLag says how late the list shows changes.
+func (l *List) SetLag(d time.Duration) {
+	l.listMu.Lock()
+	defer l.listMu.Unlock()
+	l.lag = d
+}
+
+func (l *List) change(f func([]platform.Instance) []platform.Instance) {
+	l.listMu.Lock()
+	defer l.listMu.Unlock()
+	l.actual = f(slices.Clone(l.actual))
+	snapshot := l.actual
+	show := func() {
+		l.shown = snapshot
+		l.version++
+	}
+	if l.lag == 0 {
+		show()
+		return
+	}
+	time.AfterFunc(l.lag, func() {
+		l.listMu.Lock()
+		defer l.listMu.Unlock()
+		show()
+	})
+}
+
+func (l *List) getHandler(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	l.listMu.Lock()
+	shown, version := l.shown, strconv.Itoa(l.version)
+	l.listMu.Unlock()
+	out := platform.Listing{Version: version, Unchanged: q.Get("since") == version}
+	if out.Unchanged {
+		writeJSON(w, out)
+		return
+	}
+	for _, in := range shown {
+		if q.Get("hall") == "" || in.Hall == q.Get("hall") {
+			out.Instances = append(out.Instances, in)
+		}
+	}
+	writeJSON(w, out)
+}
+
+func (l *List) putHandler(w http.ResponseWriter, r *http.Request) {
+	var in platform.Instance
+	if readJSON(w, r, &in) {
+		l.Put(in)
+	}
+}
+
+func (l *List) deleteHandler(w http.ResponseWriter, r *http.Request) {
+	l.Delete(mux.Vars(r)["id"])
+}
+
+// Platform is the whole stand-in platform.
+type Platform struct {
+	Table   *Table
+	Objects *Objects
+	List    *List
+	Record  *Record
+	workers map[string]*Worker
+}
+
+// NewPlatform returns an empty platform.
+func NewPlatform() *Platform {
+	return &Platform{
+		Table:   NewTable(),
+		Objects: &Objects{},
+		List:    &List{},
+		Record:  &Record{},
+		workers: make(map[string]*Worker),
+	}
+}
+
+// AddWorker makes a worker known to the list and to the switches.
+func (p *Platform) AddWorker(w *Worker) {
+	p.workers[w.id] = w
+	p.List.Put(w.instance())
+}
+
+// Handler serves the platform's protocol, the switches under /faults, and the
+// record under /record.
+func (p *Platform) Handler() http.Handler {
+	r := mux.NewRouter().UseEncodedPath()
+	table := func(h http.HandlerFunc) http.Handler { return p.Table.wrap(h) }
+	r.Handle("/table/rows", table(p.Table.getHandler)).Methods(http.MethodGet)
+	r.Handle("/table/scan", table(p.Table.scanHandler)).Methods(http.MethodGet)
+	r.Handle("/table/commit", table(p.Table.commitHandler)).Methods(http.MethodPost)
+	r.PathPrefix("/objects/").Handler(p.Objects.wrap(http.HandlerFunc(p.Objects.handler)))
+	r.Handle("/instances", p.List.wrap(http.HandlerFunc(p.List.getHandler))).Methods(http.MethodGet)
+	r.HandleFunc("/instances", p.List.putHandler).Methods(http.MethodPut)
+	r.HandleFunc("/instances/{id}", p.List.deleteHandler).Methods(http.MethodDelete)
+	r.HandleFunc("/faults/table", p.Table.switches.handler)
+	r.HandleFunc("/faults/objects", p.Objects.switches.handler)
+	r.HandleFunc("/faults/instances", p.List.switches.handler)
+	r.HandleFunc("/faults/worker/{id}", p.workerFaults)
+	r.HandleFunc("/worker/{id}/{what:crash|restart|leave|return}", p.workerEvent)
+	r.HandleFunc("/record", p.Record.summaryHandler)
+	r.HandleFunc("/record/events", p.Record.eventsHandler)
+	r.HandleFunc("/record/rows", p.rowsHandler)
+	return r
+}
+
+// rowsHandler reads the table past its faults, for those who judge.
+func (p *Platform) rowsHandler(w http.ResponseWriter, r *http.Request) {
+	writeJSON(w, p.Table.Scan(r.URL.Query().Get("prefix"), "", 0))
+}
+
+func (p *Platform) worker(w http.ResponseWriter, r *http.Request) *Worker {
+	id := mux.Vars(r)["id"]
+	worker := p.workers[id]
+	if worker == nil {
+		refuse(w, kind.New(kind.NotFound, id))
+	}
+	return worker
+}
+
+func (p *Platform) workerFaults(w http.ResponseWriter, r *http.Request) {
+	if worker := p.worker(w, r); worker != nil {
+		worker.switches.handler(w, r)
+	}
+}
+
+func (p *Platform) workerEvent(w http.ResponseWriter, r *http.Request) {
+	worker := p.worker(w, r)
+	if worker == nil {
+		return
+	}
+	switch mux.Vars(r)["what"] {
+	case "crash":
+		worker.Crash()
+	case "restart":
+		worker.Restart()
+	case "leave":
+		worker.Leave(true)
+		p.List.Put(worker.instance())
+	case "return":
+		worker.Leave(false)
+		p.List.Put(worker.instance())
+	}
+}
--- /dev/null
+++ b/internal/standin/table.go
@@ -0,0 +1,112 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package standin
+
+import (
+	"net/http"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+
+	"dewpass.org/platform"
+)
+
+// Table is the stand-in of the platform's table.
+type Table struct {
+	switches
+	rowsMu  sync.Mutex
+	rows    map[string]platform.Row
+	version uint64
+	commits uint64
+}
+
+// NewTable returns an empty table.
+func NewTable() *Table {
+	return &Table{rows: make(map[string]platform.Row)}
+}
+
+// Get returns the rows with the given keys.
+func (t *Table) Get(keys ...string) []platform.Row {
+	t.rowsMu.Lock()
+	defer t.rowsMu.Unlock()
+	out := make([]platform.Row, 0, len(keys))
+	for _, k := range keys {
+		out = append(out, t.row(k))
+	}
+	return out
+}
+
+func (t *Table) row(key string) platform.Row {
+	if r, ok := t.rows[key]; ok {
+		return r
+	}
+	return platform.Row{Key: key}
+}
+
+// Scan returns the rows with a prefix in order.
+func (t *Table) Scan(prefix, after string, limit int) []platform.Row {
+	t.rowsMu.Lock()
+	defer t.rowsMu.Unlock()
+	out := []platform.Row{}
+	for k, r := range t.rows {
+		if strings.HasPrefix(k, prefix) && k > after {
+			out = append(out, r)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Key < out[j].Key })
+	if limit > 0 && len(out) > limit {
+		out = out[:limit]
+	}
+	return out
+}
+
+// Commit carries out a transaction.
+func (t *Table) Commit(x platform.Txn) platform.Commit {
+	t.rowsMu.Lock()
+	defer t.rowsMu.Unlock()
+	var out platform.Commit
+	for _, c := range x.Checks {
+		if r := t.row(c.Key); r.Version != c.Version {
+			out.Failed = append(out.Failed, r)
+		}
+	}
+	if len(out.Failed) > 0 {
+		return out
+	}
+	t.version++
+	t.commits++
+	for _, p := range x.Puts {
+		if p.Delete {
+			delete(t.rows, p.Key)
+			continue
+		}
+		t.rows[p.Key] = platform.Row{Key: p.Key, Value: p.Value, Version: t.version}
+	}
+	out.Version = t.version
+	return out
+}
+
+// Commits returns the number of transactions so far.
+func (t *Table) Commits() uint64 {
+	t.rowsMu.Lock()
+	defer t.rowsMu.Unlock()
+	return t.commits
+}
+
+func (t *Table) getHandler(w http.ResponseWriter, r *http.Request) {
+	writeJSON(w, t.Get(r.URL.Query()["key"]...))
+}
+
+func (t *Table) scanHandler(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	limit, _ := strconv.Atoi(q.Get("limit"))
+	writeJSON(w, t.Scan(q.Get("prefix"), q.Get("after"), limit))
+}
+
+func (t *Table) commitHandler(w http.ResponseWriter, r *http.Request) {
+	var x platform.Txn
+	if readJSON(w, r, &x) {
+		writeJSON(w, t.Commit(x))
+	}
+}
--- /dev/null
+++ b/test/bed/config.go
@@ -0,0 +1,86 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package bed
+
+import (
+	"fmt"
+	"net"
+
+	"dewpass.org/platform"
+	"dewpass.org/sched"
+)
+
+// StandIn is the configuration of the stand-in process.
+type StandIn struct {
+	Platform string       `json:"platform"`
+	Balancer string       `json:"balancer"`
+	Targets  []string     `json:"targets"`
+	Entries  []EntryAddr  `json:"entries"`
+	Workers  []WorkerSpec `json:"workers"`
+}
+
+// EntryAddr is where an entry instance listens.
+type EntryAddr struct {
+	ID   string `json:"id"`
+	Hall string `json:"hall"`
+	HTTP string `json:"http"`
+	Peer string `json:"peer"`
+}
+
+// WorkerSpec is one stand-in worker.
+type WorkerSpec struct {
+	ID       string    `json:"id"`
+	Hall     string    `json:"hall"`
+	Rack     string    `json:"rack"`
+	Addr     string    `json:"addr"`
+	Capacity sched.Vec `json:"capacity"`
+}
+
+// Instance returns the entry as the platform lists it.
+func (e EntryAddr) Instance() platform.Instance {
+	return platform.Instance{ID: e.ID, Role: platform.RoleEntry, Hall: e.Hall, Addr: e.Peer}
+}
+
+// plan lays a deployment out on free ports of the loopback.
+func plan(d Deployment, perHall int) (StandIn, error) {
+	workers := len(d.Halls) * d.RacksPerHall * d.WorkersPerRack
+	ports, err := freePorts(2 + workers + 2*perHall*len(d.Halls))
+	if err != nil {
+		return StandIn{}, err
+	}
+	next := func() string {
+		p := ports[0]
+		ports = ports[1:]
+		return p
+	}
+	s := StandIn{Platform: next(), Balancer: next()}
+	for _, hall := range d.Halls {
+		for i := range perHall {
+			e := EntryAddr{ID: fmt.Sprintf("%s-%d", hall, i+1), Hall: hall, HTTP: next(), Peer: next()}
+			s.Entries = append(s.Entries, e)
+			s.Targets = append(s.Targets, e.HTTP)
+		}
+		for r := range d.RacksPerHall {
+			rack := fmt.Sprintf("%s-r%d", hall, r+1)
+			for w := range d.WorkersPerRack {
+				id := fmt.Sprintf("%s-w%d", rack, w+1)
+				s.Workers = append(s.Workers, WorkerSpec{ID: id, Hall: hall, Rack: rack, Addr: next(), Capacity: d.Capacity})
+			}
+		}
+	}
+	return s, nil
+}
+
+// freePorts returns addresses of the loopback that nobody listens on.
+func freePorts(n int) ([]string, error) {
+	var out []string
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		defer l.Close()
+		out = append(out, l.Addr().String())
+	}
+	return out, nil
+}
--- /dev/null
+++ b/test/bed/doc.go
@@ -0,0 +1,45 @@
+// SPDX-License-Identifier: Apache-2.0
+
+// Package bed starts a whole deployment on one machine for the demo and the
+// proofs: the stand-in of the platform with its workers and balancer as one
+// process, and the entry instances as processes of their own. It can kill,
+// freeze, stop and restart each, and it ends all that it started.
+package bed
+
+import "dewpass.org/sched"
+
+// Deployment is the shape of a cell.
+type Deployment struct {
+	Name     string
+	Halls    []string
+	Capacity sched.Vec
+	// RacksPerHall and WorkersPerRack give the workers.
+	RacksPerHall   int
+	WorkersPerRack int
+	// Tree is the name of the example tree.
+	Tree string
+}
+
+// The two deployments of today.
+var (
+	Comhar = Deployment{
+		Name: "comhar", Halls: []string{"naas-hall", "athy-hall", "carlow-hall"},
+		Capacity:     sched.Vec{16000, 32 << 10, 0, 8, 64},
+		RacksPerHall: 2, WorkersPerRack: 8, Tree: "comhar-dathanna.json",
+	}
+	Kartvela = Deployment{
+		Name: "kartvela", Halls: []string{"kutaisi-a", "kutaisi-b", "zestafoni"},
+		Capacity:     sched.Vec{32000, 64 << 10, 0, 8, 64},
+		RacksPerHall: 2, WorkersPerRack: 8, Tree: "kartvela.json",
+	}
+)
+
+// Named returns a deployment by its name.
+func Named(name string) (Deployment, bool) {
+	for _, d := range []Deployment{Comhar, Kartvela} {
+		if d.Name == name {
+			return d, true
+		}
+	}
+	return Deployment{}, false
+}
--- /dev/null
+++ b/test/bed/proc_linux.go
@@ -0,0 +1,55 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package bed
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+)
+
+// dieWithParent makes the kernel end a process when the one that started it
+// ends, however it ends.
+func dieWithParent() *syscall.SysProcAttr {
+	return &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+}
+
+// clockTick is the unit of the times in /proc/PID/stat.
+const clockTick = 10 * time.Millisecond
+
+// usage reads what a process uses from /proc; see proc(5).
+func usage(pid int) Usage {
+	var u Usage
+	if stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid)); err == nil {
+		fields := strings.Fields(string(stat[bytes.LastIndexByte(stat, ')')+1:]))
+		if len(fields) > 12 {
+			user, _ := strconv.ParseInt(fields[11], 10, 64)
+			system, _ := strconv.ParseInt(fields[12], 10, 64)
+			u.CPU = time.Duration(user+system) * clockTick
+		}
+	}
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return u
+	}
+	for line := range strings.Lines(string(status)) {
+		f := strings.Fields(line)
+		if len(f) < 2 {
+			continue
+		}
+		n, _ := strconv.ParseInt(f[1], 10, 64)
+		switch f[0] {
+		case "VmRSS:":
+			u.ResidentKiB = n
+		case "VmHWM:":
+			u.PeakResideKiB = n
+		case "RssAnon:":
+			u.AnonymousKiB = n
+		}
+	}
+	return u
+}
--- /dev/null
+++ b/test/proof/path_test.go
@@ -0,0 +1,77 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package proof
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"dewpass.org/job"
+	"dewpass.org/test/bed"
+	"dewpass.org/test/load"
+	"dewpass.org/tree"
+)
+
+// openWindows lets work start at any hour of the day, so that a run does not
+// depend on when it is made.
+func openWindows(ctx context.Context, b *bed.Bed) {
+	paths := map[string]string{"comhar": "nightly.window", "kartvela": "belts.window"}
+	ops := []tree.Op{{Path: paths[b.Deployment.Name]}}
+	if b.Deployment.Name == "kartvela" {
+		ops = append(ops, tree.Op{Path: "vans/route-plan.window"})
+	}
+	var entry tree.Entry
+	edit := tree.Edit{ID: "open-windows", Base: 1, Ops: ops}
+	Expect(b.Balancer.Do(ctx, http.MethodPost, "/v1/tree/edits", edit, &entry)).To(Succeed())
+	Eventually(func(g Gomega) {
+		for _, p := range b.Entries {
+			var view struct{ Version uint64 }
+			g.Expect(p.Client().Do(ctx, http.MethodGet, "/v1/tree?in-force=1", nil, &view)).To(Succeed())
+			g.Expect(view.Version).To(BeNumerically(">=", entry.Version))
+		}
+	}).WithContext(ctx).WithTimeout(30 * time.Second).Should(Succeed())
+}
+
+var _ = Describe("the whole path", func() {
+	DescribeTable("answers every kind of work at every instance",
+		func(ctx context.Context, d bed.Deployment, calls, once, jobs []string) {
+			b := startBed(ctx, d, 2)
+			openWindows(ctx, b)
+			for _, p := range b.Entries {
+				c := p.Client()
+				for _, w := range calls {
+					_, err := load.Call(ctx, c, load.NewItem(w, 10*time.Millisecond))
+					Expect(err).NotTo(HaveOccurred(), "%s at %s", w, p.Addr.ID)
+				}
+				for _, w := range once {
+					it := load.NewItem(w, 10*time.Millisecond)
+					first, err := load.Call(ctx, c, it)
+					Expect(err).NotTo(HaveOccurred(), "%s at %s", w, p.Addr.ID)
+					again, err := load.Call(ctx, b.Balancer, it)
+					Expect(err).NotTo(HaveOccurred(), "%s again", w)
+					Expect(again.ID).To(Equal(first.ID))
+				}
+				for _, w := range jobs {
+					it := load.NewItem(w, 100*time.Millisecond)
+					row, err := load.Submit(ctx, c, it)
+					Expect(err).NotTo(HaveOccurred(), "%s at %s", w, p.Addr.ID)
+					row, err = load.Await(ctx, b.Balancer, it, row.ID)
+					Expect(err).NotTo(HaveOccurred(), "%s at %s", w, p.Addr.ID)
+					Expect(row.State).To(Equal(job.Done))
+				}
+			}
+		},
+		Entry("Comhar Dathanna", bed.Comhar,
+			[]string{"tinting/shade-lookup", "tinting/formula-match"},
+			[]string{"tinting/dispense-order"},
+			[]string{"nightly/recalibration"}, SpecTimeout(2*time.Minute)),
+		Entry("Kartvela", bed.Kartvela,
+			[]string{},
+			[]string{"vans/parcel-assignment"},
+			[]string{"belts/address-reading", "vans/route-plan", "tracing/trace"}, SpecTimeout(2*time.Minute)),
+	)
+})
--- /dev/null
+++ b/test/proof/suite_test.go
@@ -0,0 +1,78 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package proof
+
+import (
+	"context"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"dewpass.org/test/bed"
+)
+
+func TestProof(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "proof")
+}
+
+var binaries string
+
+var _ = BeforeSuite(func() {
+	dir, err := os.MkdirTemp("", "dewpass-proof")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(os.RemoveAll, dir)
+	binaries = dir
+	build("-tags", "faults", "-o", dir, "dewpass.org/cmd/dewpass", "dewpass.org/test/standin")
+})
+
+func build(args ...string) {
+	out, err := exec.Command("go", append([]string{"build"}, args...)...).CombinedOutput()
+	Expect(err).NotTo(HaveOccurred(), string(out))
+}
+
+// startBed starts a deployment that ends with the spec. After the spec, the
+// workers' own record must show no broken promise.
+func startBed(ctx context.Context, d bed.Deployment, perHall int) *bed.Bed {
+	dir, err := os.MkdirTemp("", "dewpass-bed")
+	Expect(err).NotTo(HaveOccurred())
+	b, err := bed.Start(ctx, bed.Options{
+		Deployment: d, PerHall: perHall, Dir: dir, TaskLease: taskLease, Debug: true,
+		Dewpass:  filepath.Join(binaries, "dewpass"),
+		StandIn:  filepath.Join(binaries, "standin"),
+		Examples: "../../examples",
+	})
+	DeferCleanup(func() { keepLogs(dir) })
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(b.Close)
+	DeferCleanup(func() { judge(b) })
+	return b
+}
+
+// taskLease is short, so that lapses come soon, and longer than a takeover.
+const taskLease = "8s"
+
+// keepLogs keeps the logs of a spec that failed.
+func keepLogs(dir string) {
+	if CurrentSpecReport().Failed() {
+		GinkgoWriter.Println("logs are in", dir)
+		return
+	}
+	_ = os.RemoveAll(dir)
+}
+
+func judge(b *bed.Bed) {
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	s, err := b.Record(ctx)
+	Expect(err).NotTo(HaveOccurred())
+	Expect(s.Over).To(BeEmpty(), "workers given more than they have")
+	Expect(s.Doubled).To(BeEmpty(), "tasks in two places at once")
+	Expect(s.Repeated).To(BeEmpty(), "work started again that must not be")
+	Expect(s.AfterLeaving).To(BeEmpty(), "starts at leaving workers")
+}
