platform: a watch does not repeat what a connection has answered

Ruled out: hellos between peers (1.5% of a core when idle). Change: a worker's watch tells of a call only when its connection is gone or the worker was attached anew; the start's own answer tells the rest. Asking for a job can be held until it is over (?wait), so that callers need not poll.

--- a/entry/greet.go
+++ b/entry/greet.go
@@ -184,7 +184,7 @@
 	case *wire.Request_Submit:
 		return e.handleSubmit(ctx, b.Submit)
 	case *wire.Request_Job:
-		return e.handleJob(b.Job)
+		return e.handleJob(ctx, b.Job)
 	case *wire.Request_Tree:
 		return e.handleTree(b.Tree)
 	case *wire.Request_Handover:
@@ -227,7 +227,7 @@
 	return &wire.Reply{Body: &wire.Reply_Job{Job: &wire.JobReply{Row: job.Encode(row)}}}
 }
 
-func (e *Entry) handleJob(q *wire.JobQuery) (*wire.Reply, error) {
+func (e *Entry) handleJob(ctx context.Context, q *wire.JobQuery) (*wire.Reply, error) {
 	if q.Cancel {
 		row, err := e.owner.Cancel(q.Id)
 		if err != nil {
@@ -235,7 +235,9 @@
 		}
 		return jobReply(row), nil
 	}
-	row, ok := e.owner.Job(q.Id)
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(q.WaitMs)*time.Millisecond)
+	defer cancel()
+	row, ok := e.owner.Job(ctx, q.Id)
 	if !ok {
 		return nil, kind.New(kind.NotFound, q.Id)
 	}
--- a/front/front.go
+++ b/front/front.go
@@ -37,7 +37,7 @@
 	Call(ctx context.Context, req *wire.Call) (*wire.CallReply, error)
 	Submit(ctx context.Context, row job.Job) (job.Job, error)
 	Cancel(id string) (job.Job, error)
-	Job(id string) (job.Job, bool)
+	Job(ctx context.Context, id string) (job.Job, bool)
 	Summary() []*wire.Rack
 }
 
--- a/front/jobs.go
+++ b/front/jobs.go
@@ -12,6 +12,7 @@
 	"github.com/gorilla/mux"
 	"github.com/oklog/ulid/v2"
 
+	"dewpass.org/hall"
 	"dewpass.org/internal/fault"
 	"dewpass.org/job"
 	"dewpass.org/kind"
@@ -25,6 +26,10 @@
 	defaultLimit = 100
 	maxLimit     = 1000
 	jobRows      = "job/"
+	// maxWait bounds how long the answer to a question for a job is held back.
+	maxWait = 30 * time.Second
+	// replyTime is what a reply may take beyond the time that it was held.
+	replyTime = time.Second
 )
 
 func (f *Front) submit(r *http.Request) (*response, error) {
@@ -139,10 +144,17 @@
 	return job.Decode(reply.GetJob().GetRow())
 }
 
+// now is a context that waits for nothing.
+func now(ctx context.Context) context.Context {
+	ctx, cancel := context.WithCancel(ctx)
+	cancel()
+	return ctx
+}
+
 // find returns a job by its id: from the table, or from a peer while the table
 // cannot be asked.
 func (f *Front) find(ctx context.Context, id string) (job.Job, error) {
-	if row, ok := f.Owner.Job(id); ok {
+	if row, ok := f.Owner.Job(now(ctx), id); ok {
 		return row, nil
 	}
 	rows, err := f.Table.Get(ctx, job.RowKey(id))
@@ -194,7 +206,13 @@
 }
 
 func (f *Front) job(r *http.Request) (*response, error) {
-	row, err := f.find(r.Context(), mux.Vars(r)["id"])
+	wait, err := waitOf(r)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), wait)
+	defer cancel()
+	row, err := f.until(ctx, mux.Vars(r)["id"])
 	if err != nil {
 		return nil, err
 	}
@@ -205,6 +223,19 @@
 	return ok(shown(row))
 }
 
+// waitOf reads how long the caller lets the answer be held back.
+func waitOf(r *http.Request) (time.Duration, error) {
+	s := r.URL.Query().Get("wait")
+	if s == "" {
+		return 0, nil
+	}
+	wait, err := time.ParseDuration(s)
+	if err != nil || wait < 0 || wait > maxWait {
+		return 0, kind.At(kind.BadRequest, "?wait", "must be a duration up to "+maxWait.String())
+	}
+	return wait, nil
+}
+
 func (f *Front) cancel(r *http.Request) (*response, error) {
 	row, err := f.Cancel(r.Context(), mux.Vars(r)["id"])
 	if err != nil {
@@ -219,15 +250,48 @@
 	if err != nil || row.State.Over() {
 		return row, err
 	}
-	if _, here := f.Owner.Job(id); here {
+	if _, here := f.Owner.Job(now(ctx), id); here {
 		return f.Owner.Cancel(id)
 	}
+	peer, err := f.ownerOf(row)
+	if err != nil {
+		return row, err
+	}
+	return f.ask(ctx, peer.Addr, &wire.JobQuery{Id: id, Rack: row.Rack, Cancel: true})
+}
+
+// ownerOf returns the peer that owns the rack of a job.
+func (f *Front) ownerOf(row job.Job) (hall.Peer, error) {
 	claim, claimed := f.Peers.Claims(row.Hall, time.Now())[row.Rack]
 	peer, known := f.Peers.Get(claim.Owner)
 	if !claimed || !known {
-		return row, kind.New(kind.Unavailable, "the owner of the job's rack cannot be reached")
+		return peer, kind.New(kind.Unavailable, "the owner of the job's rack cannot be reached")
 	}
-	return f.ask(ctx, peer.Addr, &wire.JobQuery{Id: id, Rack: row.Rack, Cancel: true})
+	return peer, nil
+}
+
+// until returns a job once it is over, or as it stands when ctx ends. Its
+// owner holds the question, so that nobody has to ask again and again.
+func (f *Front) until(ctx context.Context, id string) (job.Job, error) {
+	if row, ok := f.Owner.Job(ctx, id); ok {
+		return row, nil
+	}
+	asking := context.WithoutCancel(ctx)
+	row, err := f.find(asking, id)
+	if err != nil || row.State.Over() {
+		return row, err
+	}
+	deadline, _ := ctx.Deadline()
+	left := time.Until(deadline)
+	if peer, gone := f.ownerOf(row); gone == nil && left > 0 {
+		q := &wire.JobQuery{Id: id, Rack: row.Rack, WaitMs: left.Milliseconds()}
+		asking, cancel := context.WithTimeout(asking, left+replyTime)
+		defer cancel()
+		if row, err := f.ask(asking, peer.Addr, q); err == nil {
+			return row, nil
+		}
+	}
+	return f.find(asking, id)
 }
 
 // JobList is the body of a list of jobs.
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -62,6 +62,9 @@
 	saver   *time.Timer
 	began   time.Time
 	ran     time.Duration
+	// answered says that the end of a call goes out on the connection that
+	// started it, so that a watch need not tell of it.
+	answered bool
 	done    chan struct{}
 }
 
@@ -240,7 +243,7 @@
 	w.epoch, w.owner = c.Epoch, c.Owner
 	writeJSON(rw, platform.AttachReply{
 		Worker: w.id, Incarnation: w.name(), Capacity: w.capacity,
-		Leaving: w.leaving, Seq: w.seq, Tasks: w.reports(0),
+		Leaving: w.leaving, Seq: w.seq, Tasks: w.reports(),
 	})
 }
 
@@ -257,12 +260,12 @@
 	return nil
 }
 
-func (w *Worker) reports(after uint64) []platform.TaskReport {
+// reports tells an owner that attaches of every task.
+func (w *Worker) reports() []platform.TaskReport {
 	out := []platform.TaskReport{}
 	for _, t := range w.tasks {
-		if after == 0 || t.seq > after {
-			out = append(out, w.report(t))
-		}
+		t.answered = false
+		out = append(out, w.report(t))
 	}
 	return out
 }
@@ -297,12 +300,23 @@
 		select {
 		case <-t.done:
 		case <-r.Context().Done():
+			w.unheard(t)
 			return
 		}
 	}
 	w.reply(rw, t)
 }
 
+// unheard has a watch tell of the end of a call whose caller hung up.
+func (w *Worker) unheard(t *run) {
+	w.stateMu.Lock()
+	defer w.stateMu.Unlock()
+	t.answered = false
+	if t.state.Over() {
+		t.seq = w.touch()
+	}
+}
+
 func (w *Worker) join(rw http.ResponseWriter, r *http.Request) {
 	var req platform.JoinRequest
 	if !readJSON(rw, r, &req) {
@@ -373,7 +387,7 @@
 	over := !w.capacity.Covers(&w.given)
 	w.record.start(w.id, &t.task, t.payload.Tag, over, w.leavingSince)
 	w.tasks[t.task.ID] = t
-	t.seq = w.touch()
+	t.answered = t.task.Call
 	w.renewAtLeast(time.Duration(req.LeaseMS) * time.Millisecond)
 	t.began = time.Now()
 	t.timer = time.AfterFunc(w.remaining(t), func() { w.finish(t) })
@@ -465,7 +479,9 @@
 	}
 	w.given = w.given.Sub(t.given)
 	w.record.end(w.id, what, &t.task, t.given)
-	t.seq = w.touch()
+	if !t.answered {
+		t.seq = w.touch()
+	}
 	close(t.done)
 }
 
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -499,13 +499,20 @@
 // wall is the wall clock's time at which the cell's clock began.
 func (o *Owner) wall() time.Time { return time.Now().Add(-o.now()) }
 
-// Job returns a job of an owned rack.
-func (o *Owner) Job(id string) (job.Job, bool) {
+// Job returns a job of an owned rack. Unless it is over, Job waits for its end
+// until ctx ends.
+func (o *Owner) Job(ctx context.Context, id string) (job.Job, bool) {
 	o.mu.Lock()
-	defer o.mu.Unlock()
 	js := o.jobs[id]
+	o.mu.Unlock()
 	if js == nil {
 		return job.Job{}, false
 	}
-	return js.row, true
+	select {
+	case <-js.done:
+	case <-ctx.Done():
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return js.row, js.err == nil
 }
--- a/owner/worker.go
+++ b/owner/worker.go
@@ -39,6 +39,8 @@
 	leaving     bool
 	// listedLeaving is set when the platform or a peer says that it leaves.
 	listedLeaving bool
+	// seq is the number of the last change that it told at attaching.
+	seq uint64
 	// renewed is when the last command was sent that may have renewed its
 	// leases.
 	renewed time.Time
@@ -180,6 +182,7 @@
 	w.incarnation = reply.Incarnation
 	w.attached, w.over = true, false
 	w.leaving = reply.Leaving
+	w.seq = reply.Seq
 	w.renewed = time.Now()
 	reported := make(map[string]bool, len(reply.Tasks))
 	for _, rep := range reply.Tasks {
@@ -238,6 +241,7 @@
 	w.again = cancel
 	req := platform.WatchRequest{
 		Command: o.command(w),
+		Seq:     w.seq,
 		LeaseMS: o.TaskLease.Milliseconds(),
 		HoldMS:  watchHold.Milliseconds(),
 	}
--- a/test/bed/bed.go
+++ b/test/bed/bed.go
@@ -40,6 +40,8 @@
 	TaskLease string
 	// Debug logs more.
 	Debug bool
+	// Pprof serves profiles.
+	Pprof bool
 }
 
 // Bed is a running deployment.
@@ -145,6 +147,9 @@
 		"platform": map[string]string{"url": b.Admin.Base},
 		"peers":    peers,
 	}
+	if b.Pprof {
+		s["pprof"] = true
+	}
 	if b.TaskLease != "" {
 		s["task-lease"] = b.TaskLease
 	}
--- a/test/load/doc.go
+++ b/test/load/doc.go
@@ -94,7 +94,7 @@
 // Get asks for a job.
 func Get(ctx context.Context, c *client.Client, id string) (job.Job, error) {
 	var row job.Job
-	err := c.Do(ctx, http.MethodGet, "/v1/jobs/"+url.PathEscape(id), nil, &row)
+	err := c.Do(ctx, http.MethodGet, "/v1/jobs/"+url.PathEscape(id)+"?wait=5s", nil, &row)
 	return row, err
 }
 
