--- /dev/null
+++ b/internal/standin/local.go
@@ -0,0 +1,86 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package standin
+
+import (
+	"context"
+	"sync"
+
+	"dewpass.org/kind"
+	"dewpass.org/platform"
+)
+
+// Local is a Table without the network, for focused tests: it implements
+// platform.Table, and Before and After bring failures about at each commit.
+type Local struct {
+	*Table
+	mu sync.Mutex
+	// Before may refuse a commit before it takes effect.
+	Before func(platform.Txn) error
+	// After may lose the answer of a commit that took effect.
+	After func(platform.Txn) error
+	// Reading may refuse reads.
+	Reading func() error
+}
+
+// NewLocal returns an empty table.
+func NewLocal() *Local { return &Local{Table: NewTable()} }
+
+// Set changes the failures while the table is in use.
+func (l *Local) Set(f func(*Local)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	f(l)
+}
+
+func (l *Local) hooks() (before, after func(platform.Txn) error, reading func() error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.Before, l.After, l.Reading
+}
+
+func (l *Local) read(ctx context.Context) error {
+	if err := ctx.Err(); err != nil {
+		return kind.Wrap(kind.Unavailable, err, "read")
+	}
+	if _, _, reading := l.hooks(); reading != nil {
+		return reading()
+	}
+	return nil
+}
+
+// Get implements platform.Table.
+func (l *Local) Get(ctx context.Context, keys ...string) ([]platform.Row, error) {
+	if err := l.read(ctx); err != nil {
+		return nil, err
+	}
+	return l.Table.Get(keys...), nil
+}
+
+// Scan implements platform.Table.
+func (l *Local) Scan(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+	if err := l.read(ctx); err != nil {
+		return nil, err
+	}
+	return l.Table.Scan(prefix, after, limit), nil
+}
+
+// Commit implements platform.Table.
+func (l *Local) Commit(ctx context.Context, t platform.Txn) (platform.Commit, error) {
+	if err := ctx.Err(); err != nil {
+		return platform.Commit{}, kind.Wrap(kind.Unavailable, err, "commit")
+	}
+	before, after, _ := l.hooks()
+	if before != nil {
+		if err := before(t); err != nil {
+			return platform.Commit{}, err
+		}
+	}
+	res := l.Table.Commit(t)
+	if after != nil {
+		if err := after(t); err != nil {
+			return platform.Commit{}, err
+		}
+	}
+	return res, nil
+}
--- a/journal/journal.go
+++ b/journal/journal.go
@@ -147,21 +147,34 @@
 func (j *Journal) Run(ctx context.Context) {
 	for {
 		batch := j.take()
-		if len(batch) == 0 {
-			select {
-			case <-j.wake:
-				continue
-			case <-ctx.Done():
-				return
-			}
+		if len(batch) > 0 {
+			j.commit(ctx, batch)
+		} else {
+			j.idle(ctx)
 		}
-		j.commit(ctx, batch)
 		if ctx.Err() != nil {
 			return
 		}
 	}
 }
 
+// idle waits for changes. While the table does not answer, it asks it again
+// and again: changes that cannot wait are refused until it does.
+func (j *Journal) idle(ctx context.Context) {
+	var probe <-chan time.Time
+	if j.Failing() {
+		probe = time.After(retryPause)
+	}
+	select {
+	case <-j.wake:
+	case <-probe:
+		if _, err := j.table.Get(ctx, j.key); err == nil {
+			j.setFailing(false)
+		}
+	case <-ctx.Done():
+	}
+}
+
 // take removes the changes for the next transaction. Two changes that touch
 // the same row do not go into one.
 func (j *Journal) take() []*item {
--- /dev/null
+++ b/journal/journal_test.go
@@ -0,0 +1,141 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package journal_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"dewpass.org/internal/standin"
+	"dewpass.org/journal"
+	"dewpass.org/kind"
+	"dewpass.org/platform"
+)
+
+func TestJournal(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "journal")
+}
+
+func put(key, value string) journal.Change {
+	return journal.Change{
+		Checks: []platform.Check{{Key: key}},
+		Puts:   []platform.Put{{Key: key, Value: []byte(value)}},
+	}
+}
+
+var _ = Describe("the journal", func() {
+	var table *standin.Local
+	var j *journal.Journal
+	BeforeEach(func() {
+		table = standin.NewLocal()
+		j = journal.New(table, "i", "boot")
+		ctx, cancel := context.WithCancel(context.Background())
+		DeferCleanup(cancel)
+		go j.Run(ctx)
+	})
+	bounded := func(parent context.Context) context.Context {
+		ctx, cancel := context.WithTimeout(parent, 400*time.Millisecond)
+		DeferCleanup(cancel)
+		return ctx
+	}
+
+	It("writes many changes with few transactions", func(ctx context.Context) {
+		const changes = 200
+		slow := func(platform.Txn) error { time.Sleep(5 * time.Millisecond); return nil }
+		table.Set(func(l *standin.Local) { l.Before = slow })
+		var wg sync.WaitGroup
+		for i := range changes {
+			wg.Add(1)
+			go func() {
+				defer GinkgoRecover()
+				defer wg.Done()
+				_, err := j.Commit(ctx, put(fmt.Sprint(i), "v"))
+				Expect(err).NotTo(HaveOccurred())
+			}()
+		}
+		wg.Wait()
+		Expect(table.Commits()).To(BeNumerically("<", changes/4))
+	})
+
+	It("tells a change whose check failed, and writes the others", func(ctx context.Context) {
+		_, err := j.Commit(ctx, put("k", "first"))
+		Expect(err).NotTo(HaveOccurred())
+		_, err = j.Commit(ctx, put("k", "second"))
+		var c *journal.Conflict
+		Expect(errors.As(err, &c)).To(BeTrue())
+		Expect(string(c.Rows[0].Value)).To(Equal("first"))
+		_, err = j.Commit(ctx, put("other", "v"))
+		Expect(err).NotTo(HaveOccurred())
+	})
+
+	It("reads back a lost answer and writes nothing twice", func(ctx context.Context) {
+		var commits atomic.Int32
+		table.Set(func(l *standin.Local) {
+			l.After = func(platform.Txn) error {
+				if commits.Add(1)%2 == 1 {
+					return kind.New(kind.Lost, "test")
+				}
+				return nil
+			}
+		})
+		for i := range 6 {
+			_, err := j.Commit(ctx, put(fmt.Sprint(i), "v"))
+			Expect(err).NotTo(HaveOccurred())
+		}
+		Expect(table.Commits()).To(BeEquivalentTo(6))
+	})
+
+	It("knows its own transaction again when the first copy arrives late", func(ctx context.Context) {
+		var late platform.Txn
+		first := true
+		table.Set(func(l *standin.Local) {
+			l.Before = func(t platform.Txn) error {
+				if first {
+					first, late = false, t
+					return kind.New(kind.Lost, "test: on its way")
+				}
+				if late.Puts != nil {
+					l.Table.Commit(late)
+					late = platform.Txn{}
+				}
+				return nil
+			}
+		})
+		_, err := j.Commit(ctx, put("k", "v"))
+		Expect(err).NotTo(HaveOccurred(), "the late copy is its own, not a conflict")
+	})
+
+	It("says unavailable only of what is never written", func(ctx context.Context) {
+		table.Set(func(l *standin.Local) {
+			l.Before = func(platform.Txn) error { return kind.New(kind.Unavailable, "test") }
+			l.Reading = func() error { return kind.New(kind.Unavailable, "test") }
+		})
+		_, err := j.Commit(bounded(ctx), put("a", "v"))
+		Expect(kind.Is(err, kind.Unavailable)).To(BeTrue())
+		began := time.Now()
+		_, err = j.Commit(bounded(ctx), put("b", "v"))
+		Expect(kind.Is(err, kind.Unavailable)).To(BeTrue())
+		Expect(time.Since(began)).To(BeNumerically("<", 400*time.Millisecond), "refused at once")
+		table.Set(func(l *standin.Local) { l.Before, l.Reading = nil, nil })
+		Eventually(j.Failing).Should(BeFalse(), "it asks until the table is back")
+		Expect(table.Table.Get("a", "b")).To(HaveEach(HaveField("Version", BeZero())))
+	})
+
+	It("says lost when it cannot find out", func(ctx context.Context) {
+		table.Set(func(l *standin.Local) {
+			l.After = func(platform.Txn) error { return kind.New(kind.Lost, "test") }
+			l.Reading = func() error { return kind.New(kind.Unavailable, "test") }
+		})
+		_, err := j.Commit(bounded(ctx), put("a", "v"))
+		Expect(kind.Is(err, kind.Lost)).To(BeTrue())
+	})
+})
