--- /dev/null
+++ b/front/request_test.go
@@ -0,0 +1,97 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package front
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"dewpass.org/kind"
+	"dewpass.org/tree"
+)
+
+func TestFront(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "front")
+}
+
+var _ = Describe("a request", func() {
+	DescribeTable("with a fault gets its kind and path",
+		func(raw string, k kind.Kind, path string) {
+			_, err := parseRequest([]byte(raw))
+			Expect(kind.Of(err).Kind).To(Equal(k))
+			Expect(err.Error()).To(ContainSubstring(path))
+			Expect(kind.Of(err).Outcome).To(Equal(kind.NotRun))
+		},
+		Entry("truncated", `{"workload":"a","sho`, kind.BadRequest, "line 1"),
+		Entry("empty", ``, kind.BadRequest, "not valid JSON"),
+		Entry("two documents", `{"workload":"a","shop":"s"}{}`, kind.BadRequest, "not valid JSON"),
+		Entry("an unknown field", `{"workload":"a","shop":"s","colour":1}`, kind.BadRequest, "colour"),
+		Entry("a wrong unit", `{"workload":"a","shop":"s","deadline_ms":"5s"}`, kind.BadRequest, "/deadline_ms"),
+		Entry("out of range", `{"workload":"a","shop":"s","deadline_ms":-5}`, kind.BadRequest, "/deadline_ms"),
+		Entry("no shop", `{"workload":"a"}`, kind.BadRequest, "shop"),
+		Entry("a shop with a slash", `{"workload":"a","shop":"a/b"}`, kind.BadRequest, "/shop"),
+		Entry("a deadline that is no time", `{"workload":"a","shop":"s","deadline":"tomorrow"}`, kind.BadRequest, "/"),
+	)
+
+	It("of another content type, or too large, is refused", func() {
+		r, _ := http.NewRequest(http.MethodPost, "/", strings.NewReader("{}"))
+		_, err := decodeRequest(r)
+		Expect(kind.Is(err, kind.ContentType)).To(BeTrue())
+		r, _ = http.NewRequest(http.MethodPost, "/", strings.NewReader(strings.Repeat(" ", maxBody+1)))
+		r.Header.Set("Content-Type", "application/json; charset=utf-8")
+		_, err = decodeRequest(r)
+		Expect(kind.Is(err, kind.TooLarge)).To(BeTrue())
+	})
+
+	It("that must not be repeated needs a key, and one that has expired is void", func() {
+		c := &tree.Compiled{Workloads: map[string]*tree.Workload{"w": {Path: "w", Kind: tree.Call, Repeat: "never"}}}
+		now := time.Now()
+		_, err := (&request{Workload: "w"}).bind(c, now, tree.Call)
+		Expect(kind.Of(err).Path).To(Equal("/key"))
+		past := now.Add(-time.Second)
+		_, err = (&request{Workload: "w", Key: "k", Expires: &past}).bind(c, now, tree.Call)
+		Expect(kind.Is(err, kind.Deadline)).To(BeTrue())
+		_, err = (&request{Workload: "v"}).bind(c, now, tree.Call)
+		Expect(kind.Is(err, kind.UnknownWorkload)).To(BeTrue())
+		_, err = (&request{Workload: "w", Key: "k"}).bind(c, now, tree.Batch)
+		Expect(kind.Of(err).Path).To(Equal("/workload"))
+	})
+})
+
+var _ = Describe("the budget for further tries", func() {
+	It("lets half as many further tries through as first ones, in the long run", func() {
+		var b budget
+		for range budgetMost * 4 {
+			b.first()
+			b.again()
+		}
+		further := 0
+		for range 1000 {
+			b.first()
+			if b.again() {
+				further++
+			}
+		}
+		Expect(further).To(BeNumerically("~", 1000*budgetPart, 2))
+	})
+})
+
+func FuzzRequest(f *testing.F) {
+	f.Add([]byte(`{"workload":"a","shop":"s","key":"k","deadline_ms":5,"payload":{"a":[1]}}`))
+	f.Add([]byte(`{"workload":"a","shop":"s","expires":"2026-01-01T00:00:00Z"}`))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		req, err := parseRequest(raw)
+		if err == nil && (req.Workload == "" || req.Shop == "" || strings.ContainsAny(req.Shop+req.Key, "/ ")) {
+			t.Fatalf("accepted %q", raw)
+		}
+		if err != nil && kind.Of(err).Outcome != kind.NotRun {
+			t.Fatalf("%v is not said to be not run", err)
+		}
+	})
+}
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -65,7 +65,7 @@
 	// answered says that the end of a call goes out on the connection that
 	// started it, so that a watch need not tell of it.
 	answered bool
-	done    chan struct{}
+	done     chan struct{}
 }
 
 // Worker is the stand-in of one worker.
--- a/journal/journal_test.go
+++ b/journal/journal_test.go
@@ -22,6 +22,7 @@
 
 func TestJournal(t *testing.T) {
 	RegisterFailHandler(Fail)
+	SetDefaultEventuallyTimeout(30 * time.Second)
 	RunSpecs(t, "journal")
 }
 
--- /dev/null
+++ b/kind/kind_test.go
@@ -0,0 +1,49 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package kind_test
+
+import (
+	"context"
+	"testing"
+
+	"github.com/go-faster/errors"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"dewpass.org/kind"
+	"dewpass.org/wire"
+)
+
+func TestKind(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "kind")
+}
+
+var _ = Describe("kinds", func() {
+	It("each have a whole row and a name of their own", func() {
+		names := map[string]bool{}
+		for _, k := range kind.All() {
+			row := k.Row()
+			Expect(row.Name).NotTo(BeEmpty())
+			Expect(names).NotTo(HaveKey(row.Name))
+			names[row.Name] = true
+			Expect(row.Status).To(BeNumerically(">=", 400))
+			Expect(row.Exit).To(BeNumerically(">", 0))
+			Expect(kind.Parse(row.Name)).To(Equal(k))
+			if row.Retry {
+				Expect(row.Outcome).NotTo(Equal(kind.Ran))
+			}
+		}
+	})
+
+	It("promise nothing for errors that are not known", func() {
+		Expect(kind.Of(errors.New("x")).Outcome).To(Equal(kind.Unknown))
+		Expect(kind.Of(context.DeadlineExceeded).Kind).To(Equal(kind.Lost))
+	})
+
+	It("travel between instances unchanged", func() {
+		e := kind.At(kind.Deadline, "/p", "d").After(1500000000)
+		e.Uncertain("id")
+		Expect(wire.ErrorOf(wire.ToError(errors.Wrap(e, "outer")))).To(Equal(e))
+	})
+})
--- a/test/proof/suite_test.go
+++ b/test/proof/suite_test.go
@@ -18,6 +18,7 @@
 
 func TestProof(t *testing.T) {
 	RegisterFailHandler(Fail)
+	SetDefaultEventuallyTimeout(30 * time.Second)
 	RunSpecs(t, "proof")
 }
 
