test/proof: scenarios under failure, held against the workers' record

Kills, pauses, planned stops of all in turn, platform away, hall cut off, cut and crossed answers, worker crashes, leaving workers, a bad table, for both users.

--- a/internal/fault/on.go
+++ b/internal/fault/on.go
@@ -10,6 +10,7 @@
 	"os"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"dewpass.org/kind"
@@ -27,6 +28,9 @@
 	DelayMS int64 `json:"delay_ms,omitempty"`
 	// Exit ends the process at once.
 	Exit bool `json:"exit,omitempty"`
+	// Stop stops the process as SIGSTOP does; whoever set the rule lets it
+	// carry on.
+	Stop bool `json:"stop,omitempty"`
 	// Cut fails the link.
 	Cut bool `json:"cut,omitempty"`
 }
@@ -82,6 +86,9 @@
 
 func apply(r Rule) {
 	time.Sleep(time.Duration(r.DelayMS) * time.Millisecond)
+	if r.Stop {
+		_ = syscall.Kill(os.Getpid(), syscall.SIGSTOP)
+	}
 	if r.Exit {
 		os.Exit(exitCode)
 	}
@@ -96,7 +103,7 @@
 			return
 		}
 		table.mu.Lock()
+		defer table.mu.Unlock()
 		table.rules = rules
-		table.mu.Unlock()
 	})
 }
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -191,6 +191,7 @@
 	r.HandleFunc("/faults/worker/{id}", p.workerFaults)
 	r.HandleFunc("/worker/{id}/{what:crash|restart|leave|return}", p.workerEvent)
 	r.HandleFunc("/record", p.Record.summaryHandler)
+	r.HandleFunc("/record/tags", p.Record.tagsHandler)
 	r.HandleFunc("/record/events", p.Record.eventsHandler)
 	r.HandleFunc("/record/rows", p.rowsHandler)
 	return r
--- a/internal/standin/record.go
+++ b/internal/standin/record.go
@@ -170,11 +170,14 @@
 	return s
 }
 
-// Starts returns how often work with the given tag started.
-func (r *Record) Starts(tag string) int {
+func (r *Record) tagsHandler(w http.ResponseWriter, _ *http.Request) {
 	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.tags[tag]
+	tags := make(map[string]int, len(r.tags))
+	for tag, n := range r.tags {
+		tags[tag] = n
+	}
+	r.mu.Unlock()
+	writeJSON(w, tags)
 }
 
 func (r *Record) summaryHandler(w http.ResponseWriter, _ *http.Request) {
--- a/test/bed/bed.go
+++ b/test/bed/bed.go
@@ -63,9 +63,10 @@
 	args []string
 	log  string
 
-	mu   sync.Mutex
-	cmd  *exec.Cmd
-	done chan struct{}
+	mu     sync.Mutex
+	cmd    *exec.Cmd
+	done   chan struct{}
+	client *client.Client
 }
 
 const (
@@ -82,10 +83,7 @@
 		return nil, errors.Wrap(err, "ports")
 	}
 	b := &Bed{Options: o, Config: config}
-	hc := &http.Client{
-		Timeout:   httpTimeout,
-		Transport: &http.Transport{MaxIdleConnsPerHost: conns, MaxIdleConns: 4 * conns},
-	}
+	hc := newHTTP()
 	b.Admin = &client.Client{Base: "http://" + config.Platform, HTTP: hc}
 	b.Balancer = &client.Client{Base: "http://" + config.Balancer, HTTP: hc}
 	if err := b.start(ctx); err != nil {
@@ -231,6 +229,25 @@
 	return nil
 }
 
+// Owners returns the owner of each rack, as the entries that run see it.
+func (b *Bed) Owners(ctx context.Context) (map[string]string, error) {
+	for _, p := range b.Entries {
+		if !p.Running() {
+			continue
+		}
+		var s front.Status
+		if err := p.Client().Do(ctx, http.MethodGet, "/v1/status", nil, &s); err != nil {
+			continue
+		}
+		out := make(map[string]string)
+		for _, r := range s.Racks {
+			out[r.Rack] = r.Owner
+		}
+		return out, nil
+	}
+	return nil, errors.New("no entry answers")
+}
+
 // AwaitTree waits until a version of the tree is in force at every entry that
 // runs.
 func (b *Bed) AwaitTree(ctx context.Context, version uint64) error {
@@ -258,6 +275,22 @@
 	return s, err
 }
 
+// Starts returns how often work started, by the callers' own tags.
+func (b *Bed) Starts(ctx context.Context) (map[string]int, error) {
+	var tags map[string]int
+	err := b.Admin.Do(ctx, http.MethodGet, "/record/tags", nil, &tags)
+	return tags, err
+}
+
+// Clients speaks to each entry.
+func (b *Bed) Clients() []*client.Client {
+	var out []*client.Client
+	for _, p := range b.Entries {
+		out = append(out, p.Client())
+	}
+	return out
+}
+
 // Fault sets the switches of the stand-in's table, objects, instances, or of a
 // worker ("worker/ID").
 func (b *Bed) Fault(ctx context.Context, what string, f standin.Faults) error {
@@ -281,7 +314,25 @@
 
 // Client speaks to this entry alone.
 func (p *Process) Client() *client.Client {
-	return &client.Client{Base: "http://" + p.Addr.HTTP, HTTP: &http.Client{Timeout: httpTimeout}}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.client == nil {
+		p.client = &client.Client{Base: "http://" + p.Addr.HTTP, HTTP: newHTTP()}
+	}
+	return p.client
+}
+
+// Faults sets the rules at the fault points of an entry that was built with
+// the tag faults.
+func (p *Process) Faults(ctx context.Context, rules any) error {
+	return p.Client().Do(ctx, http.MethodPut, "/debug/faults", rules, nil)
+}
+
+func newHTTP() *http.Client {
+	return &http.Client{
+		Timeout:   httpTimeout,
+		Transport: &http.Transport{MaxIdleConnsPerHost: conns, MaxIdleConns: 4 * conns},
+	}
 }
 
 // Start starts the process; it is also how one that has ended comes back.
--- a/test/load/doc.go
+++ b/test/load/doc.go
@@ -19,6 +19,7 @@
 	"dewpass.org/internal/client"
 	"dewpass.org/internal/standin"
 	"dewpass.org/job"
+	"dewpass.org/kind"
 	"dewpass.org/platform"
 )
 
@@ -104,6 +105,9 @@
 func Await(ctx context.Context, c *client.Client, it Item, id string) (job.Job, error) {
 	for {
 		row, err := Get(ctx, c, id)
+		if kind.Is(err, kind.NotFound) {
+			return row, err
+		}
 		if err == nil && (row.State.Over() || row.State == job.Unknown) {
 			return row, checkRow(it, row)
 		}
--- /dev/null
+++ b/test/proof/failure_test.go
@@ -0,0 +1,226 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package proof
+
+import (
+	"context"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"dewpass.org/internal/client"
+	"dewpass.org/internal/standin"
+	"dewpass.org/kind"
+	"dewpass.org/test/bed"
+	"dewpass.org/test/load"
+)
+
+const specTime = 4 * time.Minute
+
+var _ = Describe("under load", func() {
+	for _, d := range []bed.Deployment{bed.Comhar, bed.Kartvela} {
+		It("survives an entry that is killed and comes back: "+d.Name, func(ctx context.Context) {
+			b := startBed(ctx, d, 2)
+			openWindows(ctx, b)
+			under(ctx, b, 8*time.Second, func() {
+				time.Sleep(2 * time.Second)
+				b.Entries[0].Kill()
+				time.Sleep(4 * time.Second)
+				Expect(b.Entries[0].Start()).To(Succeed())
+			})
+			Expect(b.AwaitReady(ctx)).To(Succeed())
+		}, SpecTimeout(specTime))
+
+		It("survives an entry that is paused and carries on: "+d.Name, func(ctx context.Context) {
+			b := startBed(ctx, d, 2)
+			openWindows(ctx, b)
+			under(ctx, b, 14*time.Second, func() {
+				time.Sleep(2 * time.Second)
+				b.Entries[0].Freeze()
+				time.Sleep(8 * time.Second)
+				b.Entries[0].Thaw()
+			})
+		}, SpecTimeout(specTime))
+
+		It("stops all instances in turn and cuts nothing: "+d.Name, func(ctx context.Context) {
+			b := startBed(ctx, d, 2)
+			openWindows(ctx, b)
+			t := &load.Tracker{Clients: nil, Seed: 1}
+			t.Clients = append(t.Clients, b.Balancer)
+			for _, s := range mixes[d.Name] {
+				t.Send(ctx, s, 25*time.Second)
+			}
+			for _, p := range b.Entries {
+				time.Sleep(time.Second)
+				Expect(p.Stop(30 * time.Second)).To(Succeed())
+				Expect(p.Start()).To(Succeed())
+				Expect(b.AwaitReady(ctx)).To(Succeed())
+			}
+			said := t.Wait()
+			verify(ctx, b, said)
+			for _, s := range said {
+				Expect(s.Outcome).To(BeElementOf(load.Whole, load.Accepted), "%s: %v", s.Item.Workload, s.Err)
+			}
+			record, err := b.Record(ctx)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(record.Cut).To(BeEmpty())
+		}, SpecTimeout(specTime))
+	}
+
+	It("goes on while the platform is away, and loses nothing when it is back", func(ctx context.Context) {
+		b := startBed(ctx, bed.Comhar, 2)
+		openWindows(ctx, b)
+		before := &load.Tracker{Clients: b.Clients(), Seed: 1}
+		before.Send(ctx, mixes["comhar"][3], 2*time.Second)
+		accepted := before.Wait()
+		setPlatform(ctx, b, standin.Faults{Down: true})
+		time.Sleep(time.Second)
+		during := &load.Tracker{Clients: b.Clients(), Seed: 2}
+		for _, s := range mixes["comhar"] {
+			during.Send(ctx, s, 6*time.Second)
+		}
+		said := during.Wait()
+		setPlatform(ctx, b, standin.Faults{})
+		for _, s := range said {
+			switch s.Item.Workload {
+			case "tinting/shade-lookup", "tinting/formula-match":
+				Expect(s.Outcome).To(Equal(load.Whole), "%s: %v", s.Item.Workload, s.Err)
+			default:
+				Expect(s.Outcome).To(Equal(load.NotRun), "%s: %v", s.Item.Workload, s.Err)
+				Expect(kind.Of(s.Err).RetryAfter).To(BeNumerically(">", 0))
+			}
+		}
+		verify(ctx, b, append(accepted, said...))
+	}, SpecTimeout(specTime))
+
+	It("goes on in a hall that is cut off, which joins again without loss", func(ctx context.Context) {
+		b := startBed(ctx, bed.Comhar, 2)
+		openWindows(ctx, b)
+		inside := cutHall(ctx, b, "naas-hall")
+		t := &load.Tracker{Clients: inside, Seed: 1}
+		for _, s := range mixes["comhar"] {
+			t.Send(ctx, s, 8*time.Second)
+		}
+		others := &load.Tracker{Clients: []*client.Client{b.Entries[2].Client(), b.Entries[3].Client()}, Seed: 2}
+		for _, s := range mixes["comhar"] {
+			others.Send(ctx, s, 8*time.Second)
+		}
+		time.Sleep(4 * time.Second)
+		b.Entries[0].Kill()
+		said, outside := t.Wait(), others.Wait()
+		Expect(b.Entries[0].Start()).To(Succeed())
+		heal(ctx, b)
+		lookups := 0
+		for _, s := range said {
+			if s.Item.Workload == "tinting/shade-lookup" && s.Outcome == load.Whole {
+				lookups++
+			}
+		}
+		Expect(lookups).To(BeNumerically(">", 100), "a cut hall serves lookups")
+		for _, s := range outside {
+			Expect(s.Outcome).To(BeElementOf(load.Whole, load.Accepted), "%s: %v", s.Item.Workload, s.Err)
+		}
+		Expect(b.AwaitReady(ctx)).To(Succeed())
+		verify(ctx, b, append(said, outside...))
+	}, SpecTimeout(specTime))
+
+	It("gives whole answers only, though answers are cut and crossed", func(ctx context.Context) {
+		b := startBed(ctx, bed.Comhar, 2)
+		openWindows(ctx, b)
+		for _, w := range b.Config.Workers {
+			Expect(b.Fault(ctx, "worker/"+w.ID, standin.Faults{CutEvery: 5, CrossEvery: 7, LoseEvery: 11})).To(Succeed())
+		}
+		said := under(ctx, b, 6*time.Second, func() {})
+		Expect(count(said)[load.Wrong]).To(BeZero())
+		Expect(count(said)[load.Whole]).To(BeNumerically(">", len(said)/2))
+	}, SpecTimeout(specTime))
+
+	It("takes up the work of workers that crash, and repeats none that must not be", func(ctx context.Context) {
+		b := startBed(ctx, bed.Kartvela, 2)
+		openWindows(ctx, b)
+		under(ctx, b, 10*time.Second, func() {
+			for i, w := range b.Config.Workers {
+				if i%6 != 0 {
+					continue
+				}
+				time.Sleep(300 * time.Millisecond)
+				Expect(b.Worker(ctx, w.ID, "crash")).To(Succeed())
+				if i%12 == 0 {
+					time.Sleep(time.Second)
+					Expect(b.Worker(ctx, w.ID, "restart")).To(Succeed())
+				}
+			}
+		})
+	}, SpecTimeout(specTime))
+
+	It("gives a leaving worker no new work, and moves its jobs", func(ctx context.Context) {
+		b := startBed(ctx, bed.Comhar, 2)
+		openWindows(ctx, b)
+		under(ctx, b, 12*time.Second, func() {
+			time.Sleep(2 * time.Second)
+			for i, w := range b.Config.Workers {
+				if i%3 == 0 {
+					Expect(b.Worker(ctx, w.ID, "leave")).To(Succeed())
+				}
+			}
+		})
+	}, SpecTimeout(specTime))
+
+	It("comes through a table that is slow, short of rate, and loses answers", func(ctx context.Context) {
+		b := startBed(ctx, bed.Kartvela, 2)
+		openWindows(ctx, b)
+		Expect(b.Fault(ctx, "table", standin.Faults{DelayMS: 60, PerSecond: 60, LoseEvery: 4})).To(Succeed())
+		under(ctx, b, 8*time.Second, func() {})
+		Expect(b.Fault(ctx, "table", standin.Faults{})).To(Succeed())
+	}, SpecTimeout(specTime))
+})
+
+func setPlatform(ctx context.Context, b *bed.Bed, f standin.Faults) {
+	GinkgoHelper()
+	for _, what := range []string{"table", "objects", "instances"} {
+		Expect(b.Fault(ctx, what, f)).To(Succeed())
+	}
+}
+
+// rule is a rule at the fault points of an entry; see package fault.
+type rule struct {
+	Point   string `json:"point,omitempty"`
+	Addr    string `json:"addr,omitempty"`
+	Skip    int    `json:"skip,omitempty"`
+	DelayMS int64  `json:"delay_ms,omitempty"`
+	Exit    bool   `json:"exit,omitempty"`
+	Stop    bool   `json:"stop,omitempty"`
+	Cut     bool   `json:"cut,omitempty"`
+}
+
+// cutHall cuts the links of a hall's entries to the platform and to the other
+// halls, both ways, and returns clients of its entries.
+func cutHall(ctx context.Context, b *bed.Bed, hall string) []*client.Client {
+	GinkgoHelper()
+	var inside []*client.Client
+	for _, p := range b.Entries {
+		var rules []rule
+		for _, o := range b.Entries {
+			if (o.Addr.Hall == hall) != (p.Addr.Hall == hall) {
+				rules = append(rules, rule{Addr: "peer/" + o.Addr.Peer, Cut: true})
+			}
+		}
+		if p.Addr.Hall == hall {
+			rules = append(rules, rule{Addr: "platform", Cut: true})
+			inside = append(inside, p.Client())
+		}
+		Expect(p.Faults(ctx, rules)).To(Succeed())
+	}
+	return inside
+}
+
+// heal takes all rules away.
+func heal(ctx context.Context, b *bed.Bed) {
+	GinkgoHelper()
+	for _, p := range b.Entries {
+		if p.Running() {
+			Eventually(func() error { return p.Faults(ctx, []rule{}) }).Should(Succeed())
+		}
+	}
+}
