hall, front: find a hall again after all its peers fell silent

Cause of the red spec for a hall that is cut off: an address whose peer was known but silent was never greeted again, so two halls that had lost each other stayed apart until the platform's list changed. Ruled out: the platform's list (it was asked and had not changed). A second fault showed in the logs: refusals that were already written came back with every hello and were written again without end. Now silent addresses are tried every 2 s for 2 h, and what was written is remembered.

--- a/front/refusal.go
+++ b/front/refusal.go
@@ -25,6 +25,8 @@
 	flushEvery  = time.Second
 	// spreadMost bounds the refusals in one hello.
 	spreadMost = 64
+	// keepWritten is longer than any peer tells of a refusal that is written.
+	keepWritten = 5 * time.Minute
 )
 
 // refusals are the keyed requests that were refused while the table could not
@@ -32,6 +34,9 @@
 type refusals struct {
 	mu  sync.Mutex
 	set map[refusal]string
+	// written holds those that this instance has written, and when, because
+	// peers may still tell of them.
+	written map[refusal]time.Time
 }
 
 type refusal struct{ shop, key string }
@@ -42,6 +47,9 @@
 	if s.set == nil {
 		s.set = make(map[refusal]string)
 	}
+	if _, ok := s.written[r]; ok {
+		return true
+	}
 	if len(s.set) >= maxRefusals {
 		return false
 	}
@@ -49,10 +57,20 @@
 	return true
 }
 
-func (s *refusals) remove(r refusal) {
+// wrote notes that a refusal is in the table.
+func (s *refusals) wrote(r refusal, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.set, r)
+	if s.written == nil {
+		s.written = make(map[refusal]time.Time)
+	}
+	s.written[r] = now
+	for old, at := range s.written {
+		if now.Sub(at) > keepWritten {
+			delete(s.written, old)
+		}
+	}
 }
 
 // check refuses a request whose key was refused before.
@@ -177,9 +195,19 @@
 		if err != nil && !errors.As(err, &conflict) {
 			return
 		}
-		if err != nil {
+		if err != nil && !refusedRow(conflict) {
 			level.Warn(f.Log).Log("msg", "key was in use after all", "shop", r.Shop, "key", r.Key)
 		}
-		f.refusals.remove(refusal{r.Shop, r.Key})
+		f.refusals.wrote(refusal{r.Shop, r.Key}, time.Now())
 	}
 }
+
+// refusedRow reports whether the row that came first is a refusal as well.
+func refusedRow(c *journal.Conflict) bool {
+	for _, r := range c.Rows {
+		if key, err := job.DecodeKey(r.Value); err != nil || !key.Refused {
+			return false
+		}
+	}
+	return true
+}
--- a/hall/hall_test.go
+++ b/hall/hall_test.go
@@ -81,6 +81,17 @@
 		Expect(p.Claims("h", now.Add(time.Minute))).To(BeEmpty(), "the silent claim nothing")
 	})
 
+	It("of another hall are tried again after all of them fell silent", func() {
+		p := hall.NewPeers("me", "h", nil)
+		for _, name := range []string{"x1", "x2"} {
+			p.Heard(&wire.Hello{Instance: name, Hall: "x", PeerAddr: "addr-" + name}, now)
+		}
+		Expect(p.Greet(now)).To(HaveLen(1), "one of a hall is enough")
+		later := now.Add(time.Hour)
+		Expect(p.Greet(later)).To(ConsistOf("addr-x1", "addr-x2"))
+		Expect(p.Greet(later.Add(time.Second))).To(BeEmpty(), "not all the time")
+	})
+
 	It("keep the racks of a hello that leaves them out", func() {
 		p := hall.NewPeers("me", "h", nil)
 		p.Heard(&wire.Hello{Instance: "a", Hall: "h", RacksSeq: 1, Racks: []*wire.Rack{{Rack: "r"}}}, now)
--- a/hall/peers.go
+++ b/hall/peers.go
@@ -14,8 +14,13 @@
 // silence is how long a peer may not have said hello and still count as live.
 const silence = 1500 * time.Millisecond
 
-// forget is how long a silent peer is still greeted.
-const forget = 2 * time.Minute
+const (
+	// forget is how long an address is tried at which nobody answers and that
+	// nobody speaks of: longer than regions lose each other.
+	forget = 2 * time.Hour
+	// tryEvery spaces the tries of an address at which nobody answers.
+	tryEvery = 2 * time.Second
+)
 
 // Peer is what is known of another instance.
 type Peer struct {
@@ -48,12 +53,17 @@
 	// addrs are addresses at which somebody may be, with the time until which
 	// to greet them.
 	addrs map[string]time.Time
+	// tried is when each address was last tried without a live peer there.
+	tried map[string]time.Time
 }
 
 // NewPeers returns the peers of an instance, with the addresses that its
 // settings name.
 func NewPeers(self, hall string, first []string) *Peers {
-	p := &Peers{self: self, hall: hall, known: make(map[string]*Peer), addrs: make(map[string]time.Time)}
+	p := &Peers{
+		self: self, hall: hall, known: make(map[string]*Peer),
+		addrs: make(map[string]time.Time), tried: make(map[string]time.Time),
+	}
 	for _, a := range first {
 		p.addrs[a] = time.Time{}
 	}
@@ -103,39 +113,66 @@
 	p.addrs[addr] = now.Add(forget)
 }
 
-// Greet returns the addresses to say hello to: all peers of the own hall, and
-// of every other hall the one that ranks first for this instance.
+// Greet returns the addresses to say hello to: the live peers of the own hall,
+// of every other hall the one that ranks first for this instance, and now and
+// then the addresses at which nobody has answered of late.
 func (p *Peers) Greet(now time.Time) []string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	out := make(map[string]bool)
-	taken := make(map[string]bool)
-	others := make(map[string][]*Peer)
+	far := make(map[string][]*Peer)
 	for _, k := range p.known {
-		taken[k.Addr] = true
 		switch {
-		case k.Hall == p.hall && now.Sub(k.Heard) < forget:
+		case !k.Live(now):
+		case k.Hall == p.hall:
 			out[k.Addr] = true
-		case k.Hall != p.hall && k.Live(now):
-			others[k.Hall] = append(others[k.Hall], k)
+		default:
+			far[k.Hall] = append(far[k.Hall], k)
 		}
 	}
-	for hall, list := range others {
-		sort.Slice(list, func(i, j int) bool {
-			return weight(p.self+hall, list[i].Instance) > weight(p.self+hall, list[j].Instance)
-		})
-		out[list[0].Addr] = true
+	for _, list := range far {
+		out[p.first(list).Addr] = true
+	}
+	for _, addr := range p.silent(now, far) {
+		out[addr] = true
+	}
+	return sorted(out)
+}
+
+// first returns the peer of another hall that ranks first for this instance.
+func (p *Peers) first(list []*Peer) *Peer {
+	best := list[0]
+	for _, k := range list[1:] {
+		if weight(p.self, k.Instance) > weight(p.self, best.Instance) {
+			best = k
+		}
 	}
+	return best
+}
+
+// silent returns the addresses that are due for another try. An address of
+// another hall is not tried while somebody of that hall is live.
+func (p *Peers) silent(now time.Time, far map[string][]*Peer) []string {
+	at := make(map[string]*Peer, len(p.known))
+	for _, k := range p.known {
+		at[k.Addr] = k
+	}
+	var out []string
 	for addr, until := range p.addrs {
 		if !until.IsZero() && now.After(until) {
 			delete(p.addrs, addr)
+			delete(p.tried, addr)
 			continue
 		}
-		if !taken[addr] {
-			out[addr] = true
+		k := at[addr]
+		known := k != nil && (k.Live(now) || len(far[k.Hall]) > 0)
+		if known || now.Sub(p.tried[addr]) < tryEvery {
+			continue
 		}
+		p.tried[addr] = now
+		out = append(out, addr)
 	}
-	return sorted(out)
+	return out
 }
 
 func sorted(set map[string]bool) []string {
--- a/test/load/track.go
+++ b/test/load/track.go
@@ -24,10 +24,10 @@
 	// Seed makes the choices the same in every run.
 	Seed uint64
 
-	mu    sync.Mutex
-	rng   *rand.Rand
-	said  []Said
-	wg    sync.WaitGroup
+	mu   sync.Mutex
+	rng  *rand.Rand
+	said []Said
+	wg   sync.WaitGroup
 }
 
 // Said is what dewpass said of one request.
