--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,9 @@
 DEPLOYMENT ?= comhar
 SEEDS ?= 20
 SECONDS_OF_LOAD ?= 20
-STATICCHECK = go run honnef.co/go/tools/cmd/staticcheck@v0.8.2
+PACKAGES = $$(go list ./... | grep -v /test/proof)
+# Each proof starts a deployment of its own; a few run side by side.
+PROOF = go tool ginkgo --procs=4 --timeout=80m --no-color --seed=1
 
 .PHONY: all build demo test proof lint generate bench capacity fuzz
 
@@ -17,17 +19,18 @@
 	bin/demo --deployment $(DEPLOYMENT) --seconds $(SECONDS_OF_LOAD)
 
 test:
-	go test ./...
+	go test $(PACKAGES)
+	$(PROOF) ./test/proof
 
 # The proofs with more seeds than the tests run.
 proof:
-	PROOF_SEEDS=$(SEEDS) go test -count=1 -timeout 80m ./test/proof/
+	PROOF_SEEDS=$(SEEDS) $(PROOF) ./test/proof
 
 lint:
 	@test -z "$$(git ls-files '*.go' | grep -v '\.pb\.go$$' | xargs gofmt -l | tee /dev/stderr)"
 	go vet ./...
 	go vet -tags faults ./...
-	$(STATICCHECK) ./...
+	go tool staticcheck ./...
 
 # Needs protoc; its plugin comes with the protobuf library. The result is
 # committed, so that nothing else needs either.
--- a/internal/fault/on.go
+++ b/internal/fault/on.go
@@ -94,9 +94,16 @@
 	}
 }
 
-// Handler changes the table of faults: PUT replaces it.
+// Handler changes the table of faults: PUT replaces it, GET returns the rules
+// that are left.
 func Handler() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodGet {
+			table.mu.Lock()
+			defer table.mu.Unlock()
+			_ = json.NewEncoder(w).Encode(table.rules)
+			return
+		}
 		var rules []Rule
 		if err := json.NewDecoder(r.Body).Decode(&rules); err != nil {
 			http.Error(w, err.Error(), http.StatusBadRequest)
