sched: give up the room held for a task that found room elsewhere

Cause of lookups that queued behind recalibration in the driver: a worker held for a task stayed held when that task started on another one, until 47 of 48 workers were held for nobody (printed after 30 s). Ruled out: admission, which refused because the queue did not drain. A second cause: the reserve counted free room in sum, so that 48 workers with half a unit left passed for 24 units. Change: a waiting task knows the worker held for it and gives it up whenever it stops waiting, or after a second; the reserve counts whole units per worker.

--- a/owner/jobs.go
+++ b/owner/jobs.go
@@ -160,6 +160,9 @@
 	digest := job.RequestDigest(js.row.Workload, js.row.Payload)
 	change := keyed(journal.Change{Checks: o.checks(js), Puts: puts(js.row)}, js.row, digest)
 	version, err := o.Journal.Commit(ctx, change)
+	if kind.Is(err, kind.Lost) {
+		go o.recoverCreate(js)
+	}
 	if err != nil {
 		return createError(err, js)
 	}
@@ -167,6 +170,54 @@
 	return nil
 }
 
+// recoverCreate finds out what became of the rows of a new job whose
+// transaction has an unknown fate. Its caller was told so, and it was sent
+// nowhere: a job that is there goes on, a call that is there is refused, and
+// what is not there is written down as refused, so that the question for its
+// id has an answer.
+func (o *Owner) recoverCreate(js *jobState) {
+	ctx := js.rack.ctx
+	// The journal writes one transaction after another: when this empty one is
+	// through, the fate of those before it is settled.
+	if _, err := o.Journal.Commit(ctx, journal.Change{}); err != nil {
+		return
+	}
+	row, err := o.readRow(ctx, job.RowKey(js.row.ID))
+	if err != nil {
+		return
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.racks[js.rack.name] != js.rack || o.jobs[js.row.ID] != nil {
+		return
+	}
+	js.version = row.Version
+	js.task = nil
+	o.jobs[js.row.ID] = js
+	if row.Version > 0 && !js.row.Call {
+		o.enqueue(js)
+		o.step()
+		return
+	}
+	js.row.State = job.Dispatched
+	o.settle(js, job.Refused, func(j *job.Job) { j.Why = "the table did not answer in time" })
+}
+
+// readRow reads a row again and again until the table answers.
+func (o *Owner) readRow(ctx context.Context, key string) (platform.Row, error) {
+	for {
+		rows, err := o.Table.Get(ctx, key)
+		if err == nil {
+			return rows[0], nil
+		}
+		select {
+		case <-time.After(attachMost):
+		case <-ctx.Done():
+			return platform.Row{}, ctx.Err()
+		}
+	}
+}
+
 func createError(err error, js *jobState) error {
 	switch kind.Of(err).Kind {
 	case kind.Unavailable:
--- a/sched/cell.go
+++ b/sched/cell.go
@@ -152,7 +152,7 @@
 	}
 	s := &c.slots[i]
 	gen := s.gen + 1
-	*s = slot{Task: t, gen: gen, worker: NoWorker}
+	*s = slot{Task: t, gen: gen, worker: NoWorker, hold: NoWorker}
 	for int(t.Team) >= len(c.teams) {
 		c.teams = append(c.teams, Team{Borrow: true})
 	}
@@ -176,7 +176,9 @@
 
 // CallArrived tells the reserve of a call, whether it was admitted or not.
 func (c *Cell) CallArrived(demand Vec, now time.Duration) {
-	c.reserve.Arrived(demand, now)
+	if c.reserve.Arrived(demand, now) {
+		c.setUnit(c.reserve.unit)
+	}
 }
 
 func (c *Cell) enqueue(h Handle, s *slot, now time.Duration) {
@@ -201,7 +203,7 @@
 	if s.state == taskWaiting {
 		c.waiting[s.Class].gone(s.Team)
 	}
-	c.unhold(h)
+	c.unhold(s)
 	c.release(h)
 	return true
 }
@@ -215,10 +217,10 @@
 			return Handle{}, NoWorker, false
 		}
 	}
-	if !c.allowed(&t, now) {
+	if c.overLimit(&t) {
 		return Handle{}, NoWorker, false
 	}
-	q := query{demand: t.Demand, rack: t.Rack, strategy: strategyOf(&t), group: t.Group}
+	q := c.query(&t, Handle{}, now)
 	w := c.find(&q)
 	if w == NoWorker {
 		return Handle{}, NoWorker, false
@@ -287,9 +289,7 @@
 	if s.Call {
 		c.calls++
 	}
-	if c.held[w] == h {
-		c.held[w] = Handle{}
-	}
+	c.unhold(s)
 }
 
 func (c *Cell) halt(s *slot) {
@@ -315,18 +315,15 @@
 	t.share = t.used.Share(t.Quota)
 }
 
-// allowed reports whether the team's limit and the reserve for calls let t
-// start now.
-func (c *Cell) allowed(t *Task, now time.Duration) bool {
-	if c.overLimit(t) {
-		return false
-	}
-	if t.Call {
-		return true
+// query returns the search for a worker for t. Work that is not a call must
+// leave the units of the reserve.
+func (c *Cell) query(t *Task, asker Handle, now time.Duration) query {
+	q := query{demand: t.Demand, rack: t.Rack, strategy: strategyOf(t), group: t.Group, asker: asker}
+	if !t.Call && !c.unit.IsZero() {
+		q.bounded = true
+		q.sparing = c.totalUnits - c.reserve.more(now, c.calls)
 	}
-	left := c.totalFree.Sub(t.Demand)
-	room := c.reserve.room(now, c.calls)
-	return left.Covers(&room)
+	return q
 }
 
 // overLimit reports whether t would take a team that may not borrow past its
--- a/sched/pool.go
+++ b/sched/pool.go
@@ -49,6 +49,11 @@
 	totalFree Vec
 	cursor    int
 	open      int
+	// unit is the room that one call needs; units counts how often it fits on
+	// each open worker, and totalUnits on all of them.
+	unit       Vec
+	units      []int64
+	totalUnits int64
 }
 
 // Add adds a worker and returns its number.
@@ -86,6 +91,7 @@
 	p.closed = append(p.closed, true)
 	p.held = append(p.held, Handle{})
 	p.groups = append(p.groups, nil)
+	p.units = append(p.units, 0)
 	if len(p.free) > len(p.block)*blockSize {
 		p.block = append(p.block, Vec{})
 	}
@@ -167,8 +173,29 @@
 	return free, largest
 }
 
+// setUnit changes the room that one call needs.
+func (p *Pool) setUnit(unit Vec) {
+	p.unit = unit
+	p.totalUnits = 0
+	for w := range p.free {
+		p.units[w] = 0
+		p.count(WorkerID(w))
+	}
+}
+
+// count counts the units that fit on w again.
+func (p *Pool) count(w WorkerID) {
+	n := int64(0)
+	if !p.closed[w] && !p.unit.IsZero() {
+		n = p.free[w].holds(p.unit)
+	}
+	p.totalUnits += n - p.units[w]
+	p.units[w] = n
+}
+
 // refresh computes the largest free amounts of the block of w again.
 func (p *Pool) refresh(w WorkerID) {
+	p.count(w)
 	b := int(w) / blockSize
 	first := b * blockSize
 	last := min(first+blockSize, len(p.free))
@@ -188,6 +215,10 @@
 	strategy Strategy
 	group    int32
 	asker    Handle
+	// sparing bounds the units that the task may take to spare; it counts
+	// only if bounded is set.
+	bounded bool
+	sparing int64
 }
 
 // find returns the best worker for q, or NoWorker.
@@ -238,7 +269,15 @@
 	if q.rack != AnyRack && p.rack[w] != q.rack {
 		return false
 	}
-	return p.held[w] == (Handle{}) || p.held[w] == q.asker
+	if p.held[w] != (Handle{}) && p.held[w] != q.asker {
+		return false
+	}
+	return !q.bounded || p.loss(w, &q.demand) <= q.sparing
+}
+
+// loss returns the units that w would lose to a demand.
+func (p *Pool) loss(w int, d *Vec) int64 {
+	return p.units[w] - p.free[w].Sub(*d).holds(p.unit)
 }
 
 // groupPenalty outweighs any amount of free room: replicas of one service
--- a/sched/reserve.go
+++ b/sched/reserve.go
@@ -53,10 +53,15 @@
 	sigmas = 3
 )
 
-// Arrived tells of a call that came in.
-func (r *Reserve) Arrived(demand Vec, now time.Duration) {
+// Arrived tells of a call that came in, and reports whether the room that one
+// call needs has grown.
+func (r *Reserve) Arrived(demand Vec, now time.Duration) bool {
 	r.arrivals.add(1, now)
+	if r.unit.Covers(&demand) {
+		return false
+	}
 	r.unit = r.unit.Max(demand)
+	return true
 }
 
 // Finished tells of a call that was over after the given time.
@@ -77,11 +82,8 @@
 	return max(n, r.Floor)
 }
 
-// room returns what must stay free for calls when busy of them are running.
-func (r *Reserve) room(now time.Duration, busy int64) Vec {
-	more := r.Calls(now) - busy
-	if more <= 0 || r.unit.IsZero() {
-		return Vec{}
-	}
-	return r.unit.Scale(more)
+// more returns how many calls room must be kept for when busy of them are
+// running.
+func (r *Reserve) more(now time.Duration, busy int64) int64 {
+	return max(r.Calls(now)-busy, 0)
 }
--- a/sched/step.go
+++ b/sched/step.go
@@ -91,7 +91,7 @@
 		if s.StartBy > 0 && now > s.StartBy {
 			q.gone(team)
 			out = append(out, Decision{Op: OpExpire, Task: e.handle, Ref: s.Ref, Worker: NoWorker})
-			c.unhold(e.handle)
+			c.unhold(s)
 			c.release(e.handle)
 			continue
 		}
@@ -119,13 +119,13 @@
 
 // place returns the worker for a waiting task, or NoWorker.
 func (c *Cell) place(h Handle, s *slot, now time.Duration) WorkerID {
-	if !c.allowed(&s.Task, now) {
+	if c.overLimit(&s.Task) {
 		return NoWorker
 	}
 	if s.Rack == AnyRack && c.misfit(&s.Demand) {
 		return NoWorker
 	}
-	q := query{demand: s.Demand, rack: s.Rack, strategy: strategyOf(&s.Task), group: s.Group, asker: h}
+	q := c.query(&s.Task, h, now)
 	w := c.find(&q)
 	if w == NoWorker && s.Rack == AnyRack && len(c.misfits) < maxMisfits {
 		c.misfits = append(c.misfits, s.Demand)
--- a/sched/task.go
+++ b/sched/task.go
@@ -108,6 +108,10 @@
 	throttled bool
 	yields    uint8
 	worker    WorkerID
+	// hold is the worker that is held for the task while it waits, since
+	// holdSince.
+	hold      WorkerID
+	holdSince time.Duration
 	// place is the position of the task in the list of its worker.
 	place   int32
 	seq     uint64
--- a/sched/vec.go
+++ b/sched/vec.go
@@ -84,3 +84,17 @@
 	}
 	return share
 }
+
+// holds returns how often unit fits into v; at most maxHolds times.
+func (v Vec) holds(unit Vec) int64 {
+	n := int64(maxHolds)
+	for d := range v {
+		if unit[d] > 0 {
+			n = min(n, v[d]/unit[d])
+		}
+	}
+	return max(n, 0)
+}
+
+// maxHolds bounds what holds returns, for a unit of nothing.
+const maxHolds = 1 << 20
--- a/sched/yield.go
+++ b/sched/yield.go
@@ -11,22 +11,30 @@
 // as one in this many.
 const throttledShare = 4
 
+// holdTime is how long a worker is held for a task before another one is tried.
+const holdTime = time.Second
+
 // makeRoom chooses the worker where the least work is lost by letting h in,
 // holds it for h, and asks the tasks there to yield.
 func (c *Cell) makeRoom(h Handle, now time.Duration, out []Decision) []Decision {
 	s := c.slot(h)
-	if s == nil || c.overLimit(&s.Task) || c.holds(h) {
+	if s == nil || c.overLimit(&s.Task) {
+		return out
+	}
+	if s.hold != NoWorker && now-s.holdSince < holdTime {
 		return out
 	}
+	c.unhold(s)
 	if s.Class == Bulk && !c.underQuota(s.Team) {
 		return out
 	}
-	w := c.cheapest(h, s, now)
+	w := c.cheapest(s, now)
 	if w == NoWorker {
 		return out
 	}
 	c.held[w] = h
-	return c.yield(w, h, s, now, out)
+	s.hold, s.holdSince = w, now
+	return c.yield(w, s, now, out)
 }
 
 func (c *Cell) underQuota(id TeamID) bool {
@@ -34,25 +42,16 @@
 	return t.set && t.share < 1
 }
 
-func (c *Cell) holds(h Handle) bool {
-	for _, o := range c.held {
-		if o == h {
-			return true
-		}
-	}
-	return false
-}
-
-func (c *Cell) unhold(h Handle) {
-	for w := range c.held {
-		if c.held[w] == h {
-			c.held[w] = Handle{}
-		}
+// unhold gives up the worker that is held for s.
+func (c *Cell) unhold(s *slot) {
+	if s.hold != NoWorker {
+		c.held[s.hold] = Handle{}
+		s.hold = NoWorker
 	}
 }
 
 // cheapest returns the open worker on which room for s costs the least work.
-func (c *Cell) cheapest(h Handle, s *slot, now time.Duration) WorkerID {
+func (c *Cell) cheapest(s *slot, now time.Duration) WorkerID {
 	best := NoWorker
 	least := time.Duration(math.MaxInt64)
 	for w := range c.running {
@@ -129,7 +128,7 @@
 
 // yield asks tasks on w to yield until s fits. When processors alone are
 // short, throttling is tried first.
-func (c *Cell) yield(w WorkerID, h Handle, s *slot, now time.Duration, out []Decision) []Decision {
+func (c *Cell) yield(w WorkerID, s *slot, now time.Duration, out []Decision) []Decision {
 	if throttled, ok := c.throttle(w, s, now, out); ok {
 		return throttled
 	}
@@ -215,9 +214,7 @@
 				continue
 			}
 			more := s.Demand.Sub(s.given)
-			room := c.reserve.room(now, c.calls)
-			left := c.totalFree.Sub(more)
-			if c.held[w] != (Handle{}) || !c.free[w].Covers(&more) || !left.Covers(&room) {
+			if c.held[w] != (Handle{}) || !c.free[w].Covers(&more) || !c.spares(w, &more, now) {
 				continue
 			}
 			s.throttled = false
@@ -230,6 +227,11 @@
 	return out
 }
 
+// spares reports whether w can give more away and leave the reserve.
+func (c *Cell) spares(w int, more *Vec, now time.Duration) bool {
+	return c.unit.IsZero() || c.totalUnits-c.loss(w, more) >= c.reserve.more(now, c.calls)
+}
+
 func (c *Cell) higherWaits(class Class) bool {
 	for k := class + 1; k < numClasses; k++ {
 		if c.waiting[k].live > 0 {
--- a/test/proof/matrix_test.go
+++ b/test/proof/matrix_test.go
@@ -175,8 +175,9 @@
 type cellRun struct {
 	b *bed.Bed
 	c cell
-	// target is the process whose step it is, peer the other of its hall.
-	target, peer *bed.Process
+	// target is the process whose step it is, peer the other of its hall, and
+	// editor the one that edits go to.
+	target, peer, editor *bed.Process
 	hit          bool
 	mu           sync.Mutex
 	accepted     []uint64
@@ -224,7 +225,8 @@
 			r.peer = p
 		}
 	}
-	if r.takeover() {
+	r.editor = r.target
+	if r.takeover() || r.c.point == fault.EditSpread {
 		r.target, r.peer = r.peer, r.target
 	}
 	return nil
@@ -335,7 +337,7 @@
 		e := tree.Edit{ID: fmt.Sprint("edit-", i), Base: r.last(), Ops: []tree.Op{{Path: "nightly.estimate", Value: value}}}
 		var entry tree.Entry
 		short, cancel := context.WithTimeout(ctx, 3*time.Second)
-		err := r.target.Client().Do(short, http.MethodPost, "/v1/tree/edits", e, &entry)
+		err := r.editor.Client().Do(short, http.MethodPost, "/v1/tree/edits", e, &entry)
 		cancel()
 		r.mu.Lock()
 		if err == nil {
