--- a/tree/tree_test.go
+++ b/tree/tree_test.go
@@ -226,6 +226,7 @@
 		Expect(install(3)).To(BeTrue())
 		Expect(install(2)).To(BeFalse())
 		Expect(install(3)).To(BeFalse())
+		Expect(r.Install(&tree.Compiled{Version: 2})).To(BeFalse(), "also past the first look")
 		Expect(r.Now().Version).To(BeEquivalentTo(3))
 	})
 })
