--- a/test/proof/failure_test.go
+++ b/test/proof/failure_test.go
@@ -100,6 +100,42 @@
 		verify(ctx, b, append(accepted, said...))
 	}, SpecTimeout(specTime))
 
+	It("fences a former owner that was paused in the middle of a start", func(ctx context.Context) {
+		b := startBed(ctx, bed.Kartvela, 2)
+		const rack = "kutaisi-a-r1"
+		owner := ownerOf(ctx, b, rack)
+		Expect(owner.Faults(ctx, []rule{{Point: "sent", Stop: true}})).To(Succeed())
+		var said []load.Said
+		for range 10 {
+			it := load.NewItem("tracing/trace", 25*time.Second)
+			short, cancel := context.WithTimeout(ctx, 2*time.Second)
+			row, err := load.Submit(short, owner.Client(), it)
+			cancel()
+			if err == nil {
+				said = append(said, load.Said{Item: it, ID: row.ID, Outcome: load.Accepted})
+			}
+		}
+		Expect(said).NotTo(BeEmpty())
+		other := b.Entries[0]
+		if other == owner {
+			other = b.Entries[1]
+		}
+		Eventually(func(g Gomega) {
+			for _, s := range said {
+				row, err := load.Get(ctx, other.Client(), s.ID)
+				g.Expect(err).NotTo(HaveOccurred())
+				g.Expect(row.State).To(Equal(job.Running))
+			}
+		}).WithTimeout(time.Minute).Should(Succeed())
+		owner.Thaw()
+		verify(ctx, b, said)
+		starts, err := b.Starts(ctx)
+		Expect(err).NotTo(HaveOccurred())
+		for _, s := range said {
+			Expect(starts[s.Item.Payload.Tag]).To(Equal(1))
+		}
+	}, SpecTimeout(specTime))
+
 	It("never runs a late copy of a request that it refused while the table was away", func(ctx context.Context) {
 		b := startBed(ctx, bed.Comhar, 2)
 		setPlatform(ctx, b, standin.Faults{Down: true})
