entry: no memory limit below what is live

make capacity's first table showed 125% of a core with 904 idle workers: the limit of 28 MiB is below the live heap there, so that the runtime collects garbage without end. Ruled out: the watches (bytes grow in a straight line, r2 1.000).

--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 all: build
 
 build:
-	go build -o bin/ ./cmd/dewpass ./test/standin ./test/demo
+	go build -o bin/ ./cmd/dewpass ./test/standin ./test/demo ./test/measure
 
 # A whole deployment of separate processes under a mixed load.
 demo: build
@@ -32,6 +32,23 @@
 	go vet -tags faults ./...
 	go tool staticcheck ./...
 
+# The decisions themselves, with baselines, and the same on real processes.
+bench: build
+	go test -run '^$$' -bench . -benchtime 1x -timeout 30m ./sched -args -plots=$(CURDIR)/docs/plots
+	go test -run '^$$' -bench Decision -benchtime 200000x ./sched
+	bin/measure latency waits
+
+# The slopes of docs/CAPACITY.md, about six minutes.
+capacity: build
+	bin/measure capacity
+
+fuzz:
+	go test -run '^$$' -fuzz FuzzParse -fuzztime 20s ./tree
+	go test -run '^$$' -fuzz FuzzParse -fuzztime 20s ./settings
+	go test -run '^$$' -fuzz FuzzRequest -fuzztime 20s ./front
+	go test -run '^$$' -fuzz FuzzFrame -fuzztime 20s ./link
+	go test -run '^$$' -fuzz FuzzDecode -fuzztime 20s ./job
+
 # Needs protoc; its plugin comes with the protobuf library. The result is
 # committed, so that nothing else needs either.
 generate:
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -193,6 +193,7 @@
 	r.HandleFunc("/record", p.Record.summaryHandler)
 	r.HandleFunc("/record/tags", p.Record.tagsHandler)
 	r.HandleFunc("/record/events", p.Record.eventsHandler)
+	r.HandleFunc("/record/commits", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, p.Table.Commits()) })
 	r.HandleFunc("/record/rows", p.rowsHandler)
 	return r
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -35,7 +35,8 @@
 	TaskLease Duration `json:"task-lease"`
 	// StopWithin bounds a planned stop.
 	StopWithin Duration `json:"stop-within"`
-	// MemoryLimitMiB is the memory that the runtime tries to stay within.
+	// MemoryLimitMiB is the memory that the runtime tries to stay within; 0 is
+	// no limit.
 	MemoryLimitMiB int64 `json:"memory-limit-mib"`
 }
 
@@ -85,7 +86,6 @@
 const (
 	defaultTaskLease  = 12 * time.Second
 	defaultStopWithin = 30 * time.Second
-	defaultMemoryMiB  = 28
 	minTaskLease      = 2 * time.Second
 )
 
@@ -103,9 +103,8 @@
 func Parse(raw []byte) (*Settings, error) {
 	faults := settingsSchema.Check(raw)
 	s := &Settings{
-		TaskLease:      Duration(defaultTaskLease),
-		StopWithin:     Duration(defaultStopWithin),
-		MemoryLimitMiB: defaultMemoryMiB,
+		TaskLease:  Duration(defaultTaskLease),
+		StopWithin: Duration(defaultStopWithin),
 	}
 	if err := json.Unmarshal(raw, s); err == nil {
 		faults = append(faults, s.check()...)
--- a/test/bed/bed.go
+++ b/test/bed/bed.go
@@ -134,7 +134,7 @@
 
 // seed writes the example tree into the table, as an operator's first edit.
 func (b *Bed) seed(ctx context.Context) error {
-	raw, err := os.ReadFile(filepath.Join(b.Examples, b.Deployment.Tree))
+	raw, err := b.doc()
 	if err != nil {
 		return err
 	}
@@ -143,6 +143,13 @@
 	return err
 }
 
+func (b *Bed) doc() ([]byte, error) {
+	if b.Deployment.Doc != nil {
+		return b.Deployment.Doc, nil
+	}
+	return os.ReadFile(filepath.Join(b.Examples, b.Deployment.Tree))
+}
+
 func (b *Bed) entry(e EntryAddr) (*Process, error) {
 	peers := []string{}
 	for _, o := range b.Config.Entries {
@@ -304,6 +311,13 @@
 	return tags, err
 }
 
+// Commits returns the number of transactions of the stand-in's table so far.
+func (b *Bed) Commits(ctx context.Context) (uint64, error) {
+	var n uint64
+	err := b.Admin.Do(ctx, http.MethodGet, "/record/commits", nil, &n)
+	return n, err
+}
+
 // Clients speaks to each entry.
 func (b *Bed) Clients() []*client.Client {
 	var out []*client.Client
@@ -464,4 +478,6 @@
 	ResidentKiB   int64
 	AnonymousKiB  int64
 	PeakResideKiB int64
+	// Bytes is what the process has read and written.
+	Bytes int64
 }
--- a/test/bed/doc.go
+++ b/test/bed/doc.go
@@ -16,8 +16,9 @@
 	// RacksPerHall and WorkersPerRack give the workers.
 	RacksPerHall   int
 	WorkersPerRack int
-	// Tree is the name of the example tree.
+	// Tree is the name of the example tree, and Doc a tree in its place.
 	Tree string
+	Doc  []byte
 }
 
 // The two deployments of today.
--- a/test/bed/proc_linux.go
+++ b/test/bed/proc_linux.go
@@ -21,6 +21,23 @@
 // clockTick is the unit of the times in /proc/PID/stat.
 const clockTick = 10 * time.Millisecond
 
+// ioBytes returns what a process has read and written, sockets included.
+func ioBytes(pid int) int64 {
+	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/io", pid))
+	if err != nil {
+		return 0
+	}
+	var sum int64
+	for line := range strings.Lines(string(raw)) {
+		f := strings.Fields(line)
+		if len(f) == 2 && (f[0] == "rchar:" || f[0] == "wchar:") {
+			n, _ := strconv.ParseInt(f[1], 10, 64)
+			sum += n
+		}
+	}
+	return sum
+}
+
 // usage reads what a process uses from /proc; see proc(5).
 func usage(pid int) Usage {
 	var u Usage
@@ -32,6 +49,7 @@
 			u.CPU = time.Duration(user+system) * clockTick
 		}
 	}
+	u.Bytes = ioBytes(pid)
 	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
 	if err != nil {
 		return u
--- /dev/null
+++ b/test/measure/slopes.go
@@ -0,0 +1,294 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"dewpass.org/internal/standin"
+	"dewpass.org/platform"
+	"dewpass.org/sched"
+	"dewpass.org/test/bed"
+	"dewpass.org/test/load"
+	"dewpass.org/tree"
+)
+
+const (
+	settle = 4 * time.Second
+	span   = 8 * time.Second
+)
+
+// workers measures one entry that owns more and more idle workers.
+func workers(ctx context.Context) error {
+	s := series{what: "workers"}
+	for _, racks := range []int{6, 19, 47, 113} {
+		b, end, err := start(ctx, shape{halls: 1, perHall: 1, racks: racks, workersPerRack: 8})
+		if err != nil {
+			return err
+		}
+		time.Sleep(settle)
+		s.add(float64(racks*8), watch(b.Entries[0], span))
+		end()
+	}
+	s.slopes()
+	return nil
+}
+
+// tasks measures one entry with more and more tasks that only run.
+func tasks(ctx context.Context) error {
+	b, end, err := start(ctx, shape{halls: 1, perHall: 1, racks: 47, workersPerRack: 8})
+	if err != nil {
+		return err
+	}
+	defer end()
+	s := series{what: "running tasks"}
+	for _, n := range []int{0, 400, 1000, 2000} {
+		if err := setTree(ctx, b, "service.count", fmt.Sprint(n)); err != nil {
+			return err
+		}
+		if err := awaitStarts(ctx, b, n); err != nil {
+			return err
+		}
+		time.Sleep(settle)
+		s.add(float64(n), watch(b.Entries[0], span))
+	}
+	s.slopes()
+	return nil
+}
+
+func setTree(ctx context.Context, b *bed.Bed, path, value string) error {
+	c := b.Entries[0].Client()
+	var view struct{ Version uint64 }
+	if err := c.Do(ctx, http.MethodGet, "/v1/tree", nil, &view); err != nil {
+		return err
+	}
+	e := tree.Edit{Base: view.Version, Ops: []tree.Op{{Path: path, Value: json.RawMessage(value)}}}
+	return c.Do(ctx, http.MethodPost, "/v1/tree/edits", e, nil)
+}
+
+const startsWithin = 90 * time.Second
+
+func awaitStarts(ctx context.Context, b *bed.Bed, n int) error {
+	ctx, cancel := context.WithTimeout(ctx, startsWithin)
+	defer cancel()
+	for {
+		r, err := b.Record(ctx)
+		if err != nil {
+			return err
+		}
+		if r.Starts >= n {
+			return nil
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+}
+
+// rated measures one entry under more and more of one kind of work.
+func rated(ctx context.Context, what string, rates []float64, stream load.Stream) error {
+	b, end, err := start(ctx, shape{halls: 1, perHall: 1, racks: 7, workersPerRack: 8})
+	if err != nil {
+		return err
+	}
+	defer end()
+	time.Sleep(settle)
+	s := series{what: what}
+	for _, r := range rates {
+		if r > 0 {
+			stream.PerSecond = r
+			go load.Run(ctx, b.Entries[0].Client(), []load.Stream{stream}, settle/2+span, settle, nil)
+		}
+		time.Sleep(settle / 2)
+		s.add(r, watch(b.Entries[0], span))
+		time.Sleep(settle / 2)
+	}
+	s.slopes()
+	return nil
+}
+
+// starts measures calls a second.
+func starts(ctx context.Context) error {
+	return rated(ctx, "calls a second", []float64{0, 50, 100, 200, 400}, load.Stream{Workload: "call", Runs: 5 * time.Millisecond})
+}
+
+// jobs measures jobs a second, from acceptance to the end.
+func jobs(ctx context.Context) error {
+	return rated(ctx, "jobs a second", []float64{0, 20, 50, 100}, load.Stream{Workload: "batch", Runs: 200 * time.Millisecond, Job: true})
+}
+
+// changes measures changes of the tree, at an instance that is not the one
+// that takes them in.
+func changes(ctx context.Context) error {
+	b, end, err := start(ctx, shape{halls: 1, perHall: 2, racks: 6, workersPerRack: 8})
+	if err != nil {
+		return err
+	}
+	defer end()
+	time.Sleep(settle)
+	s := series{what: "changes a second"}
+	for _, r := range []float64{0, 1, 3, 6} {
+		stop := make(chan struct{})
+		if r > 0 {
+			go func() {
+				t := time.NewTicker(time.Duration(float64(time.Second) / r))
+				defer t.Stop()
+				for i := 0; ; i++ {
+					select {
+					case <-stop:
+						return
+					case <-t.C:
+						_ = setTree(ctx, b, "batch.note", fmt.Sprintf(`"%d"`, i))
+					}
+				}
+			}()
+		}
+		s.add(r, watch(b.Entries[1], span))
+		close(stop)
+	}
+	s.slopes()
+	return nil
+}
+
+// peers measures one instance among more and more of its hall.
+func peers(ctx context.Context) error {
+	s := series{what: "peers"}
+	for _, n := range []int{2, 4, 7, 10} {
+		b, end, err := start(ctx, shape{halls: 1, perHall: n, racks: n, workersPerRack: 8})
+		if err != nil {
+			return err
+		}
+		time.Sleep(settle)
+		s.add(float64(n-1), watch(b.Entries[0], span))
+		end()
+	}
+	s.slopes()
+	return nil
+}
+
+// halls measures one instance among more and more halls of two instances.
+func halls(ctx context.Context) error {
+	s := series{what: "other halls"}
+	for _, n := range []int{1, 4, 8, 16} {
+		b, end, err := start(ctx, shape{halls: n, perHall: 2, racks: 1, workersPerRack: 4})
+		if err != nil {
+			return err
+		}
+		time.Sleep(settle)
+		s.add(float64(n-1), watch(b.Entries[0], span))
+		end()
+	}
+	s.slopes()
+	return nil
+}
+
+// takeover measures how long it takes until all racks of a hall that lost half
+// of its instances are owned again with every worker attached.
+func takeover(ctx context.Context) error {
+	for _, racks := range []int{2, 6, 47} {
+		if err := takeoverOf(ctx, racks); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func takeoverOf(ctx context.Context, racks int) error {
+	const instances = 4
+	b, end, err := start(ctx, shape{halls: 1, perHall: instances, racks: racks, workersPerRack: 8})
+	if err != nil {
+		return err
+	}
+	defer end()
+	time.Sleep(settle)
+	before, err := b.Commits(ctx)
+	if err != nil {
+		return err
+	}
+	survivor := b.Entries[instances-1]
+	bytes, cpu := survivor.Usage().Bytes, survivor.Usage().CPU
+	began := time.Now()
+	for _, p := range b.Entries[:instances/2] {
+		p.Kill()
+	}
+	// The summaries of those that are gone are believed for a moment.
+	time.Sleep(2 * time.Second)
+	if err := b.AwaitReady(ctx); err != nil {
+		return err
+	}
+	took := time.Since(began)
+	after, err := b.Commits(ctx)
+	if err != nil {
+		return err
+	}
+	u := survivor.Usage()
+	fmt.Printf("racks %3d (%3d workers): all owned and attached after %5.2f s, %4d transactions (%.1f a second), survivor %.0f KB and %.0f ms of processor time\n",
+		racks, racks*8, took.Seconds(), after-before, float64(after-before)/took.Seconds(),
+		float64(u.Bytes-bytes)/1000, float64((u.CPU - cpu).Milliseconds()))
+	return nil
+}
+
+// latency measures a call straight to a worker against one through dewpass.
+func latency(ctx context.Context) error {
+	const calls = 4000
+	direct, err := directLatency(ctx, calls)
+	if err != nil {
+		return err
+	}
+	b, end, err := start(ctx, shape{halls: 1, perHall: 2, racks: 2, workersPerRack: 8})
+	if err != nil {
+		return err
+	}
+	defer end()
+	through := hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3)
+	c := b.Entries[0].Client()
+	for i := range calls {
+		began := time.Now()
+		if _, err := load.Call(ctx, c, load.Item{Workload: "call", Shop: "s", Deadline: time.Second}); err != nil {
+			return err
+		}
+		if i >= calls/10 {
+			_ = through.RecordValue(time.Since(began).Microseconds())
+		}
+	}
+	for _, q := range []float64{50, 90, 99} {
+		d, t := direct.ValueAtQuantile(q), through.ValueAtQuantile(q)
+		fmt.Printf("p%-3.0f straight to the worker %5d us   through dewpass %5d us   added %5d us\n", q, d, t, t-d)
+	}
+	return nil
+}
+
+// directLatency calls a stand-in worker that nobody owns.
+func directLatency(ctx context.Context, calls int) (*hdrhistogram.Histogram, error) {
+	p := standin.NewPlatform()
+	w := standin.NewWorker(p, "w", "h", "r", "", workerSize)
+	addr, stop, err := serveLocal(w.Handler())
+	if err != nil {
+		return nil, err
+	}
+	defer stop()
+	api := platform.NewWorkers().At(addr)
+	cmd := platform.Command{Owner: "m"}
+	cmd.Epoch.Table = 1
+	reply, err := api.Attach(ctx, cmd)
+	if err != nil {
+		return nil, err
+	}
+	cmd.Incarnation = reply.Incarnation
+	h := hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3)
+	for i := range calls {
+		t := platform.Task{ID: fmt.Sprint(i), Attempt: 1, Call: true, Demand: sched.Vec{100, 64, 0, 1, 1}, Payload: []byte(`{"ms":0}`)}
+		began := time.Now()
+		if _, err := api.Start(ctx, cmd, t, time.Hour); err != nil {
+			return nil, err
+		}
+		if i >= calls/10 {
+			_ = h.RecordValue(time.Since(began).Microseconds())
+		}
+	}
+	return h, nil
+}
--- a/test/proof/failure_test.go
+++ b/test/proof/failure_test.go
@@ -55,6 +55,9 @@
 			for _, s := range mixes[d.Name] {
 				t.Send(ctx, s, 25*time.Second)
 			}
+			// At any moment some long calls are in progress at each instance.
+			long := map[string]string{"comhar": "tinting/formula-match", "kartvela": "vans/parcel-assignment"}[d.Name]
+			t.Send(ctx, load.Stream{Workload: long, PerSecond: 15, Runs: 1500 * time.Millisecond, Once: d.Name == "kartvela"}, 25*time.Second)
 			for _, p := range b.Entries {
 				time.Sleep(time.Second)
 				Expect(p.Stop(30 * time.Second)).To(Succeed())
