owner, entry: watches are held for longer, and replicas are counted page by page

A watch is held for a quarter of the task lease, 20 s by default now; replicas are counted once a minute, in pages.

--- a/entry/read.go
+++ b/entry/read.go
@@ -17,7 +17,7 @@
 )
 
 const (
-	readEvery = 500 * time.Millisecond
+	readEvery = time.Second
 	// stepIn is how long the version may not have been confirmed before an
 	// instance that is not the reader of its hall asks the table itself.
 	stepIn         = 2 * time.Second
--- a/entry/services.go
+++ b/entry/services.go
@@ -22,10 +22,11 @@
 	servicesRole  = "services"
 	servicesEvery = 2 * time.Second
 	// servicesAudit is how often the replicas are counted although the tree
-	// has not changed.
-	servicesAudit = 10 * time.Second
+	// has not changed. Their owners keep them running; this only finds those
+	// that were ended by hand.
+	servicesAudit = time.Minute
 	replicaPrefix = "svc-"
-	replicaPage   = 1000
+	replicaPage   = 500
 	serviceShop   = "dewpass"
 )
 
@@ -125,16 +126,10 @@
 
 func (e *Entry) countService(ctx context.Context, c *tree.Compiled, w *tree.Workload) error {
 	prefix := replicaPrefix + strings.ReplaceAll(w.Path, "/", "-") + "-" + e.settings.Hall + "-"
-	rows, err := e.platform.Scan(ctx, job.RowKey(prefix), "", replicaPage)
+	live, err := e.replicas(ctx, job.RowKey(prefix))
 	if err != nil {
 		return err
 	}
-	var live []job.Job
-	for _, raw := range rows {
-		if row, err := job.Decode(raw.Value); err == nil && !row.State.Over() {
-			live = append(live, row)
-		}
-	}
 	want := e.part(c, w)
 	for i := len(live); i < want; i++ {
 		row := job.Job{
@@ -153,3 +148,21 @@
 	}
 	return nil
 }
+
+// replicas returns the jobs with a prefix that are not over.
+func (e *Entry) replicas(ctx context.Context, prefix string) ([]job.Job, error) {
+	var live []job.Job
+	after := ""
+	for {
+		rows, err := e.platform.Scan(ctx, prefix, after, replicaPage)
+		if err != nil || len(rows) == 0 {
+			return live, err
+		}
+		for _, raw := range rows {
+			if row, err := job.Decode(raw.Value); err == nil && !row.State.Over() {
+				live = append(live, row)
+			}
+		}
+		after = rows[len(rows)-1].Key
+	}
+}
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -53,7 +53,7 @@
 
 const (
 	// DefaultTaskLease is longer than a takeover, so that one ends no task.
-	DefaultTaskLease = 12 * time.Second
+	DefaultTaskLease = 20 * time.Second
 	tickEvery        = 50 * time.Millisecond
 	pauseLimit       = 750 * time.Millisecond
 )
--- a/owner/worker.go
+++ b/owner/worker.go
@@ -18,8 +18,10 @@
 )
 
 const (
-	// watchHold is how long a worker holds a watch with nothing to tell.
-	watchHold = 2 * time.Second
+	// holdShare is the part of a task lease, as one in this many, that a worker
+	// holds a watch with nothing to tell. It is below the third that control
+	// lasts.
+	holdShare = 4
 	// attachFirst and attachMost bound the wait between tries to attach.
 	attachFirst = 50 * time.Millisecond
 	attachMost  = time.Second
@@ -253,7 +255,7 @@
 		Command: o.command(w),
 		Seq:     w.seq,
 		LeaseMS: o.TaskLease.Milliseconds(),
-		HoldMS:  watchHold.Milliseconds(),
+		HoldMS:  o.hold().Milliseconds(),
 	}
 	attached := w.attached
 	o.mu.Unlock()
@@ -267,6 +269,9 @@
 	}
 }
 
+// hold is how long a worker holds a watch with nothing to tell.
+func (o *Owner) hold() time.Duration { return o.TaskLease / holdShare }
+
 func (o *Owner) command(w *worker) platform.Command {
 	return platform.Command{Owner: o.Name, Epoch: w.epoch, Incarnation: w.incarnation}
 }
@@ -385,7 +390,7 @@
 		return false
 	}
 	// A former owner believes in a worker for as long as a watch may take.
-	noticed := r.mostSince.Add(watchHold + commandTime + pauseLimit)
+	noticed := r.mostSince.Add(o.hold() + commandTime + pauseLimit)
 	return now.After(lease.SurelyOver(noticed, o.TaskLease))
 }
 
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -84,7 +84,7 @@
 
 // The defaults of the settings.
 const (
-	defaultTaskLease  = 12 * time.Second
+	defaultTaskLease  = 20 * time.Second
 	defaultStopWithin = 30 * time.Second
 	minTaskLease      = 2 * time.Second
 )
