--- a/sched/cell.go
+++ b/sched/cell.go
@@ -86,6 +86,10 @@
 	misfits []Vec
 	retries []entry
 	skipped []bool
+	// health is that of each worker, typical that of all of them.
+	health    []health
+	typical   health
+	slowCount int
 }
 
 // SetTeam says what a team may use from now on.
@@ -245,6 +249,7 @@
 	}
 	if s.Call {
 		c.reserve.Finished(now - s.started)
+		c.observe(s.worker, s, now)
 	}
 	c.drained[s.Class].add(1, now)
 	c.halt(s)
@@ -318,7 +323,10 @@
 // query returns the search for a worker for t. Work that is not a call must
 // leave the units of the reserve.
 func (c *Cell) query(t *Task, asker Handle, now time.Duration) query {
-	q := query{demand: t.Demand, rack: t.Rack, strategy: strategyOf(t), group: t.Group, asker: asker}
+	q := query{
+		demand: t.Demand, rack: t.Rack, strategy: strategyOf(t),
+		group: t.Group, asker: asker, call: t.Call,
+	}
 	if !t.Call && !c.unit.IsZero() {
 		q.bounded = true
 		q.sparing = c.totalUnits - c.reserve.more(now, c.calls)
@@ -356,3 +364,15 @@
 	}
 	return len(c.running[w])
 }
+
+// Remove takes a worker out. The caller has finished or moved its tasks.
+func (c *Cell) Remove(w WorkerID) {
+	if c.slow[w] {
+		c.slow[w] = false
+		c.slowCount--
+	}
+	if int(w) < len(c.health) {
+		c.health[w] = health{}
+	}
+	c.Pool.Remove(w)
+}
--- a/sched/pool.go
+++ b/sched/pool.go
@@ -40,6 +40,7 @@
 	inverse  [][NumDims]float32
 	rack     []RackID
 	closed   []bool
+	slow     []bool
 	held     []Handle
 	groups   []map[int32]int32
 	block    []Vec
@@ -89,6 +90,7 @@
 	p.inverse = append(p.inverse, [NumDims]float32{})
 	p.rack = append(p.rack, 0)
 	p.closed = append(p.closed, true)
+	p.slow = append(p.slow, false)
 	p.held = append(p.held, Handle{})
 	p.groups = append(p.groups, nil)
 	p.units = append(p.units, 0)
@@ -215,6 +217,7 @@
 	strategy Strategy
 	group    int32
 	asker    Handle
+	call     bool
 	// sparing bounds the units that the task may take to spare; it counts
 	// only if bounded is set.
 	bounded bool
@@ -272,6 +275,9 @@
 	if p.held[w] != (Handle{}) && p.held[w] != q.asker {
 		return false
 	}
+	if q.call && p.slow[w] {
+		return false
+	}
 	return !q.bounded || p.loss(w, &q.demand) <= q.sparing
 }
 
--- a/sched/step.go
+++ b/sched/step.go
@@ -20,6 +20,7 @@
 // end with Requeue.
 func (c *Cell) Step(now time.Duration, out []Decision) []Decision {
 	c.wake(now)
+	c.recoverSlow(now)
 	for class := int(numClasses) - 1; class >= 0; class-- {
 		out = c.stepClass(Class(class), now, out)
 	}
