--- /dev/null
+++ b/owner/owner_test.go
@@ -0,0 +1,188 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package owner_test
+
+import (
+	"context"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/uber-go/tally/v4"
+	"go.opentelemetry.io/otel/trace/noop"
+
+	"dewpass.org/hall"
+	"dewpass.org/internal/standin"
+	"dewpass.org/job"
+	"dewpass.org/journal"
+	"dewpass.org/kind"
+	"dewpass.org/lease"
+	"dewpass.org/owner"
+	"dewpass.org/platform"
+	"dewpass.org/sched"
+	"dewpass.org/tree"
+	"dewpass.org/wire"
+)
+
+func TestOwner(t *testing.T) {
+	RegisterFailHandler(Fail)
+	SetDefaultEventuallyTimeout(30 * time.Second)
+	RunSpecs(t, "owner")
+}
+
+const doc = `{"settings":{"cpu":"1","memory":"1GiB"},"branches":{
+  "batch":{"settings":{"kind":"batch"}},
+  "order":{"settings":{"kind":"call","deadline":"3s","repeat":"never"}}}}`
+
+// cell is a rack of two stand-in workers, a table, and owners that share them.
+type cell struct {
+	platform *standin.Platform
+	table    *standin.Local
+	workers  []platform.Instance
+	register *tree.Register
+}
+
+func newCell() *cell {
+	c := &cell{platform: standin.NewPlatform(), table: standin.NewLocal(), register: &tree.Register{}}
+	_, err := c.register.InstallHead(tree.Head{Version: 1, Doc: []byte(doc)})
+	Expect(err).NotTo(HaveOccurred())
+	for _, id := range []string{"w1", "w2"} {
+		w := standin.NewWorker(c.platform, id, "h", "r", "", sched.Vec{4000, 8 << 10, 0, 8, 64})
+		s := httptest.NewServer(w.Handler())
+		DeferCleanup(s.Close)
+		addr := strings.TrimPrefix(s.URL, "http://")
+		c.workers = append(c.workers, platform.Instance{ID: id, Role: platform.RoleWorker, Hall: "h", Rack: "r", Addr: addr})
+	}
+	return c
+}
+
+// own writes an owner into the row of the rack and makes it own the rack.
+func (c *cell) own(name string, epoch uint64, connect func(string) platform.Worker, workers []platform.Instance) *owner.Owner {
+	ctx, cancel := context.WithCancel(context.Background())
+	DeferCleanup(cancel)
+	j := journal.New(c.table, name, "boot")
+	go j.Run(ctx)
+	o := owner.New(ctx, owner.Config{
+		Name: name, Hall: "h", Connect: connect, Table: c.table, Journal: j, Tree: c.register,
+		Shown: time.Now, Lost: func() {}, Tell: func(job.Job, uint64) {},
+		Elsewhere: func(sched.Vec, string) (string, string, bool) { return "", "", false },
+		Log:       log.NewNopLogger(), Scope: tally.NoopScope, Tracer: noop.NewTracerProvider().Tracer(""),
+	})
+	go o.Run(ctx)
+	row := c.table.Table.Commit(platform.Txn{Puts: []platform.Put{{Key: hall.RackKey("h", "r"), Value: []byte(`{"owner":"` + name + `"}`)}}})
+	o.Adopt("r", lease.Epoch{Table: epoch}, row.Version, workers)
+	Eventually(func() uint32 { return o.Summary()[0].Attached }).Should(BeEquivalentTo(len(workers)))
+	return o
+}
+
+// gate holds starts back until it is opened, and keeps what became of them.
+type gate struct {
+	platform.Worker
+	addr  string
+	gates *gates
+}
+
+type gates struct {
+	mu    sync.Mutex
+	held  string
+	open  chan struct{}
+	first sync.Once
+	err   error
+	done  chan struct{}
+}
+
+func newGates() *gates { return &gates{open: make(chan struct{}), done: make(chan struct{})} }
+
+func (g *gates) connect(addr string) platform.Worker {
+	return &gate{Worker: platform.NewWorkers().At(addr), addr: addr, gates: g}
+}
+
+func (g *gates) at() string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.held
+}
+
+func (g *gate) Start(_ context.Context, c platform.Command, t platform.Task, d time.Duration) (platform.TaskReport, error) {
+	g.gates.mu.Lock()
+	g.gates.held = g.addr
+	g.gates.mu.Unlock()
+	<-g.gates.open
+	rep, err := g.Worker.Start(context.Background(), c, t, d)
+	g.gates.first.Do(func() {
+		g.gates.err = err
+		close(g.gates.done)
+	})
+	return rep, err
+}
+
+var _ = Describe("an owner", func() {
+	submit := func(ctx context.Context, o *owner.Owner) job.Job {
+		row := job.Job{
+			ID: "j1", Shop: "s", Workload: "batch", Repeat: platform.RepeatSafe, Hall: "h", Rack: "r",
+			Payload: []byte(`{"ms":60000}`), Submitted: time.Now(),
+		}
+		row, err := o.Submit(ctx, row)
+		Expect(err).NotTo(HaveOccurred())
+		return row
+	}
+	connect := platform.NewWorkers().At
+
+	It("that was paused in the middle of a start is fenced", func(ctx context.Context) {
+		c := newCell()
+		g := newGates()
+		first := c.own("o1", 1, g.connect, c.workers)
+		submit(ctx, first)
+		Eventually(g.at).ShouldNot(BeEmpty())
+		workers := append([]platform.Instance(nil), c.workers...)
+		for i := range workers {
+			// The next owner must not choose the same worker.
+			workers[i].Leaving = workers[i].Addr == g.at()
+		}
+		c.own("o2", 2, connect, workers)
+		Eventually(func() int { return c.platform.Record.Summary().Starts }).Should(Equal(1))
+		close(g.open)
+		<-g.done
+		Expect(kind.Is(g.err, kind.Fenced)).To(BeTrue(), "%v", g.err)
+		Expect(c.platform.Record.Summary().Doubled).To(BeEmpty())
+	})
+
+	It("writes the intent before it sends what must not be repeated, and sends nothing without it", func(ctx context.Context) {
+		c := newCell()
+		o := c.own("o1", 1, connect, c.workers)
+		call := func(id string) (*wire.CallReply, error) {
+			return o.Call(ctx, &wire.Call{Id: id, Shop: "s", Key: id, Workload: "order", Once: true, LeftUs: 2e6, Payload: []byte(`{"ms":5}`), Queue: true})
+		}
+		_, err := call("k1")
+		Expect(err).NotTo(HaveOccurred())
+		c.table.Set(func(l *standin.Local) {
+			l.Before = func(platform.Txn) error { return kind.New(kind.Unavailable, "test") }
+		})
+		_, err = call("k2")
+		Expect(kind.Is(err, kind.CutOff)).To(BeTrue(), "%v", err)
+		Expect(kind.Of(err).Outcome).To(Equal(kind.NotRun))
+		Expect(c.platform.Record.Summary().Starts).To(Equal(1))
+	})
+
+	It("settles an intent whose transaction has an unknown end as refused", func(ctx context.Context) {
+		c := newCell()
+		o := c.own("o1", 1, connect, c.workers)
+		c.table.Set(func(l *standin.Local) {
+			l.After = func(platform.Txn) error { return kind.New(kind.Lost, "test") }
+			l.Reading = func() error { return kind.New(kind.Unavailable, "test") }
+		})
+		_, err := o.Call(ctx, &wire.Call{Id: "k1", Shop: "s", Key: "k1", Workload: "order", Once: true, LeftUs: 3e6, Queue: true})
+		Expect(kind.Of(err).Outcome).To(Equal(kind.Unknown), "%v", err)
+		c.table.Set(func(l *standin.Local) { l.After, l.Reading = nil, nil })
+		Eventually(func() job.State {
+			row, _ := job.Decode(c.table.Table.Get(job.RowKey("k1"))[0].Value)
+			return row.State
+		}).Should(Equal(job.Refused))
+		Expect(c.platform.Record.Summary().Starts).To(BeZero())
+	})
+})
