--- /dev/null
+++ b/owner/save.go
@@ -0,0 +1,301 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package owner
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/go-kit/log/level"
+
+	"dewpass.org/hall"
+	"dewpass.org/job"
+	"dewpass.org/journal"
+	"dewpass.org/kind"
+	"dewpass.org/platform"
+	"dewpass.org/wire"
+)
+
+type ack struct {
+	worker  platform.Worker
+	id      string
+	attempt uint32
+}
+
+// checks are the conditions under which an owner may write a job's row.
+func (o *Owner) checks(js *jobState) []platform.Check {
+	return []platform.Check{
+		{Key: hall.RackKey(o.Hall, js.rack.name), Version: js.rack.row},
+		{Key: job.RowKey(js.row.ID), Version: js.version},
+	}
+}
+
+func puts(row job.Job) []platform.Put {
+	index := platform.Put{Key: job.IndexKey(row.Rack, row.ID)}
+	if row.State.Over() {
+		index.Delete = true
+	} else {
+		index.Value = []byte("{}")
+	}
+	return []platform.Put{{Key: job.RowKey(row.ID), Value: job.Encode(row)}, index}
+}
+
+// keyed adds the row of the request key to a new job's change.
+func keyed(c journal.Change, row job.Job, digest string) journal.Change {
+	if row.Key == "" {
+		return c
+	}
+	key := job.KeyRow(row.Shop, row.Key)
+	c.Checks = append(c.Checks, platform.Check{Key: key})
+	value := job.Encode(job.Key{ID: row.ID, Digest: digest})
+	c.Puts = append(c.Puts, platform.Put{Key: key, Value: value})
+	return c
+}
+
+// create writes a new job's rows.
+func (o *Owner) create(ctx context.Context, js *jobState) error {
+	ctx, cancel := context.WithTimeout(ctx, submitTime)
+	defer cancel()
+	digest := job.RequestDigest(js.row.Workload, js.row.Payload)
+	change := keyed(journal.Change{Checks: o.checks(js), Puts: puts(js.row)}, js.row, digest)
+	version, err := o.Journal.Commit(ctx, change)
+	if kind.Is(err, kind.Lost) {
+		go o.recoverCreate(js)
+	}
+	if err != nil {
+		return createError(err, js)
+	}
+	js.version = version
+	return nil
+}
+
+// recoverCreate finds out what became of the rows of a new job whose
+// transaction has an unknown fate. Its caller was told so, and it was sent
+// nowhere: a job that is there goes on, a call that is there is refused, and
+// what is not there is written down as refused, so that the question for its
+// id has an answer.
+func (o *Owner) recoverCreate(js *jobState) {
+	ctx := js.rack.ctx
+	// The journal writes one transaction after another: when this empty one is
+	// through, the fate of those before it is settled.
+	if _, err := o.Journal.Commit(ctx, journal.Change{}); err != nil {
+		return
+	}
+	row, err := o.readRow(ctx, job.RowKey(js.row.ID))
+	if err != nil {
+		return
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.racks[js.rack.name] != js.rack || o.jobs[js.row.ID] != nil {
+		return
+	}
+	js.version = row.Version
+	js.task = nil
+	o.jobs[js.row.ID] = js
+	if row.Version > 0 && !js.row.Call {
+		o.enqueue(js)
+		o.step()
+		return
+	}
+	js.row.State = job.Dispatched
+	o.settle(js, job.Refused, func(j *job.Job) { j.Why = "the table did not answer in time" })
+}
+
+// readRow reads a row again and again until the table answers.
+func (o *Owner) readRow(ctx context.Context, key string) (platform.Row, error) {
+	for {
+		rows, err := o.Table.Get(ctx, key)
+		if err == nil {
+			return rows[0], nil
+		}
+		select {
+		case <-time.After(attachMost):
+		case <-ctx.Done():
+			return platform.Row{}, ctx.Err()
+		}
+	}
+}
+
+func createError(err error, js *jobState) error {
+	switch kind.Of(err).Kind {
+	case kind.Unavailable:
+		return kind.Wrap(kind.CutOff, err, "").After(time.Second)
+	case kind.Lost:
+		return kind.Of(err).Uncertain(js.row.ID)
+	}
+	return err
+}
+
+// writeIntent writes the row of a call that must not be repeated before it is
+// sent.
+func (o *Owner) writeIntent(ctx context.Context, t *task, req *wire.Call) error {
+	o.mu.Lock()
+	r := t.rack
+	row := job.Job{
+		ID: req.Id, Shop: req.Shop, Key: req.Key, Workload: req.Workload, Payload: req.Payload,
+		Repeat: platform.RepeatNever, Call: true, Hall: o.Hall, Rack: r.name,
+		State: job.Dispatched, Attempt: 1, Worker: t.worker.name, Incarnation: t.worker.incarnation,
+		Submitted: time.Now().UTC(),
+	}
+	js := newJobState(row, 0, r)
+	js.task = t
+	cutOff := r.row == 0
+	o.mu.Unlock()
+	if cutOff {
+		return kind.New(kind.CutOff, "the rack was taken without the table").After(time.Second)
+	}
+	ctx, cancel := context.WithTimeout(ctx, intentTime)
+	defer cancel()
+	if err := o.create(ctx, js); err != nil {
+		return err
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.racks[r.name] != r {
+		return kind.New(kind.Lost, "the rack changed hands").Uncertain(req.Id)
+	}
+	t.job = js
+	o.jobs[row.ID] = js
+	return nil
+}
+
+// writeDispatch writes down where a job that must not be repeated is sent,
+// before it is. It reports false when the job was not dispatched.
+func (o *Owner) writeDispatch(ctx context.Context, t *task) bool {
+	o.mu.Lock()
+	js := t.job
+	if t.worker == nil || js.saving {
+		o.requeue(t)
+		o.mu.Unlock()
+		return false
+	}
+	row, err := js.row.Next(job.Dispatched)
+	if err != nil {
+		o.forget(t)
+		o.mu.Unlock()
+		return false
+	}
+	row.Worker, row.Incarnation, row.Attempt = t.worker.name, t.worker.incarnation, t.spec.Attempt
+	js.saving = true
+	checks := o.checks(js)
+	o.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, submitTime)
+	defer cancel()
+	version, err := o.Journal.Commit(ctx, journal.Change{Checks: checks, Puts: puts(row)})
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	js.saving = false
+	if err != nil {
+		o.conflict(js, err)
+		o.requeue(t)
+		return false
+	}
+	js.row, js.version = row, version
+	return o.byRef[t.ref] == t
+}
+
+// persist has the row of a job written. The lock is held.
+func (o *Owner) persist(js *jobState) {
+	js.dirty = true
+	if js.saving || js.rack.row == 0 {
+		return
+	}
+	js.saving = true
+	go o.save(js)
+}
+
+// save writes the row of a job until the table has its latest state.
+func (o *Owner) save(js *jobState) {
+	for {
+		o.mu.Lock()
+		if !js.dirty || js.rack.ctx.Err() != nil || js.rack.row == 0 {
+			js.saving = false
+			o.mu.Unlock()
+			return
+		}
+		js.dirty = false
+		row, checks, acks := js.row, o.checks(js), js.acks
+		js.acks = nil
+		ctx := js.rack.ctx
+		o.mu.Unlock()
+		o.saveOnce(ctx, js, row, checks, acks)
+	}
+}
+
+func (o *Owner) saveOnce(ctx context.Context, js *jobState, row job.Job, checks []platform.Check, acks []ack) {
+	row, err := o.outsource(ctx, row)
+	var version uint64
+	if err == nil {
+		version, err = o.Journal.Commit(ctx, journal.Change{Checks: checks, Puts: puts(row)})
+	}
+	if err != nil {
+		o.saveFailed(ctx, js, acks, err)
+		return
+	}
+	o.mu.Lock()
+	js.version = version
+	if js.row.State.Over() && !js.dirty {
+		delete(o.jobs, js.row.ID)
+	}
+	o.mu.Unlock()
+	for _, a := range acks {
+		o.acknowledge(a)
+	}
+}
+
+func (o *Owner) saveFailed(ctx context.Context, js *jobState, acks []ack, err error) {
+	o.mu.Lock()
+	js.dirty = true
+	js.acks = append(acks, js.acks...)
+	o.conflict(js, err)
+	o.mu.Unlock()
+	select {
+	case <-time.After(attachMost):
+	case <-ctx.Done():
+	}
+}
+
+// conflict learns from a conflict: the version of the job's row when only that
+// changed, or that the rack may be another's. The lock is held.
+func (o *Owner) conflict(js *jobState, err error) {
+	var c *journal.Conflict
+	if !errors.As(err, &c) {
+		return
+	}
+	for _, r := range c.Rows {
+		if r.Key != job.RowKey(js.row.ID) {
+			o.Lost()
+			continue
+		}
+		if j, err := job.Decode(r.Value); err == nil && r.Version > 0 && j.Rack != js.rack.name {
+			o.moved(js)
+			return
+		}
+		js.version = r.Version
+	}
+}
+
+// outsource puts a large answer into the object store.
+func (o *Owner) outsource(ctx context.Context, row job.Job) (job.Job, error) {
+	if row.Answer == nil || len(row.Answer.Body) <= maxInline || row.AnswerObject != "" {
+		return row, nil
+	}
+	key := "answer/" + row.ID
+	if err := o.Objects.PutObject(ctx, key, row.Answer.Body); err != nil {
+		return row, err
+	}
+	small := *row.Answer
+	small.Body = nil
+	row.Answer, row.AnswerObject = &small, key
+	return row, nil
+}
+
+func (o *Owner) acknowledge(a ack) {
+	ctx, cancel := context.WithTimeout(o.base, submitTime)
+	defer cancel()
+	if err := a.worker.Ack(ctx, a.id, a.attempt); err != nil {
+		level.Debug(o.Log).Log("msg", "not acknowledged", "task", a.id, "err", err)
+	}
+}
--- a/sched/yield.go
+++ b/sched/yield.go
@@ -104,12 +104,12 @@
 	return lost, free.Covers(&s.Demand)
 }
 
-// loss is the work that is lost when v yields now.
-func (v *slot) loss(now time.Duration) time.Duration {
-	if v.Ladder&MayCheckpoint != 0 {
+// loss is the work that is lost when s yields now.
+func (s *slot) loss(now time.Duration) time.Duration {
+	if s.Ladder&MayCheckpoint != 0 {
 		return checkpointCost
 	}
-	return now - v.saved
+	return now - s.saved
 }
 
 // checkpointCost stands for the time that saving and loading a task takes.
--- /dev/null
+++ b/test/bed/admin.go
@@ -0,0 +1,94 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package bed
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/go-faster/errors"
+
+	"dewpass.org/front"
+	"dewpass.org/internal/client"
+	"dewpass.org/internal/standin"
+)
+
+// Owners returns the owner of each rack, as the entries that run see it.
+func (b *Bed) Owners(ctx context.Context) (map[string]string, error) {
+	for _, p := range b.Entries {
+		if !p.Running() {
+			continue
+		}
+		var s front.Status
+		if err := p.Client().Do(ctx, http.MethodGet, "/v1/status", nil, &s); err != nil {
+			continue
+		}
+		out := make(map[string]string)
+		for _, r := range s.Racks {
+			out[r.Rack] = r.Owner
+		}
+		return out, nil
+	}
+	return nil, errors.New("no entry answers")
+}
+
+// AwaitTree waits until a version of the tree is in force at every entry that
+// runs.
+func (b *Bed) AwaitTree(ctx context.Context, version uint64) error {
+	return b.await(ctx, func(ctx context.Context) error {
+		for _, p := range b.Entries {
+			if !p.Running() {
+				continue
+			}
+			var view front.TreeView
+			if err := p.Client().Do(ctx, http.MethodGet, "/v1/tree?in-force=1", nil, &view); err != nil {
+				return err
+			}
+			if view.Version < version {
+				return errors.Errorf("%s is at version %d", p.Addr.ID, view.Version)
+			}
+		}
+		return nil
+	})
+}
+
+// Record returns what the workers' own book says.
+func (b *Bed) Record(ctx context.Context) (standin.Summary, error) {
+	var s standin.Summary
+	err := b.Admin.Do(ctx, http.MethodGet, "/record", nil, &s)
+	return s, err
+}
+
+// Starts returns how often work started, by the callers' own tags.
+func (b *Bed) Starts(ctx context.Context) (map[string]int, error) {
+	var tags map[string]int
+	err := b.Admin.Do(ctx, http.MethodGet, "/record/tags", nil, &tags)
+	return tags, err
+}
+
+// Commits returns the number of transactions of the stand-in's table so far.
+func (b *Bed) Commits(ctx context.Context) (uint64, error) {
+	var n uint64
+	err := b.Admin.Do(ctx, http.MethodGet, "/record/commits", nil, &n)
+	return n, err
+}
+
+// Clients speaks to each entry.
+func (b *Bed) Clients() []*client.Client {
+	var out []*client.Client
+	for _, p := range b.Entries {
+		out = append(out, p.Client())
+	}
+	return out
+}
+
+// Fault sets the switches of the stand-in's table, objects, instances, or of a
+// worker ("worker/ID").
+func (b *Bed) Fault(ctx context.Context, what string, f standin.Faults) error {
+	return b.Admin.Do(ctx, http.MethodPost, "/faults/"+what, f, nil)
+}
+
+// Worker brings an event about at a worker: crash, restart, leave or return.
+func (b *Bed) Worker(ctx context.Context, id, what string) error {
+	return b.Admin.Do(ctx, http.MethodPost, "/worker/"+id+"/"+what, nil, nil)
+}
