hall: whoever was handed a rack takes it

Found by make capacity with seven instances: a rack was handed to an instance that the next assignment gave to another one. The heir did not take it, because it was not its by now, and nobody else may take what a live instance owns: it stayed without an owner (48 of 56 workers attached after 30 s). Ruled out: the handover's message, which had arrived. What names an instance in its row is adopted now, whatever the assignment says; levelling moves it later. Red before, green after.

--- a/hall/hall_test.go
+++ b/hall/hall_test.go
@@ -106,12 +106,21 @@
 type racks struct {
 	mu    sync.Mutex
 	owned map[string]lease.Epoch
+	// adopted counts every adoption, also of racks that were handed on.
+	adopted int
+}
+
+func (r *racks) adoptions() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.adopted
 }
 
 func (r *racks) Adopt(name string, e lease.Epoch, _ uint64, _ []platform.Instance) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.owned[name] = e
+	r.adopted++
 }
 
 func (r *racks) Drop(name string) {
@@ -210,6 +219,32 @@
 		Eventually(first.Owned).Should(HaveLen(1))
 	})
 
+	It("takes what was handed to it though another should own it by now", func() {
+		peers := hall.NewPeers("two", "h", nil)
+		start("one", hall.NewPeers("one", "h", nil))
+		key := hall.RackKey("h", "r1")
+		Eventually(func() string { return owner("r1").Owner }).Should(Equal("one@b"))
+		stop := make(chan struct{})
+		defer close(stop)
+		go func() {
+			// One says hello and claims nothing, so that either may be assigned.
+			for {
+				peers.Heard(&wire.Hello{Instance: "one", Hall: "h", Boot: "b", PeerAddr: "x"}, time.Now())
+				select {
+				case <-stop:
+					return
+				case <-time.After(100 * time.Millisecond):
+				}
+			}
+		}()
+		table.Table.Commit(platform.Txn{Puts: []platform.Put{
+			{Key: key, Value: []byte(`{"owner":"two@b","epoch":9}`)},
+			{Key: hall.RackKey("h", "r2"), Value: []byte(`{"owner":"two@b","epoch":9}`)},
+		}})
+		_, second, _ := start("two", peers)
+		Eventually(second.adoptions).Should(Equal(2), "one of them is handed on again")
+	})
+
 	It("goes on without the table, and takes a silent peer's rack by itself", func() {
 		peers := hall.NewPeers("one", "h", nil)
 		other := &wire.Hello{
--- a/hall/keeper.go
+++ b/hall/keeper.go
@@ -336,13 +336,13 @@
 		all = append(all, r)
 	}
 	target := Assign(all, k.members(now), present)
-	var wanted []string
+	var unclaimed []string
 	for _, r := range all {
-		if _, claimed := claims[r]; !claimed && target[r] == k.Instance {
-			wanted = append(wanted, r)
+		if _, claimed := claims[r]; !claimed {
+			unclaimed = append(unclaimed, r)
 		}
 	}
-	k.takeOver(ctx, wanted, racks)
+	k.takeOver(ctx, unclaimed, target, racks)
 	k.confirm(ctx, racks)
 	k.level(ctx, target)
 }
--- a/hall/takeover.go
+++ b/hall/takeover.go
@@ -20,24 +20,27 @@
 	since   time.Time
 }
 
-// takeOver tries to own racks that nobody live claims.
-func (k *Keeper) takeOver(ctx context.Context, wanted []string, racks map[string][]platform.Instance) {
-	if len(wanted) == 0 {
+// takeOver tries to own racks that nobody live claims: those that should be
+// this instance's, and those that were handed to it, whoever should own them by
+// now. Nobody else may take what was handed to an instance that lives.
+func (k *Keeper) takeOver(ctx context.Context, unclaimed []string, target map[string]string, racks map[string][]platform.Instance) {
+	if len(unclaimed) == 0 {
 		return
 	}
-	sort.Strings(wanted)
-	rows, err := k.rackRows(ctx, wanted)
+	sort.Strings(unclaimed)
+	rows, err := k.rackRows(ctx, unclaimed)
 	if err != nil {
-		k.takeLocally(wanted, racks)
+		k.takeLocally(k.mine(unclaimed, target), racks)
 		return
 	}
 	members, err := k.memberVersions(ctx, rows)
 	if err != nil {
 		return
 	}
-	for _, r := range wanted {
+	for _, r := range unclaimed {
 		row := rows[r]
 		switch {
+		case row.owner != k.Name() && target[r] != k.Instance:
 		case row.owner == k.Name():
 			k.adopt(r, lease.Epoch{Table: row.epoch}, row.version, racks[r])
 		case row.owner == "" || k.lapsed(row.owner, members[row.owner]):
@@ -46,6 +49,17 @@
 	}
 }
 
+// mine returns the racks that should be this instance's.
+func (k *Keeper) mine(racks []string, target map[string]string) []string {
+	var out []string
+	for _, r := range racks {
+		if target[r] == k.Instance {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
 // memberVersions returns the versions of the rows of the owners; 0 for those
 // that have none.
 func (k *Keeper) memberVersions(ctx context.Context, rows map[string]rackState) (map[string]uint64, error) {
@@ -147,5 +161,9 @@
 	if len(local) == 0 || k.CutOff(time.Now()) {
 		return
 	}
-	k.takeOver(ctx, local, racks)
+	own := make(map[string]string, len(local))
+	for _, r := range local {
+		own[r] = k.Instance
+	}
+	k.takeOver(ctx, local, own, racks)
 }
