entry, hall: fewer hellos

Both peers of a pair said hello three times a second, to other halls as well. Now one of a pair says hello twice a second and the answer serves the other; other halls hear every 2.5 s; news of a rack, the tree or a leave goes out at once.

--- a/entry/greet.go
+++ b/entry/greet.go
@@ -18,7 +18,9 @@
 )
 
 const (
-	greetEvery   = 300 * time.Millisecond
+	greetEvery = 500 * time.Millisecond
+	// farEvery is how many rounds pass between two hellos to another hall.
+	farEvery     = 5
 	greetTimeout = 700 * time.Millisecond
 	pullTimeout  = 2 * time.Second
 )
@@ -28,6 +30,7 @@
 	boot string
 
 	mu    sync.Mutex
+	round uint64
 	seq   uint64
 	racks []*wire.Rack
 }
@@ -50,6 +53,14 @@
 	return s.racks
 }
 
+// next counts a round of hellos.
+func (s *spread) next() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.round++
+	return s.round
+}
+
 func same(a, b []*wire.Rack) bool {
 	if len(a) != len(b) {
 		return false
@@ -85,26 +96,47 @@
 func (e *Entry) greetOnce(ctx context.Context) {
 	racks := e.owner.Summary()
 	seq := e.spread.number(racks)
+	round := e.spread.next()
+	version := e.register.Now().Version
 	seen := e.seenBy()
 	for _, addr := range e.peers.Greet(time.Now()) {
 		if addr == e.settings.Listen.Peer {
 			continue
 		}
-		h := e.hello(racks, seq, seen[addr])
-		go e.greetPeer(ctx, addr, h)
+		view, live := seen[addr]
+		news := view.seen != seq || view.version < version || e.leaving.Load()
+		if live && !news && !e.due(view, round) {
+			continue
+		}
+		go e.greetPeer(ctx, addr, e.hello(racks, seq, view))
 	}
 }
 
+// due reports whether a live peer to whom there is nothing new to say gets a
+// hello in this round. Of two peers of a hall one says hello, and the answer
+// serves the other.
+func (e *Entry) due(v peerView, round uint64) bool {
+	if v.hall != e.settings.Hall {
+		return round%farEvery == 0
+	}
+	return e.settings.Instance < v.instance
+}
+
 // peerView is what a peer has of this instance, and this one of it.
 type peerView struct {
-	seen  uint64
-	racks uint64
+	instance, hall string
+	seen           uint64
+	racks          uint64
+	version        uint64
 }
 
 func (e *Entry) seenBy() map[string]peerView {
 	out := make(map[string]peerView)
 	for _, p := range e.peers.Live("", time.Now()) {
-		out[p.Addr] = peerView{seen: p.SeenRacks, racks: p.RacksSeq}
+		out[p.Addr] = peerView{
+			instance: p.Instance, hall: p.Hall,
+			seen: p.SeenRacks, racks: p.RacksSeq, version: p.TreeVersion,
+		}
 	}
 	return out
 }
--- a/hall/peers.go
+++ b/hall/peers.go
@@ -11,8 +11,13 @@
 	"dewpass.org/wire"
 )
 
-// silence is how long a peer may not have said hello and still count as live.
-const silence = 1500 * time.Millisecond
+const (
+	// silence is how long a peer of the own hall may not have said hello and
+	// still count as live, and farSilence one of another hall, which says it
+	// less often.
+	silence    = 1800 * time.Millisecond
+	farSilence = 8 * time.Second
+)
 
 const (
 	// forget is how long an address is tried at which nobody answers and that
@@ -38,10 +43,17 @@
 	SeenRacks uint64
 	// Heard is when its last hello came, by this instance's clock.
 	Heard time.Time
+	// far marks a peer of another hall.
+	far bool
 }
 
 // Live reports whether p has said hello lately.
-func (p *Peer) Live(now time.Time) bool { return now.Sub(p.Heard) < silence }
+func (p *Peer) Live(now time.Time) bool {
+	if p.far {
+		return now.Sub(p.Heard) < farSilence
+	}
+	return now.Sub(p.Heard) < silence
+}
 
 // Peers is what an instance knows of the others. Make one with NewPeers.
 type Peers struct {
@@ -84,6 +96,7 @@
 		p.known[h.Instance] = known
 	}
 	known.Hall, known.Boot, known.Addr = h.Hall, h.Boot, h.PeerAddr
+	known.far = h.Hall != p.hall
 	known.Leaving, known.CutOff = h.Leaving, h.CutOff
 	known.TreeVersion = max(known.TreeVersion, h.TreeVersion)
 	known.SeenRacks = h.SeenRacksSeq
