--- a/owner/jobs.go
+++ b/owner/jobs.go
@@ -81,6 +81,7 @@
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	delete(o.creating, row.ID)
 	if o.racks[row.Rack] != r {
 		// The next owner finds the row.
 		return row, nil
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -63,14 +63,17 @@
 	// base ends when the instance does.
 	base context.Context
 
-	mu       sync.Mutex
-	cell     sched.Cell
-	guard    lease.Guard
-	racks    map[string]*rack
-	workers  map[sched.WorkerID]*worker
-	byRef    map[uint64]*task
-	byID     map[string]*task
-	jobs     map[string]*jobState
+	mu      sync.Mutex
+	cell    sched.Cell
+	guard   lease.Guard
+	racks   map[string]*rack
+	workers map[sched.WorkerID]*worker
+	byRef   map[uint64]*task
+	byID    map[string]*task
+	jobs    map[string]*jobState
+	// creating holds the ids whose rows are being written: a look at the index
+	// of the rack may find them before their caller goes on.
+	creating map[string]bool
 	names    numbers
 	history  map[string]*estimate
 	leaving  map[string]bool
@@ -147,10 +150,12 @@
 		byRef:   make(map[uint64]*task),
 		byID:    make(map[string]*task),
 		jobs:    make(map[string]*jobState),
-		history: make(map[string]*estimate),
-		leaving: make(map[string]bool),
-		names:   newNumbers(),
-		share:   1,
+
+		creating: make(map[string]bool),
+		history:  make(map[string]*estimate),
+		leaving:  make(map[string]bool),
+		names:    newNumbers(),
+		share:    1,
 	}
 }
 
--- a/owner/owner_test.go
+++ b/owner/owner_test.go
@@ -169,6 +169,25 @@
 		Expect(c.platform.Record.Summary().Starts).To(Equal(1))
 	})
 
+	It("does not take a job in twice whose row is seen before its caller goes on", func(ctx context.Context) {
+		c := newCell()
+		// The owner's own look at the index falls between the commit and its
+		// answer.
+		c.table.Set(func(l *standin.Local) {
+			l.After = func(t platform.Txn) error {
+				if len(t.Puts) > 2 {
+					time.Sleep(1600 * time.Millisecond)
+				}
+				return nil
+			}
+		})
+		o := c.own("o1", 1, connect, c.workers)
+		submit(ctx, o)
+		Eventually(func() int { return c.platform.Record.Summary().Starts }).Should(Equal(1))
+		Consistently(func() int { return c.platform.Record.Summary().Starts }, time.Second).Should(Equal(1))
+		Expect(c.platform.Record.Summary().Doubled).To(BeEmpty())
+	})
+
 	It("settles an intent whose transaction has an unknown end as refused", func(ctx context.Context) {
 		c := newCell()
 		o := c.own("o1", 1, connect, c.workers)
--- a/owner/save.go
+++ b/owner/save.go
@@ -59,23 +59,38 @@
 	defer cancel()
 	digest := job.RequestDigest(js.row.Workload, js.row.Payload)
 	change := keyed(journal.Change{Checks: o.checks(js), Puts: puts(js.row)}, js.row, digest)
+	o.setCreating(js.row.ID, true)
 	version, err := o.Journal.Commit(ctx, change)
 	if kind.Is(err, kind.Lost) {
 		go o.recoverCreate(js)
 	}
 	if err != nil {
+		if !kind.Is(err, kind.Lost) {
+			o.setCreating(js.row.ID, false)
+		}
 		return createError(err, js)
 	}
 	js.version = version
 	return nil
 }
 
+func (o *Owner) setCreating(id string, creating bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if creating {
+		o.creating[id] = true
+		return
+	}
+	delete(o.creating, id)
+}
+
 // recoverCreate finds out what became of the rows of a new job whose
 // transaction has an unknown fate. Its caller was told so, and it was sent
 // nowhere: a job that is there goes on, a call that is there is refused, and
 // what is not there is written down as refused, so that the question for its
 // id has an answer.
 func (o *Owner) recoverCreate(js *jobState) {
+	defer o.setCreating(js.row.ID, false)
 	ctx := js.rack.ctx
 	// The journal writes one transaction after another: when this empty one is
 	// through, the fate of those before it is settled.
@@ -153,6 +168,7 @@
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	delete(o.creating, req.Id)
 	if o.racks[r.name] != r {
 		return kind.New(kind.Lost, "the rack changed hands").Uncertain(req.Id)
 	}
