owner: workers that are replaced are forgotten

One that is not listed, does not answer, and whose leases are surely over is forgotten now; the list alone is not enough. The legend of the packing plot no longer lies on its curves.

--- a/owner/owner.go
+++ b/owner/owner.go
@@ -76,7 +76,6 @@
 	creating map[string]bool
 	names    numbers
 	history  map[string]*estimate
-	leaving  map[string]bool
 	nextRef  uint64
 	treeSeen uint64
 	share    float64
@@ -153,7 +152,6 @@
 
 		creating: make(map[string]bool),
 		history:  make(map[string]*estimate),
-		leaving:  make(map[string]bool),
 		names:    newNumbers(),
 		share:    1,
 	}
--- a/owner/owner_test.go
+++ b/owner/owner_test.go
@@ -45,16 +45,24 @@
 	table    *standin.Local
 	workers  []platform.Instance
 	register *tree.Register
+	servers  map[string]*httptest.Server
+}
+
+// stop makes a worker unreachable.
+func (c *cell) stop(id string) {
+	c.servers[id].CloseClientConnections()
+	c.servers[id].Close()
 }
 
 func newCell() *cell {
-	c := &cell{platform: standin.NewPlatform(), table: standin.NewLocal(), register: &tree.Register{}}
+	c := &cell{platform: standin.NewPlatform(), table: standin.NewLocal(), register: &tree.Register{}, servers: make(map[string]*httptest.Server)}
 	_, err := c.register.InstallHead(tree.Head{Version: 1, Doc: []byte(doc)})
 	Expect(err).NotTo(HaveOccurred())
 	for _, id := range []string{"w1", "w2"} {
 		w := standin.NewWorker(c.platform, id, "h", "r", "", sched.Vec{4000, 8 << 10, 0, 8, 64})
 		s := httptest.NewServer(w.Handler())
 		DeferCleanup(s.Close)
+		c.servers[id] = s
 		addr := strings.TrimPrefix(s.URL, "http://")
 		c.workers = append(c.workers, platform.Instance{ID: id, Role: platform.RoleWorker, Hall: "h", Rack: "r", Addr: addr})
 	}
@@ -71,6 +79,7 @@
 		Name: name, Hall: "h", Connect: connect, Table: c.table, Journal: j, Tree: c.register,
 		Shown: time.Now, Lost: func() {}, Tell: func(job.Job, uint64) {},
 		Elsewhere: func(sched.Vec, string) (string, string, bool) { return "", "", false },
+		TaskLease: 2 * time.Second,
 		Log:       log.NewNopLogger(), Scope: tally.NoopScope, Tracer: noop.NewTracerProvider().Tracer(""),
 	})
 	go o.Run(ctx)
@@ -188,6 +197,15 @@
 		Expect(c.platform.Record.Summary().Doubled).To(BeEmpty())
 	})
 
+	It("forgets a worker that is listed no more, once its leases are over", func() {
+		c := newCell()
+		o := c.own("o1", 1, connect, c.workers)
+		o.Workers(c.workers[:1])
+		Consistently(func() uint32 { return o.Summary()[0].Workers }, time.Second).Should(BeEquivalentTo(2), "the list is a hint")
+		c.stop("w2")
+		Eventually(func() uint32 { return o.Summary()[0].Workers }).Should(BeEquivalentTo(1))
+	})
+
 	It("settles an intent whose transaction has an unknown end as refused", func(ctx context.Context) {
 		c := newCell()
 		o := c.own("o1", 1, connect, c.workers)
--- a/owner/racks.go
+++ b/owner/racks.go
@@ -120,9 +120,9 @@
 		}
 		o.meet(r, in)
 	}
-	for name := range o.leaving {
-		if !listed[name] {
-			delete(o.leaving, name)
+	for _, r := range o.racks {
+		for name, w := range r.workers {
+			w.unlisted = !listed[name]
 		}
 	}
 	o.quotas()
--- a/owner/witness.go
+++ b/owner/witness.go
@@ -19,6 +19,7 @@
 		o.lookAgain(r, now)
 		for _, w := range r.workers {
 			o.sweepWorker(w, now)
+			o.retire(w)
 		}
 	}
 }
@@ -96,6 +97,16 @@
 	o.releaseAll(w.rack)
 }
 
+// retire forgets a worker that the platform lists no more, once it does not
+// answer and its leases are surely over. The list alone is only a hint.
+func (o *Owner) retire(w *worker) {
+	if !w.unlisted || w.attached || !w.over {
+		return
+	}
+	o.removeWorker(w)
+	delete(w.rack.workers, w.name)
+}
+
 // vacate asks the jobs on a worker that leaves to save themselves and stop;
 // calls finish there.
 func (o *Owner) vacate(w *worker) {
--- a/owner/worker.go
+++ b/owner/worker.go
@@ -50,6 +50,8 @@
 	over bool
 	// generation counts attaches, for those who wait for one.
 	generation chan struct{}
+	// unlisted is set while the platform does not list it.
+	unlisted bool
 	// idle is set while the owner renews no lease here, because it may have
 	// lost the rack without knowing.
 	idle bool
--- a/sched/plot_test.go
+++ b/sched/plot_test.go
@@ -44,8 +44,9 @@
 		add(b, packing, i, c.name, p)
 	}
 	for name, p := range map[string]*plot.Plot{"waits": waits, "packing": packing} {
-		p.Legend.Top = true
-		p.Legend.Left = true
+		// The curves of waits rise to the right, those of packing lie high.
+		p.Legend.Top = name == "waits"
+		p.Legend.Left = name == "waits"
 		file := filepath.Join(*plots, name+".svg")
 		if err := p.Save(18*vg.Centimeter, 11*vg.Centimeter, file); err != nil {
 			b.Fatal(err)
