front, cmd: status shows the wait at each owner

The owner's predicted wait for bulk work goes with its summaries, rounded to half a second so that it is no news by itself.

--- a/cmd/dewpass/jobs.go
+++ b/cmd/dewpass/jobs.go
@@ -125,10 +125,10 @@
 }
 
 func rackTable(s front.Status) *table {
-	t := &table{head: []string{"RACK", "HALL", "OWNER", "EPOCH", "WORKERS", "RUNNING", "QUEUED", "USED"}}
+	t := &table{head: []string{"RACK", "HALL", "OWNER", "EPOCH", "WORKERS", "RUNNING", "QUEUED", "WAIT", "USED"}}
 	for _, r := range s.Racks {
 		t.add(r.Rack, r.Hall, r.Owner, r.Epoch, fmt.Sprintf("%d/%d", r.Attached, r.Workers),
-			r.Running, r.Queued, fmt.Sprintf("%.0f%%", r.Used*100))
+			r.Running, r.Queued, time.Duration(r.WaitMS)*time.Millisecond, fmt.Sprintf("%.0f%%", r.Used*100))
 	}
 	return t
 }
--- a/front/operator.go
+++ b/front/operator.go
@@ -157,6 +157,9 @@
 	Running  uint32  `json:"running"`
 	Queued   uint32  `json:"queued"`
 	Used     float64 `json:"used"`
+	// WaitMS is how long bulk work that came now would wait at the owner, in
+	// milliseconds.
+	WaitMS uint32 `json:"wait_ms"`
 }
 
 func (f *Front) status(r *http.Request) (*response, error) {
@@ -227,7 +230,7 @@
 			Rack: r.Rack, Hall: in.Hall, Owner: in.Instance,
 			Epoch:   lease.Epoch{Table: r.EpochTable, Local: r.EpochLocal}.String(),
 			Workers: r.Workers, Attached: r.Attached, Running: r.Running, Queued: r.Queued,
-			Used: used(r),
+			Used: used(r), WaitMS: r.WaitMs,
 		})
 	}
 }
--- a/owner/racks.go
+++ b/owner/racks.go
@@ -192,12 +192,16 @@
 	return out
 }
 
+// waitStep keeps a wait that changes a little from being news to peers.
+const waitStep = 500 * time.Millisecond
+
 func (o *Owner) summary(r *rack) *wire.Rack {
 	free, hole := o.cell.Hole(r.id)
 	s := &wire.Rack{
 		Rack: r.name, EpochTable: r.epoch.Table, EpochLocal: r.epoch.Local,
 		Free: free[:], Hole: hole[:], Workers: uint32(len(r.workers)),
 		Queued: uint32(o.cell.Queued()),
+		WaitMs: uint32(o.cell.PredictedWait(sched.Bulk, o.now()).Round(waitStep).Milliseconds()),
 	}
 	var capacity sched.Vec
 	for _, w := range r.workers {
