--- a/entry/entry.go
+++ b/entry/entry.go
@@ -109,6 +109,7 @@
 		return err
 	}
 	e.buildKeeper()
+	e.journal.Away = e.cutOff
 	e.buildOwner(work)
 	e.buildFront()
 	return nil
@@ -142,7 +143,7 @@
 		Instance: s.Instance, Hall: s.Hall, Owner: e.owner, Peers: e.peers, Send: e.dialer,
 		Table: e.platform, Objects: e.platform, Journal: e.journal,
 		Tree: e.register, Store: e.store, Confirm: e.confirm,
-		CutOff: func() bool { return e.keeper.CutOff(time.Now()) },
+		CutOff: e.cutOff,
 		Ready:  e.ready,
 		Log:    e.kit.Log, Scope: e.kit.Scope, Tracer: e.kit.Tracer,
 		Metrics: e.kit.Metrics, Pprof: s.Pprof,
@@ -155,6 +156,9 @@
 	}
 }
 
+// cutOff reports whether the table has not answered for some time.
+func (e *Entry) cutOff() bool { return e.keeper.CutOff(time.Now()) }
+
 // closing tells callers to close their connections while the instance leaves.
 func (e *Entry) closing(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/entry/greet.go
+++ b/entry/greet.go
@@ -158,7 +158,7 @@
 		PeerAddr: e.settings.Listen.Peer, Leaving: e.leaving.Load(),
 		TreeVersion: e.register.Now().Version, RacksSeq: seq, SeenRacksSeq: view.racks,
 		LeavingWorkers: e.owner.SeenLeaving(), Refusals: e.front.Refusals(),
-		CutOff: e.keeper.CutOff(time.Now()),
+		CutOff: e.cutOff(),
 	}
 	if view.seen == seq {
 		h.RacksOmitted = true
--- a/hall/hall_test.go
+++ b/hall/hall_test.go
@@ -108,6 +108,9 @@
 	owned map[string]lease.Epoch
 	// adopted counts every adoption, also of racks that were handed on.
 	adopted int
+	// busy keeps racks from closing; opened counts those that were kept.
+	busy   bool
+	opened int
 }
 
 func (r *racks) adoptions() int {
@@ -123,6 +126,30 @@
 	r.adopted++
 }
 
+func (r *racks) Close(context.Context, string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return !r.busy
+}
+
+func (r *racks) Open(string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.opened++
+}
+
+func (r *racks) set(busy bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.busy = busy
+}
+
+func (r *racks) openings() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.opened
+}
+
 func (r *racks) Drop(name string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -245,6 +272,29 @@
 		Eventually(second.adoptions).Should(Equal(2), "one of them is handed on again")
 	})
 
+	It("hands no rack over to level the load before what was placed on it is sent", func() {
+		peers := hall.NewPeers("one", "h", nil)
+		_, first, _ := start("one", peers)
+		Eventually(first.Owned).Should(HaveLen(2))
+		first.set(true)
+		stop := make(chan struct{})
+		defer close(stop)
+		go func() {
+			for {
+				peers.Heard(&wire.Hello{Instance: "two", Hall: "h", Boot: "b", PeerAddr: "x"}, time.Now())
+				select {
+				case <-stop:
+					return
+				case <-time.After(100 * time.Millisecond):
+				}
+			}
+		}()
+		Eventually(first.openings).Should(BeNumerically(">", 0), "it is opened again")
+		Expect(first.Owned()).To(HaveLen(2))
+		first.set(false)
+		Eventually(first.Owned).Should(HaveLen(1))
+	})
+
 	It("goes on without the table, and takes a silent peer's rack by itself", func() {
 		peers := hall.NewPeers("one", "h", nil)
 		other := &wire.Hello{
--- a/hall/handover.go
+++ b/hall/handover.go
@@ -26,7 +26,13 @@
 			continue
 		}
 		k.moved = now
-		k.handOver(ctx, r, to)
+		closing, cancel := context.WithTimeout(ctx, closeTime)
+		closed := k.Racks.Close(closing, r)
+		cancel()
+		if closed {
+			k.handOver(ctx, r, to)
+		}
+		k.Racks.Open(r)
 		return
 	}
 }
@@ -84,10 +90,16 @@
 		}
 	}
 	target := Assign(all, k.members(now), present)
+	closing, cancel := context.WithTimeout(ctx, closeTime)
+	defer cancel()
 	for _, r := range names(owned) {
-		if target[r] != "" {
-			k.handOver(ctx, r, target[r])
+		if target[r] == "" {
+			continue
+		}
+		if !k.Racks.Close(closing, r) {
+			level.Warn(k.Log).Log("msg", "rack handed over before all that was placed was sent", "rack", r)
 		}
+		k.handOver(ctx, r, target[r])
 	}
 	txn := platform.Txn{Puts: []platform.Put{{Key: memberKey(k.Hall, k.Name()), Delete: true}}}
 	if _, err := k.Table.Commit(ctx, txn); err != nil {
--- a/hall/keeper.go
+++ b/hall/keeper.go
@@ -35,6 +35,9 @@
 	moveEvery  = time.Second
 	pauseLimit = time.Second
 	rowTimeout = 2 * time.Second
+	// closeTime bounds the wait for what was placed on a rack that is to be
+	// handed over. It is well below MemberLease, which goes on meanwhile.
+	closeTime = time.Second
 )
 
 // Racks is what a Keeper tells of the racks to own.
@@ -42,6 +45,11 @@
 	// Adopt starts to own a rack under an epoch; row is the version of its
 	// row. A rack that is owned already is attached again under the epoch.
 	Adopt(rack string, epoch lease.Epoch, row uint64, workers []platform.Instance)
+	// Close stops new work on a rack and waits until what was placed there has
+	// been sent. It reports false if ctx ended before.
+	Close(ctx context.Context, rack string) bool
+	// Open lets new work in again, when a rack that was closed is kept.
+	Open(rack string)
 	// Drop ends to own a rack.
 	Drop(rack string)
 	// Owned returns the epochs of the racks that are owned.
--- a/internal/fault/off.go
+++ b/internal/fault/off.go
@@ -9,6 +9,9 @@
 // At is a step of the program at which tests may bring a failure about.
 func At(Point) {}
 
+// AtTask is At for a step of one task: a rule may name its worker and its shop.
+func AtTask(p Point, worker, shop string) {}
+
 // Link returns an error if tests have cut the link to an address.
 func Link(string) error { return nil }
 
--- a/internal/fault/on.go
+++ b/internal/fault/on.go
@@ -20,6 +20,10 @@
 type Rule struct {
 	// Point is the point, or "" for a rule on links.
 	Point Point `json:"point,omitempty"`
+	// Worker is the start of the names of the workers, and Shop the shop, to
+	// whose tasks a rule on a point is kept; "" is any.
+	Worker string `json:"worker,omitempty"`
+	Shop   string `json:"shop,omitempty"`
 	// Addr is the start of the addresses of the links, for a rule on links.
 	Addr string `json:"addr,omitempty"`
 	// Skip lets the point pass so many times first.
@@ -43,8 +47,14 @@
 const exitCode = 86
 
 // At is a step of the program at which tests may bring a failure about.
-func At(p Point) {
-	if r, ok := match(func(r *Rule) bool { return r.Point == p && p != "" }); ok {
+func At(p Point) { AtTask(p, "", "") }
+
+// AtTask is At for a step of one task: a rule may name its worker and its shop.
+func AtTask(p Point, worker, shop string) {
+	meant := func(r *Rule) bool {
+		return r.Point == p && strings.HasPrefix(worker, r.Worker) && (r.Shop == "" || r.Shop == shop)
+	}
+	if r, ok := match(meant); ok {
 		apply(r)
 	}
 }
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -186,6 +186,13 @@
 	time.AfterFunc(length+time.Millisecond, w.expire)
 }
 
+// Owner returns the name of the owner that attached last, "" after a restart.
+func (w *Worker) Owner() string {
+	w.stateMu.Lock()
+	defer w.stateMu.Unlock()
+	return w.owner
+}
+
 func (w *Worker) name() string { return w.id + "/" + strconv.Itoa(w.incarnation) }
 
 // fence refuses commands of a lower epoch and for another incarnation.
--- a/journal/journal.go
+++ b/journal/journal.go
@@ -31,6 +31,11 @@
 // Journal gathers changes and commits them. Make one with New and run it with
 // Run.
 type Journal struct {
+	// Away reports whether the table has not answered others of this instance
+	// for so long that a change that cannot wait is refused without being
+	// sent; nil is never. Set it before Run.
+	Away func() bool
+
 	table platform.Table
 	key   string
 	wake  chan struct{}
@@ -103,9 +108,10 @@
 // enqueue adds a change for the next transaction. While the table does not
 // answer, a change that cannot wait for long is refused at once.
 func (j *Journal) enqueue(it *item) bool {
+	away := j.Away != nil && j.Away()
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	if j.failing && it.bounded() {
+	if (away || j.failing) && it.bounded() {
 		return false
 	}
 	j.pending = append(j.pending, it)
--- a/journal/journal_test.go
+++ b/journal/journal_test.go
@@ -139,4 +139,20 @@
 		_, err := j.Commit(bounded(ctx), put("a", "v"))
 		Expect(kind.Is(err, kind.Lost)).To(BeTrue())
 	})
+
+	It("sends nothing that cannot wait while others know that the table is away", func(ctx context.Context) {
+		away := journal.New(table, "i", "away")
+		away.Away = func() bool { return true }
+		running, cancel := context.WithCancel(ctx)
+		DeferCleanup(cancel)
+		go away.Run(running)
+		sent := false
+		table.Set(func(l *standin.Local) {
+			l.Before = func(platform.Txn) error { sent = true; return kind.New(kind.Lost, "test") }
+		})
+		_, err := away.Commit(bounded(ctx), put("a", "v"))
+		Expect(kind.Is(err, kind.Unavailable)).To(BeTrue(), "%v", err)
+		Expect(kind.Of(err).Outcome).To(Equal(kind.NotRun))
+		Expect(sent).To(BeFalse())
+	})
 })
--- a/owner/call.go
+++ b/owner/call.go
@@ -198,6 +198,9 @@
 		// Its worker may still run it; the next report settles it.
 		return
 	}
+	if t.absent && t.job != nil {
+		o.settle(t.job, job.Refused, func(j *job.Job) { j.Why = "the worker never had it" })
+	}
 	o.forget(t)
 	o.step()
 }
@@ -248,7 +251,7 @@
 
 // runOnce sends a call that must not be repeated, once.
 func (o *Owner) runOnce(ctx context.Context, t *task) (*platform.Answer, error) {
-	ans, err := o.send(ctx, t)
+	ans, err := o.sendOnce(ctx, t)
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if err == nil {
@@ -262,11 +265,66 @@
 		return nil, err
 	case t.stopped:
 		o.settle(t.job, job.Failed, func(j *job.Job) { j.Why = e.Kind.String() + " " + e.Detail })
-		return nil, kind.Wrap(kind.TaskFailed, err, "the worker ended it")
+		return nil, kind.Wrap(kind.TaskFailed, err, "the worker ended it: "+e.Detail)
 	}
 	return nil, e.Uncertain(t.spec.ID)
 }
 
+// sendOnce sends a call whose row names its worker, so that it cannot be placed
+// anew. Where the worker refused it for certain because it was being attached
+// again, it is sent there once more.
+func (o *Owner) sendOnce(ctx context.Context, t *task) (*platform.Answer, error) {
+	var err error
+	for range maxPlaces {
+		var ans *platform.Answer
+		o.awaitAttached(ctx, t)
+		ans, err = o.send(ctx, t)
+		if err == nil || !o.sendAgain(t, err) {
+			return ans, err
+		}
+	}
+	return nil, err
+}
+
+// sendAgain reports whether a call may be sent to its worker once more: what
+// was sent before was refused for certain, and the worker is the one that the
+// call's row names.
+func (o *Owner) sendAgain(t *task, err error) bool {
+	e := kind.Of(err)
+	if e.Outcome != kind.NotRun || e.Kind != kind.Fenced && e.Kind != kind.Unavailable {
+		return false
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.byRef[t.ref] != t || t.worker.incarnation != t.job.row.Incarnation {
+		return false
+	}
+	t.sent, t.absent = false, false
+	return true
+}
+
+// awaitAttached waits while the worker of a call is being attached again.
+func (o *Owner) awaitAttached(ctx context.Context, t *task) {
+	ctx, cancel := context.WithTimeout(ctx, resolveTime)
+	defer cancel()
+	for {
+		o.mu.Lock()
+		attached, generation := t.worker.attached, t.worker.generation
+		gone := o.byRef[t.ref] != t
+		o.mu.Unlock()
+		if attached || gone {
+			return
+		}
+		select {
+		case <-generation:
+		case <-t.rack.ctx.Done():
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // send starts a call at its worker and returns the whole answer. When the
 // answer is lost, the worker is attached again, and tells whether it has the
 // call.
@@ -298,7 +356,8 @@
 	o.mu.Lock()
 	w := t.worker
 	again := t.sent
-	if !again && !w.attached {
+	if !again && (!w.attached || o.byRef[t.ref] != t) {
+		// What is not on the books has no room booked for it either.
 		o.mu.Unlock()
 		return nil, kind.New(kind.Unavailable, "the worker is being attached again")
 	}
@@ -313,7 +372,7 @@
 	if err := fault.Link("worker/" + w.name); err != nil {
 		return nil, o.refused(t, err)
 	}
-	fault.At(fault.Sent)
+	fault.AtTask(fault.Sent, w.name, t.spec.Shop)
 	rep, err := api.Start(ctx, cmd, t.spec, o.TaskLease)
 	if err != nil {
 		return nil, o.refused(t, err)
--- a/owner/jobs.go
+++ b/owner/jobs.go
@@ -98,6 +98,8 @@
 		return kind.New(kind.Stopping, "")
 	case r == nil:
 		return kind.New(kind.Fenced, "the rack has another owner")
+	case r.closing:
+		return kind.New(kind.Fenced, "the rack is being handed over")
 	case r.row == 0:
 		return kind.New(kind.CutOff, "the rack was taken without the table")
 	}
@@ -155,7 +157,7 @@
 	o.mu.Unlock()
 	err := fault.Link("worker/" + w.name)
 	if err == nil {
-		fault.At(fault.Sent)
+		fault.AtTask(fault.Sent, w.name, t.spec.Shop)
 		_, err = api.Start(ctx, cmd, t.spec, o.TaskLease)
 	}
 	fault.At(fault.Accepted)
--- a/owner/load.go
+++ b/owner/load.go
@@ -85,7 +85,7 @@
 	}
 	for _, row := range rows {
 		j, err := job.Decode(row.Value)
-		if err != nil || row.Version == 0 || o.jobs[j.ID] != nil || o.creating[j.ID] {
+		if err != nil || row.Version == 0 || o.jobs[j.ID] != nil || o.creating[j.ID] != nil {
 			continue
 		}
 		o.takeIn(newJobState(j, row.Version, r))
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -71,9 +71,9 @@
 	byRef   map[uint64]*task
 	byID    map[string]*task
 	jobs    map[string]*jobState
-	// creating holds the ids whose rows are being written: a look at the index
-	// of the rack may find them before their caller goes on.
-	creating map[string]bool
+	// creating holds the ids whose rows are being written, with their racks: a
+	// look at the index of the rack may find them before their caller goes on.
+	creating map[string]*rack
 	names    numbers
 	history  map[string]*estimate
 	nextRef  uint64
@@ -102,6 +102,8 @@
 	// mostSince is when more than half of the workers were attached and have
 	// been since; zero while they are not.
 	mostSince time.Time
+	// closing is set while the rack is about to be handed over.
+	closing bool
 	// ignored is set when a worker reported work whose row was not loaded yet.
 	ignored bool
 	ctx     context.Context
@@ -150,7 +152,7 @@
 		byID:    make(map[string]*task),
 		jobs:    make(map[string]*jobState),
 
-		creating: make(map[string]bool),
+		creating: make(map[string]*rack),
 		history:  make(map[string]*estimate),
 		names:    newNumbers(),
 		share:    1,
--- a/owner/owner_test.go
+++ b/owner/owner_test.go
@@ -46,6 +46,7 @@
 	workers  []platform.Instance
 	register *tree.Register
 	servers  map[string]*httptest.Server
+	standins []*standin.Worker
 }
 
 // stop makes a worker unreachable.
@@ -63,6 +64,7 @@
 		s := httptest.NewServer(w.Handler())
 		DeferCleanup(s.Close)
 		c.servers[id] = s
+		c.standins = append(c.standins, w)
 		addr := strings.TrimPrefix(s.URL, "http://")
 		c.workers = append(c.workers, platform.Instance{ID: id, Role: platform.RoleWorker, Hall: "h", Rack: "r", Addr: addr})
 	}
@@ -222,4 +224,89 @@
 		}).Should(Equal(job.Refused))
 		Expect(c.platform.Record.Summary().Starts).To(BeZero())
 	})
+
+	// holdIntent makes f run while the table holds the row of a call, and
+	// reports through the channel that it came to it.
+	holdIntent := func(c *cell, f func(row job.Job)) {
+		var once sync.Once
+		c.table.Set(func(l *standin.Local) {
+			l.Before = func(t platform.Txn) error {
+				for _, p := range t.Puts {
+					if row, err := job.Decode(p.Value); err == nil && p.Key == job.RowKey("k1") && row.State == job.Dispatched {
+						once.Do(func() { f(row) })
+					}
+				}
+				return nil
+			}
+		})
+	}
+	order := func(ctx context.Context, o *owner.Owner, id string) (*wire.CallReply, error) {
+		return o.Call(ctx, &wire.Call{Id: id, Shop: "s", Key: id, Workload: "order", Once: true, LeftUs: 3e6, Payload: []byte(`{"ms":5}`)})
+	}
+	stateOf := func(c *cell, id string) job.State {
+		row, _ := job.Decode(c.table.Table.Get(job.RowKey(id))[0].Value)
+		return row.State
+	}
+
+	It("sends a call whose worker is attached again while its row is written", func(ctx context.Context) {
+		c := newCell()
+		o := c.own("o1", 1, connect, c.workers)
+		holdIntent(c, func(row job.Job) {
+			defer GinkgoRecover()
+			// Somebody raises the epoch of the worker: the owner must attach anew.
+			for _, in := range c.workers {
+				if in.ID == row.Worker {
+					higher := platform.Command{Owner: "o1", Epoch: lease.Epoch{Table: 1, Local: 5}}
+					_, err := connect(in.Addr).Attach(ctx, higher)
+					Expect(err).NotTo(HaveOccurred())
+				}
+			}
+		})
+		_, err := order(ctx, o, "k1")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(c.platform.Record.Summary().Starts).To(Equal(1))
+	})
+
+	It("sends nothing that is not on its books, though its worker came back with another name", func(ctx context.Context) {
+		c := newCell()
+		o := c.own("o1", 1, connect, c.workers)
+		holdIntent(c, func(row job.Job) {
+			defer GinkgoRecover()
+			for _, w := range c.standins {
+				w.Restart()
+				w.Leave(false) // wakes those who watch it
+				Eventually(w.Owner).Should(Equal("o1"))
+			}
+		})
+		_, err := order(ctx, o, "k1")
+		Expect(err).To(HaveOccurred())
+		Expect(c.platform.Record.Summary().Starts).To(BeZero())
+		Eventually(func() job.State { return stateOf(c, "k1") }).Should(Equal(job.Refused))
+	})
+
+	It("sends what was placed before its rack is handed over, and takes nothing new meanwhile", func(ctx context.Context) {
+		c := newCell()
+		o := c.own("o1", 1, connect, c.workers)
+		written, goOn := make(chan struct{}), make(chan struct{})
+		holdIntent(c, func(job.Job) {
+			close(written)
+			<-goOn
+		})
+		answered := make(chan error, 1)
+		go func() {
+			_, err := order(ctx, o, "k1")
+			answered <- err
+		}()
+		<-written
+		short, cancel := context.WithTimeout(ctx, 50*time.Millisecond)
+		defer cancel()
+		Expect(o.Close(short, "r")).To(BeFalse(), "a call is not sent yet")
+		_, err := order(ctx, o, "k2")
+		Expect(kind.Of(err).Outcome).To(Equal(kind.NotRun), "%v", err)
+		close(goOn)
+		Expect(o.Close(ctx, "r")).To(BeTrue())
+		o.Drop("r")
+		Expect(<-answered).To(Succeed(), "a call in progress goes on to its answer")
+		Expect(c.platform.Record.Summary().Starts).To(Equal(1))
+	})
 })
--- a/owner/racks.go
+++ b/owner/racks.go
@@ -212,7 +212,7 @@
 		}
 	}
 	s.Capacity = capacity[:]
-	s.Ready = s.Attached > 0 && !o.draining
+	s.Ready = s.Attached > 0 && !r.closing && !o.draining
 	return s
 }
 
--- a/owner/report.go
+++ b/owner/report.go
@@ -127,8 +127,8 @@
 	switch {
 	case js == nil || js.row.State.Over():
 		o.forget(t)
-	case !t.sent && !t.spec.Call:
-		o.again(t)
+	case !t.sent:
+		o.neverRan(t)
 	case t.spec.Repeat == platform.RepeatNever:
 		o.settle(js, job.Unknown, func(j *job.Job) { j.Why = why })
 		o.drop(t)
--- a/owner/save.go
+++ b/owner/save.go
@@ -59,14 +59,16 @@
 	defer cancel()
 	digest := job.RequestDigest(js.row.Workload, js.row.Payload)
 	change := keyed(journal.Change{Checks: o.checks(js), Puts: puts(js.row)}, js.row, digest)
-	o.setCreating(js.row.ID, true)
+	if err := o.beginCreating(js); err != nil {
+		return err
+	}
 	version, err := o.Journal.Commit(ctx, change)
 	if kind.Is(err, kind.Lost) {
 		go o.recoverCreate(js)
 	}
 	if err != nil {
 		if !kind.Is(err, kind.Lost) {
-			o.setCreating(js.row.ID, false)
+			o.endCreating(js.row.ID)
 		}
 		return createError(err, js)
 	}
@@ -74,13 +76,21 @@
 	return nil
 }
 
-func (o *Owner) setCreating(id string, creating bool) {
+// beginCreating notes that the rows of a job are being written, unless its rack
+// is about to be handed over.
+func (o *Owner) beginCreating(js *jobState) error {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if creating {
-		o.creating[id] = true
-		return
+	if js.rack.closing {
+		return kind.New(kind.Fenced, "the rack is being handed over")
 	}
+	o.creating[js.row.ID] = js.rack
+	return nil
+}
+
+func (o *Owner) endCreating(id string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
 	delete(o.creating, id)
 }
 
@@ -90,7 +100,7 @@
 // what is not there is written down as refused, so that the question for its
 // id has an answer.
 func (o *Owner) recoverCreate(js *jobState) {
-	defer o.setCreating(js.row.ID, false)
+	defer o.endCreating(js.row.ID)
 	ctx := js.rack.ctx
 	// The journal writes one transaction after another: when this empty one is
 	// through, the fate of those before it is settled.
--- a/owner/worker.go
+++ b/owner/worker.go
@@ -87,7 +87,8 @@
 	if w.id == sched.NoWorker {
 		return
 	}
-	if w.attached && !w.idle && !w.leaving && !w.listedLeaving && !o.draining {
+	open := w.attached && !w.idle && !w.leaving && !w.listedLeaving
+	if open && !w.rack.closing && !o.draining {
 		o.cell.Open(w.id)
 		return
 	}
@@ -240,7 +241,7 @@
 			continue
 		}
 		t.absent = true
-		if t.call == nil {
+		if !t.callerWaits {
 			o.neverRan(t)
 		}
 	}
--- a/test/proof/failure_test.go
+++ b/test/proof/failure_test.go
@@ -67,7 +67,7 @@
 			said := t.Wait()
 			verify(ctx, b, said)
 			for _, s := range said {
-				Expect(s.Outcome).To(BeElementOf(load.Whole, load.Accepted), "%s: %v", s.Item.Workload, s.Err)
+				Expect(s.Outcome).To(BeElementOf(load.Whole, load.Accepted), "%s %s: %v", s.Item.Workload, s.ID, s.Err)
 			}
 			record, err := b.Record(ctx)
 			Expect(err).NotTo(HaveOccurred())
@@ -113,10 +113,11 @@
 		}
 		// trace submits a job that belongs to the rack. The front chooses the
 		// rack, so that some may be needed.
-		trace := func() load.Said {
+		trace := func(shop string) load.Said {
 			GinkgoHelper()
 			for {
 				it := load.NewItem("tracing/trace", 25*time.Second)
+				it.Shop = shop
 				row, err := load.Submit(ctx, other.Client(), it)
 				Expect(err).NotTo(HaveOccurred())
 				if row.Rack == rack {
@@ -136,10 +137,14 @@
 			return worker
 		}
 		// The first job shows which worker is packed next.
-		first := trace()
+		first := trace("first-depot")
 		packed := running(other.Client(), first)
-		Expect(owner.Faults(ctx, []rule{{Point: "sent", Stop: true, DelayMS: 500}})).To(Succeed())
-		second := trace()
+		// Only the start of the second job stops the owner, not one of a service
+		// or of a job on another of its racks.
+		const stopped = "second-depot"
+		stop := rule{Point: "sent", Worker: rack + "-", Shop: stopped, Stop: true, DelayMS: 500}
+		Expect(owner.Faults(ctx, []rule{stop})).To(Succeed())
+		second := trace(stopped)
 		Eventually(func() error {
 			short, cancel := context.WithTimeout(ctx, 300*time.Millisecond)
 			defer cancel()
@@ -309,6 +314,8 @@
 // rule is a rule at the fault points of an entry; see package fault.
 type rule struct {
 	Point   string `json:"point,omitempty"`
+	Worker  string `json:"worker,omitempty"`
+	Shop    string `json:"shop,omitempty"`
 	Addr    string `json:"addr,omitempty"`
 	Skip    int    `json:"skip,omitempty"`
 	DelayMS int64  `json:"delay_ms,omitempty"`
--- a/test/proof/suite_test.go
+++ b/test/proof/suite_test.go
@@ -4,6 +4,8 @@
 
 import (
 	"context"
+	"encoding/json"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -60,6 +62,7 @@
 	DeferCleanup(func() { keepLogs(dir) })
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(b.Close)
+	DeferCleanup(func() { keepEvents(b, dir) })
 	DeferCleanup(func() { judge(b) })
 	return b
 }
@@ -76,6 +79,19 @@
 	_ = os.RemoveAll(dir)
 }
 
+// keepEvents keeps what the workers wrote down in a spec that failed.
+func keepEvents(b *bed.Bed, dir string) {
+	if !CurrentSpecReport().Failed() {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	var events json.RawMessage
+	if b.Admin.Do(ctx, http.MethodGet, "/record/events", nil, &events) == nil {
+		_ = os.WriteFile(filepath.Join(dir, "events.json"), events, 0o600)
+	}
+}
+
 func judge(b *bed.Bed) {
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
