internal/clock, fault, test: clocks that run fast or slow, answers lost one way, the object store alone

A binary with the tag faults can run its clock at another speed (package clock; in the shipped binary Now and Since are those of time), and a link can be deaf: what is sent arrives and what comes back is lost. Stand-in workers have a clock of their own and answers of any size. Five proofs: one-way links of every sort, an object store that is away, slow and loses answers, clocks 5% fast and slow under load and between an owner and a worker that it cannot reach, and a list of instances that lags and is wrong. Seven more failures in the matrix.

Beds of processes that run side by side have ports of their own now: the port of an entry that was down for a moment could go to another bed.

PROOF_RACE builds with the race detector; every spec then fails on a report in a log.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -16,6 +16,7 @@
 
 	"dewpass.org/front"
 	"dewpass.org/hall"
+	"dewpass.org/internal/clock"
 	"dewpass.org/journal"
 	"dewpass.org/keys"
 	"dewpass.org/kind"
@@ -157,7 +158,7 @@
 }
 
 // cutOff reports whether the table has not answered for some time.
-func (e *Entry) cutOff() bool { return e.keeper.CutOff(time.Now()) }
+func (e *Entry) cutOff() bool { return e.keeper.CutOff(clock.Now()) }
 
 // closing tells callers to close their connections while the instance leaves.
 func (e *Entry) closing(h http.Handler) http.Handler {
--- a/entry/greet.go
+++ b/entry/greet.go
@@ -10,6 +10,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"dewpass.org/internal/clock"
 	"dewpass.org/job"
 	"dewpass.org/kind"
 	"dewpass.org/platform"
@@ -99,7 +100,7 @@
 	round := e.spread.next()
 	version := e.register.Now().Version
 	seen := e.seenBy()
-	for _, addr := range e.peers.Greet(time.Now()) {
+	for _, addr := range e.peers.Greet(clock.Now()) {
 		if addr == e.settings.Listen.Peer {
 			continue
 		}
@@ -132,7 +133,7 @@
 
 func (e *Entry) seenBy() map[string]peerView {
 	out := make(map[string]peerView)
-	for _, p := range e.peers.Live("", time.Now()) {
+	for _, p := range e.peers.Live("", clock.Now()) {
 		out[p.Addr] = peerView{
 			instance: p.Instance, hall: p.Hall,
 			seen: p.SeenRacks, racks: p.RacksSeq, version: p.TreeVersion,
@@ -174,7 +175,7 @@
 		return
 	}
 	_, known := e.peers.Get(h.Instance)
-	e.peers.Heard(h, time.Now())
+	e.peers.Heard(h, clock.Now())
 	if h.Hall == e.settings.Hall {
 		e.owner.Leaving(h.LeavingWorkers)
 	}
--- a/entry/read.go
+++ b/entry/read.go
@@ -10,6 +10,7 @@
 	"github.com/go-kit/log/level"
 
 	"dewpass.org/hall"
+	"dewpass.org/internal/clock"
 	"dewpass.org/internal/fault"
 	"dewpass.org/lease"
 	"dewpass.org/tree"
@@ -80,7 +81,7 @@
 	t := time.NewTicker(readEvery)
 	defer t.Stop()
 	for {
-		now := time.Now()
+		now := clock.Now()
 		if e.isReader(now) || e.reader.stale(now) {
 			e.readTable(ctx)
 		}
@@ -100,7 +101,7 @@
 	for {
 		select {
 		case <-t.C:
-			e.reader.tick(time.Now())
+			e.reader.tick(clock.Now())
 		case <-ctx.Done():
 			return
 		}
@@ -121,7 +122,7 @@
 func (e *Entry) readTable(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	sent := time.Now()
+	sent := clock.Now()
 	version, err := e.store.Version(ctx)
 	if err != nil {
 		return false
@@ -170,7 +171,7 @@
 // the newest that the table, or else a peer, knows of. When nobody can be
 // asked, the instance is cut off and goes on with what it has.
 func (e *Entry) confirm(ctx context.Context) {
-	if !e.reader.doubtful(time.Now()) {
+	if !e.reader.doubtful(clock.Now()) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
@@ -178,7 +179,7 @@
 	if e.readTable(ctx) {
 		return
 	}
-	now := time.Now()
+	now := clock.Now()
 	for _, p := range e.peers.Live("", now) {
 		if e.pull(p.Addr) {
 			break
--- a/entry/rescue.go
+++ b/entry/rescue.go
@@ -9,6 +9,7 @@
 	"github.com/go-kit/log/level"
 
 	"dewpass.org/hall"
+	"dewpass.org/internal/clock"
 	"dewpass.org/job"
 	"dewpass.org/journal"
 	"dewpass.org/lease"
@@ -41,7 +42,7 @@
 		case <-ctx.Done():
 			return
 		}
-		now := time.Now()
+		now := clock.Now()
 		if !e.ready() || e.keeper.CutOff(now) || !e.leadsOwners(rescueRole, now) {
 			clear(absences)
 			continue
@@ -72,7 +73,7 @@
 func (e *Entry) rescueHall(ctx context.Context, h string, racks map[string]bool, absences map[string]*absence) error {
 	c := e.register.Now()
 	lost := c.Lost[h]
-	if len(e.peers.Live(h, time.Now())) > 0 && !lost {
+	if len(e.peers.Live(h, clock.Now())) > 0 && !lost {
 		// Somebody there says hello: the hall is not cut off from this one, and
 		// looks after itself.
 		delete(absences, h)
@@ -93,7 +94,7 @@
 // absent returns how long no instance of a hall has shown itself in the table,
 // by this instance's clock.
 func (e *Entry) absent(ctx context.Context, h string, absences map[string]*absence) (time.Duration, error) {
-	now := time.Now()
+	now := clock.Now()
 	rows, err := e.platform.Scan(ctx, hall.MemberPrefix(h), "", rescuePage)
 	if err != nil {
 		return 0, err
@@ -104,7 +105,7 @@
 	}
 	a := absences[h]
 	if a == nil || changed(a.rows, seen) {
-		absences[h] = &absence{rows: seen, since: time.Now()}
+		absences[h] = &absence{rows: seen, since: clock.Now()}
 		return 0, nil
 	}
 	return now.Sub(a.since), nil
--- a/entry/services.go
+++ b/entry/services.go
@@ -12,6 +12,7 @@
 	"github.com/oklog/ulid/v2"
 
 	"dewpass.org/hall"
+	"dewpass.org/internal/clock"
 	"dewpass.org/job"
 	"dewpass.org/platform"
 	"dewpass.org/sched"
@@ -43,7 +44,7 @@
 		case <-ctx.Done():
 			return
 		}
-		now := time.Now()
+		now := clock.Now()
 		c := e.register.Now()
 		due := c.Version != version || now.Sub(counted) > servicesAudit
 		if !due || !e.ready() || e.keeper.CutOff(now) || !e.leads(servicesRole, now) {
@@ -135,7 +136,7 @@
 		row := job.Job{
 			ID:   fmt.Sprintf("%s%s", prefix, ulid.Make()),
 			Shop: serviceShop, Workload: w.Path, Repeat: platform.RepeatSafe,
-			Service: true, Payload: []byte(`{"service":true}`), Submitted: time.Now().UTC(),
+			Service: true, Payload: []byte(`{"service":true}`), Submitted: clock.Now().UTC(),
 		}
 		if _, err := e.front.Place(ctx, row, w); err != nil {
 			return err
--- a/front/calls.go
+++ b/front/calls.go
@@ -10,6 +10,7 @@
 
 	"github.com/oklog/ulid/v2"
 
+	"dewpass.org/internal/clock"
 	"dewpass.org/internal/fault"
 	"dewpass.org/job"
 	"dewpass.org/kind"
@@ -37,7 +38,7 @@
 	}
 	ctx := r.Context()
 	f.Confirm(ctx)
-	w, err := req.bind(f.Tree.Now(), time.Now(), tree.Call)
+	w, err := req.bind(f.Tree.Now(), clock.Now(), tree.Call)
 	if err != nil {
 		return nil, err
 	}
--- a/front/jobs.go
+++ b/front/jobs.go
@@ -14,6 +14,7 @@
 	"github.com/oklog/ulid/v2"
 
 	"dewpass.org/hall"
+	"dewpass.org/internal/clock"
 	"dewpass.org/internal/fault"
 	"dewpass.org/job"
 	"dewpass.org/kind"
@@ -40,7 +41,7 @@
 		return nil, err
 	}
 	f.Confirm(r.Context())
-	w, err := req.bind(f.Tree.Now(), time.Now(), tree.Batch)
+	w, err := req.bind(f.Tree.Now(), clock.Now(), tree.Batch)
 	if err != nil {
 		return nil, err
 	}
@@ -58,7 +59,7 @@
 
 // accept admits a job and has it written down.
 func (f *Front) accept(ctx context.Context, req *request, w *tree.Workload) (job.Job, error) {
-	row := f.newJob(req, w, time.Now())
+	row := f.newJob(req, w, clock.Now())
 	err := f.limits.allow(w, f.instances())
 	if err == nil {
 		fault.At(fault.Admitted)
@@ -96,7 +97,7 @@
 // Place has a job written down by the owner of a rack. The hall of this
 // instance is its home, unless none of its racks can take it.
 func (f *Front) Place(ctx context.Context, row job.Job, w *tree.Workload) (job.Job, error) {
-	now := time.Now()
+	now := clock.Now()
 	list := order(f.places(f.Hall, now), w.Demand)
 	list = append(list, order(f.places("", now), w.Demand)...)
 	var last error = kind.New(kind.NoCapacity, "no owner can be reached")
@@ -117,7 +118,7 @@
 // summaries it is given.
 func (f *Front) Elsewhere(own []*wire.Rack, d sched.Vec, not string) (hallName, rack string, ok bool) {
 	list := []place{{hall: f.Hall, racks: own}}
-	for _, p := range f.Peers.Live("", time.Now()) {
+	for _, p := range f.Peers.Live("", clock.Now()) {
 		if !p.Leaving {
 			list = append(list, place{hall: p.Hall, racks: p.Racks})
 		}
@@ -205,7 +206,7 @@
 	if err == nil {
 		return job.Decode(rows[0].Value)
 	}
-	for _, p := range f.Peers.Live(f.Hall, time.Now()) {
+	for _, p := range f.Peers.Live(f.Hall, clock.Now()) {
 		if row, asked := f.ask(ctx, p.Addr, &wire.JobQuery{Id: id}); asked == nil {
 			return row, nil
 		}
@@ -303,7 +304,7 @@
 
 // ownerOf returns the peer that owns the rack of a job.
 func (f *Front) ownerOf(row job.Job) (hall.Peer, error) {
-	claim, claimed := f.Peers.Claims(row.Hall, time.Now())[row.Rack]
+	claim, claimed := f.Peers.Claims(row.Hall, clock.Now())[row.Rack]
 	peer, known := f.Peers.Get(claim.Owner)
 	if !claimed || !known {
 		return peer, kind.New(kind.Unavailable, "the owner of the job's rack cannot be reached")
--- a/front/operator.go
+++ b/front/operator.go
@@ -13,6 +13,7 @@
 	"github.com/gorilla/mux"
 	"github.com/oklog/ulid/v2"
 
+	"dewpass.org/internal/clock"
 	"dewpass.org/internal/fault"
 	"dewpass.org/kind"
 	"dewpass.org/lease"
@@ -166,7 +167,7 @@
 	s := f.HallStatus()
 	ctx, cancel := context.WithTimeout(r.Context(), statusTime)
 	defer cancel()
-	for _, h := range f.Peers.Halls(time.Now()) {
+	for _, h := range f.Peers.Halls(clock.Now()) {
 		if h != f.Hall {
 			s.merge(f.askHall(ctx, h))
 		}
@@ -180,7 +181,7 @@
 
 // askHall asks one live peer of a hall for what it knows of that hall.
 func (f *Front) askHall(ctx context.Context, hall string) Status {
-	for _, p := range f.Peers.Live(hall, time.Now()) {
+	for _, p := range f.Peers.Live(hall, clock.Now()) {
 		req := &wire.Request{Body: &wire.Request_Status{Status: &wire.StatusQuery{}}}
 		reply, err := f.Send.Do(ctx, p.Addr, req)
 		if err != nil {
@@ -201,7 +202,7 @@
 
 // HallStatus returns what this instance knows of its hall.
 func (f *Front) HallStatus() Status {
-	now := time.Now()
+	now := clock.Now()
 	s := Status{
 		Instance: f.Instance, Hall: f.Hall, TreeVersion: f.Tree.Now().Version, CutOff: f.CutOff(),
 	}
--- a/front/route.go
+++ b/front/route.go
@@ -11,6 +11,7 @@
 
 	"golang.org/x/time/rate"
 
+	"dewpass.org/internal/clock"
 	"dewpass.org/kind"
 	"dewpass.org/sched"
 	"dewpass.org/telemetry"
@@ -152,7 +153,7 @@
 
 // tries returns where to pass a call to, one after another.
 func (f *Front) tries(d sched.Vec) []try {
-	near, others := f.seen(time.Now())
+	near, others := f.seen(clock.Now())
 	local := order(near, d)
 	var out []try
 	for i := 0; i < len(local) && i < localTries; i++ {
@@ -263,4 +264,4 @@
 }
 
 // instances returns the number of live instances, this one included.
-func (f *Front) instances() int { return len(f.Peers.Live("", time.Now())) + 1 }
+func (f *Front) instances() int { return len(f.Peers.Live("", clock.Now())) + 1 }
--- a/hall/handover.go
+++ b/hall/handover.go
@@ -4,10 +4,10 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/go-kit/log/level"
 
+	"dewpass.org/internal/clock"
 	"dewpass.org/internal/fault"
 	"dewpass.org/kind"
 	"dewpass.org/platform"
@@ -16,7 +16,7 @@
 
 // level hands on a rack that another instance should own.
 func (k *Keeper) level(ctx context.Context, target map[string]string) {
-	now := time.Now()
+	now := clock.Now()
 	if now.Sub(k.moved) < moveEvery {
 		return
 	}
@@ -78,7 +78,7 @@
 	k.mu.Lock()
 	k.stopping = true
 	k.mu.Unlock()
-	now := time.Now()
+	now := clock.Now()
 	owned := k.Racks.Owned()
 	claims := k.Peers.Claims(k.Hall, now)
 	present := make(map[string]string)
--- a/hall/keeper.go
+++ b/hall/keeper.go
@@ -11,6 +11,7 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
+	"dewpass.org/internal/clock"
 	"dewpass.org/internal/fault"
 	"dewpass.org/lease"
 	"dewpass.org/platform"
@@ -168,7 +169,7 @@
 }
 
 func (k *Keeper) step(ctx context.Context) {
-	now := time.Now()
+	now := clock.Now()
 	if k.guard.Tick(now) {
 		level.Warn(k.Log).Log("msg", "this process was paused", "action", "reading the rows of its racks again")
 		k.mu.Lock()
@@ -231,7 +232,7 @@
 func (k *Keeper) touch(sent time.Time) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if now := time.Now(); now.Sub(k.contact) > MemberLease {
+	if now := clock.Now(); now.Sub(k.contact) > MemberLease {
 		// Others may have taken racks over while the table was out of reach.
 		k.audited = time.Time{}
 	}
@@ -285,7 +286,7 @@
 	for i, r := range racks {
 		keys[i] = RackKey(k.Hall, r)
 	}
-	sent := time.Now()
+	sent := clock.Now()
 	rows, err := k.Table.Get(ctx, keys...)
 	if err != nil {
 		return nil, err
@@ -332,7 +333,7 @@
 	if k.isStopping() {
 		return
 	}
-	now := time.Now()
+	now := clock.Now()
 	racks := k.racks()
 	claims := k.claims(now)
 	present := make(map[string]string, len(claims))
--- a/hall/takeover.go
+++ b/hall/takeover.go
@@ -9,6 +9,7 @@
 
 	"github.com/go-kit/log/level"
 
+	"dewpass.org/internal/clock"
 	"dewpass.org/internal/fault"
 	"dewpass.org/lease"
 	"dewpass.org/platform"
@@ -91,7 +92,7 @@
 // lapsed reports whether the row of an owner has not changed for the length of
 // its lease. A row that is gone has lapsed: its owner took its leave.
 func (k *Keeper) lapsed(owner string, version uint64) bool {
-	now := time.Now()
+	now := clock.Now()
 	if version == 0 {
 		return true
 	}
@@ -136,7 +137,7 @@
 // some time. The workers decide: they accept a new owner only once the control
 // of the last one has lapsed.
 func (k *Keeper) takeLocally(wanted []string, racks map[string][]platform.Instance) {
-	if !k.CutOff(time.Now()) {
+	if !k.CutOff(clock.Now()) {
 		return
 	}
 	for _, r := range wanted {
@@ -158,7 +159,7 @@
 			local = append(local, r)
 		}
 	}
-	if len(local) == 0 || k.CutOff(time.Now()) {
+	if len(local) == 0 || k.CutOff(clock.Now()) {
 		return
 	}
 	own := make(map[string]string, len(local))
--- a/internal/fault/doc.go
+++ b/internal/fault/doc.go
@@ -4,8 +4,9 @@
 //
 // In the shipped binary At and Link are empty functions that the compiler
 // removes. A binary built with the tag "faults" looks a table up at each: a
-// point may hold the step up, end the process, or fail; a link may be cut or
-// slow. Tests change the table over HTTP; see Handler.
+// point may hold the step up, end the process, or fail; a link may be cut, slow,
+// or lose what comes back; the clock may run fast or slow. Tests change the
+// table over HTTP; see Handler.
 package fault
 
 // Point is a step of the program.
--- a/internal/fault/off.go
+++ b/internal/fault/off.go
@@ -15,5 +15,8 @@
 // Link returns an error if tests have cut the link to an address.
 func Link(string) error { return nil }
 
+// Reply returns an error if tests lose what comes back from an address.
+func Reply(string) error { return nil }
+
 // Handler changes the table of faults; there is none in this binary.
 func Handler() http.Handler { return nil }
--- a/internal/fault/on.go
+++ b/internal/fault/on.go
@@ -13,6 +13,7 @@
 	"syscall"
 	"time"
 
+	"dewpass.org/internal/clock"
 	"dewpass.org/kind"
 )
 
@@ -37,6 +38,10 @@
 	Stop bool `json:"stop,omitempty"`
 	// Cut fails the link.
 	Cut bool `json:"cut,omitempty"`
+	// Deaf loses what comes back over the link; what is sent arrives.
+	Deaf bool `json:"deaf,omitempty"`
+	// Rate is the speed of this process's clock, for a rule of its own.
+	Rate float64 `json:"rate,omitempty"`
 }
 
 var table struct {
@@ -72,6 +77,15 @@
 	return nil
 }
 
+// Reply returns an error if tests lose what comes back from an address.
+func Reply(addr string) error {
+	r, ok := match(func(r *Rule) bool { return r.Deaf && strings.Contains(addr, r.Addr) })
+	if !ok || r.Addr == "" {
+		return nil
+	}
+	return kind.New(kind.Lost, "the answer of "+addr+" is lost by a test")
+}
+
 // match finds the rule and counts its uses: a rule on a point is used once.
 func match(f func(*Rule) bool) (Rule, bool) {
 	table.mu.Lock()
@@ -104,6 +118,16 @@
 	}
 }
 
+// rate returns the speed of the clock that the rules ask for.
+func rate(rules []Rule) float64 {
+	for _, r := range rules {
+		if r.Rate > 0 {
+			return r.Rate
+		}
+	}
+	return 1
+}
+
 // Handler changes the table of faults: PUT replaces it, GET returns the rules
 // that are left.
 func Handler() http.Handler {
@@ -122,5 +146,6 @@
 		table.mu.Lock()
 		defer table.mu.Unlock()
 		table.rules = rules
+		clock.SetRate(rate(rules))
 	})
 }
--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -30,6 +30,8 @@
 	CutEvery int `json:"cut_every"`
 	// CrossEvery gives every so many starts the answer of another; 0 none.
 	CrossEvery int `json:"cross_every"`
+	// ClockRate is the speed of a worker's clock; 0 and 1 are the machine's.
+	ClockRate float64 `json:"clock_rate"`
 }
 
 // switches guards the Faults of one stand-in.
@@ -50,6 +52,17 @@
 	}
 }
 
+// lasting returns how long a length on this stand-in's clock takes on the
+// machine's.
+func (s *switches) lasting(length time.Duration) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.now.ClockRate == 0 {
+		return length
+	}
+	return time.Duration(float64(length) / s.now.ClockRate)
+}
+
 // plan is what befalls one request.
 type plan struct {
 	down, limited, lose, cut, cross bool
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/json"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -32,6 +33,8 @@
 	Service bool `json:"service"`
 	// Fail makes the task fail.
 	Fail bool `json:"fail"`
+	// Bytes is the size of filler in the answer.
+	Bytes int `json:"bytes"`
 	// SaveMS makes the task save a checkpoint so often; 0 is never.
 	SaveMS int64 `json:"save_ms"`
 }
@@ -42,6 +45,16 @@
 	Shop string `json:"shop"`
 	// Sum is the digest of the payload.
 	Sum string `json:"sum"`
+	// Filler makes the answer as large as the payload asks for.
+	Filler string `json:"filler,omitempty"`
+}
+
+// Filler returns the n bytes of filler in the answer of a task.
+func Filler(id string, n int) string {
+	if n == 0 {
+		return ""
+	}
+	return strings.Repeat(id, n/len(id)+1)[:n]
 }
 
 // forever is longer than any test.
@@ -181,6 +194,7 @@
 
 func (w *Worker) renew(length time.Duration) {
 	now := time.Now()
+	length = w.lasting(length)
 	w.leaseUntil = now.Add(length)
 	w.controlUntil = now.Add(length / controlShare)
 	time.AfterFunc(length+time.Millisecond, w.expire)
@@ -279,7 +293,7 @@
 
 // renewAtLeast gives the first task of an idle worker its lease.
 func (w *Worker) renewAtLeast(length time.Duration) {
-	if time.Now().Add(length).After(w.leaseUntil) {
+	if time.Now().Add(w.lasting(length)).After(w.leaseUntil) {
 		w.renew(length)
 	}
 }
@@ -334,7 +348,7 @@
 		w.end(t, platform.TaskFailed, "failed")
 		return
 	}
-	body, _ := json.Marshal(Body{Task: t.task.ID, Shop: t.task.Shop, Sum: platform.Digest(t.task.Payload)})
+	body, _ := json.Marshal(Body{Task: t.task.ID, Shop: t.task.Shop, Sum: platform.Digest(t.task.Payload), Filler: Filler(t.task.ID, t.payload.Bytes)})
 	t.answer = &platform.Answer{
 		ID: t.task.ID, Attempt: t.task.Attempt,
 		Length: len(body), Digest: platform.Digest(body), Body: body,
--- a/link/dialer.go
+++ b/link/dialer.go
@@ -59,6 +59,9 @@
 	if err := readFrame(stream, &reply); err != nil {
 		return nil, kind.Wrap(kind.Lost, err, "peer "+addr)
 	}
+	if err := fault.Reply("peer/" + addr); err != nil {
+		return nil, err
+	}
 	if err := wire.ErrorOf(reply.Error); err != nil {
 		return nil, err
 	}
--- a/owner/away.go
+++ b/owner/away.go
@@ -8,6 +8,7 @@
 
 	"github.com/go-kit/log/level"
 
+	"dewpass.org/internal/clock"
 	"dewpass.org/job"
 	"dewpass.org/lease"
 	"dewpass.org/platform"
@@ -27,7 +28,7 @@
 // start elsewhere by now is stopped. Once the table is back, every row is read
 // again before anything is started: jobs may have been moved. The lock is held.
 func (o *Owner) moveOn() {
-	gone := time.Since(o.Shown())
+	gone := clock.Since(o.Shown())
 	if gone < awayAfter {
 		if o.away {
 			o.away = false
--- a/owner/call.go
+++ b/owner/call.go
@@ -8,6 +8,7 @@
 
 	"go.opentelemetry.io/otel/attribute"
 
+	"dewpass.org/internal/clock"
 	"dewpass.org/internal/fault"
 	"dewpass.org/job"
 	"dewpass.org/kind"
@@ -66,13 +67,13 @@
 	left := time.Duration(req.LeftUs) * time.Microsecond
 	ctx, cancel := context.WithTimeout(ctx, left)
 	defer cancel()
-	began := time.Now()
+	began := clock.Now()
 	t, err := o.admit(ctx, w, req, left)
 	if err != nil {
 		return nil, err
 	}
 	defer o.endCall(t)
-	waited := time.Since(began)
+	waited := clock.Since(began)
 	o.Scope.Tagged(map[string]string{"workload": w.Path}).Timer("wait").Record(waited)
 	fault.At(fault.Placed)
 	ans, err := o.runCall(ctx, t, req)
--- a/owner/load.go
+++ b/owner/load.go
@@ -7,6 +7,7 @@
 
 	"github.com/go-kit/log/level"
 
+	"dewpass.org/internal/clock"
 	"dewpass.org/job"
 	"dewpass.org/lease"
 	"dewpass.org/platform"
@@ -190,11 +191,11 @@
 	w := c.Workloads[js.row.Workload]
 	if w != nil && w.CutOff == tree.Move {
 		stopped := w.MoveAfter + lease.Margin(w.MoveAfter) + 2*o.TaskLease
-		if time.Since(js.rack.since) > stopped {
+		if clock.Since(js.rack.since) > stopped {
 			return true
 		}
 	}
-	if o.othersStopped(js.rack, time.Now()) {
+	if o.othersStopped(js.rack, clock.Now()) {
 		return true
 	}
 	for name, worker := range js.rack.workers {
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -14,6 +14,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"dewpass.org/hall"
+	"dewpass.org/internal/clock"
 	"dewpass.org/job"
 	"dewpass.org/journal"
 	"dewpass.org/lease"
@@ -144,7 +145,7 @@
 	return &Owner{
 		Config:  c,
 		base:    ctx,
-		start:   time.Now(),
+		start:   clock.Now(),
 		guard:   lease.Guard{Limit: pauseLimit},
 		racks:   make(map[string]*rack),
 		workers: make(map[sched.WorkerID]*worker),
@@ -160,7 +161,7 @@
 }
 
 // now is the time as the cell counts it.
-func (o *Owner) now() time.Duration { return time.Since(o.start) }
+func (o *Owner) now() time.Duration { return clock.Since(o.start) }
 
 // Run keeps the books until ctx ends.
 func (o *Owner) Run(ctx context.Context) {
@@ -190,7 +191,7 @@
 // it knew before may be long over. The lock is held. It comes before every
 // decision.
 func (o *Owner) checkPause() {
-	if !o.guard.Tick(time.Now()) {
+	if !o.guard.Tick(clock.Now()) {
 		return
 	}
 	level.Warn(o.Log).Log("msg", "this process was paused", "action", "attaching all workers again")
@@ -290,7 +291,7 @@
 }
 
 // wall is the wall clock's time at which the cell's clock began.
-func (o *Owner) wall() time.Time { return time.Now().Add(-o.now()) }
+func (o *Owner) wall() time.Time { return clock.Now().Add(-o.now()) }
 
 // Job returns a job of an owned rack. Unless it is over, Job waits for its end
 // until ctx ends.
--- a/owner/racks.go
+++ b/owner/racks.go
@@ -6,6 +6,7 @@
 	"context"
 	"time"
 
+	"dewpass.org/internal/clock"
 	"dewpass.org/kind"
 	"dewpass.org/lease"
 	"dewpass.org/platform"
@@ -28,7 +29,7 @@
 	ctx, cancel := context.WithCancel(o.base)
 	r = &rack{
 		name: name, id: sched.RackID(o.names.of("rack/" + name)),
-		epoch: epoch, row: row, since: time.Now(),
+		epoch: epoch, row: row, since: clock.Now(),
 		workers: make(map[string]*worker), ctx: ctx, cancel: cancel,
 	}
 	o.racks[name] = r
--- a/owner/report.go
+++ b/owner/report.go
@@ -7,6 +7,7 @@
 
 	"github.com/go-kit/log/level"
 
+	"dewpass.org/internal/clock"
 	"dewpass.org/internal/fault"
 	"dewpass.org/job"
 	"dewpass.org/platform"
@@ -20,7 +21,7 @@
 		return
 	}
 	fault.At(fault.Running)
-	now := time.Now().UTC()
+	now := clock.Now().UTC()
 	o.change(js, job.Running, func(j *job.Job) {
 		j.Attempt = t.spec.Attempt
 		j.Worker = t.worker.name
@@ -49,7 +50,7 @@
 	if js == nil || js.row.State.Over() || js.row.State == s {
 		return
 	}
-	now := time.Now().UTC()
+	now := clock.Now().UTC()
 	t := js.task
 	if !o.change(js, s, func(j *job.Job) {
 		f(j)
--- a/owner/save.go
+++ b/owner/save.go
@@ -10,6 +10,7 @@
 	"github.com/go-kit/log/level"
 
 	"dewpass.org/hall"
+	"dewpass.org/internal/clock"
 	"dewpass.org/job"
 	"dewpass.org/journal"
 	"dewpass.org/kind"
@@ -162,7 +163,7 @@
 		ID: req.Id, Shop: req.Shop, Key: req.Key, Workload: req.Workload, Payload: req.Payload,
 		Repeat: platform.RepeatNever, Call: true, Hall: o.Hall, Rack: r.name,
 		State: job.Dispatched, Attempt: 1, Worker: t.worker.name, Incarnation: t.worker.incarnation,
-		Submitted: time.Now().UTC(),
+		Submitted: clock.Now().UTC(),
 	}
 	js := newJobState(row, 0, r)
 	js.task = t
--- a/owner/witness.go
+++ b/owner/witness.go
@@ -5,6 +5,7 @@
 import (
 	"time"
 
+	"dewpass.org/internal/clock"
 	"dewpass.org/lease"
 	"dewpass.org/platform"
 	"dewpass.org/sched"
@@ -13,7 +14,7 @@
 // sweep settles the tasks of workers whose leases are surely over, and moves
 // tasks off workers that leave. The lock is held.
 func (o *Owner) sweep() {
-	now := time.Now()
+	now := clock.Now()
 	for _, r := range o.racks {
 		o.witness(r, now)
 		o.lookAgain(r, now)
--- a/owner/worker.go
+++ b/owner/worker.go
@@ -10,6 +10,7 @@
 	"github.com/go-faster/errors"
 	"github.com/go-kit/log/level"
 
+	"dewpass.org/internal/clock"
 	"dewpass.org/internal/fault"
 	"dewpass.org/kind"
 	"dewpass.org/lease"
@@ -66,7 +67,7 @@
 	w := &worker{
 		name: in.ID, addr: in.Addr, rack: r, api: o.Connect(in.Addr),
 		id: sched.NoWorker, epoch: r.epoch, listedLeaving: in.Leaving,
-		renewed: time.Now(), generation: make(chan struct{}), cancel: cancel,
+		renewed: clock.Now(), generation: make(chan struct{}), cancel: cancel,
 	}
 	r.workers[in.ID] = w
 	go o.serve(ctx, w)
@@ -198,7 +199,7 @@
 	w.attached, w.over = true, false
 	w.leaving = reply.Leaving
 	w.seq = reply.Seq
-	w.renewed = time.Now()
+	w.renewed = clock.Now()
 	reported := make(map[string]bool, len(reply.Tasks))
 	for _, rep := range reply.Tasks {
 		reported[rep.Task.ID] = true
@@ -284,7 +285,7 @@
 		return platform.WatchReply{}, err
 	}
 	o.mu.Lock()
-	w.renewed = time.Now()
+	w.renewed = clock.Now()
 	api := w.api
 	o.mu.Unlock()
 	reply, err := api.Watch(ctx, req)
--- a/test/bed/admin.go
+++ b/test/bed/admin.go
@@ -11,6 +11,7 @@
 	"dewpass.org/front"
 	"dewpass.org/internal/client"
 	"dewpass.org/internal/standin"
+	"dewpass.org/platform"
 )
 
 // Owners returns the owner of each rack, as the entries that run see it.
@@ -92,3 +93,13 @@
 func (b *Bed) Worker(ctx context.Context, id, what string) error {
 	return b.Admin.Do(ctx, http.MethodPost, "/worker/"+id+"/"+what, nil, nil)
 }
+
+// List puts an instance into the platform's list, whether it is there or not.
+func (b *Bed) List(ctx context.Context, in platform.Instance) error {
+	return b.Admin.Do(ctx, http.MethodPut, "/instances", in, nil)
+}
+
+// Unlist takes an instance out of the platform's list, though it may live.
+func (b *Bed) Unlist(ctx context.Context, id string) error {
+	return b.Admin.Do(ctx, http.MethodDelete, "/instances/"+id, nil, nil)
+}
--- a/test/bed/bed.go
+++ b/test/bed/bed.go
@@ -43,6 +43,9 @@
 	OTLP string
 	// Pprof serves profiles.
 	Pprof bool
+	// Lane is the number of the process that starts beds beside others, so that
+	// they do not take each other's ports.
+	Lane int
 }
 
 // Bed is a running deployment.
@@ -66,7 +69,7 @@
 
 // Start starts a deployment and waits until every entry is ready.
 func Start(ctx context.Context, o Options) (*Bed, error) {
-	config, err := plan(o.Deployment, o.PerHall)
+	config, err := plan(o.Deployment, o.PerHall, o.Lane)
 	if err != nil {
 		return nil, errors.Wrap(err, "ports")
 	}
--- a/test/bed/config.go
+++ b/test/bed/config.go
@@ -5,7 +5,6 @@
 import (
 	"fmt"
 	"net"
-	"os"
 	"sync"
 
 	"github.com/go-faster/errors"
@@ -45,10 +44,15 @@
 	return platform.Instance{ID: e.ID, Role: platform.RoleEntry, Hall: e.Hall, Addr: e.Peer}
 }
 
+// Instance returns the worker as the platform lists it.
+func (w WorkerSpec) Instance() platform.Instance {
+	return platform.Instance{ID: w.ID, Role: platform.RoleWorker, Hall: w.Hall, Rack: w.Rack, Addr: w.Addr}
+}
+
 // plan lays a deployment out on free ports of the loopback.
-func plan(d Deployment, perHall int) (StandIn, error) {
+func plan(d Deployment, perHall, lane int) (StandIn, error) {
 	workers := len(d.Halls) * d.RacksPerHall * d.WorkersPerRack
-	ports, err := freePorts(2 + workers + 2*perHall*len(d.Halls))
+	ports, err := freePorts(lane, 2+workers+2*perHall*len(d.Halls))
 	if err != nil {
 		return StandIn{}, err
 	}
@@ -79,8 +83,9 @@
 // connections, so that a process that is restarted finds its port free.
 const (
 	firstPort = 10000
-	numPorts  = 22000
-	portStep  = 1543
+	lanePorts = 2700
+	// lanes is how many processes may start beds side by side.
+	lanes = 8
 )
 
 // nextPort is where the next bed of this process looks for ports.
@@ -89,19 +94,19 @@
 	at int
 }
 
-// freePorts returns addresses of the loopback that nobody listens on.
-func freePorts(n int) ([]string, error) {
+// freePorts returns addresses of the loopback that nobody listens on. Each lane
+// has ports of its own: those of an entry that is down for a moment are free,
+// and must not go to the bed of another process.
+func freePorts(lane, n int) ([]string, error) {
 	nextPort.Lock()
 	defer nextPort.Unlock()
-	if nextPort.at == 0 {
-		nextPort.at = os.Getpid() * portStep
-	}
 	var out []string
 	for tries := 0; len(out) < n; tries++ {
-		if tries > numPorts {
+		if tries > lanePorts {
 			return nil, errors.New("no free ports")
 		}
-		addr := fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort.at%numPorts)
+		port := firstPort + lane%lanes*lanePorts + nextPort.at%lanePorts
+		addr := fmt.Sprintf("127.0.0.1:%d", port)
 		nextPort.at++
 		l, err := net.Listen("tcp", addr)
 		if err != nil {
--- a/test/load/doc.go
+++ b/test/load/doc.go
@@ -142,7 +142,7 @@
 	if err := json.Unmarshal(answer, &got); err != nil {
 		return errors.Wrap(ErrWrong, err.Error())
 	}
-	want := standin.Body{Task: id, Shop: it.Shop, Sum: platform.Digest(payload)}
+	want := standin.Body{Task: id, Shop: it.Shop, Sum: platform.Digest(payload), Filler: standin.Filler(id, it.Payload.Bytes)}
 	if got != want {
 		return errors.Wrap(ErrWrong, fmt.Sprintf("got %+v, want %+v", got, want))
 	}
--- a/test/load/run.go
+++ b/test/load/run.go
@@ -27,6 +27,8 @@
 	Runs time.Duration
 	Once bool
 	Job  bool
+	// Bytes is the size of filler in each answer.
+	Bytes int
 	// Save is how often a task saves a checkpoint; 0 is never.
 	Save time.Duration
 }
--- a/test/load/track.go
+++ b/test/load/track.go
@@ -89,7 +89,7 @@
 
 func (t *Tracker) one(ctx context.Context, s Stream) {
 	it := NewItem(s.Workload, s.Runs)
-	it.Payload.SaveMS = s.Save.Milliseconds()
+	it.Payload.SaveMS, it.Payload.Bytes = s.Save.Milliseconds(), s.Bytes
 	it.FirstTry = true
 	if !s.Once && !s.Job {
 		it.Key = ""
--- a/test/proof/failure_test.go
+++ b/test/proof/failure_test.go
@@ -322,6 +322,9 @@
 	Exit    bool   `json:"exit,omitempty"`
 	Stop    bool   `json:"stop,omitempty"`
 	Cut     bool   `json:"cut,omitempty"`
+	Deaf    bool   `json:"deaf,omitempty"`
+	// Rate is the speed of the entry's clock.
+	Rate float64 `json:"rate,omitempty"`
 }
 
 // cutHall cuts the links of a hall's entries to the platform and to the other
--- /dev/null
+++ b/test/proof/lost_test.go
@@ -0,0 +1,159 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package proof
+
+import (
+	"context"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"dewpass.org/internal/standin"
+	"dewpass.org/platform"
+	"dewpass.org/test/bed"
+	"dewpass.org/test/load"
+)
+
+// tooLarge is more than a job's row holds of an answer.
+const tooLarge = 40 << 10
+
+var _ = Describe("what is lost on the way", func() {
+	It("the answers of links that carry one way only", func(ctx context.Context) {
+		b := startBed(ctx, bed.Kartvela, 2)
+		openWindows(ctx, b)
+		under(ctx, b, 12*time.Second, func() {
+			for i, p := range b.Entries {
+				var rules []rule
+				switch i % 3 {
+				case 0:
+					rules = append(rules, rule{Addr: "platform", Deaf: true})
+				case 1:
+					for _, o := range b.Entries {
+						rules = append(rules, rule{Addr: "peer/" + o.Addr.Peer, Deaf: true})
+					}
+				default:
+					for _, w := range b.Config.Workers {
+						rules = append(rules, rule{Addr: w.Addr, Deaf: true})
+					}
+				}
+				Expect(p.Faults(ctx, rules)).To(Succeed())
+				time.Sleep(1500 * time.Millisecond)
+				Expect(p.Faults(ctx, []rule{})).To(Succeed())
+			}
+		})
+	}, SpecTimeout(specTime))
+
+	It("an object store that is away, slow, and loses answers, keeps no job from its whole answer", func(ctx context.Context) {
+		b := startBed(ctx, bed.Kartvela, 2)
+		openWindows(ctx, b)
+		t := &load.Tracker{Clients: b.Clients(), Seed: 1}
+		stream := load.Stream{Workload: "tracing/trace", PerSecond: 8, Runs: time.Second, Job: true, Bytes: tooLarge, Save: 300 * time.Millisecond}
+		t.Send(ctx, stream, 9*time.Second)
+		for _, f := range []standin.Faults{{Down: true}, {DelayMS: 150, PerSecond: 20}, {LoseEvery: 2}} {
+			Expect(b.Fault(ctx, "objects", f)).To(Succeed())
+			time.Sleep(3 * time.Second)
+		}
+		said := t.Wait()
+		Expect(b.Fault(ctx, "objects", standin.Faults{})).To(Succeed())
+		for _, s := range said {
+			Expect(s.Outcome).To(Equal(load.Accepted), "%v", s.Err)
+		}
+		verify(ctx, b, said)
+	}, SpecTimeout(specTime))
+})
+
+var _ = Describe("clocks that run fast or slow", func() {
+	const (
+		fast = 1.05
+		slow = 0.95
+	)
+	// setClocks makes the entries run fast and slow in turn, and the workers
+	// the other way round.
+	setClocks := func(ctx context.Context, b *bed.Bed) {
+		GinkgoHelper()
+		rates := []float64{fast, slow}
+		for i, p := range b.Entries {
+			Expect(p.Faults(ctx, []rule{{Rate: rates[i%2]}})).To(Succeed())
+		}
+		for i, w := range b.Config.Workers {
+			Expect(b.Fault(ctx, "worker/"+w.ID, standin.Faults{ClockRate: rates[(i+1)%2]})).To(Succeed())
+		}
+	}
+
+	It("keep every promise under load, kills and pauses", func(ctx context.Context) {
+		b := startBed(ctx, bed.Comhar, 2)
+		openWindows(ctx, b)
+		setClocks(ctx, b)
+		under(ctx, b, 14*time.Second, func() {
+			time.Sleep(2 * time.Second)
+			b.Entries[0].Freeze()
+			time.Sleep(5 * time.Second)
+			b.Entries[0].Thaw()
+			b.Entries[2].Kill()
+		})
+	}, SpecTimeout(specTime))
+
+	It("start nothing again at a fast owner while a slow worker that it cannot reach may run it", func(ctx context.Context) {
+		b := startBed(ctx, bed.Kartvela, 2)
+		said := submitAt(ctx, b, "kutaisi-a", 3, 30*time.Second)
+		byWorker := make(map[string]bool)
+		for _, s := range said {
+			row, err := load.Get(ctx, b.Balancer, s.ID)
+			Expect(err).NotTo(HaveOccurred())
+			byWorker[row.Worker] = true
+		}
+		for worker := range byWorker {
+			Expect(b.Fault(ctx, "worker/"+worker, standin.Faults{ClockRate: slow})).To(Succeed())
+		}
+		for _, p := range b.Entries {
+			rules := []rule{{Rate: fast}}
+			for worker := range byWorker {
+				rules = append(rules, rule{Addr: "worker/" + worker, Cut: true})
+			}
+			Expect(p.Faults(ctx, rules)).To(Succeed())
+		}
+		starts := func() int {
+			tags, err := b.Starts(ctx)
+			Expect(err).NotTo(HaveOccurred())
+			most := 0
+			for _, s := range said {
+				most = max(most, tags[s.Item.Payload.Tag])
+			}
+			return most
+		}
+		Eventually(starts).WithTimeout(time.Minute).Should(BeNumerically(">", 1), "they are started elsewhere in the end")
+		heal(ctx, b)
+		verify(ctx, b, said)
+	}, SpecTimeout(specTime))
+})
+
+var _ = Describe("a list of instances that lags and is wrong", func() {
+	It("changes nothing that workers and peers show themselves", func(ctx context.Context) {
+		b := startBed(ctx, bed.Kartvela, 2)
+		openWindows(ctx, b)
+		under(ctx, b, 10*time.Second, func() {
+			for i, w := range b.Config.Workers {
+				if i%5 != 0 {
+					continue
+				}
+				// A living worker vanishes from the list, and a stranger appears.
+				Expect(b.Unlist(ctx, w.ID)).To(Succeed())
+				stranger := platform.Instance{ID: "stranger-" + w.ID, Role: platform.RoleWorker, Hall: w.Hall, Rack: w.Rack, Addr: "127.0.0.1:9"}
+				Expect(b.List(ctx, stranger)).To(Succeed())
+			}
+			time.Sleep(5 * time.Second)
+			for i, w := range b.Config.Workers {
+				if i%5 == 0 {
+					Expect(b.Unlist(ctx, "stranger-"+w.ID)).To(Succeed())
+					Expect(b.List(ctx, w.Instance())).To(Succeed())
+				}
+			}
+		})
+		Eventually(func(g Gomega) {
+			owners, err := b.Owners(ctx)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(owners).To(HaveLen(6))
+		}).Should(Succeed())
+	}, SpecTimeout(specTime))
+})
--- a/test/proof/matrix_test.go
+++ b/test/proof/matrix_test.go
@@ -32,7 +32,7 @@
 var smallMix = []load.Stream{
 	{Workload: "tinting/shade-lookup", PerSecond: 30, Runs: 8 * time.Millisecond},
 	{Workload: "tinting/dispense-order", PerSecond: 15, Runs: 30 * time.Millisecond, Once: true},
-	{Workload: "nightly/recalibration", PerSecond: 4, Runs: 600 * time.Millisecond, Job: true, Save: 150 * time.Millisecond},
+	{Workload: "nightly/recalibration", PerSecond: 4, Runs: 600 * time.Millisecond, Job: true, Save: 150 * time.Millisecond, Bytes: tooLarge},
 }
 
 // befall is what is brought about when a step is reached.
@@ -46,9 +46,19 @@
 	workerDies  befall = "worker crash"
 	workerCut   befall = "worker cut"
 	peerCut     befall = "peer cut"
+	peerDeaf    befall = "peer's answers lost"
+	workerDeaf  befall = "worker's answers lost"
+	workerGoes  befall = "worker leaving"
+	tableSlow   befall = "table slow and short of rate"
+	objectsDown befall = "objects down"
+	clockFast   befall = "clock fast"
+	clockSlow   befall = "clock slow"
 )
 
-var befalls = []befall{exits, freezes, tableDown, answersLost, workerDies, workerCut, peerCut}
+var befalls = []befall{
+	exits, freezes, tableDown, answersLost, workerDies, workerCut, peerCut,
+	peerDeaf, workerDeaf, workerGoes, tableSlow, objectsDown, clockFast, clockSlow,
+}
 
 // cell is one cell of the matrix: a step and what befalls it. A pair has two.
 type cell struct {
@@ -165,6 +175,7 @@
 	}
 	b, err := bed.Start(ctx, bed.Options{
 		Deployment: small, PerHall: 2, Dir: dir, TaskLease: taskLease, Debug: true,
+		Lane:    GinkgoParallelProcess(),
 		Dewpass: binaries + "/dewpass", StandIn: binaries + "/standin", Examples: "../../examples",
 	})
 	if err != nil {
@@ -173,6 +184,9 @@
 	defer b.Close()
 	r := &cellRun{b: b, c: c}
 	broken = r.run(ctx)
+	for _, log := range races(dir) {
+		broken = append(broken, "data race in "+log)
+	}
 	if len(broken) == 0 {
 		_ = os.RemoveAll(dir)
 	} else {
@@ -307,7 +321,7 @@
 }
 
 func (r *cellRun) befall(ctx context.Context, what befall) {
-	rack := r.b.Config.Workers[0].ID
+	worker := r.b.Config.Workers[0]
 	switch what {
 	case exits:
 		r.target.Kill()
@@ -316,26 +330,49 @@
 		time.Sleep(frozen)
 		r.target.Thaw()
 	case tableDown:
-		_ = r.b.Fault(ctx, "table", standin.Faults{Down: true})
-		time.Sleep(outage)
-		_ = r.b.Fault(ctx, "table", standin.Faults{})
+		r.trouble(ctx, "table", standin.Faults{Down: true})
 	case answersLost:
-		_ = r.b.Fault(ctx, "table", standin.Faults{LoseEvery: 2})
-		time.Sleep(outage)
-		_ = r.b.Fault(ctx, "table", standin.Faults{})
+		r.trouble(ctx, "table", standin.Faults{LoseEvery: 2})
+	case tableSlow:
+		r.trouble(ctx, "table", standin.Faults{DelayMS: 80, PerSecond: 40})
+	case objectsDown:
+		r.trouble(ctx, "objects", standin.Faults{Down: true})
 	case workerDies:
-		_ = r.b.Worker(ctx, rack, "crash")
-		time.Sleep(outage)
-		_ = r.b.Worker(ctx, rack, "restart")
+		r.atWorker(ctx, worker.ID, "crash", "restart")
+	case workerGoes:
+		r.atWorker(ctx, worker.ID, "leave", "return")
 	case workerCut:
-		r.cut(ctx, rule{Addr: "worker/" + rack, Cut: true})
+		r.withRule(ctx, rule{Addr: "worker/" + worker.ID, Cut: true})
+	case workerDeaf:
+		r.withRule(ctx, rule{Addr: worker.Addr, Deaf: true})
 	case peerCut:
-		r.cut(ctx, rule{Addr: "peer/" + r.peer.Addr.Peer, Cut: true})
+		r.withRule(ctx, rule{Addr: "peer/" + r.peer.Addr.Peer, Cut: true})
+	case peerDeaf:
+		r.withRule(ctx, rule{Addr: "peer/" + r.peer.Addr.Peer, Deaf: true})
+	case clockFast:
+		r.withRule(ctx, rule{Rate: 1.05})
+	case clockSlow:
+		r.withRule(ctx, rule{Rate: 0.95})
 	}
 }
 
-func (r *cellRun) cut(ctx context.Context, link rule) {
-	_ = r.target.Faults(ctx, []rule{link})
+// trouble sets the switches of a service of the platform for a while.
+func (r *cellRun) trouble(ctx context.Context, what string, f standin.Faults) {
+	_ = r.b.Fault(ctx, what, f)
+	time.Sleep(outage)
+	_ = r.b.Fault(ctx, what, standin.Faults{})
+}
+
+// atWorker brings an event about at a worker, and ends it after a while.
+func (r *cellRun) atWorker(ctx context.Context, id, begin, end string) {
+	_ = r.b.Worker(ctx, id, begin)
+	time.Sleep(outage)
+	_ = r.b.Worker(ctx, id, end)
+}
+
+// withRule sets a rule at the target for a while.
+func (r *cellRun) withRule(ctx context.Context, added rule) {
+	_ = r.target.Faults(ctx, []rule{added})
 	time.Sleep(outage)
 	_ = r.target.Faults(ctx, []rule{})
 }
--- a/test/proof/suite_test.go
+++ b/test/proof/suite_test.go
@@ -3,6 +3,7 @@
 package proof
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"net/http"
@@ -31,7 +32,11 @@
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(os.RemoveAll, dir)
 	binaries = dir
-	build("-tags", "faults", "-o", dir, "dewpass.org/cmd/dewpass", "dewpass.org/test/standin")
+	args := []string{"-tags", "faults", "-o", dir, "dewpass.org/cmd/dewpass", "dewpass.org/test/standin"}
+	if os.Getenv("PROOF_RACE") != "" {
+		args = append([]string{"-race"}, args...)
+	}
+	build(args...)
 })
 
 func build(args ...string) {
@@ -53,6 +58,7 @@
 	Expect(err).NotTo(HaveOccurred())
 	options := bed.Options{
 		Deployment: d, PerHall: perHall, Dir: dir, TaskLease: taskLease, Debug: true,
+		Lane:     GinkgoParallelProcess(),
 		Dewpass:  filepath.Join(binaries, "dewpass"),
 		StandIn:  filepath.Join(binaries, "standin"),
 		Examples: "../../examples",
@@ -63,7 +69,10 @@
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(b.Close)
 	DeferCleanup(func() { keepEvents(b, dir) })
-	DeferCleanup(func() { judge(b) })
+	DeferCleanup(func() {
+		judge(b)
+		Expect(races(dir)).To(BeEmpty(), "data races")
+	})
 	return b
 }
 
@@ -79,6 +88,19 @@
 	_ = os.RemoveAll(dir)
 }
 
+// races returns the logs in which the race detector spoke; see PROOF_RACE.
+func races(dir string) []string {
+	var out []string
+	logs, _ := filepath.Glob(filepath.Join(dir, "*.log"))
+	for _, log := range logs {
+		raw, err := os.ReadFile(log)
+		if err == nil && bytes.Contains(raw, []byte("WARNING: DATA RACE")) {
+			out = append(out, log)
+		}
+	}
+	return out
+}
+
 // keepEvents keeps what the workers wrote down in a spec that failed.
 func keepEvents(b *bed.Bed, dir string) {
 	if !CurrentSpecReport().Failed() {
