expiry: what is over is removed from the table and the object store

Weighed: a scan of all rows (costs what is kept, not what is due); a time to live in the platform (it offers none). Chosen: an expiry row whose key begins with the time, written by the transaction that ends the job; one instance of a hall reads these rows from the front. The setting keep says for how long, 168h if nobody does.

internal/fault: a step at which the process is stopped goes on only after the stop has taken effect.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -102,7 +102,7 @@
 	e.workers = platform.NewWorkers()
 	e.register = &tree.Register{}
 	e.store = &tree.Store{Table: e.platform, Now: time.Now}
-	e.journal = journal.New(e.platform, s.Instance, e.boot)
+	e.journal = journal.New(e.platform, s.Hall, s.Instance+"/"+e.boot)
 	e.peers = hall.NewPeers(s.Instance, s.Hall, s.Peers)
 	e.dialer = &link.Dialer{}
 	e.server = &link.Server{Handler: e}
@@ -216,6 +216,7 @@
 	go e.front.Flush(work)
 	go e.serve(work)
 	go e.rescue(work)
+	go e.sweep(work)
 	var keeping context.Context
 	keeping, e.reader.stopKeeper = context.WithCancel(work)
 	e.reader.keeperDone = make(chan struct{})
--- /dev/null
+++ b/expiry/expiry_test.go
@@ -0,0 +1,159 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package expiry_test
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/oklog/ulid/v2"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"dewpass.org/expiry"
+	"dewpass.org/internal/standin"
+	"dewpass.org/job"
+	"dewpass.org/journal"
+	"dewpass.org/kind"
+	"dewpass.org/platform"
+)
+
+func TestExpiry(t *testing.T) {
+	RegisterFailHandler(Fail)
+	SetDefaultEventuallyTimeout(30 * time.Second)
+	RunSpecs(t, "expiry")
+}
+
+// objects is an object store in which deletes can fail.
+type objects struct {
+	standin.Objects
+	down bool
+}
+
+func (o *objects) PutObject(_ context.Context, key string, body []byte) error {
+	o.Put(key, body)
+	return nil
+}
+
+func (o *objects) GetObject(_ context.Context, key string) ([]byte, error) { return o.Get(key), nil }
+
+func (o *objects) DeleteObject(_ context.Context, key string) error {
+	if o.down {
+		return kind.New(kind.Unavailable, "test")
+	}
+	o.Delete(key)
+	return nil
+}
+
+var _ = Describe("a sweeper", func() {
+	var table *standin.Local
+	var store *objects
+	var s *expiry.Sweeper
+	now := time.Date(2026, 3, 1, 3, 0, 0, 0, time.UTC)
+	BeforeEach(func() {
+		table, store = standin.NewLocal(), &objects{}
+		j := journal.New(table, "h", "sweeper/boot")
+		ctx, cancel := context.WithCancel(context.Background())
+		DeferCleanup(cancel)
+		go j.Run(ctx)
+		s = &expiry.Sweeper{Hall: "h", Table: table, Objects: store, Journal: j}
+	})
+	put := func(puts ...platform.Put) { table.Table.Commit(platform.Txn{Puts: puts}) }
+	// add writes a job as its owner does.
+	add := func(id string, state job.State, expires time.Time) {
+		row := job.Job{ID: id, Shop: "s", Key: "k-" + id, Hall: "h", State: state, Expires: &expires, AnswerObject: "answer/" + id}
+		store.Put(row.AnswerObject, []byte("x"))
+		put(platform.Put{Key: job.RowKey(id), Value: job.Encode(row)},
+			platform.Put{Key: job.KeyRow("s", row.Key), Value: job.Encode(job.Key{ID: id})},
+			job.ExpiryOf(row).Put())
+	}
+	keys := func() []string {
+		var out []string
+		for _, r := range table.Table.Scan("", "", 0) {
+			if !strings.HasPrefix(r.Key, journal.Prefix("h")) {
+				out = append(out, r.Key)
+			}
+		}
+		return out
+	}
+
+	It("removes what is due with its key and objects, page by page, and nothing else", func(ctx context.Context) {
+		for i := range 250 {
+			add(fmt.Sprintf("due-%03d", i), job.Done, now.Add(-time.Duration(i+1)*time.Second))
+		}
+		add("later", job.Done, now.Add(time.Second))
+		refused := job.Expiry{Hall: "h", At: now.Add(-time.Hour), Shop: "s", Key: "refused"}
+		put(refused.Put(), platform.Put{Key: job.KeyRow("s", "refused"), Value: job.Encode(job.Key{Refused: true})})
+		table.Set(func(l *standin.Local) {
+			l.Before = func(platform.Txn) error { time.Sleep(2 * time.Millisecond); return nil }
+		})
+		before := table.Commits()
+		n, err := s.Jobs(ctx, now)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(n).To(Equal(251))
+		Expect(table.Commits()-before).To(BeNumerically("<", 125), "removals share transactions")
+		Expect(keys()).To(HaveLen(3), "%v", keys())
+		Expect(store.Keys()).To(ConsistOf("answer/later"))
+	})
+
+	It("leaves a job that is not over, and a key that stands for another request", func(ctx context.Context) {
+		add("runs", job.Unknown, now.Add(-time.Hour))
+		add("over", job.Done, now.Add(-time.Hour))
+		put(platform.Put{Key: job.KeyRow("s", "k-over"), Value: job.Encode(job.Key{ID: "another"})})
+		_, err := s.Jobs(ctx, now)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(keys()).To(ConsistOf(job.RowKey("runs"), job.KeyRow("s", "k-over")))
+	})
+
+	It("keeps the rows while the objects that they name cannot be removed", func(ctx context.Context) {
+		add("a", job.Done, now.Add(-time.Hour))
+		store.down = true
+		_, err := s.Jobs(ctx, now)
+		Expect(kind.Is(err, kind.Unavailable)).To(BeTrue())
+		Expect(keys()).To(HaveLen(3))
+		store.down = false
+		n, err := s.Jobs(ctx, now)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(n).To(Equal(1))
+		Expect(keys()).To(BeEmpty())
+	})
+
+	It("removes nothing that changes while it looks", func(ctx context.Context) {
+		add("a", job.Done, now.Add(-time.Hour))
+		changed := false
+		table.Set(func(l *standin.Local) {
+			l.Before = func(t platform.Txn) error {
+				if !changed {
+					changed = true
+					put(platform.Put{Key: job.KeyRow("s", "k-a"), Value: job.Encode(job.Key{ID: "another"})})
+				}
+				return nil
+			}
+		})
+		n, err := s.Jobs(ctx, now)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(n).To(BeZero())
+		Expect(keys()).To(HaveLen(3))
+	})
+
+	It("removes the rows of instances a day after their last use", func(ctx context.Context) {
+		seen := func(at time.Time) []byte { return fmt.Appendf(nil, `{"at":%d}`, at.Unix()) }
+		nonce := func(at time.Time) []byte {
+			id := ulid.MustNew(ulid.Timestamp(at), ulid.DefaultEntropy())
+			return []byte(id.String())
+		}
+		long, short := now.Add(-25*time.Hour), now.Add(-time.Hour)
+		put(platform.Put{Key: "member/h/gone", Value: seen(long)}, platform.Put{Key: "member/h/here", Value: seen(short)},
+			platform.Put{Key: journal.Prefix("h") + "gone/1", Value: nonce(long)},
+			platform.Put{Key: journal.Prefix("h") + "here/1", Value: nonce(short)},
+			platform.Put{Key: "member/other/gone", Value: seen(long)})
+		n, err := s.Instances(ctx, now)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(n).To(Equal(2))
+		Expect(keys()).To(ConsistOf("member/h/here", "member/other/gone"))
+		Expect(table.Table.Get(journal.Prefix("h") + "here/1")[0].Version).NotTo(BeZero())
+	})
+})
--- a/front/refusal.go
+++ b/front/refusal.go
@@ -10,10 +10,12 @@
 	"github.com/go-faster/errors"
 	"github.com/go-kit/log/level"
 
+	"dewpass.org/internal/clock"
 	"dewpass.org/job"
 	"dewpass.org/journal"
 	"dewpass.org/kind"
 	"dewpass.org/platform"
+	"dewpass.org/tree"
 	"dewpass.org/wire"
 )
 
@@ -122,7 +124,7 @@
 	digest := job.RequestDigest(req.Workload, req.Payload)
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), refuseTime)
 	defer cancel()
-	_, err := f.Journal.Commit(ctx, closing(req, digest, e.Kind.String()))
+	_, err := f.Journal.Commit(ctx, f.closing(req, digest, e.Kind.String()))
 	switch {
 	case err == nil:
 		return job.Job{}, cause
@@ -136,13 +138,18 @@
 	return job.Job{}, unknown.Uncertain("")
 }
 
-// closing is the change that closes a key.
-func closing(req *request, digest, why string) journal.Change {
+// closing is the change that closes a key, for as long as keys are kept.
+func (f *Front) closing(req *request, digest, why string) journal.Change {
 	key := job.KeyRow(req.Shop, req.Key)
 	value := job.Encode(job.Key{Digest: digest, Refused: true, Why: why})
+	keep := tree.DefaultKeep
+	if w := f.Tree.Now().Workloads[req.Workload]; w != nil {
+		keep = w.Keep
+	}
+	e := job.Expiry{Hall: f.Hall, At: clock.Now().Add(keep), Shop: req.Shop, Key: req.Key}
 	return journal.Change{
 		Checks: []platform.Check{{Key: key}},
-		Puts:   []platform.Put{{Key: key, Value: value}},
+		Puts:   []platform.Put{{Key: key, Value: value}, e.Put()},
 	}
 }
 
@@ -189,7 +196,7 @@
 	for _, r := range f.refusals.some(spreadMost) {
 		req := &request{Shop: r.Shop, Key: r.Key}
 		ctx, cancel := context.WithTimeout(ctx, refuseTime)
-		_, err := f.Journal.Commit(ctx, closing(req, r.Digest, "refused while the table was out of reach"))
+		_, err := f.Journal.Commit(ctx, f.closing(req, r.Digest, "refused while the table was out of reach"))
 		cancel()
 		var conflict *journal.Conflict
 		if err != nil && !errors.As(err, &conflict) {
--- a/hall/keeper.go
+++ b/hall/keeper.go
@@ -215,7 +215,7 @@
 	}
 	k.beatSent = now
 	k.beat++
-	row := encodeRow(memberRow{Boot: k.Boot, Beat: k.beat})
+	row := encodeRow(memberRow{Boot: k.Boot, Beat: k.beat, At: now.Unix()})
 	txn := platform.Txn{Puts: []platform.Put{{Key: memberKey(k.Hall, k.Name()), Value: row}}}
 	ctx, cancel := context.WithTimeout(ctx, rowTimeout)
 	defer cancel()
--- a/hall/rows.go
+++ b/hall/rows.go
@@ -4,6 +4,7 @@
 
 import (
 	"encoding/json"
+	"time"
 
 	"dewpass.org/kind"
 )
@@ -18,6 +19,8 @@
 type memberRow struct {
 	Boot string `json:"boot"`
 	Beat uint64 `json:"beat"`
+	// At is the time in seconds since 1970.
+	At int64 `json:"at"`
 }
 
 const (
@@ -34,6 +37,16 @@
 // instances of a hall show that they live.
 func MemberPrefix(hall string) string { return memberPrefix + hall + "/" }
 
+// MemberSeen returns when an instance last showed that it lives, by its own
+// clock, from the value of its row.
+func MemberSeen(raw []byte) (time.Time, bool) {
+	var r memberRow
+	if err := json.Unmarshal(raw, &r); err != nil || r.At == 0 {
+		return time.Time{}, false
+	}
+	return time.Unix(r.At, 0), true
+}
+
 func encodeRow(v any) []byte {
 	raw, err := json.Marshal(v)
 	if err != nil {
--- a/internal/fault/on.go
+++ b/internal/fault/on.go
@@ -108,10 +108,15 @@
 	return Rule{}, false
 }
 
+const stopTakes = 100 * time.Millisecond
+
 func apply(r Rule) {
 	time.Sleep(time.Duration(r.DelayMS) * time.Millisecond)
 	if r.Stop {
 		_ = syscall.Kill(os.Getpid(), syscall.SIGSTOP)
+		// The signal may reach this thread a moment after the call returns; the
+		// step must not go on before it.
+		time.Sleep(stopTakes)
 	}
 	if r.Exit {
 		os.Exit(exitCode)
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -42,6 +42,24 @@
 	return o.data[key]
 }
 
+// Delete removes an object.
+func (o *Objects) Delete(key string) {
+	o.dataMu.Lock()
+	defer o.dataMu.Unlock()
+	delete(o.data, key)
+}
+
+// Keys returns the keys of all objects.
+func (o *Objects) Keys() []string {
+	o.dataMu.Lock()
+	defer o.dataMu.Unlock()
+	keys := make([]string, 0, len(o.data))
+	for k := range o.data {
+		keys = append(keys, k)
+	}
+	return keys
+}
+
 func (o *Objects) handler(w http.ResponseWriter, r *http.Request) {
 	key, err := url.PathUnescape(strings.TrimPrefix(r.URL.EscapedPath(), "/objects/"))
 	if err != nil {
@@ -57,6 +75,10 @@
 		o.Put(key, body)
 		return
 	}
+	if r.Method == http.MethodDelete {
+		o.Delete(key)
+		return
+	}
 	body := o.Get(key)
 	if body == nil {
 		refuse(w, kind.New(kind.NotFound, key))
@@ -195,6 +217,7 @@
 	r.HandleFunc("/record/events", p.Record.eventsHandler)
 	r.HandleFunc("/record/commits", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, p.Table.Commits()) })
 	r.HandleFunc("/record/rows", p.rowsHandler)
+	r.HandleFunc("/record/objects", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, p.Objects.Keys()) })
 	return r
 }
 
--- a/job/job.go
+++ b/job/job.go
@@ -81,6 +81,8 @@
 	Deadline  *time.Time `json:"deadline,omitempty"`
 	Started   *time.Time `json:"started,omitempty"`
 	Finished  *time.Time `json:"finished,omitempty"`
+	// Expires is when the row may be removed; it comes with the end.
+	Expires *time.Time `json:"expires,omitempty"`
 
 	Answer *platform.Answer `json:"answer,omitempty"`
 	// AnswerObject is the object that holds a large answer's body.
@@ -119,9 +121,10 @@
 
 // The prefixes of the rows.
 const (
-	jobPrefix   = "job/"
-	indexPrefix = "rackjob/"
-	keyPrefix   = "key/"
+	jobPrefix    = "job/"
+	indexPrefix  = "rackjob/"
+	keyPrefix    = "key/"
+	expiryPrefix = "expiry/"
 )
 
 // RowKey returns the key of a job's row.
--- a/journal/journal.go
+++ b/journal/journal.go
@@ -65,16 +65,29 @@
 	return ok
 }
 
-// New returns a journal of an instance. boot must be new for each start of the
-// instance.
-func New(table platform.Table, instance, boot string) *Journal {
+// New returns a journal of an instance of a hall. start names one start of the
+// instance and must be new for each.
+func New(table platform.Table, hall, start string) *Journal {
 	return &Journal{
 		table: table,
-		key:   keyPrefix + instance + "/" + boot,
+		key:   Prefix(hall) + start,
 		wake:  make(chan struct{}, 1),
 	}
 }
 
+// Prefix returns the start of the keys of the own rows of a hall's journals.
+func Prefix(hall string) string { return keyPrefix + hall + "/" }
+
+// Used returns when a journal last wrote a transaction, from the value of its
+// own row: the nonce there carries its time.
+func Used(row []byte) (time.Time, bool) {
+	nonce, err := ulid.ParseStrict(string(row))
+	if err != nil {
+		return time.Time{}, false
+	}
+	return nonce.Timestamp(), true
+}
+
 // Conflict is the cause of an error of kind Conflict: the rows as they stand.
 type Conflict struct {
 	Rows []platform.Row
--- a/owner/report.go
+++ b/owner/report.go
@@ -55,6 +55,10 @@
 	if !o.change(js, s, func(j *job.Job) {
 		f(j)
 		j.Finished = &now
+		if s.Over() {
+			expires := now.Add(o.keep(j.Workload))
+			j.Expires = &expires
+		}
 	}) {
 		return
 	}
@@ -65,6 +69,14 @@
 	}
 }
 
+// keep is how long a job of a workload is kept after its end.
+func (o *Owner) keep(workload string) time.Duration {
+	if w := o.Tree.Now().Workloads[workload]; w != nil {
+		return w.Keep
+	}
+	return tree.DefaultKeep
+}
+
 // neverRan puts a task back that its worker does not have and never will. The
 // lock is held.
 func (o *Owner) neverRan(t *task) {
--- a/owner/save.go
+++ b/owner/save.go
@@ -33,13 +33,14 @@
 }
 
 func puts(row job.Job) []platform.Put {
+	out := []platform.Put{{Key: job.RowKey(row.ID), Value: job.Encode(row)}}
 	index := platform.Put{Key: job.IndexKey(row.Rack, row.ID)}
-	if row.State.Over() {
-		index.Delete = true
-	} else {
+	if !row.State.Over() {
 		index.Value = []byte("{}")
+		return append(out, index)
 	}
-	return []platform.Put{{Key: job.RowKey(row.ID), Value: job.Encode(row)}, index}
+	index.Delete = true
+	return append(out, index, job.ExpiryOf(row).Put())
 }
 
 // keyed adds the row of the request key to a new job's change.
--- a/test/proof/lost_test.go
+++ b/test/proof/lost_test.go
@@ -4,6 +4,8 @@
 
 import (
 	"context"
+	"net/http"
+	"strings"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -157,3 +159,36 @@
 		}).Should(Succeed())
 	}, SpecTimeout(specTime))
 })
+
+var _ = Describe("what is over", func() {
+	It("is removed from the table and the object store once it was kept for long enough", func(ctx context.Context) {
+		b := startBed(ctx, bed.Kartvela, 2)
+		openWindows(ctx, b)
+		const keep = `"12s"`
+		v := editTree(ctx, b.Balancer, 2, "keep", op("tracing.keep", keep), op("vans.keep", keep))
+		Expect(b.AwaitTree(ctx, v)).To(Succeed())
+		t := &load.Tracker{Clients: b.Clients(), Seed: 1}
+		t.Send(ctx, load.Stream{Workload: "tracing/trace", PerSecond: 10, Runs: 200 * time.Millisecond, Job: true, Bytes: tooLarge}, time.Second)
+		t.Send(ctx, load.Stream{Workload: "vans/parcel-assignment", PerSecond: 10, Runs: 20 * time.Millisecond, Once: true}, time.Second)
+		said := t.Wait()
+		verify(ctx, b, said)
+		left := func() []string {
+			var out []string
+			for _, prefix := range []string{"job/", "key/", "rackjob/", "expiry/"} {
+				var rows []platform.Row
+				Expect(b.Admin.Do(ctx, http.MethodGet, "/record/rows?prefix="+prefix, nil, &rows)).To(Succeed())
+				for _, r := range rows {
+					if !strings.Contains(r.Key, "svc-") {
+						out = append(out, r.Key)
+					}
+				}
+			}
+			return out
+		}
+		Expect(left()).NotTo(BeEmpty())
+		Eventually(left).WithTimeout(2 * time.Minute).Should(BeEmpty())
+		var objects []string
+		Expect(b.Admin.Do(ctx, http.MethodGet, "/record/objects", nil, &objects)).To(Succeed())
+		Expect(objects).To(BeEmpty())
+	}, SpecTimeout(specTime))
+})
--- a/tree/compile.go
+++ b/tree/compile.go
@@ -58,6 +58,9 @@
 	CutOff      CutOff          `json:"cut_off"`
 	MoveAfter   time.Duration   `json:"move_after"`
 	Count       int             `json:"count"`
+	// Keep is how long a job, its answer and its request key are kept after its
+	// end.
+	Keep time.Duration `json:"keep"`
 	// Values holds every setting in force with the branch that it came from.
 	Values map[string]Value `json:"values"`
 }
@@ -126,8 +129,12 @@
 	"cut-off":      `"hold"`,
 	"move-after":   `"10m"`,
 	"borrow":       `true`,
+	"keep":         `"168h"`,
 }
 
+// DefaultKeep is the setting keep where no branch sets it.
+const DefaultKeep = 168 * time.Hour
+
 type compiler struct {
 	out    *Compiled
 	faults []schema.Fault
@@ -262,6 +269,7 @@
 	w.StartWithin = parseDuration(values["start-within"].Value)
 	w.Estimate = parseDuration(values["estimate"].Value)
 	w.MoveAfter = parseDuration(values["move-after"].Value)
+	w.Keep = parseDuration(values["keep"].Value)
 	w.Ladder = ladder(yield)
 	c.window(names, w)
 	c.required(names, w)
@@ -311,6 +319,9 @@
 	if w.Kind == Service && w.Repeat == platform.RepeatNever {
 		c.fault(names, "repeat", "a service is started again by its nature")
 	}
+	if w.Keep < minKeep {
+		c.fault(names, "keep", "must be at least "+minKeep.String())
+	}
 	if w.CutOff == Move && w.MoveAfter < minMoveAfter {
 		c.fault(names, "move-after", "must be at least "+minMoveAfter.String())
 	}
@@ -320,6 +331,10 @@
 // stopped its tasks.
 const minMoveAfter = 10 * time.Second
 
+// minKeep is longer than any answer of the table may be late: a request key
+// must outlive every copy of its request.
+const minKeep = 10 * time.Second
+
 // references checks the settings that name each other.
 func (c *compiler) references() {
 	known := make(map[string]bool, len(c.out.Halls))
