entry, hall, link, owner, front: less to say between instances

Changed: peers are told of room only when they would choose otherwise by it, or after 5 s; another hall hears of racks every 5 s and of tree versions and leaving at once; hellos with nothing new go every second, not twice; no yamux pings beside hellos; a watch is held for 0.4 of the lease, with control for half of it.

Found on the way: an instance took the halls of which it greets one instance for halls of one instance, so that a rate limit let through several times its rate at 16 halls; hellos now say how many they are.

front: a request without deadline_ms, which is the usual one, went through the schema each time; now the plain check knows it.

--- a/entry/greet.go
+++ b/entry/greet.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"sync"
 	"time"
 
@@ -20,8 +21,10 @@
 
 const (
 	greetEvery = 500 * time.Millisecond
-	// farEvery is how many rounds pass between two hellos to another hall.
-	farEvery     = 5
+	// nearEvery and farEvery are how many rounds pass between two hellos with
+	// nothing new in them, to a peer of the own hall and to another hall.
+	nearEvery    = 2
+	farEvery     = 10
 	greetTimeout = 700 * time.Millisecond
 	pullTimeout  = 2 * time.Second
 )
@@ -34,15 +37,25 @@
 	round uint64
 	seq   uint64
 	racks []*wire.Rack
+	// at is when the summaries were last given a new number.
+	at time.Time
 }
 
-// number returns the number of the given summaries, a new one if they changed.
-func (s *spread) number(racks []*wire.Rack) uint64 {
+// refreshEvery is how often peers are told of changes by which they would not
+// choose otherwise.
+const refreshEvery = 5 * time.Second
+
+// number returns the number of the given summaries: a new one if they changed
+// by more than peers choose by, or at all and some time ago.
+func (s *spread) number(racks []*wire.Rack, now time.Time) uint64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.seq > 0 && alike(s.racks, racks) && now.Sub(s.at) < refreshEvery {
+		return s.seq
+	}
 	if s.seq == 0 || !same(s.racks, racks) {
 		s.seq++
-		s.racks = racks
+		s.racks, s.at = racks, now
 	}
 	return s.seq
 }
@@ -62,7 +75,17 @@
 	return s.round
 }
 
+// same reports whether two lists of summaries are the same, and alike whether
+// peers that have the one choose as well as with the other.
 func same(a, b []*wire.Rack) bool {
+	return pairwise(a, b, func(a, b *wire.Rack) bool { return proto.Equal(a, b) })
+}
+
+func alike(a, b []*wire.Rack) bool { return pairwise(a, b, alikeRack) }
+
+// pairwise reports whether two lists are of the same racks and f holds for
+// each.
+func pairwise(a, b []*wire.Rack, f func(a, b *wire.Rack) bool) bool {
 	if len(a) != len(b) {
 		return false
 	}
@@ -71,7 +94,33 @@
 		byName[r.Rack] = r
 	}
 	for _, r := range b {
-		if !proto.Equal(byName[r.Rack], r) {
+		if before := byName[r.Rack]; before == nil || !f(before, r) {
+			return false
+		}
+	}
+	return true
+}
+
+// newsPart is the part of a rack's capacity, as one in this many, by which its
+// room may change before peers are told. An owner that turns out to be full
+// says so, and the next one is asked.
+const newsPart = 8
+
+func alikeRack(a, b *wire.Rack) bool {
+	plain := a.EpochTable == b.EpochTable && a.EpochLocal == b.EpochLocal && a.Ready == b.Ready &&
+		a.Workers == b.Workers && a.Attached == b.Attached && a.WaitMs == b.WaitMs &&
+		(a.Queued == 0) == (b.Queued == 0)
+	return plain && slices.Equal(a.Capacity, b.Capacity) &&
+		alikeRoom(a.Free, b.Free, b.Capacity) && alikeRoom(a.Hole, b.Hole, b.Capacity)
+}
+
+// alikeRoom reports whether room changed by little, and not from or to none.
+func alikeRoom(a, b, capacity []int64) bool {
+	if len(a) != len(b) || len(b) != len(capacity) {
+		return false
+	}
+	for i := range b {
+		if (a[i] > 0) != (b[i] > 0) || max(a[i]-b[i], b[i]-a[i])*newsPart > capacity[i] {
 			return false
 		}
 	}
@@ -96,7 +145,7 @@
 // for those that are slow.
 func (e *Entry) greetOnce(ctx context.Context) {
 	racks := e.owner.Summary()
-	seq := e.spread.number(racks)
+	seq := e.spread.number(racks, clock.Now())
 	round := e.spread.next()
 	version := e.register.Now().Version
 	seen := e.seenBy()
@@ -105,7 +154,8 @@
 			continue
 		}
 		view, live := seen[addr]
-		news := view.seen != seq || view.version < version || e.leaving.Load()
+		near := view.hall == e.settings.Hall
+		news := near && view.seen != seq || view.version < version || e.leaving.Load()
 		if live && !news && !e.due(view, round) {
 			continue
 		}
@@ -120,7 +170,7 @@
 	if v.hall != e.settings.Hall {
 		return round%farEvery == 0
 	}
-	return e.settings.Instance < v.instance
+	return round%nearEvery == 0 && e.settings.Instance < v.instance
 }
 
 // peerView is what a peer has of this instance, and this one of it.
@@ -159,7 +209,8 @@
 		PeerAddr: e.settings.Listen.Peer, Leaving: e.leaving.Load(),
 		TreeVersion: e.register.Now().Version, RacksSeq: seq, SeenRacksSeq: view.racks,
 		LeavingWorkers: e.owner.SeenLeaving(), Refusals: e.front.Refusals(),
-		CutOff: e.cutOff(),
+		CutOff:  e.cutOff(),
+		Members: uint32(len(e.peers.Live(e.settings.Hall, clock.Now())) + 1),
 	}
 	if view.seen == seq {
 		h.RacksOmitted = true
@@ -247,7 +298,7 @@
 	if p, ok := e.peers.Get(h.Instance); ok {
 		view.racks = p.RacksSeq
 	}
-	mine := e.hello(racks, e.spread.number(racks), view)
+	mine := e.hello(racks, e.spread.number(racks, clock.Now()), view)
 	return &wire.Reply{Body: &wire.Reply_Hello{Hello: mine}}
 }
 
--- a/front/calls.go
+++ b/front/calls.go
@@ -46,8 +46,8 @@
 		return nil, err
 	}
 	left := w.Deadline
-	if req.DeadlineMS > 0 {
-		left = time.Duration(req.DeadlineMS) * time.Millisecond
+	if req.DeadlineMS != nil {
+		left = time.Duration(*req.DeadlineMS) * time.Millisecond
 	}
 	// A caller that hangs up does not end its call: what became of it can
 	// still be asked for.
--- a/front/request.go
+++ b/front/request.go
@@ -37,8 +37,9 @@
 	Once bool `json:"once"`
 	// FirstTry is set by a caller that has not sent the key before.
 	FirstTry bool `json:"first_try"`
-	// DeadlineMS is the time that the caller waits for a call, in milliseconds.
-	DeadlineMS int64 `json:"deadline_ms"`
+	// DeadlineMS is the time that the caller waits for a call, in milliseconds;
+	// nil leaves it to the tree.
+	DeadlineMS *int64 `json:"deadline_ms"`
 	// Deadline is when a job should be over.
 	Deadline *time.Time `json:"deadline"`
 	// Expires is the time after which the request is void.
@@ -96,9 +97,12 @@
 	return r.Workload != "" && len(r.Workload) <= 256 &&
 		r.Shop != "" && word(r.Shop, 64, "._-") &&
 		word(r.Key, 128, "._:-") &&
-		r.DeadlineMS > 0 && r.DeadlineMS <= 86400000
+		(r.DeadlineMS == nil || *r.DeadlineMS > 0 && *r.DeadlineMS <= maxDeadlineMS)
 }
 
+// maxDeadlineMS is a day.
+const maxDeadlineMS = 24 * 60 * 60 * 1000
+
 // word reports whether s is short and made of letters, digits and a few marks.
 func word(s string, most int, marks string) bool {
 	if len(s) > most {
--- a/front/request_test.go
+++ b/front/request_test.go
@@ -3,6 +3,7 @@
 package front
 
 import (
+	"encoding/json"
 	"net/http"
 	"strings"
 	"testing"
@@ -34,11 +35,20 @@
 		Entry("an unknown field", `{"workload":"a","shop":"s","colour":1}`, kind.BadRequest, "colour"),
 		Entry("a wrong unit", `{"workload":"a","shop":"s","deadline_ms":"5s"}`, kind.BadRequest, "/deadline_ms"),
 		Entry("out of range", `{"workload":"a","shop":"s","deadline_ms":-5}`, kind.BadRequest, "/deadline_ms"),
+		Entry("no time at all", `{"workload":"a","shop":"s","deadline_ms":0}`, kind.BadRequest, "/deadline_ms"),
 		Entry("no shop", `{"workload":"a"}`, kind.BadRequest, "shop"),
 		Entry("a shop with a slash", `{"workload":"a","shop":"a/b"}`, kind.BadRequest, "/shop"),
 		Entry("a deadline that is no time", `{"workload":"a","shop":"s","deadline":"tomorrow"}`, kind.BadRequest, "/"),
 	)
 
+	It("of the usual shape costs no pass of the schema", func() {
+		for _, raw := range []string{`{"workload":"a","shop":"s"}`, `{"workload":"a","shop":"s","key":"k","deadline_ms":5}`} {
+			var req request
+			Expect(json.Unmarshal([]byte(raw), &req)).To(Succeed())
+			Expect(plain(&req)).To(BeTrue(), raw)
+		}
+	})
+
 	It("of another content type, or too large, is refused", func() {
 		r, _ := http.NewRequest(http.MethodPost, "/", strings.NewReader("{}"))
 		_, err := decodeRequest(r)
--- a/front/route.go
+++ b/front/route.go
@@ -264,4 +264,4 @@
 }
 
 // instances returns the number of live instances, this one included.
-func (f *Front) instances() int { return len(f.Peers.Live("", clock.Now())) + 1 }
+func (f *Front) instances() int { return f.Peers.Instances(clock.Now()) }
--- a/hall/hall_test.go
+++ b/hall/hall_test.go
@@ -92,6 +92,15 @@
 		Expect(p.Greet(later.Add(time.Second))).To(BeEmpty(), "not all the time")
 	})
 
+	It("count the instances of halls of which they greet only one", func() {
+		p := hall.NewPeers("me", "h", nil)
+		p.Heard(&wire.Hello{Instance: "a", Hall: "h", Members: 2}, now)
+		p.Heard(&wire.Hello{Instance: "x1", Hall: "x", Members: 7}, now)
+		p.Heard(&wire.Hello{Instance: "x2", Hall: "x", Members: 6}, now)
+		Expect(p.Instances(now)).To(Equal(1 + 1 + 7))
+		Expect(p.Instances(now.Add(time.Hour))).To(Equal(1))
+	})
+
 	It("keep the racks of a hello that leaves them out", func() {
 		p := hall.NewPeers("me", "h", nil)
 		p.Heard(&wire.Hello{Instance: "a", Hall: "h", RacksSeq: 1, Racks: []*wire.Rack{{Rack: "r"}}}, now)
--- a/hall/peers.go
+++ b/hall/peers.go
@@ -15,8 +15,8 @@
 	// silence is how long a peer of the own hall may not have said hello and
 	// still count as live, and farSilence one of another hall, which says it
 	// less often.
-	silence    = 1800 * time.Millisecond
-	farSilence = 8 * time.Second
+	silence    = 2300 * time.Millisecond
+	farSilence = 16 * time.Second
 )
 
 const (
@@ -43,6 +43,8 @@
 	SeenRacks uint64
 	// Heard is when its last hello came, by this instance's clock.
 	Heard time.Time
+	// Members is how many live instances its hall has, as it says.
+	Members uint32
 	// far marks a peer of another hall.
 	far bool
 }
@@ -99,7 +101,7 @@
 	known.far = h.Hall != p.hall
 	known.Leaving, known.CutOff = h.Leaving, h.CutOff
 	known.TreeVersion = max(known.TreeVersion, h.TreeVersion)
-	known.SeenRacks = h.SeenRacksSeq
+	known.SeenRacks, known.Members = h.SeenRacksSeq, h.Members
 	if h.RacksSeq != known.RacksSeq && !h.RacksOmitted {
 		known.Racks, known.RacksSeq = h.Racks, h.RacksSeq
 	}
@@ -253,3 +255,21 @@
 	}
 	return sorted(set)
 }
+
+// Instances returns how many live instances there are in all halls, this one
+// included. Of another hall only one is greeted, and tells of the others.
+func (p *Peers) Instances(now time.Time) int {
+	far := make(map[string]uint32)
+	n := 1
+	for _, peer := range p.Live("", now) {
+		if peer.Hall == p.hall {
+			n++
+			continue
+		}
+		far[peer.Hall] = max(far[peer.Hall], peer.Members, 1)
+	}
+	for _, members := range far {
+		n += int(members)
+	}
+	return n
+}
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -17,7 +17,7 @@
 
 // controlShare is the part of a task lease, as one in this many, that the
 // owner's sole control lasts.
-const controlShare = 3
+const controlShare = 2
 
 // throttledShare is the part of its processors that a throttled task keeps, as
 // one in this many.
--- a/link/frame.go
+++ b/link/frame.go
@@ -19,7 +19,6 @@
 	// backlog bounds the streams that a peer has opened and that were not
 	// accepted yet.
 	backlog       = 512
-	keepAlive     = 2 * time.Second
 	writeTimeout  = 2 * time.Second
 	openTimeout   = 2 * time.Second
 	closeTimeout  = 5 * time.Second
@@ -32,7 +31,9 @@
 func sessionConfig() *yamux.Config {
 	c := yamux.DefaultConfig()
 	c.AcceptBacklog = backlog
-	c.KeepAliveInterval = keepAlive
+	// Peers say hello, and every request has a deadline; pings would only add
+	// to it.
+	c.EnableKeepAlive = false
 	c.ConnectionWriteTimeout = writeTimeout
 	c.StreamOpenTimeout = openTimeout
 	c.StreamCloseTimeout = closeTimeout
--- a/owner/worker.go
+++ b/owner/worker.go
@@ -19,10 +19,9 @@
 )
 
 const (
-	// holdShare is the part of a task lease, as one in this many, that a worker
-	// holds a watch with nothing to tell. It is below the third that control
-	// lasts.
-	holdShare = 4
+	// holdTenths is the part of a task lease, in tenths, for which a worker holds
+	// a watch with nothing to tell. It is below the half that control lasts.
+	holdTenths = 4
 	// attachFirst and attachMost bound the wait between tries to attach.
 	attachFirst = 50 * time.Millisecond
 	attachMost  = time.Second
@@ -274,7 +273,7 @@
 }
 
 // hold is how long a worker holds a watch with nothing to tell.
-func (o *Owner) hold() time.Duration { return o.TaskLease / holdShare }
+func (o *Owner) hold() time.Duration { return o.TaskLease * holdTenths / 10 }
 
 func (o *Owner) command(w *worker) platform.Command {
 	return platform.Command{Owner: o.Name, Epoch: w.epoch, Incarnation: w.incarnation}
