--- a/test/bed/config.go
+++ b/test/bed/config.go
@@ -51,8 +51,12 @@
 
 // plan lays a deployment out on free ports of the loopback.
 func plan(d Deployment, perHall, lane int) (StandIn, error) {
-	workers := len(d.Halls) * d.RacksPerHall * d.WorkersPerRack
-	ports, err := freePorts(lane, 2+workers+2*perHall*len(d.Halls))
+	needed := 2
+	for i := range d.Halls {
+		entries, racks := d.size(i, perHall)
+		needed += 2*entries + racks*d.WorkersPerRack
+	}
+	ports, err := freePorts(lane, needed)
 	if err != nil {
 		return StandIn{}, err
 	}
@@ -62,13 +66,14 @@
 		return p
 	}
 	s := StandIn{Platform: next(), Balancer: next()}
-	for _, hall := range d.Halls {
-		for i := range perHall {
+	for n, hall := range d.Halls {
+		entries, racks := d.size(n, perHall)
+		for i := range entries {
 			e := EntryAddr{ID: fmt.Sprintf("%s-%d", hall, i+1), Hall: hall, HTTP: next(), Peer: next()}
 			s.Entries = append(s.Entries, e)
 			s.Targets = append(s.Targets, e.HTTP)
 		}
-		for r := range d.RacksPerHall {
+		for r := range racks {
 			rack := fmt.Sprintf("%s-r%d", hall, r+1)
 			for w := range d.WorkersPerRack {
 				id := fmt.Sprintf("%s-w%d", rack, w+1)
--- a/test/bed/doc.go
+++ b/test/bed/doc.go
@@ -16,11 +16,27 @@
 	// RacksPerHall and WorkersPerRack give the workers.
 	RacksPerHall   int
 	WorkersPerRack int
+	// FarPerHall and FarRacks are the numbers of instances and racks of all
+	// halls but the first, where they differ from it; 0 is as in the first.
+	FarPerHall int
+	FarRacks   int
 	// Tree is the name of the example tree, and Doc a tree in its place.
 	Tree string
 	Doc  []byte
 }
 
+// size returns the numbers of instances and racks of a hall.
+func (d Deployment) size(hall, perHall int) (entries, racks int) {
+	entries, racks = perHall, d.RacksPerHall
+	if hall > 0 && d.FarPerHall > 0 {
+		entries = d.FarPerHall
+	}
+	if hall > 0 && d.FarRacks > 0 {
+		racks = d.FarRacks
+	}
+	return entries, racks
+}
+
 // The two deployments of today.
 var (
 	Comhar = Deployment{
--- a/test/measure/bed.go
+++ b/test/measure/bed.go
@@ -16,6 +16,10 @@
 // shape is the shape of a cell to measure.
 type shape struct {
 	halls, perHall, racks, workersPerRack int
+	// farPerHall and farRacks are those of all halls but the first, if not 0.
+	farPerHall, farRacks int
+	// servicesHere keeps all services in the first hall.
+	servicesHere bool
 }
 
 var workerSize = sched.Vec{16000, 32 << 10, 0, 8, 64}
@@ -26,11 +30,16 @@
 	d := bed.Deployment{
 		Name: "measure", Capacity: workerSize,
 		RacksPerHall: s.racks, WorkersPerRack: s.workersPerRack,
+		FarPerHall: s.farPerHall, FarRacks: s.farRacks,
 	}
 	for i := range s.halls {
 		d.Halls = append(d.Halls, fmt.Sprintf("hall-%d", i+1))
 	}
-	doc, err := json.Marshal(treeOf(d.Halls))
+	named := d.Halls
+	if s.servicesHere {
+		named = named[:1]
+	}
+	doc, err := json.Marshal(treeOf(named))
 	if err != nil {
 		return nil, nil, err
 	}
--- a/test/measure/main.go
+++ b/test/measure/main.go
@@ -30,10 +30,11 @@
 	"peers":    peers,
 	"halls":    halls,
 	"takeover": takeover,
+	"whole":    whole,
 }
 
 // capacity lists what `make capacity` runs, in order.
-var capacity = []string{"workers", "tasks", "starts", "jobs", "changes", "peers", "halls", "takeover"}
+var capacity = []string{"workers", "tasks", "starts", "jobs", "changes", "peers", "halls", "takeover", "whole"}
 
 func main() {
 	flag.Usage = func() {
