--- a/entry/sweep.go
+++ b/entry/sweep.go
@@ -37,16 +37,17 @@
 		if !e.ready() || e.cutOff() || !e.leads(sweepRole, now) {
 			continue
 		}
-		e.swept("jobs", s.Jobs, ctx, now)
+		e.sweepOnce(ctx, now, "jobs", s.Jobs)
 		if now.Sub(instances) > sweepInstancesEvery {
 			instances = now
-			e.swept("instances", s.Instances, ctx, now)
+			e.sweepOnce(ctx, now, "instances", s.Instances)
 		}
 	}
 }
 
-func (e *Entry) swept(what string, sweep func(context.Context, time.Time) (int, error), ctx context.Context, now time.Time) {
-	n, err := sweep(ctx, now)
+// sweepOnce makes one pass over rows of one sort.
+func (e *Entry) sweepOnce(ctx context.Context, now time.Time, what string, pass func(context.Context, time.Time) (int, error)) {
+	n, err := pass(ctx, now)
 	if err != nil {
 		level.Warn(e.kit.Log).Log("msg", "table not swept to the end", "of", what, "removed", n, "err", err)
 		return
--- a/owner/load.go
+++ b/owner/load.go
@@ -75,9 +75,9 @@
 }
 
 func (o *Owner) loadPage(r *rack, index []platform.Row) error {
-	keys := make([]string, len(index))
-	for i, row := range index {
-		keys[i] = job.RowKey(job.IndexedID(r.name, row.Key))
+	keys := o.missing(r, index)
+	if len(keys) == 0 {
+		return nil
 	}
 	rows, err := o.Table.Get(r.ctx, keys...)
 	if err != nil {
@@ -98,6 +98,20 @@
 	return nil
 }
 
+// missing returns the keys of the rows of indexed jobs that are not known here.
+// A look at the index of a rack that has long been owned finds hardly any.
+func (o *Owner) missing(r *rack, index []platform.Row) []string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	var keys []string
+	for _, row := range index {
+		if id := job.IndexedID(r.name, row.Key); o.jobs[id] == nil {
+			keys = append(keys, job.RowKey(id))
+		}
+	}
+	return keys
+}
+
 // takeIn takes in a job that was another owner's. It stays in limbo until its
 // workers have shown whether they run it.
 func (o *Owner) takeIn(js *jobState) {
--- a/owner/worker.go
+++ b/owner/worker.go
@@ -25,6 +25,8 @@
 	// attachFirst and attachMost bound the wait between tries to attach.
 	attachFirst = 50 * time.Millisecond
 	attachMost  = time.Second
+	// commandTime is what a worker may take to answer beyond the hold.
+	commandTime = 2 * time.Second
 )
 
 // worker is a worker of an owned rack.
@@ -320,10 +322,3 @@
 		o.Lost()
 	}
 }
-
-// rescanEvery is how often the index of a rack is read for jobs that were moved
-// to it without this owner hearing of it.
-const rescanEvery = 30 * time.Second
-
-// commandTime is what a worker may take to answer beyond the hold.
-const commandTime = 2 * time.Second
