keys, wire, test, internal/fault: doc.go says what a package is, and nothing else

As a newcomer reads: keys, wire, fault, bed and load had their code in doc.go. No change of behaviour.

--- /dev/null
+++ b/test/load/item.go
@@ -0,0 +1,148 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package load
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/oklog/ulid/v2"
+
+	"dewpass.org/front"
+	"dewpass.org/internal/client"
+	"dewpass.org/internal/standin"
+	"dewpass.org/job"
+	"dewpass.org/kind"
+	"dewpass.org/platform"
+)
+
+// Item is one request.
+type Item struct {
+	Workload string
+	Job      bool
+	Once     bool
+	Shop     string
+	Key      string
+	Payload  standin.Payload
+	// FirstTry says so to dewpass.
+	FirstTry bool
+	// Deadline is that of the caller; 0 leaves it to the tree.
+	Deadline time.Duration
+}
+
+// NewItem returns an item with a tag and, for work that must not be repeated,
+// a key of its own.
+func NewItem(workload string, ran time.Duration) Item {
+	tag := ulid.Make().String()
+	return Item{
+		Workload: workload, Shop: "shop-" + tag[20:], Key: "key-" + tag,
+		Payload: standin.Payload{MS: ran.Milliseconds(), Tag: tag},
+	}
+}
+
+type body struct {
+	Workload   string          `json:"workload"`
+	Shop       string          `json:"shop"`
+	Key        string          `json:"key,omitempty"`
+	Once       bool            `json:"once,omitempty"`
+	FirstTry   bool            `json:"first_try,omitempty"`
+	DeadlineMS int64           `json:"deadline_ms,omitempty"`
+	Payload    json.RawMessage `json:"payload"`
+}
+
+func (it *Item) body() (body, error) {
+	raw, err := json.Marshal(it.Payload)
+	return body{
+		Workload: it.Workload, Shop: it.Shop, Key: it.Key, Once: it.Once,
+		FirstTry: it.FirstTry, DeadlineMS: it.Deadline.Milliseconds(), Payload: raw,
+	}, err
+}
+
+// ErrWrong marks an answer that is not the whole answer to its own request.
+var ErrWrong = errors.New("wrong answer")
+
+// Call sends a call and checks its answer.
+func Call(ctx context.Context, c *client.Client, it Item) (front.Answer, error) {
+	var ans front.Answer
+	b, err := it.body()
+	if err != nil {
+		return ans, err
+	}
+	if err := c.Do(ctx, http.MethodPost, "/v1/calls", b, &ans); err != nil {
+		return ans, err
+	}
+	return ans, check(it, b.Payload, ans.ID, ans.Digest, int(ans.Length), ans.Answer)
+}
+
+// Submit sends a job.
+func Submit(ctx context.Context, c *client.Client, it Item) (job.Job, error) {
+	var row job.Job
+	b, err := it.body()
+	if err != nil {
+		return row, err
+	}
+	err = c.Do(ctx, http.MethodPost, "/v1/jobs", b, &row)
+	return row, err
+}
+
+// Get asks for a job.
+func Get(ctx context.Context, c *client.Client, id string) (job.Job, error) {
+	return get(ctx, c, id, "")
+}
+
+func get(ctx context.Context, c *client.Client, id, query string) (job.Job, error) {
+	var row job.Job
+	err := c.Do(ctx, http.MethodGet, "/v1/jobs/"+url.PathEscape(id)+query, nil, &row)
+	return row, err
+}
+
+const pollEvery = 100 * time.Millisecond
+
+// Await asks for a job until it is over, and checks its answer if it is done.
+func Await(ctx context.Context, c *client.Client, it Item, id string) (job.Job, error) {
+	for {
+		row, err := get(ctx, c, id, "?wait=5s")
+		if kind.Is(err, kind.NotFound) {
+			return row, err
+		}
+		if err == nil && (row.State.Over() || row.State == job.Unknown) {
+			return row, checkRow(it, row)
+		}
+		select {
+		case <-time.After(pollEvery):
+		case <-ctx.Done():
+			return row, errors.Errorf("job %s is %q: %v", id, row.State, err)
+		}
+	}
+}
+
+func checkRow(it Item, row job.Job) error {
+	if row.State != job.Done {
+		return nil
+	}
+	b, err := it.body()
+	if err != nil {
+		return err
+	}
+	return check(it, b.Payload, row.ID, row.Answer.Digest, row.Answer.Length, row.Answer.Body)
+}
+
+func check(it Item, payload []byte, id, digest string, length int, answer []byte) error {
+	if length != len(answer) || digest != platform.Digest(answer) {
+		return errors.Wrap(ErrWrong, "cut short or damaged")
+	}
+	var got standin.Body
+	if err := json.Unmarshal(answer, &got); err != nil {
+		return errors.Wrap(ErrWrong, err.Error())
+	}
+	want := standin.Body{Task: id, Shop: it.Shop, Sum: platform.Digest(payload), Filler: standin.Filler(id, it.Payload.Bytes)}
+	if got != want {
+		return errors.Wrap(ErrWrong, fmt.Sprintf("got %+v, want %+v", got, want))
+	}
+	return nil
+}
--- a/test/proof/failure_test.go
+++ b/test/proof/failure_test.go
@@ -12,6 +12,7 @@
 
 	"dewpass.org/front"
 	"dewpass.org/internal/client"
+	"dewpass.org/internal/fault"
 	"dewpass.org/internal/standin"
 	"dewpass.org/job"
 	"dewpass.org/kind"
@@ -311,21 +312,8 @@
 	}).Should(BeTrue())
 }
 
-// rule is a rule at the fault points of an entry; see package fault.
-type rule struct {
-	Point   string `json:"point,omitempty"`
-	Worker  string `json:"worker,omitempty"`
-	Shop    string `json:"shop,omitempty"`
-	Addr    string `json:"addr,omitempty"`
-	Skip    int    `json:"skip,omitempty"`
-	DelayMS int64  `json:"delay_ms,omitempty"`
-	Exit    bool   `json:"exit,omitempty"`
-	Stop    bool   `json:"stop,omitempty"`
-	Cut     bool   `json:"cut,omitempty"`
-	Deaf    bool   `json:"deaf,omitempty"`
-	// Rate is the speed of the entry's clock.
-	Rate float64 `json:"rate,omitempty"`
-}
+// rule is a rule at the fault points of an entry.
+type rule = fault.Rule
 
 // cutHall cuts the links of a hall's entries to the platform and to the other
 // halls, both ways, and returns clients of its entries.
--- a/test/proof/matrix_test.go
+++ b/test/proof/matrix_test.go
@@ -270,7 +270,7 @@
 // failures about.
 func (r *cellRun) bringAbout(ctx context.Context) {
 	time.Sleep(time.Second)
-	step := rule{Point: string(r.c.point), Skip: r.c.skip}
+	step := rule{Point: r.c.point, Skip: r.c.skip}
 	switch r.c.befall {
 	case exits:
 		step.Exit = true
