hall: a rack that could not be closed is left alone for some time

Seen in reading: with a table so slow that rows take over a second, a rack that should be handed over to level the load was closed for a second, opened, and closed again at once, so that it took hardly any work.

--- a/hall/hall_test.go
+++ b/hall/hall_test.go
@@ -300,6 +300,7 @@
 		}()
 		Eventually(first.openings).Should(BeNumerically(">", 0), "it is opened again")
 		Expect(first.Owned()).To(HaveLen(2))
+		Consistently(first.openings, 3*time.Second).Should(Equal(1), "and left alone for some time")
 		first.set(false)
 		Eventually(first.Owned).Should(HaveLen(1))
 	})
--- a/hall/handover.go
+++ b/hall/handover.go
@@ -31,6 +31,8 @@
 		cancel()
 		if closed {
 			k.handOver(ctx, r, to)
+		} else {
+			k.moved = clock.Now().Add(closePause)
 		}
 		k.Racks.Open(r)
 		return
--- a/hall/keeper.go
+++ b/hall/keeper.go
@@ -39,6 +39,9 @@
 	// closeTime bounds the wait for what was placed on a rack that is to be
 	// handed over. It is well below MemberLease, which goes on meanwhile.
 	closeTime = time.Second
+	// closePause is how long racks are left alone after one could not be
+	// closed: with a slow table they would hardly be open otherwise.
+	closePause = 10 * time.Second
 )
 
 // Racks is what a Keeper tells of the racks to own.
