--- a/cmd/dewpass/main.go
+++ b/cmd/dewpass/main.go
@@ -59,7 +59,7 @@
 		Suggest:     true,
 		Writer:      out,
 		ErrWriter:   errs,
-		Description: "Operators only edit the tree of settings; dewpass decides where and when each\ntask runs. Exit codes: 0 done, 2 bad input, 3 not found, 4 conflict,\n6 refused for now, 7 too late, 8 out of reach, 9 unknown, 1 anything else.\n\nExample: dewpass status --server http://10.0.0.1:8080",
+		Description: "Operators only edit the tree of settings; dewpass decides where and when each\ntask runs. Exit codes: 0 done, 2 bad input, 3 not found, 4 conflict,\n5 not allowed, 6 refused for now, 7 too late, 8 out of reach, 9 unknown,\n10 cancelled, 11 failed, 1 anything else.\n\nExample: dewpass status --server http://10.0.0.1:8080",
 		ExitErrHandler: func(context.Context, *cli.Command, error) {
 			// run prints the error and chooses the exit code.
 		},
