entry: another hall hears at once of racks that change hands

Cause: since hellos to other halls come every 5 s, a front could send work to racks that had another owner by then; room may be old, owners may not. Ruled out: the closing of racks in the own hall (it is passed by to the next). Test: 'are those since a rack last changed hands'.

--- a/entry/greet.go
+++ b/entry/greet.go
@@ -39,6 +39,9 @@
 	racks []*wire.Rack
 	// at is when the summaries were last given a new number.
 	at time.Time
+	// owned is the number at which it last changed which racks there are, under
+	// which epochs, and whether they are ready.
+	owned uint64
 }
 
 // refreshEvery is how often peers are told of changes by which they would not
@@ -55,11 +58,26 @@
 	}
 	if s.seq == 0 || !same(s.racks, racks) {
 		s.seq++
+		if !pairwise(s.racks, racks, sameOwner) {
+			s.owned = s.seq
+		}
 		s.racks, s.at = racks, now
 	}
 	return s.seq
 }
 
+// ownedAt returns the number of the summaries that peers of other halls must
+// have, lest they send work to a rack that has another owner by now.
+func (s *spread) ownedAt() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.owned
+}
+
+func sameOwner(a, b *wire.Rack) bool {
+	return a.EpochTable == b.EpochTable && a.EpochLocal == b.EpochLocal && a.Ready == b.Ready
+}
+
 // last returns the summaries that peers were last told.
 func (s *spread) last() []*wire.Rack {
 	s.mu.Lock()
@@ -148,14 +166,14 @@
 	seq := e.spread.number(racks, clock.Now())
 	round := e.spread.next()
 	version := e.register.Now().Version
-	seen := e.seenBy()
+	seen, owned := e.seenBy(), e.spread.ownedAt()
 	for _, addr := range e.peers.Greet(clock.Now()) {
 		if addr == e.settings.Listen.Peer {
 			continue
 		}
 		view, live := seen[addr]
 		near := view.hall == e.settings.Hall
-		news := near && view.seen != seq || view.version < version || e.leaving.Load()
+		news := near && view.seen != seq || view.seen < owned || view.version < version || e.leaving.Load()
 		if live && !news && !e.due(view, round) {
 			continue
 		}
--- a/entry/greet_test.go
+++ b/entry/greet_test.go
@@ -40,6 +40,21 @@
 	)
 })
 
+var _ = ginkgo.Describe("the summaries that another hall must have", func() {
+	ginkgo.It("are those since a rack last changed hands", func() {
+		now := time.Now()
+		rack := func(epoch uint64, slots int64) []*wire.Rack {
+			return []*wire.Rack{{Rack: "r", EpochTable: epoch, Ready: true, Capacity: []int64{64}, Free: []int64{slots}, Hole: []int64{8}}}
+		}
+		var s spread
+		first := s.number(rack(1, 64), now)
+		Expect(s.ownedAt()).To(Equal(first))
+		s.number(rack(1, 10), now)
+		Expect(s.ownedAt()).To(Equal(first), "room alone can wait")
+		Expect(s.number(rack(2, 10), now)).To(Equal(s.ownedAt()))
+	})
+})
+
 var _ = ginkgo.Describe("the collector's target", func() {
 	ginkgo.It("is large while there is much to collect, and small again once that is over", func() {
 		var c collector
