--- a/journal/journal.go
+++ b/commit/commit.go
@@ -1,6 +1,6 @@
 // SPDX-License-Identifier: Apache-2.0
 
-package journal
+package commit
 
 import (
 	"context"
@@ -11,7 +11,7 @@
 	"github.com/oklog/ulid/v2"
 
 	"dewpass.org/kind"
-	"dewpass.org/platform"
+	"dewpass.org/ports"
 )
 
 const (
@@ -24,8 +24,8 @@
 
 // Change is a set of rows that are written together or not at all.
 type Change struct {
-	Checks []platform.Check
-	Puts   []platform.Put
+	Checks []ports.Check
+	Puts   []ports.Put
 }
 
 // Journal gathers changes and commits them. Make one with New and run it with
@@ -36,7 +36,7 @@
 	// sent; nil is never. Set it before Run.
 	Away func() bool
 
-	table platform.Table
+	table ports.Table
 	key   string
 	wake  chan struct{}
 
@@ -67,7 +67,7 @@
 
 // New returns a journal of an instance of a hall. start names one start of the
 // instance and must be new for each.
-func New(table platform.Table, hall, start string) *Journal {
+func New(table ports.Table, hall, start string) *Journal {
 	return &Journal{
 		table: table,
 		key:   Prefix(hall) + start,
@@ -90,7 +90,7 @@
 
 // Conflict is the cause of an error of kind Conflict: the rows as they stand.
 type Conflict struct {
-	Rows []platform.Row
+	Rows []ports.Row
 }
 
 // Error returns the keys of the rows.
@@ -270,43 +270,43 @@
 // write sends one transaction. Once an answer of it was lost, the same
 // transaction is sent again until it is known what became of it: only then may
 // another one follow.
-func (j *Journal) write(ctx context.Context, batch []*item, nonce string) (platform.Commit, error) {
+func (j *Journal) write(ctx context.Context, batch []*item, nonce string) (ports.Commit, error) {
 	txn := j.txn(batch, nonce)
 	res, err := j.table.Commit(ctx, txn)
 	for kind.Is(err, kind.Lost) {
 		j.setFailing(true)
 		row, gone := j.readBack(ctx)
 		if gone != nil {
-			return platform.Commit{}, gone
+			return ports.Commit{}, gone
 		}
 		if string(row.Value) == nonce {
-			return j.settled(platform.Commit{Version: row.Version}), nil
+			return j.settled(ports.Commit{Version: row.Version}), nil
 		}
 		res, err = j.resend(ctx, txn)
 	}
 	j.setFailing(err != nil)
 	if row := j.own(res.Failed); row != nil && string(row.Value) == nonce {
-		return j.settled(platform.Commit{Version: row.Version}), nil
+		return j.settled(ports.Commit{Version: row.Version}), nil
 	}
 	return j.settled(res), err
 }
 
 // resend sends a transaction whose fate is open once more. While it cannot be
 // sent, its fate stays open.
-func (j *Journal) resend(ctx context.Context, txn platform.Txn) (platform.Commit, error) {
+func (j *Journal) resend(ctx context.Context, txn ports.Txn) (ports.Commit, error) {
 	for {
 		res, err := j.table.Commit(ctx, txn)
 		if err == nil || kind.Is(err, kind.Lost) {
 			return res, err
 		}
 		if !pause(ctx) {
-			return platform.Commit{}, kind.Wrap(kind.Lost, ctx.Err(), "the table's answer was lost")
+			return ports.Commit{}, kind.Wrap(kind.Lost, ctx.Err(), "the table's answer was lost")
 		}
 	}
 }
 
 // own returns the journal's own row among those whose checks failed, or nil.
-func (j *Journal) own(failed []platform.Row) *platform.Row {
+func (j *Journal) own(failed []ports.Row) *ports.Row {
 	for i := range failed {
 		if failed[i].Key == j.key {
 			return &failed[i]
@@ -326,7 +326,7 @@
 }
 
 // settled remembers the version of the journal's own row.
-func (j *Journal) settled(res platform.Commit) platform.Commit {
+func (j *Journal) settled(res ports.Commit) ports.Commit {
 	if res.Version > 0 && len(res.Failed) == 0 {
 		j.version = res.Version
 	}
@@ -335,24 +335,24 @@
 
 // readBack reads the journal's own row until the table answers. Nothing else
 // is written before that.
-func (j *Journal) readBack(ctx context.Context) (platform.Row, error) {
+func (j *Journal) readBack(ctx context.Context) (ports.Row, error) {
 	for {
 		rows, err := j.table.Get(ctx, j.key)
 		if err == nil {
 			return rows[0], nil
 		}
 		if !pause(ctx) {
-			return platform.Row{}, kind.Wrap(kind.Lost, ctx.Err(), "the table's answer was lost")
+			return ports.Row{}, kind.Wrap(kind.Lost, ctx.Err(), "the table's answer was lost")
 		}
 	}
 }
 
-func (j *Journal) txn(batch []*item, nonce string) platform.Txn {
-	txn := platform.Txn{
-		Checks: []platform.Check{{Key: j.key, Version: j.version}},
-		Puts:   []platform.Put{{Key: j.key, Value: []byte(nonce)}},
+func (j *Journal) txn(batch []*item, nonce string) ports.Txn {
+	txn := ports.Txn{
+		Checks: []ports.Check{{Key: j.key, Version: j.version}},
+		Puts:   []ports.Put{{Key: j.key, Value: []byte(nonce)}},
 	}
-	seen := make(map[platform.Check]bool)
+	seen := make(map[ports.Check]bool)
 	for _, it := range batch {
 		for _, c := range it.change.Checks {
 			if !seen[c] {
@@ -366,8 +366,8 @@
 }
 
 // sortOut answers the changes whose checks failed and returns the others.
-func (j *Journal) sortOut(batch []*item, failed []platform.Row) []*item {
-	now := make(map[string]platform.Row, len(failed))
+func (j *Journal) sortOut(batch []*item, failed []ports.Row) []*item {
+	now := make(map[string]ports.Row, len(failed))
 	for _, r := range failed {
 		now[r.Key] = r
 		if r.Key == j.key {
@@ -385,8 +385,8 @@
 	return kept
 }
 
-func (it *item) failed(now map[string]platform.Row) []platform.Row {
-	var rows []platform.Row
+func (it *item) failed(now map[string]ports.Row) []ports.Row {
+	var rows []ports.Row
 	for _, c := range it.change.Checks {
 		if r, ok := now[c.Key]; ok && r.Version != c.Version {
 			rows = append(rows, r)
--- a/journal/journal_test.go
+++ b/commit/commit_test.go
@@ -1,6 +1,6 @@
 // SPDX-License-Identifier: Apache-2.0
 
-package journal_test
+package commit_test
 
 import (
 	"context"
@@ -14,10 +14,10 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"dewpass.org/commit"
 	"dewpass.org/internal/standin"
-	"dewpass.org/journal"
 	"dewpass.org/kind"
-	"dewpass.org/platform"
+	"dewpass.org/ports"
 )
 
 func TestJournal(t *testing.T) {
@@ -26,19 +26,19 @@
 	RunSpecs(t, "journal")
 }
 
-func put(key, value string) journal.Change {
-	return journal.Change{
-		Checks: []platform.Check{{Key: key}},
-		Puts:   []platform.Put{{Key: key, Value: []byte(value)}},
+func put(key, value string) commit.Change {
+	return commit.Change{
+		Checks: []ports.Check{{Key: key}},
+		Puts:   []ports.Put{{Key: key, Value: []byte(value)}},
 	}
 }
 
 var _ = Describe("the journal", func() {
 	var table *standin.Local
-	var j *journal.Journal
+	var j *commit.Journal
 	BeforeEach(func() {
 		table = standin.NewLocal()
-		j = journal.New(table, "i", "boot")
+		j = commit.New(table, "i", "boot")
 		ctx, cancel := context.WithCancel(context.Background())
 		DeferCleanup(cancel)
 		go j.Run(ctx)
@@ -51,7 +51,7 @@
 
 	It("writes many changes with few transactions", func(ctx context.Context) {
 		const changes = 200
-		slow := func(platform.Txn) error { time.Sleep(5 * time.Millisecond); return nil }
+		slow := func(ports.Txn) error { time.Sleep(5 * time.Millisecond); return nil }
 		table.Set(func(l *standin.Local) { l.Before = slow })
 		var wg sync.WaitGroup
 		for i := range changes {
@@ -71,7 +71,7 @@
 		_, err := j.Commit(ctx, put("k", "first"))
 		Expect(err).NotTo(HaveOccurred())
 		_, err = j.Commit(ctx, put("k", "second"))
-		var c *journal.Conflict
+		var c *commit.Conflict
 		Expect(errors.As(err, &c)).To(BeTrue())
 		Expect(string(c.Rows[0].Value)).To(Equal("first"))
 		_, err = j.Commit(ctx, put("other", "v"))
@@ -81,7 +81,7 @@
 	It("reads back a lost answer and writes nothing twice", func(ctx context.Context) {
 		var commits atomic.Int32
 		table.Set(func(l *standin.Local) {
-			l.After = func(platform.Txn) error {
+			l.After = func(ports.Txn) error {
 				if commits.Add(1)%2 == 1 {
 					return kind.New(kind.Lost, "test")
 				}
@@ -96,17 +96,17 @@
 	})
 
 	It("knows its own transaction again when the first copy arrives late", func(ctx context.Context) {
-		var late platform.Txn
+		var late ports.Txn
 		first := true
 		table.Set(func(l *standin.Local) {
-			l.Before = func(t platform.Txn) error {
+			l.Before = func(t ports.Txn) error {
 				if first {
 					first, late = false, t
 					return kind.New(kind.Lost, "test: on its way")
 				}
 				if late.Puts != nil {
 					l.Table.Commit(late)
-					late = platform.Txn{}
+					late = ports.Txn{}
 				}
 				return nil
 			}
@@ -117,7 +117,7 @@
 
 	It("says unavailable only of what is never written", func(ctx context.Context) {
 		table.Set(func(l *standin.Local) {
-			l.Before = func(platform.Txn) error { return kind.New(kind.Unavailable, "test") }
+			l.Before = func(ports.Txn) error { return kind.New(kind.Unavailable, "test") }
 			l.Reading = func() error { return kind.New(kind.Unavailable, "test") }
 		})
 		_, err := j.Commit(bounded(ctx), put("a", "v"))
@@ -133,7 +133,7 @@
 
 	It("says lost when it cannot find out", func(ctx context.Context) {
 		table.Set(func(l *standin.Local) {
-			l.After = func(platform.Txn) error { return kind.New(kind.Lost, "test") }
+			l.After = func(ports.Txn) error { return kind.New(kind.Lost, "test") }
 			l.Reading = func() error { return kind.New(kind.Unavailable, "test") }
 		})
 		_, err := j.Commit(bounded(ctx), put("a", "v"))
@@ -141,14 +141,14 @@
 	})
 
 	It("sends nothing that cannot wait while others know that the table is away", func(ctx context.Context) {
-		away := journal.New(table, "i", "away")
+		away := commit.New(table, "i", "away")
 		away.Away = func() bool { return true }
 		running, cancel := context.WithCancel(ctx)
 		DeferCleanup(cancel)
 		go away.Run(running)
 		sent := false
 		table.Set(func(l *standin.Local) {
-			l.Before = func(platform.Txn) error { sent = true; return kind.New(kind.Lost, "test") }
+			l.Before = func(ports.Txn) error { sent = true; return kind.New(kind.Lost, "test") }
 		})
 		_, err := away.Commit(bounded(ctx), put("a", "v"))
 		Expect(kind.Is(err, kind.Unavailable)).To(BeTrue(), "%v", err)
--- a/journal/doc.go
+++ b/commit/doc.go
@@ -1,6 +1,6 @@
 // SPDX-License-Identifier: Apache-2.0
 
-// Package journal writes rows to the platform's table by group commit.
+// Package commit writes rows to the platform's table by group commit.
 //
 // Many parts of an instance have rows to write at the same moment, and the
 // table is limited in transactions, not in rows. The Journal gathers what is
@@ -15,4 +15,4 @@
 // transaction took effect. If not, the same transaction is sent again, and the
 // check on that row lets at most one of the two be committed, even if the
 // first arrives late.
-package journal
+package commit
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -13,15 +13,15 @@
 	"github.com/go-kit/log/level"
 	"github.com/oklog/ulid/v2"
 
+	"dewpass.org/commit"
 	"dewpass.org/front"
 	"dewpass.org/hall"
 	"dewpass.org/internal/clock"
-	"dewpass.org/journal"
 	"dewpass.org/keys"
 	"dewpass.org/kind"
 	"dewpass.org/link"
 	"dewpass.org/owner"
-	"dewpass.org/platform"
+	"dewpass.org/ports"
 	"dewpass.org/settings"
 	"dewpass.org/telemetry"
 	"dewpass.org/tree"
@@ -33,9 +33,9 @@
 	kit      *telemetry.Kit
 	boot     string
 
-	platform *platform.Client
-	workers  *platform.Workers
-	journal  *journal.Journal
+	platform *ports.Client
+	workers  *ports.Workers
+	journal  *commit.Journal
 	register *tree.Register
 	store    *tree.Store
 	peers    *hall.Peers
@@ -84,11 +84,11 @@
 
 func (e *Entry) build(work context.Context) error {
 	s := e.settings
-	e.platform = platform.NewClient(s.Platform.URL)
-	e.workers = platform.NewWorkers()
+	e.platform = ports.NewClient(s.Platform.URL)
+	e.workers = ports.NewWorkers()
 	e.register = &tree.Register{}
 	e.store = &tree.Store{Table: e.platform, Now: time.Now}
-	e.journal = journal.New(e.platform, s.Hall, s.Instance+"/"+e.boot)
+	e.journal = commit.New(e.platform, s.Hall, s.Instance+"/"+e.boot)
 	e.peers = hall.NewPeers(s.Instance, s.Hall, s.Peers)
 	e.dialer = &link.Dialer{}
 	e.server = &link.Server{Handler: e}
--- a/entry/greet.go
+++ b/entry/greet.go
@@ -14,7 +14,7 @@
 	"dewpass.org/internal/clock"
 	"dewpass.org/job"
 	"dewpass.org/kind"
-	"dewpass.org/platform"
+	"dewpass.org/ports"
 	"dewpass.org/telemetry"
 	"dewpass.org/wire"
 )
@@ -267,7 +267,7 @@
 	if err != nil {
 		return
 	}
-	var list []platform.Instance
+	var list []ports.Instance
 	if err := json.Unmarshal(reply.GetDirectory().GetInstances(), &list); err == nil {
 		e.keeper.Offer(list)
 	}
--- a/entry/rescue.go
+++ b/entry/rescue.go
@@ -8,12 +8,12 @@
 
 	"github.com/go-kit/log/level"
 
+	"dewpass.org/commit"
 	"dewpass.org/hall"
 	"dewpass.org/internal/clock"
 	"dewpass.org/job"
-	"dewpass.org/journal"
 	"dewpass.org/lease"
-	"dewpass.org/platform"
+	"dewpass.org/ports"
 	"dewpass.org/tree"
 )
 
@@ -59,7 +59,7 @@
 func (e *Entry) otherHalls() map[string]map[string]bool {
 	out := make(map[string]map[string]bool)
 	for _, in := range e.keeper.Directory() {
-		if in.Role != platform.RoleWorker || in.Hall == e.settings.Hall {
+		if in.Role != ports.RoleWorker || in.Hall == e.settings.Hall {
 			continue
 		}
 		if out[in.Hall] == nil {
@@ -160,7 +160,7 @@
 // that may have been sent is settled as unknown instead.
 func (e *Entry) move(ctx context.Context, j job.Job, version uint64, w *tree.Workload) error {
 	old := j
-	if j.Repeat == platform.RepeatNever && j.State != job.Queued {
+	if j.Repeat == ports.RepeatNever && j.State != job.Queued {
 		if j.State == job.Unknown {
 			return nil
 		}
@@ -183,15 +183,15 @@
 	return nil
 }
 
-func moveChange(old, j job.Job, version uint64) journal.Change {
-	c := journal.Change{
-		Checks: []platform.Check{{Key: job.RowKey(j.ID), Version: version}},
-		Puts:   []platform.Put{{Key: job.RowKey(j.ID), Value: job.Encode(j)}},
+func moveChange(old, j job.Job, version uint64) commit.Change {
+	c := commit.Change{
+		Checks: []ports.Check{{Key: job.RowKey(j.ID), Version: version}},
+		Puts:   []ports.Put{{Key: job.RowKey(j.ID), Value: job.Encode(j)}},
 	}
 	if old.Rack != j.Rack {
 		c.Puts = append(c.Puts,
-			platform.Put{Key: job.IndexKey(old.Rack, j.ID), Delete: true},
-			platform.Put{Key: job.IndexKey(j.Rack, j.ID), Value: []byte("{}")})
+			ports.Put{Key: job.IndexKey(old.Rack, j.ID), Delete: true},
+			ports.Put{Key: job.IndexKey(j.Rack, j.ID), Value: []byte("{}")})
 	}
 	return c
 }
--- a/entry/services.go
+++ b/entry/services.go
@@ -14,7 +14,7 @@
 	"dewpass.org/hall"
 	"dewpass.org/internal/clock"
 	"dewpass.org/job"
-	"dewpass.org/platform"
+	"dewpass.org/ports"
 	"dewpass.org/sched"
 	"dewpass.org/tree"
 )
@@ -135,7 +135,7 @@
 	for i := len(live); i < want; i++ {
 		row := job.Job{
 			ID:   fmt.Sprintf("%s%s", prefix, ulid.Make()),
-			Shop: serviceShop, Workload: w.Path, Repeat: platform.RepeatSafe,
+			Shop: serviceShop, Workload: w.Path, Repeat: ports.RepeatSafe,
 			Service: true, Payload: []byte(`{"service":true}`), Submitted: clock.Now().UTC(),
 		}
 		if _, err := e.front.Place(ctx, row, w); err != nil {
--- a/expiry/expiry.go
+++ b/expiry/expiry.go
@@ -8,11 +8,11 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"dewpass.org/commit"
 	"dewpass.org/hall"
 	"dewpass.org/job"
-	"dewpass.org/journal"
 	"dewpass.org/kind"
-	"dewpass.org/platform"
+	"dewpass.org/ports"
 )
 
 const (
@@ -24,16 +24,16 @@
 	instanceKeep = 24 * time.Hour
 )
 
-// Journal commits changes; see journal.Journal.
+// Journal commits changes; see commit.Journal.
 type Journal interface {
-	Commit(ctx context.Context, c journal.Change) (uint64, error)
+	Commit(ctx context.Context, c commit.Change) (uint64, error)
 }
 
 // Sweeper removes the rows of one hall that are due. Fill in all fields.
 type Sweeper struct {
 	Hall    string
-	Table   platform.Table
-	Objects platform.Objects
+	Table   ports.Table
+	Objects ports.Objects
 	Journal Journal
 }
 
@@ -56,7 +56,7 @@
 }
 
 // due returns the first page of expiry rows that are due.
-func (s *Sweeper) due(ctx context.Context, now time.Time) ([]platform.Row, error) {
+func (s *Sweeper) due(ctx context.Context, now time.Time) ([]ports.Row, error) {
 	rows, err := s.Table.Scan(ctx, job.ExpiryPrefix(s.Hall), "", page)
 	if err != nil {
 		return nil, err
@@ -72,7 +72,7 @@
 
 // removeAll removes what a page of expiry rows names, and returns how many of
 // them are gone. Those whose rows changed meanwhile stay for the next pass.
-func (s *Sweeper) removeAll(ctx context.Context, due []platform.Row, now time.Time) (int, error) {
+func (s *Sweeper) removeAll(ctx context.Context, due []ports.Row, now time.Time) (int, error) {
 	var group errgroup.Group
 	group.SetLimit(atOnce)
 	gone := make([]bool, len(due))
@@ -96,7 +96,7 @@
 	return n, err
 }
 
-func (s *Sweeper) remove(ctx context.Context, row platform.Row, now time.Time) error {
+func (s *Sweeper) remove(ctx context.Context, row ports.Row, now time.Time) error {
 	e, err := job.DecodeExpiry(row.Value)
 	if err != nil {
 		return err
@@ -105,7 +105,7 @@
 	if err != nil {
 		return err
 	}
-	var c journal.Change
+	var c commit.Change
 	drop(&c, row)
 	if err := s.dropJob(ctx, &c, e, rows[0], now); err != nil {
 		return err
@@ -118,14 +118,14 @@
 }
 
 // drop adds the removal of a row as it was read.
-func drop(c *journal.Change, row platform.Row) {
-	c.Checks = append(c.Checks, platform.Check{Key: row.Key, Version: row.Version})
-	c.Puts = append(c.Puts, platform.Put{Key: row.Key, Delete: true})
+func drop(c *commit.Change, row ports.Row) {
+	c.Checks = append(c.Checks, ports.Check{Key: row.Key, Version: row.Version})
+	c.Puts = append(c.Puts, ports.Put{Key: row.Key, Delete: true})
 }
 
 // dropJob adds the removal of a job that is over and due, and removes its
 // objects.
-func (s *Sweeper) dropJob(ctx context.Context, c *journal.Change, e job.Expiry, row platform.Row, now time.Time) error {
+func (s *Sweeper) dropJob(ctx context.Context, c *commit.Change, e job.Expiry, row ports.Row, now time.Time) error {
 	if e.ID == "" || row.Version == 0 {
 		return nil
 	}
@@ -150,7 +150,7 @@
 
 // keyOf reports whether the row of a request key is the one that an expiry
 // speaks of.
-func keyOf(e job.Expiry, row platform.Row) bool {
+func keyOf(e job.Expiry, row ports.Row) bool {
 	if e.Key == "" || row.Version == 0 {
 		return false
 	}
@@ -168,13 +168,13 @@
 	if err != nil {
 		return 0, err
 	}
-	journals, err := s.old(ctx, journal.Prefix(s.Hall), journal.Used, now)
+	journals, err := s.old(ctx, commit.Prefix(s.Hall), commit.Used, now)
 	if err != nil {
 		return 0, err
 	}
 	removed := 0
 	for _, row := range append(members, journals...) {
-		var c journal.Change
+		var c commit.Change
 		drop(&c, row)
 		_, err := s.Journal.Commit(ctx, c)
 		switch {
@@ -189,8 +189,8 @@
 
 // old returns the rows with a prefix that were last used more than a day ago.
 // A row that does not tell is left alone.
-func (s *Sweeper) old(ctx context.Context, prefix string, used func([]byte) (time.Time, bool), now time.Time) ([]platform.Row, error) {
-	var out []platform.Row
+func (s *Sweeper) old(ctx context.Context, prefix string, used func([]byte) (time.Time, bool), now time.Time) ([]ports.Row, error) {
+	var out []ports.Row
 	after := ""
 	for {
 		rows, err := s.Table.Scan(ctx, prefix, after, page)
--- a/expiry/expiry_test.go
+++ b/expiry/expiry_test.go
@@ -13,12 +13,12 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"dewpass.org/commit"
 	"dewpass.org/expiry"
 	"dewpass.org/internal/standin"
 	"dewpass.org/job"
-	"dewpass.org/journal"
 	"dewpass.org/kind"
-	"dewpass.org/platform"
+	"dewpass.org/ports"
 )
 
 func TestExpiry(t *testing.T) {
@@ -55,25 +55,25 @@
 	now := time.Date(2026, 3, 1, 3, 0, 0, 0, time.UTC)
 	BeforeEach(func() {
 		table, store = standin.NewLocal(), &objects{}
-		j := journal.New(table, "h", "sweeper/boot")
+		j := commit.New(table, "h", "sweeper/boot")
 		ctx, cancel := context.WithCancel(context.Background())
 		DeferCleanup(cancel)
 		go j.Run(ctx)
 		s = &expiry.Sweeper{Hall: "h", Table: table, Objects: store, Journal: j}
 	})
-	put := func(puts ...platform.Put) { table.Table.Commit(platform.Txn{Puts: puts}) }
+	put := func(puts ...ports.Put) { table.Table.Commit(ports.Txn{Puts: puts}) }
 	// add writes a job as its owner does.
 	add := func(id string, state job.State, expires time.Time) {
 		row := job.Job{ID: id, Shop: "s", Key: "k-" + id, Hall: "h", State: state, Expires: &expires, AnswerObject: "answer/" + id}
 		store.Put(row.AnswerObject, []byte("x"))
-		put(platform.Put{Key: job.RowKey(id), Value: job.Encode(row)},
-			platform.Put{Key: job.KeyRow("s", row.Key), Value: job.Encode(job.Key{ID: id})},
+		put(ports.Put{Key: job.RowKey(id), Value: job.Encode(row)},
+			ports.Put{Key: job.KeyRow("s", row.Key), Value: job.Encode(job.Key{ID: id})},
 			job.ExpiryOf(row).Put())
 	}
 	keys := func() []string {
 		var out []string
 		for _, r := range table.Table.Scan("", "", 0) {
-			if !strings.HasPrefix(r.Key, journal.Prefix("h")) {
+			if !strings.HasPrefix(r.Key, commit.Prefix("h")) {
 				out = append(out, r.Key)
 			}
 		}
@@ -86,9 +86,9 @@
 		}
 		add("later", job.Done, now.Add(time.Second))
 		refused := job.Expiry{Hall: "h", At: now.Add(-time.Hour), Shop: "s", Key: "refused"}
-		put(refused.Put(), platform.Put{Key: job.KeyRow("s", "refused"), Value: job.Encode(job.Key{Refused: true})})
+		put(refused.Put(), ports.Put{Key: job.KeyRow("s", "refused"), Value: job.Encode(job.Key{Refused: true})})
 		table.Set(func(l *standin.Local) {
-			l.Before = func(platform.Txn) error { time.Sleep(2 * time.Millisecond); return nil }
+			l.Before = func(ports.Txn) error { time.Sleep(2 * time.Millisecond); return nil }
 		})
 		before := table.Commits()
 		n, err := s.Jobs(ctx, now)
@@ -102,7 +102,7 @@
 	It("leaves a job that is not over, and a key that stands for another request", func(ctx context.Context) {
 		add("runs", job.Unknown, now.Add(-time.Hour))
 		add("over", job.Done, now.Add(-time.Hour))
-		put(platform.Put{Key: job.KeyRow("s", "k-over"), Value: job.Encode(job.Key{ID: "another"})})
+		put(ports.Put{Key: job.KeyRow("s", "k-over"), Value: job.Encode(job.Key{ID: "another"})})
 		_, err := s.Jobs(ctx, now)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(keys()).To(ConsistOf(job.RowKey("runs"), job.KeyRow("s", "k-over")))
@@ -125,10 +125,10 @@
 		add("a", job.Done, now.Add(-time.Hour))
 		changed := false
 		table.Set(func(l *standin.Local) {
-			l.Before = func(t platform.Txn) error {
+			l.Before = func(t ports.Txn) error {
 				if !changed {
 					changed = true
-					put(platform.Put{Key: job.KeyRow("s", "k-a"), Value: job.Encode(job.Key{ID: "another"})})
+					put(ports.Put{Key: job.KeyRow("s", "k-a"), Value: job.Encode(job.Key{ID: "another"})})
 				}
 				return nil
 			}
@@ -146,14 +146,14 @@
 			return []byte(id.String())
 		}
 		long, short := now.Add(-25*time.Hour), now.Add(-time.Hour)
-		put(platform.Put{Key: "member/h/gone", Value: seen(long)}, platform.Put{Key: "member/h/here", Value: seen(short)},
-			platform.Put{Key: journal.Prefix("h") + "gone/1", Value: nonce(long)},
-			platform.Put{Key: journal.Prefix("h") + "here/1", Value: nonce(short)},
-			platform.Put{Key: "member/other/gone", Value: seen(long)})
+		put(ports.Put{Key: "member/h/gone", Value: seen(long)}, ports.Put{Key: "member/h/here", Value: seen(short)},
+			ports.Put{Key: commit.Prefix("h") + "gone/1", Value: nonce(long)},
+			ports.Put{Key: commit.Prefix("h") + "here/1", Value: nonce(short)},
+			ports.Put{Key: "member/other/gone", Value: seen(long)})
 		n, err := s.Instances(ctx, now)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(n).To(Equal(2))
 		Expect(keys()).To(ConsistOf("member/h/here", "member/other/gone"))
-		Expect(table.Table.Get(journal.Prefix("h") + "here/1")[0].Version).NotTo(BeZero())
+		Expect(table.Table.Get(commit.Prefix("h") + "here/1")[0].Version).NotTo(BeZero())
 	})
 })
--- a/front/calls.go
+++ b/front/calls.go
@@ -14,7 +14,7 @@
 	"dewpass.org/internal/fault"
 	"dewpass.org/job"
 	"dewpass.org/kind"
-	"dewpass.org/platform"
+	"dewpass.org/ports"
 	"dewpass.org/tree"
 	"dewpass.org/wire"
 )
@@ -127,7 +127,7 @@
 	if reply == nil {
 		return nil, kind.New(kind.Damaged, "the peer's reply is empty")
 	}
-	whole := platform.Answer{
+	whole := ports.Answer{
 		ID: reply.Id, Attempt: reply.Attempt, Length: int(reply.Length),
 		Digest: reply.Digest, Body: reply.Body,
 	}
--- a/front/front.go
+++ b/front/front.go
@@ -21,12 +21,12 @@
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/trace"
 
+	"dewpass.org/commit"
 	"dewpass.org/hall"
 	"dewpass.org/internal/fault"
 	"dewpass.org/job"
-	"dewpass.org/journal"
 	"dewpass.org/kind"
-	"dewpass.org/platform"
+	"dewpass.org/ports"
 	"dewpass.org/telemetry"
 	"dewpass.org/tree"
 	"dewpass.org/wire"
@@ -43,7 +43,7 @@
 
 // Committer writes rows.
 type Committer interface {
-	Commit(ctx context.Context, c journal.Change) (uint64, error)
+	Commit(ctx context.Context, c commit.Change) (uint64, error)
 }
 
 // Front answers callers and operators. Fill in the exported fields, then call
@@ -54,8 +54,8 @@
 	Owner    Owner
 	Peers    *hall.Peers
 	Send     hall.Sender
-	Table    platform.Table
-	Objects  platform.Objects
+	Table    ports.Table
+	Objects  ports.Objects
 	Journal  Committer
 	Tree     *tree.Register
 	Store    *tree.Store
--- a/front/refusal.go
+++ b/front/refusal.go
@@ -10,11 +10,11 @@
 	"github.com/go-faster/errors"
 	"github.com/go-kit/log/level"
 
+	"dewpass.org/commit"
 	"dewpass.org/internal/clock"
 	"dewpass.org/job"
-	"dewpass.org/journal"
 	"dewpass.org/kind"
-	"dewpass.org/platform"
+	"dewpass.org/ports"
 	"dewpass.org/tree"
 	"dewpass.org/wire"
 )
@@ -139,7 +139,7 @@
 }
 
 // closing is the change that closes a key, for as long as keys are kept.
-func (f *Front) closing(req *request, digest, why string) journal.Change {
+func (f *Front) closing(req *request, digest, why string) commit.Change {
 	key := job.KeyRow(req.Shop, req.Key)
 	value := job.Encode(job.Key{Digest: digest, Refused: true, Why: why})
 	keep := tree.DefaultKeep
@@ -147,9 +147,9 @@
 		keep = w.Keep
 	}
 	e := job.Expiry{Hall: f.Hall, At: clock.Now().Add(keep), Shop: req.Shop, Key: req.Key}
-	return journal.Change{
-		Checks: []platform.Check{{Key: key}},
-		Puts:   []platform.Put{{Key: key, Value: value}, e.Put()},
+	return commit.Change{
+		Checks: []ports.Check{{Key: key}},
+		Puts:   []ports.Put{{Key: key, Value: value}, e.Put()},
 	}
 }
 
@@ -198,7 +198,7 @@
 		ctx, cancel := context.WithTimeout(ctx, refuseTime)
 		_, err := f.Journal.Commit(ctx, f.closing(req, r.Digest, "refused while the table was out of reach"))
 		cancel()
-		var conflict *journal.Conflict
+		var conflict *commit.Conflict
 		if err != nil && !errors.As(err, &conflict) {
 			return
 		}
@@ -210,7 +210,7 @@
 }
 
 // refusedRow reports whether the row that came first is a refusal as well.
-func refusedRow(c *journal.Conflict) bool {
+func refusedRow(c *commit.Conflict) bool {
 	for _, r := range c.Rows {
 		if key, err := job.DecodeKey(r.Value); err != nil || !key.Refused {
 			return false
--- a/front/request.go
+++ b/front/request.go
@@ -15,7 +15,7 @@
 	"dewpass.org/internal/body"
 	"dewpass.org/internal/schema"
 	"dewpass.org/kind"
-	"dewpass.org/platform"
+	"dewpass.org/ports"
 	"dewpass.org/tree"
 )
 
@@ -131,7 +131,7 @@
 	if !fits {
 		return nil, kind.At(kind.BadRequest, "/workload", r.Workload+" is a "+string(w.Kind))
 	}
-	r.Once = r.Once || w.Repeat == platform.RepeatNever
+	r.Once = r.Once || w.Repeat == ports.RepeatNever
 	if r.Once && r.Key == "" {
 		return nil, kind.At(kind.BadRequest, "/key", "work that must not be repeated needs a key")
 	}
@@ -141,9 +141,9 @@
 	return w, nil
 }
 
-func (r *request) repeat() platform.Repeat {
+func (r *request) repeat() ports.Repeat {
 	if r.Once {
-		return platform.RepeatNever
+		return ports.RepeatNever
 	}
-	return platform.RepeatSafe
+	return ports.RepeatSafe
 }
--- a/hall/hall_test.go
+++ b/hall/hall_test.go
@@ -18,7 +18,7 @@
 	"dewpass.org/internal/standin"
 	"dewpass.org/kind"
 	"dewpass.org/lease"
-	"dewpass.org/platform"
+	"dewpass.org/ports"
 	"dewpass.org/wire"
 )
 
@@ -128,7 +128,7 @@
 	return r.adopted
 }
 
-func (r *racks) Adopt(name string, e lease.Epoch, _ uint64, _ []platform.Instance) {
+func (r *racks) Adopt(name string, e lease.Epoch, _ uint64, _ []ports.Instance) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.owned[name] = e
@@ -175,13 +175,13 @@
 	return out
 }
 
-func (r *racks) Workers([]platform.Instance) {}
+func (r *racks) Workers([]ports.Instance) {}
 
 // list is a list of instances that never changes.
-type list []platform.Instance
+type list []ports.Instance
 
-func (l list) List(context.Context, string, string) (platform.Listing, error) {
-	return platform.Listing{Version: "1", Instances: l}, nil
+func (l list) List(context.Context, string, string) (ports.Listing, error) {
+	return ports.Listing{Version: "1", Instances: l}, nil
 }
 
 // silentSender reaches nobody.
@@ -194,8 +194,8 @@
 var _ = Describe("a keeper", func() {
 	var table *standin.Local
 	workers := list{
-		{ID: "w1", Role: platform.RoleWorker, Hall: "h", Rack: "r1"},
-		{ID: "w2", Role: platform.RoleWorker, Hall: "h", Rack: "r2"},
+		{ID: "w1", Role: ports.RoleWorker, Hall: "h", Rack: "r1"},
+		{ID: "w2", Role: ports.RoleWorker, Hall: "h", Rack: "r2"},
 	}
 	start := func(instance string, peers *hall.Peers) (*hall.Keeper, *racks, context.CancelFunc) {
 		r := &racks{owned: make(map[string]lease.Epoch)}
@@ -247,7 +247,7 @@
 		k, first, _ := start("one", hall.NewPeers("one", "h", nil))
 		Eventually(first.Owned).Should(HaveLen(2))
 		key := hall.RackKey("h", "r1")
-		table.Table.Commit(platform.Txn{Puts: []platform.Put{
+		table.Table.Commit(ports.Txn{Puts: []ports.Put{
 			{Key: key, Value: []byte(`{"owner":"x@y","epoch":9}`)},
 			{Key: "member/h/x@y", Value: []byte(`{}`)},
 		}})
@@ -273,7 +273,7 @@
 				}
 			}
 		}()
-		table.Table.Commit(platform.Txn{Puts: []platform.Put{
+		table.Table.Commit(ports.Txn{Puts: []ports.Put{
 			{Key: key, Value: []byte(`{"owner":"two@b","epoch":9}`)},
 			{Key: hall.RackKey("h", "r2"), Value: []byte(`{"owner":"two@b","epoch":9}`)},
 		}})
@@ -316,7 +316,7 @@
 		Eventually(first.Owned).Should(HaveKey("r2"))
 		fail := func() error { return kind.New(kind.Unavailable, "test") }
 		table.Set(func(l *standin.Local) {
-			l.Before = func(platform.Txn) error { return fail() }
+			l.Before = func(ports.Txn) error { return fail() }
 			l.Reading = fail
 		})
 		Eventually(first.Owned, 4*hall.MemberLease).Should(HaveKeyWithValue("r1", lease.Epoch{Table: 5, Local: 1}))
--- a/hall/handover.go
+++ b/hall/handover.go
@@ -10,7 +10,7 @@
 	"dewpass.org/internal/clock"
 	"dewpass.org/internal/fault"
 	"dewpass.org/kind"
-	"dewpass.org/platform"
+	"dewpass.org/ports"
 	"dewpass.org/wire"
 )
 
@@ -49,9 +49,9 @@
 	}
 	next := RackRow{Owner: OwnerName(peer.Instance, peer.Boot), Epoch: epoch.Table + 1}
 	key := RackKey(k.Hall, rack)
-	txn := platform.Txn{
-		Checks: []platform.Check{{Key: key, Version: version}},
-		Puts:   []platform.Put{{Key: key, Value: encodeRow(next)}},
+	txn := ports.Txn{
+		Checks: []ports.Check{{Key: key, Version: version}},
+		Puts:   []ports.Put{{Key: key, Value: encodeRow(next)}},
 	}
 	ctx, cancel := context.WithTimeout(ctx, rowTimeout)
 	defer cancel()
@@ -103,7 +103,7 @@
 		}
 		k.handOver(ctx, r, target[r])
 	}
-	txn := platform.Txn{Puts: []platform.Put{{Key: memberKey(k.Hall, k.Name()), Delete: true}}}
+	txn := ports.Txn{Puts: []ports.Put{{Key: memberKey(k.Hall, k.Name()), Delete: true}}}
 	if _, err := k.Table.Commit(ctx, txn); err != nil {
 		level.Warn(k.Log).Log("msg", "member row not removed", "err", err)
 	}
--- a/hall/keeper.go
+++ b/hall/keeper.go
@@ -14,7 +14,7 @@
 	"dewpass.org/internal/clock"
 	"dewpass.org/internal/fault"
 	"dewpass.org/lease"
-	"dewpass.org/platform"
+	"dewpass.org/ports"
 	"dewpass.org/wire"
 )
 
@@ -48,7 +48,7 @@
 type Racks interface {
 	// Adopt starts to own a rack under an epoch; row is the version of its
 	// row. A rack that is owned already is attached again under the epoch.
-	Adopt(rack string, epoch lease.Epoch, row uint64, workers []platform.Instance)
+	Adopt(rack string, epoch lease.Epoch, row uint64, workers []ports.Instance)
 	// Close stops new work on a rack and waits until what was placed there has
 	// been sent. It reports false if ctx ended before.
 	Close(ctx context.Context, rack string) bool
@@ -59,7 +59,7 @@
 	// Owned returns the epochs of the racks that are owned.
 	Owned() map[string]lease.Epoch
 	// Workers tells of the workers of the hall as the platform lists them.
-	Workers(list []platform.Instance)
+	Workers(list []ports.Instance)
 }
 
 // Sender sends a message to a peer.
@@ -73,15 +73,15 @@
 	Instance string
 	Boot     string
 	Hall     string
-	Table    platform.Table
-	List     platform.Instances
+	Table    ports.Table
+	List     ports.Instances
 	Peers    *Peers
 	Racks    Racks
 	Send     Sender
 	Log      log.Logger
 
 	mu        sync.Mutex
-	directory []platform.Instance
+	directory []ports.Instance
 	listed    string
 	rows      map[string]uint64
 	watched   map[string]watch
@@ -155,7 +155,7 @@
 }
 
 // Directory returns the last list of instances that is known.
-func (k *Keeper) Directory() []platform.Instance {
+func (k *Keeper) Directory() []ports.Instance {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	return k.directory
@@ -163,7 +163,7 @@
 
 // Offer gives the Keeper a list of instances from a peer, for as long as it
 // has none from the platform.
-func (k *Keeper) Offer(list []platform.Instance) {
+func (k *Keeper) Offer(list []ports.Instance) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if len(k.directory) == 0 {
@@ -202,7 +202,7 @@
 	directory := k.directory
 	k.mu.Unlock()
 	for _, in := range directory {
-		if in.Role == platform.RoleEntry && in.ID != k.Instance {
+		if in.Role == ports.RoleEntry && in.ID != k.Instance {
 			k.Peers.Hint(in.Addr, now)
 		}
 	}
@@ -219,7 +219,7 @@
 	k.beatSent = now
 	k.beat++
 	row := encodeRow(memberRow{Boot: k.Boot, Beat: k.beat, At: now.Unix()})
-	txn := platform.Txn{Puts: []platform.Put{{Key: memberKey(k.Hall, k.Name()), Value: row}}}
+	txn := ports.Txn{Puts: []ports.Put{{Key: memberKey(k.Hall, k.Name()), Value: row}}}
 	ctx, cancel := context.WithTimeout(ctx, rowTimeout)
 	defer cancel()
 	if _, err := k.Table.Commit(ctx, txn); err != nil {
@@ -307,10 +307,10 @@
 }
 
 // racks returns the racks of the hall with their workers, as listed.
-func (k *Keeper) racks() map[string][]platform.Instance {
-	out := make(map[string][]platform.Instance)
+func (k *Keeper) racks() map[string][]ports.Instance {
+	out := make(map[string][]ports.Instance)
 	for _, in := range k.Directory() {
-		if in.Role == platform.RoleWorker && in.Hall == k.Hall && in.Rack != "" {
+		if in.Role == ports.RoleWorker && in.Hall == k.Hall && in.Rack != "" {
 			out[in.Rack] = append(out[in.Rack], in)
 		}
 	}
--- a/hall/takeover.go
+++ b/hall/takeover.go
@@ -12,7 +12,7 @@
 	"dewpass.org/internal/clock"
 	"dewpass.org/internal/fault"
 	"dewpass.org/lease"
-	"dewpass.org/platform"
+	"dewpass.org/ports"
 )
 
 // watch is the row of a silent owner as first seen.
@@ -24,7 +24,7 @@
 // takeOver tries to own racks that nobody live claims: those that should be
 // this instance's, and those that were handed to it, whoever should own them by
 // now. Nobody else may take what was handed to an instance that lives.
-func (k *Keeper) takeOver(ctx context.Context, unclaimed []string, target map[string]string, racks map[string][]platform.Instance) {
+func (k *Keeper) takeOver(ctx context.Context, unclaimed []string, target map[string]string, racks map[string][]ports.Instance) {
 	if len(unclaimed) == 0 {
 		return
 	}
@@ -106,15 +106,15 @@
 
 // claim writes this instance into the row of a rack. The check on the row of
 // the last owner makes it fail if that owner has shown itself meanwhile.
-func (k *Keeper) claim(ctx context.Context, rack string, row rackState, member uint64, workers []platform.Instance) {
+func (k *Keeper) claim(ctx context.Context, rack string, row rackState, member uint64, workers []ports.Instance) {
 	next := RackRow{Owner: k.Name(), Epoch: row.epoch + 1}
-	txn := platform.Txn{
-		Checks: []platform.Check{{Key: RackKey(k.Hall, rack), Version: row.version}},
-		Puts:   []platform.Put{{Key: RackKey(k.Hall, rack), Value: encodeRow(next)}},
+	txn := ports.Txn{
+		Checks: []ports.Check{{Key: RackKey(k.Hall, rack), Version: row.version}},
+		Puts:   []ports.Put{{Key: RackKey(k.Hall, rack), Value: encodeRow(next)}},
 	}
 	if row.owner != "" {
 		key := memberKey(k.Hall, row.owner)
-		txn.Checks = append(txn.Checks, platform.Check{Key: key, Version: member})
+		txn.Checks = append(txn.Checks, ports.Check{Key: key, Version: member})
 	}
 	ctx, cancel := context.WithTimeout(ctx, rowTimeout)
 	defer cancel()
@@ -128,7 +128,7 @@
 	k.adopt(rack, lease.Epoch{Table: next.Epoch}, res.Version, workers)
 }
 
-func (k *Keeper) adopt(rack string, epoch lease.Epoch, version uint64, workers []platform.Instance) {
+func (k *Keeper) adopt(rack string, epoch lease.Epoch, version uint64, workers []ports.Instance) {
 	k.rows[rack] = version
 	k.Racks.Adopt(rack, epoch, version, workers)
 }
@@ -136,7 +136,7 @@
 // takeLocally takes racks over without the table, when it has not answered for
 // some time. The workers decide: they accept a new owner only once the control
 // of the last one has lapsed.
-func (k *Keeper) takeLocally(wanted []string, racks map[string][]platform.Instance) {
+func (k *Keeper) takeLocally(wanted []string, racks map[string][]ports.Instance) {
 	if !k.CutOff(clock.Now()) {
 		return
 	}
@@ -152,7 +152,7 @@
 
 // confirm writes down the racks that were taken without the table once it is
 // back. Until then their row still names the last owner.
-func (k *Keeper) confirm(ctx context.Context, racks map[string][]platform.Instance) {
+func (k *Keeper) confirm(ctx context.Context, racks map[string][]ports.Instance) {
 	var local []string
 	for r := range k.Racks.Owned() {
 		if k.rows[r] == 0 {
--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -12,7 +12,7 @@
 	"golang.org/x/time/rate"
 
 	"dewpass.org/kind"
-	"dewpass.org/platform"
+	"dewpass.org/ports"
 )
 
 // Faults are the switches of one stand-in.
@@ -140,8 +140,8 @@
 	e := kind.Of(err)
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(e.Kind.Row().Status)
-	p := platform.Problem{Kind: e.Kind.String(), Detail: e.Detail}
-	var higher *platform.HigherEpoch
+	p := ports.Problem{Kind: e.Kind.String(), Detail: e.Detail}
+	var higher *ports.HigherEpoch
 	if errors.As(err, &higher) {
 		p.Epoch = higher.Epoch
 	}
--- a/internal/standin/local.go
+++ b/internal/standin/local.go
@@ -7,18 +7,18 @@
 	"sync"
 
 	"dewpass.org/kind"
-	"dewpass.org/platform"
+	"dewpass.org/ports"
 )
 
 // Local is a Table without the network, for focused tests: it implements
-// platform.Table, and Before and After bring failures about at each commit.
+// ports.Table, and Before and After bring failures about at each commit.
 type Local struct {
 	*Table
 	mu sync.Mutex
 	// Before may refuse a commit before it takes effect.
-	Before func(platform.Txn) error
+	Before func(ports.Txn) error
 	// After may lose the answer of a commit that took effect.
-	After func(platform.Txn) error
+	After func(ports.Txn) error
 	// Reading may refuse reads.
 	Reading func() error
 }
@@ -33,7 +33,7 @@
 	f(l)
 }
 
-func (l *Local) hooks() (before, after func(platform.Txn) error, reading func() error) {
+func (l *Local) hooks() (before, after func(ports.Txn) error, reading func() error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.Before, l.After, l.Reading
@@ -49,37 +49,37 @@
 	return nil
 }
 
-// Get implements platform.Table.
-func (l *Local) Get(ctx context.Context, keys ...string) ([]platform.Row, error) {
+// Get implements ports.Table.
+func (l *Local) Get(ctx context.Context, keys ...string) ([]ports.Row, error) {
 	if err := l.read(ctx); err != nil {
 		return nil, err
 	}
 	return l.Table.Get(keys...), nil
 }
 
-// Scan implements platform.Table.
-func (l *Local) Scan(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+// Scan implements ports.Table.
+func (l *Local) Scan(ctx context.Context, prefix, after string, limit int) ([]ports.Row, error) {
 	if err := l.read(ctx); err != nil {
 		return nil, err
 	}
 	return l.Table.Scan(prefix, after, limit), nil
 }
 
-// Commit implements platform.Table.
-func (l *Local) Commit(ctx context.Context, t platform.Txn) (platform.Commit, error) {
+// Commit implements ports.Table.
+func (l *Local) Commit(ctx context.Context, t ports.Txn) (ports.Commit, error) {
 	if err := ctx.Err(); err != nil {
-		return platform.Commit{}, kind.Wrap(kind.Unavailable, err, "commit")
+		return ports.Commit{}, kind.Wrap(kind.Unavailable, err, "commit")
 	}
 	before, after, _ := l.hooks()
 	if before != nil {
 		if err := before(t); err != nil {
-			return platform.Commit{}, err
+			return ports.Commit{}, err
 		}
 	}
 	res := l.Table.Commit(t)
 	if after != nil {
 		if err := after(t); err != nil {
-			return platform.Commit{}, err
+			return ports.Commit{}, err
 		}
 	}
 	return res, nil
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -15,7 +15,7 @@
 	"github.com/gorilla/mux"
 
 	"dewpass.org/kind"
-	"dewpass.org/platform"
+	"dewpass.org/ports"
 )
 
 // Objects is the stand-in of the object store.
@@ -92,24 +92,24 @@
 	switches
 	listMu sync.Mutex
 	lag    time.Duration
-	shown  []platform.Instance
-	actual []platform.Instance
+	shown  []ports.Instance
+	actual []ports.Instance
 	// version counts the changes that are shown.
 	version int
 }
 
 // Put adds or replaces an instance.
-func (l *List) Put(in platform.Instance) {
-	l.change(func(list []platform.Instance) []platform.Instance {
-		list = slices.DeleteFunc(list, func(o platform.Instance) bool { return o.ID == in.ID })
+func (l *List) Put(in ports.Instance) {
+	l.change(func(list []ports.Instance) []ports.Instance {
+		list = slices.DeleteFunc(list, func(o ports.Instance) bool { return o.ID == in.ID })
 		return append(list, in)
 	})
 }
 
 // Delete removes an instance.
 func (l *List) Delete(id string) {
-	l.change(func(list []platform.Instance) []platform.Instance {
-		return slices.DeleteFunc(list, func(o platform.Instance) bool { return o.ID == id })
+	l.change(func(list []ports.Instance) []ports.Instance {
+		return slices.DeleteFunc(list, func(o ports.Instance) bool { return o.ID == id })
 	})
 }
 
@@ -120,7 +120,7 @@
 	l.lag = d
 }
 
-func (l *List) change(f func([]platform.Instance) []platform.Instance) {
+func (l *List) change(f func([]ports.Instance) []ports.Instance) {
 	l.listMu.Lock()
 	defer l.listMu.Unlock()
 	l.actual = f(slices.Clone(l.actual))
@@ -145,7 +145,7 @@
 	l.listMu.Lock()
 	shown, version := l.shown, strconv.Itoa(l.version)
 	l.listMu.Unlock()
-	out := platform.Listing{Version: version, Unchanged: q.Get("since") == version}
+	out := ports.Listing{Version: version, Unchanged: q.Get("since") == version}
 	if out.Unchanged {
 		writeJSON(w, out)
 		return
@@ -159,7 +159,7 @@
 }
 
 func (l *List) putHandler(w http.ResponseWriter, r *http.Request) {
-	var in platform.Instance
+	var in ports.Instance
 	if readJSON(w, r, &in) {
 		l.Put(in)
 	}
--- a/internal/standin/record.go
+++ b/internal/standin/record.go
@@ -8,7 +8,7 @@
 	"sync"
 	"time"
 
-	"dewpass.org/platform"
+	"dewpass.org/ports"
 	"dewpass.org/sched"
 )
 
@@ -77,7 +77,7 @@
 }
 
 // start writes down a start. tag is the caller's own name for the request.
-func (r *Record) start(worker string, t *platform.Task, tag string, over bool, leavingSince time.Time) {
+func (r *Record) start(worker string, t *ports.Task, tag string, over bool, leavingSince time.Time) {
 	now := time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -99,24 +99,24 @@
 	r.use(now, t.Demand)
 }
 
-func (r *Record) countTag(t *platform.Task, tag, line string) {
+func (r *Record) countTag(t *ports.Task, tag, line string) {
 	if tag == "" {
 		return
 	}
 	r.tags[tag]++
-	if t.Repeat == platform.RepeatNever && r.tags[tag] > 1 {
+	if t.Repeat == ports.RepeatNever && r.tags[tag] > 1 {
 		r.summary.Repeated = append(r.summary.Repeated, tag+" "+line)
 	}
 }
 
 // end writes down that a task no longer runs.
-func (r *Record) end(worker, what string, t *platform.Task, held sched.Vec) {
+func (r *Record) end(worker, what string, t *ports.Task, held sched.Vec) {
 	now := time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.init()
 	r.note(Event{At: now, Worker: worker, What: what, ID: t.ID, Attempt: t.Attempt})
-	if what == string(platform.TaskFinished) {
+	if what == string(ports.TaskFinished) {
 		r.summary.Finishes++
 	} else if t.Call {
 		r.summary.Cut = append(r.summary.Cut, fmt.Sprintf("%s at %s %s", t.ID, worker, what))
@@ -192,7 +192,7 @@
 }
 
 // over writes down that a resumed task took a worker past what it has.
-func (r *Record) over(worker string, t *platform.Task) {
+func (r *Record) over(worker string, t *ports.Task) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.summary.Over = append(r.summary.Over, fmt.Sprintf("%s#%d resumed at %s", t.ID, t.Attempt, worker))
--- a/internal/standin/table.go
+++ b/internal/standin/table.go
@@ -9,46 +9,46 @@
 	"strings"
 	"sync"
 
-	"dewpass.org/platform"
+	"dewpass.org/ports"
 )
 
 // Table is the stand-in of the platform's table.
 type Table struct {
 	switches
 	rowsMu  sync.Mutex
-	rows    map[string]platform.Row
+	rows    map[string]ports.Row
 	version uint64
 	commits uint64
 }
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	return &Table{rows: make(map[string]platform.Row)}
+	return &Table{rows: make(map[string]ports.Row)}
 }
 
 // Get returns the rows with the given keys.
-func (t *Table) Get(keys ...string) []platform.Row {
+func (t *Table) Get(keys ...string) []ports.Row {
 	t.rowsMu.Lock()
 	defer t.rowsMu.Unlock()
-	out := make([]platform.Row, 0, len(keys))
+	out := make([]ports.Row, 0, len(keys))
 	for _, k := range keys {
 		out = append(out, t.row(k))
 	}
 	return out
 }
 
-func (t *Table) row(key string) platform.Row {
+func (t *Table) row(key string) ports.Row {
 	if r, ok := t.rows[key]; ok {
 		return r
 	}
-	return platform.Row{Key: key}
+	return ports.Row{Key: key}
 }
 
 // Scan returns the rows with a prefix in order.
-func (t *Table) Scan(prefix, after string, limit int) []platform.Row {
+func (t *Table) Scan(prefix, after string, limit int) []ports.Row {
 	t.rowsMu.Lock()
 	defer t.rowsMu.Unlock()
-	out := []platform.Row{}
+	out := []ports.Row{}
 	for k, r := range t.rows {
 		if strings.HasPrefix(k, prefix) && k > after {
 			out = append(out, r)
@@ -62,10 +62,10 @@
 }
 
 // Commit carries out a transaction.
-func (t *Table) Commit(x platform.Txn) platform.Commit {
+func (t *Table) Commit(x ports.Txn) ports.Commit {
 	t.rowsMu.Lock()
 	defer t.rowsMu.Unlock()
-	var out platform.Commit
+	var out ports.Commit
 	for _, c := range x.Checks {
 		if r := t.row(c.Key); r.Version != c.Version {
 			out.Failed = append(out.Failed, r)
@@ -81,7 +81,7 @@
 			delete(t.rows, p.Key)
 			continue
 		}
-		t.rows[p.Key] = platform.Row{Key: p.Key, Value: p.Value, Version: t.version}
+		t.rows[p.Key] = ports.Row{Key: p.Key, Value: p.Value, Version: t.version}
 	}
 	out.Version = t.version
 	return out
@@ -105,7 +105,7 @@
 }
 
 func (t *Table) commitHandler(w http.ResponseWriter, r *http.Request) {
-	var x platform.Txn
+	var x ports.Txn
 	if readJSON(w, r, &x) {
 		writeJSON(w, t.Commit(x))
 	}
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -11,7 +11,7 @@
 
 	"dewpass.org/kind"
 	"dewpass.org/lease"
-	"dewpass.org/platform"
+	"dewpass.org/ports"
 	"dewpass.org/sched"
 )
 
@@ -61,11 +61,11 @@
 const forever = 24 * time.Hour
 
 type run struct {
-	task    platform.Task
+	task    ports.Task
 	payload Payload
-	state   platform.TaskState
+	state   ports.TaskState
 	given   sched.Vec
-	answer  *platform.Answer
+	answer  *ports.Answer
 	saved   string
 	seq     uint64
 	timer   *time.Timer
@@ -117,11 +117,11 @@
 	}
 }
 
-func (w *Worker) instance() platform.Instance {
+func (w *Worker) instance() ports.Instance {
 	w.stateMu.Lock()
 	defer w.stateMu.Unlock()
-	return platform.Instance{
-		ID: w.id, Role: platform.RoleWorker, Hall: w.hall, Rack: w.rack,
+	return ports.Instance{
+		ID: w.id, Role: ports.RoleWorker, Hall: w.hall, Rack: w.rack,
 		Addr: w.addr, Leaving: w.leaving,
 	}
 }
@@ -133,7 +133,7 @@
 	defer w.stateMu.Unlock()
 	w.crashed = true
 	for id, t := range w.tasks {
-		w.end(t, platform.TaskFailed, "crash")
+		w.end(t, ports.TaskFailed, "crash")
 		delete(w.tasks, id)
 	}
 }
@@ -180,7 +180,7 @@
 	}
 	for _, t := range w.tasks {
 		if !t.state.Over() {
-			w.end(t, platform.TaskStopped, "lapsed")
+			w.end(t, ports.TaskStopped, "lapsed")
 		}
 	}
 }
@@ -210,7 +210,7 @@
 func (w *Worker) name() string { return w.id + "/" + strconv.Itoa(w.incarnation) }
 
 // fence refuses commands of a lower epoch and for another incarnation.
-func (w *Worker) fence(c platform.Command) error {
+func (w *Worker) fence(c ports.Command) error {
 	if c.Incarnation != w.name() {
 		return kind.New(kind.Fenced, "incarnation is "+w.name())
 	}
@@ -222,12 +222,12 @@
 
 // fenced is the refusal of a command, with the epoch that is held.
 func (w *Worker) fenced(detail string) error {
-	return kind.Wrap(kind.Fenced, &platform.HigherEpoch{Epoch: w.epoch}, detail)
+	return kind.Wrap(kind.Fenced, &ports.HigherEpoch{Epoch: w.epoch}, detail)
 }
 
 // admit decides on a new owner. One that comes without a newer table epoch
 // must wait until the control of the last one has lapsed.
-func (w *Worker) admit(c platform.Command) error {
+func (w *Worker) admit(c ports.Command) error {
 	if !w.epoch.Less(c.Epoch) {
 		return w.fenced("the epoch is not above that of " + w.owner)
 	}
@@ -239,8 +239,8 @@
 }
 
 // reports tells an owner that attaches of every task.
-func (w *Worker) reports() []platform.TaskReport {
-	out := []platform.TaskReport{}
+func (w *Worker) reports() []ports.TaskReport {
+	out := []ports.TaskReport{}
 	for _, t := range w.tasks {
 		t.answered = false
 		out = append(out, w.report(t))
@@ -248,18 +248,18 @@
 	return out
 }
 
-func (w *Worker) report(t *run) platform.TaskReport {
+func (w *Worker) report(t *run) ports.TaskReport {
 	ran := t.ran
-	if t.state == platform.TaskRunning {
+	if t.state == ports.TaskRunning {
 		ran += time.Since(t.began)
 	}
-	return platform.TaskReport{
+	return ports.TaskReport{
 		Task: t.task, State: t.state, Answer: t.answer,
 		Checkpoint: t.saved, RanMS: ran.Milliseconds(),
 	}
 }
 
-func (w *Worker) accept(req *platform.StartRequest) (*run, error) {
+func (w *Worker) accept(req *ports.StartRequest) (*run, error) {
 	w.stateMu.Lock()
 	defer w.stateMu.Unlock()
 	w.lapse(time.Now())
@@ -276,8 +276,8 @@
 	return w.launch(req), nil
 }
 
-func (w *Worker) launch(req *platform.StartRequest) *run {
-	t := &run{task: req.Task, state: platform.TaskRunning, given: req.Task.Demand, done: make(chan struct{})}
+func (w *Worker) launch(req *ports.StartRequest) *run {
+	t := &run{task: req.Task, state: ports.TaskRunning, given: req.Task.Demand, done: make(chan struct{})}
 	_ = json.Unmarshal(req.Task.Payload, &t.payload)
 	w.given = w.given.Add(t.given)
 	over := !w.capacity.Covers(&w.given)
@@ -330,7 +330,7 @@
 
 func (w *Worker) save(t *run) {
 	ran := t.ran
-	if t.state == platform.TaskRunning {
+	if t.state == ports.TaskRunning {
 		ran += time.Since(t.began)
 	}
 	t.saved = "checkpoint/" + t.task.ID + "/" + strconv.Itoa(int(t.task.Attempt))
@@ -345,27 +345,27 @@
 		return
 	}
 	if t.payload.Fail {
-		w.end(t, platform.TaskFailed, "failed")
+		w.end(t, ports.TaskFailed, "failed")
 		return
 	}
-	body, _ := json.Marshal(Body{Task: t.task.ID, Shop: t.task.Shop, Sum: platform.Digest(t.task.Payload), Filler: Filler(t.task.ID, t.payload.Bytes)})
-	t.answer = &platform.Answer{
+	body, _ := json.Marshal(Body{Task: t.task.ID, Shop: t.task.Shop, Sum: ports.Digest(t.task.Payload), Filler: Filler(t.task.ID, t.payload.Bytes)})
+	t.answer = &ports.Answer{
 		ID: t.task.ID, Attempt: t.task.Attempt,
-		Length: len(body), Digest: platform.Digest(body), Body: body,
+		Length: len(body), Digest: ports.Digest(body), Body: body,
 	}
-	w.end(t, platform.TaskFinished, string(platform.TaskFinished))
-	if t.task.Call && t.task.Repeat != platform.RepeatNever {
+	w.end(t, ports.TaskFinished, string(ports.TaskFinished))
+	if t.task.Call && t.task.Repeat != ports.RepeatNever {
 		// Its answer goes out on the connection; nobody will ask for it again.
 		time.AfterFunc(time.Second, func() { w.forget(t.task.ID, t.task.Attempt) })
 	}
 }
 
 // end takes a task out of what runs. The lock is held.
-func (w *Worker) end(t *run, state platform.TaskState, what string) {
+func (w *Worker) end(t *run, state ports.TaskState, what string) {
 	if t.state.Over() {
 		return
 	}
-	if t.state == platform.TaskRunning {
+	if t.state == ports.TaskRunning {
 		t.ran += time.Since(t.began)
 	}
 	t.state = state
@@ -381,26 +381,26 @@
 	close(t.done)
 }
 
-func (w *Worker) carryOut(t *run, a platform.Action) {
+func (w *Worker) carryOut(t *run, a ports.Action) {
 	switch a {
-	case platform.ActThrottle:
+	case ports.ActThrottle:
 		w.throttle(t)
-	case platform.ActResume:
+	case ports.ActResume:
 		w.resume(t)
-	case platform.ActCheckpoint:
+	case ports.ActCheckpoint:
 		w.save(t)
-		w.end(t, platform.TaskCheckpointed, "checkpointed")
-	case platform.ActStop:
-		w.end(t, platform.TaskStopped, "stopped")
+		w.end(t, ports.TaskCheckpointed, "checkpointed")
+	case ports.ActStop:
+		w.end(t, ports.TaskStopped, "stopped")
 	}
 }
 
 func (w *Worker) throttle(t *run) {
-	if t.state != platform.TaskRunning {
+	if t.state != ports.TaskRunning {
 		return
 	}
 	t.ran += time.Since(t.began)
-	t.state = platform.TaskThrottled
+	t.state = ports.TaskThrottled
 	t.timer.Stop()
 	left := time.Duration(t.payload.MS)*time.Millisecond - t.ran
 	t.timer = time.AfterFunc(left*throttledShare, func() { w.finish(t) })
@@ -409,10 +409,10 @@
 }
 
 func (w *Worker) resume(t *run) {
-	if t.state != platform.TaskThrottled {
+	if t.state != ports.TaskThrottled {
 		return
 	}
-	t.state = platform.TaskRunning
+	t.state = ports.TaskRunning
 	t.began = time.Now()
 	t.timer.Stop()
 	t.timer = time.AfterFunc(w.remaining(t), func() { w.finish(t) })
--- a/internal/standin/worker_http.go
+++ b/internal/standin/worker_http.go
@@ -10,7 +10,7 @@
 	"github.com/gorilla/mux"
 
 	"dewpass.org/kind"
-	"dewpass.org/platform"
+	"dewpass.org/ports"
 )
 
 // Handler serves the worker's protocol.
@@ -35,7 +35,7 @@
 }
 
 func (w *Worker) attach(rw http.ResponseWriter, r *http.Request) {
-	var c platform.Command
+	var c ports.Command
 	if !readJSON(rw, r, &c) {
 		return
 	}
@@ -47,14 +47,14 @@
 		return
 	}
 	w.epoch, w.owner = c.Epoch, c.Owner
-	writeJSON(rw, platform.AttachReply{
+	writeJSON(rw, ports.AttachReply{
 		Worker: w.id, Incarnation: w.name(), Capacity: w.capacity,
 		Leaving: w.leaving, Seq: w.seq, Tasks: w.reports(),
 	})
 }
 
 func (w *Worker) start(rw http.ResponseWriter, r *http.Request) {
-	var req platform.StartRequest
+	var req ports.StartRequest
 	if !readJSON(rw, r, &req) {
 		return
 	}
@@ -90,7 +90,7 @@
 }
 
 func (w *Worker) join(rw http.ResponseWriter, r *http.Request) {
-	var req platform.JoinRequest
+	var req ports.JoinRequest
 	if !readJSON(rw, r, &req) {
 		return
 	}
@@ -102,7 +102,7 @@
 	w.answer(rw, r, t)
 }
 
-func (w *Worker) find(req *platform.JoinRequest) (*run, error) {
+func (w *Worker) find(req *ports.JoinRequest) (*run, error) {
 	w.stateMu.Lock()
 	defer w.stateMu.Unlock()
 	w.lapse(time.Now())
@@ -140,7 +140,7 @@
 }
 
 func (w *Worker) watch(rw http.ResponseWriter, r *http.Request) {
-	var req platform.WatchRequest
+	var req ports.WatchRequest
 	if !readJSON(rw, r, &req) {
 		return
 	}
@@ -167,7 +167,7 @@
 		w.stateMu.Lock()
 		break
 	}
-	rep := platform.WatchReply{Seq: w.seq, Leaving: w.leaving}
+	rep := ports.WatchReply{Seq: w.seq, Leaving: w.leaving}
 	if w.seq > req.Seq {
 		rep.Tasks = w.changes(req.Seq)
 	}
@@ -175,8 +175,8 @@
 	writeJSON(rw, rep)
 }
 
-func (w *Worker) changes(after uint64) []platform.TaskReport {
-	var out []platform.TaskReport
+func (w *Worker) changes(after uint64) []ports.TaskReport {
+	var out []ports.TaskReport
 	for _, t := range w.tasks {
 		if t.seq > after {
 			out = append(out, w.report(t))
@@ -186,7 +186,7 @@
 }
 
 func (w *Worker) act(rw http.ResponseWriter, r *http.Request) {
-	var req platform.ActRequest
+	var req ports.ActRequest
 	if !readJSON(rw, r, &req) {
 		return
 	}
@@ -209,7 +209,7 @@
 }
 
 func (w *Worker) ack(rw http.ResponseWriter, r *http.Request) {
-	var req platform.AckRequest
+	var req ports.AckRequest
 	if readJSON(rw, r, &req) {
 		w.forget(req.ID, req.Attempt)
 	}
--- a/job/expiry.go
+++ b/job/expiry.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"dewpass.org/kind"
-	"dewpass.org/platform"
+	"dewpass.org/ports"
 )
 
 // Expiry is the row that tells what may be removed from the table at a time:
@@ -45,12 +45,12 @@
 }
 
 // Put returns the write of the row.
-func (e Expiry) Put() platform.Put {
+func (e Expiry) Put() ports.Put {
 	name := e.ID
 	if name == "" {
 		name = KeyRow(e.Shop, e.Key)
 	}
-	return platform.Put{Key: ExpiryBefore(e.Hall, e.At) + name, Value: Encode(e)}
+	return ports.Put{Key: ExpiryBefore(e.Hall, e.At) + name, Value: Encode(e)}
 }
 
 // DecodeExpiry reads an expiry row.
--- a/job/job.go
+++ b/job/job.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"dewpass.org/kind"
-	"dewpass.org/platform"
+	"dewpass.org/ports"
 )
 
 // State is the state of a job.
@@ -58,7 +58,7 @@
 	Key      string          `json:"key,omitempty"`
 	Workload string          `json:"workload"`
 	Payload  json.RawMessage `json:"payload,omitempty"`
-	Repeat   platform.Repeat `json:"repeat"`
+	Repeat   ports.Repeat    `json:"repeat"`
 	Service  bool            `json:"service,omitempty"`
 	// Call marks a call that must not be repeated. Its caller waits for it; its
 	// row is what is left when that caller gets no answer.
@@ -84,7 +84,7 @@
 	// Expires is when the row may be removed; it comes with the end.
 	Expires *time.Time `json:"expires,omitempty"`
 
-	Answer *platform.Answer `json:"answer,omitempty"`
+	Answer *ports.Answer `json:"answer,omitempty"`
 	// AnswerObject is the object that holds a large answer's body.
 	AnswerObject string `json:"answer_object,omitempty"`
 	// Why says why the job failed, was refused or is unknown.
@@ -97,7 +97,7 @@
 		if to != s {
 			continue
 		}
-		if s == Queued && j.Repeat == platform.RepeatNever && j.State == Running {
+		if s == Queued && j.Repeat == ports.RepeatNever && j.State == Running {
 			break
 		}
 		j.State = s
@@ -172,5 +172,5 @@
 // RequestDigest returns the digest that tells one request from another under
 // the same key.
 func RequestDigest(workload string, payload []byte) string {
-	return platform.Digest(append([]byte(workload+"\n"), payload...))
+	return ports.Digest(append([]byte(workload+"\n"), payload...))
 }
--- a/job/job_test.go
+++ b/job/job_test.go
@@ -10,7 +10,7 @@
 	"pgregory.net/rapid"
 
 	"dewpass.org/job"
-	"dewpass.org/platform"
+	"dewpass.org/ports"
 )
 
 func TestJob(t *testing.T) {
@@ -25,7 +25,7 @@
 var _ = Describe("the states of a job", func() {
 	It("never lead out of an end, nor from running back to queued for work that must not be repeated", func() {
 		rapid.Check(GinkgoT(), func(t *rapid.T) {
-			j := job.Job{State: job.Queued, Repeat: platform.RepeatNever}
+			j := job.Job{State: job.Queued, Repeat: ports.RepeatNever}
 			ran := false
 			for range 20 {
 				next, err := j.Next(rapid.SampledFrom(states).Draw(t, "to"))
--- a/owner/away.go
+++ b/owner/away.go
@@ -11,7 +11,7 @@
 	"dewpass.org/internal/clock"
 	"dewpass.org/job"
 	"dewpass.org/lease"
-	"dewpass.org/platform"
+	"dewpass.org/ports"
 	"dewpass.org/tree"
 )
 
@@ -58,7 +58,7 @@
 	case t.worker == nil:
 		js.unread = true
 		o.drop(t)
-	case !t.stopped && t.spec.Repeat != platform.RepeatNever:
+	case !t.stopped && t.spec.Repeat != ports.RepeatNever:
 		t.stopped = true
 		go o.act(t, t.worker, o.exitAction(t))
 	}
@@ -111,7 +111,7 @@
 }
 
 // reread takes in the row of a job as it stands. The lock is held.
-func (o *Owner) reread(r *rack, id string, row platform.Row) {
+func (o *Owner) reread(r *rack, id string, row ports.Row) {
 	js := o.jobs[id]
 	if js == nil || js.rack != r {
 		return
@@ -142,7 +142,7 @@
 		return
 	}
 	t.stopped = true
-	go o.act(t, t.worker, platform.ActStop)
+	go o.act(t, t.worker, ports.ActStop)
 }
 
 // Moved takes in a job whose row was just moved to a rack of this owner.
--- a/owner/call.go
+++ b/owner/call.go
@@ -12,7 +12,7 @@
 	"dewpass.org/internal/fault"
 	"dewpass.org/job"
 	"dewpass.org/kind"
-	"dewpass.org/platform"
+	"dewpass.org/ports"
 	"dewpass.org/sched"
 	"dewpass.org/telemetry"
 	"dewpass.org/tree"
@@ -114,9 +114,9 @@
 	}
 	now := o.now()
 	o.cell.CallArrived(w.Demand, now)
-	spec := platform.Task{ID: req.Id, Attempt: 1, Shop: req.Shop, Call: true, Payload: req.Payload, Repeat: platform.RepeatSafe}
+	spec := ports.Task{ID: req.Id, Attempt: 1, Shop: req.Shop, Call: true, Payload: req.Payload, Repeat: ports.RepeatSafe}
 	if req.Once {
-		spec.Repeat = platform.RepeatNever
+		spec.Repeat = ports.RepeatNever
 	}
 	t := o.newTask(w, spec)
 	t.callerWaits = true
@@ -205,8 +205,8 @@
 
 // runCall sends a placed call to its worker, and to another one as long as it
 // is refused for certain.
-func (o *Owner) runCall(ctx context.Context, t *task, req *wire.Call) (*platform.Answer, error) {
-	if t.spec.Repeat == platform.RepeatNever {
+func (o *Owner) runCall(ctx context.Context, t *task, req *wire.Call) (*ports.Answer, error) {
+	if t.spec.Repeat == ports.RepeatNever {
 		if err := o.writeIntent(ctx, t, req); err != nil {
 			return nil, err
 		}
@@ -215,7 +215,7 @@
 	}
 	var err error
 	for range maxPlaces {
-		var ans *platform.Answer
+		var ans *ports.Answer
 		ans, err = o.send(ctx, t)
 		if err == nil || kind.Of(err).Outcome != kind.NotRun || ctx.Err() != nil {
 			return ans, err
--- a/owner/jobs.go
+++ b/owner/jobs.go
@@ -9,7 +9,7 @@
 	"dewpass.org/internal/fault"
 	"dewpass.org/job"
 	"dewpass.org/kind"
-	"dewpass.org/platform"
+	"dewpass.org/ports"
 	"dewpass.org/tree"
 )
 
@@ -61,7 +61,7 @@
 }
 
 // Submit writes a new job down and takes it in. An error of kind Conflict
-// whose cause is a journal.Conflict names the rows that came first.
+// whose cause is a commit.Conflict names the rows that came first.
 func (o *Owner) Submit(ctx context.Context, row job.Job) (job.Job, error) {
 	w, err := o.Tree.Now().Lookup(row.Workload)
 	if err != nil {
@@ -124,7 +124,7 @@
 		// when it is back. See release.
 		return
 	}
-	t := o.newTask(w, platform.Task{
+	t := o.newTask(w, ports.Task{
 		ID: js.row.ID, Attempt: js.row.Attempt + 1, Shop: js.row.Shop,
 		Repeat: js.row.Repeat, Payload: js.row.Payload, Checkpoint: js.row.Checkpoint,
 	})
@@ -137,7 +137,7 @@
 // startJob sends a placed job to its worker.
 func (o *Owner) startJob(t *task) {
 	ctx := t.rack.ctx
-	if t.spec.Repeat == platform.RepeatNever && !o.writeDispatch(ctx, t) {
+	if t.spec.Repeat == ports.RepeatNever && !o.writeDispatch(ctx, t) {
 		return
 	}
 	fault.At(fault.Placed)
@@ -209,13 +209,13 @@
 		o.settle(js, job.Cancelled, func(*job.Job) {})
 		o.drop(t)
 	case t != nil && t.worker != nil && t.sent:
-		go o.act(t, t.worker, platform.ActStop)
+		go o.act(t, t.worker, ports.ActStop)
 	}
 	return js.row, nil
 }
 
 // act throttles, resumes, saves or stops a task at its worker.
-func (o *Owner) act(t *task, w *worker, a platform.Action) {
+func (o *Owner) act(t *task, w *worker, a ports.Action) {
 	for range actTries {
 		o.mu.Lock()
 		api, cmd, id, attempt := w.api, o.command(w), t.spec.ID, t.spec.Attempt
@@ -242,13 +242,13 @@
 	o.suspect(w)
 }
 
-func (o *Owner) acted(t *task, w *worker, a platform.Action, rep platform.TaskReport) {
+func (o *Owner) acted(t *task, w *worker, a ports.Action, rep ports.TaskReport) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.byRef[t.ref] != t {
 		return
 	}
-	if rep.State == platform.TaskThrottled && a == platform.ActThrottle {
+	if rep.State == ports.TaskThrottled && a == ports.ActThrottle {
 		o.cell.Throttled(t.handle)
 	}
 	o.report(w, rep)
--- a/owner/load.go
+++ b/owner/load.go
@@ -10,7 +10,7 @@
 	"dewpass.org/internal/clock"
 	"dewpass.org/job"
 	"dewpass.org/lease"
-	"dewpass.org/platform"
+	"dewpass.org/ports"
 	"dewpass.org/tree"
 )
 
@@ -69,12 +69,12 @@
 		}
 		if t.rack == r && t.worker != nil && t.job == nil && hasRow(t.spec) {
 			t.stopped = true
-			go o.act(t, t.worker, platform.ActStop)
+			go o.act(t, t.worker, ports.ActStop)
 		}
 	}
 }
 
-func (o *Owner) loadPage(r *rack, index []platform.Row) error {
+func (o *Owner) loadPage(r *rack, index []ports.Row) error {
 	keys := o.missing(r, index)
 	if len(keys) == 0 {
 		return nil
@@ -100,7 +100,7 @@
 
 // missing returns the keys of the rows of indexed jobs that are not known here.
 // A look at the index of a rack that has long been owned finds hardly any.
-func (o *Owner) missing(r *rack, index []platform.Row) []string {
+func (o *Owner) missing(r *rack, index []ports.Row) []string {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	var keys []string
@@ -157,9 +157,9 @@
 		return
 	}
 	switch {
-	case js.row.Repeat == platform.RepeatNever && js.row.State != job.Queued:
+	case js.row.Repeat == ports.RepeatNever && js.row.State != job.Queued:
 		o.releaseOnce(js)
-	case js.row.Repeat == platform.RepeatNever || o.nobodyRuns(js):
+	case js.row.Repeat == ports.RepeatNever || o.nobodyRuns(js):
 		js.limbo = false
 		if js.cancelling {
 			o.settle(js, job.Cancelled, func(*job.Job) {})
--- a/owner/overflow.go
+++ b/owner/overflow.go
@@ -8,10 +8,10 @@
 
 	"github.com/go-kit/log/level"
 
+	"dewpass.org/commit"
 	"dewpass.org/internal/clock"
 	"dewpass.org/job"
-	"dewpass.org/journal"
-	"dewpass.org/platform"
+	"dewpass.org/ports"
 )
 
 const (
@@ -64,8 +64,8 @@
 	}
 	row := js.row
 	row.Hall, row.Rack = h, rack
-	change := journal.Change{Checks: o.checks(js), Puts: puts(row)}
-	change.Puts = append(change.Puts, platform.Put{Key: job.IndexKey(js.row.Rack, row.ID), Delete: true})
+	change := commit.Change{Checks: o.checks(js), Puts: puts(row)}
+	change.Puts = append(change.Puts, ports.Put{Key: job.IndexKey(js.row.Rack, row.ID), Delete: true})
 	o.drop(t)
 	js.saving = true
 	js.unread = true
@@ -74,7 +74,7 @@
 
 // finishMove commits a move. The job was taken out of the queue before; when
 // the move fails, its row tells where it is.
-func (o *Owner) finishMove(js *jobState, row job.Job, change journal.Change) {
+func (o *Owner) finishMove(js *jobState, row job.Job, change commit.Change) {
 	ctx, cancel := context.WithTimeout(js.rack.ctx, submitTime)
 	defer cancel()
 	version, err := o.Journal.Commit(ctx, change)
@@ -99,7 +99,7 @@
 // moveFailed reads the row of a job whose move has an unknown end. An empty
 // change through the journal settles the fate of those before it.
 func (o *Owner) moveFailed(js *jobState) {
-	if _, err := o.Journal.Commit(js.rack.ctx, journal.Change{}); err != nil {
+	if _, err := o.Journal.Commit(js.rack.ctx, commit.Change{}); err != nil {
 		return
 	}
 	row, err := o.readRow(js.rack.ctx, job.RowKey(js.row.ID))
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -13,12 +13,12 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"dewpass.org/commit"
 	"dewpass.org/hall"
 	"dewpass.org/internal/clock"
 	"dewpass.org/job"
-	"dewpass.org/journal"
 	"dewpass.org/lease"
-	"dewpass.org/platform"
+	"dewpass.org/ports"
 	"dewpass.org/sched"
 	"dewpass.org/tree"
 )
@@ -28,10 +28,10 @@
 	// Name is the name under which this start of the instance owns racks.
 	Name    string
 	Hall    string
-	Connect func(addr string) platform.Worker
-	Table   platform.Table
-	Objects platform.Objects
-	Journal *journal.Journal
+	Connect func(addr string) ports.Worker
+	Table   ports.Table
+	Objects ports.Objects
+	Journal *commit.Journal
 	Tree    *tree.Register
 	// Shown returns when the instance last showed in the table that it lives.
 	Shown func() time.Time
@@ -115,7 +115,7 @@
 type task struct {
 	ref      uint64
 	handle   sched.Handle
-	spec     platform.Task
+	spec     ports.Task
 	workload *tree.Workload
 	rack     *rack
 	// worker is where it was placed; nil while it waits.
@@ -246,7 +246,7 @@
 }
 
 // task makes the record of a task. The lock is held.
-func (o *Owner) newTask(w *tree.Workload, spec platform.Task) *task {
+func (o *Owner) newTask(w *tree.Workload, spec ports.Task) *task {
 	o.nextRef++
 	spec.Demand = w.Demand
 	spec.Workload = w.Path
@@ -272,7 +272,7 @@
 		s.Rack = t.job.rack.id
 		o.jobTimes(t.job, &s)
 	}
-	if t.spec.Call || t.spec.Repeat == platform.RepeatNever {
+	if t.spec.Call || t.spec.Repeat == ports.RepeatNever {
 		s.Ladder = 0
 	}
 	if t.workload.Kind == tree.Service {
--- a/owner/owner_test.go
+++ b/owner/owner_test.go
@@ -16,14 +16,14 @@
 	"github.com/uber-go/tally/v4"
 	"go.opentelemetry.io/otel/trace/noop"
 
+	"dewpass.org/commit"
 	"dewpass.org/hall"
 	"dewpass.org/internal/standin"
 	"dewpass.org/job"
-	"dewpass.org/journal"
 	"dewpass.org/kind"
 	"dewpass.org/lease"
 	"dewpass.org/owner"
-	"dewpass.org/platform"
+	"dewpass.org/ports"
 	"dewpass.org/sched"
 	"dewpass.org/tree"
 	"dewpass.org/wire"
@@ -43,7 +43,7 @@
 type cell struct {
 	platform *standin.Platform
 	table    *standin.Local
-	workers  []platform.Instance
+	workers  []ports.Instance
 	register *tree.Register
 	servers  map[string]*httptest.Server
 	standins []*standin.Worker
@@ -66,16 +66,16 @@
 		c.servers[id] = s
 		c.standins = append(c.standins, w)
 		addr := strings.TrimPrefix(s.URL, "http://")
-		c.workers = append(c.workers, platform.Instance{ID: id, Role: platform.RoleWorker, Hall: "h", Rack: "r", Addr: addr})
+		c.workers = append(c.workers, ports.Instance{ID: id, Role: ports.RoleWorker, Hall: "h", Rack: "r", Addr: addr})
 	}
 	return c
 }
 
 // own writes an owner into the row of the rack and makes it own the rack.
-func (c *cell) own(name string, epoch uint64, connect func(string) platform.Worker, workers []platform.Instance) *owner.Owner {
+func (c *cell) own(name string, epoch uint64, connect func(string) ports.Worker, workers []ports.Instance) *owner.Owner {
 	ctx, cancel := context.WithCancel(context.Background())
 	DeferCleanup(cancel)
-	j := journal.New(c.table, name, "boot")
+	j := commit.New(c.table, name, "boot")
 	go j.Run(ctx)
 	o := owner.New(ctx, owner.Config{
 		Name: name, Hall: "h", Connect: connect, Table: c.table, Journal: j, Tree: c.register,
@@ -85,7 +85,7 @@
 		Log:       log.NewNopLogger(), Scope: tally.NoopScope, Tracer: noop.NewTracerProvider().Tracer(""),
 	})
 	go o.Run(ctx)
-	row := c.table.Table.Commit(platform.Txn{Puts: []platform.Put{{Key: hall.RackKey("h", "r"), Value: []byte(`{"owner":"` + name + `"}`)}}})
+	row := c.table.Table.Commit(ports.Txn{Puts: []ports.Put{{Key: hall.RackKey("h", "r"), Value: []byte(`{"owner":"` + name + `"}`)}}})
 	o.Adopt("r", lease.Epoch{Table: epoch}, row.Version, workers)
 	Eventually(func() uint32 { return o.Summary()[0].Attached }).Should(BeEquivalentTo(len(workers)))
 	return o
@@ -93,7 +93,7 @@
 
 // gate holds starts back until it is opened, and keeps what became of them.
 type gate struct {
-	platform.Worker
+	ports.Worker
 	addr  string
 	gates *gates
 }
@@ -109,8 +109,8 @@
 
 func newGates() *gates { return &gates{open: make(chan struct{}), done: make(chan struct{})} }
 
-func (g *gates) connect(addr string) platform.Worker {
-	return &gate{Worker: platform.NewWorkers().At(addr), addr: addr, gates: g}
+func (g *gates) connect(addr string) ports.Worker {
+	return &gate{Worker: ports.NewWorkers().At(addr), addr: addr, gates: g}
 }
 
 func (g *gates) at() string {
@@ -119,7 +119,7 @@
 	return g.held
 }
 
-func (g *gate) Start(_ context.Context, c platform.Command, t platform.Task, d time.Duration) (platform.TaskReport, error) {
+func (g *gate) Start(_ context.Context, c ports.Command, t ports.Task, d time.Duration) (ports.TaskReport, error) {
 	g.gates.mu.Lock()
 	g.gates.held = g.addr
 	g.gates.mu.Unlock()
@@ -135,14 +135,14 @@
 var _ = Describe("an owner", func() {
 	submit := func(ctx context.Context, o *owner.Owner) job.Job {
 		row := job.Job{
-			ID: "j1", Shop: "s", Workload: "batch", Repeat: platform.RepeatSafe, Hall: "h", Rack: "r",
+			ID: "j1", Shop: "s", Workload: "batch", Repeat: ports.RepeatSafe, Hall: "h", Rack: "r",
 			Payload: []byte(`{"ms":60000}`), Submitted: time.Now(),
 		}
 		row, err := o.Submit(ctx, row)
 		Expect(err).NotTo(HaveOccurred())
 		return row
 	}
-	connect := platform.NewWorkers().At
+	connect := ports.NewWorkers().At
 
 	It("that was paused in the middle of a start is fenced", func(ctx context.Context) {
 		c := newCell()
@@ -150,17 +150,17 @@
 		first := c.own("o1", 1, g.connect, c.workers)
 		submit(ctx, first)
 		Eventually(g.at).ShouldNot(BeEmpty())
-		workers := append([]platform.Instance(nil), c.workers...)
+		workers := append([]ports.Instance(nil), c.workers...)
 		for i := range workers {
 			// The next owner must not choose the same worker.
 			workers[i].Leaving = workers[i].Addr == g.at()
 		}
 		c.own("o2", 2, connect, workers)
-		Eventually(func() int { return c.platform.Record.Summary().Starts }).Should(Equal(1))
+		Eventually(func() int { return c.ports.Record.Summary().Starts }).Should(Equal(1))
 		close(g.open)
 		<-g.done
 		Expect(kind.Is(g.err, kind.Fenced)).To(BeTrue(), "%v", g.err)
-		Expect(c.platform.Record.Summary().Doubled).To(BeEmpty())
+		Expect(c.ports.Record.Summary().Doubled).To(BeEmpty())
 	})
 
 	It("writes the intent before it sends what must not be repeated, and sends nothing without it", func(ctx context.Context) {
@@ -172,12 +172,12 @@
 		_, err := call("k1")
 		Expect(err).NotTo(HaveOccurred())
 		c.table.Set(func(l *standin.Local) {
-			l.Before = func(platform.Txn) error { return kind.New(kind.Unavailable, "test") }
+			l.Before = func(ports.Txn) error { return kind.New(kind.Unavailable, "test") }
 		})
 		_, err = call("k2")
 		Expect(kind.Is(err, kind.CutOff)).To(BeTrue(), "%v", err)
 		Expect(kind.Of(err).Outcome).To(Equal(kind.NotRun))
-		Expect(c.platform.Record.Summary().Starts).To(Equal(1))
+		Expect(c.ports.Record.Summary().Starts).To(Equal(1))
 	})
 
 	It("does not take a job in twice whose row is seen before its caller goes on", func(ctx context.Context) {
@@ -185,7 +185,7 @@
 		// The owner's own look at the index falls between the commit and its
 		// answer.
 		c.table.Set(func(l *standin.Local) {
-			l.After = func(t platform.Txn) error {
+			l.After = func(t ports.Txn) error {
 				if len(t.Puts) > 2 {
 					time.Sleep(1600 * time.Millisecond)
 				}
@@ -194,9 +194,9 @@
 		})
 		o := c.own("o1", 1, connect, c.workers)
 		submit(ctx, o)
-		Eventually(func() int { return c.platform.Record.Summary().Starts }).Should(Equal(1))
-		Consistently(func() int { return c.platform.Record.Summary().Starts }, time.Second).Should(Equal(1))
-		Expect(c.platform.Record.Summary().Doubled).To(BeEmpty())
+		Eventually(func() int { return c.ports.Record.Summary().Starts }).Should(Equal(1))
+		Consistently(func() int { return c.ports.Record.Summary().Starts }, time.Second).Should(Equal(1))
+		Expect(c.ports.Record.Summary().Doubled).To(BeEmpty())
 	})
 
 	It("forgets a worker that is listed no more, once its leases are over", func() {
@@ -212,7 +212,7 @@
 		c := newCell()
 		o := c.own("o1", 1, connect, c.workers)
 		c.table.Set(func(l *standin.Local) {
-			l.After = func(platform.Txn) error { return kind.New(kind.Lost, "test") }
+			l.After = func(ports.Txn) error { return kind.New(kind.Lost, "test") }
 			l.Reading = func() error { return kind.New(kind.Unavailable, "test") }
 		})
 		_, err := o.Call(ctx, &wire.Call{Id: "k1", Shop: "s", Key: "k1", Workload: "order", Once: true, LeftUs: 3e6, Queue: true})
@@ -222,7 +222,7 @@
 			row, _ := job.Decode(c.table.Table.Get(job.RowKey("k1"))[0].Value)
 			return row.State
 		}).Should(Equal(job.Refused))
-		Expect(c.platform.Record.Summary().Starts).To(BeZero())
+		Expect(c.ports.Record.Summary().Starts).To(BeZero())
 	})
 
 	// holdIntent makes f run while the table holds the row of a call, and
@@ -230,7 +230,7 @@
 	holdIntent := func(c *cell, f func(row job.Job)) {
 		var once sync.Once
 		c.table.Set(func(l *standin.Local) {
-			l.Before = func(t platform.Txn) error {
+			l.Before = func(t ports.Txn) error {
 				for _, p := range t.Puts {
 					if row, err := job.Decode(p.Value); err == nil && p.Key == job.RowKey("k1") && row.State == job.Dispatched {
 						once.Do(func() { f(row) })
@@ -256,7 +256,7 @@
 			// Somebody raises the epoch of the worker: the owner must attach anew.
 			for _, in := range c.workers {
 				if in.ID == row.Worker {
-					higher := platform.Command{Owner: "o1", Epoch: lease.Epoch{Table: 1, Local: 5}}
+					higher := ports.Command{Owner: "o1", Epoch: lease.Epoch{Table: 1, Local: 5}}
 					_, err := connect(in.Addr).Attach(ctx, higher)
 					Expect(err).NotTo(HaveOccurred())
 				}
@@ -264,7 +264,7 @@
 		})
 		_, err := order(ctx, o, "k1")
 		Expect(err).NotTo(HaveOccurred())
-		Expect(c.platform.Record.Summary().Starts).To(Equal(1))
+		Expect(c.ports.Record.Summary().Starts).To(Equal(1))
 	})
 
 	It("sends nothing that is not on its books, though its worker came back with another name", func(ctx context.Context) {
@@ -280,7 +280,7 @@
 		})
 		_, err := order(ctx, o, "k1")
 		Expect(err).To(HaveOccurred())
-		Expect(c.platform.Record.Summary().Starts).To(BeZero())
+		Expect(c.ports.Record.Summary().Starts).To(BeZero())
 		Eventually(func() job.State { return stateOf(c, "k1") }).Should(Equal(job.Refused))
 	})
 
@@ -307,7 +307,7 @@
 		Expect(o.Close(ctx, "r")).To(BeTrue())
 		o.Drop("r")
 		Expect(<-answered).To(Succeed(), "a call in progress goes on to its answer")
-		Expect(c.platform.Record.Summary().Starts).To(Equal(1))
+		Expect(c.ports.Record.Summary().Starts).To(Equal(1))
 	})
 
 	It("does not take a call whose row is being written for a stray", func(ctx context.Context) {
--- a/owner/racks.go
+++ b/owner/racks.go
@@ -9,13 +9,13 @@
 	"dewpass.org/internal/clock"
 	"dewpass.org/kind"
 	"dewpass.org/lease"
-	"dewpass.org/platform"
+	"dewpass.org/ports"
 	"dewpass.org/sched"
 	"dewpass.org/wire"
 )
 
 // Adopt implements hall.Racks.
-func (o *Owner) Adopt(name string, epoch lease.Epoch, row uint64, workers []platform.Instance) {
+func (o *Owner) Adopt(name string, epoch lease.Epoch, row uint64, workers []ports.Instance) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	r := o.racks[name]
@@ -104,13 +104,13 @@
 }
 
 // Workers implements hall.Racks.
-func (o *Owner) Workers(list []platform.Instance) {
+func (o *Owner) Workers(list []ports.Instance) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.cellSize = 0
 	listed := make(map[string]bool)
 	for _, in := range list {
-		if in.Role != platform.RoleWorker {
+		if in.Role != ports.RoleWorker {
 			continue
 		}
 		o.cellSize++
@@ -131,7 +131,7 @@
 }
 
 // meet takes in what the list says of a worker of an owned rack.
-func (o *Owner) meet(r *rack, in platform.Instance) {
+func (o *Owner) meet(r *rack, in ports.Instance) {
 	w := r.workers[in.ID]
 	if w == nil {
 		o.addWorker(r, in)
--- a/owner/report.go
+++ b/owner/report.go
@@ -10,7 +10,7 @@
 	"dewpass.org/internal/clock"
 	"dewpass.org/internal/fault"
 	"dewpass.org/job"
-	"dewpass.org/platform"
+	"dewpass.org/ports"
 	"dewpass.org/tree"
 )
 
@@ -142,7 +142,7 @@
 		o.forget(t)
 	case !t.sent:
 		o.neverRan(t)
-	case t.spec.Repeat == platform.RepeatNever:
+	case t.spec.Repeat == ports.RepeatNever:
 		o.settle(js, job.Unknown, func(j *job.Job) { j.Why = why })
 		o.drop(t)
 	default:
@@ -151,7 +151,7 @@
 }
 
 // report takes in what a worker says of a task. The lock is held.
-func (o *Owner) report(w *worker, rep platform.TaskReport) {
+func (o *Owner) report(w *worker, rep ports.TaskReport) {
 	t := o.byID[rep.Task.ID]
 	if t == nil || t.spec.Attempt != rep.Task.Attempt {
 		t = o.orphan(w, rep)
@@ -175,7 +175,7 @@
 }
 
 // orphan takes in a task that the books do not have: one of an owner before.
-func (o *Owner) orphan(w *worker, rep platform.TaskReport) *task {
+func (o *Owner) orphan(w *worker, rep ports.TaskReport) *task {
 	js := o.jobs[rep.Task.ID]
 	switch {
 	case js == nil && rep.State.Over() && !w.rack.loaded && hasRow(rep.Task):
@@ -193,11 +193,11 @@
 }
 
 // hasRow reports whether a task has a row in the table.
-func hasRow(t platform.Task) bool { return !t.Call || t.Repeat == platform.RepeatNever }
+func hasRow(t ports.Task) bool { return !t.Call || t.Repeat == ports.RepeatNever }
 
 // stale reports whether the end of an attempt is of no more interest: the job
 // is over, or a later attempt runs, or waits and this one brings no answer.
-func (o *Owner) stale(js *jobState, rep platform.TaskReport) bool {
+func (o *Owner) stale(js *jobState, rep ports.TaskReport) bool {
 	switch {
 	case js.row.State.Over():
 		return true
@@ -206,11 +206,11 @@
 	case js.task.worker != nil:
 		return true
 	default:
-		return rep.State != platform.TaskFinished
+		return rep.State != ports.TaskFinished
 	}
 }
 
-func (o *Owner) adoptTask(w *worker, rep platform.TaskReport, js *jobState) *task {
+func (o *Owner) adoptTask(w *worker, rep ports.TaskReport, js *jobState) *task {
 	workload := o.Tree.Now().Workloads[rep.Task.Workload]
 	if workload == nil {
 		workload = &tree.Workload{Path: rep.Task.Workload}
@@ -226,7 +226,7 @@
 		return t
 	}
 	t.handle = o.cell.Adopt(o.schedTask(t), w.id, o.now())
-	if rep.State == platform.TaskThrottled {
+	if rep.State == ports.TaskThrottled {
 		o.cell.Throttled(t.handle)
 	}
 	if js != nil {
@@ -237,7 +237,7 @@
 }
 
 // progress takes in news of a running task.
-func (o *Owner) progress(t *task, rep platform.TaskReport) {
+func (o *Owner) progress(t *task, rep ports.TaskReport) {
 	js := t.job
 	if js == nil {
 		return
@@ -255,21 +255,21 @@
 }
 
 // over takes in the end of a task with a row.
-func (o *Owner) over(t *task, rep platform.TaskReport) {
+func (o *Owner) over(t *task, rep ports.TaskReport) {
 	js := t.job
 	if rep.Checkpoint != "" {
 		js.row.Checkpoint = rep.Checkpoint
 	}
 	switch {
-	case rep.State == platform.TaskFinished:
+	case rep.State == ports.TaskFinished:
 		fault.At(fault.Finished)
 		o.finished(t, rep)
 	case js.cancelling:
 		o.settle(js, job.Cancelled, func(*job.Job) {})
 		o.drop(t)
-	case rep.State == platform.TaskFailed:
+	case rep.State == ports.TaskFailed:
 		o.failed(t)
-	case t.spec.Repeat == platform.RepeatNever:
+	case t.spec.Repeat == ports.RepeatNever:
 		o.settle(js, job.Failed, func(j *job.Job) { j.Why = "the worker ended it: " + string(rep.State) })
 		o.drop(t)
 	default:
@@ -280,7 +280,7 @@
 }
 
 // finished takes in a job's answer, if it is whole.
-func (o *Owner) finished(t *task, rep platform.TaskReport) {
+func (o *Owner) finished(t *task, rep ports.TaskReport) {
 	if err := rep.Answer.Whole(t.spec.ID, t.spec.Attempt); err != nil {
 		// The worker keeps it; attaching again brings it once more.
 		level.Warn(o.Log).Log("msg", "answer not whole", "job", t.spec.ID, "err", err)
@@ -303,7 +303,7 @@
 func (o *Owner) failed(t *task) {
 	js := t.job
 	js.row.Failures++
-	if t.spec.Repeat == platform.RepeatNever || js.row.Failures > t.workload.Retries && !js.row.Service {
+	if t.spec.Repeat == ports.RepeatNever || js.row.Failures > t.workload.Retries && !js.row.Service {
 		o.settle(js, job.Failed, func(j *job.Job) { j.Why = "the task failed" })
 		o.drop(t)
 		return
--- a/owner/save.go
+++ b/owner/save.go
@@ -9,32 +9,32 @@
 	"github.com/go-faster/errors"
 	"github.com/go-kit/log/level"
 
+	"dewpass.org/commit"
 	"dewpass.org/hall"
 	"dewpass.org/internal/clock"
 	"dewpass.org/job"
-	"dewpass.org/journal"
 	"dewpass.org/kind"
-	"dewpass.org/platform"
+	"dewpass.org/ports"
 	"dewpass.org/wire"
 )
 
 type ack struct {
-	worker  platform.Worker
+	worker  ports.Worker
 	id      string
 	attempt uint32
 }
 
 // checks are the conditions under which an owner may write a job's row.
-func (o *Owner) checks(js *jobState) []platform.Check {
-	return []platform.Check{
+func (o *Owner) checks(js *jobState) []ports.Check {
+	return []ports.Check{
 		{Key: hall.RackKey(o.Hall, js.rack.name), Version: js.rack.row},
 		{Key: job.RowKey(js.row.ID), Version: js.version},
 	}
 }
 
-func puts(row job.Job) []platform.Put {
-	out := []platform.Put{{Key: job.RowKey(row.ID), Value: job.Encode(row)}}
-	index := platform.Put{Key: job.IndexKey(row.Rack, row.ID)}
+func puts(row job.Job) []ports.Put {
+	out := []ports.Put{{Key: job.RowKey(row.ID), Value: job.Encode(row)}}
+	index := ports.Put{Key: job.IndexKey(row.Rack, row.ID)}
 	if !row.State.Over() {
 		index.Value = []byte("{}")
 		return append(out, index)
@@ -44,14 +44,14 @@
 }
 
 // keyed adds the row of the request key to a new job's change.
-func keyed(c journal.Change, row job.Job, digest string) journal.Change {
+func keyed(c commit.Change, row job.Job, digest string) commit.Change {
 	if row.Key == "" {
 		return c
 	}
 	key := job.KeyRow(row.Shop, row.Key)
-	c.Checks = append(c.Checks, platform.Check{Key: key})
+	c.Checks = append(c.Checks, ports.Check{Key: key})
 	value := job.Encode(job.Key{ID: row.ID, Digest: digest})
-	c.Puts = append(c.Puts, platform.Put{Key: key, Value: value})
+	c.Puts = append(c.Puts, ports.Put{Key: key, Value: value})
 	return c
 }
 
@@ -60,7 +60,7 @@
 	ctx, cancel := context.WithTimeout(ctx, submitTime)
 	defer cancel()
 	digest := job.RequestDigest(js.row.Workload, js.row.Payload)
-	change := keyed(journal.Change{Checks: o.checks(js), Puts: puts(js.row)}, js.row, digest)
+	change := keyed(commit.Change{Checks: o.checks(js), Puts: puts(js.row)}, js.row, digest)
 	if err := o.beginCreating(js); err != nil {
 		return err
 	}
@@ -106,7 +106,7 @@
 	ctx := js.rack.ctx
 	// The journal writes one transaction after another: when this empty one is
 	// through, the fate of those before it is settled.
-	if _, err := o.Journal.Commit(ctx, journal.Change{}); err != nil {
+	if _, err := o.Journal.Commit(ctx, commit.Change{}); err != nil {
 		return
 	}
 	row, err := o.readRow(ctx, job.RowKey(js.row.ID))
@@ -131,7 +131,7 @@
 }
 
 // readRow reads a row again and again until the table answers.
-func (o *Owner) readRow(ctx context.Context, key string) (platform.Row, error) {
+func (o *Owner) readRow(ctx context.Context, key string) (ports.Row, error) {
 	for {
 		rows, err := o.Table.Get(ctx, key)
 		if err == nil {
@@ -140,7 +140,7 @@
 		select {
 		case <-time.After(attachMost):
 		case <-ctx.Done():
-			return platform.Row{}, ctx.Err()
+			return ports.Row{}, ctx.Err()
 		}
 	}
 }
@@ -162,7 +162,7 @@
 	r := t.rack
 	row := job.Job{
 		ID: req.Id, Shop: req.Shop, Key: req.Key, Workload: req.Workload, Payload: req.Payload,
-		Repeat: platform.RepeatNever, Call: true, Hall: o.Hall, Rack: r.name,
+		Repeat: ports.RepeatNever, Call: true, Hall: o.Hall, Rack: r.name,
 		State: job.Dispatched, Attempt: 1, Worker: t.worker.name, Incarnation: t.worker.incarnation,
 		Submitted: clock.Now().UTC(),
 	}
@@ -211,7 +211,7 @@
 	o.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, submitTime)
 	defer cancel()
-	version, err := o.Journal.Commit(ctx, journal.Change{Checks: checks, Puts: puts(row)})
+	version, err := o.Journal.Commit(ctx, commit.Change{Checks: checks, Puts: puts(row)})
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	js.saving = false
@@ -252,11 +252,11 @@
 	}
 }
 
-func (o *Owner) saveOnce(ctx context.Context, js *jobState, row job.Job, checks []platform.Check, acks []ack) {
+func (o *Owner) saveOnce(ctx context.Context, js *jobState, row job.Job, checks []ports.Check, acks []ack) {
 	row, err := o.outsource(ctx, row)
 	var version uint64
 	if err == nil {
-		version, err = o.Journal.Commit(ctx, journal.Change{Checks: checks, Puts: puts(row)})
+		version, err = o.Journal.Commit(ctx, commit.Change{Checks: checks, Puts: puts(row)})
 	}
 	if err != nil {
 		o.saveFailed(ctx, js, acks, err)
@@ -288,7 +288,7 @@
 // conflict learns from a conflict: the version of the job's row when only that
 // changed, or that the rack may be another's. The lock is held.
 func (o *Owner) conflict(js *jobState, err error) {
-	var c *journal.Conflict
+	var c *commit.Conflict
 	if !errors.As(err, &c) {
 		return
 	}
--- a/owner/send.go
+++ b/owner/send.go
@@ -11,7 +11,7 @@
 	"dewpass.org/internal/fault"
 	"dewpass.org/job"
 	"dewpass.org/kind"
-	"dewpass.org/platform"
+	"dewpass.org/ports"
 	"dewpass.org/telemetry"
 )
 
@@ -20,7 +20,7 @@
 const resolveTime = 2500 * time.Millisecond
 
 // runOnce sends a call that must not be repeated, once.
-func (o *Owner) runOnce(ctx context.Context, t *task) (*platform.Answer, error) {
+func (o *Owner) runOnce(ctx context.Context, t *task) (*ports.Answer, error) {
 	ans, err := o.sendOnce(ctx, t)
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -43,10 +43,10 @@
 // sendOnce sends a call whose row names its worker, so that it cannot be placed
 // anew. Where the worker refused it for certain because it was being attached
 // again, it is sent there once more.
-func (o *Owner) sendOnce(ctx context.Context, t *task) (*platform.Answer, error) {
+func (o *Owner) sendOnce(ctx context.Context, t *task) (*ports.Answer, error) {
 	var err error
 	for range maxPlaces {
-		var ans *platform.Answer
+		var ans *ports.Answer
 		o.awaitAttached(ctx, t)
 		ans, err = o.send(ctx, t)
 		if err == nil || !o.sendAgain(t, err) {
@@ -98,7 +98,7 @@
 // send starts a call at its worker and returns the whole answer. When the
 // answer is lost, the worker is attached again, and tells whether it has the
 // call.
-func (o *Owner) send(ctx context.Context, t *task) (*platform.Answer, error) {
+func (o *Owner) send(ctx context.Context, t *task) (*ports.Answer, error) {
 	if err := ctx.Err(); err != nil {
 		return nil, kind.New(kind.Deadline, "the deadline passed before the call was sent")
 	}
@@ -114,7 +114,7 @@
 }
 
 // startCall makes one attempt at a start.
-func (o *Owner) startCall(ctx context.Context, t *task) (*platform.Answer, error) {
+func (o *Owner) startCall(ctx context.Context, t *task) (*ports.Answer, error) {
 	ctx, span := o.Tracer.Start(ctx, "worker.start")
 	ans, err := o.exchange(ctx, t)
 	span.SetAttributes(attribute.String("dewpass.worker", t.worker.name))
@@ -122,7 +122,7 @@
 	return ans, err
 }
 
-func (o *Owner) exchange(ctx context.Context, t *task) (*platform.Answer, error) {
+func (o *Owner) exchange(ctx context.Context, t *task) (*ports.Answer, error) {
 	o.mu.Lock()
 	w := t.worker
 	again := t.sent
@@ -153,7 +153,7 @@
 
 // join asks a worker for a call that it was sent before. No refusal of it says
 // that the call did not run.
-func (o *Owner) join(ctx context.Context, t *task, api platform.Worker, cmd platform.Command) (*platform.Answer, error) {
+func (o *Owner) join(ctx context.Context, t *task, api ports.Worker, cmd ports.Command) (*ports.Answer, error) {
 	rep, err := api.Join(ctx, cmd, t.spec.ID, t.spec.Attempt)
 	if err == nil {
 		return o.result(t, rep)
@@ -194,15 +194,15 @@
 }
 
 // result checks what a worker answered.
-func (o *Owner) result(t *task, rep platform.TaskReport) (*platform.Answer, error) {
+func (o *Owner) result(t *task, rep ports.TaskReport) (*ports.Answer, error) {
 	switch rep.State {
-	case platform.TaskFinished:
+	case ports.TaskFinished:
 		if err := rep.Answer.Whole(t.spec.ID, t.spec.Attempt); err != nil {
 			return nil, kind.Of(err).Uncertain(t.spec.ID)
 		}
 		o.mark(t, rep)
 		return rep.Answer, nil
-	case platform.TaskFailed:
+	case ports.TaskFailed:
 		o.mark(t, rep)
 		return nil, kind.New(kind.TaskFailed, "")
 	default:
@@ -213,11 +213,11 @@
 }
 
 // mark notes that a task no longer runs.
-func (o *Owner) mark(t *task, rep platform.TaskReport) {
+func (o *Owner) mark(t *task, rep ports.TaskReport) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	t.stopped = true
-	if rep.State == platform.TaskFinished {
+	if rep.State == ports.TaskFinished {
 		o.learn(t.workload, time.Duration(rep.RanMS)*time.Millisecond)
 	}
 }
--- a/owner/step.go
+++ b/owner/step.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"dewpass.org/kind"
-	"dewpass.org/platform"
+	"dewpass.org/ports"
 	"dewpass.org/sched"
 )
 
@@ -41,13 +41,13 @@
 		t.call.fail(kind.New(kind.Deadline, "no room before the deadline").After(o.retryAfter(t)))
 		o.forget(t)
 	case sched.OpThrottle:
-		go o.act(t, t.worker, platform.ActThrottle)
+		go o.act(t, t.worker, ports.ActThrottle)
 	case sched.OpResume:
-		go o.act(t, t.worker, platform.ActResume)
+		go o.act(t, t.worker, ports.ActResume)
 	case sched.OpCheckpoint:
-		go o.act(t, t.worker, platform.ActCheckpoint)
+		go o.act(t, t.worker, ports.ActCheckpoint)
 	case sched.OpStop:
-		go o.act(t, t.worker, platform.ActStop)
+		go o.act(t, t.worker, ports.ActStop)
 	}
 }
 
--- a/owner/sweep.go
+++ b/owner/sweep.go
@@ -7,7 +7,7 @@
 
 	"dewpass.org/internal/clock"
 	"dewpass.org/lease"
-	"dewpass.org/platform"
+	"dewpass.org/ports"
 	"dewpass.org/sched"
 )
 
@@ -72,7 +72,7 @@
 // calls finish there.
 func (o *Owner) vacate(w *worker) {
 	for _, t := range o.tasksOn(w) {
-		if t.spec.Call || t.job == nil || t.stopped || t.spec.Repeat == platform.RepeatNever {
+		if t.spec.Call || t.job == nil || t.stopped || t.spec.Repeat == ports.RepeatNever {
 			continue
 		}
 		if t.workload.Ladder == 0 && t.workload.Kind != "service" {
@@ -83,9 +83,9 @@
 	}
 }
 
-func (o *Owner) exitAction(t *task) platform.Action {
+func (o *Owner) exitAction(t *task) ports.Action {
 	if t.workload.Ladder&sched.MayCheckpoint != 0 {
-		return platform.ActCheckpoint
+		return ports.ActCheckpoint
 	}
-	return platform.ActStop
+	return ports.ActStop
 }
--- a/owner/worker.go
+++ b/owner/worker.go
@@ -14,7 +14,7 @@
 	"dewpass.org/internal/fault"
 	"dewpass.org/kind"
 	"dewpass.org/lease"
-	"dewpass.org/platform"
+	"dewpass.org/ports"
 	"dewpass.org/sched"
 )
 
@@ -34,7 +34,7 @@
 	name string
 	addr string
 	rack *rack
-	api  platform.Worker
+	api  ports.Worker
 	// id is its number in the cell, or sched.NoWorker before the first attach.
 	id          sched.WorkerID
 	epoch       lease.Epoch
@@ -63,7 +63,7 @@
 }
 
 // addWorker starts the loop of a worker. The lock is held.
-func (o *Owner) addWorker(r *rack, in platform.Instance) {
+func (o *Owner) addWorker(r *rack, in ports.Instance) {
 	ctx, cancel := context.WithCancel(r.ctx)
 	w := &worker{
 		name: in.ID, addr: in.Addr, rack: r, api: o.Connect(in.Addr),
@@ -157,7 +157,7 @@
 
 // nextEpoch puts the worker under an epoch that was not used with it yet. A
 // command of the epochs before cannot be accepted once it attaches.
-func (o *Owner) nextEpoch(w *worker) platform.Command {
+func (o *Owner) nextEpoch(w *worker) ports.Command {
 	if w.epoch.Table < w.rack.epoch.Table {
 		w.epoch = w.rack.epoch
 	} else {
@@ -165,13 +165,13 @@
 	}
 	w.attached = false
 	o.gate(w)
-	return platform.Command{Owner: o.Name, Epoch: w.epoch}
+	return ports.Command{Owner: o.Name, Epoch: w.epoch}
 }
 
 // attachRefused learns from a refusal: a higher local epoch is passed by, a
 // higher table epoch means that the rack has another owner.
 func (o *Owner) attachRefused(w *worker, err error) {
-	var higher *platform.HigherEpoch
+	var higher *ports.HigherEpoch
 	if !errors.As(err, &higher) {
 		return
 	}
@@ -187,7 +187,7 @@
 }
 
 // sync takes in what a worker runs. The lock is held.
-func (o *Owner) sync(w *worker, reply platform.AttachReply) {
+func (o *Owner) sync(w *worker, reply ports.AttachReply) {
 	if w.id != sched.NoWorker && w.incarnation != reply.Incarnation {
 		o.restarted(w)
 	}
@@ -217,7 +217,7 @@
 // restarted settles the tasks of a worker that came back with nothing running.
 func (o *Owner) restarted(w *worker) {
 	for _, t := range o.tasksOn(w) {
-		t.absent = t.spec.Repeat == platform.RepeatSafe
+		t.absent = t.spec.Repeat == ports.RepeatSafe
 		o.lose(t, "the worker was restarted")
 	}
 	o.cell.Remove(w.id)
@@ -256,7 +256,7 @@
 	defer cancel()
 	o.mu.Lock()
 	w.again = cancel
-	req := platform.WatchRequest{
+	req := ports.WatchRequest{
 		Command: o.command(w),
 		Seq:     w.seq,
 		LeaseMS: o.TaskLease.Milliseconds(),
@@ -277,13 +277,13 @@
 // hold is how long a worker holds a watch with nothing to tell.
 func (o *Owner) hold() time.Duration { return o.TaskLease * holdTenths / 10 }
 
-func (o *Owner) command(w *worker) platform.Command {
-	return platform.Command{Owner: o.Name, Epoch: w.epoch, Incarnation: w.incarnation}
+func (o *Owner) command(w *worker) ports.Command {
+	return ports.Command{Owner: o.Name, Epoch: w.epoch, Incarnation: w.incarnation}
 }
 
-func (o *Owner) watchOnce(ctx context.Context, w *worker, req platform.WatchRequest) (platform.WatchReply, error) {
+func (o *Owner) watchOnce(ctx context.Context, w *worker, req ports.WatchRequest) (ports.WatchReply, error) {
 	if err := fault.Link("worker/" + w.name); err != nil {
-		return platform.WatchReply{}, err
+		return ports.WatchReply{}, err
 	}
 	o.mu.Lock()
 	w.renewed = clock.Now()
--- a/platform/doc.go
+++ b/ports/doc.go
@@ -1,6 +1,6 @@
 // SPDX-License-Identifier: Apache-2.0
 
-// Package platform is the only door to what the platform gives: its table,
+// Package ports is the only door to what the platform gives: its table,
 // its object store, its list of instances, and its workers.
 //
 // Each has one small interface here and one adapter that speaks the platform's
@@ -18,4 +18,4 @@
 //     refuses a lower epoch and another incarnation, and answers Attach with
 //     all that it runs. This is the fence that makes a paused owner harmless.
 //   - Instances is a hint that may lag or be wrong.
-package platform
+package ports
--- a/platform/platform_test.go
+++ b/ports/platform_test.go
@@ -1,6 +1,6 @@
 // SPDX-License-Identifier: Apache-2.0
 
-package platform_test
+package ports_test
 
 import (
 	"context"
@@ -14,7 +14,7 @@
 	. "github.com/onsi/gomega"
 
 	"dewpass.org/kind"
-	"dewpass.org/platform"
+	"dewpass.org/ports"
 )
 
 func TestPlatform(t *testing.T) {
@@ -38,9 +38,9 @@
 			_, _ = w.Write([]byte("null"))
 		}))
 		DeferCleanup(s.Close)
-		c := platform.NewClient(s.URL)
+		c := ports.NewClient(s.URL)
 		commit := func() error {
-			_, err := c.Commit(ctx, platform.Txn{})
+			_, err := c.Commit(ctx, ports.Txn{})
 			return err
 		}
 		read := func() error {
--- a/test/bed/admin.go
+++ b/test/bed/admin.go
@@ -11,7 +11,7 @@
 	"dewpass.org/front"
 	"dewpass.org/internal/client"
 	"dewpass.org/internal/standin"
-	"dewpass.org/platform"
+	"dewpass.org/ports"
 )
 
 // Owners returns the owner of each rack, as the entries that run see it.
@@ -95,7 +95,7 @@
 }
 
 // List puts an instance into the platform's list, whether it is there or not.
-func (b *Bed) List(ctx context.Context, in platform.Instance) error {
+func (b *Bed) List(ctx context.Context, in ports.Instance) error {
 	return b.Admin.Do(ctx, http.MethodPut, "/instances", in, nil)
 }
 
--- a/test/bed/bed.go
+++ b/test/bed/bed.go
@@ -17,7 +17,7 @@
 	"dewpass.org/front"
 	"dewpass.org/internal/client"
 	"dewpass.org/keys"
-	"dewpass.org/platform"
+	"dewpass.org/ports"
 	"dewpass.org/tree"
 )
 
@@ -127,7 +127,7 @@
 	if err != nil {
 		return err
 	}
-	store := tree.Store{Table: platform.NewClient(b.Admin.Base), Now: time.Now}
+	store := tree.Store{Table: ports.NewClient(b.Admin.Base), Now: time.Now}
 	_, err = store.Apply(ctx, tree.Edit{ID: ulid.Make().String(), Ops: []tree.Op{{Value: raw}}, Who: "bed"})
 	return err
 }
--- a/test/bed/config.go
+++ b/test/bed/config.go
@@ -9,7 +9,7 @@
 
 	"github.com/go-faster/errors"
 
-	"dewpass.org/platform"
+	"dewpass.org/ports"
 	"dewpass.org/sched"
 )
 
@@ -40,13 +40,13 @@
 }
 
 // Instance returns the entry as the platform lists it.
-func (e EntryAddr) Instance() platform.Instance {
-	return platform.Instance{ID: e.ID, Role: platform.RoleEntry, Hall: e.Hall, Addr: e.Peer}
+func (e EntryAddr) Instance() ports.Instance {
+	return ports.Instance{ID: e.ID, Role: ports.RoleEntry, Hall: e.Hall, Addr: e.Peer}
 }
 
 // Instance returns the worker as the platform lists it.
-func (w WorkerSpec) Instance() platform.Instance {
-	return platform.Instance{ID: w.ID, Role: platform.RoleWorker, Hall: w.Hall, Rack: w.Rack, Addr: w.Addr}
+func (w WorkerSpec) Instance() ports.Instance {
+	return ports.Instance{ID: w.ID, Role: ports.RoleWorker, Hall: w.Hall, Rack: w.Rack, Addr: w.Addr}
 }
 
 // plan lays a deployment out on free ports of the loopback.
--- a/test/load/item.go
+++ b/test/load/item.go
@@ -18,7 +18,7 @@
 	"dewpass.org/internal/standin"
 	"dewpass.org/job"
 	"dewpass.org/kind"
-	"dewpass.org/platform"
+	"dewpass.org/ports"
 )
 
 // Item is one request.
@@ -133,14 +133,14 @@
 }
 
 func check(it Item, payload []byte, id, digest string, length int, answer []byte) error {
-	if length != len(answer) || digest != platform.Digest(answer) {
+	if length != len(answer) || digest != ports.Digest(answer) {
 		return errors.Wrap(ErrWrong, "cut short or damaged")
 	}
 	var got standin.Body
 	if err := json.Unmarshal(answer, &got); err != nil {
 		return errors.Wrap(ErrWrong, err.Error())
 	}
-	want := standin.Body{Task: id, Shop: it.Shop, Sum: platform.Digest(payload), Filler: standin.Filler(id, it.Payload.Bytes)}
+	want := standin.Body{Task: id, Shop: it.Shop, Sum: ports.Digest(payload), Filler: standin.Filler(id, it.Payload.Bytes)}
 	if got != want {
 		return errors.Wrap(ErrWrong, fmt.Sprintf("got %+v, want %+v", got, want))
 	}
--- a/test/measure/slopes.go
+++ b/test/measure/slopes.go
@@ -11,7 +11,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
-	"dewpass.org/platform"
+	"dewpass.org/ports"
 	"dewpass.org/sched"
 	"dewpass.org/test/bed"
 	"dewpass.org/test/load"
@@ -306,8 +306,8 @@
 		return nil, err
 	}
 	defer end()
-	api := platform.NewWorkers().At(b.Config.Workers[0].Addr)
-	cmd := platform.Command{Owner: "m"}
+	api := ports.NewWorkers().At(b.Config.Workers[0].Addr)
+	cmd := ports.Command{Owner: "m"}
 	cmd.Epoch.Table = 1
 	reply, err := api.Attach(ctx, cmd)
 	if err != nil {
@@ -316,7 +316,7 @@
 	cmd.Incarnation = reply.Incarnation
 	h := hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3)
 	for i := range calls {
-		t := platform.Task{ID: fmt.Sprint(i), Attempt: 1, Call: true, Demand: sched.Vec{100, 64, 0, 1, 1}, Payload: []byte(`{"ms":0}`)}
+		t := ports.Task{ID: fmt.Sprint(i), Attempt: 1, Call: true, Demand: sched.Vec{100, 64, 0, 1, 1}, Payload: []byte(`{"ms":0}`)}
 		began := time.Now()
 		if _, err := api.Start(ctx, cmd, t, time.Hour); err != nil {
 			return nil, err
--- a/test/proof/failure_test.go
+++ b/test/proof/failure_test.go
@@ -16,7 +16,7 @@
 	"dewpass.org/internal/standin"
 	"dewpass.org/job"
 	"dewpass.org/kind"
-	"dewpass.org/platform"
+	"dewpass.org/ports"
 	"dewpass.org/test/bed"
 	"dewpass.org/test/load"
 )
@@ -179,7 +179,7 @@
 		Expect(kind.Of(err).Outcome).To(Equal(kind.Unknown), "an earlier try may have run: %v", err)
 		setPlatform(ctx, b, standin.Faults{})
 		Eventually(func(g Gomega) {
-			var rows []platform.Row
+			var rows []ports.Row
 			path := "/record/rows?prefix=" + job.KeyRow(it.Shop, it.Key)
 			g.Expect(b.Admin.Do(ctx, http.MethodGet, path, nil, &rows)).To(Succeed())
 			g.Expect(rows).To(HaveLen(1))
--- a/test/proof/lost_test.go
+++ b/test/proof/lost_test.go
@@ -12,7 +12,7 @@
 	. "github.com/onsi/gomega"
 
 	"dewpass.org/internal/standin"
-	"dewpass.org/platform"
+	"dewpass.org/ports"
 	"dewpass.org/test/bed"
 	"dewpass.org/test/load"
 )
@@ -141,7 +141,7 @@
 				}
 				// A living worker vanishes from the list, and a stranger appears.
 				Expect(b.Unlist(ctx, w.ID)).To(Succeed())
-				stranger := platform.Instance{ID: "stranger-" + w.ID, Role: platform.RoleWorker, Hall: w.Hall, Rack: w.Rack, Addr: "127.0.0.1:9"}
+				stranger := ports.Instance{ID: "stranger-" + w.ID, Role: ports.RoleWorker, Hall: w.Hall, Rack: w.Rack, Addr: "127.0.0.1:9"}
 				Expect(b.List(ctx, stranger)).To(Succeed())
 			}
 			time.Sleep(5 * time.Second)
@@ -175,7 +175,7 @@
 		left := func() []string {
 			var out []string
 			for _, prefix := range []string{"job/", "key/", "rackjob/", "expiry/"} {
-				var rows []platform.Row
+				var rows []ports.Row
 				Expect(b.Admin.Do(ctx, http.MethodGet, "/record/rows?prefix="+prefix, nil, &rows)).To(Succeed())
 				for _, r := range rows {
 					if !strings.Contains(r.Key, "svc-") {
--- a/tree/compile.go
+++ b/tree/compile.go
@@ -11,7 +11,7 @@
 
 	"dewpass.org/internal/schema"
 	"dewpass.org/kind"
-	"dewpass.org/platform"
+	"dewpass.org/ports"
 	"dewpass.org/sched"
 )
 
@@ -42,22 +42,22 @@
 	Path string `json:"path"`
 	// Team is the path of the nearest branch with a quota, or else the first
 	// branch on the way.
-	Team        string          `json:"team"`
-	Kind        Kind            `json:"kind"`
-	Class       sched.Class     `json:"class"`
-	Demand      sched.Vec       `json:"demand"`
-	Repeat      platform.Repeat `json:"repeat"`
-	Deadline    time.Duration   `json:"deadline"`
-	StartWithin time.Duration   `json:"start_within"`
-	Estimate    time.Duration   `json:"estimate"`
-	Queue       int             `json:"queue"`
-	Rate        float64         `json:"rate"`
-	Window      *Window         `json:"window,omitempty"`
-	Ladder      sched.Ladder    `json:"ladder"`
-	Retries     int             `json:"retries"`
-	CutOff      CutOff          `json:"cut_off"`
-	MoveAfter   time.Duration   `json:"move_after"`
-	Count       int             `json:"count"`
+	Team        string        `json:"team"`
+	Kind        Kind          `json:"kind"`
+	Class       sched.Class   `json:"class"`
+	Demand      sched.Vec     `json:"demand"`
+	Repeat      ports.Repeat  `json:"repeat"`
+	Deadline    time.Duration `json:"deadline"`
+	StartWithin time.Duration `json:"start_within"`
+	Estimate    time.Duration `json:"estimate"`
+	Queue       int           `json:"queue"`
+	Rate        float64       `json:"rate"`
+	Window      *Window       `json:"window,omitempty"`
+	Ladder      sched.Ladder  `json:"ladder"`
+	Retries     int           `json:"retries"`
+	CutOff      CutOff        `json:"cut_off"`
+	MoveAfter   time.Duration `json:"move_after"`
+	Count       int           `json:"count"`
 	// Keep is how long a job, its answer and its request key are kept after its
 	// end.
 	Keep time.Duration `json:"keep"`
@@ -316,7 +316,7 @@
 	if w.Kind == Call && w.Deadline == 0 {
 		c.fault(names, "", "a call needs the setting deadline")
 	}
-	if w.Kind == Service && w.Repeat == platform.RepeatNever {
+	if w.Kind == Service && w.Repeat == ports.RepeatNever {
 		c.fault(names, "repeat", "a service is started again by its nature")
 	}
 	if w.Keep < minKeep {
--- a/tree/store.go
+++ b/tree/store.go
@@ -13,7 +13,7 @@
 	"github.com/go-faster/errors"
 
 	"dewpass.org/kind"
-	"dewpass.org/platform"
+	"dewpass.org/ports"
 )
 
 // The rows of the tree in the platform's table.
@@ -55,7 +55,7 @@
 
 // Store keeps the tree in the platform's table.
 type Store struct {
-	Table platform.Table
+	Table ports.Table
 	// Now returns the time for the log.
 	Now func() time.Time
 }
@@ -244,17 +244,17 @@
 	return entry, next, nil
 }
 
-func edited(entry Entry, doc *Doc, row uint64) (platform.Txn, error) {
+func edited(entry Entry, doc *Doc, row uint64) (ports.Txn, error) {
 	rawDoc, errDoc := json.Marshal(doc)
 	rawHead, errHead := json.Marshal(Head{Version: entry.Version, Doc: rawDoc})
 	rawEntry, errEntry := json.Marshal(entry)
 	if err := errors.Join(errDoc, errHead, errEntry); err != nil {
-		return platform.Txn{}, kind.Wrap(kind.Internal, err, "encode")
+		return ports.Txn{}, kind.Wrap(kind.Internal, err, "encode")
 	}
 	id := idPrefix + entry.Edit.ID
-	return platform.Txn{
-		Checks: []platform.Check{{Key: headKey, Version: row}, {Key: id}},
-		Puts: []platform.Put{
+	return ports.Txn{
+		Checks: []ports.Check{{Key: headKey, Version: row}, {Key: id}},
+		Puts: []ports.Put{
 			{Key: headKey, Value: rawHead},
 			{Key: versionKey, Value: strconv.AppendUint(nil, entry.Version, 10)},
 			{Key: logKey(entry.Version), Value: rawEntry},
--- a/tree/tree_test.go
+++ b/tree/tree_test.go
@@ -16,7 +16,7 @@
 
 	"dewpass.org/internal/standin"
 	"dewpass.org/kind"
-	"dewpass.org/platform"
+	"dewpass.org/ports"
 	"dewpass.org/sched"
 	"dewpass.org/tree"
 )
@@ -182,7 +182,7 @@
 	It("makes an edit once though the answer of the table is lost", func(ctx context.Context) {
 		lost := 0
 		table.Set(func(l *standin.Local) {
-			l.After = func(platform.Txn) error {
+			l.After = func(ports.Txn) error {
 				lost++
 				if lost == 1 {
 					return kind.New(kind.Lost, "test")
