--- a/owner/owner_test.go
+++ b/owner/owner_test.go
@@ -156,11 +156,11 @@
 			workers[i].Leaving = workers[i].Addr == g.at()
 		}
 		c.own("o2", 2, connect, workers)
-		Eventually(func() int { return c.ports.Record.Summary().Starts }).Should(Equal(1))
+		Eventually(func() int { return c.platform.Record.Summary().Starts }).Should(Equal(1))
 		close(g.open)
 		<-g.done
 		Expect(kind.Is(g.err, kind.Fenced)).To(BeTrue(), "%v", g.err)
-		Expect(c.ports.Record.Summary().Doubled).To(BeEmpty())
+		Expect(c.platform.Record.Summary().Doubled).To(BeEmpty())
 	})
 
 	It("writes the intent before it sends what must not be repeated, and sends nothing without it", func(ctx context.Context) {
@@ -177,7 +177,7 @@
 		_, err = call("k2")
 		Expect(kind.Is(err, kind.CutOff)).To(BeTrue(), "%v", err)
 		Expect(kind.Of(err).Outcome).To(Equal(kind.NotRun))
-		Expect(c.ports.Record.Summary().Starts).To(Equal(1))
+		Expect(c.platform.Record.Summary().Starts).To(Equal(1))
 	})
 
 	It("does not take a job in twice whose row is seen before its caller goes on", func(ctx context.Context) {
@@ -194,9 +194,9 @@
 		})
 		o := c.own("o1", 1, connect, c.workers)
 		submit(ctx, o)
-		Eventually(func() int { return c.ports.Record.Summary().Starts }).Should(Equal(1))
-		Consistently(func() int { return c.ports.Record.Summary().Starts }, time.Second).Should(Equal(1))
-		Expect(c.ports.Record.Summary().Doubled).To(BeEmpty())
+		Eventually(func() int { return c.platform.Record.Summary().Starts }).Should(Equal(1))
+		Consistently(func() int { return c.platform.Record.Summary().Starts }, time.Second).Should(Equal(1))
+		Expect(c.platform.Record.Summary().Doubled).To(BeEmpty())
 	})
 
 	It("forgets a worker that is listed no more, once its leases are over", func() {
@@ -222,7 +222,7 @@
 			row, _ := job.Decode(c.table.Table.Get(job.RowKey("k1"))[0].Value)
 			return row.State
 		}).Should(Equal(job.Refused))
-		Expect(c.ports.Record.Summary().Starts).To(BeZero())
+		Expect(c.platform.Record.Summary().Starts).To(BeZero())
 	})
 
 	// holdIntent makes f run while the table holds the row of a call, and
@@ -264,7 +264,7 @@
 		})
 		_, err := order(ctx, o, "k1")
 		Expect(err).NotTo(HaveOccurred())
-		Expect(c.ports.Record.Summary().Starts).To(Equal(1))
+		Expect(c.platform.Record.Summary().Starts).To(Equal(1))
 	})
 
 	It("sends nothing that is not on its books, though its worker came back with another name", func(ctx context.Context) {
@@ -280,7 +280,7 @@
 		})
 		_, err := order(ctx, o, "k1")
 		Expect(err).To(HaveOccurred())
-		Expect(c.ports.Record.Summary().Starts).To(BeZero())
+		Expect(c.platform.Record.Summary().Starts).To(BeZero())
 		Eventually(func() job.State { return stateOf(c, "k1") }).Should(Equal(job.Refused))
 	})
 
@@ -307,7 +307,7 @@
 		Expect(o.Close(ctx, "r")).To(BeTrue())
 		o.Drop("r")
 		Expect(<-answered).To(Succeed(), "a call in progress goes on to its answer")
-		Expect(c.ports.Record.Summary().Starts).To(Equal(1))
+		Expect(c.platform.Record.Summary().Starts).To(Equal(1))
 	})
 
 	It("does not take a call whose row is being written for a stray", func(ctx context.Context) {
