--- a/cell/advice.go
+++ b/cell/advice.go
@@ -3,9 +3,12 @@
 package cell
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"dewpass.org/flow"
+	"dewpass.org/sched"
 )
 
 const (
@@ -103,24 +106,41 @@
 		return a
 	}
 	a.Advice = *q.Advice
+	candidates := c.askable(s, q, now)
+	for _, w := range candidates[:min(len(candidates), askMost)] {
+		a.Workers = append(a.Workers, w.ID)
+	}
+	return a
+}
+
+// askable returns the workers about which it is worth asking, those with the
+// most room first: any at first, then those that have room now, and no ticket
+// that still holds, and were not found unfit.
+func (c *Cell) askable(s *stage, q *Queue, now time.Time) []*worker {
 	first := s.advice.asked == nil
 	room := s.def.Room()
+	var out []*worker
 	for _, w := range c.order {
-		if len(a.Workers) >= askMost {
-			break
-		}
 		if !w.attached || w.Draining || w.Gone || !w.suits(s, q) {
 			continue
 		}
 		t, good := s.advice.tickets[w.ID]
 		switch {
 		case first:
-		case !s.advice.asked[w.ID] && w.free.Covers(&room):
-		case good && !now.Before(t.until) && w.free.Covers(&room):
-		default:
+		case !w.free.Covers(&room) || !w.health.allows(len(w.runs), now) || s.full(w):
+			continue
+		case s.advice.asked[w.ID] && (!good || now.Before(t.until)):
 			continue
 		}
-		a.Workers = append(a.Workers, w.ID)
+		out = append(out, w)
 	}
-	return a
+	slices.SortStableFunc(out, func(x, y *worker) int {
+		return cmp.Compare(y.free[sched.Milli], x.free[sched.Milli])
+	})
+	return out
+}
+
+// full reports whether w carries as many tasks of s as it may.
+func (s *stage) full(w *worker) bool {
+	return s.def.PerWorker > 0 && s.carried[w] >= s.def.PerWorker
 }
--- a/cell/ends.go
+++ b/cell/ends.go
@@ -64,7 +64,7 @@
 
 // done takes in that a task is done. One member of a gang speaks for all.
 func (c *Cell) done(s *stage, index int, now time.Time) {
-	if s.def.Lasting {
+	if s.def.Lasting || s.left == 0 {
 		return
 	}
 	if s.def.Gang {
@@ -76,6 +76,7 @@
 	}
 	c.mark(s.job)
 	if s.left == 0 {
+		s.doneAt = now
 		c.stageDone(s, now)
 	}
 }
--- a/cell/job.go
+++ b/cell/job.go
@@ -52,6 +52,7 @@
 	gangFails map[int]bool
 	gangLast  int
 	waitSince time.Time
+	doneAt    time.Time
 }
 
 type job struct {
--- a/cell/place.go
+++ b/cell/place.go
@@ -12,8 +12,7 @@
 )
 
 const (
-	// early is how long before its due time a stage may not start; the time of
-	// day is not exact.
+	// stopAgain spaces the orders to stop one run.
 	stopAgain = 600 * time.Millisecond
 	// stalled is how long a run may show no progress before it is started
 	// elsewhere.
@@ -21,6 +20,8 @@
 	// foresight is added to the time that advice takes when it is asked for
 	// before its step opens.
 	foresight = 250 * time.Millisecond
+	// gangEnds is how long the members of a gang may take to end after the first.
+	gangEnds = time.Second
 	// copyAfter is how long a worker is out of reach before a step that may
 	// have copies is started elsewhere.
 	copyAfter = 400 * time.Millisecond
@@ -277,7 +278,7 @@
 		if !w.attached || w.Draining || w.Gone || !w.free.Covers(&room) || !w.suits(s, q) {
 			continue
 		}
-		if s.def.PerWorker > 0 && s.carried[w] >= s.def.PerWorker {
+		if s.full(w) {
 			continue
 		}
 		ticket, ok := s.may(w, q, now)
@@ -332,10 +333,10 @@
 			continue
 		}
 		for _, r := range sortedRuns(w) {
-			if !r.unwanted() {
+			if !r.unwanted(now) {
 				c.checkStall(r, now)
 			}
-			if !r.unwanted() || (r.stopping && now.Sub(r.stopSent) < stopAgain) {
+			if !r.unwanted(now) || (r.stopping && now.Sub(r.stopSent) < stopAgain) {
 				continue
 			}
 			r.stopping, r.stopSent = true, now
@@ -345,14 +346,15 @@
 }
 
 // unwanted reports whether r should be stopped.
-func (r *run) unwanted() bool {
+func (r *run) unwanted(now time.Time) bool {
 	s := r.stage
 	if s.stray || s.job.state.Final() || r.stopping {
 		return true
 	}
 	t := &s.tasks[r.index]
 	if t.state == taskDone {
-		return true
+		// The other members of a gang end by themselves.
+		return !s.def.Gang || now.Sub(s.doneAt) > gangEnds
 	}
 	return len(t.runs) > 1 && !s.def.Copies && t.runs[0] != r
 }
--- a/claim/claim.go
+++ b/claim/claim.go
@@ -1,9 +1,8 @@
 // SPDX-License-Identifier: Apache-2.0
 
-// Package claim keeps one owner for each hall's cell, through one row of the
-// store.
+// Package claim keeps one owner for each cell, through one row of the store.
 //
-// The row is the hall's Seat. It names the owner and its epoch, which rises
+// The row is the cell's Seat. It names the owner and its epoch, which rises
 // with each change of owner. An owner writes the seat again with everything
 // that it writes, on the condition that nobody else did in between. That one
 // row serves three ends:
@@ -25,7 +24,7 @@
 	"dewpass.org/rows"
 )
 
-// Table is the table of the seats; the hall is the part.
+// Table is the table of the seats; the cell's name is the part.
 const Table = "cells"
 
 const seatName = "seat"
@@ -38,7 +37,7 @@
 	retryPause = 40 * time.Millisecond
 )
 
-// Seat is the row of a hall.
+// Seat is the row of a cell.
 type Seat struct {
 	// Owner is empty once an owner has left as planned.
 	Owner string `json:"owner,omitempty"`
@@ -49,11 +48,11 @@
 	Mark string `json:"mark"`
 }
 
-// Claim is an instance's view of its hall's seat. Its exported fields must be
+// Claim is an instance's view of a cell's seat. Its exported fields must be
 // set before use. It is not safe for concurrent use.
 type Claim struct {
 	Store rows.Store
-	Hall  string
+	Cell  string
 	Owner string
 	Boot  string
 	Addr  string
@@ -66,7 +65,7 @@
 // Epoch returns the epoch under which the seat is held.
 func (c *Claim) Epoch() uint64 { return c.epoch }
 
-func (c *Claim) key() rows.Key { return rows.Key{Table: Table, Part: c.Hall, Name: seatName} }
+func (c *Claim) key() rows.Key { return rows.Key{Table: Table, Part: c.Cell, Name: seatName} }
 
 // Read returns the seat as it stands, and its version.
 func (c *Claim) Read(ctx context.Context) (Seat, uint64, error) {
@@ -216,7 +215,7 @@
 // verdict is for a seat that has changed: by this write, or by another owner.
 func (c *Claim) verdict(row rows.Row, mark string) (rows.Result, error) {
 	if decode(row.Value).Mark != mark {
-		return rows.Result{}, kind.New(kind.Fenced, "another instance holds the hall's seat")
+		return rows.Result{}, kind.New(kind.Fenced, "another instance holds the cell's seat")
 	}
 	c.ver = row.Ver
 	return rows.Result{Ver: row.Ver}, nil
--- a/cluster/configs.go
+++ b/cluster/configs.go
@@ -26,8 +26,8 @@
 		return
 	}
 	level.Info(n.kit.Log).Log("event", "config", "version", c.Version, "queues", len(c.Queues), "from", from)
-	if d := n.owned(); d != nil {
-		d.Configure(c.CellQueues())
+	for _, own := range n.owned() {
+		own.driver.Configure(c.CellQueues())
 	}
 }
 
--- a/cluster/elect.go
+++ b/cluster/elect.go
@@ -20,8 +20,9 @@
 	electEvery = 60 * time.Millisecond
 	// firstLook is how long a new instance listens before it takes a free seat.
 	firstLook = 300 * time.Millisecond
-	// rankPause keeps the candidates of a hall apart.
+	// rankPause keeps the candidates for a cell apart.
 	rankPause = 120 * time.Millisecond
+	rankMost  = 8
 	// seatLease is how long a seat may go without being written, by an owner
 	// who is not heard either, before it is taken.
 	seatLease = 2200 * time.Millisecond
@@ -36,44 +37,47 @@
 	seen  time.Time
 }
 
-// electLoop takes the seat of the own hall whenever nobody else has it.
-func (n *Node) electLoop(ctx context.Context) {
+// electLoop takes the seat of a cell whenever nobody else has it.
+func (n *Node) electLoop(ctx context.Context, name string) {
 	sleep(ctx, firstLook)
 	var v vacancy
 	for ctx.Err() == nil {
 		now := time.Now()
-		if n.leaving.Load() || n.owned() != nil || n.ownerHeard(now) {
+		if n.leaving.Load() || n.own(name) != nil || n.ownerHeard(name, now) {
 			v = vacancy{}
 		} else {
 			if v.since.IsZero() {
 				v.since = now
 			}
-			if now.Sub(v.since) >= time.Duration(n.rank(now))*rankPause {
-				n.tryTake(ctx, &v)
+			if now.Sub(v.since) >= time.Duration(n.rank(name, now))*rankPause {
+				n.tryTake(ctx, name, &v)
 			}
 		}
 		sleep(ctx, electEvery)
 	}
 }
 
-func (n *Node) ownerHeard(now time.Time) bool {
-	o := n.members.owner(n.settings.Hall, now)
+func (n *Node) ownerHeard(name string, now time.Time) bool {
+	o := n.members.owner(name, now)
 	return o != nil && !o.leaving
 }
 
-// rank returns how many live instances of the hall go before this one.
-func (n *Node) rank(now time.Time) int {
-	return len(n.members.list(now, func(k *member) bool {
-		return k.hall == n.settings.Hall && !k.leaving && k.storeOK && k.name < n.settings.Instance
-	}))
+// rank returns how many live instances go before this one as owners of a cell,
+// up to a bound.
+func (n *Node) rank(name string, now time.Time) int {
+	own := draw(name + "/" + n.settings.Instance)
+	before := n.members.list(now, func(k *member) bool {
+		return !k.leaving && k.storeOK && draw(name+"/"+k.name) < own
+	})
+	return min(len(before), rankMost)
 }
 
 // tryTake takes the seat if its owner is gone.
-func (n *Node) tryTake(ctx context.Context, v *vacancy) {
+func (n *Node) tryTake(ctx context.Context, name string, v *vacancy) {
 	ctx, cancel := context.WithTimeout(ctx, electTime)
 	defer cancel()
 	c := &claim.Claim{
-		Store: n.door, Hall: n.settings.Hall, Owner: n.settings.Instance,
+		Store: n.door, Cell: name, Owner: n.settings.Instance,
 		Boot: n.boot, Addr: n.settings.Listen.Peer,
 	}
 	seat, ver, err := c.Read(ctx)
@@ -89,11 +93,11 @@
 		return
 	}
 	if err := c.Take(ctx, seat, ver); err != nil {
-		level.Info(n.kit.Log).Log("event", "seat_not_taken", "err", err)
+		level.Info(n.kit.Log).Log("event", "seat_not_taken", "cell", name, "err", err)
 		return
 	}
-	level.Info(n.kit.Log).Log("event", "seat_taken", "epoch", c.Epoch(), "before", seat.Owner, "why", why)
-	n.drive(c)
+	level.Info(n.kit.Log).Log("event", "seat_taken", "cell", name, "epoch", c.Epoch(), "before", seat.Owner, "why", why)
+	n.drive(name, c)
 }
 
 // vacant returns why a seat may be taken, "" if it may not.
@@ -127,23 +131,24 @@
 	return errors.As(err, &op) && errors.Is(op.Err, syscall.ECONNREFUSED)
 }
 
-// drive starts to drive the hall's cell.
-func (n *Node) drive(c *claim.Claim) {
+// drive starts to drive a cell.
+func (n *Node) drive(name string, c *claim.Claim) {
 	s := n.settings.Cluster
 	var d *driver.Driver
 	d = driver.New(driver.Config{
-		Hall: n.settings.Hall, Lease: time.Duration(s.Lease), Keep: time.Duration(s.Keep),
+		Name: name, Mine: func(rack string) bool { return n.cellOf(rack) == name },
+		Lease: time.Duration(s.Lease), Keep: time.Duration(s.Keep),
 		Seat: c, Store: n.door, Reachable: n.door.Reachable,
 		Workers: n.Workers, Directory: n.Directory(n.door),
 		Advise: n.advise, Callers: n.callers,
-		Lost: func() { n.dropDriver(d) },
+		Lost: func() { n.dropDriver(name, d) },
 		Log:  n.kit.Log, Scope: n.kit.Scope,
 	})
 	if conf := n.config.Now(); conf != nil {
 		d.Configure(conf.CellQueues())
 	}
 	n.mu.Lock()
-	n.driver, n.claim = d, c
+	n.cells[name] = &ownCell{driver: d, claim: c}
 	n.mu.Unlock()
 	// A version that came in between is set again.
 	if conf := n.config.Now(); conf != nil {
@@ -152,26 +157,23 @@
 	d.Start()
 }
 
-func (n *Node) dropDriver(d *driver.Driver) {
+func (n *Node) dropDriver(name string, d *driver.Driver) {
 	n.mu.Lock()
-	if n.driver == d {
-		n.driver, n.claim = nil, nil
+	if c := n.cells[name]; c != nil && c.driver == d {
+		delete(n.cells, name)
 	}
 	n.mu.Unlock()
 	d.Close()
 }
 
-// handOver gives the seat up as planned.
+// handOver gives the seats up as planned.
 func (n *Node) handOver(ctx context.Context) {
-	n.mu.Lock()
-	d, c := n.driver, n.claim
-	n.mu.Unlock()
-	if d != nil {
-		d.Freeze(ctx)
-		if err := c.Release(ctx); err != nil {
-			level.Warn(n.kit.Log).Log("event", "seat_not_released", "err", err)
+	for name, c := range n.owned() {
+		c.driver.Freeze(ctx)
+		if err := c.claim.Release(ctx); err != nil {
+			level.Warn(n.kit.Log).Log("event", "seat_not_released", "cell", name, "err", err)
 		}
-		n.dropDriver(d)
+		n.dropDriver(name, c.driver)
 	}
 	n.greetNow(ctx)
 }
--- a/cluster/greet.go
+++ b/cluster/greet.go
@@ -18,8 +18,9 @@
 const (
 	greetEvery = 250 * time.Millisecond
 	// ownerFarTicks and farTicks are how many rounds of greetings lie between
-	// two to other halls, for the owner of a cell and for others.
-	ownerFarTicks = 2
+	// two to other halls, for the owner of a cell, whose silence is noticed,
+	// and for others.
+	ownerFarTicks = 1
 	farTicks      = 8
 	greetTime     = 600 * time.Millisecond
 	// tableMembers lists the instances and their addresses.
@@ -34,15 +35,17 @@
 		Instance: n.settings.Instance, Hall: n.settings.Hall, Boot: n.boot, Addr: n.settings.Listen.Peer,
 		Leaving: n.leaving.Load(), ConfigVersion: n.config.Version(), StoreOk: n.door.DirectOK(),
 	}
-	if d := n.owned(); d != nil {
+	for name, c := range n.owned() {
+		d := c.driver
 		load, racks := d.Load()
-		g.Cell = &wire.CellSummary{
-			Epoch: d.Seat.Epoch(), Ready: d.Ready(), Keeps: n.door.Reachable(),
+		sum := &wire.CellSummary{
+			Name: name, Epoch: d.Seat.Epoch(), Ready: d.Ready(), Keeps: n.door.Reachable(),
 			Room: load.Room[sched.Milli], Free: load.Free[sched.Milli], Waiting: load.Waiting, Racks: racks,
 		}
 		for q, jobs := range load.Pending {
-			g.Cell.Pending = append(g.Cell.Pending, &wire.QueuePending{Queue: q, Jobs: uint32(jobs)})
+			sum.Pending = append(sum.Pending, &wire.QueuePending{Queue: q, Jobs: uint32(jobs)})
 		}
+		g.Cells = append(g.Cells, sum)
 	}
 	return g
 }
@@ -52,7 +55,7 @@
 	tick := time.NewTicker(greetEvery)
 	defer tick.Stop()
 	for round := 0; ; round++ {
-		far := round%farTicks == 0 || (n.owned() != nil && round%ownerFarTicks == 0)
+		far := round%farTicks == 0 || (len(n.owned()) > 0 && round%ownerFarTicks == 0)
 		n.greetAll(ctx, far)
 		select {
 		case <-tick.C:
--- a/cluster/jobs.go
+++ b/cluster/jobs.go
@@ -20,8 +20,8 @@
 )
 
 const (
-	// submitTime bounds the handing in of a job at one hall, and submitAll at
-	// all halls together.
+	// submitTime bounds the handing in of a job at one cell, and submitAll at
+	// all cells together.
 	submitTime = 1200 * time.Millisecond
 	submitAll  = 2400 * time.Millisecond
 	askTime    = 700 * time.Millisecond
@@ -33,7 +33,7 @@
 	window = 2 * time.Second
 )
 
-// homes remembers in which hall the jobs are that were seen here.
+// homes remembers in which cell the jobs are that were seen here.
 type homes struct {
 	mu   sync.Mutex
 	now  map[string]string
@@ -42,13 +42,13 @@
 
 const homesMost = 20_000
 
-func (h *homes) set(id, hall string) {
+func (h *homes) set(id, cell string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.now == nil || len(h.now) >= homesMost {
 		h.now, h.last = make(map[string]string), h.now
 	}
-	h.now[id] = hall
+	h.now[id] = cell
 }
 
 func (h *homes) get(id string) string {
@@ -59,8 +59,8 @@
 
 // place is a cell that may take a job.
 type place struct {
-	hall string
-	// addr is empty for the own cell.
+	cell string
+	// addr is empty for an own cell.
 	addr string
 	name string
 	load float64
@@ -68,25 +68,27 @@
 
 // places returns the cells that may take a job, the best first.
 func (n *Node) places(spec *flow.Spec) []place {
-	now := time.Now()
 	var out []place
-	if d := n.owned(); d != nil && d.Ready() && n.door.Reachable() {
-		l, racks := d.Load()
-		out = append(out, place{
-			hall: n.settings.Hall,
-			load: loadOf(spec, l.Room[sched.Milli], l.Free[sched.Milli], l.Waiting, racks),
-		})
+	own := n.owned()
+	for name, c := range own {
+		if !c.driver.Ready() || !n.door.Reachable() {
+			continue
+		}
+		l, racks := c.driver.Load()
+		out = append(out, place{cell: name, load: loadOf(spec, l.Room[sched.Milli], l.Free[sched.Milli], l.Waiting, racks)})
 	}
-	for _, m := range n.members.cells(now) {
-		if !m.cell.Ready || !m.cell.Keeps || m.leaving || (m.hall == n.settings.Hall && len(out) > 0 && out[0].addr == "") {
+	for _, o := range n.members.cells(time.Now()) {
+		if !o.cell.Ready || !o.cell.Keeps || o.leaving || own[o.cell.Name] != nil {
 			continue
 		}
 		out = append(out, place{
-			hall: m.hall, addr: m.addr, name: m.name,
-			load: loadOf(spec, m.cell.Room, m.cell.Free, m.cell.Waiting+m.work, m.cell.Racks),
+			cell: o.cell.Name, addr: o.addr, name: o.name,
+			load: loadOf(spec, o.cell.Room, o.cell.Free, o.cell.Waiting+o.work, o.cell.Racks),
 		})
 	}
-	slices.SortStableFunc(out, func(a, b place) int { return cmp.Compare(a.load, b.load) })
+	slices.SortStableFunc(out, func(a, b place) int {
+		return cmp.Or(cmp.Compare(a.load, b.load), cmp.Compare(a.cell, b.cell))
+	})
 	return out
 }
 
@@ -110,7 +112,7 @@
 
 const fullLoad = 1e9
 
-// Submit keeps a job in some hall. It returns nil also if the job was kept
+// Submit keeps a job in some cell. It returns nil also if the job was kept
 // before. Errors are of kind Unavailable (not taken, and never runs) or Lost.
 func (n *Node) Submit(ctx context.Context, spec *flow.Spec) error {
 	ctx, cancel := context.WithTimeout(ctx, submitAll)
@@ -121,10 +123,10 @@
 	for _, p := range places {
 		err := n.submitAt(ctx, p, spec)
 		if err == nil {
-			n.homes.set(spec.ID, p.hall)
+			n.homes.set(spec.ID, p.cell)
 			return nil
 		}
-		level.Info(n.kit.Log).Log("event", "submit_failed", "job", spec.ID, "at", p.hall, "err", err)
+		level.Info(n.kit.Log).Log("event", "submit_failed", "job", spec.ID, "at", p.cell, "err", err)
 		if !kind.Is(err, kind.Unavailable) {
 			lost = err
 		}
@@ -136,14 +138,14 @@
 		return kind.Of(lost).Uncertain(spec.ID)
 	}
 	level.Info(n.kit.Log).Log("event", "refused", "job", spec.ID, "cells", len(places), "store", n.door.Reachable())
-	return kind.New(kind.Unavailable, "no hall takes jobs now").After(comeBack)
+	return kind.New(kind.Unavailable, "no cell takes jobs now").After(comeBack)
 }
 
 func (n *Node) submitAt(ctx context.Context, p place, spec *flow.Spec) error {
 	ctx, cancel := context.WithTimeout(ctx, submitTime)
 	defer cancel()
 	if p.addr == "" {
-		d := n.owned()
+		d := n.own(p.cell)
 		if d == nil {
 			return kind.New(kind.Unavailable, "the cell has moved")
 		}
@@ -151,7 +153,7 @@
 	}
 	n.members.sent(p.name, spec.Work().Milliseconds())
 	_, err := n.dialer.Do(ctx, p.addr, &wire.Request{Body: &wire.Request_SubmitJob{
-		SubmitJob: &wire.JobSubmit{Spec: flow.Encode(spec)},
+		SubmitJob: &wire.JobSubmit{Cell: p.cell, Spec: flow.Encode(spec)},
 	}})
 	return err
 }
@@ -159,31 +161,31 @@
 // State returns the state of a job. Its error is of kind NotFound if there is
 // no such job.
 func (n *Node) State(ctx context.Context, id string) (flow.State, error) {
-	if d := n.owned(); d != nil {
-		if s, ok := d.State(id); ok {
+	for _, c := range n.owned() {
+		if s, ok := c.driver.State(id); ok {
 			return s, nil
 		}
 	}
-	hall, err := n.home(ctx, id)
+	cell, err := n.home(ctx, id)
 	if err != nil {
 		return "", err
 	}
-	if hall != n.settings.Hall || n.owned() == nil {
-		if s, err := n.askOwner(ctx, hall, id, false); err == nil {
+	if n.own(cell) == nil {
+		if s, err := n.askOwner(ctx, cell, id, false); err == nil {
 			return s, nil
 		}
 	}
-	return n.stored(ctx, hall, id)
+	return n.stored(ctx, cell, id)
 }
 
-// home returns the hall that has a job.
+// home returns the cell that has a job.
 func (n *Node) home(ctx context.Context, id string) (string, error) {
-	if hall := n.homes.get(id); hall != "" {
-		return hall, nil
+	if cell := n.homes.get(id); cell != "" {
+		return cell, nil
 	}
 	page, err := n.door.Get(ctx, rows.Only(driver.HomeKey(id)))
 	if err != nil {
-		return "", kind.Wrap(kind.Unavailable, err, "the job's hall").After(comeBack)
+		return "", kind.Wrap(kind.Unavailable, err, "the job's cell").After(comeBack)
 	}
 	row := page.One()
 	if row.Ver == 0 {
@@ -193,11 +195,11 @@
 	return string(row.Value), nil
 }
 
-// askOwner asks the owner of a hall for a job's state, or cancels the job.
-func (n *Node) askOwner(ctx context.Context, hall, id string, cancelJob bool) (flow.State, error) {
-	o := n.members.owner(hall, time.Now())
+// askOwner asks the owner of a cell for a job's state, or cancels the job.
+func (n *Node) askOwner(ctx context.Context, cell, id string, cancelJob bool) (flow.State, error) {
+	o := n.members.owner(cell, time.Now())
 	if o == nil {
-		return "", kind.New(kind.Unavailable, "the hall's owner is not heard").After(comeBack)
+		return "", kind.New(kind.Unavailable, "the cell's owner is not heard").After(comeBack)
 	}
 	limit := askTime
 	if cancelJob {
@@ -206,7 +208,7 @@
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	reply, err := n.dialer.Do(ctx, o.addr, &wire.Request{Body: &wire.Request_AskJob{
-		AskJob: &wire.JobAsk{Id: id, Cancel: cancelJob},
+		AskJob: &wire.JobAsk{Cell: cell, Id: id, Cancel: cancelJob},
 	}})
 	if err != nil {
 		return "", err
@@ -215,8 +217,8 @@
 }
 
 // stored returns the state that the store has.
-func (n *Node) stored(ctx context.Context, hall, id string) (flow.State, error) {
-	page, err := n.door.Get(ctx, rows.Only(driver.RecordKey(hall, id)))
+func (n *Node) stored(ctx context.Context, cell, id string) (flow.State, error) {
+	page, err := n.door.Get(ctx, rows.Only(driver.RecordKey(cell, id)))
 	if err != nil {
 		return "", kind.Wrap(kind.Unavailable, err, "the job's record").After(comeBack)
 	}
@@ -250,22 +252,17 @@
 const retryCancel = 200 * time.Millisecond
 
 func (n *Node) cancelOnce(ctx context.Context, id string) error {
-	hall, err := n.home(ctx, id)
+	cell, err := n.home(ctx, id)
 	if err != nil {
 		return err
 	}
-	if hall != n.settings.Hall || n.owned() == nil {
-		_, err := n.askOwner(ctx, hall, id, true)
+	d := n.own(cell)
+	if d == nil {
+		_, err := n.askOwner(ctx, cell, id, true)
 		return err
 	}
-	return n.cancelHere(ctx, id)
-}
-
-// cancelHere cancels a job of the own cell.
-func (n *Node) cancelHere(ctx context.Context, id string) error {
-	d := n.owned()
-	if d == nil || !d.Ready() {
-		return kind.New(kind.Unavailable, "the cell is not here").After(comeBack)
+	if !d.Ready() {
+		return kind.New(kind.Unavailable, "the cell is being read").After(comeBack)
 	}
 	return d.Cancel(ctx, id)
 }
@@ -273,12 +270,16 @@
 // Pending returns how many accepted jobs of a queue have not begun.
 func (n *Node) Pending(queue string) int {
 	sum := 0
-	if d := n.owned(); d != nil {
-		l, _ := d.Load()
+	own := n.owned()
+	for _, c := range own {
+		l, _ := c.driver.Load()
 		sum += l.Pending[queue]
 	}
-	for _, m := range n.members.cells(time.Now()) {
-		for _, q := range m.cell.Pending {
+	for _, o := range n.members.cells(time.Now()) {
+		if own[o.cell.Name] != nil {
+			continue
+		}
+		for _, q := range o.cell.Pending {
 			if q.Queue == queue {
 				sum += int(q.Jobs)
 			}
--- a/cluster/members.go
+++ b/cluster/members.go
@@ -33,9 +33,9 @@
 	leaving bool
 	storeOK bool
 	config  uint64
-	cell    *wire.CellSummary
+	cells   []*wire.CellSummary
 	heard   time.Time
-	// work is what was sent to its cell since the last summary, in milliseconds
+	// work is what was sent to its cells since the last summary, in milliseconds
 	// of one processor.
 	work int64
 	// asking counts the questions to the policy that it asks for this instance.
@@ -79,7 +79,7 @@
 	}
 	k.hall, k.boot, k.addr = g.Hall, g.Boot, g.Addr
 	k.leaving, k.storeOK, k.config = g.Leaving, g.StoreOk, g.ConfigVersion
-	k.cell, k.heard, k.work = g.Cell, now, 0
+	k.cells, k.heard, k.work = g.Cells, now, 0
 	m.addrs[g.Addr] = now
 	for _, p := range g.Peers {
 		m.learn(p.Addr, now)
@@ -127,21 +127,35 @@
 	return out
 }
 
-// cells returns the members that own a cell, the newest owner of each hall.
-func (m *members) cells(now time.Time) []member {
-	owners := m.list(now, func(k *member) bool { return k.cell != nil && now.Sub(k.heard) < cellSilence })
-	newest := make(map[string]uint64)
-	for _, o := range owners {
-		newest[o.hall] = max(newest[o.hall], o.cell.Epoch)
+// owned is a cell with the member that owns it.
+type owned struct {
+	member
+	cell *wire.CellSummary
+}
+
+// cells returns the cells whose owners are heard, each with its newest owner.
+func (m *members) cells(now time.Time) []owned {
+	newest := make(map[string]owned)
+	for _, k := range m.list(now, func(k *member) bool { return now.Sub(k.heard) < cellSilence }) {
+		for _, c := range k.cells {
+			if old, ok := newest[c.Name]; !ok || old.cell.Epoch < c.Epoch {
+				newest[c.Name] = owned{member: k, cell: c}
+			}
+		}
 	}
-	return slices.DeleteFunc(owners, func(o member) bool { return o.cell.Epoch < newest[o.hall] })
+	out := make([]owned, 0, len(newest))
+	for _, o := range newest {
+		out = append(out, o)
+	}
+	slices.SortFunc(out, func(a, b owned) int { return cmp.Compare(a.cell.Name, b.cell.Name) })
+	return out
 }
 
-// owner returns the owner of a hall's cell, nil if none is heard.
-func (m *members) owner(hall string, now time.Time) *member {
+// owner returns the owner of a cell, nil if none is heard.
+func (m *members) owner(name string, now time.Time) *member {
 	for _, o := range m.cells(now) {
-		if o.hall == hall {
-			return &o
+		if o.cell.Name == name {
+			return &o.member
 		}
 	}
 	return nil
--- a/cluster/node.go
+++ b/cluster/node.go
@@ -4,7 +4,9 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -66,9 +68,11 @@
 	leaving atomic.Bool
 	began   time.Time
 
-	mu     sync.Mutex
-	driver *driver.Driver
-	claim  *claim.Claim
+	// names are those of all cells.
+	names []string
+
+	mu    sync.Mutex
+	cells map[string]*ownCell
 	// asking counts the questions to the policy that this instance asks itself.
 	asking int
 }
@@ -87,7 +91,9 @@
 	go n.greetLoop(work)
 	go n.readConfig(work)
 	go n.followConfig(work)
-	go n.electLoop(work)
+	for _, name := range n.names {
+		go n.electLoop(work, name)
+	}
 	<-ctx.Done()
 	n.stop(servers)
 	level.Info(kit.Log).Log("event", "stopped")
@@ -99,6 +105,8 @@
 		Services: services, settings: s, kit: kit, boot: ulid.Make().String(), began: time.Now(),
 		members: newMembers(s.Instance, s.Hall, s.Peers, s.Listen.Peer, time.Now()),
 		dialer:  &link.Dialer{},
+		names:   cellNames(s.Cluster.Cells),
+		cells:   make(map[string]*ownCell),
 	}
 	n.server = &link.Server{Handler: n}
 	n.door = &rows.Door{Direct: services.Store, Now: time.Now, Carry: n.carry, Changed: n.storeChanged}
@@ -164,8 +172,10 @@
 	if n.leaving.Load() || n.config.Now() == nil || !n.door.Reachable() {
 		return false
 	}
-	if d := n.owned(); d != nil && d.Ready() {
-		return true
+	for _, c := range n.owned() {
+		if c.driver.Ready() {
+			return true
+		}
 	}
 	for _, c := range n.members.cells(time.Now()) {
 		if c.cell.Ready && c.cell.Keeps {
@@ -175,12 +185,41 @@
 	return false
 }
 
-// owned returns the driver of the own hall's cell, nil if another instance has
-// it.
-func (n *Node) owned() *driver.Driver {
+// ownCell is a cell that this instance owns.
+type ownCell struct {
+	driver *driver.Driver
+	claim  *claim.Claim
+}
+
+// owned returns the cells that this instance owns.
+func (n *Node) owned() map[string]*ownCell {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.driver
+	return maps.Clone(n.cells)
+}
+
+// own returns the driver of a cell, nil if this instance does not own it.
+func (n *Node) own(name string) *driver.Driver {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if c := n.cells[name]; c != nil {
+		return c.driver
+	}
+	return nil
+}
+
+// cellNames returns the names of count cells.
+func cellNames(count int) []string {
+	names := make([]string, count)
+	for i := range names {
+		names[i] = "cell-" + strconv.Itoa(i)
+	}
+	return names
+}
+
+// cellOf returns the name of the cell that has the workers of a rack.
+func (n *Node) cellOf(rack string) string {
+	return n.names[draw(rack)%uint32(len(n.names))]
 }
 
 const (
--- a/cluster/peers.go
+++ b/cluster/peers.go
@@ -63,7 +63,7 @@
 }
 
 func (n *Node) handleSubmit(ctx context.Context, s *wire.JobSubmit) (*wire.Reply, error) {
-	d := n.owned()
+	d := n.own(s.Cell)
 	if d == nil {
 		return nil, kind.New(kind.Unavailable, "the cell is not here")
 	}
@@ -77,7 +77,7 @@
 }
 
 func (n *Node) handleAsk(ctx context.Context, a *wire.JobAsk) (*wire.Reply, error) {
-	d := n.owned()
+	d := n.own(a.Cell)
 	if d == nil || !d.Ready() {
 		return nil, kind.New(kind.Unavailable, "the cell is not here")
 	}
@@ -182,7 +182,7 @@
 	best, bestCost := (*member)(nil), cost(own, true, false, long)
 	for i := range peers {
 		p := &peers[i]
-		c := cost(p.asking, p.cell != nil, n.farther(*p) > 0, long)
+		c := cost(p.asking, len(p.cells) > 0, n.farther(*p) > 0, long)
 		if c < bestCost || (best != nil && c == bestCost && n.draw(p.name) < n.draw(best.name)) {
 			best, bestCost = p, c
 		}
@@ -204,10 +204,19 @@
 }
 
 // draw spreads the choices of several owners over the same callers.
-func (n *Node) draw(name string) uint32 {
+func (n *Node) draw(name string) uint32 { return draw(n.settings.Instance + "/" + name) }
+
+// draw turns a text into a number that is as good as drawn by lot.
+func draw(text string) uint32 {
 	h := fnv.New32a()
-	_, _ = h.Write([]byte(n.settings.Hall + "/" + name))
-	return h.Sum32()
+	_, _ = h.Write([]byte(text))
+	// The last bytes of similar texts would leave the high bits alike.
+	x := h.Sum32()
+	x ^= x >> 16
+	x *= 0x7feb352d
+	x ^= x >> 15
+	x *= 0x846ca68b
+	return x ^ x>>16
 }
 
 func (n *Node) handleAdvice(ctx context.Context, q *wire.AdviceQuery) (*wire.Reply, error) {
--- a/driver/commit.go
+++ b/driver/commit.go
@@ -14,8 +14,8 @@
 	"dewpass.org/rows"
 )
 
-// The tables of jobs. Specs and records are in the part of their hall, homes in
-// one of a few parts that all halls share: a home row makes an id unique.
+// The tables of jobs. Specs and records are in the part of their cell, homes in
+// one of a few parts that all cells share: a home row makes an id unique.
 const (
 	TableSpecs   = "jobs"
 	TableRecords = "progress"
@@ -24,7 +24,7 @@
 
 const (
 	// commitGap spaces group commits, so that each carries what came meanwhile.
-	commitGap = 12 * time.Millisecond
+	commitGap = 30 * time.Millisecond
 	// submitsAtOnce and savesAtOnce bound a group commit. Each submit has three
 	// entries.
 	submitsAtOnce  = 16
@@ -34,14 +34,14 @@
 	renewEvery = time.Second
 )
 
-func specKey(hall, id string) rows.Key   { return rows.Key{Table: TableSpecs, Part: hall, Name: id} }
-func recordKey(hall, id string) rows.Key { return RecordKey(hall, id) }
+func specKey(cell, id string) rows.Key   { return rows.Key{Table: TableSpecs, Part: cell, Name: id} }
+func recordKey(cell, id string) rows.Key { return RecordKey(cell, id) }
 func homeKey(id string) rows.Key         { return HomeKey(id) }
 
 // RecordKey returns the key of the record of a job.
-func RecordKey(hall, id string) rows.Key { return rows.Key{Table: TableRecords, Part: hall, Name: id} }
+func RecordKey(cell, id string) rows.Key { return rows.Key{Table: TableRecords, Part: cell, Name: id} }
 
-// HomeKey returns the key of the row that says which hall has a job.
+// HomeKey returns the key of the row that says which cell has a job.
 func HomeKey(id string) rows.Key {
 	return rows.Key{Table: TableHomes, Part: id[:min(1, len(id))], Name: id}
 }
@@ -54,7 +54,7 @@
 }
 
 // Submit keeps a job and returns once it is kept. It returns nil also if the
-// job was kept before, here or in another hall. Errors are of kind Unavailable
+// job was kept before, here or in another cell. Errors are of kind Unavailable
 // (not taken, and never runs) or Lost.
 func (d *Driver) Submit(ctx context.Context, spec *flow.Spec) error {
 	s := &submit{spec: spec, done: make(chan error, 1)}
@@ -76,7 +76,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if !d.loaded || d.frozen || !d.Reachable() {
-		return kind.New(kind.Unavailable, "the hall's owner takes no jobs now").After(time.Second), true
+		return kind.New(kind.Unavailable, "the cell's owner takes no jobs now").After(time.Second), true
 	}
 	if d.cell.Known(s.spec.ID) {
 		if _, kept := d.cell.State(s.spec.ID); kept {
@@ -147,7 +147,7 @@
 	}
 	var t rows.Tx
 	for _, s := range saves {
-		t.Put = append(t.Put, rows.Row{Key: recordKey(d.Hall, s.ID), Value: flow.Encode(s.Record)})
+		t.Put = append(t.Put, rows.Row{Key: recordKey(d.Name, s.ID), Value: flow.Encode(s.Record)})
 	}
 	t.Remove = removals
 	d.mu.Unlock()
@@ -173,7 +173,7 @@
 }
 
 // commitGroup writes t with the submits, leaving out those that are kept in
-// some hall already.
+// some cell already.
 func (d *Driver) commitGroup(t rows.Tx, group []*submit) error {
 	for {
 		tx := t
@@ -181,8 +181,8 @@
 		for _, s := range group {
 			tx.Expect = append(tx.Expect, rows.Expect{Key: homeKey(s.spec.ID)})
 			tx.Put = append(tx.Put,
-				rows.Row{Key: homeKey(s.spec.ID), Value: []byte(d.Hall)},
-				rows.Row{Key: specKey(d.Hall, s.spec.ID), Value: flow.Encode(s.spec)})
+				rows.Row{Key: homeKey(s.spec.ID), Value: []byte(d.Name)},
+				rows.Row{Key: specKey(d.Name, s.spec.ID), Value: flow.Encode(s.spec)})
 		}
 		tx.Across = len(group) > 0 || len(t.Remove) > 0
 		res, err := d.Seat.Commit(d.ctx, tx)
@@ -194,7 +194,7 @@
 			group = d.known(group, res.Rows)
 		case kind.Is(err, kind.Fenced):
 			d.lost("the seat's row has another owner")
-			d.finishSubmits(group, kind.New(kind.Lost, "another instance owns the hall now"))
+			d.finishSubmits(group, kind.New(kind.Lost, "another instance owns the cell now"))
 			return err
 		default:
 			d.finishSubmits(group, kind.New(kind.Lost, "the store has not answered"))
@@ -233,19 +233,19 @@
 	}
 }
 
-// load reads the jobs of the hall. It reports whether it did before the end.
+// load reads the jobs of the cell. It reports whether it did before the end.
 func (d *Driver) load() bool {
 	for d.ctx.Err() == nil {
-		specs, _, err := rows.All(d.ctx, d.Store, rows.Range{Table: TableSpecs, Part: d.Hall})
+		specs, _, err := rows.All(d.ctx, d.Store, rows.Range{Table: TableSpecs, Part: d.Name})
 		if err == nil {
 			var records []rows.Row
-			records, _, err = rows.All(d.ctx, d.Store, rows.Range{Table: TableRecords, Part: d.Hall})
+			records, _, err = rows.All(d.ctx, d.Store, rows.Range{Table: TableRecords, Part: d.Name})
 			if err == nil {
 				d.restore(specs, records)
 				return true
 			}
 		}
-		level.Warn(d.Log).Log("event", "load_failed", "hall", d.Hall, "err", err)
+		level.Warn(d.Log).Log("event", "load_failed", "cell", d.Name, "err", err)
 		d.sleep(readRetry)
 	}
 	return false
@@ -274,5 +274,5 @@
 		d.cell.Restore(spec, byID[r.Name], now.Add(-time.Duration(age)*time.Millisecond))
 	}
 	d.loaded = true
-	level.Info(d.Log).Log("event", "loaded", "hall", d.Hall, "epoch", d.Seat.Epoch(), "jobs", len(specs))
+	level.Info(d.Log).Log("event", "loaded", "cell", d.Name, "epoch", d.Seat.Epoch(), "jobs", len(specs))
 }
--- a/driver/doc.go
+++ b/driver/doc.go
@@ -1,10 +1,10 @@
 // SPDX-License-Identifier: Apache-2.0
 
-// Package driver runs the cell of a hall: it carries what happens to a
+// Package driver runs the cell: it carries what happens to a
 // cell.Cell and carries out what the cell decides.
 //
-// A Driver lives as long as its instance holds the hall's seat. It begins by
-// reading the jobs of the hall from the store, and then runs one link to each
+// A Driver lives as long as its instance holds the cell's seat. It begins by
+// reading the jobs of the cell from the store, and then runs one link to each
 // worker. A link first holds the worker under a fence above all earlier ones,
 // which brings back all that runs there, and then holds it again and again,
 // which renews the lease of what runs and brings the ends. When the answer of
--- a/driver/driver.go
+++ b/driver/driver.go
@@ -20,7 +20,10 @@
 
 // Config is what a Driver works with.
 type Config struct {
-	Hall string
+	// Name is the cell's.
+	Name string
+	// Mine reports whether the workers of a rack are of this cell.
+	Mine func(rack string) bool
 	// Lease is how long the runs of a worker go on without being renewed.
 	Lease time.Duration
 	// Keep is how long a job that is over can be asked for.
@@ -41,7 +44,7 @@
 	Scope tally.Scope
 }
 
-// Driver runs the cell of a hall. Make one with New.
+// Driver runs the cell. Make one with New.
 type Driver struct {
 	Config
 	ctx    context.Context
@@ -94,7 +97,7 @@
 	return d
 }
 
-// Start reads the hall's jobs and then runs until Close.
+// Start reads the cell's jobs and then runs until Close.
 func (d *Driver) Start() {
 	d.spawn(func() {
 		if d.load() {
@@ -156,7 +159,7 @@
 	poke(d.wake)
 }
 
-// Ready reports whether the hall's jobs have been read.
+// Ready reports whether the cell's jobs have been read.
 func (d *Driver) Ready() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -170,7 +173,7 @@
 	return d.cell.Load(), d.cell.Racks()
 }
 
-// State returns the state of a job, and whether the hall has it. It is not
+// State returns the state of a job, and whether the cell has it. It is not
 // known before Ready.
 func (d *Driver) State(id string) (flow.State, bool) {
 	d.mu.Lock()
@@ -185,7 +188,7 @@
 	known := d.cell.Cancel(id, time.Now())
 	d.mu.Unlock()
 	if !known {
-		return kind.New(kind.NotFound, "the hall has no such job")
+		return kind.New(kind.NotFound, "the cell has no such job")
 	}
 	poke(d.wake)
 	poke(d.write)
@@ -211,7 +214,7 @@
 	if was {
 		return
 	}
-	level.Warn(d.Log).Log("event", "seat_lost", "hall", d.Hall, "epoch", d.Seat.Epoch(), "why", why)
+	level.Warn(d.Log).Log("event", "seat_lost", "cell", d.Name, "epoch", d.Seat.Epoch(), "why", why)
 	d.cancel()
 	go d.Lost()
 }
@@ -272,7 +275,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, id := range d.cell.Expire(d.Keep, now) {
-		d.removals = append(d.removals, specKey(d.Hall, id), recordKey(d.Hall, id), homeKey(id))
+		d.removals = append(d.removals, specKey(d.Name, id), recordKey(d.Name, id), homeKey(id))
 	}
 }
 
@@ -308,9 +311,11 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if err != nil {
+		level.Info(d.Log).Log("event", "not_advised", "job", a.Step.Job, "step", a.Step.Step, "asked", len(a.Workers), "err", err)
 		d.cell.Unadvised(a, time.Now())
 		return
 	}
+	level.Debug(d.Log).Log("event", "advised", "job", a.Step.Job, "step", a.Step.Step, "asked", len(a.Workers), "good", len(t.Rows), "took_ms", time.Since(sent).Milliseconds())
 	// The ticket counts from the answer, which took its time after sent.
 	valid := a.Advice.Valid
 	if t.Valid > 0 {
--- a/driver/link.go
+++ b/driver/link.go
@@ -162,6 +162,10 @@
 	} else if l.attached {
 		d.cell.Listed(l.id, a.Lists, sent, now)
 	}
+	for i := range a.Lists.Finished {
+		f := &a.Lists.Finished[i]
+		level.Debug(d.Log).Log("event", "end", "job", f.Task.Job, "step", f.Task.Step, "index", f.Task.Index, "run", f.Run, "how", f.How, "worker", l.id, "number", f.Number)
+	}
 	if d.cell.Unsaved(l.id) {
 		poke(d.write)
 	}
@@ -268,6 +272,7 @@
 		Task:   s.Task, Run: s.Run, Text: s.Text, Saved: s.Saved, Ticket: s.Ticket,
 		UntilMS: d.until(l, time.Now()),
 	}
+	level.Debug(d.Log).Log("event", "start", "job", s.Task.Job, "step", s.Task.Step, "index", s.Task.Index, "run", s.Run, "worker", s.Worker, "fence", o.Fence)
 	d.spawn(func() { d.sendStart(o) })
 }
 
@@ -323,6 +328,7 @@
 	if l == nil || !l.attached {
 		return
 	}
+	level.Debug(d.Log).Log("event", "stop", "job", s.Task.Job, "step", s.Task.Step, "index", s.Task.Index, "run", s.Run, "worker", s.Worker)
 	o := StopOrder{Target: Target{Worker: s.Worker, Addr: l.addr, Fence: l.fence}, Task: s.Task, Run: s.Run}
 	d.spawn(func() {
 		ctx, cancel := context.WithTimeout(d.ctx, orderTime)
--- a/driver/ports.go
+++ b/driver/ports.go
@@ -74,26 +74,14 @@
 // Entry is a worker as the directory has it.
 type Entry struct {
 	cell.Worker
-	Hall string
 	// Ver is the version of the entry; a lower one is older.
 	Ver uint64
 }
 
-// Listing is a part of the directory.
-type Listing struct {
-	Entries []Entry
-	// Ver is the version that the listing is of.
-	Ver uint64
-	// Forgotten says that the changes asked for are not known any more.
-	Forgotten bool
-}
-
 // Directory lists the workers.
 type Directory interface {
 	// All returns every worker there is.
-	All(ctx context.Context) (Listing, error)
-	// Changes returns what has changed since a version, waiting for it.
-	Changes(ctx context.Context, ver uint64, wait time.Duration) (Listing, error)
+	All(ctx context.Context) ([]Entry, error)
 }
 
 // Tickets is the answer to a question to the policy.
--- a/driver/watch.go
+++ b/driver/watch.go
@@ -9,59 +9,27 @@
 )
 
 const (
-	// feedWait is how long the directory may wait for a change.
-	feedWait = 5 * time.Second
-	// readEvery spaces whole readings of the directory, which find what the
-	// feed keeps silent about.
-	readEvery = 1500 * time.Millisecond
+	// readEvery spaces the readings of the directory: a worker that leaves has
+	// to be known within two seconds.
+	readEvery = 800 * time.Millisecond
 	readRetry = 200 * time.Millisecond
 )
 
-// watch follows the directory of workers: by its changes, and by whole readings
-// beside them.
+// watch reads the directory of workers again and again. Its feed would tell of
+// every heartbeat of every worker.
 func (d *Driver) watch() {
-	ver := make(chan uint64, 1)
-	d.spawn(func() { d.follow(ver) })
 	for d.ctx.Err() == nil {
-		l, err := d.Directory.All(d.ctx)
+		entries, err := d.Directory.All(d.ctx)
 		pause := readEvery
 		if err != nil {
 			pause = readRetry
 		} else {
-			d.readAll(l)
-			select {
-			case ver <- l.Ver:
-			default:
-			}
+			d.readAll(entries)
 		}
 		d.sleep(pause)
 	}
 }
 
-// follow takes in changes from the version of a whole reading on.
-func (d *Driver) follow(start <-chan uint64) {
-	var ver uint64
-	for d.ctx.Err() == nil {
-		if ver == 0 {
-			select {
-			case ver = <-start:
-			case <-d.ctx.Done():
-				return
-			}
-		}
-		l, err := d.Directory.Changes(d.ctx, ver, feedWait)
-		switch {
-		case err != nil:
-			d.sleep(readRetry)
-		case l.Forgotten:
-			ver = 0
-		default:
-			ver = max(ver, l.Ver)
-			d.readSome(l)
-		}
-	}
-}
-
 func (d *Driver) sleep(t time.Duration) {
 	select {
 	case <-time.After(t):
@@ -70,12 +38,12 @@
 }
 
 // readAll takes in a whole reading: what it leaves out is missing.
-func (d *Driver) readAll(l Listing) {
+func (d *Driver) readAll(entries []Entry) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
-	there := make(map[string]bool, len(l.Entries))
-	for _, e := range l.Entries {
+	there := make(map[string]bool, len(entries))
+	for _, e := range entries {
 		there[e.ID] = true
 		d.heard(e, now)
 	}
@@ -87,25 +55,9 @@
 	poke(d.wake)
 }
 
-func (d *Driver) readSome(l Listing) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	now := time.Now()
-	for _, e := range l.Entries {
-		if e.Gone {
-			if link := d.links[e.ID]; link != nil {
-				d.miss(link, now)
-			}
-			continue
-		}
-		d.heard(e, now)
-	}
-	poke(d.wake)
-}
-
 // heard takes in an entry. The lock is held.
 func (d *Driver) heard(e Entry, now time.Time) {
-	if e.Hall != d.Hall || e.Gone {
+	if e.Gone || !d.Mine(e.Rack) {
 		return
 	}
 	link := d.links[e.ID]
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -59,6 +59,8 @@
 	LeaseMost Duration `json:"lease-most"`
 	// Keep is how long a job that is over can be asked for.
 	Keep Duration `json:"keep"`
+	// Cells is how many cells the workers are divided into, by their racks.
+	Cells int `json:"cells"`
 	// Grace is how long the platform waits for a planned stop.
 	Grace Duration `json:"grace"`
 }
@@ -155,6 +157,7 @@
 	if c.Keep == 0 {
 		c.Keep = Duration(defaultKeep)
 	}
+	c.Cells = max(c.Cells, 1)
 	if c.Grace == 0 {
 		c.Grace = Duration(defaultGrace)
 	}
