--- a/cell/advice.go
+++ b/cell/advice.go
@@ -102,7 +102,7 @@
 // ask returns the question that s needs now, or one without workers.
 func (c *Cell) ask(s *stage, q *Queue, now time.Time) Ask {
 	a := Ask{Step: s.id(), Priority: q.Priority}
-	if q.Advice == nil || s.advice.asking || now.Before(s.advice.after) || s.waiting == 0 {
+	if q.Advice == nil || s.advice.asking || now.Before(s.advice.after) || (s.waiting == 0 && !s.moving) {
 		return a
 	}
 	a.Advice = *q.Advice
--- a/cell/job.go
+++ b/cell/job.go
@@ -53,6 +53,8 @@
 	gangLast  int
 	waitSince time.Time
 	doneAt    time.Time
+	// moving says that a task has to leave its worker and finds no place yet.
+	moving bool
 }
 
 type job struct {
--- a/cell/place.go
+++ b/cell/place.go
@@ -61,7 +61,7 @@
 	slices.SortStableFunc(c.open, func(x, y *stage) int { return c.compare(x, y, now) })
 	for _, s := range c.open {
 		q := c.queues[s.job.spec.Queue]
-		if q == nil || s.waiting == 0 || s.job.state.Final() {
+		if q == nil || s.job.state.Final() {
 			continue
 		}
 		if !s.due.IsZero() && s.due.After(wall) {
@@ -74,7 +74,8 @@
 				a.Asks = append(a.Asks, ask)
 			}
 		}
-		if s.before > 0 || !s.job.kept || (s.job.restored && unsettled) {
+		s.moving = false
+		if s.waiting == 0 || s.before > 0 || !s.job.kept || (s.job.restored && unsettled) {
 			continue
 		}
 		if s.def.Gang {
@@ -89,7 +90,7 @@
 // tidy forgets stages that have nothing left to place.
 func (c *Cell) tidy() {
 	c.open = slices.DeleteFunc(c.open, func(s *stage) bool {
-		return s.waiting == 0 || s.job.state.Final()
+		return (s.waiting == 0 && !s.moving) || s.job.state.Final()
 	})
 }
 
@@ -335,6 +336,7 @@
 		for _, r := range sortedRuns(w) {
 			if !r.unwanted(now) {
 				c.checkStall(r, now)
+				c.checkLeaving(r, now)
 			}
 			if !r.unwanted(now) || (r.stopping && now.Sub(r.stopSent) < stopAgain) {
 				continue
@@ -370,6 +372,50 @@
 	r.stage.tasks[r.index].avoid = append(r.stage.tasks[r.index].avoid, r.w.ID)
 }
 
+// checkLeaving marks a run for stopping whose worker leaves before it is done,
+// if it can go on elsewhere.
+func (c *Cell) checkLeaving(r *run, now time.Time) {
+	if !r.w.Draining || r.stopping || r.stage.def.Gang {
+		return
+	}
+	s := r.stage
+	left := r.w.leavesIn(now)
+	if !s.def.Lasting && r.remaining(now) < left {
+		return
+	}
+	if s.def.Lasting && (s.away() > 0 && s.away() >= s.def.MayMiss) {
+		return
+	}
+	q := c.queues[s.job.spec.Queue]
+	if q == nil {
+		return
+	}
+	t := &s.tasks[r.index]
+	if w, _ := c.choose(s, t, q, now); w == nil {
+		s.moving = true
+		if !slices.Contains(c.open, s) {
+			c.open = append(c.open, s)
+		}
+		return
+	}
+	r.stopping = true
+	r.stopSent = time.Time{}
+}
+
+// away counts the tasks of a lasting step that are not at work.
+func (s *stage) away() int {
+	n := 0
+	for i := range s.tasks {
+		t := &s.tasks[i]
+		if t.state != taskActive || !t.runs[0].atWork() {
+			n++
+		}
+	}
+	return n
+}
+
+func (r *run) atWork() bool { return !r.confirmed.IsZero() && !r.stopping && r.percent >= 100 }
+
 // copies lets the tasks that may run more than once wait again when their
 // worker is out of reach.
 func (c *Cell) copies(w *worker, now time.Time) {
@@ -387,6 +433,8 @@
 		r.stage.setWaiting(t, true)
 		if r.stage.waiting == 1 {
 			r.stage.waitSince = now
+		}
+		if !slices.Contains(c.open, r.stage) {
 			c.open = append(c.open, r.stage)
 		}
 	}
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -40,6 +40,8 @@
 	health                 health
 	// settled says that it is known what a former owner left running here.
 	settled bool
+	// heard is when its entry was last read.
+	heard time.Time
 }
 
 type runKey struct {
@@ -107,7 +109,12 @@
 	} else if w.Room != info.Room {
 		w.free = w.free.Add(info.Room).Sub(w.Room)
 	}
-	w.Worker = info
+	w.Worker, w.heard = info, now
+}
+
+// leavesIn returns how long a draining worker surely stays.
+func (w *worker) leavesIn(now time.Time) time.Duration {
+	return w.Remaining - now.Sub(w.heard)
 }
 
 // Missing says that a worker's entry has been missing for too long to place
--- a/claim/claim.go
+++ b/claim/claim.go
@@ -18,12 +18,21 @@
 	"context"
 	"encoding/json"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"dewpass.org/kind"
 	"dewpass.org/rows"
 )
 
+// Valid is how long after its last write an owner may give orders that outlast
+// a change of owner. Others take a seat only after it has gone unwritten for
+// Silence.
+const (
+	Valid   = 1300 * time.Millisecond
+	Silence = 1500 * time.Millisecond
+)
+
 // Table is the table of the seats; the cell's name is the part.
 const Table = "cells"
 
@@ -49,7 +58,7 @@
 }
 
 // Claim is an instance's view of a cell's seat. Its exported fields must be
-// set before use. It is not safe for concurrent use.
+// set before use. Only Epoch, Held and Written may be called beside others.
 type Claim struct {
 	Store rows.Store
 	Cell  string
@@ -60,11 +69,22 @@
 	epoch uint64
 	ver   uint64
 	count uint64
+	// written is when the last write that took effect was begun.
+	written atomic.Pointer[time.Time]
 }
 
 // Epoch returns the epoch under which the seat is held.
 func (c *Claim) Epoch() uint64 { return c.epoch }
 
+// Written returns when the last write that took effect was begun: until a while
+// after that, nobody else can hold the seat.
+func (c *Claim) Written() time.Time {
+	if t := c.written.Load(); t != nil {
+		return *t
+	}
+	return time.Time{}
+}
+
 func (c *Claim) key() rows.Key { return rows.Key{Table: Table, Part: c.Cell, Name: seatName} }
 
 // Read returns the seat as it stands, and its version.
@@ -125,7 +145,11 @@
 	t.Expect = append([]rows.Expect{{Key: c.key(), Ver: c.ver}}, t.Expect...)
 	t.Put = append([]rows.Row{{Key: c.key(), Value: raw}}, t.Put...)
 	for {
+		begun := time.Now()
 		res, err := c.attempt(ctx, t, seat.Mark)
+		if err == nil {
+			c.written.Store(&begun)
+		}
 		if err == nil || kind.Is(err, kind.Fenced) || kind.Is(err, kind.Conflict) {
 			return res, err
 		}
--- a/cluster/elect.go
+++ b/cluster/elect.go
@@ -23,9 +23,9 @@
 	// rankPause keeps the candidates for a cell apart.
 	rankPause = 120 * time.Millisecond
 	rankMost  = 8
-	// seatLease is how long a seat may go without being written, by an owner
-	// who is not heard either, before it is taken.
-	seatLease = 2200 * time.Millisecond
+	// watchAfter is how long an owner may not have been heard before its seat is
+	// watched.
+	watchAfter = 600 * time.Millisecond
 	electTime = 900 * time.Millisecond
 	probeTime = 250 * time.Millisecond
 )
@@ -43,7 +43,7 @@
 	var v vacancy
 	for ctx.Err() == nil {
 		now := time.Now()
-		if n.leaving.Load() || n.own(name) != nil || n.ownerHeard(name, now) {
+		if n.leaving.Load() || n.own(name) != nil || n.ownerHeard(name, now, watchAfter) {
 			v = vacancy{}
 		} else {
 			if v.since.IsZero() {
@@ -57,9 +57,10 @@
 	}
 }
 
-func (n *Node) ownerHeard(name string, now time.Time) bool {
+// ownerHeard reports whether the owner of a cell was heard within a time.
+func (n *Node) ownerHeard(name string, now time.Time, within time.Duration) bool {
 	o := n.members.owner(name, now)
-	return o != nil && !o.leaving
+	return o != nil && !o.leaving && now.Sub(o.heard) < within
 }
 
 // rank returns how many live instances go before this one as owners of a cell,
@@ -89,7 +90,7 @@
 		v.mark, v.seen = seat.Mark, now
 	}
 	why := n.vacant(ctx, seat, now.Sub(v.seen))
-	if why == "" {
+	if why == "" || n.ownerHeard(name, time.Now(), cellSilence) {
 		return
 	}
 	if err := c.Take(ctx, seat, ver); err != nil {
@@ -107,7 +108,7 @@
 		return "free"
 	case seat.Owner == n.settings.Instance:
 		return "was this instance's before"
-	case unwritten > seatLease:
+	case unwritten > claim.Silence:
 		return "owner silent"
 	}
 	heard := n.members.list(time.Now(), func(k *member) bool { return k.name == seat.Owner })
@@ -140,7 +141,7 @@
 		Lease: time.Duration(s.Lease), Keep: time.Duration(s.Keep),
 		Seat: c, Store: n.door, Reachable: n.door.Reachable,
 		Workers: n.Workers, Directory: n.Directory(n.door),
-		Advise: n.advise, Callers: n.callers,
+		Advise: n.advise, Callers: n.callers, Obeyed: n.obeyed,
 		Lost: func() { n.dropDriver(name, d) },
 		Log:  n.kit.Log, Scope: n.kit.Scope,
 	})
@@ -157,6 +158,10 @@
 	d.Start()
 }
 
+// obeyed reports whether every other instance that was heard lately has answered
+// the last greetings, and so will not take a seat of this one.
+func (n *Node) obeyed() bool { return n.members.allAnswer(time.Now()) }
+
 func (n *Node) dropDriver(name string, d *driver.Driver) {
 	n.mu.Lock()
 	if c := n.cells[name]; c != nil && c.driver == d {
--- a/cluster/greet.go
+++ b/cluster/greet.go
@@ -75,9 +75,11 @@
 func (n *Node) greetOne(ctx context.Context, addr string, req *wire.Request) {
 	ctx, cancel := context.WithTimeout(ctx, greetTime)
 	defer cancel()
+	sent := time.Now()
 	reply, err := n.dialer.Do(ctx, addr, req)
 	if err == nil {
 		n.greeted(reply.GetGreeting())
+		n.members.answer(reply.GetGreeting().GetInstance(), sent)
 	}
 }
 
--- a/cluster/members.go
+++ b/cluster/members.go
@@ -19,6 +19,10 @@
 	farSilence = 5 * time.Second
 	// cellSilence is how long a summary of a cell holds.
 	cellSilence = 1500 * time.Millisecond
+	// answerWithin is how lately all must have answered, below cellSilence, of
+	// those that were heard within answerWhile.
+	answerWithin = 1200 * time.Millisecond
+	answerWhile  = 30 * time.Second
 	// forgetAfter is when the address of an instance that is not heard any more
 	// is given up.
 	forgetAfter = 40 * time.Second
@@ -35,6 +39,8 @@
 	config  uint64
 	cells   []*wire.CellSummary
 	heard   time.Time
+	// answered is when it last answered a greeting.
+	answered time.Time
 	// work is what was sent to its cells since the last summary, in milliseconds
 	// of one processor.
 	work int64
@@ -161,6 +167,28 @@
 	return nil
 }
 
+// answer notes that a member has answered a greeting that was sent at sent.
+func (m *members) answer(name string, sent time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if k := m.known[name]; k != nil {
+		k.answered = sent
+	}
+}
+
+// allAnswer reports whether every member that was heard in a while has answered
+// lately.
+func (m *members) allAnswer(now time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, k := range m.known {
+		if now.Sub(k.heard) < answerWhile && now.Sub(k.answered) > answerWithin {
+			return false
+		}
+	}
+	return len(m.known) > 0
+}
+
 // sent notes work that was sent to a member's cell.
 func (m *members) sent(name string, work int64) {
 	m.mu.Lock()
--- a/driver/commit.go
+++ b/driver/commit.go
@@ -4,11 +4,15 @@
 
 import (
 	"context"
+	"encoding/json"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/go-kit/log/level"
 
+	"dewpass.org/cell"
+	"dewpass.org/claim"
 	"dewpass.org/flow"
 	"dewpass.org/kind"
 	"dewpass.org/rows"
@@ -31,7 +35,9 @@
 	savesAtOnce    = 44
 	removalsAtOnce = 24
 	// renewEvery is how long the seat may go without being written.
-	renewEvery = time.Second
+	renewEvery = 400 * time.Millisecond
+	// rosterName is the row that lists a cell's workers beside its seat.
+	rosterName = "workers"
 )
 
 func specKey(cell, id string) rows.Key   { return rows.Key{Table: TableSpecs, Part: cell, Name: id} }
@@ -150,6 +156,11 @@
 		t.Put = append(t.Put, rows.Row{Key: recordKey(d.Name, s.ID), Value: flow.Encode(s.Record)})
 	}
 	t.Remove = removals
+	roster := d.rosterChanged
+	if roster {
+		t.Put = append(t.Put, rows.Row{Key: d.rosterKey(), Value: flow.Encode(d.roster())})
+		d.rosterChanged = false
+	}
 	d.mu.Unlock()
 	err := d.commitGroup(t, group)
 	d.mu.Lock()
@@ -157,6 +168,7 @@
 	d.cell.Saved(saves, err == nil)
 	if err != nil {
 		d.removals = append(d.removals, removals...)
+		d.rosterChanged = d.rosterChanged || roster
 		return false
 	}
 	d.announce()
@@ -237,13 +249,18 @@
 func (d *Driver) load() bool {
 	for d.ctx.Err() == nil {
 		specs, _, err := rows.All(d.ctx, d.Store, rows.Range{Table: TableSpecs, Part: d.Name})
+		var records []rows.Row
 		if err == nil {
-			var records []rows.Row
 			records, _, err = rows.All(d.ctx, d.Store, rows.Range{Table: TableRecords, Part: d.Name})
-			if err == nil {
-				d.restore(specs, records)
-				return true
-			}
+		}
+		var roster rows.Page
+		if err == nil {
+			roster, err = d.Store.Get(d.ctx, rows.Only(d.rosterKey()))
+		}
+		if err == nil {
+			d.restore(specs, records)
+			d.restoreRoster(roster.One().Value)
+			return true
 		}
 		level.Warn(d.Log).Log("event", "load_failed", "cell", d.Name, "err", err)
 		d.sleep(readRetry)
@@ -251,6 +268,44 @@
 	return false
 }
 
+// rosterEntry is a worker in the roster. The directory forgets workers that
+// cannot reach the store, and they may still run what a former owner started.
+type rosterEntry struct {
+	ID   string `json:"id"`
+	Addr string `json:"addr"`
+}
+
+func (d *Driver) rosterKey() rows.Key {
+	return rows.Key{Table: claim.Table, Part: d.Name, Name: rosterName}
+}
+
+// roster returns the workers that may run something. The lock is held.
+func (d *Driver) roster() []rosterEntry {
+	out := make([]rosterEntry, 0, len(d.links))
+	for _, l := range d.links {
+		out = append(out, rosterEntry{ID: l.id, Addr: l.addr})
+	}
+	slices.SortFunc(out, func(a, b rosterEntry) int { return strings.Compare(a.ID, b.ID) })
+	return out
+}
+
+func (d *Driver) restoreRoster(raw []byte) {
+	var all []rosterEntry
+	if len(raw) == 0 || json.Unmarshal(raw, &all) != nil {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := time.Now()
+	for _, e := range all {
+		if d.links[e.ID] == nil {
+			d.cell.Heard(cell.Worker{ID: e.ID, Addr: e.Addr, Gone: true}, now)
+			d.connect(e.ID, e.Addr)
+			d.links[e.ID].missing = now
+		}
+	}
+}
+
 func (d *Driver) restore(specs, records []rows.Row) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/driver/driver.go
+++ b/driver/driver.go
@@ -38,6 +38,9 @@
 	// way at once.
 	Advise  func(ctx context.Context, a cell.Ask) (Tickets, error)
 	Callers func() int
+	// Obeyed reports whether every instance that might take the seat is known
+	// to hear this one.
+	Obeyed func() bool
 	// Lost is called when another instance holds the seat.
 	Lost  func()
 	Log   log.Logger
@@ -59,6 +62,9 @@
 	removals []rows.Key
 	frozen   bool
 	loaded   bool
+	// rosterChanged says that the workers of the cell are not those of the
+	// roster in the store.
+	rosterChanged bool
 	// kept is closed and renewed whenever the store has taken a write.
 	kept chan struct{}
 
@@ -246,6 +252,13 @@
 	}
 }
 
+// mayOrder reports whether what is ordered now cannot meet the orders of another
+// owner: the seat was written lately, or all who could take it hear this
+// instance.
+func (d *Driver) mayOrder(now time.Time) bool {
+	return now.Sub(d.Seat.Written()) < claim.Valid || d.Obeyed()
+}
+
 // confirm makes sure after a pause that the seat is still held.
 func (d *Driver) confirm(gap time.Duration) bool {
 	level.Warn(d.Log).Log("event", "paused", "gap_ms", gap.Milliseconds())
@@ -282,7 +295,7 @@
 // place lets the cell decide and carries it out.
 func (d *Driver) place(now time.Time) {
 	d.mu.Lock()
-	if d.frozen {
+	if d.frozen || !d.mayOrder(now) {
 		d.mu.Unlock()
 		return
 	}
--- a/driver/link.go
+++ b/driver/link.go
@@ -9,6 +9,7 @@
 	"github.com/go-kit/log/level"
 
 	"dewpass.org/cell"
+	"dewpass.org/claim"
 	"dewpass.org/kind"
 )
 
@@ -60,9 +61,12 @@
 	l := &link{
 		id: id, addr: addr, cancel: cancel, kick: make(chan struct{}, 1),
 		fence: d.Seat.Epoch() * fencesPerEpoch,
-		over:  d.began.Add(stretch(d.Lease)),
+		// A former owner that still lives gives orders until its seat is no longer
+		// valid.
+		over: d.began.Add(claim.Valid + stretch(d.Lease)),
 	}
 	d.links[id] = l
+	d.rosterChanged = true
 	d.spawn(func() { d.runLink(ctx, l) })
 }
 
@@ -124,7 +128,11 @@
 	o := HoldOrder{
 		Target:   Target{Worker: l.id, Addr: l.addr, Fence: l.fence},
 		Observed: d.cell.Observed(l.id),
-		UntilMS:  d.until(l, now),
+	}
+	// A worker that may not answer gets no longer lease: its end would never be
+	// certain.
+	if !attach && d.mayOrder(now) {
+		o.UntilMS = d.until(l, now)
 	}
 	if !attach && !unsaved {
 		o.Wait = waitTime
@@ -138,7 +146,7 @@
 		return err
 	}
 	d.held(l, o, a, now, attach)
-	if attach && o.UntilMS == 0 {
+	if attach {
 		return nil
 	}
 	d.waitKept(ctx, l)
@@ -233,6 +241,7 @@
 	d.cell.Forget(l.id, now)
 	l.cancel()
 	delete(d.links, l.id)
+	d.rosterChanged = true
 	poke(d.wake)
 }
 
