--- a/cluster/elect.go
+++ b/cluster/elect.go
@@ -26,8 +26,8 @@
 	// watchAfter is how long an owner may not have been heard before its seat is
 	// watched.
 	watchAfter = 600 * time.Millisecond
-	electTime = 900 * time.Millisecond
-	probeTime = 250 * time.Millisecond
+	electTime  = 900 * time.Millisecond
+	probeTime  = 250 * time.Millisecond
 )
 
 // vacancy is what an instance knows of a seat whose owner it does not hear.
@@ -134,11 +134,11 @@
 
 // drive starts to drive a cell.
 func (n *Node) drive(name string, c *claim.Claim) {
-	s := n.settings.Cluster
+	t := n.timesNow()
 	var d *driver.Driver
 	d = driver.New(driver.Config{
 		Name: name, Mine: func(rack string) bool { return n.cellOf(rack) == name },
-		Lease: time.Duration(s.Lease), Keep: time.Duration(s.Keep),
+		Lease: t.lease, Keep: t.keep,
 		Seat: c, Store: n.door, Reachable: n.door.Reachable,
 		Workers: n.Workers, Directory: n.Directory(n.door),
 		Advise: n.advise, Callers: n.callers, Obeyed: n.obeyed,
--- a/cluster/node.go
+++ b/cluster/node.go
@@ -73,12 +73,14 @@
 
 	mu    sync.Mutex
 	cells map[string]*ownCell
+	times times
 	// asking counts the questions to the policy that this instance asks itself.
 	asking int
 }
 
 // Run runs an instance until ctx ends, and then stops it as planned.
-func Run(ctx context.Context, s *settings.Settings, kit *telemetry.Kit, services Services) error {
+// Settings that come by changes are taken where they can be without a restart.
+func Run(ctx context.Context, s *settings.Settings, kit *telemetry.Kit, services Services, changes <-chan *settings.Settings) error {
 	n := newNode(s, kit, services)
 	work, end := context.WithCancel(context.Background())
 	defer end()
@@ -94,12 +96,54 @@
 	for _, name := range n.names {
 		go n.electLoop(work, name)
 	}
-	<-ctx.Done()
+	n.takeChanges(ctx, changes)
 	n.stop(servers)
 	level.Info(kit.Log).Log("event", "stopped")
 	return nil
 }
 
+// takeChanges takes changed settings until ctx ends.
+func (n *Node) takeChanges(ctx context.Context, changes <-chan *settings.Settings) {
+	for {
+		select {
+		case s := <-changes:
+			n.reload(s)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// reload takes what may change while an instance runs: how long leases, jobs
+// that are over, and the grace last. A lease counts for cells that are taken
+// from then on.
+func (n *Node) reload(s *settings.Settings) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if s.Cluster == nil {
+		return
+	}
+	old := n.times
+	n.times = timesOf(s.Cluster)
+	restart := s.Listen != n.settings.Listen || s.Cluster.Store != n.settings.Cluster.Store
+	level.Info(n.kit.Log).Log("event", "reloaded", "changed", n.times != old, "needs_restart", restart)
+}
+
+// times are the settings that may change while an instance runs.
+type times struct {
+	lease, keep, grace time.Duration
+}
+
+func timesOf(c *settings.Cluster) times {
+	return times{lease: time.Duration(c.Lease), keep: time.Duration(c.Keep), grace: time.Duration(c.Grace)}
+}
+
+func (n *Node) timesNow() times {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.times
+}
+
 func newNode(s *settings.Settings, kit *telemetry.Kit, services Services) *Node {
 	n := &Node{
 		Services: services, settings: s, kit: kit, boot: ulid.Make().String(), began: time.Now(),
@@ -107,6 +151,7 @@
 		dialer:  &link.Dialer{},
 		names:   cellNames(s.Cluster.Cells),
 		cells:   make(map[string]*ownCell),
+		times:   timesOf(s.Cluster),
 	}
 	n.server = &link.Server{Handler: n}
 	n.door = &rows.Door{Direct: services.Store, Now: time.Now, Carry: n.carry, Changed: n.storeChanged}
@@ -231,7 +276,7 @@
 
 // stop hands the cell on, lets what is in progress end, and closes.
 func (n *Node) stop(servers []*http.Server) {
-	grace := time.Duration(n.settings.Cluster.Grace)
+	grace := n.timesNow().grace
 	linger := time.Now().Add(grace * lingerShare / 10)
 	level.Info(n.kit.Log).Log("event", "stopping")
 	n.leaving.Store(true)
--- a/cmd/dewpass/entry.go
+++ b/cmd/dewpass/entry.go
@@ -6,7 +6,11 @@
 	"context"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
 	"github.com/urfave/cli/v3"
 
 	"dewpass.org/cluster"
@@ -31,7 +35,8 @@
 }
 
 func runEntry(ctx context.Context, c *cli.Command) error {
-	s, err := settings.Load(c.String("settings"))
+	path := c.String("settings")
+	s, err := settings.Load(path)
 	if err != nil {
 		return err
 	}
@@ -44,11 +49,31 @@
 	}
 	defer kit.Close(context.WithoutCancel(ctx))
 	if s.Cluster != nil {
-		return cluster.Run(ctx, s, kit, platform.Services(s.Cluster))
+		changes := make(chan *settings.Settings)
+		go watch(ctx, path, kit.Log, changes)
+		return cluster.Run(ctx, s, kit, platform.Services(s.Cluster), changes)
 	}
 	return entry.Run(ctx, s, kit)
 }
 
+// watch passes on the settings of a file whenever it changes or the process gets
+// SIGHUP.
+func watch(ctx context.Context, path string, logger log.Logger, changes chan<- *settings.Settings) {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
+	changed := func(s *settings.Settings) {
+		select {
+		case changes <- s:
+		case <-ctx.Done():
+		}
+	}
+	failed := func(err error) {
+		level.Error(logger).Log("event", "settings_refused", "err", err)
+	}
+	settings.Watch(ctx, path, hup, changed, failed)
+}
+
 func settingsCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "settings",
