--- a/cell/advice.go
+++ b/cell/advice.go
@@ -121,7 +121,7 @@
 	room := s.def.Room()
 	var out []*worker
 	for _, w := range c.order {
-		if !w.attached || w.Draining || w.Gone || !w.suits(s, q) {
+		if !w.usable() || !w.suits(s, q) {
 			continue
 		}
 		t, good := s.advice.tickets[w.ID]
--- a/cell/health.go
+++ b/cell/health.go
@@ -33,6 +33,19 @@
 	if h.row < badInRow && !h.trial {
 		return
 	}
+	h.probe(now)
+}
+
+// stalled takes in that a run stands still, which says enough by itself.
+func (h *health) stalled(now time.Time) {
+	h.row++
+	if now.After(h.until) {
+		h.probe(now)
+	}
+}
+
+// probe puts the worker on probation.
+func (h *health) probe(now time.Time) {
 	h.length = min(max(2*h.length, probation), probationMost)
 	h.until = now.Add(h.length)
 	h.trial = true
--- a/cell/place.go
+++ b/cell/place.go
@@ -14,9 +14,11 @@
 const (
 	// stopAgain spaces the orders to stop one run.
 	stopAgain = 600 * time.Millisecond
-	// stalled is how long a run may show no progress before it is started
-	// elsewhere.
-	stalled = 2500 * time.Millisecond
+	// A run that shows no progress for stallShare of its estimate, in hundredths
+	// and within the two bounds, is started elsewhere.
+	stallShare = 40
+	stallLeast = 500 * time.Millisecond
+	stallMost  = 2500 * time.Millisecond
 	// foresight is added to the time that advice takes when it is asked for
 	// before its step opens.
 	foresight = 250 * time.Millisecond
@@ -276,7 +278,7 @@
 	bestScore := 0.0
 	room := s.def.Room()
 	for _, w := range c.order {
-		if !w.attached || w.Draining || w.Gone || !w.free.Covers(&room) || !w.suits(s, q) {
+		if !w.usable() || !w.free.Covers(&room) || !w.suits(s, q) {
 			continue
 		}
 		if s.full(w) {
@@ -297,6 +299,7 @@
 const (
 	nearBonus    = 10.0
 	avoidMalus   = 20.0
+	failedMalus  = 3.0
 	sameRackGain = 5.0
 )
 
@@ -314,6 +317,9 @@
 	if slices.Contains(t.avoid, w.ID) {
 		score -= avoidMalus
 	}
+	if w.health.row > 0 {
+		score -= failedMalus
+	}
 	if s.def.SameRack {
 		for other := range s.carried {
 			if other.Rack == w.Rack {
@@ -363,15 +369,23 @@
 
 // checkStall marks a run that stands still for stopping.
 func (c *Cell) checkStall(r *run, now time.Time) {
-	if r.confirmed.IsZero() || r.percent >= 100 || now.Sub(r.progressed) < stalled {
+	if r.confirmed.IsZero() || r.percent >= 100 || r.listed.Sub(r.progressed) < r.stallAfter() {
 		return
 	}
 	r.stopping = true
 	r.stopSent = time.Time{}
-	r.w.health.bad(now)
+	r.w.health.stalled(now)
 	r.stage.tasks[r.index].avoid = append(r.stage.tasks[r.index].avoid, r.w.ID)
 }
 
+// stallAfter returns how long r may show no progress.
+func (r *run) stallAfter() time.Duration {
+	if r.stage.def.Lasting {
+		return stallMost
+	}
+	return min(max(r.stage.def.Estimate()*stallShare/100, stallLeast), stallMost)
+}
+
 // checkLeaving marks a run for stopping whose worker leaves before it is done,
 // if it can go on elsewhere.
 func (c *Cell) checkLeaving(r *run, now time.Time) {
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -40,6 +40,9 @@
 	health                 health
 	// settled says that it is known what a former owner left running here.
 	settled bool
+	// silent says that an order has gone without an answer for longer than
+	// answers take.
+	silent bool
 	// heard is when its entry was last read.
 	heard time.Time
 }
@@ -61,10 +64,11 @@
 	stopping  bool
 	stopSent  time.Time
 	percent   int
-	// progressed is when percent last changed.
-	progressed time.Time
-	saved      string
-	taken      sched.Vec
+	// progressed is when percent last changed, and listed when it was last
+	// listed.
+	progressed, listed time.Time
+	saved              string
+	taken              sched.Vec
 }
 
 func (r *run) task() flow.TaskID { return r.stage.taskID(r.index) }
@@ -117,6 +121,17 @@
 	return w.Remaining - now.Sub(w.heard)
 }
 
+// Silent says whether an order to a worker has gone without an answer for longer
+// than answers take. Nothing more is placed there meanwhile.
+func (c *Cell) Silent(id string, silent bool) {
+	if w := c.workers[id]; w != nil {
+		w.silent = silent
+	}
+}
+
+// usable reports whether w may be given anything now.
+func (w *worker) usable() bool { return w.attached && !w.silent && !w.Draining && !w.Gone }
+
 // Missing says that a worker's entry has been missing for too long to place
 // anything there.
 func (c *Cell) Missing(id string) {
@@ -254,6 +269,7 @@
 		r.confirmed = now
 		r.progressed = now
 	}
+	r.listed = now
 	if row.Percent != r.percent {
 		r.percent = row.Percent
 		r.progressed = now
--- a/cluster/elect.go
+++ b/cluster/elect.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"net"
 	"syscall"
 	"time"
 
@@ -60,7 +59,7 @@
 // ownerHeard reports whether the owner of a cell was heard within a time.
 func (n *Node) ownerHeard(name string, now time.Time, within time.Duration) bool {
 	o := n.members.owner(name, now)
-	return o != nil && !o.leaving && now.Sub(o.heard) < within
+	return o != nil && !o.leaving && now.Sub(o.heard) < within && o.refused.Before(o.heard)
 }
 
 // rank returns how many live instances go before this one as owners of a cell,
@@ -128,10 +127,11 @@
 		_ = c.Close()
 		return false
 	}
-	var op *net.OpError
-	return errors.As(err, &op) && errors.Is(op.Err, syscall.ECONNREFUSED)
+	return isRefused(err)
 }
 
+func isRefused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
+
 // drive starts to drive a cell.
 func (n *Node) drive(name string, c *claim.Claim) {
 	t := n.timesNow()
--- a/cluster/greet.go
+++ b/cluster/greet.go
@@ -80,6 +80,8 @@
 	if err == nil {
 		n.greeted(reply.GetGreeting())
 		n.members.answer(reply.GetGreeting().GetInstance(), sent)
+	} else if isRefused(err) {
+		n.members.refusedAt(addr, time.Now())
 	}
 }
 
--- a/cluster/members.go
+++ b/cluster/members.go
@@ -39,6 +39,8 @@
 	config  uint64
 	cells   []*wire.CellSummary
 	heard   time.Time
+	// refused is when its address last refused a connection.
+	refused time.Time
 	// answered is when it last answered a greeting.
 	answered time.Time
 	// work is what was sent to its cells since the last summary, in milliseconds
@@ -176,6 +178,17 @@
 	}
 }
 
+// refusedAt notes that nobody listens at an address any more.
+func (m *members) refusedAt(addr string, now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, k := range m.known {
+		if k.addr == addr {
+			k.refused = now
+		}
+	}
+}
+
 // allAnswer reports whether every member that was heard in a while has answered
 // lately.
 func (m *members) allAnswer(now time.Time) bool {
--- a/driver/commit.go
+++ b/driver/commit.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/go-kit/log/level"
+	"golang.org/x/sync/errgroup"
 
 	"dewpass.org/cell"
 	"dewpass.org/claim"
@@ -248,15 +249,22 @@
 // load reads the jobs of the cell. It reports whether it did before the end.
 func (d *Driver) load() bool {
 	for d.ctx.Err() == nil {
-		specs, _, err := rows.All(d.ctx, d.Store, rows.Range{Table: TableSpecs, Part: d.Name})
-		var records []rows.Row
-		if err == nil {
-			records, _, err = rows.All(d.ctx, d.Store, rows.Range{Table: TableRecords, Part: d.Name})
-		}
+		var specs, records []rows.Row
 		var roster rows.Page
-		if err == nil {
-			roster, err = d.Store.Get(d.ctx, rows.Only(d.rosterKey()))
-		}
+		reads, ctx := errgroup.WithContext(d.ctx)
+		reads.Go(func() (err error) {
+			specs, _, err = rows.All(ctx, d.Store, rows.Range{Table: TableSpecs, Part: d.Name})
+			return err
+		})
+		reads.Go(func() (err error) {
+			records, _, err = rows.All(ctx, d.Store, rows.Range{Table: TableRecords, Part: d.Name})
+			return err
+		})
+		reads.Go(func() (err error) {
+			roster, err = d.Store.Get(ctx, rows.Only(d.rosterKey()))
+			return err
+		})
+		err := reads.Wait()
 		if err == nil {
 			d.restore(specs, records)
 			d.restoreRoster(roster.One().Value)
--- a/driver/driver.go
+++ b/driver/driver.go
@@ -299,6 +299,9 @@
 		d.mu.Unlock()
 		return
 	}
+	for id, l := range d.links {
+		d.cell.Silent(id, l.silent(now))
+	}
 	a := d.cell.Place(now, now, d.Callers())
 	for i := range a.Starts {
 		d.startRun(a.Starts[i])
--- a/driver/link.go
+++ b/driver/link.go
@@ -17,7 +17,10 @@
 	// orderTime bounds an order's answer; beyond it the answer is lost.
 	orderTime = 700 * time.Millisecond
 	// waitTime is how long a worker may wait for an end before it answers.
-	waitTime = time.Second
+	waitTime = 500 * time.Millisecond
+	// quiet is how long an order may go without an answer before the worker is
+	// given nothing more; answers take a few milliseconds.
+	quiet = 150 * time.Millisecond
 	// retryFirst and retryMost space the tries to reach a worker.
 	retryFirst = 60 * time.Millisecond
 	retryMost  = 400 * time.Millisecond
@@ -50,7 +53,10 @@
 	cancel  context.CancelFunc
 	// missing is since when the worker's entry is gone.
 	missing time.Time
-	kick    chan struct{}
+	// orders holds when each order without an answer was sent.
+	orders map[uint64]time.Time
+	count  uint64
+	kick   chan struct{}
 	// ver is the version of the newest entry.
 	ver uint64
 }
@@ -89,6 +95,26 @@
 	return until
 }
 
+// sentOrder notes an order and returns its number. The lock is held.
+func (l *link) sentOrder(now time.Time) uint64 {
+	if l.orders == nil {
+		l.orders = make(map[uint64]time.Time)
+	}
+	l.count++
+	l.orders[l.count] = now
+	return l.count
+}
+
+// silent reports whether an order has gone without an answer for too long.
+func (l *link) silent(now time.Time) bool {
+	for _, sent := range l.orders {
+		if now.Sub(sent) > quiet {
+			return true
+		}
+	}
+	return false
+}
+
 func (l *link) heardClock(ms int64, now time.Time) {
 	if ms > 0 {
 		l.clockMS, l.clockAt = ms, now
@@ -282,10 +308,11 @@
 		UntilMS: d.until(l, time.Now()),
 	}
 	level.Debug(d.Log).Log("event", "start", "job", s.Task.Job, "step", s.Task.Step, "index", s.Task.Index, "run", s.Run, "worker", s.Worker, "fence", o.Fence)
-	d.spawn(func() { d.sendStart(o) })
+	number := l.sentOrder(time.Now())
+	d.spawn(func() { d.sendStart(o, number) })
 }
 
-func (d *Driver) sendStart(o StartOrder) {
+func (d *Driver) sendStart(o StartOrder, number uint64) {
 	ctx, cancel := context.WithTimeout(d.ctx, orderTime)
 	defer cancel()
 	a, err := d.Workers.Start(ctx, o)
@@ -300,6 +327,7 @@
 	if l == nil || d.ctx.Err() != nil {
 		return
 	}
+	delete(l.orders, number)
 	if err != nil {
 		if kind.Is(err, kind.Fenced) && l.fence == o.Fence {
 			go d.lost("worker " + o.Worker + " has seen a higher fence")
