--- /dev/null
+++ b/cluster/accept.go
@@ -0,0 +1,162 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package cluster
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"dewpass.org/driver"
+	"dewpass.org/flow"
+	"dewpass.org/kind"
+	"dewpass.org/rows"
+	"dewpass.org/wire"
+)
+
+const (
+	// acceptTime bounds the keeping of a job.
+	acceptTime = 2200 * time.Millisecond
+	// acceptLook is how long the store may be without an answer before it is
+	// asked whether it has the job.
+	acceptLook  = 150 * time.Millisecond
+	acceptRetry = 60 * time.Millisecond
+	// tellTime bounds the telling of a cell's owner; the owner finds the job by
+	// itself later.
+	tellTime  = 4 * time.Second
+	tellOnce  = 400 * time.Millisecond
+	tellRetry = 80 * time.Millisecond
+)
+
+// Submit keeps a job in the store and tells the owner of its cell. It returns
+// nil also if the job was kept before. Errors are of kind Unavailable (not
+// taken, and never runs) or Lost. It needs the store and no owner: a job that
+// comes while a cell changes hands waits in the store.
+func (n *Node) Submit(ctx context.Context, spec *flow.Spec) error {
+	ctx, cancel := context.WithTimeout(ctx, acceptTime)
+	defer cancel()
+	if !n.door.Reachable() {
+		level.Info(n.kit.Log).Log("event", "refused", "job", spec.ID, "why", "the store is not reached")
+		return kind.New(kind.Unavailable, "the store is not reached").After(comeBack)
+	}
+	spec.AcceptedMS = time.Now().UnixMilli()
+	cell := n.choose(spec)
+	fresh, err := n.keep(ctx, cell, spec)
+	if err != nil {
+		level.Info(n.kit.Log).Log("event", "not_kept", "job", spec.ID, "cell", cell, "err", err)
+		return err
+	}
+	if fresh {
+		n.homes.set(spec.ID, cell)
+		go n.tell(cell, spec)
+	}
+	return nil
+}
+
+// choose returns the cell for a job: the least loaded one, or one by lot while
+// no owner is heard.
+func (n *Node) choose(spec *flow.Spec) string {
+	if p := n.places(spec); len(p) > 0 {
+		n.members.sent(p[0].name, spec.Work().Milliseconds())
+		return p[0].cell
+	}
+	return n.names[draw(spec.ID)%uint32(len(n.names))]
+}
+
+// keep writes a job on the condition that no cell has it. It reports whether it
+// was this write that kept it.
+func (n *Node) keep(ctx context.Context, cell string, spec *flow.Spec) (bool, error) {
+	home := driver.HomeKey(spec.ID)
+	t := rows.Tx{
+		Expect: []rows.Expect{{Key: home}},
+		Put: []rows.Row{
+			{Key: home, Value: []byte(cell)},
+			{Key: driver.SpecKey(cell, spec.ID), Value: flow.Encode(spec)},
+		},
+		Across: true,
+	}
+	uncertain := false
+	for {
+		res, err := n.sendKeep(ctx, home, t)
+		switch {
+		case err == nil && !res.Refused:
+			return true, nil
+		case err == nil:
+			// Some cell has it. It may have been a write of this instance whose
+			// answer was lost: its owner finds the job by itself.
+			return uncertain, nil
+		case !kind.Is(err, kind.Unavailable):
+			uncertain = true
+		case !uncertain && !n.door.Reachable():
+			return false, kind.Of(err).After(comeBack)
+		}
+		sleep(ctx, acceptRetry)
+		if ctx.Err() != nil && !uncertain {
+			return false, kind.New(kind.Unavailable, "the store takes no writes now").After(comeBack)
+		}
+		if ctx.Err() != nil {
+			return false, kind.New(kind.Lost, "the store has not answered").Uncertain(spec.ID)
+		}
+	}
+}
+
+type kept struct {
+	res rows.Result
+	err error
+}
+
+// sendKeep sends the write once. While there is no answer it asks whether the
+// job is there.
+func (n *Node) sendKeep(ctx context.Context, home rows.Key, t rows.Tx) (rows.Result, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	answer := make(chan kept, 1)
+	go func() {
+		res, err := n.door.Tx(ctx, t)
+		answer <- kept{res, err}
+	}()
+	tick := time.NewTicker(acceptLook)
+	defer tick.Stop()
+	for {
+		select {
+		case k := <-answer:
+			return k.res, k.err
+		case <-tick.C:
+			page, err := n.door.Get(ctx, rows.Only(home))
+			if err == nil && page.One().Ver > 0 {
+				return rows.Result{Ver: page.Ver}, nil
+			}
+		}
+	}
+}
+
+// tell tells the owner of a cell of a job until it has heard, for a while.
+func (n *Node) tell(cell string, spec *flow.Spec) {
+	ctx, cancel := context.WithTimeout(context.Background(), tellTime)
+	defer cancel()
+	raw := flow.Encode(spec)
+	for ctx.Err() == nil {
+		if n.tellOnce(ctx, cell, spec, raw) == nil {
+			return
+		}
+		sleep(ctx, tellRetry)
+	}
+	level.Warn(n.kit.Log).Log("event", "owner_not_told", "job", spec.ID, "cell", cell)
+}
+
+func (n *Node) tellOnce(ctx context.Context, cell string, spec *flow.Spec, raw []byte) error {
+	if d := n.own(cell); d != nil {
+		return d.Adopt(spec)
+	}
+	o := n.members.owner(cell, time.Now())
+	if o == nil {
+		return kind.New(kind.Unavailable, "the cell's owner is not heard")
+	}
+	ctx, cancel := context.WithTimeout(ctx, tellOnce)
+	defer cancel()
+	_, err := n.dialer.Do(ctx, o.addr, &wire.Request{Body: &wire.Request_SubmitJob{
+		SubmitJob: &wire.JobSubmit{Cell: cell, Spec: raw},
+	}})
+	return err
+}
--- a/cluster/jobs.go
+++ b/cluster/jobs.go
@@ -9,8 +9,6 @@
 	"sync"
 	"time"
 
-	"github.com/go-kit/log/level"
-
 	"dewpass.org/driver"
 	"dewpass.org/flow"
 	"dewpass.org/kind"
@@ -20,14 +18,13 @@
 )
 
 const (
-	// submitTime bounds the handing in of a job at one cell, and submitAll at
-	// all cells together.
-	submitTime = 1200 * time.Millisecond
-	submitAll  = 2400 * time.Millisecond
 	askTime    = 700 * time.Millisecond
 	cancelTime = 2500 * time.Millisecond
 	// comeBack is when a client that was refused may try again.
 	comeBack = time.Second
+	// pendingSilence is how long an owner's counts stand in for those of the
+	// next one.
+	pendingSilence = 6 * time.Second
 	// window is the length of the time in which the work that waits should find
 	// room, for comparing halls.
 	window = 2 * time.Second
@@ -71,14 +68,14 @@
 	var out []place
 	own := n.owned()
 	for name, c := range own {
-		if !c.driver.Ready() || !n.door.Reachable() {
+		if !c.driver.Ready() {
 			continue
 		}
 		l, racks := c.driver.Load()
 		out = append(out, place{cell: name, load: loadOf(spec, l.Room[sched.Milli], l.Free[sched.Milli], l.Waiting, racks)})
 	}
 	for _, o := range n.members.cells(time.Now()) {
-		if !o.cell.Ready || !o.cell.Keeps || o.leaving || own[o.cell.Name] != nil {
+		if !o.cell.Ready || own[o.cell.Name] != nil {
 			continue
 		}
 		out = append(out, place{
@@ -112,52 +109,6 @@
 
 const fullLoad = 1e9
 
-// Submit keeps a job in some cell. It returns nil also if the job was kept
-// before. Errors are of kind Unavailable (not taken, and never runs) or Lost.
-func (n *Node) Submit(ctx context.Context, spec *flow.Spec) error {
-	ctx, cancel := context.WithTimeout(ctx, submitAll)
-	defer cancel()
-	spec.AcceptedMS = time.Now().UnixMilli()
-	places := n.places(spec)
-	var lost error
-	for _, p := range places {
-		err := n.submitAt(ctx, p, spec)
-		if err == nil {
-			n.homes.set(spec.ID, p.cell)
-			return nil
-		}
-		level.Info(n.kit.Log).Log("event", "submit_failed", "job", spec.ID, "at", p.cell, "err", err)
-		if !kind.Is(err, kind.Unavailable) {
-			lost = err
-		}
-		if ctx.Err() != nil {
-			break
-		}
-	}
-	if lost != nil {
-		return kind.Of(lost).Uncertain(spec.ID)
-	}
-	level.Info(n.kit.Log).Log("event", "refused", "job", spec.ID, "cells", len(places), "store", n.door.Reachable())
-	return kind.New(kind.Unavailable, "no cell takes jobs now").After(comeBack)
-}
-
-func (n *Node) submitAt(ctx context.Context, p place, spec *flow.Spec) error {
-	ctx, cancel := context.WithTimeout(ctx, submitTime)
-	defer cancel()
-	if p.addr == "" {
-		d := n.own(p.cell)
-		if d == nil {
-			return kind.New(kind.Unavailable, "the cell has moved")
-		}
-		return d.Submit(ctx, spec)
-	}
-	n.members.sent(p.name, spec.Work().Milliseconds())
-	_, err := n.dialer.Do(ctx, p.addr, &wire.Request{Body: &wire.Request_SubmitJob{
-		SubmitJob: &wire.JobSubmit{Cell: p.cell, Spec: flow.Encode(spec)},
-	}})
-	return err
-}
-
 // State returns the state of a job. Its error is of kind NotFound if there is
 // no such job.
 func (n *Node) State(ctx context.Context, id string) (flow.State, error) {
@@ -275,7 +226,7 @@
 		l, _ := c.driver.Load()
 		sum += l.Pending[queue]
 	}
-	for _, o := range n.members.cells(time.Now()) {
+	for _, o := range n.members.cellsWithin(time.Now(), pendingSilence) {
 		if own[o.cell.Name] != nil {
 			continue
 		}
--- a/cluster/members.go
+++ b/cluster/members.go
@@ -121,6 +121,19 @@
 	return now.Sub(k.heard) < farSilence
 }
 
+// heardWithin returns copies of the members that were heard within a time.
+func (m *members) heardWithin(now time.Time, within time.Duration) []member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var out []member
+	for _, k := range m.known {
+		if now.Sub(k.heard) < within {
+			out = append(out, *k)
+		}
+	}
+	return out
+}
+
 // list returns copies of the live members for which keep holds, by name.
 func (m *members) list(now time.Time, keep func(*member) bool) []member {
 	m.mu.Lock()
@@ -142,9 +155,12 @@
 }
 
 // cells returns the cells whose owners are heard, each with its newest owner.
-func (m *members) cells(now time.Time) []owned {
+func (m *members) cells(now time.Time) []owned { return m.cellsWithin(now, cellSilence) }
+
+// cellsWithin returns the cells whose owners were heard within a time.
+func (m *members) cellsWithin(now time.Time, within time.Duration) []owned {
 	newest := make(map[string]owned)
-	for _, k := range m.list(now, func(k *member) bool { return now.Sub(k.heard) < cellSilence }) {
+	for _, k := range m.heardWithin(now, within) {
 		for _, c := range k.cells {
 			if old, ok := newest[c.Name]; !ok || old.cell.Epoch < c.Epoch {
 				newest[c.Name] = owned{member: k, cell: c}
--- a/cluster/node.go
+++ b/cluster/node.go
@@ -217,17 +217,7 @@
 	if n.leaving.Load() || n.config.Now() == nil || !n.door.Reachable() {
 		return false
 	}
-	for _, c := range n.owned() {
-		if c.driver.Ready() {
-			return true
-		}
-	}
-	for _, c := range n.members.cells(time.Now()) {
-		if c.cell.Ready && c.cell.Keeps {
-			return true
-		}
-	}
-	return false
+	return true
 }
 
 // ownCell is a cell that this instance owns.
--- a/cluster/peers.go
+++ b/cluster/peers.go
@@ -30,7 +30,7 @@
 	case *wire.Request_Greeting:
 		return n.handleGreeting(b.Greeting), nil
 	case *wire.Request_SubmitJob:
-		return n.handleSubmit(ctx, b.SubmitJob)
+		return n.handleSubmit(b.SubmitJob)
 	case *wire.Request_AskJob:
 		return n.handleAsk(ctx, b.AskJob)
 	case *wire.Request_Advice:
@@ -62,7 +62,7 @@
 	return &wire.Reply{Body: &wire.Reply_Greeting{Greeting: own}}
 }
 
-func (n *Node) handleSubmit(ctx context.Context, s *wire.JobSubmit) (*wire.Reply, error) {
+func (n *Node) handleSubmit(s *wire.JobSubmit) (*wire.Reply, error) {
 	d := n.own(s.Cell)
 	if d == nil {
 		return nil, kind.New(kind.Unavailable, "the cell is not here")
@@ -71,9 +71,7 @@
 	if err != nil {
 		return nil, kind.Wrap(kind.BadRequest, err, "job")
 	}
-	ctx, cancel := context.WithTimeout(ctx, submitTime)
-	defer cancel()
-	return &wire.Reply{Body: &wire.Reply_JobState{JobState: &wire.JobState{}}}, d.Submit(ctx, spec)
+	return &wire.Reply{Body: &wire.Reply_JobState{JobState: &wire.JobState{}}}, d.Adopt(spec)
 }
 
 func (n *Node) handleAsk(ctx context.Context, a *wire.JobAsk) (*wire.Reply, error) {
--- a/driver/commit.go
+++ b/driver/commit.go
@@ -3,7 +3,6 @@
 package driver
 
 import (
-	"context"
 	"encoding/json"
 	"slices"
 	"strings"
@@ -30,20 +29,19 @@
 const (
 	// commitGap spaces group commits, so that each carries what came meanwhile.
 	commitGap = 30 * time.Millisecond
-	// submitsAtOnce and savesAtOnce bound a group commit. Each submit has three
-	// entries.
-	submitsAtOnce  = 16
-	savesAtOnce    = 44
-	removalsAtOnce = 24
+	// savesAtOnce and removalsAtOnce bound a group commit.
+	savesAtOnce    = 64
+	removalsAtOnce = 30
+	// scanEvery spaces the looks for jobs that nobody told this owner of.
+	scanEvery = 1200 * time.Millisecond
 	// renewEvery is how long the seat may go without being written.
 	renewEvery = 400 * time.Millisecond
 	// rosterName is the row that lists a cell's workers beside its seat.
 	rosterName = "workers"
 )
 
-func specKey(cell, id string) rows.Key   { return rows.Key{Table: TableSpecs, Part: cell, Name: id} }
-func recordKey(cell, id string) rows.Key { return RecordKey(cell, id) }
-func homeKey(id string) rows.Key         { return HomeKey(id) }
+// SpecKey returns the key of a job.
+func SpecKey(cell, id string) rows.Key { return rows.Key{Table: TableSpecs, Part: cell, Name: id} }
 
 // RecordKey returns the key of the record of a job.
 func RecordKey(cell, id string) rows.Key { return rows.Key{Table: TableRecords, Part: cell, Name: id} }
@@ -53,65 +51,78 @@
 	return rows.Key{Table: TableHomes, Part: id[:min(1, len(id))], Name: id}
 }
 
-// submit is a job that waits for the store.
-type submit struct {
-	spec *flow.Spec
-	sent bool
-	done chan error
-}
-
-// Submit keeps a job and returns once it is kept. It returns nil also if the
-// job was kept before, here or in another cell. Errors are of kind Unavailable
-// (not taken, and never runs) or Lost.
-func (d *Driver) Submit(ctx context.Context, spec *flow.Spec) error {
-	s := &submit{spec: spec, done: make(chan error, 1)}
-	if err, over := d.enqueue(s); over {
-		return err
+// Adopt takes in a job that the store has just taken for this cell. Its error is
+// of kind Unavailable if the cell is not read yet.
+func (d *Driver) Adopt(spec *flow.Spec) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.loaded || d.frozen {
+		return kind.New(kind.Unavailable, "the cell is not read yet")
 	}
-	poke(d.write)
+	d.adopt(spec, time.Now())
 	poke(d.wake)
-	select {
-	case err := <-s.done:
-		return err
-	case <-ctx.Done():
-	case <-d.ctx.Done():
-	}
-	return d.withdraw(s)
+	return nil
 }
 
-func (d *Driver) enqueue(s *submit) (error, bool) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if !d.loaded || d.frozen || !d.Reachable() {
-		return kind.New(kind.Unavailable, "the cell's owner takes no jobs now").After(time.Second), true
-	}
-	if d.cell.Known(s.spec.ID) {
-		if _, kept := d.cell.State(s.spec.ID); kept {
-			return nil, true
+// adopt adds a job that no former owner can have started. The lock is held.
+func (d *Driver) adopt(spec *flow.Spec, now time.Time) {
+	d.cell.Submit(spec, arrivedAt(spec, now))
+	d.cell.Keep(spec.ID)
+}
+
+// arrivedAt returns when a job was accepted, by this instance's steady clock.
+func arrivedAt(spec *flow.Spec, now time.Time) time.Time {
+	age := max(now.UnixMilli()-spec.AcceptedMS, 0)
+	return now.Add(-time.Duration(age) * time.Millisecond)
+}
+
+// scan finds jobs that the store has taken and that nobody told this owner of.
+func (d *Driver) scan() {
+	var ver uint64
+	for d.ctx.Err() == nil {
+		d.sleep(scanEvery)
+		if ver == 0 {
+			ver = d.scanAll()
+			continue
+		}
+		page, err := d.Store.Feed(d.ctx, rows.Since{Table: TableSpecs, Ver: ver})
+		switch {
+		case err != nil:
+		case page.Forgotten:
+			ver = 0
+		default:
+			ver = max(ver, page.Ver)
+			d.found(page.Rows)
 		}
-		// The same job is being written; its other copy will be answered.
-		return kind.New(kind.Lost, "the same job is being written").Uncertain(s.spec.ID), true
 	}
-	d.cell.Submit(s.spec, time.Now())
-	d.submits = append(d.submits, s)
-	return nil, false
 }
 
-// withdraw takes a job back that has not been sent to the store.
-func (d *Driver) withdraw(s *submit) error {
+// scanAll reads all jobs of the cell, and returns the version of the store.
+func (d *Driver) scanAll() uint64 {
+	all, ver, err := rows.All(d.ctx, d.Store, rows.Range{Table: TableSpecs, Part: d.Name})
+	if err != nil {
+		return 0
+	}
+	d.found(all)
+	return ver
+}
+
+func (d *Driver) found(all []rows.Row) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	select {
-	case err := <-s.done:
-		return err
-	default:
-	}
-	if s.sent {
-		return kind.New(kind.Lost, "the store has not answered").Uncertain(s.spec.ID)
+	now := time.Now()
+	for _, r := range all {
+		if r.Part != d.Name || r.Gone || d.cell.Known(r.Name) {
+			continue
+		}
+		spec, err := flow.DecodeSpec(r.Value)
+		if err != nil || now.Sub(arrivedAt(spec, now)) > d.Keep {
+			continue
+		}
+		level.Info(d.Log).Log("event", "job_found", "job", r.Name, "version", r.Ver)
+		d.adopt(spec, now)
 	}
-	d.submits = slices.DeleteFunc(d.submits, func(o *submit) bool { return o == s })
-	d.cell.Drop(s.spec.ID)
-	return kind.New(kind.Unavailable, "the store does not answer").After(time.Second)
+	poke(d.wake)
 }
 
 // commitLoop writes what is to be kept, in groups.
@@ -137,33 +148,29 @@
 // commitOnce writes one group, and reports whether it did.
 func (d *Driver) commitOnce(renew bool) bool {
 	d.mu.Lock()
-	group := d.submits[:min(len(d.submits), submitsAtOnce)]
-	group = slices.Clone(group)
-	d.submits = slices.Clone(d.submits[len(group):])
-	for _, s := range group {
-		s.sent = true
-	}
 	saves := d.cell.Saves(savesAtOnce)
 	removals := d.removals[:min(len(d.removals), removalsAtOnce)]
 	d.removals = d.removals[len(removals):]
-	if len(group)+len(saves)+len(removals) == 0 && !renew {
+	roster := d.rosterChanged
+	if len(saves)+len(removals) == 0 && !roster && !renew {
 		d.cell.Saved(nil, true)
 		d.announce()
 		d.mu.Unlock()
 		return false
 	}
-	var t rows.Tx
+	t := rows.Tx{Remove: removals, Across: len(removals) > 0}
 	for _, s := range saves {
-		t.Put = append(t.Put, rows.Row{Key: recordKey(d.Name, s.ID), Value: flow.Encode(s.Record)})
+		t.Put = append(t.Put, rows.Row{Key: RecordKey(d.Name, s.ID), Value: flow.Encode(s.Record)})
 	}
-	t.Remove = removals
-	roster := d.rosterChanged
 	if roster {
 		t.Put = append(t.Put, rows.Row{Key: d.rosterKey(), Value: flow.Encode(d.roster())})
 		d.rosterChanged = false
 	}
 	d.mu.Unlock()
-	err := d.commitGroup(t, group)
+	_, err := d.Seat.Commit(d.ctx, t)
+	if kind.Is(err, kind.Fenced) {
+		d.lost("the seat's row has another owner")
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.cell.Saved(saves, err == nil)
@@ -173,7 +180,7 @@
 		return false
 	}
 	d.announce()
-	if len(d.submits) > 0 || d.cell.Dirty() {
+	if d.cell.Dirty() {
 		poke(d.write)
 	}
 	return true
@@ -185,67 +192,6 @@
 	d.kept = make(chan struct{})
 }
 
-// commitGroup writes t with the submits, leaving out those that are kept in
-// some cell already.
-func (d *Driver) commitGroup(t rows.Tx, group []*submit) error {
-	for {
-		tx := t
-		tx.Put, tx.Expect = slices.Clone(t.Put), nil
-		for _, s := range group {
-			tx.Expect = append(tx.Expect, rows.Expect{Key: homeKey(s.spec.ID)})
-			tx.Put = append(tx.Put,
-				rows.Row{Key: homeKey(s.spec.ID), Value: []byte(d.Name)},
-				rows.Row{Key: specKey(d.Name, s.spec.ID), Value: flow.Encode(s.spec)})
-		}
-		tx.Across = len(group) > 0 || len(t.Remove) > 0
-		res, err := d.Seat.Commit(d.ctx, tx)
-		switch {
-		case err == nil:
-			d.finishSubmits(group, nil)
-			return nil
-		case kind.Is(err, kind.Conflict) && len(group) > 0:
-			group = d.known(group, res.Rows)
-		case kind.Is(err, kind.Fenced):
-			d.lost("the seat's row has another owner")
-			d.finishSubmits(group, kind.New(kind.Lost, "another instance owns the cell now"))
-			return err
-		default:
-			d.finishSubmits(group, kind.New(kind.Lost, "the store has not answered"))
-			return err
-		}
-	}
-}
-
-// known answers the submits that are kept already and returns the others.
-func (d *Driver) known(group []*submit, there []rows.Row) []*submit {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return slices.DeleteFunc(group, func(s *submit) bool {
-		for _, row := range there {
-			if row.Key == homeKey(s.spec.ID) && row.Ver > 0 {
-				d.cell.Drop(s.spec.ID)
-				s.done <- nil
-				return true
-			}
-		}
-		return false
-	})
-}
-
-func (d *Driver) finishSubmits(group []*submit, err error) {
-	d.mu.Lock()
-	for _, s := range group {
-		if err == nil {
-			d.cell.Keep(s.spec.ID)
-		}
-		s.done <- err
-	}
-	d.mu.Unlock()
-	if len(group) > 0 {
-		poke(d.wake)
-	}
-}
-
 // load reads the jobs of the cell. It reports whether it did before the end.
 func (d *Driver) load() bool {
 	for d.ctx.Err() == nil {
@@ -333,8 +279,7 @@
 			level.Error(d.Log).Log("event", "bad_spec", "job", r.Name, "err", err)
 			continue
 		}
-		age := max(now.UnixMilli()-spec.AcceptedMS, 0)
-		d.cell.Restore(spec, byID[r.Name], now.Add(-time.Duration(age)*time.Millisecond))
+		d.cell.Restore(spec, byID[r.Name], arrivedAt(spec, now))
 	}
 	d.loaded = true
 	level.Info(d.Log).Log("event", "loaded", "cell", d.Name, "epoch", d.Seat.Epoch(), "jobs", len(specs))
--- a/driver/driver.go
+++ b/driver/driver.go
@@ -58,7 +58,6 @@
 	mu       sync.Mutex
 	cell     *cell.Cell
 	links    map[string]*link
-	submits  []*submit
 	removals []rows.Key
 	frozen   bool
 	loaded   bool
@@ -108,6 +107,7 @@
 	d.spawn(func() {
 		if d.load() {
 			d.spawn(d.watch)
+			d.spawn(d.scan)
 			d.spawn(d.commitLoop)
 			d.placeLoop()
 		}
@@ -148,7 +148,7 @@
 func (d *Driver) pending() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return len(d.submits) > 0 || d.cell.Dirty()
+	return d.cell.Dirty()
 }
 
 func (d *Driver) keptSignal() <-chan struct{} {
@@ -288,7 +288,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, id := range d.cell.Expire(d.Keep, now) {
-		d.removals = append(d.removals, specKey(d.Name, id), recordKey(d.Name, id), homeKey(id))
+		d.removals = append(d.removals, SpecKey(d.Name, id), RecordKey(d.Name, id), HomeKey(id))
 	}
 }
 
