--- a/cell/cell.go
+++ b/cell/cell.go
@@ -51,6 +51,10 @@
 	dirty    []*job
 	asks     int
 	counts   Counts
+	// loose says that stages open before the store knows it.
+	loose bool
+	// doubtful says that the former owner may have been loose.
+	doubtful bool
 }
 
 // Counts are totals since the cell was made.
@@ -76,6 +80,14 @@
 	}
 }
 
+// Loose lets stages open before the store knows it, or not. Whoever may own the
+// cell next has to know of it first, and then calls Doubt.
+func (c *Cell) Loose(loose bool) { c.loose = loose }
+
+// Doubt says that the former owner may have opened stages that the store does
+// not know of.
+func (c *Cell) Doubt() { c.doubtful = true }
+
 // Counts returns the totals.
 func (c *Cell) Counts() Counts { return c.counts }
 
--- a/cell/job.go
+++ b/cell/job.go
@@ -55,6 +55,9 @@
 	doneAt    time.Time
 	// moving says that a task has to leave its worker and finds no place yet.
 	moving bool
+	// opened says that the store knows that tasks may have been started, and
+	// opening that it has to be told.
+	opened, opening bool
 }
 
 type job struct {
@@ -71,7 +74,7 @@
 	stages  []*stage
 	left    int
 	marked  bool
-	// restored says that a former owner may have started tasks of it.
+	// restored says that a former owner knew it.
 	restored bool
 }
 
@@ -211,6 +214,7 @@
 		return s
 	}
 	old := &rec.Stages[at]
+	s.opened = old.Opened
 	for i := range s.tasks {
 		t := &s.tasks[i]
 		t.saved, t.fails = old.Saved[i], old.Fails[i]
@@ -328,6 +332,7 @@
 			continue
 		}
 		j.shown = s.Record.State
+		j.openedBy(s.Record)
 	}
 	for _, w := range c.order {
 		if ok {
@@ -337,6 +342,28 @@
 	}
 }
 
+// openedBy takes in which stages the store knows to be opened.
+func (j *job) openedBy(rec *flow.Record) {
+	for at, s := range j.stages {
+		if at < len(rec.Stages) && rec.Stages[at].Opened {
+			s.opened, s.opening = true, false
+		}
+	}
+}
+
+// open lets tasks of s start, or has the store told first that they may. A cell
+// that goes on while the store is slow starts them at once.
+func (c *Cell) openStage(s *stage) bool {
+	if s.opened {
+		return true
+	}
+	if !s.opening {
+		s.opening = true
+		c.mark(s.job)
+	}
+	return c.loose
+}
+
 func (j *job) record() *flow.Record {
 	r := &flow.Record{State: j.state, Cancelled: j.cancelled}
 	if !j.state.Final() && j.began {
@@ -348,6 +375,7 @@
 	r.Stages = make([]flow.StageRecord, len(j.stages))
 	for at, s := range j.stages {
 		out := &r.Stages[at]
+		out.Opened = s.opened || s.opening
 		for i := range s.tasks {
 			t := &s.tasks[i]
 			if t.state == taskDone {
--- a/cell/place.go
+++ b/cell/place.go
@@ -77,7 +77,7 @@
 			}
 		}
 		s.moving = false
-		if s.waiting == 0 || s.before > 0 || !s.job.kept || (s.job.restored && unsettled) {
+		if s.waiting == 0 || s.before > 0 || !s.job.kept || (s.job.restored && unsettled && (s.opened || c.doubtful)) {
 			continue
 		}
 		if s.def.Gang {
@@ -197,6 +197,9 @@
 			}
 			continue
 		}
+		if !c.openStage(s) {
+			return
+		}
 		t.last++
 		a.Starts = append(a.Starts, c.begin(s, i, w, t.last, ticket, now))
 	}
@@ -223,6 +226,9 @@
 			c.undo(starts)
 			return
 		}
+		if !c.openStage(s) {
+			return
+		}
 		t.saved = saved
 		t.last = n
 		starts = append(starts, c.begin(s, i, w, n, ticket, now))
--- a/claim/claim.go
+++ b/claim/claim.go
@@ -238,9 +238,16 @@
 
 // verdict is for a seat that has changed: by this write, or by another owner.
 func (c *Claim) verdict(row rows.Row, mark string) (rows.Result, error) {
-	if decode(row.Value).Mark != mark {
-		return rows.Result{}, kind.New(kind.Fenced, "another instance holds the cell's seat")
+	seat := decode(row.Value)
+	switch {
+	case seat.Mark == mark:
+		c.ver = row.Ver
+		return rows.Result{Ver: row.Ver}, nil
+	case seat.Boot == c.Boot && seat.Epoch == c.epoch && seat.Owner != "":
+		// An earlier write of this instance, of which it gave up waiting for the
+		// answer, took effect after all: this one has to be sent again on top.
+		c.ver = row.Ver
+		return rows.Result{}, kind.New(kind.Lost, "an earlier write came late")
 	}
-	c.ver = row.Ver
-	return rows.Result{Ver: row.Ver}, nil
+	return rows.Result{}, kind.New(kind.Fenced, "another instance holds the cell's seat")
 }
--- a/cluster/accept.go
+++ b/cluster/accept.go
@@ -47,6 +47,7 @@
 		level.Info(n.kit.Log).Log("event", "not_kept", "job", spec.ID, "cell", cell, "err", err)
 		return err
 	}
+	level.Info(n.kit.Log).Log("event", "accepted", "job", spec.ID, "queue", spec.Queue, "cell", cell, "fresh", fresh, "took_ms", time.Now().UnixMilli()-spec.AcceptedMS)
 	if fresh {
 		n.homes.set(spec.ID, cell)
 		go n.tell(cell, spec)
@@ -67,14 +68,14 @@
 // keep writes a job on the condition that no cell has it. It reports whether it
 // was this write that kept it.
 func (n *Node) keep(ctx context.Context, cell string, spec *flow.Spec) (bool, error) {
+	spec.Cell = cell
 	home := driver.HomeKey(spec.ID)
 	t := rows.Tx{
 		Expect: []rows.Expect{{Key: home}},
 		Put: []rows.Row{
 			{Key: home, Value: []byte(cell)},
-			{Key: driver.SpecKey(cell, spec.ID), Value: flow.Encode(spec)},
+			{Key: driver.SpecKey(spec.ID), Value: flow.Encode(spec)},
 		},
-		Across: true,
 	}
 	uncertain := false
 	for {
@@ -88,6 +89,9 @@
 			return uncertain, nil
 		case !kind.Is(err, kind.Unavailable):
 			uncertain = true
+			if !n.door.Reachable() {
+				return false, kind.Of(err).Uncertain(spec.ID)
+			}
 		case !uncertain && !n.door.Reachable():
 			return false, kind.Of(err).After(comeBack)
 		}
@@ -123,6 +127,9 @@
 		case k := <-answer:
 			return k.res, k.err
 		case <-tick.C:
+			if !n.door.Reachable() {
+				return rows.Result{}, kind.New(kind.Lost, "the store is not reached any more")
+			}
 			page, err := n.door.Get(ctx, rows.Only(home))
 			if err == nil && page.One().Ver > 0 {
 				return rows.Result{Ver: page.Ver}, nil
--- a/cluster/elect.go
+++ b/cluster/elect.go
@@ -18,14 +18,14 @@
 const (
 	electEvery = 60 * time.Millisecond
 	// firstLook is how long a new instance listens before it takes a free seat.
-	firstLook = 300 * time.Millisecond
+	firstLook = 120 * time.Millisecond
 	// rankPause keeps the candidates for a cell apart.
 	rankPause = 120 * time.Millisecond
 	rankMost  = 8
 	// watchAfter is how long an owner may not have been heard before its seat is
 	// watched.
 	watchAfter = 600 * time.Millisecond
-	electTime  = 900 * time.Millisecond
+	electTime  = 3 * time.Second
 	probeTime  = 250 * time.Millisecond
 )
 
@@ -97,7 +97,7 @@
 		return
 	}
 	level.Info(n.kit.Log).Log("event", "seat_taken", "cell", name, "epoch", c.Epoch(), "before", seat.Owner, "why", why)
-	n.drive(name, c)
+	n.drive(name, c, seat.Owner != "" && !n.members.wasStrict(name, seat.Boot, time.Now()))
 }
 
 // vacant returns why a seat may be taken, "" if it may not.
@@ -133,7 +133,7 @@
 func isRefused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
 
 // drive starts to drive a cell.
-func (n *Node) drive(name string, c *claim.Claim) {
+func (n *Node) drive(name string, c *claim.Claim, doubt bool) {
 	t := n.timesNow()
 	var d *driver.Driver
 	d = driver.New(driver.Config{
@@ -141,7 +141,7 @@
 		Lease: t.lease, Keep: t.keep,
 		Seat: c, Store: n.door, Reachable: n.door.Reachable,
 		Workers: n.Workers, Directory: n.Directory(n.door),
-		Advise: n.advise, Callers: n.callers, Obeyed: n.obeyed,
+		Advise: n.advise, Callers: n.callers, Obeyed: n.obeyed, Doubt: doubt,
 		Lost: func() { n.dropDriver(name, d) },
 		Log:  n.kit.Log, Scope: n.kit.Scope,
 	})
@@ -159,8 +159,8 @@
 }
 
 // obeyed reports whether every other instance that was heard lately has answered
-// the last greetings, and so will not take a seat of this one.
-func (n *Node) obeyed() bool { return n.members.allAnswer(time.Now()) }
+// the last greetings, those since a time, and so will not take a seat of this one.
+func (n *Node) obeyed(since time.Time) bool { return n.members.allAnswer(time.Now(), since) }
 
 func (n *Node) dropDriver(name string, d *driver.Driver) {
 	n.mu.Lock()
@@ -174,7 +174,7 @@
 // handOver gives the seats up as planned.
 func (n *Node) handOver(ctx context.Context) {
 	for name, c := range n.owned() {
-		c.driver.Freeze(ctx)
+		c.driver.Freeze()
 		if err := c.claim.Release(ctx); err != nil {
 			level.Warn(n.kit.Log).Log("event", "seat_not_released", "cell", name, "err", err)
 		}
--- a/cluster/members.go
+++ b/cluster/members.go
@@ -60,10 +60,19 @@
 	// addrs are addresses at which somebody may be, with when each was first
 	// heard of.
 	addrs map[string]time.Time
+	// strict holds what the last owner of each cell said when it was last heard.
+	strict map[string]lastWord
+}
+
+// lastWord is what an owner said when it was last heard.
+type lastWord struct {
+	boot  string
+	loose bool
+	heard time.Time
 }
 
 func newMembers(self, hall string, first []string, own string, now time.Time) *members {
-	m := &members{self: self, hall: hall, known: make(map[string]*member), addrs: make(map[string]time.Time)}
+	m := &members{self: self, hall: hall, known: make(map[string]*member), addrs: make(map[string]time.Time), strict: make(map[string]lastWord)}
 	for _, a := range first {
 		if a != own {
 			m.addrs[a] = now
@@ -89,6 +98,9 @@
 	k.leaving, k.storeOK, k.config = g.Leaving, g.StoreOk, g.ConfigVersion
 	k.cells, k.heard, k.work = g.Cells, now, 0
 	m.addrs[g.Addr] = now
+	for _, c := range g.Cells {
+		m.strict[c.Name] = lastWord{boot: g.Boot, loose: c.Loose, heard: now}
+	}
 	for _, p := range g.Peers {
 		m.learn(p.Addr, now)
 	}
@@ -194,6 +206,15 @@
 	}
 }
 
+// wasStrict reports whether the owner of a cell under a boot was heard not long
+// ago, and said that the store knows of all stages that it opened.
+func (m *members) wasStrict(cell, boot string, now time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	w := m.strict[cell]
+	return w.boot == boot && !w.loose && now.Sub(w.heard) < answerWhile
+}
+
 // refusedAt notes that nobody listens at an address any more.
 func (m *members) refusedAt(addr string, now time.Time) {
 	m.mu.Lock()
@@ -206,12 +227,12 @@
 }
 
 // allAnswer reports whether every member that was heard in a while has answered
-// lately.
-func (m *members) allAnswer(now time.Time) bool {
+// lately a greeting that was sent after a time.
+func (m *members) allAnswer(now, since time.Time) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, k := range m.known {
-		if now.Sub(k.heard) < answerWhile && now.Sub(k.answered) > answerWithin {
+		if now.Sub(k.heard) < answerWhile && (now.Sub(k.answered) > answerWithin || k.answered.Before(since)) {
 			return false
 		}
 	}
--- a/cluster/node.go
+++ b/cluster/node.go
@@ -93,6 +93,7 @@
 	go n.greetLoop(work)
 	go n.readConfig(work)
 	go n.followConfig(work)
+	go n.probeStore(work)
 	for _, name := range n.names {
 		go n.electLoop(work, name)
 	}
@@ -163,6 +164,24 @@
 	level.Info(n.kit.Log).Log("event", "store", "direct", direct, "reachable", reachable)
 }
 
+// probeEvery spaces the reads that show whether the store answers.
+const probeEvery = 300 * time.Millisecond
+
+// probeStore reads a small row again and again, so that readiness follows the
+// store.
+func (n *Node) probeStore(ctx context.Context) {
+	c := &claim.Claim{Store: n.door, Cell: n.names[0]}
+	for ctx.Err() == nil {
+		go func() {
+			ctx, cancel := context.WithTimeout(ctx, probeEvery*4)
+			defer cancel()
+			// The door takes note of what becomes of it.
+			_, _, _ = c.Read(ctx)
+		}()
+		sleep(ctx, probeEvery)
+	}
+}
+
 // Config returns the newest configuration, nil if there is none yet.
 func (n *Node) Config() *config.Config { return n.config.Now() }
 
--- a/driver/commit.go
+++ b/driver/commit.go
@@ -3,6 +3,7 @@
 package driver
 
 import (
+	"context"
 	"encoding/json"
 	"slices"
 	"strings"
@@ -18,17 +19,35 @@
 	"dewpass.org/rows"
 )
 
-// The tables of jobs. Specs and records are in the part of their cell, homes in
-// one of a few parts that all cells share: a home row makes an id unique.
+// The tables of jobs. The record of a job is in the part of its cell, which the
+// cell's owner alone writes. A job itself and its home, which makes its id
+// unique and says which cell has it, are in a part by the id, so that jobs that
+// come at the same time do not wait for each other at the store.
 const (
 	TableSpecs   = "jobs"
 	TableRecords = "progress"
 	TableHomes   = "homes"
 )
 
+// specParts are the parts of jobs: the first digit of their ids.
+const specParts = "0123456789abcdef"
+
+func partOf(id string) string { return id[:min(1, len(id))] }
+
+// SpecKey returns the key of a job.
+func SpecKey(id string) rows.Key { return rows.Key{Table: TableSpecs, Part: partOf(id), Name: id} }
+
+// HomeKey returns the key of the row that says which cell has a job.
+func HomeKey(id string) rows.Key { return rows.Key{Table: TableHomes, Part: partOf(id), Name: id} }
+
+// RecordKey returns the key of the record of a job.
+func RecordKey(cell, id string) rows.Key {
+	return rows.Key{Table: TableRecords, Part: cell, Name: id}
+}
+
 const (
 	// commitGap spaces group commits, so that each carries what came meanwhile.
-	commitGap = 30 * time.Millisecond
+	commitGap = 18 * time.Millisecond
 	// savesAtOnce and removalsAtOnce bound a group commit.
 	savesAtOnce    = 64
 	removalsAtOnce = 30
@@ -40,17 +59,6 @@
 	rosterName = "workers"
 )
 
-// SpecKey returns the key of a job.
-func SpecKey(cell, id string) rows.Key { return rows.Key{Table: TableSpecs, Part: cell, Name: id} }
-
-// RecordKey returns the key of the record of a job.
-func RecordKey(cell, id string) rows.Key { return rows.Key{Table: TableRecords, Part: cell, Name: id} }
-
-// HomeKey returns the key of the row that says which cell has a job.
-func HomeKey(id string) rows.Key {
-	return rows.Key{Table: TableHomes, Part: id[:min(1, len(id))], Name: id}
-}
-
 // Adopt takes in a job that the store has just taken for this cell. Its error is
 // of kind Unavailable if the cell is not read yet.
 func (d *Driver) Adopt(spec *flow.Spec) error {
@@ -97,9 +105,9 @@
 	}
 }
 
-// scanAll reads all jobs of the cell, and returns the version of the store.
+// scanAll reads all jobs, and returns the version of the store.
 func (d *Driver) scanAll() uint64 {
-	all, ver, err := rows.All(d.ctx, d.Store, rows.Range{Table: TableSpecs, Part: d.Name})
+	all, ver, err := d.readSpecs(d.ctx)
 	if err != nil {
 		return 0
 	}
@@ -107,16 +115,31 @@
 	return ver
 }
 
+// readSpecs reads the jobs of all parts at once. The version is of before.
+func (d *Driver) readSpecs(ctx context.Context) ([]rows.Row, uint64, error) {
+	parts := make([][]rows.Row, len(specParts))
+	vers := make([]uint64, len(specParts))
+	reads, ctx := errgroup.WithContext(ctx)
+	for i, part := range specParts {
+		reads.Go(func() (err error) {
+			parts[i], vers[i], err = rows.All(ctx, d.Store, rows.Range{Table: TableSpecs, Part: string(part)})
+			return err
+		})
+	}
+	err := reads.Wait()
+	return slices.Concat(parts...), slices.Min(vers), err
+}
+
 func (d *Driver) found(all []rows.Row) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
 	for _, r := range all {
-		if r.Part != d.Name || r.Gone || d.cell.Known(r.Name) {
+		if r.Gone || d.cell.Known(r.Name) {
 			continue
 		}
 		spec, err := flow.DecodeSpec(r.Value)
-		if err != nil || now.Sub(arrivedAt(spec, now)) > d.Keep {
+		if err != nil || spec.Cell != d.Name || now.Sub(arrivedAt(spec, now)) > d.Keep {
 			continue
 		}
 		level.Info(d.Log).Log("event", "job_found", "job", r.Name, "version", r.Ver)
@@ -158,6 +181,7 @@
 		d.mu.Unlock()
 		return false
 	}
+	d.saving = time.Now()
 	t := rows.Tx{Remove: removals, Across: len(removals) > 0}
 	for _, s := range saves {
 		t.Put = append(t.Put, rows.Row{Key: RecordKey(d.Name, s.ID), Value: flow.Encode(s.Record)})
@@ -173,7 +197,10 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.took = time.Since(d.saving)
+	d.saving = time.Time{}
 	d.cell.Saved(saves, err == nil)
+	poke(d.wake)
 	if err != nil {
 		d.removals = append(d.removals, removals...)
 		d.rosterChanged = d.rosterChanged || roster
@@ -199,7 +226,7 @@
 		var roster rows.Page
 		reads, ctx := errgroup.WithContext(d.ctx)
 		reads.Go(func() (err error) {
-			specs, _, err = rows.All(ctx, d.Store, rows.Range{Table: TableSpecs, Part: d.Name})
+			specs, _, err = d.readSpecs(ctx)
 			return err
 		})
 		reads.Go(func() (err error) {
@@ -279,6 +306,9 @@
 			level.Error(d.Log).Log("event", "bad_spec", "job", r.Name, "err", err)
 			continue
 		}
+		if spec.Cell != d.Name {
+			continue
+		}
 		d.cell.Restore(spec, byID[r.Name], arrivedAt(spec, now))
 	}
 	d.loaded = true
--- a/driver/driver.go
+++ b/driver/driver.go
@@ -39,8 +39,11 @@
 	Advise  func(ctx context.Context, a cell.Ask) (Tickets, error)
 	Callers func() int
 	// Obeyed reports whether every instance that might take the seat is known
-	// to hear this one.
-	Obeyed func() bool
+	// to have heard this one lately, and since a time.
+	Obeyed func(since time.Time) bool
+	// Doubt says that the former owner may have opened stages that the store
+	// does not know of.
+	Doubt bool
 	// Lost is called when another instance holds the seat.
 	Lost  func()
 	Log   log.Logger
@@ -64,6 +67,13 @@
 	// rosterChanged says that the workers of the cell are not those of the
 	// roster in the store.
 	rosterChanged bool
+	// saving is since when a write is under way, and took how long the last one
+	// took.
+	saving time.Time
+	took   time.Duration
+	// slowSince is since when the store is too slow to wait for before a stage
+	// is opened.
+	slowSince time.Time
 	// kept is closed and renewed whenever the store has taken a write.
 	kept chan struct{}
 
@@ -83,6 +93,8 @@
 	// pauseLimit is the gap between two ticks that counts as a pause of the
 	// process.
 	pauseLimit = 900 * time.Millisecond
+	// slowWrite is how long a write may take before stages open without it.
+	slowWrite = 120 * time.Millisecond
 	// expireEvery spaces the removal of what is over.
 	expireEvery = 5 * time.Second
 )
@@ -98,6 +110,9 @@
 		write:  make(chan struct{}, 1),
 		began:  time.Now(),
 	}
+	if c.Doubt {
+		d.cell.Doubt()
+	}
 	d.ctx, d.cancel = context.WithCancel(context.Background())
 	return d
 }
@@ -128,27 +143,37 @@
 	d.wg.Wait()
 }
 
-// Freeze lets nothing new start, waits until what ended is kept or ctx ends,
-// and then ends everything.
-func (d *Driver) Freeze(ctx context.Context) {
+// Freeze lets nothing new start, and ends everything once the orders that are
+// under way have their answers, or after a moment. Ends that are not kept yet
+// come again to the next owner.
+func (d *Driver) Freeze() {
 	d.mu.Lock()
 	d.frozen = true
 	d.mu.Unlock()
-	for ctx.Err() == nil && d.pending() {
-		select {
-		case <-d.keptSignal():
-		case <-time.After(20 * time.Millisecond):
-		case <-ctx.Done():
+	for range freezeTries {
+		if !d.ordering() {
+			break
 		}
-		poke(d.write)
+		time.Sleep(freezePause)
 	}
 	d.Close()
 }
 
-func (d *Driver) pending() bool {
+const (
+	freezePause = 5 * time.Millisecond
+	freezeTries = 10
+)
+
+// ordering reports whether orders are under way.
+func (d *Driver) ordering() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.cell.Dirty()
+	for _, l := range d.links {
+		if len(l.orders) > 0 {
+			return true
+		}
+	}
+	return false
 }
 
 func (d *Driver) keptSignal() <-chan struct{} {
@@ -256,7 +281,29 @@
 // owner: the seat was written lately, or all who could take it hear this
 // instance.
 func (d *Driver) mayOrder(now time.Time) bool {
-	return now.Sub(d.Seat.Written()) < claim.Valid || d.Obeyed()
+	return now.Sub(d.Seat.Written()) < claim.Valid || d.Obeyed(time.Time{})
+}
+
+// loose reports whether stages may open before the store knows it: the store is
+// slow, and everyone who could own the cell next has been told. The lock is
+// held.
+func (d *Driver) loose(now time.Time) bool {
+	busy := !d.saving.IsZero() && now.Sub(d.saving) > slowWrite
+	switch {
+	case !busy && d.took <= slowWrite:
+		d.slowSince = time.Time{}
+		return false
+	case d.slowSince.IsZero():
+		d.slowSince = now
+	}
+	return d.Obeyed(d.slowSince)
+}
+
+// Slow reports whether stages may be open that the store does not know of.
+func (d *Driver) Slow() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return !d.slowSince.IsZero()
 }
 
 // confirm makes sure after a pause that the seat is still held.
@@ -288,7 +335,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, id := range d.cell.Expire(d.Keep, now) {
-		d.removals = append(d.removals, SpecKey(d.Name, id), RecordKey(d.Name, id), HomeKey(id))
+		d.removals = append(d.removals, SpecKey(id), RecordKey(d.Name, id), HomeKey(id))
 	}
 }
 
@@ -302,6 +349,7 @@
 	for id, l := range d.links {
 		d.cell.Silent(id, l.silent(now))
 	}
+	d.cell.Loose(d.loose(now))
 	a := d.cell.Place(now, now, d.Callers())
 	for i := range a.Starts {
 		d.startRun(a.Starts[i])
--- a/flow/flow.go
+++ b/flow/flow.go
@@ -69,6 +69,8 @@
 type Spec struct {
 	ID    string `json:"id"`
 	Queue string `json:"queue"`
+	// Cell names the cell that has the job.
+	Cell string `json:"cell,omitempty"`
 	Text  string `json:"text,omitempty"`
 	Steps []Step `json:"steps"`
 	// Times is how often the steps run; 0 is once, at once.
--- a/rows/door.go
+++ b/rows/door.go
@@ -19,7 +19,7 @@
 	// while a peer can go there.
 	shun = 400 * time.Millisecond
 	// fresh is how long an answer shows that the store can be reached.
-	fresh = 1500 * time.Millisecond
+	fresh = 900 * time.Millisecond
 )
 
 // Call is a call to the store on its way by a peer. One of its fields is set.
