--- a/cluster/members.go
+++ b/cluster/members.go
@@ -127,6 +127,9 @@
 
 // live reports whether k was heard lately.
 func (m *members) live(k *member, now time.Time) bool {
+	if k.refused.After(k.heard) {
+		return false
+	}
 	if k.hall == m.hall {
 		return now.Sub(k.heard) < silence
 	}
