--- a/claim/claim.go
+++ b/claim/claim.go
@@ -146,6 +146,7 @@
 	t.Put = append([]rows.Row{{Key: c.key(), Value: raw}}, t.Put...)
 	for {
 		begun := time.Now()
+		t.Expect[0].Ver = c.ver
 		res, err := c.attempt(ctx, t, seat.Mark)
 		if err == nil {
 			c.written.Store(&begun)
--- a/cluster/jobs.go
+++ b/cluster/jobs.go
@@ -22,9 +22,6 @@
 	cancelTime = 2500 * time.Millisecond
 	// comeBack is when a client that was refused may try again.
 	comeBack = time.Second
-	// pendingSilence is how long an owner's counts stand in for those of the
-	// next one.
-	pendingSilence = 6 * time.Second
 	// window is the length of the time in which the work that waits should find
 	// room, for comparing halls.
 	window = 2 * time.Second
@@ -226,15 +223,6 @@
 		l, _ := c.driver.Load()
 		sum += l.Pending[queue]
 	}
-	for _, o := range n.members.cellsWithin(time.Now(), pendingSilence) {
-		if own[o.cell.Name] != nil {
-			continue
-		}
-		for _, q := range o.cell.Pending {
-			if q.Queue == queue {
-				sum += int(q.Jobs)
-			}
-		}
-	}
-	return sum
+	others := n.members.pending(queue, time.Now(), func(cell string) bool { return own[cell] != nil })
+	return sum + others
 }
--- a/cluster/members.go
+++ b/cluster/members.go
@@ -23,6 +23,9 @@
 	// those that were heard within answerWhile.
 	answerWithin = 1200 * time.Millisecond
 	answerWhile  = 30 * time.Second
+	// pendingSilence is how long an owner's counts stand in for those of the
+	// next one.
+	pendingSilence = 6 * time.Second
 	// forgetAfter is when the address of an instance that is not heard any more
 	// is given up.
 	forgetAfter = 40 * time.Second
@@ -60,19 +63,20 @@
 	// addrs are addresses at which somebody may be, with when each was first
 	// heard of.
 	addrs map[string]time.Time
-	// strict holds what the last owner of each cell said when it was last heard.
-	strict map[string]lastWord
+	// last holds what the owner of each cell said when it was last heard.
+	last map[string]lastWord
 }
 
 // lastWord is what an owner said when it was last heard.
 type lastWord struct {
-	boot  string
-	loose bool
-	heard time.Time
+	boot    string
+	loose   bool
+	pending []*wire.QueuePending
+	heard   time.Time
 }
 
 func newMembers(self, hall string, first []string, own string, now time.Time) *members {
-	m := &members{self: self, hall: hall, known: make(map[string]*member), addrs: make(map[string]time.Time), strict: make(map[string]lastWord)}
+	m := &members{self: self, hall: hall, known: make(map[string]*member), addrs: make(map[string]time.Time), last: make(map[string]lastWord)}
 	for _, a := range first {
 		if a != own {
 			m.addrs[a] = now
@@ -99,7 +103,7 @@
 	k.cells, k.heard, k.work = g.Cells, now, 0
 	m.addrs[g.Addr] = now
 	for _, c := range g.Cells {
-		m.strict[c.Name] = lastWord{boot: g.Boot, loose: c.Loose, heard: now}
+		m.last[c.Name] = lastWord{boot: g.Boot, loose: c.Loose, pending: c.Pending, heard: now}
 	}
 	for _, p := range g.Peers {
 		m.learn(p.Addr, now)
@@ -170,12 +174,9 @@
 }
 
 // cells returns the cells whose owners are heard, each with its newest owner.
-func (m *members) cells(now time.Time) []owned { return m.cellsWithin(now, cellSilence) }
-
-// cellsWithin returns the cells whose owners were heard within a time.
-func (m *members) cellsWithin(now time.Time, within time.Duration) []owned {
+func (m *members) cells(now time.Time) []owned {
 	newest := make(map[string]owned)
-	for _, k := range m.heardWithin(now, within) {
+	for _, k := range m.heardWithin(now, cellSilence) {
 		for _, c := range k.cells {
 			if old, ok := newest[c.Name]; !ok || old.cell.Epoch < c.Epoch {
 				newest[c.Name] = owned{member: k, cell: c}
@@ -214,10 +215,29 @@
 func (m *members) wasStrict(cell, boot string, now time.Time) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	w := m.strict[cell]
+	w := m.last[cell]
 	return w.boot == boot && !w.loose && now.Sub(w.heard) < answerWhile
 }
 
+// pending returns how many jobs of a queue wait in the cells that skip does not
+// hold for, as their owners last said.
+func (m *members) pending(queue string, now time.Time, skip func(cell string) bool) int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	sum := 0
+	for name, w := range m.last {
+		if skip(name) || now.Sub(w.heard) > pendingSilence {
+			continue
+		}
+		for _, q := range w.pending {
+			if q.Queue == queue {
+				sum += int(q.Jobs)
+			}
+		}
+	}
+	return sum
+}
+
 // refusedAt notes that nobody listens at an address any more.
 func (m *members) refusedAt(addr string, now time.Time) {
 	m.mu.Lock()
