--- a/claim/claim.go
+++ b/claim/claim.go
@@ -53,6 +53,8 @@
 	Boot  string `json:"boot,omitempty"`
 	Addr  string `json:"addr,omitempty"`
 	Epoch uint64 `json:"epoch"`
+	// Loose says that the owner may start what it has not written down.
+	Loose bool `json:"loose,omitempty"`
 	// Mark is unique to each write.
 	Mark string `json:"mark"`
 }
@@ -65,6 +67,8 @@
 	Owner string
 	Boot  string
 	Addr  string
+	// Loose is written with the seat.
+	Loose bool
 
 	epoch uint64
 	ver   uint64
@@ -135,7 +139,7 @@
 func (c *Claim) Commit(ctx context.Context, t rows.Tx) (rows.Result, error) {
 	c.count++
 	seat := Seat{
-		Owner: c.Owner, Boot: c.Boot, Addr: c.Addr, Epoch: c.epoch,
+		Owner: c.Owner, Boot: c.Boot, Addr: c.Addr, Epoch: c.epoch, Loose: c.Loose,
 		Mark: c.Boot + "." + strconv.FormatUint(c.count, 10),
 	}
 	raw, err := json.Marshal(seat)
--- a/cluster/elect.go
+++ b/cluster/elect.go
@@ -97,7 +97,7 @@
 		return
 	}
 	level.Info(n.kit.Log).Log("event", "seat_taken", "cell", name, "epoch", c.Epoch(), "before", seat.Owner, "why", why)
-	n.drive(name, c, seat.Owner != "" && !n.members.wasStrict(name, seat.Boot, time.Now()))
+	n.drive(name, c, seat.Loose)
 }
 
 // vacant returns why a seat may be taken, "" if it may not.
@@ -159,8 +159,8 @@
 }
 
 // obeyed reports whether every other instance that was heard lately has answered
-// the last greetings, those since a time, and so will not take a seat of this one.
-func (n *Node) obeyed(since time.Time) bool { return n.members.allAnswer(time.Now(), since) }
+// the last greetings, and so will not take a seat of this one.
+func (n *Node) obeyed() bool { return n.members.allAnswer(time.Now()) }
 
 func (n *Node) dropDriver(name string, d *driver.Driver) {
 	n.mu.Lock()
--- a/cluster/greet.go
+++ b/cluster/greet.go
@@ -39,7 +39,7 @@
 		d := c.driver
 		load, racks := d.Load()
 		sum := &wire.CellSummary{
-			Name: name, Loose: d.Slow(), Epoch: d.Seat.Epoch(), Ready: d.Ready(), Keeps: n.door.Reachable(),
+			Name: name, Epoch: d.Seat.Epoch(), Ready: d.Ready(), Keeps: n.door.Reachable(),
 			Room: load.Room[sched.Milli], Free: load.Free[sched.Milli], Waiting: load.Waiting, Racks: racks,
 		}
 		for q, jobs := range load.Pending {
--- a/cluster/members.go
+++ b/cluster/members.go
@@ -69,8 +69,6 @@
 
 // lastWord is what an owner said when it was last heard.
 type lastWord struct {
-	boot    string
-	loose   bool
 	pending []*wire.QueuePending
 	heard   time.Time
 }
@@ -103,7 +101,7 @@
 	k.cells, k.heard, k.work = g.Cells, now, 0
 	m.addrs[g.Addr] = now
 	for _, c := range g.Cells {
-		m.last[c.Name] = lastWord{boot: g.Boot, loose: c.Loose, pending: c.Pending, heard: now}
+		m.last[c.Name] = lastWord{pending: c.Pending, heard: now}
 	}
 	for _, p := range g.Peers {
 		m.learn(p.Addr, now)
@@ -210,15 +208,6 @@
 	}
 }
 
-// wasStrict reports whether the owner of a cell under a boot was heard not long
-// ago, and said that the store knows of all stages that it opened.
-func (m *members) wasStrict(cell, boot string, now time.Time) bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	w := m.last[cell]
-	return w.boot == boot && !w.loose && now.Sub(w.heard) < answerWhile
-}
-
 // pending returns how many jobs of a queue wait in the cells that skip does not
 // hold for, as their owners last said.
 func (m *members) pending(queue string, now time.Time, skip func(cell string) bool) int {
@@ -250,12 +239,12 @@
 }
 
 // allAnswer reports whether every member that was heard in a while has answered
-// lately a greeting that was sent after a time.
-func (m *members) allAnswer(now, since time.Time) bool {
+// lately.
+func (m *members) allAnswer(now time.Time) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, k := range m.known {
-		if now.Sub(k.heard) < answerWhile && (now.Sub(k.answered) > answerWithin || k.answered.Before(since)) {
+		if now.Sub(k.heard) < answerWhile && now.Sub(k.answered) > answerWithin {
 			return false
 		}
 	}
--- a/driver/commit.go
+++ b/driver/commit.go
@@ -181,7 +181,12 @@
 		d.mu.Unlock()
 		return false
 	}
-	d.saving = time.Now()
+	begun := time.Now()
+	// Stages open without the store only once the seat says so, and only until
+	// it is about to say otherwise.
+	loose := d.wantsLoose()
+	d.isLoose = d.isLoose && loose
+	d.Seat.Loose = loose
 	t := rows.Tx{Remove: removals, Across: len(removals) > 0}
 	for _, s := range saves {
 		t.Put = append(t.Put, rows.Row{Key: RecordKey(d.Name, s.ID), Value: flow.Encode(s.Record)})
@@ -197,8 +202,8 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.took = time.Since(d.saving)
-	d.saving = time.Time{}
+	d.took = time.Since(begun)
+	d.isLoose = loose && err == nil
 	d.cell.Saved(saves, err == nil)
 	poke(d.wake)
 	if err != nil {
--- a/driver/driver.go
+++ b/driver/driver.go
@@ -39,8 +39,8 @@
 	Advise  func(ctx context.Context, a cell.Ask) (Tickets, error)
 	Callers func() int
 	// Obeyed reports whether every instance that might take the seat is known
-	// to have heard this one lately, and since a time.
-	Obeyed func(since time.Time) bool
+	// to have heard this one lately.
+	Obeyed func() bool
 	// Doubt says that the former owner may have opened stages that the store
 	// does not know of.
 	Doubt bool
@@ -67,13 +67,11 @@
 	// rosterChanged says that the workers of the cell are not those of the
 	// roster in the store.
 	rosterChanged bool
-	// saving is since when a write is under way, and took how long the last one
-	// took.
-	saving time.Time
-	took   time.Duration
-	// slowSince is since when the store is too slow to wait for before a stage
-	// is opened.
-	slowSince time.Time
+	// took is how long the last write took.
+	took time.Duration
+	// isLoose says that stages open before the store knows it, and that the
+	// store knows that.
+	isLoose bool
 	// kept is closed and renewed whenever the store has taken a write.
 	kept chan struct{}
 
@@ -281,30 +279,12 @@
 // owner: the seat was written lately, or all who could take it hear this
 // instance.
 func (d *Driver) mayOrder(now time.Time) bool {
-	return now.Sub(d.Seat.Written()) < claim.Valid || d.Obeyed(time.Time{})
+	return now.Sub(d.Seat.Written()) < claim.Valid || d.Obeyed()
 }
 
-// loose reports whether stages may open before the store knows it: the store is
-// slow, and everyone who could own the cell next has been told. The lock is
-// held.
-func (d *Driver) loose(now time.Time) bool {
-	busy := !d.saving.IsZero() && now.Sub(d.saving) > slowWrite
-	switch {
-	case !busy && d.took <= slowWrite:
-		d.slowSince = time.Time{}
-		return false
-	case d.slowSince.IsZero():
-		d.slowSince = now
-	}
-	return d.Obeyed(d.slowSince)
-}
-
-// Slow reports whether stages may be open that the store does not know of.
-func (d *Driver) Slow() bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return !d.slowSince.IsZero()
-}
+// wantsLoose reports whether the store is too slow to wait for before a stage is
+// opened. The lock is held.
+func (d *Driver) wantsLoose() bool { return d.took > slowWrite }
 
 // confirm makes sure after a pause that the seat is still held.
 func (d *Driver) confirm(gap time.Duration) bool {
@@ -349,7 +329,7 @@
 	for id, l := range d.links {
 		d.cell.Silent(id, l.silent(now))
 	}
-	d.cell.Loose(d.loose(now))
+	d.cell.Loose(d.isLoose)
 	a := d.cell.Place(now, now, d.Callers())
 	for i := range a.Starts {
 		d.startRun(a.Starts[i])
