--- a/cell/job.go
+++ b/cell/job.go
@@ -74,6 +74,9 @@
 	stages  []*stage
 	left    int
 	marked  bool
+	// hall is where the tasks of the job go as long as there is room, so that
+	// the loss of a hall hurts few jobs.
+	hall string
 	// restored says that a former owner knew it.
 	restored bool
 }
--- a/cell/place.go
+++ b/cell/place.go
@@ -185,6 +185,7 @@
 
 // placeTasks starts as many of the tasks of s as find room.
 func (c *Cell) placeTasks(s *stage, q *Queue, a *Actions, now time.Time) {
+	c.settle(s, q, now)
 	for i := range s.tasks {
 		t := &s.tasks[i]
 		if t.state != taskWaiting {
@@ -210,6 +211,7 @@
 	if s.waiting < len(s.tasks) {
 		return
 	}
+	c.settle(s, q, now)
 	n, saved := s.gangLast, ""
 	for i := range s.tasks {
 		n = max(n, s.tasks[i].last)
@@ -304,6 +306,8 @@
 
 const (
 	nearBonus    = 10.0
+	hallBonus    = 2.0
+	workerBonus  = 1.0
 	avoidMalus   = 20.0
 	failedMalus  = 3.0
 	sameRackGain = 5.0
@@ -326,6 +330,9 @@
 	if w.health.row > 0 {
 		score -= failedMalus
 	}
+	if !s.def.Lasting {
+		score += s.together(w)
+	}
 	if s.def.SameRack {
 		for other := range s.carried {
 			if other.Rack == w.Rack {
@@ -337,6 +344,45 @@
 	return score
 }
 
+// together says how much is gained by keeping the tasks of a job in one hall and
+// on few workers: a job is lost as a whole, so that what fails should hit few
+// jobs.
+func (s *stage) together(w *worker) float64 {
+	gain := 0.0
+	if w.Hall == s.job.hall {
+		gain += hallBonus
+	}
+	if s.carried[w] > 0 {
+		gain += workerBonus
+	}
+	return gain
+}
+
+// settle chooses the hall of a job: the one with the most room on workers that
+// may run s.
+func (c *Cell) settle(s *stage, q *Queue, now time.Time) {
+	room := make(map[string]int64)
+	for _, w := range c.order {
+		if !w.usable() || !w.suits(s, q) {
+			continue
+		}
+		if _, ok := s.may(w, q, now); ok {
+			room[w.Hall] += w.free[sched.Milli]
+		}
+	}
+	best := room[s.job.hall] * settleShare
+	for _, w := range c.order {
+		if room[w.Hall] > best {
+			best = room[w.Hall]
+			s.job.hall = w.Hall
+		}
+	}
+}
+
+// settleShare keeps a job in its hall unless another one has several times the
+// room.
+const settleShare = 4
+
 // stops decides which runs to stop: those that nobody wants any more, and those
 // that stand still.
 func (c *Cell) stops(a *Actions, now time.Time) {
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -15,6 +15,7 @@
 	ID   string
 	Addr string
 	Pool string
+	Hall string
 	Rack string
 	// Labels are what steps may need or be near to, the rack among them.
 	Labels []string
