--- a/cell/job.go
+++ b/cell/job.go
@@ -141,7 +141,7 @@
 
 // Keep says that the store has the job.
 func (c *Cell) Keep(id string) {
-	if j := c.jobs[id]; j != nil {
+	if j := c.jobs[id]; j != nil && !j.kept {
 		j.kept = true
 		j.shown = flow.Pending
 	}
--- a/claim/claim.go
+++ b/claim/claim.go
@@ -89,11 +89,16 @@
 	return time.Time{}
 }
 
+// Range returns the range that holds nothing but the seat of a cell.
+func Range(cell string) rows.Range {
+	return rows.Only(rows.Key{Table: Table, Part: cell, Name: seatName})
+}
+
 func (c *Claim) key() rows.Key { return rows.Key{Table: Table, Part: c.Cell, Name: seatName} }
 
 // Read returns the seat as it stands, and its version.
 func (c *Claim) Read(ctx context.Context) (Seat, uint64, error) {
-	page, err := c.Store.Get(ctx, rows.Only(c.key()))
+	page, err := c.Store.Get(ctx, Range(c.Cell))
 	if err != nil {
 		return Seat{}, 0, err
 	}
@@ -228,7 +233,7 @@
 func (c *Claim) look(ctx context.Context, mark string) (rows.Result, error, bool) {
 	ctx, cancel := context.WithTimeout(ctx, 4*checkEvery)
 	defer cancel()
-	page, err := c.Store.Get(ctx, rows.Only(c.key()))
+	page, err := c.Store.Get(ctx, Range(c.Cell))
 	if err != nil {
 		return rows.Result{}, err, false
 	}
--- a/cluster/accept.go
+++ b/cluster/accept.go
@@ -42,16 +42,16 @@
 	}
 	spec.AcceptedMS = time.Now().UnixMilli()
 	cell := n.choose(spec)
-	fresh, err := n.keep(ctx, cell, spec)
+	fresh, err := n.keep(ctx, &cell, spec)
 	if err != nil {
 		level.Info(n.kit.Log).Log("event", "not_kept", "job", spec.ID, "cell", cell, "err", err)
 		return err
 	}
 	level.Info(n.kit.Log).Log("event", "accepted", "job", spec.ID, "queue", spec.Queue, "cell", cell, "fresh", fresh, "took_ms", time.Now().UnixMilli()-spec.AcceptedMS)
-	if fresh {
-		n.homes.set(spec.ID, cell)
-		go n.tell(cell, spec)
-	}
+	n.homes.set(spec.ID, cell)
+	// The same write may have gone two ways, and the answer may be that of the
+	// second: the owner is told in any case.
+	go n.tell(cell, spec)
 	return nil
 }
 
@@ -66,14 +66,14 @@
 }
 
 // keep writes a job on the condition that no cell has it. It reports whether it
-// was this write that kept it.
-func (n *Node) keep(ctx context.Context, cell string, spec *flow.Spec) (bool, error) {
-	spec.Cell = cell
+// was this write that kept it, and leaves the cell that has the job in cell.
+func (n *Node) keep(ctx context.Context, cell *string, spec *flow.Spec) (bool, error) {
+	spec.Cell = *cell
 	home := driver.HomeKey(spec.ID)
 	t := rows.Tx{
 		Expect: []rows.Expect{{Key: home}},
 		Put: []rows.Row{
-			{Key: home, Value: []byte(cell)},
+			{Key: home, Value: []byte(*cell)},
 			{Key: driver.SpecKey(spec.ID), Value: flow.Encode(spec)},
 		},
 	}
@@ -84,8 +84,12 @@
 		case err == nil && !res.Refused:
 			return true, nil
 		case err == nil:
-			// Some cell has it. It may have been a write of this instance whose
-			// answer was lost: its owner finds the job by itself.
+			// Some cell has it, by this write or by an earlier one.
+			for _, row := range res.Rows {
+				if row.Key == home && len(row.Value) > 0 {
+					*cell = string(row.Value)
+				}
+			}
 			return uncertain, nil
 		case !kind.Is(err, kind.Unavailable):
 			uncertain = true
@@ -132,7 +136,7 @@
 			}
 			page, err := n.door.Get(ctx, rows.Only(home))
 			if err == nil && page.One().Ver > 0 {
-				return rows.Result{Ver: page.Ver}, nil
+				return rows.Result{Refused: true, Rows: page.Rows}, nil
 			}
 		}
 	}
--- a/cluster/node.go
+++ b/cluster/node.go
@@ -170,14 +170,9 @@
 // probeStore reads a small row again and again, so that readiness follows the
 // store.
 func (n *Node) probeStore(ctx context.Context) {
-	c := &claim.Claim{Store: n.door, Cell: n.names[0]}
+	small := claim.Range(n.names[0])
 	for ctx.Err() == nil {
-		go func() {
-			ctx, cancel := context.WithTimeout(ctx, probeEvery*4)
-			defer cancel()
-			// The door takes note of what becomes of it.
-			_, _, _ = c.Read(ctx)
-		}()
+		go n.door.Probe(ctx, small)
 		sleep(ctx, probeEvery)
 	}
 }
--- /dev/null
+++ b/internal/standin/world/worker.go
@@ -0,0 +1,343 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package world
+
+import (
+	"encoding/json"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// WorkerFaults are the switches of a Worker.
+type WorkerFaults struct {
+	// Silent leaves every call without an answer and without effect: the worker
+	// is cut off and runs on.
+	Silent bool
+	// Lose is the share of orders that take effect and get no answer; with Late
+	// they take effect after that time.
+	Lose float64
+	Late time.Duration
+	// FailAll fails every run, Hang lets none make progress.
+	FailAll, Hang bool
+}
+
+// run is a run on a Worker.
+type run struct {
+	task     string
+	n        int
+	spec     job
+	begun    time.Time
+	worked   time.Duration
+	lastTick time.Time
+	saved    string
+	cpu, mem int64
+	stopping bool
+	entry    *Entry
+}
+
+type end struct {
+	number int
+	task   string
+	n      int
+	how    string
+	saved  string
+	entry  *Entry
+}
+
+// Worker is the stand-in of a worker.
+type Worker struct {
+	ID   string
+	Addr string
+	Hall string
+	Rack string
+
+	world    *World
+	cpu, mem int64
+
+	mu       sync.Mutex
+	fence    uint64
+	runs     map[string]*run
+	ends     []end
+	number   int
+	observed int
+	// last holds the highest run of each task that stopped or ended here.
+	last     map[string]int
+	until    time.Time
+	begun    time.Time
+	faults   WorkerFaults
+	random   *rand.Rand
+	changed  chan struct{}
+	dead     bool
+	draining bool
+}
+
+// Fail sets the faults.
+func (w *Worker) Fail(f WorkerFaults) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.faults = f
+}
+
+func (w *Worker) clock() int64 { return 1000 + time.Since(w.begun).Milliseconds() }
+
+type order struct {
+	Task     string `json:"task"`
+	Run      int    `json:"run"`
+	Spec     string `json:"spec"`
+	Deadline int64  `json:"deadline_ms"`
+	Fence    uint64 `json:"fencing_token"`
+	Saved    string `json:"checkpoint"`
+	Ticket   string `json:"ticket"`
+	Observed int    `json:"observed"`
+	Wait     int64  `json:"wait_ms"`
+}
+
+type workerAnswer struct {
+	Clock    int64   `json:"clock_ms"`
+	Reason   string  `json:"reason,omitempty"`
+	Running  [][]any `json:"running,omitempty"`
+	Finished [][]any `json:"finished,omitempty"`
+}
+
+// ServeHTTP implements http.Handler.
+func (w *Worker) ServeHTTP(out http.ResponseWriter, r *http.Request) {
+	if life := r.Header.Get("Dewpass-Expect-Instance"); life != "" && life != w.ID {
+		out.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	var o order
+	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
+		out.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	w.mu.Lock()
+	f := w.faults
+	lose := f.Lose > 0 && w.random.Float64() < f.Lose
+	w.mu.Unlock()
+	switch {
+	case f.Silent:
+		<-r.Context().Done()
+		return
+	case lose && f.Late > 0:
+		time.AfterFunc(f.Late, func() { w.handle(r.URL.Path, &o) })
+		<-r.Context().Done()
+		return
+	}
+	status, a := w.handle(r.URL.Path, &o)
+	if lose {
+		<-r.Context().Done()
+		return
+	}
+	if r.URL.Path == "/dewpass/hold" && status == http.StatusOK && len(a.Finished) == 0 && o.Wait > 0 {
+		w.wait(r, time.Duration(o.Wait)*time.Millisecond)
+		status, a = w.handle(r.URL.Path, &o)
+	}
+	writeJSON(out, status, a)
+}
+
+// wait waits for an end.
+func (w *Worker) wait(r *http.Request, most time.Duration) {
+	w.mu.Lock()
+	changed := w.changed
+	w.mu.Unlock()
+	select {
+	case <-changed:
+	case <-time.After(most):
+	case <-r.Context().Done():
+	}
+}
+
+func (w *Worker) handle(path string, o *order) (int, workerAnswer) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	a := workerAnswer{Clock: w.clock()}
+	if o.Fence < w.fence {
+		a.Reason = "fence"
+		return http.StatusConflict, a
+	}
+	w.fence = o.Fence
+	if o.Deadline > 0 {
+		w.lease(o.Deadline)
+	}
+	switch path {
+	case "/dewpass/run-start":
+		return w.start(o, a)
+	case "/dewpass/run-stop":
+		w.stop(o)
+		return http.StatusOK, a
+	case "/dewpass/hold":
+		w.observe(o.Observed)
+		w.list(&a)
+		return http.StatusOK, a
+	}
+	return http.StatusNotFound, a
+}
+
+const leaseMost = 10 * time.Second
+
+func (w *Worker) lease(deadline int64) {
+	until := w.begun.Add(time.Duration(deadline-1000) * time.Millisecond)
+	if most := time.Now().Add(leaseMost); until.After(most) {
+		until = most
+	}
+	if until.After(w.until) {
+		w.until = until
+	}
+}
+
+func (w *Worker) start(o *order, a workerAnswer) (int, workerAnswer) {
+	refuse := func(reason string) (int, workerAnswer) {
+		a.Reason = reason
+		return http.StatusConflict, a
+	}
+	if r := w.runs[o.Task]; r != nil && r.n == o.Run {
+		return http.StatusOK, a
+	}
+	switch {
+	case o.Run <= w.last[o.Task] || w.runs[o.Task] != nil:
+		return refuse("old")
+	case w.begun.Add(time.Duration(o.Deadline-1000) * time.Millisecond).Before(time.Now()):
+		return refuse("late")
+	case w.world.Policy.on() && !w.world.Policy.holds(o.Ticket, w.ID):
+		return refuse("ticket")
+	}
+	spec := parseSpec(o.Spec)
+	r := &run{
+		task: o.Task, n: o.Run, spec: spec, begun: time.Now(), lastTick: time.Now(), saved: o.Saved,
+		cpu: spec.CPU, mem: spec.Mem,
+	}
+	if ms, err := strconv.Atoi(o.Saved); err == nil {
+		r.worked = time.Duration(ms) * time.Millisecond
+	}
+	r.entry = w.world.Book.started(w, o)
+	w.runs[o.Task] = r
+	w.checkRoom()
+	return http.StatusOK, a
+}
+
+// checkRoom writes it down if the worker was given more than it has.
+func (w *Worker) checkRoom() {
+	var cpu, mem int64
+	for _, r := range w.runs {
+		cpu += r.cpu
+		mem += r.mem
+	}
+	if cpu > w.cpu || mem > w.mem {
+		w.world.Book.broke("LIMIT", w.ID+" has been given more than it has")
+	}
+}
+
+func (w *Worker) stop(o *order) {
+	w.last[o.Task] = max(w.last[o.Task], o.Run)
+	if r := w.runs[o.Task]; r != nil && r.n == o.Run {
+		w.finish(r, "stopped")
+	}
+}
+
+func (w *Worker) observe(n int) {
+	if n <= w.observed {
+		return
+	}
+	w.observed = n
+	kept := w.ends[:0]
+	for _, e := range w.ends {
+		if e.number > n {
+			kept = append(kept, e)
+		} else {
+			w.world.Book.observed(e.entry)
+		}
+	}
+	w.ends = kept
+}
+
+func (w *Worker) list(a *workerAnswer) {
+	for _, r := range w.runs {
+		percent := 100
+		if !r.spec.Lasts && r.spec.Length > 0 {
+			percent = int(min(100*r.worked/r.spec.Length, 99))
+		}
+		a.Running = append(a.Running, []any{r.task, r.n, r.saved, percent, r.cpu})
+	}
+	for _, e := range w.ends {
+		a.Finished = append(a.Finished, []any{e.number, e.task, e.n, e.how, e.saved})
+	}
+}
+
+// finish ends a run. The lock is held.
+func (w *Worker) finish(r *run, how string) {
+	delete(w.runs, r.task)
+	w.last[r.task] = max(w.last[r.task], r.n)
+	w.number++
+	saved := ""
+	if how != "done" {
+		saved = r.saved
+	}
+	w.ends = append(w.ends, end{number: w.number, task: r.task, n: r.n, how: how, saved: saved, entry: r.entry})
+	w.world.Book.ended(r.entry, how)
+	close(w.changed)
+	w.changed = make(chan struct{})
+}
+
+// tick lets time pass.
+func (w *Worker) tick(now time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	lapsed := !w.until.IsZero() && now.After(w.until)
+	for _, r := range w.runs {
+		if lapsed {
+			w.finish(r, "lapsed")
+			continue
+		}
+		if !w.faults.Hang {
+			r.worked += now.Sub(r.lastTick)
+		}
+		r.lastTick = now
+		if r.spec.Saves {
+			r.saved = strconv.FormatInt(r.worked.Milliseconds(), 10)
+		}
+		if r.spec.Lasts || r.worked < r.spec.Length {
+			continue
+		}
+		if w.faults.FailAll || w.world.Book.fails(r.task, r.spec.Fails) {
+			w.finish(r, "failed")
+		} else {
+			w.finish(r, "done")
+		}
+	}
+}
+
+// job is what the text of a job says of its tasks: "ms=300 cpu=1000 mem=100
+// fails=1 saves lasts".
+type job struct {
+	Length       time.Duration
+	CPU, Mem     int64
+	Fails        int
+	Saves, Lasts bool
+}
+
+func parseSpec(text string) job {
+	var j job
+	for _, word := range strings.Fields(text) {
+		name, value, _ := strings.Cut(word, "=")
+		n, _ := strconv.ParseInt(value, 10, 64)
+		switch name {
+		case "ms":
+			j.Length = time.Duration(n) * time.Millisecond
+		case "cpu":
+			j.CPU = n
+		case "mem":
+			j.Mem = n
+		case "fails":
+			j.Fails = int(n)
+		case "saves":
+			j.Saves = true
+		case "lasts":
+			j.Lasts = true
+		}
+	}
+	return j
+}
--- /dev/null
+++ b/internal/standin/world/world.go
@@ -0,0 +1,253 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package world
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Options says how a World begins.
+type Options struct {
+	Halls    []string
+	PerHall  int
+	CPU, Mem int64
+	Seed     uint64
+	// Host is the loopback address that everything listens on.
+	Host string
+	// Advice lets a policy choose: one worker of three may run a step.
+	Advice bool
+}
+
+// World is the users' platform in small.
+type World struct {
+	Store   *Store
+	Policy  *Policy
+	Book    *Book
+	Workers []*Worker
+
+	StoreAddr  string
+	PolicyAddr string
+
+	options Options
+	servers []*http.Server
+	stop    chan struct{}
+	wg      sync.WaitGroup
+	mu      sync.Mutex
+}
+
+const (
+	tickEvery = 10 * time.Millisecond
+	beatEvery = 500 * time.Millisecond
+	pool      = "pool"
+	rackSize  = 2
+)
+
+// Start starts a World.
+func Start(o Options) (*World, error) {
+	w := &World{Store: newStore(o.Seed), Book: newBook(), options: o, stop: make(chan struct{})}
+	w.Policy = &Policy{wanted: o.Advice}
+	var err error
+	if w.StoreAddr, err = w.serve(w.Store); err != nil {
+		return nil, err
+	}
+	if w.PolicyAddr, err = w.serve(w.Policy); err != nil {
+		return nil, err
+	}
+	for _, hall := range o.Halls {
+		for i := range o.PerHall {
+			if _, err := w.AddWorker(hall, i); err != nil {
+				return nil, err
+			}
+		}
+	}
+	w.wg.Go(w.run)
+	return w, nil
+}
+
+func (w *World) serve(h http.Handler) (string, error) {
+	l, err := net.Listen("tcp", net.JoinHostPort(w.options.Host, "0"))
+	if err != nil {
+		return "", err
+	}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: time.Second}
+	w.servers = append(w.servers, s)
+	// Serve ends with the server.
+	go func() { _ = s.Serve(l) }()
+	return l.Addr().String(), nil
+}
+
+// AddWorker starts a worker in a hall.
+func (w *World) AddWorker(hall string, number int) (*Worker, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	n := &Worker{
+		ID: fmt.Sprintf("i-%s-%d-%d", hall, number, len(w.Workers)), Hall: hall,
+		Rack: fmt.Sprintf("%s-r%d", hall, number/rackSize), world: w,
+		cpu: w.options.CPU, mem: w.options.Mem, begun: time.Now(),
+		runs: make(map[string]*run), last: make(map[string]int),
+		random: rand.New(rand.NewPCG(w.options.Seed, uint64(len(w.Workers)))), changed: make(chan struct{}),
+	}
+	var err error
+	n.Addr, err = w.serve(n)
+	w.Workers = append(w.Workers, n)
+	w.beat(n)
+	return n, err
+}
+
+// Kill ends a worker's life: everything that runs there is gone, and nobody
+// answers.
+func (w *World) Kill(n *Worker) {
+	n.mu.Lock()
+	n.dead = true
+	n.faults = WorkerFaults{Silent: true}
+	n.runs = make(map[string]*run)
+	n.ends = nil
+	n.mu.Unlock()
+	w.Book.lost(n.ID)
+	w.Store.Remove("servers", n.ID)
+}
+
+// Drain lets a worker say that it leaves.
+func (w *World) Drain(n *Worker) {
+	n.mu.Lock()
+	n.draining = true
+	n.mu.Unlock()
+	w.beat(n)
+}
+
+// run lets time pass until Close.
+func (w *World) run() {
+	beat := time.Now()
+	for {
+		select {
+		case <-w.stop:
+			return
+		case now := <-time.After(tickEvery):
+			for _, n := range w.all() {
+				n.tick(now)
+			}
+			if now.Sub(beat) > beatEvery {
+				beat = now
+				for _, n := range w.all() {
+					w.beat(n)
+				}
+			}
+		}
+	}
+}
+
+func (w *World) all() []*Worker {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.Clone(w.Workers)
+}
+
+// beat writes a worker's entry.
+func (w *World) beat(n *Worker) {
+	n.mu.Lock()
+	dead, state, remaining := n.dead, "ready", 0
+	if n.draining {
+		state, remaining = "draining", 2000
+	}
+	clock := n.clock()
+	n.mu.Unlock()
+	if dead {
+		return
+	}
+	w.Store.Put("servers", n.ID, map[string]any{
+		"backend": pool, "address": n.Addr, "zone": n.Hall, "version": "v1", "slots": 8, "state": state,
+		"warmup_left_ms": 0, "capacity": map[string]any{"cpu": n.cpu, "mem_mb": n.mem, "gpu": 0},
+		"labels": []string{"a", n.Rack}, "clock_ms": clock, "remaining_ms": remaining, "seq": clock,
+	})
+}
+
+// Configure writes the operators' configuration: one queue, at host and prefix.
+func (w *World) Configure(version int, host, prefix string) {
+	route := map[string]any{
+		"name": "queue", "host": host, "path_prefix": prefix, "type": "unsafe", "timeout_ms": 3000,
+		"target_latency_ms": 250, "priority": 0, "backend": pool, "max_attempts": 2, "stretch": 1.5,
+	}
+	if w.options.Advice {
+		route["advice"] = map[string]any{"decide_ms": 10, "each_ms": 1, "valid_ms": 2500}
+	}
+	w.Store.Put("op", "config", map[string]any{
+		"version": version, "routes": []any{route},
+		"services": []any{map[string]any{"name": pool, "health_path": "/healthz", "max_conns": 64}},
+		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+	})
+}
+
+// Close ends the World.
+func (w *World) Close() {
+	close(w.stop)
+	w.wg.Wait()
+	for _, s := range w.servers {
+		_ = s.Close()
+	}
+}
+
+// Policy is the stand-in of the policy service.
+type Policy struct {
+	wanted bool
+	mu     sync.Mutex
+	asked  int
+}
+
+func (p *Policy) on() bool { return p.wanted }
+
+// Asked returns how many questions there were.
+func (p *Policy) Asked() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.asked
+}
+
+const ticketLife = 2500 * time.Millisecond
+
+// holds reports whether a ticket lets a worker run.
+func (p *Policy) holds(ticket, worker string) bool {
+	id, at, ok := strings.Cut(ticket, "@")
+	ms, err := strconv.ParseInt(at, 10, 64)
+	return ok && err == nil && id == worker && time.Since(time.UnixMilli(ms)) < ticketLife
+}
+
+// ServeHTTP implements http.Handler.
+func (p *Policy) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	var in struct {
+		Step    string   `json:"step"`
+		Workers []string `json:"workers"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&in); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.asked++
+	time.Sleep(10*time.Millisecond + time.Duration(len(in.Workers))*time.Millisecond)
+	healthy := [][]string{}
+	for _, id := range in.Workers {
+		if fits(in.Step, id) {
+			healthy = append(healthy, []string{id, id + "@" + strconv.FormatInt(time.Now().UnixMilli(), 10)})
+		}
+	}
+	writeJSON(w, http.StatusOK, map[string]any{"healthy": healthy, "valid_ms": ticketLife.Milliseconds()})
+}
+
+// fits draws which workers may run a step: two of three, always the same.
+func fits(step, worker string) bool {
+	sum := 0
+	for _, c := range step + worker {
+		sum = sum*31 + int(c)
+	}
+	return sum%3 != 0
+}
--- a/rows/door.go
+++ b/rows/door.go
@@ -12,14 +12,21 @@
 )
 
 const (
-	// directTime bounds a call to the store, carriedTime one by a peer.
+	// directTime bounds a call to the store, carriedTime one by a peer, and
+	// probeTime one that only shows whether the store answers.
 	directTime  = 1500 * time.Millisecond
 	carriedTime = 1200 * time.Millisecond
-	// shun is how long the store is left alone after it turned a call away,
-	// while a peer can go there.
-	shun = 400 * time.Millisecond
+	probeTime   = time.Second
+	// hedgeLeast is how long the store may be without an answer before the same
+	// call goes by a peer, or hedgeTimes as long as answers take of late. What a
+	// transaction rests on is in it, so that it takes effect once.
+	hedgeLeast = 120 * time.Millisecond
+	hedgeTimes = 4
 	// fresh is how long an answer shows that the store can be reached.
 	fresh = 900 * time.Millisecond
+	// tookShare is the weight of a new answer in how long answers take, in
+	// eighths.
+	tookShare = 1
 )
 
 // Call is a call to the store on its way by a peer. One of its fields is set.
@@ -46,8 +53,11 @@
 	// Changed is told when the store becomes reachable or stops being so.
 	Changed func(direct, reachable bool)
 
-	mu       sync.Mutex
-	shunned  time.Time
+	mu sync.Mutex
+	// away says that the store did not answer this instance while a peer could
+	// ask it. Only a probe ends that.
+	away     bool
+	took     time.Duration
 	direct   time.Time
 	carried  time.Time
 	wasState [2]bool
@@ -71,9 +81,9 @@
 // Tx implements Store.
 func (d *Door) Tx(ctx context.Context, t Tx) (Result, error) {
 	var out Result
-	err := d.do(ctx, directTime, func(ctx context.Context) (err error) {
-		out, err = d.Direct.Tx(ctx, t)
-		return err
+	err := d.do(ctx, directTime, func(ctx context.Context) (func(), error) {
+		got, err := d.Direct.Tx(ctx, t)
+		return func() { out = got }, err
 	}, Call{Tx: &t}, func(a *Answer) { out = *a.Result }, true)
 	return out, err
 }
@@ -81,9 +91,9 @@
 // Get implements Store.
 func (d *Door) Get(ctx context.Context, r Range) (Page, error) {
 	var out Page
-	err := d.do(ctx, directTime, func(ctx context.Context) (err error) {
-		out, err = d.Direct.Get(ctx, r)
-		return err
+	err := d.do(ctx, directTime, func(ctx context.Context) (func(), error) {
+		got, err := d.Direct.Get(ctx, r)
+		return func() { out = got }, err
 	}, Call{Get: &r}, func(a *Answer) { out = *a.Page }, false)
 	return out, err
 }
@@ -91,85 +101,148 @@
 // Feed implements Store.
 func (d *Door) Feed(ctx context.Context, s Since) (Page, error) {
 	var out Page
-	err := d.do(ctx, directTime+s.Wait, func(ctx context.Context) (err error) {
-		out, err = d.Direct.Feed(ctx, s)
-		return err
+	err := d.do(ctx, directTime+s.Wait, func(ctx context.Context) (func(), error) {
+		got, err := d.Direct.Feed(ctx, s)
+		return func() { out = got }, err
 	}, Call{Feed: &s}, func(a *Answer) { out = *a.Page }, false)
 	return out, err
 }
 
-// do tries the store itself and then a peer. A write whose answer was lost is
-// not sent again here: only its sender can tell what became of it.
-func (d *Door) do(ctx context.Context, limit time.Duration, direct func(context.Context) error, call Call, take func(*Answer), write bool) error {
-	var err error
-	if !d.isShunned() {
-		if err = d.try(ctx, limit, direct); err == nil {
-			return nil
-		}
-		if write && kind.Is(err, kind.Lost) {
+// outcome is what became of one way of a call.
+type outcome struct {
+	err error
+	// take puts the answer where the caller finds it.
+	take func()
+}
+
+// do sends a call to the store itself, and by a peer if that takes too long or
+// the store is away. The first answer counts. A write whose answer was lost is
+// not sent again: only its sender can tell what became of it.
+func (d *Door) do(ctx context.Context, limit time.Duration, direct func(context.Context) (func(), error), call Call, take func(*Answer), write bool) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	answers := make(chan outcome, 2)
+	byStore := func() {
+		var done func()
+		err := d.try(ctx, limit, func(ctx context.Context) (err error) {
+			done, err = direct(ctx)
 			return err
-		}
+		})
+		answers <- outcome{err, done}
 	}
-	if ctx.Err() != nil {
-		return kind.Wrap(kind.Lost, ctx.Err(), "store")
+	byPeer := func() {
+		a, err := d.carry(ctx, call)
+		answers <- outcome{err, func() { take(a) }}
 	}
-	carryErr := d.carry(ctx, call, take)
-	if carryErr == nil || (write && kind.Is(carryErr, kind.Lost)) {
-		return carryErr
+	away := d.isAway()
+	first, second := byStore, byPeer
+	if away {
+		first, second = byPeer, byStore
 	}
-	if err != nil {
-		return err
+	go first()
+	open, hedged := 1, false
+	hedge := time.NewTimer(d.hedgeAfter(call, away))
+	defer hedge.Stop()
+	var lost error
+	for {
+		select {
+		case o := <-answers:
+			open--
+			if o.err == nil {
+				o.take()
+				return nil
+			}
+			if lost == nil || !kind.Is(o.err, kind.Unavailable) {
+				lost = o.err
+			}
+			if hedged && open == 0 {
+				return lost
+			}
+			if !hedged && write && kind.Is(o.err, kind.Lost) {
+				return lost
+			}
+		case <-hedge.C:
+		}
+		if !hedged && ctx.Err() == nil {
+			hedged = true
+			open++
+			go second()
+		}
+		if open == 0 {
+			return lost
+		}
 	}
-	return d.try(ctx, limit, direct)
 }
 
-func (d *Door) isShunned() bool {
+// hedgeAfter returns how long a call may be without an answer before it goes the
+// other way as well.
+func (d *Door) hedgeAfter(call Call, away bool) time.Duration {
+	if away || call.Feed != nil {
+		return directTime + carriedTime
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return max(hedgeLeast, hedgeTimes*d.took)
+}
+
+func (d *Door) isAway() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.Now().Before(d.shunned)
+	return d.away
+}
+
+// Probe asks the store itself, whatever became of earlier calls.
+func (d *Door) Probe(ctx context.Context, r Range) {
+	// What becomes of it is noted; there is nothing else to do with it.
+	_ = d.try(ctx, probeTime, func(ctx context.Context) error {
+		_, err := d.Direct.Get(ctx, r)
+		return err
+	})
 }
 
 func (d *Door) try(ctx context.Context, limit time.Duration, direct func(context.Context) error) error {
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
+	begun := d.Now()
 	err := direct(ctx)
 	d.mu.Lock()
+	now := d.Now()
 	switch {
 	case err == nil:
-		d.direct = d.Now()
-		d.shunned = time.Time{}
+		d.direct = now
+		d.away = false
+		d.took += (now.Sub(begun) - d.took) * tookShare / 8
 	case kind.Is(err, kind.Unavailable) || kind.Is(err, kind.Lost):
-		d.shunned = d.Now().Add(shun)
+		d.away = true
 	}
 	d.mu.Unlock()
 	d.report()
 	return err
 }
 
-func (d *Door) carry(ctx context.Context, call Call, take func(*Answer)) error {
+func (d *Door) carry(ctx context.Context, call Call) (*Answer, error) {
 	if d.Carry == nil {
-		return kind.New(kind.Unavailable, "no peer reaches the store")
+		return nil, kind.New(kind.Unavailable, "no peer reaches the store")
 	}
 	raw, err := json.Marshal(call)
 	if err != nil {
-		return kind.Wrap(kind.Internal, err, "call to the store")
+		return nil, kind.Wrap(kind.Internal, err, "call to the store")
 	}
 	ctx, cancel := context.WithTimeout(ctx, carriedTime)
 	defer cancel()
 	back, err := d.Carry(ctx, raw)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	var a Answer
 	if err := json.Unmarshal(back, &a); err != nil || (a.Page == nil) == (a.Result == nil) {
-		return kind.New(kind.Damaged, "a peer's answer for the store")
+		return nil, kind.New(kind.Damaged, "a peer's answer for the store")
 	}
-	take(&a)
 	d.mu.Lock()
 	d.carried = d.Now()
 	d.mu.Unlock()
 	d.report()
-	return nil
+	return &a, nil
 }
 
 // report tells of a change once.
--- /dev/null
+++ b/test/cluster/cluster_test.go
@@ -0,0 +1,320 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package cluster
+
+import (
+	"fmt"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"dewpass.org/internal/standin/world"
+)
+
+var _ = Describe("a calm day", func() {
+	It("runs every task of every step once, in order", func() {
+		b := start(func(o *world.Options) { o.Advice = true })
+		ids := b.submitSome(20, 4, 150, time.Second)
+		b.wantWhole(ids)
+		Expect(len(b.world.Book.Starts())).To(Equal(20 * 2 * 4))
+		Expect(b.world.Policy.Asked()).To(BeNumerically(">", 0))
+	})
+
+	It("keeps a job once, however often it is handed in", func() {
+		b := start()
+		id := b.id()
+		for _, e := range b.entries {
+			status, _, _ := b.call(e, http.MethodPost, prefix+id, chain(2, 100))
+			Expect(status).To(Equal(http.StatusOK))
+		}
+		b.wantWhole([]string{id})
+		Expect(len(b.world.Book.Starts())).To(Equal(4))
+	})
+
+	It("starts a gang all together", func() {
+		b := start()
+		id := b.submit(`{"spec":"ms=300 cpu=1000 mem=100","steps":[{"count":6,"cpu":1000,"mem_mb":100,"estimate_ms":300,"gang":true}]}`)
+		b.wantWhole([]string{id})
+		starts := b.world.Book.Starts()
+		Expect(len(starts)).To(Equal(6))
+		for _, s := range starts {
+			Expect(s.Run).To(Equal(starts[0].Run))
+		}
+	})
+
+	It("tries a task that fails again, and gives a hopeless one up", func() {
+		b := start()
+		good := b.submit(`{"spec":"ms=100 cpu=500 mem=100 fails=1","steps":[{"count":2,"cpu":500,"mem_mb":100,"estimate_ms":100}]}`)
+		bad := b.submit(`{"spec":"ms=100 cpu=500 mem=100 fails=9","steps":[{"count":1,"cpu":500,"mem_mb":100,"estimate_ms":100}]}`)
+		b.wantState(good, "succeeded")
+		b.wantState(bad, "failed")
+		Expect(len(b.world.Book.Starts())).To(Equal(4 + 2))
+		b.wantKept()
+	})
+
+	It("restarts tasks that last, until the job is cancelled", func() {
+		b := start()
+		id := b.submit(`{"spec":"lasts cpu=500 mem=100","steps":[{"count":3,"cpu":500,"mem_mb":100,"estimate_ms":100,"long_running":true,"anti_affinity":1}]}`)
+		Eventually(func() int { return len(b.world.Book.Starts()) }).Should(Equal(3))
+		victim := b.world.Book.Starts()[0].Worker
+		for _, w := range b.world.Workers {
+			if w.ID == victim {
+				b.world.Kill(w)
+			}
+		}
+		Eventually(func() int { return len(b.world.Book.Starts()) }).Should(Equal(4))
+		status, _, _ := b.call(b.entryAt(), http.MethodDelete, prefix+id, "")
+		Expect(status).To(Equal(http.StatusOK))
+		Eventually(b.running).Should(BeZero())
+		b.wantState(id, "canceled")
+		b.wantKept()
+	})
+
+	It("answers for what is not there, and for what is wrong", func() {
+		b := start()
+		status, _, _ := b.call(b.entryAt(), http.MethodGet, prefix+b.id(), "")
+		Expect(status).To(Equal(http.StatusGone))
+		status, _, _ = b.call(b.entryAt(), http.MethodGet, "/elsewhere/", "")
+		Expect(status).To(Equal(http.StatusNotFound))
+		status, _, body := b.call(b.entryAt(), http.MethodPost, prefix+b.id(), `{"steps":[{"count":0}]}`)
+		Expect(status).To(Equal(http.StatusBadRequest))
+		Expect(body).To(ContainSubstring("/steps/count"))
+	})
+
+	It("takes a new configuration within two seconds at every instance", func() {
+		b := start()
+		b.world.Configure(5, host, "/other/")
+		for _, e := range b.entries {
+			Eventually(func() int {
+				status, _, _ := b.call(e, http.MethodGet, "/other/", "")
+				return status
+			}, 2*time.Second).Should(Equal(http.StatusOK))
+			status, _, _ := b.call(e, http.MethodGet, prefix, "")
+			Expect(status).To(Equal(http.StatusNotFound))
+		}
+	})
+})
+
+// running returns how many runs have not ended.
+func (b *bed) running() int {
+	n := 0
+	for _, s := range b.world.Book.Starts() {
+		if s.Ended.IsZero() {
+			n++
+		}
+	}
+	return n
+}
+
+var _ = Describe("when an instance fails", func() {
+	It("goes on when the owner is killed", func() {
+		b := start()
+		ids := b.submitSome(8, 4, 400, 500*time.Millisecond)
+		owner := b.owner()
+		owner.kill()
+		owner.run()
+		ids = append(ids, b.submitSome(8, 4, 300, 500*time.Millisecond)...)
+		b.wantWhole(ids)
+	})
+
+	It("goes on when the owner is paused, and nobody obeys it when it wakes", func() {
+		b := start()
+		ids := b.submitSome(8, 4, 400, 500*time.Millisecond)
+		owner := b.owner()
+		owner.signal(syscall.SIGSTOP)
+		Eventually(b.owner).ShouldNot(Equal(owner))
+		owner.signal(syscall.SIGCONT)
+		ids = append(ids, b.submitSome(8, 4, 300, 500*time.Millisecond)...)
+		b.wantWhole(ids)
+	})
+
+	It("goes on when all instances are killed right after a job was accepted", func() {
+		b := start()
+		ids := b.submitSome(4, 4, 600, 100*time.Millisecond)
+		for _, e := range b.entries {
+			e.kill()
+		}
+		for _, e := range b.entries {
+			e.run()
+		}
+		b.waitReady()
+		b.wantWhole(ids)
+	})
+
+	It("stops all in turn and cuts nothing", func() {
+		b := start()
+		done := make(chan struct{})
+		var all sync.WaitGroup
+		var mu sync.Mutex
+		var cut []string
+		var ids []string
+		for range 4 {
+			all.Go(func() {
+				for {
+					select {
+					case <-done:
+						return
+					case <-time.After(20 * time.Millisecond):
+					}
+					id := b.id()
+					status, _, body := b.call(b.entryAt(), http.MethodPost, prefix+id, chain(1, 50))
+					mu.Lock()
+					switch {
+					case status == http.StatusOK:
+						ids = append(ids, id)
+					case status == 0 && !strings.Contains(body, "connection refused"):
+						cut = append(cut, body)
+					}
+					mu.Unlock()
+				}
+			})
+		}
+		for _, e := range b.entries {
+			e.signal(syscall.SIGTERM)
+			Expect(e.cmd.Wait()).To(Succeed())
+			e.run()
+			Eventually(func() int { return b.get("http://"+e.ready+"/dewpass/ready", nil) }).Should(Equal(http.StatusOK))
+		}
+		close(done)
+		all.Wait()
+		Expect(cut).To(BeEmpty())
+		b.wantWhole(ids)
+	})
+
+	It("takes changed settings on SIGHUP, and refuses bad ones", func() {
+		b := start()
+		e := b.entries[0]
+		b.write(e, "5s")
+		e.signal(syscall.SIGHUP)
+		Eventually(e.log.String).Should(ContainSubstring(`"event":"reloaded"`))
+		Expect(e.log.String()).To(ContainSubstring(`"changed":true`))
+		Expect(writeFile(e.settings, `{"instance": 3}`)).To(Succeed())
+		e.signal(syscall.SIGHUP)
+		Eventually(e.log.String).Should(ContainSubstring(`"event":"settings_refused"`))
+		status, _, _ := b.call(e, http.MethodGet, prefix, "")
+		Expect(status).To(Equal(http.StatusOK))
+	})
+})
+
+func writeFile(path, text string) error { return os.WriteFile(path, []byte(text), 0o600) }
+
+var _ = Describe("when the store fails", func() {
+	It("settles writes whose answers are lost", func() {
+		b := start()
+		b.world.Store.Fail(world.StoreFaults{Lose: 0.3})
+		ids := b.submitSome(10, 3, 100, time.Second)
+		b.world.Store.Fail(world.StoreFaults{})
+		b.wantWhole(ids)
+		Expect(len(b.world.Book.Starts())).To(Equal(10 * 2 * 3))
+	})
+
+	It("settles writes that take effect late", func() {
+		b := start()
+		b.world.Store.Fail(world.StoreFaults{Lose: 0.2, Late: time.Second})
+		ids := b.submitSome(6, 3, 100, time.Second)
+		b.world.Store.Fail(world.StoreFaults{})
+		b.wantWhole(ids)
+	})
+
+	It("refuses at once with when to come back while the store is away, and goes on", func() {
+		b := start()
+		ids := b.submitSome(4, 4, 500, 100*time.Millisecond)
+		b.world.Store.Fail(world.StoreFaults{Silent: true})
+		e := b.entryAt()
+		Eventually(func() int { return b.get("http://"+e.ready+"/dewpass/ready", nil) }).Should(Equal(http.StatusServiceUnavailable))
+		begun := time.Now()
+		status, header, _ := b.call(e, http.MethodPost, prefix+b.id(), chain(1, 50))
+		Expect(status).To(Equal(http.StatusServiceUnavailable))
+		Expect(time.Since(begun)).To(BeNumerically("<", 500*time.Millisecond))
+		after, err := strconv.Atoi(header.Get("Retry-After"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(after).To(BeNumerically(">", 0))
+		time.Sleep(2 * time.Second)
+		b.world.Store.Fail(world.StoreFaults{})
+		b.wantWhole(ids)
+	})
+
+	It("goes on when the store is slow or forgets its history", func() {
+		b := start()
+		b.world.Store.Fail(world.StoreFaults{Delay: 200 * time.Millisecond})
+		ids := b.submitSome(6, 3, 100, time.Second)
+		b.world.Store.ForgetHistory()
+		b.world.Store.Fail(world.StoreFaults{})
+		ids = append(ids, b.submitSome(4, 3, 100, 200*time.Millisecond)...)
+		b.wantWhole(ids)
+	})
+})
+
+var _ = Describe("when workers fail", func() {
+	It("settles orders whose answers are lost, or that are carried out late", func() {
+		b := start()
+		for i, w := range b.world.Workers {
+			f := world.WorkerFaults{Lose: 0.15}
+			if i%2 == 0 {
+				f.Late = 1500 * time.Millisecond
+			}
+			w.Fail(f)
+		}
+		ids := b.submitSome(8, 4, 150, time.Second)
+		time.Sleep(time.Second)
+		for _, w := range b.world.Workers {
+			w.Fail(world.WorkerFaults{})
+		}
+		b.wantWhole(ids)
+	})
+
+	It("starts the tasks of a lost worker elsewhere, once its lease is over", func() {
+		b := start()
+		ids := b.submitSome(6, 4, 1500, 100*time.Millisecond)
+		Eventually(b.running).Should(BeNumerically(">", 8))
+		b.world.Kill(b.world.Workers[0])
+		b.world.Workers[1].Fail(world.WorkerFaults{Silent: true})
+		time.Sleep(9 * time.Second)
+		b.world.Workers[1].Fail(world.WorkerFaults{})
+		b.wantWhole(ids)
+	})
+
+	It("stops using workers that fail everything, and those on which runs stand still", func() {
+		b := start()
+		b.world.Workers[0].Fail(world.WorkerFaults{FailAll: true})
+		b.world.Workers[3].Fail(world.WorkerFaults{Hang: true})
+		var ids []string
+		for range 10 {
+			ids = append(ids, b.submit(`{"spec":"ms=200 cpu=500 mem=100","steps":[{"count":3,"cpu":500,"mem_mb":100,"estimate_ms":200}]}`))
+			time.Sleep(150 * time.Millisecond)
+		}
+		for _, id := range ids {
+			b.wantState(id, "succeeded")
+		}
+		b.wantKept()
+		onBad := 0
+		for _, s := range b.world.Book.Starts() {
+			if s.Worker == b.world.Workers[0].ID || s.Worker == b.world.Workers[3].ID {
+				onBad++
+			}
+		}
+		Expect(onBad).To(BeNumerically("<", 20), fmt.Sprint(len(b.world.Book.Starts()), " starts"))
+	})
+
+	It("starts nothing on a worker that leaves, two seconds after it said so", func() {
+		b := start()
+		w := b.world.Workers[2]
+		b.world.Drain(w)
+		told := time.Now()
+		time.Sleep(1500 * time.Millisecond)
+		ids := b.submitSome(20, 4, 100, 2*time.Second)
+		b.wantWhole(ids)
+		for _, s := range b.world.Book.Starts() {
+			if s.Worker == w.ID {
+				Expect(s.Begun.Sub(told)).To(BeNumerically("<", 2*time.Second))
+			}
+		}
+	})
+})
