--- /dev/null
+++ b/cell/cell_test.go
@@ -0,0 +1,374 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package cell
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"dewpass.org/flow"
+	"dewpass.org/sched"
+)
+
+func TestCell(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "cell")
+}
+
+// rig is a cell with some workers and a clock.
+type rig struct {
+	*Cell
+	now   time.Time
+	ends  map[string]int
+	asked []Ask
+}
+
+const plenty = 1 << 30
+
+func vec(cpu, mem int64) sched.Vec {
+	return sched.Vec{sched.Milli: cpu, sched.MiB: mem, sched.Slots: plenty, sched.Conns: plenty}
+}
+
+func demand(cpu int64) sched.Vec { return sched.Vec{sched.Milli: cpu, sched.MiB: 100} }
+
+func newRig(workers int) *rig {
+	r := &rig{Cell: New(1 << 12), now: time.Unix(1_000_000, 0), ends: make(map[string]int)}
+	r.Configure([]Queue{{Name: "q", Pool: "p", MaxAttempts: 2, Stretch: 1.5, Target: time.Second}})
+	for i := range workers {
+		id := fmt.Sprintf("w%d", i)
+		r.heard(id, func(*Worker) {})
+		r.Attached(id, Lists{}, r.now)
+	}
+	return r
+}
+
+func (r *rig) heard(id string, change func(*Worker)) {
+	w := Worker{ID: id, Addr: id, Pool: "p", Hall: "h", Rack: "r", Labels: []string{"a", "r"}, Room: vec(4000, 8000)}
+	change(&w)
+	r.Heard(w, r.now)
+}
+
+// add submits a job and has it kept.
+func (r *rig) add(id string, steps ...flow.Step) {
+	r.Submit(&flow.Spec{ID: id, Queue: "q", Steps: steps}, r.now)
+	r.Keep(id)
+}
+
+// place decides, and lets the store keep what has to be kept first.
+func (r *rig) place() Actions {
+	a := r.Place(r.now, r.now, 4)
+	r.save()
+	b := r.Place(r.now, r.now, 4)
+	return Actions{
+		Starts: append(a.Starts, b.Starts...), Stops: append(a.Stops, b.Stops...), Asks: append(a.Asks, b.Asks...),
+	}
+}
+
+func (r *rig) save() { r.Saved(r.Saves(100), true) }
+
+// startAll accepts all starts.
+func (r *rig) startAll() []Start {
+	starts := r.place().Starts
+	for _, s := range starts {
+		r.Started(s.Worker, s.Task, s.Run, Accepted, r.now)
+	}
+	return starts
+}
+
+// end lists the end of a run.
+func (r *rig) end(s Start, how flow.End) {
+	r.ends[s.Worker]++
+	r.Listed(s.Worker, Lists{Finished: []Finished{{Number: r.ends[s.Worker], Task: s.Task, Run: s.Run, How: how}}, Cut: true}, r.now, r.now)
+}
+
+var _ = Describe("a job", func() {
+	It("opens a step once all tasks of the steps before are done", func() {
+		r := newRig(2)
+		r.add("j", flow.Step{Count: 2, Demand: demand(1000)}, flow.Step{Count: 1, Demand: demand(1000), After: []int{0}})
+		starts := r.startAll()
+		Expect(starts).To(HaveLen(2))
+		r.end(starts[0], flow.EndDone)
+		Expect(r.startAll()).To(BeEmpty())
+		r.end(starts[1], flow.EndDone)
+		last := r.startAll()
+		Expect(last).To(HaveLen(1))
+		r.end(last[0], flow.EndDone)
+		s, _ := r.State("j")
+		Expect(s).To(Equal(flow.Running), "not shown before it is kept")
+		r.save()
+		s, _ = r.State("j")
+		Expect(s).To(Equal(flow.Succeeded))
+	})
+
+	It("keeps its state when it is handed in again after its end", func() {
+		r := newRig(1)
+		r.add("j", flow.Step{Count: 1, Demand: demand(1000)})
+		r.end(r.startAll()[0], flow.EndDone)
+		r.save()
+		r.add("j", flow.Step{Count: 1, Demand: demand(1000)})
+		s, _ := r.State("j")
+		Expect(s).To(Equal(flow.Succeeded))
+	})
+
+	It("is done with a gang once, however many members say so", func() {
+		r := newRig(2)
+		r.add("j",
+			flow.Step{Count: 3, Demand: demand(1000), Gang: true},
+			flow.Step{Count: 1, Demand: demand(1000), After: []int{0}},
+			flow.Step{Count: 1, Demand: demand(1000), After: []int{1}})
+		gang := r.startAll()
+		Expect(gang).To(HaveLen(3))
+		for _, s := range gang {
+			r.end(s, flow.EndDone)
+		}
+		Expect(r.place().Stops).To(BeEmpty(), "the others end by themselves")
+		r.save()
+		s, _ := r.State("j")
+		Expect(s).To(Equal(flow.Running))
+	})
+
+	It("starts a gang all together or not at all", func() {
+		r := newRig(1)
+		r.add("j", flow.Step{Count: 5, Demand: demand(1000), Gang: true})
+		Expect(r.startAll()).To(BeEmpty())
+		r.heard("w9", func(*Worker) {})
+		r.Attached("w9", Lists{}, r.now)
+		Expect(r.startAll()).To(HaveLen(5))
+	})
+
+	It("fails when a task has failed as often as the queue allows, counted by run", func() {
+		r := newRig(1)
+		r.add("j", flow.Step{Count: 1, Demand: demand(1000)})
+		first := r.startAll()[0]
+		r.end(first, flow.EndFailed)
+		r.end(first, flow.EndFailed)
+		second := r.startAll()
+		Expect(second).To(HaveLen(1), "the same end twice is one attempt")
+		Expect(second[0].Run).To(BeNumerically(">", first.Run))
+		r.end(second[0], flow.EndFailed)
+		r.save()
+		s, _ := r.State("j")
+		Expect(s).To(Equal(flow.Failed))
+	})
+
+	It("starts nothing before the store knows that the step is open", func() {
+		r := newRig(1)
+		r.add("j", flow.Step{Count: 1, Demand: demand(1000)})
+		Expect(r.Place(r.now, r.now, 0).Starts).To(BeEmpty())
+		r.Saved(r.Saves(100), false)
+		Expect(r.Place(r.now, r.now, 0).Starts).To(BeEmpty())
+		r.save()
+		Expect(r.Place(r.now, r.now, 0).Starts).To(HaveLen(1))
+	})
+
+	It("starts without the store while the cell is loose", func() {
+		r := newRig(1)
+		r.add("j", flow.Step{Count: 1, Demand: demand(1000)})
+		r.Loose(true)
+		Expect(r.Place(r.now, r.now, 0).Starts).To(HaveLen(1))
+	})
+
+	It("starts a time of a repeated job when it falls due", func() {
+		r := newRig(1)
+		spec := &flow.Spec{ID: "j", Queue: "q", Times: 2, StartMS: r.now.Add(time.Second).UnixMilli(), EveryMS: 1000, Steps: []flow.Step{{Count: 1, Demand: demand(100)}}}
+		r.Submit(spec, r.now)
+		r.Keep("j")
+		Expect(r.startAll()).To(BeEmpty())
+		r.now = r.now.Add(1100 * time.Millisecond)
+		Expect(r.startAll()).To(HaveLen(1))
+		r.now = r.now.Add(time.Second)
+		Expect(r.startAll()).To(HaveLen(1))
+	})
+
+	It("stops all that runs when it is cancelled", func() {
+		r := newRig(1)
+		r.add("j", flow.Step{Count: 2, Demand: demand(1000), Lasting: true})
+		Expect(r.startAll()).To(HaveLen(2))
+		Expect(r.Cancel("j", r.now)).To(BeTrue())
+		Expect(r.place().Stops).To(HaveLen(2))
+	})
+})
+
+var _ = Describe("a worker", func() {
+	It("is never given more than it has", func() {
+		r := newRig(2)
+		r.add("j", flow.Step{Count: 20, Demand: demand(1500)})
+		Expect(r.startAll()).To(HaveLen(4))
+		Expect(r.startAll()).To(BeEmpty())
+	})
+
+	It("keeps its room taken until a stop is listed as ended", func() {
+		r := newRig(1)
+		r.add("a", flow.Step{Count: 1, Demand: demand(3000), Lasting: true})
+		s := r.startAll()[0]
+		r.Cancel("a", r.now)
+		r.place()
+		r.add("b", flow.Step{Count: 1, Demand: demand(3000)})
+		Expect(r.startAll()).To(BeEmpty())
+		r.end(s, flow.EndStopped)
+		Expect(r.startAll()).To(HaveLen(1))
+	})
+
+	It("gets nothing while an order's answer is lost, and its runs start elsewhere only when it is certain", func() {
+		r := newRig(2)
+		r.add("j", flow.Step{Count: 1, Demand: demand(4000)})
+		s := r.place().Starts[0]
+		r.Unsure(s.Worker, r.now)
+		Expect(r.startAll()).To(BeEmpty())
+		r.Attached(s.Worker, Lists{}, r.now)
+		again := r.startAll()
+		Expect(again).To(HaveLen(1))
+		Expect(again[0].Run).To(BeNumerically(">", s.Run))
+	})
+
+	It("gives up its runs when its lease is over", func() {
+		r := newRig(2)
+		r.add("j", flow.Step{Count: 1, Demand: demand(4000)})
+		s := r.startAll()[0]
+		r.Unsure(s.Worker, r.now)
+		Expect(r.startAll()).To(BeEmpty())
+		r.Lapsed(s.Worker, r.now)
+		again := r.startAll()
+		Expect(again).To(HaveLen(1))
+		Expect(again[0].Worker).NotTo(Equal(s.Worker))
+	})
+
+	It("gets nothing more while an order goes without an answer", func() {
+		r := newRig(1)
+		r.Silent("w0", true)
+		r.add("j", flow.Step{Count: 1, Demand: demand(1000)})
+		Expect(r.startAll()).To(BeEmpty())
+		r.Silent("w0", false)
+		Expect(r.startAll()).To(HaveLen(1))
+	})
+
+	It("gets nothing while it leaves, and what lasts is moved away", func() {
+		r := newRig(2)
+		r.add("j", flow.Step{Count: 1, Demand: demand(1000), Lasting: true})
+		s := r.startAll()[0]
+		r.Listed(s.Worker, Lists{Running: []Running{{Task: s.Task, Run: s.Run, Percent: 100}}}, r.now, r.now)
+		r.heard(s.Worker, func(w *Worker) { w.Draining, w.Remaining = true, 2*time.Second })
+		Expect(r.place().Stops).To(HaveLen(1))
+		r.end(s, flow.EndStopped)
+		again := r.startAll()
+		Expect(again).To(HaveLen(1))
+		Expect(again[0].Worker).NotTo(Equal(s.Worker))
+	})
+
+	It("is on probation after two failures in a row", func() {
+		r := newRig(1)
+		r.add("a", flow.Step{Count: 2, Demand: demand(1000)})
+		for _, s := range r.startAll() {
+			r.end(s, flow.EndFailed)
+		}
+		r.add("b", flow.Step{Count: 1, Demand: demand(1000)})
+		Expect(r.startAll()).To(BeEmpty())
+		r.now = r.now.Add(probation + time.Millisecond)
+		Expect(r.startAll()).To(HaveLen(1), "one run to see how it ends")
+	})
+
+	It("has a run stopped that stands still", func() {
+		r := newRig(2)
+		r.add("j", flow.Step{Count: 1, Demand: demand(1000), EstimateMS: 800})
+		s := r.startAll()[0]
+		row := Lists{Running: []Running{{Task: s.Task, Run: s.Run, Percent: 10}}}
+		r.Listed(s.Worker, row, r.now, r.now)
+		r.now = r.now.Add(stallLeast + 10*time.Millisecond)
+		r.Listed(s.Worker, row, r.now, r.now)
+		Expect(r.place().Stops).To(HaveLen(1))
+	})
+
+	It("observes an end only once the store has it", func() {
+		r := newRig(1)
+		r.add("j", flow.Step{Count: 1, Demand: demand(1000)})
+		r.end(r.startAll()[0], flow.EndDone)
+		saves := r.Saves(100)
+		Expect(r.Observed("w0")).To(BeZero())
+		r.Saved(saves, false)
+		Expect(r.Observed("w0")).To(BeZero())
+		r.save()
+		Expect(r.Observed("w0")).To(Equal(1))
+	})
+})
+
+var _ = Describe("a change of owner", func() {
+	record := func(opened bool) *flow.Record {
+		return &flow.Record{State: flow.Running, Stages: []flow.StageRecord{{Opened: opened}}}
+	}
+	spec := &flow.Spec{ID: "j", Queue: "q", Steps: []flow.Step{{Count: 1, Demand: demand(1000)}}}
+
+	It("takes on what runs, and starts nothing twice", func() {
+		r := newRig(0)
+		r.Restore(spec, record(true), r.now)
+		r.heard("w0", func(*Worker) {})
+		row := Running{Task: flow.TaskID{Job: "j"}, Run: 4097, Percent: 50}
+		r.Attached("w0", Lists{Running: []Running{row}}, r.now)
+		Expect(r.startAll()).To(BeEmpty())
+		r.Listed("w0", Lists{Finished: []Finished{{Number: 9, Task: row.Task, Run: row.Run, How: flow.EndDone}}}, r.now, r.now)
+		r.save()
+		s, _ := r.State("j")
+		Expect(s).To(Equal(flow.Succeeded))
+	})
+
+	It("waits with a step that was open for a worker that may run it", func() {
+		r := newRig(1)
+		r.heard("w9", func(*Worker) {})
+		r.Restore(spec, record(true), r.now)
+		Expect(r.startAll()).To(BeEmpty())
+		r.Lapsed("w9", r.now)
+		Expect(r.startAll()).To(HaveLen(1))
+	})
+
+	It("does not wait with a step that was not open, unless that is in doubt", func() {
+		r := newRig(1)
+		r.heard("w9", func(*Worker) {})
+		r.Doubt()
+		r.Restore(spec, record(false), r.now)
+		Expect(r.startAll()).To(BeEmpty())
+		r.doubtful = false
+		Expect(r.startAll()).To(HaveLen(1))
+	})
+
+	It("stops what belongs to no job", func() {
+		r := newRig(0)
+		r.heard("w0", func(*Worker) {})
+		r.Attached("w0", Lists{Running: []Running{{Task: flow.TaskID{Job: "gone"}, Run: 5}}}, r.now)
+		Expect(r.place().Stops).To(HaveLen(1))
+	})
+})
+
+var _ = Describe("a policy", func() {
+	advised := func() *rig {
+		r := newRig(2)
+		r.Configure([]Queue{{Name: "q", Pool: "p", MaxAttempts: 2, Stretch: 1.5, Advice: &Advice{Decide: 10 * time.Millisecond, Valid: time.Second}}})
+		r.add("j", flow.Step{Count: 1, Demand: demand(1000)})
+		return r
+	}
+
+	It("is asked, and only the workers that it names get the step, with their ticket", func() {
+		r := advised()
+		a := r.place()
+		Expect(a.Starts).To(BeEmpty())
+		Expect(a.Asks).To(HaveLen(1))
+		r.Advised(a.Asks[0], []Ticket{{Worker: "w1", Text: "t"}}, time.Second, r.now)
+		starts := r.startAll()
+		Expect(starts).To(HaveLen(1))
+		Expect(starts[0].Worker).To(Equal("w1"))
+		Expect(starts[0].Ticket).To(Equal("t"))
+	})
+
+	It("is asked again when its tickets have ended", func() {
+		r := advised()
+		a := r.place()
+		r.Advised(a.Asks[0], []Ticket{{Worker: "w1", Text: "t"}}, time.Second, r.now)
+		r.now = r.now.Add(time.Second)
+		again := r.place()
+		Expect(again.Starts).To(BeEmpty())
+		Expect(again.Asks).To(HaveLen(1))
+		Expect(again.Asks[0].Workers).To(Equal([]string{"w1"}))
+	})
+})
--- a/cell/ends.go
+++ b/cell/ends.go
@@ -31,7 +31,6 @@
 		c.done(s, f.Task.Index, now)
 	case flow.EndFailed:
 		c.counts.Failed++
-		w.health.bad(now)
 		c.failed(s, f, w, now)
 	case flow.EndStopped, flow.EndBroken, flow.EndAlone:
 		c.counts.Stopped++
@@ -119,8 +118,10 @@
 func (c *Cell) failed(s *stage, f Finished, w *worker, now time.Time) {
 	t := &s.tasks[f.Task.Index]
 	if slices.Contains(t.fails, f.Run) {
+		// A former owner has taken note of it.
 		return
 	}
+	w.health.bad(now)
 	if !slices.Contains(t.avoid, w.ID) {
 		t.avoid = append(t.avoid, w.ID)
 	}
--- a/cell/job.go
+++ b/cell/job.go
@@ -58,6 +58,8 @@
 	// opened says that the store knows that tasks may have been started, and
 	// opening that it has to be told.
 	opened, opening bool
+	// inherited says that a former owner had opened it.
+	inherited bool
 }
 
 type job struct {
@@ -217,7 +219,7 @@
 		return s
 	}
 	old := &rec.Stages[at]
-	s.opened = old.Opened
+	s.opened, s.inherited = old.Opened, old.Opened
 	for i := range s.tasks {
 		t := &s.tasks[i]
 		t.saved, t.fails = old.Saved[i], old.Fails[i]
--- a/cell/place.go
+++ b/cell/place.go
@@ -77,7 +77,7 @@
 			}
 		}
 		s.moving = false
-		if s.waiting == 0 || s.before > 0 || !s.job.kept || (s.job.restored && unsettled && (s.opened || c.doubtful)) {
+		if s.waiting == 0 || s.before > 0 || !s.job.kept || (s.job.restored && unsettled && (s.inherited || c.doubtful)) {
 			continue
 		}
 		if s.def.Gang {
