--- a/cluster/node.go
+++ b/cluster/node.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"maps"
+	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -17,6 +18,7 @@
 	"dewpass.org/claim"
 	"dewpass.org/config"
 	"dewpass.org/driver"
+	"dewpass.org/internal/drain"
 	"dewpass.org/internal/sock"
 	"dewpass.org/kind"
 	"dewpass.org/link"
@@ -66,6 +68,8 @@
 	dialer  *link.Dialer
 	server  *link.Server
 	leaving atomic.Bool
+	clients net.Listener
+	conns   drain.Conns
 	began   time.Time
 
 	// names are those of all cells.
@@ -190,17 +194,18 @@
 	}
 	go n.server.Serve(peers)
 	c := n.settings.Cluster
-	front, err := serve(ctx, "/listen/http", n.settings.Listen.HTTP, n.Front(n))
+	front, clients, err := serve(ctx, "/listen/http", n.settings.Listen.HTTP, n.Front(n), n.conns.Note)
 	if err != nil {
 		return nil, err
 	}
-	ready, err := serve(ctx, "/cluster/ready", c.Ready, n.Ready(n.ready))
+	n.clients = clients
+	ready, _, err := serve(ctx, "/cluster/ready", c.Ready, n.Ready(n.ready), nil)
 	if err != nil {
 		return nil, err
 	}
 	servers := []*http.Server{front, ready}
 	if c.Metrics != "" && n.kit.Metrics != nil {
-		metrics, err := serve(ctx, "/cluster/metrics", c.Metrics, n.kit.Metrics)
+		metrics, _, err := serve(ctx, "/cluster/metrics", c.Metrics, n.kit.Metrics, nil)
 		if err != nil {
 			return nil, err
 		}
@@ -215,15 +220,15 @@
 	maxHeader  = 16 << 10
 )
 
-func serve(ctx context.Context, path, addr string, h http.Handler) (*http.Server, error) {
+func serve(ctx context.Context, path, addr string, h http.Handler, note func(net.Conn, http.ConnState)) (*http.Server, net.Listener, error) {
 	l, err := sock.Listen(ctx, addr)
 	if err != nil {
-		return nil, kind.At(kind.BadSettings, path, err.Error())
+		return nil, nil, kind.At(kind.BadSettings, path, err.Error())
 	}
-	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime, MaxHeaderBytes: maxHeader}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime, MaxHeaderBytes: maxHeader, ConnState: note}
 	// Serve ends with the server; there is nobody to tell.
 	go func() { _ = s.Serve(l) }()
-	return s, nil
+	return s, l, nil
 }
 
 // ready reports whether clients may be sent here.
@@ -278,6 +283,21 @@
 	handoverMax = 1500 * time.Millisecond
 )
 
+// notice is how long the platform may still send new clients here after this
+// instance said that it is not ready.
+const notice = 2500 * time.Millisecond
+
+// drain serves on until the platform sends nobody new, takes no more
+// connections then, and waits until clients have closed theirs.
+func (n *Node) drain(until time.Time) {
+	ctx, cancel := context.WithDeadline(context.Background(), until)
+	defer cancel()
+	sleep(ctx, notice)
+	// Shutdown closes it again, which is no error.
+	_ = n.clients.Close()
+	n.conns.Wait(ctx)
+}
+
 // stop hands the cell on, lets what is in progress end, and closes.
 func (n *Node) stop(servers []*http.Server) {
 	grace := n.timesNow().grace
@@ -287,7 +307,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), handoverMax)
 	n.handOver(ctx)
 	cancel()
-	time.Sleep(time.Until(linger))
+	n.drain(linger)
 	ctx, cancel = context.WithDeadline(context.Background(), linger.Add(grace/10))
 	defer cancel()
 	for _, s := range servers {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -17,6 +17,7 @@
 	"dewpass.org/front"
 	"dewpass.org/hall"
 	"dewpass.org/internal/clock"
+	"dewpass.org/internal/drain"
 	"dewpass.org/keys"
 	"dewpass.org/kind"
 	"dewpass.org/link"
@@ -45,6 +46,8 @@
 	dialer   *link.Dialer
 	server   *link.Server
 	http     *http.Server
+	callers  net.Listener
+	conns    drain.Conns
 
 	leaving atomic.Bool
 	spread  spread
@@ -58,7 +61,9 @@
 	// leaveNotice is how long a leaving instance still takes connections, so
 	// that callers that keep theirs open are told to close it.
 	leaveNotice = time.Second
-	flushTime   = 3 * time.Second
+	// lingerTime bounds the wait for callers to close their connections.
+	lingerTime = 4 * time.Second
+	flushTime  = 3 * time.Second
 )
 
 // Run runs an instance until ctx ends, and then stops it as planned.
@@ -74,6 +79,7 @@
 	if err != nil {
 		return err
 	}
+	e.callers = lh
 	e.start(work, lh, lp)
 	level.Info(kit.Log).Log("msg", "started", "http", s.Listen.HTTP, "peer", s.Listen.Peer, "boot", e.boot)
 	<-ctx.Done()
@@ -137,6 +143,7 @@
 	}
 	e.http = &http.Server{
 		Handler:           e.closing(e.front.Handler()),
+		ConnState:         e.conns.Note,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeader,
@@ -212,7 +219,7 @@
 		e.keeper.Run(keeping)
 	}()
 	go func() {
-		if err := e.http.Serve(callers); err != nil && err != http.ErrServerClosed {
+		if err := e.http.Serve(callers); err != nil && err != http.ErrServerClosed && !e.leaving.Load() {
 			level.Error(e.kit.Log).Log("msg", "callers cannot be served", "err", err)
 		}
 	}()
@@ -235,6 +242,7 @@
 	<-e.reader.keeperDone
 	e.keeper.Leave(ctx)
 	wait(ctx, leaveNotice)
+	e.lingerFor(ctx)
 	if err := e.http.Shutdown(ctx); err != nil {
 		level.Warn(e.kit.Log).Log("msg", "calls were cut", "err", err)
 	}
@@ -248,6 +256,16 @@
 	e.workers.Close()
 }
 
+// lingerFor takes no new connections, and waits until the callers have closed
+// theirs: a request may just have been written to one that looks idle.
+func (e *Entry) lingerFor(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, lingerTime)
+	defer cancel()
+	// Shutdown closes it again, which is no error.
+	_ = e.callers.Close()
+	e.conns.Wait(ctx)
+}
+
 func wait(ctx context.Context, d time.Duration) {
 	select {
 	case <-time.After(d):
