--- /dev/null
+++ b/claim/claim_test.go
@@ -0,0 +1,137 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package claim
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"dewpass.org/kind"
+	"dewpass.org/rows"
+)
+
+func TestClaim(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "claim")
+}
+
+// table is a store of one row, with answers that can be lost.
+type table struct {
+	mu  sync.Mutex
+	row rows.Row
+	ver uint64
+	// lose says of each write, in turn, whether it takes effect without an
+	// answer (1), later (2), or never (3).
+	lose []int
+	late []rows.Tx
+}
+
+func (t *table) apply(tx rows.Tx) rows.Result {
+	if tx.Expect[0].Ver != t.row.Ver {
+		return rows.Result{Refused: true, Rows: []rows.Row{t.row}}
+	}
+	t.ver++
+	t.row = tx.Put[0]
+	t.row.Ver = t.ver
+	return rows.Result{Ver: t.ver}
+}
+
+func (t *table) Tx(_ context.Context, tx rows.Tx) (rows.Result, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	how := 0
+	if len(t.lose) > 0 {
+		how, t.lose = t.lose[0], t.lose[1:]
+	}
+	switch how {
+	case 1:
+		t.apply(tx)
+		return rows.Result{}, kind.New(kind.Lost, "no answer")
+	case 2:
+		t.late = append(t.late, tx)
+		return rows.Result{}, kind.New(kind.Lost, "no answer")
+	case 3:
+		return rows.Result{}, kind.New(kind.Lost, "no answer")
+	}
+	return t.apply(tx), nil
+}
+
+func (t *table) Get(context.Context, rows.Range) (rows.Page, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.row.Ver == 0 {
+		return rows.Page{}, nil
+	}
+	return rows.Page{Rows: []rows.Row{t.row}, Ver: t.ver}, nil
+}
+
+func (t *table) Feed(context.Context, rows.Since) (rows.Page, error) { return rows.Page{}, nil }
+
+func claimOf(s rows.Store, owner string) *Claim {
+	return &Claim{Store: s, Cell: "c", Owner: owner, Boot: owner + "-boot", Addr: owner}
+}
+
+func take(ctx context.Context, c *Claim) {
+	GinkgoHelper()
+	seat, ver, err := c.Read(ctx)
+	Expect(err).NotTo(HaveOccurred())
+	Expect(c.Take(ctx, seat, ver)).To(Succeed())
+}
+
+var _ = Describe("a seat", func() {
+	It("has one owner, whose writes others end", func(ctx context.Context) {
+		t := &table{}
+		a, b := claimOf(t, "a"), claimOf(t, "b")
+		take(ctx, a)
+		take(ctx, b)
+		Expect(b.Epoch()).To(BeNumerically(">", a.Epoch()))
+		_, err := a.Commit(ctx, rows.Tx{})
+		Expect(kind.Is(err, kind.Fenced)).To(BeTrue())
+		held, err := a.Held(ctx)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(held).To(BeFalse())
+	})
+
+	It("is taken by one of two that saw it free", func(ctx context.Context) {
+		t := &table{}
+		a, b := claimOf(t, "a"), claimOf(t, "b")
+		seat, ver, _ := a.Read(ctx)
+		Expect(a.Take(ctx, seat, ver)).To(Succeed())
+		Expect(kind.Is(b.Take(ctx, seat, ver), kind.Fenced)).To(BeTrue())
+	})
+
+	It("settles a write whose answer was lost, done or not", func(ctx context.Context) {
+		t := &table{}
+		a := claimOf(t, "a")
+		take(ctx, a)
+		for _, how := range []int{1, 3} {
+			before := t.ver
+			t.lose = []int{how}
+			_, err := a.Commit(ctx, rows.Tx{})
+			Expect(err).NotTo(HaveOccurred())
+			Expect(t.ver).To(Equal(before+1), "written once")
+		}
+	})
+
+	It("is released although an earlier write comes late", func(ctx context.Context) {
+		t := &table{}
+		a := claimOf(t, "a")
+		take(ctx, a)
+		// The answer of this write is never waited for, as at a planned stop.
+		t.lose = []int{2, 3, 3, 3}
+		short, cancel := context.WithTimeout(ctx, 20*time.Millisecond)
+		_, err := a.Commit(short, rows.Tx{})
+		cancel()
+		Expect(err).To(HaveOccurred())
+		t.lose = nil
+		t.apply(t.late[0])
+		Expect(a.Release(ctx)).To(Succeed())
+		seat, _, _ := a.Read(ctx)
+		Expect(seat.Owner).To(BeEmpty())
+	})
+})
