--- a/cell/place.go
+++ b/cell/place.go
@@ -370,4 +370,3 @@
 // settleShare keeps a job in its hall unless another one has several times the
 // room.
 const settleShare = 4
-
--- a/cluster/accept.go
+++ b/cluster/accept.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/go-kit/log/level"
+	"github.com/uber-go/tally/v4"
 
 	"dewpass.org/driver"
 	"dewpass.org/flow"
@@ -37,17 +38,22 @@
 	ctx, cancel := context.WithTimeout(ctx, acceptTime)
 	defer cancel()
 	if !n.door.Reachable() {
-		level.Info(n.kit.Log).Log("event", "refused", "job", spec.ID, "why", "the store is not reached")
+		level.Info(n.kit.Log).Log("event", "refused", "job", spec.ID, "why", "the store is not reached", "last", true)
+		n.kit.Scope.Counter("jobs_refused_total").Inc(1)
 		return kind.New(kind.Unavailable, "the store is not reached").After(comeBack)
 	}
-	spec.AcceptedMS = time.Now().UnixMilli()
+	begun := time.Now()
+	spec.AcceptedMS = begun.UnixMilli()
 	cell := n.choose(spec)
 	fresh, err := n.keep(ctx, &cell, spec)
 	if err != nil {
-		level.Info(n.kit.Log).Log("event", "not_kept", "job", spec.ID, "cell", cell, "err", err)
+		level.Info(n.kit.Log).Log("event", "not_kept", "job", spec.ID, "cell", cell, "err", err, "last", true)
+		n.kit.Scope.Counter("jobs_not_kept_total").Inc(1)
 		return err
 	}
 	level.Info(n.kit.Log).Log("event", "accepted", "job", spec.ID, "queue", spec.Queue, "cell", cell, "fresh", fresh, "took_ms", time.Now().UnixMilli()-spec.AcceptedMS)
+	n.kit.Scope.Counter("jobs_accepted_total").Inc(1)
+	n.kit.Scope.Histogram("accept_seconds", latency).RecordDuration(time.Since(begun))
 	n.homes.set(spec.ID, cell)
 	// The same write may have gone two ways, and the answer may be that of the
 	// second: the owner is told in any case.
@@ -109,6 +115,9 @@
 	}
 }
 
+// latency holds the bounds of the histograms of waits.
+var latency = tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 14)
+
 type kept struct {
 	res rows.Result
 	err error
--- a/cmd/dewpass/main.go
+++ b/cmd/dewpass/main.go
@@ -70,6 +70,7 @@
 			jobsCommand(),
 			statusCommand(),
 			settingsCommand(),
+			explainCommand(),
 		},
 	}
 }
--- a/driver/commit.go
+++ b/driver/commit.go
@@ -203,6 +203,8 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.took = time.Since(begun)
+	d.Scope.Histogram("write_seconds", latency).RecordDuration(d.took)
+	d.Scope.Counter("write_rows_total").Inc(int64(len(t.Put)))
 	d.isLoose = loose && err == nil
 	d.cell.Saved(saves, err == nil)
 	poke(d.wake)
@@ -212,12 +214,22 @@
 		return false
 	}
 	d.announce()
+	d.logEnded(saves)
 	if d.cell.Dirty() {
 		poke(d.write)
 	}
 	return true
 }
 
+// logEnded logs the jobs that are over and kept: the last word on each.
+func (d *Driver) logEnded(saves []cell.Save) {
+	for _, s := range saves {
+		if s.Record.State.Final() {
+			level.Info(d.Log).Log("event", "job_ended", "job", s.ID, "state", s.Record.State, "epoch", d.Seat.Epoch(), "last", true)
+		}
+	}
+}
+
 // announce tells those who wait that something was kept. The lock is held.
 func (d *Driver) announce() {
 	close(d.kept)
--- a/driver/driver.go
+++ b/driver/driver.go
@@ -16,6 +16,7 @@
 	"dewpass.org/flow"
 	"dewpass.org/kind"
 	"dewpass.org/rows"
+	"dewpass.org/sched"
 )
 
 // Config is what a Driver works with.
@@ -79,6 +80,9 @@
 	write chan struct{}
 }
 
+// latency holds the bounds of the histograms of waits.
+var latency = tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 14)
+
 const (
 	// runsPerEpoch is how many numbers for runs of one task an epoch has.
 	runsPerEpoch = 1 << 12
@@ -314,11 +318,25 @@
 func (d *Driver) expire(now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.report()
 	for _, id := range d.cell.Expire(d.Keep, now) {
 		d.removals = append(d.removals, SpecKey(id), RecordKey(d.Name, id), HomeKey(id))
 	}
 }
 
+// report sets the gauges of the cell. The lock is held.
+func (d *Driver) report() {
+	counts, load := d.cell.Counts(), d.cell.Load()
+	for name, v := range map[string]float64{
+		"runs_started": float64(counts.Started), "runs_done": float64(counts.Done), "runs_failed": float64(counts.Failed),
+		"runs_stopped": float64(counts.Stopped), "runs_lapsed": float64(counts.Lapsed),
+		"workers": float64(load.Workers), "workers_attached": float64(load.Attached), "stages_waiting": float64(load.Stages),
+		"room_millicores": float64(load.Room[sched.Milli]), "free_millicores": float64(load.Free[sched.Milli]),
+	} {
+		d.Scope.Gauge(name).Update(v)
+	}
+}
+
 // place lets the cell decide and carries it out.
 func (d *Driver) place(now time.Time) {
 	d.mu.Lock()
--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -21,6 +21,7 @@
 	"go.opentelemetry.io/otel/trace"
 	"go.opentelemetry.io/otel/trace/noop"
 
+	"dewpass.org/internal/logq"
 	"dewpass.org/kind"
 )
 
@@ -64,16 +65,23 @@
 
 // New returns the kit of an instance.
 func New(ctx context.Context, o Options) (*Kit, error) {
-	k := &Kit{Log: newLogger(o)}
+	queue := logq.New(o.Output)
+	k := &Kit{Log: newLogger(o, queue)}
 	k.metrics(o)
+	k.Scope.Gauge("log_lines_dropped").Update(0)
+	k.close = append(k.close, func(context.Context) error {
+		k.Scope.Gauge("log_lines_dropped").Update(float64(queue.Dropped()))
+		queue.Close()
+		return nil
+	})
 	if err := k.traces(ctx, o); err != nil {
 		return nil, err
 	}
 	return k, nil
 }
 
-func newLogger(o Options) log.Logger {
-	l := log.NewJSONLogger(log.NewSyncWriter(o.Output))
+func newLogger(o Options, out io.Writer) log.Logger {
+	l := log.NewJSONLogger(out)
 	allowed := level.AllowInfo()
 	if o.Debug {
 		allowed = level.AllowDebug()
