--- a/cluster/elect.go
+++ b/cluster/elect.go
@@ -27,6 +27,8 @@
 	watchAfter = 600 * time.Millisecond
 	electTime  = 3 * time.Second
 	probeTime  = 250 * time.Millisecond
+	// slowRead is how long a read takes at a store that is too slow to wait for.
+	slowRead = 80 * time.Millisecond
 )
 
 // vacancy is what an instance knows of a seat whose owner it does not hear.
@@ -80,11 +82,14 @@
 		Store: n.door, Cell: name, Owner: n.settings.Instance,
 		Boot: n.boot, Addr: n.settings.Listen.Peer,
 	}
+	begun := time.Now()
 	seat, ver, err := c.Read(ctx)
 	if err != nil {
 		return
 	}
 	now := time.Now()
+	// With a slow store the first stages open without waiting for it.
+	c.Loose = now.Sub(begun) > slowRead
 	if seat.Mark != v.mark {
 		v.mark, v.seen = seat.Mark, now
 	}
--- a/driver/driver.go
+++ b/driver/driver.go
@@ -112,6 +112,9 @@
 		write:  make(chan struct{}, 1),
 		began:  time.Now(),
 	}
+	if c.Seat.Loose {
+		d.isLoose, d.took = true, 2*slowWrite
+	}
 	if c.Doubt {
 		d.cell.Doubt()
 	}
