--- a/cluster/elect.go
+++ b/cluster/elect.go
@@ -65,11 +65,14 @@
 }
 
 // rank returns how many live instances go before this one as owners of a cell,
-// up to a bound.
+// up to a bound: those with more of a processor, and by lot among equals.
 func (n *Node) rank(name string, now time.Time) int {
-	own := draw(name + "/" + n.settings.Instance)
+	own, share := draw(name+"/"+n.settings.Instance), n.processor()
 	before := n.members.list(now, func(k *member) bool {
-		return !k.leaving && k.storeOK && draw(name+"/"+k.name) < own
+		if k.leaving || !k.storeOK || k.processor != share {
+			return !k.leaving && k.storeOK && k.processor > share
+		}
+		return draw(name+"/"+k.name) < own
 	})
 	return min(len(before), rankMost)
 }
--- a/cluster/greet.go
+++ b/cluster/greet.go
@@ -33,7 +33,7 @@
 func (n *Node) greeting() *wire.Greeting {
 	g := &wire.Greeting{
 		Instance: n.settings.Instance, Hall: n.settings.Hall, Boot: n.boot, Addr: n.settings.Listen.Peer,
-		Leaving: n.leaving.Load(), ConfigVersion: n.config.Version(), StoreOk: n.door.DirectOK(),
+		Processor: n.processor(), Leaving: n.leaving.Load(), ConfigVersion: n.config.Version(), StoreOk: n.door.DirectOK(),
 	}
 	for name, c := range n.owned() {
 		d := c.driver
@@ -50,6 +50,9 @@
 	return g
 }
 
+// processor returns the share of a processor, in thousandths.
+func (n *Node) processor() uint32 { return uint32(n.settings.Cluster.Processor * 1000) }
+
 // greetLoop greets the others until ctx ends.
 func (n *Node) greetLoop(ctx context.Context) {
 	tick := time.NewTicker(greetEvery)
--- a/cluster/members.go
+++ b/cluster/members.go
@@ -39,9 +39,11 @@
 	addr    string
 	leaving bool
 	storeOK bool
-	config  uint64
-	cells   []*wire.CellSummary
-	heard   time.Time
+	// processor is its share of a processor, in thousandths.
+	processor uint32
+	config    uint64
+	cells     []*wire.CellSummary
+	heard     time.Time
 	// refused is when its address last refused a connection.
 	refused time.Time
 	// answered is when it last answered a greeting.
@@ -99,6 +101,7 @@
 	k.hall, k.boot, k.addr = g.Hall, g.Boot, g.Addr
 	k.leaving, k.storeOK, k.config = g.Leaving, g.StoreOk, g.ConfigVersion
 	k.cells, k.heard, k.work = g.Cells, now, 0
+	k.processor = g.Processor
 	m.addrs[g.Addr] = now
 	for _, c := range g.Cells {
 		m.last[c.Name] = lastWord{pending: c.Pending, heard: now}
--- a/cluster/node.go
+++ b/cluster/node.go
@@ -7,6 +7,7 @@
 	"maps"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -85,6 +86,7 @@
 // Run runs an instance until ctx ends, and then stops it as planned.
 // Settings that come by changes are taken where they can be without a restart.
 func Run(ctx context.Context, s *settings.Settings, kit *telemetry.Kit, services Services, changes <-chan *settings.Settings) error {
+	limitMemory(s)
 	n := newNode(s, kit, services)
 	work, end := context.WithCancel(context.Background())
 	defer end()
@@ -107,6 +109,17 @@
 	return nil
 }
 
+// memoryShare is the part of the memory that the runtime tries to stay within, in
+// hundredths; the rest is for what it does not count.
+const memoryShare = 65
+
+// limitMemory lets the collector work harder when memory gets scarce.
+func limitMemory(s *settings.Settings) {
+	if s.MemoryLimitMiB > 0 {
+		debug.SetMemoryLimit(s.MemoryLimitMiB << 20 * memoryShare / 100)
+	}
+}
+
 // takeChanges takes changed settings until ctx ends.
 func (n *Node) takeChanges(ctx context.Context, changes <-chan *settings.Settings) {
 	for {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -59,6 +59,9 @@
 	LeaseMost Duration `json:"lease-most"`
 	// Keep is how long a job that is over can be asked for.
 	Keep Duration `json:"keep"`
+	// Processor is the share of a processor that the instance has; those with
+	// more of it own cells first. 0 is not known.
+	Processor float64 `json:"processor"`
 	// Cells is how many cells the workers are divided into, by their racks.
 	Cells int `json:"cells"`
 	// Grace is how long the platform waits for a planned stop.
