--- a/Makefile
+++ b/Makefile
@@ -17,6 +17,7 @@
 # A whole deployment of separate processes under a mixed load.
 demo: build
 	bin/demo --deployment $(DEPLOYMENT) --seconds $(SECONDS_OF_LOAD)
+	bin/demo --deployment platform --seconds $(SECONDS_OF_LOAD)
 
 test:
 	go test $(PACKAGES)
--- /dev/null
+++ b/test/demo/cluster.go
@@ -0,0 +1,275 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"dewpass.org/internal/standin/world"
+)
+
+const (
+	demoHost   = "jobs.example"
+	demoPrefix = "/queue/"
+	jobsPerSec = 10
+	readyTime  = 10 * time.Second
+	endTime    = 30 * time.Second
+)
+
+var demoHalls = []string{"naas-hall", "athy-hall", "carlow-hall"}
+
+// member is one entry instance of the demo.
+type member struct {
+	name, front, ready string
+	cmd                *exec.Cmd
+}
+
+// runCluster shows the path on the users' platform: stand-ins of the platform in
+// this process, entry instances as processes of their own, and jobs of two steps.
+// Half way the owner's process is killed and started again.
+func runCluster(ctx context.Context, length time.Duration, perHall int) error {
+	w, err := world.Start(world.Options{Halls: demoHalls, PerHall: 8, CPU: 16000, Mem: 32768, Seed: 1, Host: "127.0.0.1", Advice: true})
+	if err != nil {
+		return err
+	}
+	defer w.Close()
+	w.Configure(1, demoHost, demoPrefix)
+	dir, err := os.MkdirTemp("", "dewpass-demo")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(dir)
+	members, err := startMembers(w, dir, perHall)
+	if err != nil {
+		return err
+	}
+	defer stopMembers(members)
+	if err := waitMembers(ctx, members); err != nil {
+		return err
+	}
+	l := &clusterLoad{members: members, http: &http.Client{Timeout: 4 * time.Second}}
+	fmt.Printf("%d instances, %d workers in %d halls, %d jobs a second for %s; one instance is killed half way\n",
+		len(members), len(w.Workers), len(demoHalls), jobsPerSec, length)
+	l.run(ctx, length, func() { restart(members[0]) })
+	l.report(w)
+	if broken := w.Book.Broken(); len(broken) > 0 {
+		return errors.Errorf("broken: %s", strings.Join(broken, "; "))
+	}
+	if l.undone > 0 {
+		return errors.Errorf("%d jobs were not done in time", l.undone)
+	}
+	return nil
+}
+
+func startMembers(w *world.World, dir string, perHall int) ([]*member, error) {
+	var members []*member
+	var first string
+	for _, hall := range demoHalls {
+		for i := range perHall {
+			m := &member{name: fmt.Sprintf("%s-%d", hall, i+1)}
+			peer, err := m.write(w, dir, hall, first)
+			if err != nil {
+				return members, err
+			}
+			if first == "" {
+				first = peer
+			}
+			if err := m.start(); err != nil {
+				return members, err
+			}
+			members = append(members, m)
+		}
+	}
+	return members, nil
+}
+
+// write writes the settings of a member and returns its address for peers.
+func (m *member) write(w *world.World, dir, hall, first string) (string, error) {
+	var addrs [3]string
+	for i := range addrs {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return "", err
+		}
+		addrs[i] = l.Addr().String()
+		defer l.Close()
+	}
+	m.front, m.ready = addrs[0], addrs[2]
+	peers := []string{}
+	if first != "" {
+		peers = append(peers, first)
+	}
+	raw, err := json.Marshal(map[string]any{
+		"instance": m.name, "hall": hall, "peers": peers,
+		"listen": map[string]any{"http": m.front, "peer": addrs[1]},
+		"cluster": map[string]any{
+			"store": w.StoreAddr, "policy": w.PolicyAddr, "ready": m.ready, "lease-most": "10s", "grace": "4s",
+		},
+	})
+	if err != nil {
+		return "", err
+	}
+	path := filepath.Join(dir, m.name+".json")
+	m.cmd = exec.Command("bin/dewpass", "entry", "--settings", path)
+	return addrs[1], os.WriteFile(path, raw, 0o600)
+}
+
+func (m *member) start() error {
+	m.cmd = exec.Command(m.cmd.Args[0], m.cmd.Args[1:]...)
+	return m.cmd.Start()
+}
+
+func restart(m *member) {
+	_ = m.cmd.Process.Kill()
+	_ = m.cmd.Wait()
+	_ = m.start()
+}
+
+func stopMembers(members []*member) {
+	for _, m := range members {
+		_ = m.cmd.Process.Signal(syscall.SIGTERM)
+	}
+	for _, m := range members {
+		_ = m.cmd.Wait()
+	}
+}
+
+func waitMembers(ctx context.Context, members []*member) error {
+	end := time.Now().Add(readyTime)
+	for _, m := range members {
+		for {
+			resp, err := http.Get("http://" + m.ready + "/dewpass/ready")
+			if err == nil {
+				_ = resp.Body.Close()
+				if resp.StatusCode == http.StatusOK {
+					break
+				}
+			}
+			if time.Now().After(end) || ctx.Err() != nil {
+				return errors.Errorf("%s is not ready", m.name)
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+	return nil
+}
+
+// clusterLoad sends jobs and follows them to their end.
+type clusterLoad struct {
+	members []*member
+	http    *http.Client
+
+	mu      sync.Mutex
+	waits   []time.Duration
+	refused int
+	undone  int
+}
+
+func (l *clusterLoad) run(ctx context.Context, length time.Duration, halfway func()) {
+	var all sync.WaitGroup
+	tick := time.NewTicker(time.Second / jobsPerSec)
+	defer tick.Stop()
+	half := time.AfterFunc(length/2, halfway)
+	defer half.Stop()
+	end := time.After(length)
+	for n := 0; ; n++ {
+		select {
+		case <-tick.C:
+			all.Go(func() { l.one(ctx, n) })
+			continue
+		case <-end:
+		case <-ctx.Done():
+		}
+		break
+	}
+	all.Wait()
+}
+
+const demoJob = `{"spec":"ms=200 cpu=1000 mem=500","steps":[{"count":6,"cpu":1000,"mem_mb":500,"estimate_ms":200},` +
+	`{"count":6,"cpu":1000,"mem_mb":500,"estimate_ms":200,"depends_on":[0]}]}`
+
+// one hands a job in, again where it was refused, and waits for its end.
+func (l *clusterLoad) one(ctx context.Context, n int) {
+	id := fmt.Sprintf("%016x", rand.Uint64())
+	begun := time.Now()
+	for time.Since(begun) < endTime && ctx.Err() == nil {
+		status, _ := l.call(ctx, n, http.MethodPost, id, demoJob)
+		n++
+		if status == http.StatusOK {
+			break
+		}
+		l.mu.Lock()
+		l.refused++
+		l.mu.Unlock()
+		time.Sleep(100 * time.Millisecond)
+	}
+	for time.Since(begun) < endTime && ctx.Err() == nil {
+		status, body := l.call(ctx, n, http.MethodGet, id, "")
+		n++
+		if status == http.StatusOK && strings.Contains(body, "succeeded") {
+			l.mu.Lock()
+			l.waits = append(l.waits, time.Since(begun))
+			l.mu.Unlock()
+			return
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	l.mu.Lock()
+	l.undone++
+	l.mu.Unlock()
+}
+
+func (l *clusterLoad) call(ctx context.Context, n int, method, id, body string) (int, string) {
+	m := l.members[n%len(l.members)]
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+m.front+demoPrefix+id, strings.NewReader(body))
+	if err != nil {
+		return 0, ""
+	}
+	req.Host = demoHost
+	resp, err := l.http.Do(req)
+	if err != nil {
+		return 0, ""
+	}
+	defer resp.Body.Close()
+	raw, _ := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(raw)
+}
+
+func (l *clusterLoad) report(w *world.World) {
+	slices.Sort(l.waits)
+	at := func(q float64) time.Duration {
+		if len(l.waits) == 0 {
+			return 0
+		}
+		return l.waits[int(q*float64(len(l.waits)-1))].Round(time.Millisecond)
+	}
+	starts := w.Book.Starts()
+	ends := make(map[string]int)
+	for _, s := range starts {
+		ends[s.How]++
+	}
+	fmt.Println()
+	fmt.Printf("%-34s %d\n", "jobs done", len(l.waits))
+	fmt.Printf("%-34s %d\n", "jobs not done in time", l.undone)
+	fmt.Printf("%-34s %d\n", "tries refused or without an answer", l.refused)
+	fmt.Printf("%-34s %s, %s, %s\n", "from handing in to shown: p50 p99 max", at(0.5), at(0.99), at(1))
+	fmt.Printf("%-34s %d, of them done %d\n", "runs started", len(starts), ends["done"])
+	fmt.Printf("%-34s %d\n", "questions to the policy", w.Policy.Asked())
+	fmt.Printf("%-34s %d\n", "promises broken", len(w.Book.Broken()))
+}
--- a/test/demo/main.go
+++ b/test/demo/main.go
@@ -24,13 +24,20 @@
 )
 
 func main() {
-	deployment := flag.String("deployment", "comhar", "comhar or kartvela")
+	deployment := flag.String("deployment", "comhar", "comhar, kartvela, or platform: the path on the users' platform")
 	seconds := flag.Int("seconds", 20, "length of the load")
 	perHall := flag.Int("per-hall", 2, "entry instances in each hall")
 	keep := flag.Bool("keep-logs", false, "keep the logs")
 	flag.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
+	if *deployment == "platform" {
+		if err := runCluster(ctx, time.Duration(*seconds)*time.Second, *perHall); err != nil {
+			fmt.Fprintln(os.Stderr, "demo:", err)
+			os.Exit(1)
+		}
+		return
+	}
 	if err := run(ctx, *deployment, time.Duration(*seconds)*time.Second, *perHall, *keep); err != nil {
 		fmt.Fprintln(os.Stderr, "demo:", err)
 		os.Exit(1)
