--- a/cell/cell_test.go
+++ b/cell/cell_test.go
@@ -22,9 +22,8 @@
 // rig is a cell with some workers and a clock.
 type rig struct {
 	*Cell
-	now   time.Time
-	ends  map[string]int
-	asked []Ask
+	now  time.Time
+	ends map[string]int
 }
 
 const plenty = 1 << 30
--- a/cell/ends.go
+++ b/cell/ends.go
@@ -36,6 +36,7 @@
 		c.counts.Stopped++
 	case flow.EndLapsed:
 		c.counts.Lapsed++
+		s.job.story.Lost++
 	}
 	c.requeue(s, f.Task.Index, f.Saved, now)
 }
@@ -122,6 +123,7 @@
 		return
 	}
 	w.health.bad(now)
+	s.job.story.Failed++
 	if !slices.Contains(t.avoid, w.ID) {
 		t.avoid = append(t.avoid, w.ID)
 	}
--- a/cell/job.go
+++ b/cell/job.go
@@ -76,6 +76,7 @@
 	stages  []*stage
 	left    int
 	marked  bool
+	story   Story
 	// hall is where the tasks of the job go as long as there is room, so that
 	// the loss of a hall hurts few jobs.
 	hall string
@@ -287,6 +288,7 @@
 // finish ends a job. Its runs are stopped by the next Place.
 func (c *Cell) finish(j *job, state flow.State, now time.Time) {
 	j.state, j.ended = state, now
+	j.story.Took = now.Sub(j.arrived)
 	c.mark(j)
 }
 
@@ -301,6 +303,18 @@
 type Save struct {
 	ID     string
 	Record *flow.Record
+	Story  Story
+}
+
+// Story is what this owner has seen of a job, for those who ask why it was late.
+type Story struct {
+	// Began is how long after its acceptance the first task was started here.
+	Began time.Duration
+	// Took is how long after its acceptance the job ended.
+	Took time.Duration
+	// Runs counts the starts, Failed the failed ones, and Lost those that ended
+	// with a lease or a worker.
+	Runs, Failed, Lost int
 }
 
 // Saves returns what has changed since the last call, at most limit records.
@@ -310,7 +324,7 @@
 	saves := make([]Save, 0, n)
 	for _, j := range c.dirty[:n] {
 		j.marked = false
-		saves = append(saves, Save{ID: j.spec.ID, Record: j.record()})
+		saves = append(saves, Save{ID: j.spec.ID, Record: j.record(), Story: j.story})
 	}
 	c.dirty = append(c.dirty[:0], c.dirty[n:]...)
 	if len(c.dirty) == 0 {
--- a/cell/place.go
+++ b/cell/place.go
@@ -247,6 +247,10 @@
 	w.free = w.free.Sub(r.taken)
 	s.onWorker(w, 1)
 	s.job.began = true
+	if s.job.story.Runs == 0 {
+		s.job.story.Began = now.Sub(s.job.arrived)
+	}
+	s.job.story.Runs++
 	c.counts.Started++
 	return Start{
 		Worker: w.ID, Addr: w.Addr, Task: r.task(), Run: r.n,
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -162,6 +162,7 @@
 	w.settled = true
 	for _, r := range sortedRuns(w) {
 		c.counts.Lapsed++
+		r.stage.job.story.Lost++
 		c.drop(r)
 		c.requeue(r.stage, r.index, r.saved, now)
 	}
--- a/cmd/dewpass/explain.go
+++ b/cmd/dewpass/explain.go
@@ -12,6 +12,7 @@
 	"os"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/urfave/cli/v3"
 
@@ -113,7 +114,7 @@
 	if first < 0 {
 		return kind.New(kind.NotFound, "no line names "+id)
 	}
-	for _, l := range lines[first : last+1] {
+	for _, l := range lines[before(lines, first) : last+1] {
 		if l.fields["job"] == id || believed(l, workers) {
 			if _, err := fmt.Fprintln(out, l.String()); err != nil {
 				return err
@@ -123,6 +124,25 @@
 	return nil
 }
 
+// lookBack is how long before the first line of a request what instances believed
+// is told as well.
+const lookBack = 3 * time.Second
+
+// before returns the index of the first line within lookBack of another.
+func before(lines []logLine, at int) int {
+	then, err := time.Parse(time.RFC3339Nano, lines[at].time)
+	if err != nil {
+		return at
+	}
+	for ; at > 0; at-- {
+		t, err := time.Parse(time.RFC3339Nano, lines[at-1].time)
+		if err != nil || then.Sub(t) > lookBack {
+			break
+		}
+	}
+	return at
+}
+
 // believed reports whether a line that does not name the request bears on it.
 func believed(l logLine, workers map[any]bool) bool {
 	if !slices.Contains(beliefs, l.event) {
--- a/driver/commit.go
+++ b/driver/commit.go
@@ -225,7 +225,9 @@
 func (d *Driver) logEnded(saves []cell.Save) {
 	for _, s := range saves {
 		if s.Record.State.Final() {
-			level.Info(d.Log).Log("event", "job_ended", "job", s.ID, "state", s.Record.State, "epoch", d.Seat.Epoch(), "last", true)
+			level.Info(d.Log).Log("event", "job_ended", "job", s.ID, "state", s.Record.State, "epoch", d.Seat.Epoch(),
+				"began_ms", s.Story.Began.Milliseconds(), "took_ms", s.Story.Took.Milliseconds(),
+				"runs", s.Story.Runs, "failed", s.Story.Failed, "lost", s.Story.Lost, "last", true)
 		}
 	}
 }
--- a/flow/flow.go
+++ b/flow/flow.go
@@ -70,7 +70,7 @@
 	ID    string `json:"id"`
 	Queue string `json:"queue"`
 	// Cell names the cell that has the job.
-	Cell string `json:"cell,omitempty"`
+	Cell  string `json:"cell,omitempty"`
 	Text  string `json:"text,omitempty"`
 	Steps []Step `json:"steps"`
 	// Times is how often the steps run; 0 is once, at once.
--- a/internal/standin/world/worker.go
+++ b/internal/standin/world/worker.go
@@ -35,7 +35,6 @@
 	lastTick time.Time
 	saved    string
 	cpu, mem int64
-	stopping bool
 	entry    *Entry
 }
 
