--- a/claim/claim.go
+++ b/claim/claim.go
@@ -151,7 +151,7 @@
 	if err != nil {
 		return rows.Result{}, kind.Wrap(kind.Internal, err, "seat")
 	}
-	t.Expect = append([]rows.Expect{{Key: c.key(), Ver: c.ver}}, t.Expect...)
+	t.Expect = append([]rows.Check{{Key: c.key(), Ver: c.ver}}, t.Expect...)
 	t.Put = append([]rows.Row{{Key: c.key(), Value: raw}}, t.Put...)
 	for {
 		begun := time.Now()
--- a/cluster/accept.go
+++ b/cluster/accept.go
@@ -77,7 +77,7 @@
 	spec.Cell = *cell
 	home := driver.HomeKey(spec.ID)
 	t := rows.Tx{
-		Expect: []rows.Expect{{Key: home}},
+		Expect: []rows.Check{{Key: home}},
 		Put: []rows.Row{
 			{Key: home, Value: []byte(*cell)},
 			{Key: driver.SpecKey(spec.ID), Value: flow.Encode(spec)},
--- a/flow/flow.go
+++ b/flow/flow.go
@@ -15,6 +15,8 @@
 	MaxSteps = 100
 	MaxCount = 10_000
 	MaxTimes = 1_000
+	// MaxTasks bounds the tasks of all steps and times together.
+	MaxTasks = 100_000
 )
 
 // State is the state of a job.
@@ -191,10 +193,15 @@
 	case s.Times < 0 || s.Times > MaxTimes:
 		return kind.At(kind.BadRequest, "/times", "must be 0 to 1000")
 	}
+	tasks := 0
 	for i := range s.Steps {
 		if err := s.Steps[i].check(i); err != nil {
 			return err
 		}
+		tasks += s.Steps[i].Count * s.Rounds()
+	}
+	if tasks > MaxTasks {
+		return kind.At(kind.BadRequest, "/steps", "must hold at most 100000 tasks over all times")
 	}
 	return nil
 }
--- /dev/null
+++ b/flow/flow_test.go
@@ -0,0 +1,59 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package flow
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"dewpass.org/kind"
+)
+
+func TestFlow(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "flow")
+}
+
+var _ = Describe("a job", func() {
+	It("has the longest chain of its steps", func() {
+		s := &Spec{Steps: []Step{
+			{Count: 1, EstimateMS: 100}, {Count: 1, EstimateMS: 500, After: []int{0}},
+			{Count: 1, EstimateMS: 50, After: []int{0}}, {Count: 1, EstimateMS: 10, After: []int{1, 2}},
+		}}
+		Expect(s.Chain(0)).To(Equal(610 * time.Millisecond))
+		Expect(s.Chain(2)).To(Equal(60 * time.Millisecond))
+	})
+
+	DescribeTable("is refused with the path of its fault", func(s Spec, path string) {
+		err := s.Check()
+		Expect(kind.Is(err, kind.BadRequest)).To(BeTrue())
+		Expect(kind.Of(err).Path).To(Equal(path))
+	},
+		Entry("no steps", Spec{}, "/steps"),
+		Entry("a long text", Spec{Text: strings.Repeat("x", MaxText+1)}, "/spec"),
+		Entry("no tasks", Spec{Steps: []Step{{}}}, "/steps/count"),
+		Entry("a later step", Spec{Steps: []Step{{Count: 1, After: []int{0}}}}, "/steps/after"),
+		Entry("too many tasks over all times", Spec{Times: 1000, Steps: []Step{{Count: 1000}}}, "/steps"),
+	)
+
+	It("falls due at its times", func() {
+		s := &Spec{Times: 2, StartMS: 5000, EveryMS: 100}
+		Expect(s.Due(1)).To(Equal(time.UnixMilli(5100)))
+		Expect((&Spec{}).Due(0).IsZero()).To(BeTrue())
+	})
+})
+
+var _ = It("a record is read as it was written", func() {
+	var done Bits
+	done.Set(9)
+	rec := &Record{State: Running, Stages: []StageRecord{{Opened: true, Done: done, Fails: map[int][]int{2: {4097}}}}}
+	got, err := DecodeRecord(Encode(rec))
+	Expect(err).NotTo(HaveOccurred())
+	Expect(got).To(Equal(rec))
+	Expect(got.Stages[0].Done.Has(9)).To(BeTrue())
+	Expect(got.Stages[0].Done.Has(8)).To(BeFalse())
+})
--- /dev/null
+++ b/rows/door_test.go
@@ -0,0 +1,101 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package rows
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"dewpass.org/kind"
+)
+
+func TestRows(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "rows")
+}
+
+// fake is a store that answers after a while, or turns calls away.
+type fake struct {
+	after time.Duration
+	err   error
+	calls atomic.Int64
+}
+
+func (f *fake) answer(ctx context.Context) error {
+	f.calls.Add(1)
+	select {
+	case <-time.After(f.after):
+		return f.err
+	case <-ctx.Done():
+		return kind.Wrap(kind.Lost, ctx.Err(), "store")
+	}
+}
+
+func (f *fake) Tx(ctx context.Context, _ Tx) (Result, error) { return Result{Ver: 1}, f.answer(ctx) }
+func (f *fake) Get(ctx context.Context, _ Range) (Page, error) {
+	return Page{Ver: 1}, f.answer(ctx)
+}
+func (f *fake) Feed(ctx context.Context, _ Since) (Page, error) { return Page{Ver: 1}, f.answer(ctx) }
+
+// pair returns a door whose peer reaches the store through another door.
+func pair(own, peers *fake) *Door {
+	peer := &Door{Direct: peers, Now: time.Now}
+	return &Door{Direct: own, Now: time.Now, Carry: peer.Serve}
+}
+
+var _ = Describe("a door", func() {
+	It("goes to the store itself while that answers", func(ctx context.Context) {
+		own, peers := &fake{}, &fake{}
+		d := pair(own, peers)
+		_, err := d.Tx(ctx, Tx{})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(d.DirectOK()).To(BeTrue())
+		Expect(peers.calls.Load()).To(BeZero())
+	})
+
+	It("goes by a peer as well once the store is silent, and stays with it until a probe has an answer", func(ctx context.Context) {
+		own, peers := &fake{after: time.Minute}, &fake{}
+		d := pair(own, peers)
+		begun := time.Now()
+		_, err := d.Get(ctx, Range{})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(time.Since(begun)).To(BeNumerically("<", 2*hedgeLeast))
+		Eventually(d.isAway).Should(BeTrue())
+		before := own.calls.Load()
+		_, err = d.Get(ctx, Range{})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(own.calls.Load()).To(Equal(before), "the store is left alone")
+		own.after = 0
+		d.Probe(ctx, Range{})
+		Expect(d.isAway()).To(BeFalse())
+	})
+
+	It("goes by a peer when the store turns it away", func(ctx context.Context) {
+		d := pair(&fake{err: kind.New(kind.Unavailable, "busy")}, &fake{})
+		res, err := d.Tx(ctx, Tx{})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(res.Ver).To(Equal(uint64(1)))
+		Expect(d.Reachable()).To(BeTrue())
+		Expect(d.DirectOK()).To(BeFalse())
+	})
+
+	It("does not send a write again whose answer was lost", func(ctx context.Context) {
+		own, peers := &fake{err: kind.New(kind.Lost, "no answer")}, &fake{}
+		_, err := pair(own, peers).Tx(ctx, Tx{})
+		Expect(kind.Is(err, kind.Lost)).To(BeTrue())
+		Expect(own.calls.Load() + peers.calls.Load()).To(Equal(int64(1)))
+	})
+
+	It("says so when the store is reached in no way", func(ctx context.Context) {
+		gone := kind.New(kind.Unavailable, "busy")
+		d := pair(&fake{err: gone}, &fake{err: gone})
+		_, err := d.Get(ctx, Range{})
+		Expect(kind.Is(err, kind.Unavailable)).To(BeTrue())
+		Expect(d.Reachable()).To(BeFalse())
+	})
+})
--- a/rows/rows.go
+++ b/rows/rows.go
@@ -33,17 +33,17 @@
 	Gone  bool   `json:"gone,omitempty"`
 }
 
-// Expect is a condition: the row has this version, or is absent if it is 0.
-type Expect struct {
+// Check is a condition: the row has this version, or is absent if it is 0.
+type Check struct {
 	Key
 	Ver uint64 `json:"ver,omitempty"`
 }
 
 // Tx is a transaction: all of it or nothing.
 type Tx struct {
-	Expect []Expect `json:"expect,omitempty"`
-	Put    []Row    `json:"put,omitempty"`
-	Remove []Key    `json:"remove,omitempty"`
+	Expect []Check `json:"expect,omitempty"`
+	Put    []Row   `json:"put,omitempty"`
+	Remove []Key   `json:"remove,omitempty"`
 	// Across says that the rows are of several parts.
 	Across bool `json:"across,omitempty"`
 }
