--- a/flow/flow_test.go
+++ b/flow/flow_test.go
@@ -1,6 +1,6 @@
 // SPDX-License-Identifier: Apache-2.0
 
-package flow
+package flow_test
 
 import (
 	"strings"
@@ -10,6 +10,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"dewpass.org/flow"
 	"dewpass.org/kind"
 )
 
@@ -20,7 +21,7 @@
 
 var _ = Describe("a job", func() {
 	It("has the longest chain of its steps", func() {
-		s := &Spec{Steps: []Step{
+		s := &flow.Spec{Steps: []flow.Step{
 			{Count: 1, EstimateMS: 100}, {Count: 1, EstimateMS: 500, After: []int{0}},
 			{Count: 1, EstimateMS: 50, After: []int{0}}, {Count: 1, EstimateMS: 10, After: []int{1, 2}},
 		}}
@@ -28,30 +29,30 @@
 		Expect(s.Chain(2)).To(Equal(60 * time.Millisecond))
 	})
 
-	DescribeTable("is refused with the path of its fault", func(s Spec, path string) {
+	DescribeTable("is refused with the path of its fault", func(s flow.Spec, path string) {
 		err := s.Check()
 		Expect(kind.Is(err, kind.BadRequest)).To(BeTrue())
 		Expect(kind.Of(err).Path).To(Equal(path))
 	},
-		Entry("no steps", Spec{}, "/steps"),
-		Entry("a long text", Spec{Text: strings.Repeat("x", MaxText+1)}, "/spec"),
-		Entry("no tasks", Spec{Steps: []Step{{}}}, "/steps/count"),
-		Entry("a later step", Spec{Steps: []Step{{Count: 1, After: []int{0}}}}, "/steps/after"),
-		Entry("too many tasks over all times", Spec{Times: 1000, Steps: []Step{{Count: 1000}}}, "/steps"),
+		Entry("no steps", flow.Spec{}, "/steps"),
+		Entry("a long text", flow.Spec{Text: strings.Repeat("x", flow.MaxText+1)}, "/spec"),
+		Entry("no tasks", flow.Spec{Steps: []flow.Step{{}}}, "/steps/count"),
+		Entry("a later step", flow.Spec{Steps: []flow.Step{{Count: 1, After: []int{0}}}}, "/steps/after"),
+		Entry("too many tasks over all times", flow.Spec{Times: 1000, Steps: []flow.Step{{Count: 1000}}}, "/steps"),
 	)
 
 	It("falls due at its times", func() {
-		s := &Spec{Times: 2, StartMS: 5000, EveryMS: 100}
+		s := &flow.Spec{Times: 2, StartMS: 5000, EveryMS: 100}
 		Expect(s.Due(1)).To(Equal(time.UnixMilli(5100)))
-		Expect((&Spec{}).Due(0).IsZero()).To(BeTrue())
+		Expect((&flow.Spec{}).Due(0).IsZero()).To(BeTrue())
 	})
 })
 
 var _ = It("a record is read as it was written", func() {
-	var done Bits
+	var done flow.Bits
 	done.Set(9)
-	rec := &Record{State: Running, Stages: []StageRecord{{Opened: true, Done: done, Fails: map[int][]int{2: {4097}}}}}
-	got, err := DecodeRecord(Encode(rec))
+	rec := &flow.Record{State: flow.Running, Stages: []flow.StageRecord{{Opened: true, Done: done, Fails: map[int][]int{2: {4097}}}}}
+	got, err := flow.DecodeRecord(flow.Encode(rec))
 	Expect(err).NotTo(HaveOccurred())
 	Expect(got).To(Equal(rec))
 	Expect(got.Stages[0].Done.Has(9)).To(BeTrue())
