--- a/cell/job.go
+++ b/cell/job.go
@@ -48,11 +48,15 @@
 
 	carried map[*worker]int
 	advice  stageAdvice
-	// fillsGang is how many runs of a gang have failed, by their number.
+	// gangFails holds the numbers of a gang's runs that failed, and gangLast that
+	// of its last run.
 	gangFails map[int]bool
 	gangLast  int
+	// waitSince is since when a task waits, and doneAt when the last was done.
 	waitSince time.Time
 	doneAt    time.Time
+	// chain is the estimate of the work from this step to the end of its job.
+	chain time.Duration
 	// moving says that a task has to leave its worker and finds no place yet.
 	moving bool
 	// opened says that the store knows that tasks may have been started, and
@@ -75,8 +79,11 @@
 	ended   time.Time
 	stages  []*stage
 	left    int
-	marked  bool
-	story   Story
+	// marked says that the job is among those to be saved.
+	marked bool
+	story  Story
+	// longest is the estimate of the longest chain of steps.
+	longest time.Duration
 	// hall is where the tasks of the job go as long as there is room, so that
 	// the loss of a hall hurts few jobs.
 	hall string
@@ -212,7 +219,8 @@
 
 func newStage(j *job, k, step int, rec *flow.Record) *stage {
 	def := &j.spec.Steps[step]
-	s := &stage{job: j, time: k, step: step, def: def, due: j.spec.Due(k)}
+	s := &stage{job: j, time: k, step: step, def: def, due: j.spec.Due(k), chain: j.spec.Chain(step)}
+	j.longest = max(j.longest, s.chain)
 	s.tasks = make([]task, def.Count)
 	s.left, s.waiting = def.Count, def.Count
 	at := k*len(j.spec.Steps) + step
--- a/cell/place.go
+++ b/cell/place.go
@@ -39,6 +39,7 @@
 	Starts []Start
 	Stops  []Stop
 	Asks   []Ask
+	Paces  []Pace
 }
 
 // Place decides what to do now. At most asks questions are under way at once.
@@ -46,6 +47,7 @@
 func (c *Cell) Place(now, wall time.Time, asks int) Actions {
 	var a Actions
 	c.stops(&a, now)
+	c.paces(&a, now)
 	c.tidy()
 	unsettled := c.unsettled()
 	slices.SortStableFunc(c.open, func(x, y *stage) int { return c.compare(x, y, now) })
@@ -127,7 +129,9 @@
 	return max(whole-ran, 0)
 }
 
-// order ranks a stage: smaller goes first.
+// rank orders stages, smaller first: by priority, then by whether they can still
+// be in time (0), count as late (1) or for nothing (2), then by the time that is
+// left beyond the work still to do.
 type rank struct {
 	priority int
 	late     int
@@ -144,10 +148,8 @@
 		r.slack = s.waitSince.Sub(now)
 		return r
 	}
-	objective := q.Target + time.Duration(q.Stretch*float64(s.job.spec.Chain(0)))
-	chain := s.job.spec.Chain(s.step)
-	start := s.job.arrived
-	r.slack = objective - now.Sub(start) - chain
+	objective := q.Target + time.Duration(q.Stretch*float64(s.job.longest))
+	r.slack = objective - now.Sub(s.job.arrived) - s.chain
 	switch {
 	case r.slack >= -q.Target:
 	case r.slack >= -2*objective:
@@ -173,7 +175,7 @@
 
 // placeTasks starts as many of the tasks of s as find room.
 func (c *Cell) placeTasks(s *stage, q *Queue, a *Actions, now time.Time) {
-	c.settle(s, q, now)
+	c.chooseHall(s, q, now)
 	for i := range s.tasks {
 		t := &s.tasks[i]
 		if t.state != taskWaiting {
@@ -199,7 +201,7 @@
 	if s.waiting < len(s.tasks) {
 		return
 	}
-	c.settle(s, q, now)
+	c.chooseHall(s, q, now)
 	n, saved := s.gangLast, ""
 	for i := range s.tasks {
 		n = max(n, s.tasks[i].last)
@@ -350,9 +352,9 @@
 	return gain
 }
 
-// settle chooses the hall of a job: the one with the most room on workers that
+// chooseHall chooses the hall of a job: the one with the most room on workers that
 // may run s.
-func (c *Cell) settle(s *stage, q *Queue, now time.Time) {
+func (c *Cell) chooseHall(s *stage, q *Queue, now time.Time) {
 	room := make(map[string]int64)
 	for _, w := range c.order {
 		if !w.usable() || !w.suits(s, q) {
@@ -362,7 +364,7 @@
 			room[w.Hall] += w.free[sched.Milli]
 		}
 	}
-	best := room[s.job.hall] * settleShare
+	best := room[s.job.hall] * stayShare
 	for _, w := range c.order {
 		if room[w.Hall] > best {
 			best = room[w.Hall]
@@ -371,6 +373,6 @@
 	}
 }
 
-// settleShare keeps a job in its hall unless another one has several times the
+// stayShare keeps a job in its hall unless another one has that many times the
 // room.
-const settleShare = 4
+const stayShare = 4
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -41,6 +41,10 @@
 	health                 health
 	// settled says that it is known what a former owner left running here.
 	settled bool
+	// withheld is how much of their speed the runs that fill do without, in
+	// hundredths, and paced when that last changed.
+	withheld int
+	paced    time.Time
 	// silent says that an order has gone without an answer for longer than
 	// answers take.
 	silent bool
@@ -70,6 +74,10 @@
 	progressed, listed time.Time
 	saved              string
 	taken              sched.Vec
+	// tail is the worker's figure of how it fares, and withheld how much of its
+	// speed it was told to do without, in hundredths; -1 is not known.
+	tail     int64
+	withheld int
 }
 
 func (r *run) task() flow.TaskID { return r.stage.taskID(r.index) }
@@ -206,6 +214,10 @@
 	}
 	c.take(w, l, now)
 	for _, r := range sortedRuns(w) {
+		if r.withheld != w.withheld || r.withheld != 0 {
+			// What it was told of its pace may be lost.
+			r.withheld = -1
+		}
 		if r.confirmed.IsZero() && !l.Cut {
 			c.drop(r)
 			c.requeue(r.stage, r.index, r.saved, now)
@@ -271,7 +283,7 @@
 		r.confirmed = now
 		r.progressed = now
 	}
-	r.listed = now
+	r.listed, r.tail = now, row.Tail
 	if row.Percent != r.percent {
 		r.percent = row.Percent
 		r.progressed = now
--- a/driver/driver.go
+++ b/driver/driver.go
@@ -358,6 +358,9 @@
 	for i := range a.Stops {
 		d.stopRun(a.Stops[i])
 	}
+	for i := range a.Paces {
+		d.paceRun(a.Paces[i])
+	}
 	for i := range a.Asks {
 		ask := a.Asks[i]
 		d.spawn(func() { d.ask(ask) })
--- a/driver/link.go
+++ b/driver/link.go
@@ -367,14 +367,31 @@
 	}
 	level.Debug(d.Log).Log("event", "stop", "job", s.Task.Job, "step", s.Task.Step, "index", s.Task.Index, "run", s.Run, "worker", s.Worker)
 	o := StopOrder{Target: Target{Worker: s.Worker, Addr: l.addr, Fence: l.fence}, Task: s.Task, Run: s.Run}
+	d.order(o.Target, func(ctx context.Context) error { return d.Workers.Stop(ctx, o) })
+}
+
+// paceRun sends how fast a run may work. The lock is held.
+func (d *Driver) paceRun(p cell.Pace) {
+	l := d.links[p.Worker]
+	if l == nil || !l.attached {
+		return
+	}
+	level.Debug(d.Log).Log("event", "pace", "job", p.Task.Job, "step", p.Task.Step, "index", p.Task.Index, "run", p.Run, "worker", p.Worker, "percent", p.Percent)
+	o := PaceOrder{Target: Target{Worker: p.Worker, Addr: l.addr, Fence: l.fence}, Task: p.Task, Run: p.Run, Percent: p.Percent}
+	d.order(o.Target, func(ctx context.Context) error { return d.Workers.Pace(ctx, o) })
+}
+
+// order sends an order whose outcome the worker's lists show. If its answer is
+// lost, the worker is attached again.
+func (d *Driver) order(t Target, send func(context.Context) error) {
 	d.spawn(func() {
 		ctx, cancel := context.WithTimeout(d.ctx, orderTime)
 		defer cancel()
-		err := d.Workers.Stop(ctx, o)
+		err := send(ctx)
 		d.mu.Lock()
 		defer d.mu.Unlock()
-		if l := d.links[o.Worker]; err != nil && l != nil && l.fence == o.Fence {
-			d.unsure(o.Worker)
+		if l := d.links[t.Worker]; err != nil && l != nil && l.fence == t.Fence {
+			d.unsure(t.Worker)
 		}
 	})
 }
--- a/driver/ports.go
+++ b/driver/ports.go
@@ -44,6 +44,14 @@
 	Run  int
 }
 
+// PaceOrder tells a worker how fast a run may work, in hundredths.
+type PaceOrder struct {
+	Target
+	Task    flow.TaskID
+	Run     int
+	Percent int
+}
+
 // HoldOrder renews the lease of all that runs on a worker and asks for its
 // lists.
 type HoldOrder struct {
@@ -68,6 +76,7 @@
 type Workers interface {
 	Start(ctx context.Context, o StartOrder) (StartAnswer, error)
 	Stop(ctx context.Context, o StopOrder) error
+	Pace(ctx context.Context, o PaceOrder) error
 	Hold(ctx context.Context, o HoldOrder) (HoldAnswer, error)
 }
 
--- a/internal/standin/world/worker.go
+++ b/internal/standin/world/worker.go
@@ -168,6 +168,8 @@
 	case "/dewpass/run-stop":
 		w.stop(o)
 		return http.StatusOK, a
+	case "/dewpass/pace":
+		return http.StatusOK, a
 	case "/dewpass/hold":
 		w.observe(o.Observed)
 		w.list(&a)
