--- a/cell/cell_test.go
+++ b/cell/cell_test.go
@@ -400,3 +400,69 @@
 		Expect(up[0].Percent).To(Equal(paceUp))
 	})
 })
+
+var _ = Describe("a guard", func() {
+	It("keeps a step off workers without the label that it needs", func() {
+		r := newRig(1)
+		r.add("j", flow.Step{Count: 1, Demand: demand(1000), Needs: "b"})
+		Expect(r.startAll()).To(BeEmpty())
+		r.heard("w9", func(w *Worker) { w.Labels = []string{"b", "r"} })
+		r.Attached("w9", Lists{}, r.now)
+		starts := r.startAll()
+		Expect(starts).To(HaveLen(1))
+		Expect(starts[0].Worker).To(Equal("w9"))
+	})
+
+	It("puts no more of a step on a worker than the step allows", func() {
+		r := newRig(2)
+		r.add("j", flow.Step{Count: 6, Demand: demand(100), PerWorker: 2})
+		starts := r.startAll()
+		Expect(starts).To(HaveLen(4))
+		on := make(map[string]int)
+		for _, s := range starts {
+			on[s.Worker]++
+		}
+		Expect(on).To(Equal(map[string]int{"w0": 2, "w1": 2}))
+	})
+
+	It("places nothing on a worker whose entry is missing", func() {
+		r := newRig(1)
+		r.Missing("w0")
+		r.add("j", flow.Step{Count: 1, Demand: demand(1000)})
+		Expect(r.startAll()).To(BeEmpty())
+	})
+
+	It("moves no more tasks of a lasting step at once than may be away", func() {
+		r := newRig(2)
+		r.add("j", flow.Step{Count: 3, Demand: demand(1000), Lasting: true, MayMiss: 1})
+		starts := r.startAll()
+		Expect(starts).To(HaveLen(3))
+		for _, s := range starts {
+			r.Listed(s.Worker, Lists{Running: []Running{{Task: s.Task, Run: s.Run, Percent: 100}}, Cut: true}, r.now, r.now)
+		}
+		r.heard(starts[0].Worker, func(w *Worker) { w.Draining, w.Remaining = true, time.Second })
+		Expect(r.place().Stops).To(HaveLen(1))
+	})
+
+	It("does not observe an end that came after the save was made", func() {
+		r := newRig(1)
+		r.add("j", flow.Step{Count: 2, Demand: demand(1000)})
+		starts := r.startAll()
+		r.end(starts[0], flow.EndDone)
+		saves := r.Saves(100)
+		r.end(starts[1], flow.EndDone)
+		r.Saved(saves, true)
+		Expect(r.Observed("w0")).To(Equal(1))
+		r.save()
+		Expect(r.Observed("w0")).To(Equal(2))
+	})
+
+	It("takes what waits for a lost worker for certain only", func() {
+		r := newRig(1)
+		r.heard("w9", func(*Worker) {})
+		r.Restore(&flow.Spec{ID: "k", Queue: "q", Steps: []flow.Step{{Count: 1, Demand: demand(1000)}}},
+			&flow.Record{State: flow.Running, Stages: []flow.StageRecord{{Opened: true}}}, r.now)
+		r.now = r.now.Add(time.Minute)
+		Expect(r.startAll()).To(BeEmpty(), "time alone proves nothing")
+	})
+})
