--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 # Each proof starts a deployment of its own; a few run side by side.
 PROOF = go tool ginkgo --procs=4 --timeout=80m --no-color --seed=1
 
-.PHONY: all build demo test proof race lint generate bench capacity fuzz
+.PHONY: all build demo test proof race lint generate bench capacity fuzz hunt
 
 all: build
 
@@ -55,6 +55,11 @@
 	go test -run '^$$' -fuzz FuzzFrame -fuzztime 20s ./link
 	go test -run '^$$' -fuzz FuzzDecode -fuzztime 20s ./job
 
+# Days of the users' bench, where it is there: FLEETBENCH is its program, SITES the
+# site files, DAYS how many days are drawn on each.
+hunt:
+	FLEETBENCH="$(FLEETBENCH)" SITES="$(SITES)" DAYS="$(DAYS)" test/hunt/hunt.sh
+
 # Needs protoc; its plugin comes with the protobuf library. The result is
 # committed, so that nothing else needs either.
 generate:
