uid, claim: identifiers that no two instances draw alike

Cause: ulid.Make draws from a generator seeded with the time of day in nanoseconds. The same generator made job ids, edit ids and the nonces of group commits; they draw from the system's source as well. The test in claim is red without the change.

--- a/claim/claim.go
+++ b/claim/claim.go
@@ -125,16 +125,13 @@
 // another instance was first.
 func (c *Claim) Take(ctx context.Context, seen Seat, ver uint64) error {
 	c.epoch, c.ver = seen.Epoch+1, ver
-	_, err := c.Commit(ctx, rows.Tx{})
+	_, err := c.write(ctx, c.Owner, rows.Tx{})
 	return err
 }
 
 // Release gives the seat up, so that another instance takes it at once.
 func (c *Claim) Release(ctx context.Context) error {
-	owner := c.Owner
-	c.Owner = ""
-	defer func() { c.Owner = owner }()
-	_, err := c.Commit(ctx, rows.Tx{})
+	_, err := c.write(ctx, "", rows.Tx{})
 	return err
 }
 
@@ -142,10 +139,15 @@
 // that were expected otherwise, with an error of kind Conflict; an error of
 // kind Fenced if the seat is lost; and goes on trying until ctx ends otherwise.
 func (c *Claim) Commit(ctx context.Context, t rows.Tx) (rows.Result, error) {
+	return c.write(ctx, c.Owner, t)
+}
+
+// write writes t together with the seat, which names owner.
+func (c *Claim) write(ctx context.Context, owner string, t rows.Tx) (rows.Result, error) {
 	c.count++
 	seat := Seat{
-		Owner: c.Owner, Boot: c.Boot, Addr: c.Addr, Epoch: c.epoch, Loose: c.Loose,
-		Mark: c.Boot + "." + strconv.FormatUint(c.count, 10),
+		Owner: owner, Boot: c.Boot, Addr: c.Addr, Epoch: c.epoch, Loose: c.Loose,
+		Mark: c.mark(),
 	}
 	raw, err := json.Marshal(seat)
 	if err != nil {
@@ -169,6 +171,12 @@
 	}
 }
 
+// mark returns what no other write bears. The instance's name is part of it: two
+// instances that were started together have had the same Boot.
+func (c *Claim) mark() string {
+	return c.Owner + "/" + c.Boot + "." + strconv.FormatUint(c.count, 10)
+}
+
 func pause(ctx context.Context, d time.Duration) error {
 	select {
 	case <-time.After(d):
@@ -253,7 +261,7 @@
 	case seat.Mark == mark:
 		c.ver = row.Ver
 		return rows.Result{Ver: row.Ver}, nil
-	case seat.Boot == c.Boot && seat.Epoch == c.epoch && seat.Owner != "":
+	case seat.Owner == c.Owner && seat.Boot == c.Boot && seat.Epoch == c.epoch:
 		// An earlier write of this instance, of which it gave up waiting for the
 		// answer, took effect after all: this one has to be sent again on top.
 		c.ver = row.Ver
--- a/claim/claim_test.go
+++ b/claim/claim_test.go
@@ -105,6 +105,18 @@
 		Expect(kind.Is(b.Take(ctx, seat, ver), kind.Fenced)).To(BeTrue())
 	})
 
+	It("is not shared by two whose boots were drawn alike", func(ctx context.Context) {
+		t := &table{}
+		a, b := claimOf(t, "a"), claimOf(t, "b")
+		b.Boot = a.Boot
+		seat, ver, _ := a.Read(ctx)
+		Expect(a.Take(ctx, seat, ver)).To(Succeed())
+		Expect(kind.Is(b.Take(ctx, seat, ver), kind.Fenced)).To(BeTrue())
+		held, err := b.Held(ctx)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(held).To(BeFalse())
+	})
+
 	It("settles a write whose answer was lost, done or not", func(ctx context.Context) {
 		t := &table{}
 		a := claimOf(t, "a")
--- a/cluster/node.go
+++ b/cluster/node.go
@@ -14,13 +14,13 @@
 	"time"
 
 	"github.com/go-kit/log/level"
-	"github.com/oklog/ulid/v2"
 
 	"dewpass.org/claim"
 	"dewpass.org/config"
 	"dewpass.org/driver"
 	"dewpass.org/internal/drain"
 	"dewpass.org/internal/sock"
+	"dewpass.org/internal/uid"
 	"dewpass.org/kind"
 	"dewpass.org/link"
 	"dewpass.org/rows"
@@ -164,7 +164,7 @@
 
 func newNode(s *settings.Settings, kit *telemetry.Kit, services Services) *Node {
 	n := &Node{
-		Services: services, settings: s, kit: kit, boot: ulid.Make().String(), began: time.Now(),
+		Services: services, settings: s, kit: kit, boot: uid.New(), began: time.Now(),
 		members: newMembers(s.Instance, s.Hall, s.Peers, s.Listen.Peer, time.Now()),
 		dialer:  &link.Dialer{},
 		names:   cellNames(s.Cluster.Cells),
--- a/cmd/dewpass/tree.go
+++ b/cmd/dewpass/tree.go
@@ -13,10 +13,10 @@
 	"strconv"
 	"time"
 
-	"github.com/oklog/ulid/v2"
 	"github.com/urfave/cli/v3"
 
 	"dewpass.org/front"
+	"dewpass.org/internal/uid"
 	"dewpass.org/kind"
 	"dewpass.org/tree"
 )
@@ -123,7 +123,7 @@
 func edit(ctx context.Context, c *cli.Command, ops []tree.Op) error {
 	e := tree.Edit{ID: c.String("id"), Base: c.Uint64("base"), Ops: ops, Who: os.Getenv("USER")}
 	if e.ID == "" {
-		e.ID = ulid.Make().String()
+		e.ID = uid.New()
 	}
 	if e.Base == 0 {
 		view, err := getTree(ctx, c, "")
--- a/commit/commit.go
+++ b/commit/commit.go
@@ -10,6 +10,7 @@
 
 	"github.com/oklog/ulid/v2"
 
+	"dewpass.org/internal/uid"
 	"dewpass.org/kind"
 	"dewpass.org/ports"
 )
@@ -231,7 +232,7 @@
 // commit writes a batch. It returns when each change in it has its result.
 func (j *Journal) commit(ctx context.Context, batch []*item) {
 	for len(batch) > 0 {
-		res, err := j.write(ctx, batch, ulid.Make().String())
+		res, err := j.write(ctx, batch, uid.New())
 		switch {
 		case err == nil && len(res.Failed) == 0:
 			finish(batch, result{version: res.Version})
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -11,13 +11,13 @@
 	"time"
 
 	"github.com/go-kit/log/level"
-	"github.com/oklog/ulid/v2"
 
 	"dewpass.org/commit"
 	"dewpass.org/front"
 	"dewpass.org/hall"
 	"dewpass.org/internal/clock"
 	"dewpass.org/internal/drain"
+	"dewpass.org/internal/uid"
 	"dewpass.org/keys"
 	"dewpass.org/kind"
 	"dewpass.org/link"
@@ -71,7 +71,7 @@
 	limitMemory(s)
 	work, end := context.WithCancel(context.Background())
 	defer end()
-	e := &Entry{settings: s, kit: kit, boot: ulid.Make().String()}
+	e := &Entry{settings: s, kit: kit, boot: uid.New()}
 	if err := e.build(work); err != nil {
 		return err
 	}
--- a/entry/services.go
+++ b/entry/services.go
@@ -9,10 +9,10 @@
 	"time"
 
 	"github.com/go-kit/log/level"
-	"github.com/oklog/ulid/v2"
 
 	"dewpass.org/hall"
 	"dewpass.org/internal/clock"
+	"dewpass.org/internal/uid"
 	"dewpass.org/job"
 	"dewpass.org/ports"
 	"dewpass.org/sched"
@@ -134,7 +134,7 @@
 	want := e.part(c, w)
 	for i := len(live); i < want; i++ {
 		row := job.Job{
-			ID:   fmt.Sprintf("%s%s", prefix, ulid.Make()),
+			ID:   fmt.Sprintf("%s%s", prefix, uid.New()),
 			Shop: serviceShop, Workload: w.Path, Repeat: ports.RepeatSafe,
 			Service: true, Payload: []byte(`{"service":true}`), Submitted: clock.Now().UTC(),
 		}
--- a/front/calls.go
+++ b/front/calls.go
@@ -8,10 +8,9 @@
 	"net/http"
 	"time"
 
-	"github.com/oklog/ulid/v2"
-
 	"dewpass.org/internal/clock"
 	"dewpass.org/internal/fault"
+	"dewpass.org/internal/uid"
 	"dewpass.org/job"
 	"dewpass.org/kind"
 	"dewpass.org/ports"
@@ -63,7 +62,7 @@
 // route admits a call and passes it on until it is answered.
 func (f *Front) route(ctx context.Context, req *request, w *tree.Workload) (*Answer, error) {
 	c := &wire.Call{
-		Id: ulid.Make().String(), Shop: req.Shop, Key: req.Key, Workload: w.Path,
+		Id: uid.New(), Shop: req.Shop, Key: req.Key, Workload: w.Path,
 		Payload: req.Payload, Once: req.Once, FirstTry: req.FirstTry,
 	}
 	var reply *wire.CallReply
--- a/front/front.go
+++ b/front/front.go
@@ -16,7 +16,6 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 	"github.com/gorilla/mux"
-	"github.com/oklog/ulid/v2"
 	"github.com/uber-go/tally/v4"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/trace"
@@ -24,6 +23,7 @@
 	"dewpass.org/commit"
 	"dewpass.org/hall"
 	"dewpass.org/internal/fault"
+	"dewpass.org/internal/uid"
 	"dewpass.org/job"
 	"dewpass.org/kind"
 	"dewpass.org/ports"
@@ -147,7 +147,7 @@
 		began := time.Now()
 		id := r.Header.Get(requestID)
 		if id == "" || !word(id, 64, "._-") {
-			id = ulid.Make().String()
+			id = uid.New()
 		}
 		ctx := telemetry.ExtractHTTP(r.Context(), r.Header)
 		ctx, span := f.Tracer.Start(ctx, "front."+name)
--- a/front/jobs.go
+++ b/front/jobs.go
@@ -11,11 +11,11 @@
 	"time"
 
 	"github.com/gorilla/mux"
-	"github.com/oklog/ulid/v2"
 
 	"dewpass.org/hall"
 	"dewpass.org/internal/clock"
 	"dewpass.org/internal/fault"
+	"dewpass.org/internal/uid"
 	"dewpass.org/job"
 	"dewpass.org/kind"
 	"dewpass.org/sched"
@@ -76,7 +76,7 @@
 
 func (f *Front) newJob(req *request, w *tree.Workload, now time.Time) job.Job {
 	row := job.Job{
-		ID: ulid.Make().String(), Shop: req.Shop, Key: req.Key, Workload: w.Path,
+		ID: uid.New(), Shop: req.Shop, Key: req.Key, Workload: w.Path,
 		Payload: req.Payload, Repeat: req.repeat(), Submitted: now.UTC(),
 		Deadline: req.Deadline,
 	}
--- a/front/operator.go
+++ b/front/operator.go
@@ -11,10 +11,10 @@
 	"time"
 
 	"github.com/gorilla/mux"
-	"github.com/oklog/ulid/v2"
 
 	"dewpass.org/internal/clock"
 	"dewpass.org/internal/fault"
+	"dewpass.org/internal/uid"
 	"dewpass.org/kind"
 	"dewpass.org/lease"
 	"dewpass.org/tree"
@@ -84,7 +84,7 @@
 		return nil, kind.At(kind.BadRequest, "/ops", "an edit needs at least one step")
 	}
 	if edit.ID == "" {
-		edit.ID = ulid.Make().String()
+		edit.ID = uid.New()
 	}
 	fault.At(fault.EditChecked)
 	entry, err := f.Store.Apply(r.Context(), edit)
--- /dev/null
+++ b/internal/uid/uid_test.go
@@ -0,0 +1,16 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package uid
+
+import "testing"
+
+func TestNewDiffers(t *testing.T) {
+	seen := make(map[string]bool)
+	for range 10_000 {
+		s := New()
+		if len(s) != 26 || seen[s] {
+			t.Fatalf("New() = %q: want 26 characters that were not drawn before", s)
+		}
+		seen[s] = true
+	}
+}
