--- a/cluster/members.go
+++ b/cluster/members.go
@@ -51,8 +51,10 @@
 	// work is what was sent to its cells since the last summary, in milliseconds
 	// of one processor.
 	work int64
-	// asking counts the questions to the policy that it asks for this instance.
+	// asking counts the questions to the policy that it asks for this instance,
+	// and failed is when it last brought no answer to one.
 	asking int
+	failed time.Time
 }
 
 // members is what an instance knows of the others. Make one with newMembers.
@@ -272,6 +274,15 @@
 	}
 }
 
+// failed notes that a member brought no answer to a question.
+func (m *members) failed(name string, now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if k := m.known[name]; k != nil {
+		k.failed = now
+	}
+}
+
 // targets returns the addresses to greet: those of the own hall and those at
 // which nobody is known, and those of other halls if far is set.
 func (m *members) targets(now time.Time, far bool) []string {
--- a/cluster/peers.go
+++ b/cluster/peers.go
@@ -9,8 +9,6 @@
 	"slices"
 	"time"
 
-	"dewpass.org/cell"
-	"dewpass.org/driver"
 	"dewpass.org/flow"
 	"dewpass.org/kind"
 	"dewpass.org/wire"
@@ -124,83 +122,6 @@
 	return 1
 }
 
-// longQuestion is from when on a question to the policy is better asked by an
-// instance that has no short ones to ask.
-const longQuestion = 150 * time.Millisecond
-
-// callers is how many questions to the policy may be under way at once.
-func (n *Node) callers() int {
-	return 1 + len(n.members.list(time.Now(), func(k *member) bool { return !k.leaving }))
-}
-
-// advise asks the policy, by the instance that will have the answer first.
-func (n *Node) advise(ctx context.Context, a cell.Ask) (driver.Tickets, error) {
-	if n.Advisor == nil {
-		return driver.Tickets{}, kind.New(kind.Unavailable, "there is no policy service")
-	}
-	by := n.caller(&a)
-	if by == nil {
-		n.addAsking(1)
-		defer n.addAsking(-1)
-		return n.Advisor.Advise(ctx, a.Step, a.Workers)
-	}
-	n.members.asks(by.name, 1)
-	defer n.members.asks(by.name, -1)
-	reply, err := n.dialer.Do(ctx, by.addr, &wire.Request{Body: &wire.Request_Advice{Advice: &wire.AdviceQuery{
-		Job: a.Step.Job, Time: uint32(a.Step.Time), Step: uint32(a.Step.Step), Workers: a.Workers,
-	}}})
-	if err != nil {
-		return driver.Tickets{}, err
-	}
-	t := driver.Tickets{Valid: time.Duration(reply.GetAdvice().GetValidUs()) * time.Microsecond}
-	for _, row := range reply.GetAdvice().GetTickets() {
-		t.Rows = append(t.Rows, cell.Ticket{Worker: row.Worker, Text: row.Text})
-	}
-	return t, nil
-}
-
-func (n *Node) addAsking(by int) {
-	n.mu.Lock()
-	n.asking += by
-	n.mu.Unlock()
-}
-
-// caller chooses who asks a question: nil is this instance itself. Short ones
-// are asked here while nothing is under way here, long ones by instances that
-// own no cell.
-func (n *Node) caller(a *cell.Ask) *member {
-	long := a.Takes() > longQuestion
-	n.mu.Lock()
-	own := n.asking
-	n.mu.Unlock()
-	if !long && own == 0 {
-		return nil
-	}
-	peers := n.members.list(time.Now(), func(k *member) bool { return !k.leaving })
-	best, bestCost := (*member)(nil), cost(own, true, false, long)
-	for i := range peers {
-		p := &peers[i]
-		c := cost(p.asking, len(p.cells) > 0, n.farther(*p) > 0, long)
-		if c < bestCost || (best != nil && c == bestCost && n.draw(p.name) < n.draw(best.name)) {
-			best, bestCost = p, c
-		}
-	}
-	return best
-}
-
-// cost ranks a caller by the questions that it has under way, whether it owns a
-// cell, and whether it is in another hall.
-func cost(asking int, owner, far, long bool) int {
-	c := 4 * asking
-	if owner && long {
-		c += 3
-	}
-	if far {
-		c++
-	}
-	return c
-}
-
 // draw spreads the choices of several owners over the same callers.
 func (n *Node) draw(name string) uint32 { return draw(n.settings.Instance + "/" + name) }
 
@@ -216,18 +137,3 @@
 	x *= 0x846ca68b
 	return x ^ x>>16
 }
-
-func (n *Node) handleAdvice(ctx context.Context, q *wire.AdviceQuery) (*wire.Reply, error) {
-	if n.Advisor == nil {
-		return nil, kind.New(kind.Unavailable, "there is no policy service")
-	}
-	t, err := n.Advisor.Advise(ctx, flow.StepID{Job: q.Job, Time: int(q.Time), Step: int(q.Step)}, q.Workers)
-	if err != nil {
-		return nil, err
-	}
-	out := &wire.Advice{ValidUs: t.Valid.Microseconds()}
-	for _, row := range t.Rows {
-		out.Tickets = append(out.Tickets, &wire.Ticket{Worker: row.Worker, Text: row.Text})
-	}
-	return &wire.Reply{Body: &wire.Reply_Advice{Advice: out}}, nil
-}
