driver, cell, cluster: a new owner reads only what is still to do, and the fittest goes first

Ruled out: the store (reachable throughout), the cut hall alone (it had healed). Now a job that is over leaves one row in a table that an owner does not read; parts that were read are kept; the seat is renewed while reading; an owner that cannot read for 4 s lets another try; silence counts later for lower ranks. Tests: driver (parts read again, renewal and giving up, rows of jobs that are over); each was seen red with the former loading.

--- a/cell/cell.go
+++ b/cell/cell.go
@@ -43,6 +43,8 @@
 	// order holds the workers by their id, so that decisions repeat.
 	order []*worker
 	jobs  map[string]*job
+	// over holds the jobs that were retired.
+	over map[string]over
 	// open holds the stages that have tasks waiting or soon will have.
 	open []*stage
 	// firstRun is added to the number of every run, so that it is above all
@@ -74,6 +76,7 @@
 		queues:   make(map[string]*Queue),
 		workers:  make(map[string]*worker),
 		jobs:     make(map[string]*job),
+		over:     make(map[string]over),
 		firstRun: firstRun,
 	}
 }
--- a/cell/job.go
+++ b/cell/job.go
@@ -3,6 +3,8 @@
 package cell
 
 import (
+	"slices"
+	"strings"
 	"time"
 
 	"dewpass.org/flow"
@@ -145,7 +147,7 @@
 // Submit adds a job that is not kept yet: advice may be asked for, but nothing
 // starts before Keep.
 func (c *Cell) Submit(spec *flow.Spec, now time.Time) {
-	if c.jobs[spec.ID] == nil {
+	if !c.Known(spec.ID) {
 		c.add(spec, nil, now)
 	}
 }
@@ -254,7 +256,7 @@
 func (c *Cell) Cancel(id string, now time.Time) bool {
 	j := c.jobs[id]
 	if j == nil {
-		return false
+		return c.Known(id)
 	}
 	if !j.state.Final() {
 		j.cancelled = true
@@ -266,6 +268,9 @@
 // State returns the state of a job that may be shown, and whether the job is
 // known.
 func (c *Cell) State(id string) (flow.State, bool) {
+	if o, ok := c.over[id]; ok {
+		return o.state, true
+	}
 	j := c.jobs[id]
 	switch {
 	case j == nil || !j.kept:
@@ -279,19 +284,50 @@
 }
 
 // Known reports whether a job is here, kept or not.
-func (c *Cell) Known(id string) bool { return c.jobs[id] != nil }
+func (c *Cell) Known(id string) bool {
+	_, over := c.over[id]
+	return over || c.jobs[id] != nil
+}
 
-// Expire removes the jobs that are over for longer than keep and returns their
-// ids.
-func (c *Cell) Expire(keep time.Duration, now time.Time) []string {
-	var over []string
+// Over is a job that is over, without its tasks.
+type Over struct {
+	ID    string
+	State flow.State
+}
+
+// over is what is remembered of a job that is over.
+type over struct {
+	state flow.State
+	since time.Time
+}
+
+// Retire forgets the tasks of jobs that are over, and known to be so, for longer
+// than after. It returns these jobs; their state is remembered until Expire.
+func (c *Cell) Retire(after time.Duration, now time.Time) []Over {
+	var out []Over
 	for id, j := range c.jobs {
-		if j.state.Final() && j.shown == j.state && now.Sub(j.ended) > keep {
-			over = append(over, id)
+		if j.state.Final() && j.shown == j.state && !j.marked && now.Sub(j.ended) > after {
+			out = append(out, Over{ID: id, State: j.state})
+			c.over[id] = over{state: j.state, since: j.ended}
 			delete(c.jobs, id)
 		}
 	}
-	return over
+	slices.SortFunc(out, func(a, b Over) int { return strings.Compare(a.ID, b.ID) })
+	return out
+}
+
+// Expire forgets the jobs that are over for longer than keep and returns their
+// ids.
+func (c *Cell) Expire(keep time.Duration, now time.Time) []string {
+	var ids []string
+	for id, o := range c.over {
+		if now.Sub(o.since) > keep {
+			ids = append(ids, id)
+			delete(c.over, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
 }
 
 // finish ends a job. Its runs are stopped by the next Place.
--- a/cluster/elect.go
+++ b/cluster/elect.go
@@ -27,6 +27,9 @@
 	watchAfter = 600 * time.Millisecond
 	electTime  = 3 * time.Second
 	probeTime  = 250 * time.Millisecond
+	// slowPause is how long an instance takes no seat after it was too slow for
+	// one.
+	slowPause = 10 * time.Second
 	// slowRead is how long a read takes at a store that is too slow to wait for.
 	slowRead = 80 * time.Millisecond
 )
@@ -44,7 +47,7 @@
 	var v vacancy
 	for ctx.Err() == nil {
 		now := time.Now()
-		if n.leaving.Load() || n.own(name) != nil || n.ownerHeard(name, now, watchAfter) {
+		if n.leaving.Load() || now.Before(n.slowUntil()) || n.own(name) != nil || n.ownerHeard(name, now, watchAfter) {
 			v = vacancy{}
 		} else {
 			if v.since.IsZero() {
@@ -96,7 +99,9 @@
 	if seat.Mark != v.mark {
 		v.mark, v.seen = seat.Mark, now
 	}
-	why := n.vacant(ctx, seat, now.Sub(v.seen))
+	// Those with less of a processor leave an owner's silence to others first.
+	later := time.Duration(n.rank(name, now)) * rankPause
+	why := n.vacant(ctx, seat, now.Sub(v.seen)-later)
 	if why == "" || n.ownerHeard(name, time.Now(), cellSilence) {
 		return
 	}
@@ -150,8 +155,9 @@
 		Seat: c, Store: n.door, Reachable: n.door.Reachable,
 		Workers: n.Workers, Directory: n.Directory(n.door),
 		Advise: n.advise, Callers: n.callers, Obeyed: n.obeyed, Doubt: doubt,
-		Lost: func() { n.dropDriver(name, d) },
-		Log:  n.kit.Log, Scope: n.kit.Scope,
+		Lost:    func() { n.dropDriver(name, d) },
+		TooSlow: func() { n.giveUp(name, d, c) },
+		Log:     n.kit.Log, Scope: n.kit.Scope,
 	})
 	if conf := n.config.Now(); conf != nil {
 		d.Configure(conf.CellQueues())
@@ -179,6 +185,29 @@
 	d.Close()
 }
 
+// giveUp gives a seat up whose jobs this instance cannot read in time, and takes
+// none for a while.
+func (n *Node) giveUp(name string, d *driver.Driver, c *claim.Claim) {
+	level.Warn(n.kit.Log).Log("event", "seat_given_up", "cell", name, "epoch", c.Epoch(), "why", "its jobs take too long to read")
+	n.mu.Lock()
+	n.slow = time.Now().Add(slowPause)
+	n.mu.Unlock()
+	d.Freeze()
+	ctx, cancel := context.WithTimeout(context.Background(), handoverMax)
+	defer cancel()
+	if err := c.Release(ctx); err != nil {
+		level.Warn(n.kit.Log).Log("event", "seat_not_released", "cell", name, "err", err)
+	}
+	n.dropDriver(name, d)
+}
+
+// slowUntil returns until when this instance takes no seat.
+func (n *Node) slowUntil() time.Time {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.slow
+}
+
 // handOver gives the seats up as planned.
 func (n *Node) handOver(ctx context.Context) {
 	for name, c := range n.owned() {
--- a/cluster/jobs.go
+++ b/cluster/jobs.go
@@ -166,19 +166,39 @@
 
 // stored returns the state that the store has.
 func (n *Node) stored(ctx context.Context, cell, id string) (flow.State, error) {
-	page, err := n.door.Get(ctx, rows.Only(driver.RecordKey(cell, id)))
+	record, err := n.row(ctx, driver.RecordKey(cell, id))
 	if err != nil {
-		return "", kind.Wrap(kind.Unavailable, err, "the job's record").After(comeBack)
+		return "", err
 	}
-	row := page.One()
-	if row.Ver == 0 {
+	if record.Ver > 0 {
+		rec, err := flow.DecodeRecord(record.Value)
+		if err != nil {
+			return "", kind.Wrap(kind.Damaged, err, "the job's record")
+		}
+		return rec.State, nil
+	}
+	// A record goes when what is left of its job takes its place.
+	ended, err := n.row(ctx, driver.EndedKey(cell, id))
+	switch {
+	case err != nil:
+		return "", err
+	case ended.Ver == 0:
 		return flow.Pending, nil
 	}
-	rec, err := flow.DecodeRecord(row.Value)
+	e, err := flow.DecodeEnded(ended.Value)
+	if err != nil {
+		return "", kind.Wrap(kind.Damaged, err, "the end of the job")
+	}
+	return e.State, nil
+}
+
+// row reads a row of a job, with version 0 if there is none.
+func (n *Node) row(ctx context.Context, key rows.Key) (rows.Row, error) {
+	page, err := n.door.Get(ctx, rows.Only(key))
 	if err != nil {
-		return "", kind.Wrap(kind.Damaged, err, "the job's record")
+		return rows.Row{}, kind.Wrap(kind.Unavailable, err, "the job's record").After(comeBack)
 	}
-	return rec.State, nil
+	return page.One(), nil
 }
 
 // Cancel cancels a job. Its error is of kind NotFound if there is no such job.
--- a/cluster/node.go
+++ b/cluster/node.go
@@ -79,6 +79,8 @@
 	mu    sync.Mutex
 	cells map[string]*ownCell
 	times times
+	// slow is until when this instance takes no seat.
+	slow time.Time
 	// asking counts the questions to the policy that this instance asks itself.
 	asking int
 }
--- a/driver/driver.go
+++ b/driver/driver.go
@@ -46,9 +46,12 @@
 	// does not know of.
 	Doubt bool
 	// Lost is called when another instance holds the seat.
-	Lost  func()
-	Log   log.Logger
-	Scope tally.Scope
+	Lost func()
+	// TooSlow is called when the jobs could not be read in time although the store
+	// answers: another instance may have the means.
+	TooSlow func()
+	Log     log.Logger
+	Scope   tally.Scope
 }
 
 // Driver runs the cell. Make one with New.
@@ -59,12 +62,14 @@
 	wg     sync.WaitGroup
 	began  time.Time
 
-	mu       sync.Mutex
-	cell     *cell.Cell
-	links    map[string]*link
-	removals []rows.Key
-	frozen   bool
-	loaded   bool
+	mu      sync.Mutex
+	cell    *cell.Cell
+	links   map[string]*link
+	tidying []chore
+	frozen  bool
+	loaded  bool
+	// scanned is the version up to which the jobs were read.
+	scanned uint64
 	// rosterChanged says that the workers of the cell are not those of the
 	// roster in the store.
 	rosterChanged bool
@@ -97,8 +102,6 @@
 	pauseLimit = 900 * time.Millisecond
 	// slowWrite is how long a write may take before stages open without it.
 	slowWrite = 120 * time.Millisecond
-	// expireEvery spaces the removal of what is over.
-	expireEvery = 5 * time.Second
 )
 
 // New returns a Driver for a seat that has just been taken.
@@ -124,11 +127,13 @@
 
 // Start reads the cell's jobs and then runs until Close.
 func (d *Driver) Start() {
+	// The seat is renewed while the jobs are read.
+	d.spawn(d.commitLoop)
 	d.spawn(func() {
 		if d.load() {
 			d.spawn(d.watch)
 			d.spawn(d.scan)
-			d.spawn(d.commitLoop)
+			d.spawn(d.sweep)
 			d.placeLoop()
 		}
 	})
@@ -260,7 +265,7 @@
 	tick := time.NewTicker(placeEvery)
 	defer tick.Stop()
 	last := time.Now()
-	expired := last
+	tidied := last
 	for {
 		select {
 		case <-d.wake:
@@ -274,9 +279,9 @@
 			return
 		}
 		last = time.Now()
-		if now.Sub(expired) > expireEvery {
-			expired = now
-			d.expire(now)
+		if now.Sub(tidied) > tidyEvery {
+			tidied = now
+			d.tidy(now)
 		}
 		d.place(now)
 	}
@@ -318,13 +323,11 @@
 	return false
 }
 
-func (d *Driver) expire(now time.Time) {
+func (d *Driver) tidy(now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.report()
-	for _, id := range d.cell.Expire(d.Keep, now) {
-		d.removals = append(d.removals, SpecKey(id), RecordKey(d.Name, id), HomeKey(id))
-	}
+	d.tidyUp(now)
 }
 
 // report sets the gauges of the cell. The lock is held.
--- /dev/null
+++ b/driver/driver_test.go
@@ -0,0 +1,178 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package driver
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/uber-go/tally/v4"
+
+	"dewpass.org/cell"
+	"dewpass.org/claim"
+	"dewpass.org/flow"
+	"dewpass.org/kind"
+	"dewpass.org/rows"
+)
+
+func TestDriver(t *testing.T) {
+	RegisterFailHandler(ginkgo.Fail)
+	ginkgo.RunSpecs(t, "driver")
+}
+
+// table is a store in memory that counts and can fail the readings of a part.
+type table struct {
+	mu   sync.Mutex
+	rows map[rows.Key]rows.Row
+	ver  uint64
+	// fails says how often the readings of a part of the jobs fail.
+	fails map[string]int
+	reads map[string]int
+}
+
+func newTable() *table {
+	return &table{rows: make(map[rows.Key]rows.Row), fails: make(map[string]int), reads: make(map[string]int)}
+}
+
+func (t *table) Tx(_ context.Context, tx rows.Tx) (rows.Result, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if n := len(tx.Expect) + len(tx.Put) + len(tx.Remove); n > rows.MaxEntries {
+		return rows.Result{}, kind.New(kind.BadRequest, fmt.Sprintf("%d entries", n))
+	}
+	for _, e := range tx.Expect {
+		if t.rows[e.Key].Ver != e.Ver {
+			return rows.Result{Refused: true, Rows: []rows.Row{t.rows[e.Key]}}, nil
+		}
+	}
+	t.ver++
+	for _, r := range tx.Put {
+		r.Ver = t.ver
+		t.rows[r.Key] = r
+	}
+	for _, k := range tx.Remove {
+		delete(t.rows, k)
+	}
+	return rows.Result{Ver: t.ver}, nil
+}
+
+func (t *table) Get(_ context.Context, r rows.Range) (rows.Page, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if r.Table == TableSpecs {
+		t.reads[r.Part]++
+		if t.fails[r.Part] > 0 {
+			t.fails[r.Part]--
+			return rows.Page{}, kind.New(kind.Lost, "too slow")
+		}
+	}
+	page := rows.Page{Ver: t.ver}
+	for k, row := range t.rows {
+		if k.Table == r.Table && k.Part == r.Part && k.Name >= r.From && (r.To == "" || k.Name < r.To) {
+			page.Rows = append(page.Rows, row)
+		}
+	}
+	return page, nil
+}
+
+func (t *table) Feed(ctx context.Context, _ rows.Since) (rows.Page, error) {
+	return rows.Page{}, kind.New(kind.Unavailable, "no feed")
+}
+
+func (t *table) has(k rows.Key) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.rows[k].Ver > 0
+}
+
+// nobody is a directory without workers.
+type nobody struct{}
+
+func (nobody) All(context.Context) ([]Entry, error) { return nil, nil }
+
+func newDriver(ctx context.Context, t *table, tooSlow func()) *Driver {
+	ginkgo.GinkgoHelper()
+	c := &claim.Claim{Store: t, Cell: "c", Owner: "me", Boot: "b"}
+	seat, ver, err := c.Read(ctx)
+	Expect(err).NotTo(HaveOccurred())
+	Expect(c.Take(ctx, seat, ver)).To(Succeed())
+	return New(Config{
+		Name: "c", Lease: time.Second, Keep: time.Hour, Seat: c, Store: t,
+		Mine: func(string) bool { return true }, Reachable: func() bool { return true },
+		Directory: nobody{}, Callers: func() int { return 1 }, Obeyed: func() bool { return true },
+		Lost: func() {}, TooSlow: tooSlow, Log: log.NewNopLogger(), Scope: tally.NoopScope,
+	})
+}
+
+func (t *table) putSpec(id string) {
+	raw, err := json.Marshal(flow.Spec{ID: id, Cell: "c", Queue: "q", Steps: []flow.Step{{Count: 1}}, AcceptedMS: time.Now().UnixMilli()})
+	Expect(err).NotTo(HaveOccurred())
+	_, err = t.Tx(context.Background(), rows.Tx{Put: []rows.Row{{Key: SpecKey(id), Value: raw}}})
+	Expect(err).NotTo(HaveOccurred())
+}
+
+var _ = ginkgo.Describe("a new owner", func() {
+	ginkgo.It("reads again only the parts that it could not read", func(ctx context.Context) {
+		t := newTable()
+		t.putSpec("a1")
+		t.putSpec("b1")
+		t.fails["b"] = 2
+		d := newDriver(ctx, t, func() {})
+		Expect(d.load()).To(BeTrue())
+		Expect(t.reads["a"]).To(Equal(1))
+		Expect(t.reads["b"]).To(Equal(3))
+		for _, id := range []string{"a1", "b1"} {
+			Expect(d.cell.Known(id)).To(BeTrue(), id)
+		}
+	})
+
+	ginkgo.It("renews its seat while it reads, and lets another try if that takes too long", func(ctx context.Context) {
+		t := newTable()
+		t.fails["a"] = 1 << 20
+		var slow atomic.Bool
+		d := newDriver(ctx, t, func() { slow.Store(true) })
+		before := t.rows[rows.Key{Table: claim.Table, Part: "c", Name: "seat"}].Ver
+		d.Start()
+		ginkgo.DeferCleanup(d.Close)
+		Eventually(slow.Load, 2*loadMost, 20*time.Millisecond).Should(BeTrue())
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		Expect(t.rows[rows.Key{Table: claim.Table, Part: "c", Name: "seat"}].Ver).To(BeNumerically(">", before+4))
+	})
+})
+
+var _ = ginkgo.Describe("a job that is over", func() {
+	ginkgo.It("leaves one small row, so that the next owner does not read it", func(ctx context.Context) {
+		t := newTable()
+		d := newDriver(ctx, t, func() {})
+		const jobs = 120
+		for i := range jobs {
+			id := fmt.Sprintf("%x-%d", i%16, i)
+			t.putSpec(id)
+			d.adopt(&flow.Spec{ID: id, Cell: "c", Steps: []flow.Step{{Count: 1}}, AcceptedMS: time.Now().UnixMilli()}, time.Now())
+			d.cell.Cancel(id, time.Now())
+		}
+		Eventually(func() bool { return d.commitOnce(false) }).Should(BeFalse())
+		d.tidyUp(time.Now().Add(2 * retireAfter))
+		Eventually(func() bool { return d.commitOnce(false) }).Should(BeFalse())
+		for i := range jobs {
+			id := fmt.Sprintf("%x-%d", i%16, i)
+			Expect(t.has(SpecKey(id))).To(BeFalse())
+			Expect(t.has(RecordKey("c", id))).To(BeFalse())
+			Expect(t.has(EndedKey("c", id))).To(BeTrue())
+			s, known := d.State(id)
+			Expect(known).To(BeTrue())
+			Expect(s).To(Equal(flow.Canceled))
+		}
+		d.adopt(&flow.Spec{ID: "0-0", Cell: "c", Steps: []flow.Step{{Count: 1}}}, time.Now())
+		Expect(d.cell.Place(time.Now(), time.Now(), 1)).To(Equal(cell.Actions{}), "told of again, it does not run")
+	})
+})
--- /dev/null
+++ b/driver/load.go
@@ -0,0 +1,143 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package driver
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/go-kit/log/level"
+	"golang.org/x/sync/errgroup"
+
+	"dewpass.org/flow"
+	"dewpass.org/rows"
+)
+
+const (
+	// loadPage is how many rows are read at once, and loadAtOnce how many parts:
+	// an instance with a slow link has to have each answer in time.
+	loadPage   = 100
+	loadAtOnce = 4
+	// loadMost is how long an owner may take to read its jobs before another
+	// instance should try.
+	loadMost = 4 * time.Second
+)
+
+// reading is what was read so far of the jobs of a cell. A part that failed is
+// read again, the others are not.
+type reading struct {
+	specs   [len(specParts)]part
+	records part
+	roster  part
+}
+
+// part is one part of a table.
+type part struct {
+	rows []rows.Row
+	ver  uint64
+	done bool
+}
+
+// read reads the part unless that was done.
+func (p *part) read(ctx context.Context, s rows.Store, r rows.Range) (err error) {
+	if p.done {
+		return nil
+	}
+	p.rows, p.ver, err = rows.All(ctx, s, r)
+	p.done = err == nil
+	return err
+}
+
+// jobs returns the jobs of all parts.
+func (r *reading) jobs() []rows.Row {
+	var all []rows.Row
+	for i := range r.specs {
+		all = append(all, r.specs[i].rows...)
+	}
+	return all
+}
+
+// ver returns a version that is not above that of any part of the jobs.
+func (r *reading) ver() uint64 {
+	var vers []uint64
+	for i := range r.specs {
+		vers = append(vers, r.specs[i].ver)
+	}
+	return slices.Min(vers)
+}
+
+// readSpecs reads the jobs of all parts.
+func (d *Driver) readSpecs(ctx context.Context, r *reading) error {
+	reads, ctx := errgroup.WithContext(ctx)
+	reads.SetLimit(loadAtOnce)
+	for i, name := range specParts {
+		reads.Go(func() error {
+			return r.specs[i].read(ctx, d.Store, rows.Range{Table: TableSpecs, Part: string(name), Limit: loadPage})
+		})
+	}
+	return reads.Wait()
+}
+
+// readRest reads what the cell's own part holds.
+func (d *Driver) readRest(ctx context.Context, r *reading) error {
+	reads, ctx := errgroup.WithContext(ctx)
+	reads.Go(func() error {
+		return r.records.read(ctx, d.Store, rows.Range{Table: TableRecords, Part: d.Name, Limit: loadPage})
+	})
+	reads.Go(func() error { return r.roster.read(ctx, d.Store, rows.Only(d.rosterKey())) })
+	return reads.Wait()
+}
+
+// load reads the jobs of the cell. It reports whether it did before the end.
+func (d *Driver) load() bool {
+	var r reading
+	begun := time.Now()
+	for d.ctx.Err() == nil {
+		err := d.readSpecs(d.ctx, &r)
+		if err == nil {
+			err = d.readRest(d.ctx, &r)
+		}
+		if err == nil {
+			d.scanned = r.ver()
+			d.restore(r.jobs(), r.records.rows)
+			d.restoreRoster(rows.Page{Rows: r.roster.rows}.One().Value)
+			return true
+		}
+		level.Warn(d.Log).Log("event", "load_failed", "cell", d.Name, "epoch", d.Seat.Epoch(), "took_ms", time.Since(begun).Milliseconds(), "err", err)
+		if time.Since(begun) > loadMost && d.Reachable() {
+			go d.TooSlow()
+			return false
+		}
+		d.sleep(readRetry)
+	}
+	return false
+}
+
+func (d *Driver) restore(specs, records []rows.Row) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := time.Now()
+	byID := make(map[string]*flow.Record, len(records))
+	for _, r := range records {
+		rec, err := flow.DecodeRecord(r.Value)
+		if err != nil {
+			level.Error(d.Log).Log("event", "bad_record", "job", r.Name, "err", err)
+			continue
+		}
+		byID[r.Name] = rec
+	}
+	for _, r := range specs {
+		spec, err := flow.DecodeSpec(r.Value)
+		if err != nil {
+			level.Error(d.Log).Log("event", "bad_spec", "job", r.Name, "err", err)
+			continue
+		}
+		if spec.Cell != d.Name {
+			continue
+		}
+		d.cell.Restore(spec, byID[r.Name], arrivedAt(spec, now))
+	}
+	d.loaded = true
+	level.Info(d.Log).Log("event", "loaded", "cell", d.Name, "epoch", d.Seat.Epoch(), "jobs", len(specs))
+}
--- /dev/null
+++ b/driver/scan.go
@@ -0,0 +1,90 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package driver
+
+import (
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"dewpass.org/flow"
+	"dewpass.org/kind"
+	"dewpass.org/rows"
+)
+
+// scanEvery spaces the looks for jobs that nobody told this owner of.
+const scanEvery = 1200 * time.Millisecond
+
+// Adopt takes in a job that the store has just taken for this cell. Its error is
+// of kind Unavailable if the cell is not read yet.
+func (d *Driver) Adopt(spec *flow.Spec) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.loaded || d.frozen {
+		return kind.New(kind.Unavailable, "the cell is not read yet")
+	}
+	d.adopt(spec, time.Now())
+	poke(d.wake)
+	return nil
+}
+
+// adopt adds a job that no former owner can have started. The lock is held.
+func (d *Driver) adopt(spec *flow.Spec, now time.Time) {
+	d.cell.Submit(spec, arrivedAt(spec, now))
+	d.cell.Keep(spec.ID)
+}
+
+// arrivedAt returns when a job was accepted, by this instance's steady clock.
+func arrivedAt(spec *flow.Spec, now time.Time) time.Time {
+	age := max(now.UnixMilli()-spec.AcceptedMS, 0)
+	return now.Add(-time.Duration(age) * time.Millisecond)
+}
+
+// scan finds jobs that the store has taken and that nobody told this owner of.
+func (d *Driver) scan() {
+	ver := d.scanned
+	for d.ctx.Err() == nil {
+		d.sleep(scanEvery)
+		if ver == 0 {
+			ver = d.scanAll()
+			continue
+		}
+		page, err := d.Store.Feed(d.ctx, rows.Since{Table: TableSpecs, Ver: ver})
+		switch {
+		case err != nil:
+		case page.Forgotten:
+			ver = 0
+		default:
+			ver = max(ver, page.Ver)
+			d.found(page.Rows)
+		}
+	}
+}
+
+// scanAll reads all jobs, and returns the version of the store.
+func (d *Driver) scanAll() uint64 {
+	var r reading
+	if d.readSpecs(d.ctx, &r) != nil {
+		return 0
+	}
+	d.found(r.jobs())
+	return r.ver()
+}
+
+func (d *Driver) found(all []rows.Row) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := time.Now()
+	for _, r := range all {
+		if r.Gone || d.cell.Known(r.Name) {
+			continue
+		}
+		spec, err := flow.DecodeSpec(r.Value)
+		if err != nil || spec.Cell != d.Name || now.Sub(arrivedAt(spec, now)) > d.Keep {
+			continue
+		}
+		level.Info(d.Log).Log("event", "job_found", "job", r.Name, "version", r.Ver)
+		d.adopt(spec, now)
+	}
+	poke(d.wake)
+}
--- a/flow/record.go
+++ b/flow/record.go
@@ -26,6 +26,19 @@
 	Saved map[int]string `json:"saved,omitempty"`
 }
 
+// Ended is what is left of a job that is over, until it is forgotten.
+type Ended struct {
+	State State `json:"state"`
+	// AtMS is when that was written down, in milliseconds since 1970.
+	AtMS int64 `json:"at_ms"`
+}
+
+// DecodeEnded reads the row of an Ended.
+func DecodeEnded(raw []byte) (*Ended, error) {
+	e := new(Ended)
+	return e, json.Unmarshal(raw, e)
+}
+
 // Bits is a set of small numbers. Its zero value is empty.
 type Bits []byte
 
