driver, cluster: a job that is handed in again does not run again under a new owner; seats are watched all the time

The owner is now told at which version the store took the job; one of before its own reading is over. A reading of several pages bears the version of its first. The watch: an instance began to count a seat's silence when it first missed the owner, 0.6 s late; it now counts from what the probes of the store see anyway. Test in driver, red before.

--- a/claim/claim.go
+++ b/claim/claim.go
@@ -102,8 +102,14 @@
 	if err != nil {
 		return Seat{}, 0, err
 	}
+	seat, ver := SeatOf(page)
+	return seat, ver, nil
+}
+
+// SeatOf returns the seat that a reading of Range brought, and its version.
+func SeatOf(page rows.Page) (Seat, uint64) {
 	row := page.One()
-	return decode(row.Value), row.Ver, nil
+	return decode(row.Value), row.Ver
 }
 
 func decode(raw []byte) Seat {
--- a/cluster/accept.go
+++ b/cluster/accept.go
@@ -45,19 +45,19 @@
 	begun := time.Now()
 	spec.AcceptedMS = begun.UnixMilli()
 	cell := n.choose(spec)
-	fresh, err := n.keep(ctx, &cell, spec)
+	k, err := n.keep(ctx, cell, spec)
 	if err != nil {
 		level.Info(n.kit.Log).Log("event", "not_kept", "job", spec.ID, "cell", cell, "err", err, "last", true)
 		n.kit.Scope.Counter("jobs_not_kept_total").Inc(1)
 		return err
 	}
-	level.Info(n.kit.Log).Log("event", "accepted", "job", spec.ID, "queue", spec.Queue, "cell", cell, "fresh", fresh, "took_ms", time.Now().UnixMilli()-spec.AcceptedMS)
+	level.Info(n.kit.Log).Log("event", "accepted", "job", spec.ID, "queue", spec.Queue, "cell", k.cell, "fresh", k.fresh, "version", k.ver, "took_ms", time.Now().UnixMilli()-spec.AcceptedMS)
 	n.kit.Scope.Counter("jobs_accepted_total").Inc(1)
 	n.kit.Scope.Histogram("accept_seconds", latency).RecordDuration(time.Since(begun))
-	n.homes.set(spec.ID, cell)
+	n.homes.set(spec.ID, k.cell)
 	// The same write may have gone two ways, and the answer may be that of the
 	// second: the owner is told in any case.
-	go n.tell(cell, spec)
+	go n.tell(k, spec)
 	return nil
 }
 
@@ -71,15 +71,22 @@
 	return n.names[draw(spec.ID)%uint32(len(n.names))]
 }
 
-// keep writes a job on the condition that no cell has it. It reports whether it
-// was this write that kept it, and leaves the cell that has the job in cell.
-func (n *Node) keep(ctx context.Context, cell *string, spec *flow.Spec) (bool, error) {
-	spec.Cell = *cell
+// kept is what became of a job that was handed in: the cell that has it, the
+// version at which the store took it, and whether this write did that.
+type kept struct {
+	cell  string
+	ver   uint64
+	fresh bool
+}
+
+// keep writes a job on the condition that no cell has it.
+func (n *Node) keep(ctx context.Context, cell string, spec *flow.Spec) (kept, error) {
+	spec.Cell = cell
 	home := driver.HomeKey(spec.ID)
 	t := rows.Tx{
 		Expect: []rows.Check{{Key: home}},
 		Put: []rows.Row{
-			{Key: home, Value: []byte(*cell)},
+			{Key: home, Value: []byte(cell)},
 			{Key: driver.SpecKey(spec.ID), Value: flow.Encode(spec)},
 		},
 	}
@@ -88,37 +95,42 @@
 		res, err := n.sendKeep(ctx, home, t)
 		switch {
 		case err == nil && !res.Refused:
-			return true, nil
+			return kept{cell: cell, ver: res.Ver, fresh: true}, nil
 		case err == nil:
 			// Some cell has it, by this write or by an earlier one.
-			for _, row := range res.Rows {
-				if row.Key == home && len(row.Value) > 0 {
-					*cell = string(row.Value)
-				}
-			}
-			return uncertain, nil
+			return keptBy(res, home, kept{cell: cell, fresh: uncertain}), nil
 		case !kind.Is(err, kind.Unavailable):
 			uncertain = true
 			if !n.door.Reachable() {
-				return false, kind.Of(err).Uncertain(spec.ID)
+				return kept{}, kind.Of(err).Uncertain(spec.ID)
 			}
 		case !uncertain && !n.door.Reachable():
-			return false, kind.Of(err).After(comeBack)
+			return kept{}, kind.Of(err).After(comeBack)
 		}
 		sleep(ctx, acceptRetry)
 		if ctx.Err() != nil && !uncertain {
-			return false, kind.New(kind.Unavailable, "the store takes no writes now").After(comeBack)
+			return kept{}, kind.New(kind.Unavailable, "the store takes no writes now").After(comeBack)
 		}
 		if ctx.Err() != nil {
-			return false, kind.New(kind.Lost, "the store has not answered").Uncertain(spec.ID)
+			return kept{}, kind.New(kind.Lost, "the store has not answered").Uncertain(spec.ID)
 		}
 	}
 }
 
+// keptBy completes k by the home of a job that was there before.
+func keptBy(res rows.Result, home rows.Key, k kept) kept {
+	for _, row := range res.Rows {
+		if row.Key == home && len(row.Value) > 0 {
+			k.cell, k.ver = string(row.Value), row.Ver
+		}
+	}
+	return k
+}
+
 // latency holds the bounds of the histograms of waits.
 var latency = tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 14)
 
-type kept struct {
+type answered struct {
 	res rows.Result
 	err error
 }
@@ -128,17 +140,17 @@
 func (n *Node) sendKeep(ctx context.Context, home rows.Key, t rows.Tx) (rows.Result, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	answer := make(chan kept, 1)
+	answer := make(chan answered, 1)
 	go func() {
 		res, err := n.door.Tx(ctx, t)
-		answer <- kept{res, err}
+		answer <- answered{res, err}
 	}()
 	tick := time.NewTicker(acceptLook)
 	defer tick.Stop()
 	for {
 		select {
-		case k := <-answer:
-			return k.res, k.err
+		case a := <-answer:
+			return a.res, a.err
 		case <-tick.C:
 			if !n.door.Reachable() {
 				return rows.Result{}, kind.New(kind.Lost, "the store is not reached any more")
@@ -152,31 +164,31 @@
 }
 
 // tell tells the owner of a cell of a job until it has heard, for a while.
-func (n *Node) tell(cell string, spec *flow.Spec) {
+func (n *Node) tell(k kept, spec *flow.Spec) {
 	ctx, cancel := context.WithTimeout(context.Background(), tellTime)
 	defer cancel()
 	raw := flow.Encode(spec)
 	for ctx.Err() == nil {
-		if n.tellOnce(ctx, cell, spec, raw) == nil {
+		if n.tellOnce(ctx, k, spec, raw) == nil {
 			return
 		}
 		sleep(ctx, tellRetry)
 	}
-	level.Warn(n.kit.Log).Log("event", "owner_not_told", "job", spec.ID, "cell", cell)
+	level.Warn(n.kit.Log).Log("event", "owner_not_told", "job", spec.ID, "cell", k.cell)
 }
 
-func (n *Node) tellOnce(ctx context.Context, cell string, spec *flow.Spec, raw []byte) error {
-	if d := n.own(cell); d != nil {
-		return d.Adopt(spec)
+func (n *Node) tellOnce(ctx context.Context, k kept, spec *flow.Spec, raw []byte) error {
+	if d := n.own(k.cell); d != nil {
+		return d.Adopt(spec, k.ver)
 	}
-	o := n.members.owner(cell, time.Now())
+	o := n.members.owner(k.cell, time.Now())
 	if o == nil {
 		return kind.New(kind.Unavailable, "the cell's owner is not heard")
 	}
 	ctx, cancel := context.WithTimeout(ctx, tellOnce)
 	defer cancel()
 	_, err := n.dialer.Do(ctx, o.addr, &wire.Request{Body: &wire.Request_SubmitJob{
-		SubmitJob: &wire.JobSubmit{Cell: cell, Spec: raw},
+		SubmitJob: &wire.JobSubmit{Cell: k.cell, Spec: raw, Ver: k.ver},
 	}})
 	return err
 }
--- a/cluster/advise_test.go
+++ b/cluster/advise_test.go
@@ -12,6 +12,7 @@
 	. "github.com/onsi/gomega"
 
 	"dewpass.org/cell"
+	"dewpass.org/claim"
 	"dewpass.org/driver"
 	"dewpass.org/flow"
 	"dewpass.org/rows"
@@ -57,3 +58,14 @@
 		Expect(n.caller(&long)).To(BeNil(), "the peer is given nothing for a while")
 	})
 })
+
+var _ = Describe("a seat", func() {
+	It("counts as unwritten from when its mark was first seen", func() {
+		n := testNode(&policy{})
+		now := time.Now()
+		Expect(n.sawSeat("c", claim.Seat{Mark: "1"}, now)).To(BeZero())
+		Expect(n.sawSeat("c", claim.Seat{Mark: "1"}, now.Add(time.Second))).To(Equal(time.Second))
+		Expect(n.sawSeat("c", claim.Seat{Mark: "2"}, now.Add(2*time.Second))).To(BeZero())
+		Expect(n.sawSeat("c", claim.Seat{Mark: "2"}, now.Add(3*time.Second))).To(Equal(time.Second))
+	})
+})
--- a/cluster/elect.go
+++ b/cluster/elect.go
@@ -34,27 +34,40 @@
 	slowRead = 80 * time.Millisecond
 )
 
-// vacancy is what an instance knows of a seat whose owner it does not hear.
-type vacancy struct {
+// watched is what an instance has seen of the seat of a cell.
+type watched struct {
+	mark string
+	// since is when the mark was first seen, and so not before it was written.
 	since time.Time
-	mark  string
-	seen  time.Time
+}
+
+// sawSeat notes what a reading of a seat brought, and returns for how long the
+// seat has surely gone unwritten.
+func (n *Node) sawSeat(name string, seat claim.Seat, now time.Time) time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if w, ok := n.seats[name]; ok && w.mark == seat.Mark {
+		return now.Sub(w.since)
+	}
+	n.seats[name] = watched{mark: seat.Mark, since: now}
+	return 0
 }
 
 // electLoop takes the seat of a cell whenever nobody else has it.
 func (n *Node) electLoop(ctx context.Context, name string) {
 	sleep(ctx, firstLook)
-	var v vacancy
+	// unheard is since when the owner is not heard.
+	var unheard time.Time
 	for ctx.Err() == nil {
 		now := time.Now()
 		if n.leaving.Load() || now.Before(n.slowUntil()) || n.own(name) != nil || n.ownerHeard(name, now, watchAfter) {
-			v = vacancy{}
+			unheard = time.Time{}
 		} else {
-			if v.since.IsZero() {
-				v.since = now
+			if unheard.IsZero() {
+				unheard = now
 			}
-			if now.Sub(v.since) >= time.Duration(n.rank(name, now))*rankPause {
-				n.tryTake(ctx, name, &v)
+			if now.Sub(unheard) >= time.Duration(n.rank(name, now))*rankPause {
+				n.tryTake(ctx, name)
 			}
 		}
 		sleep(ctx, electEvery)
@@ -81,7 +94,7 @@
 }
 
 // tryTake takes the seat if its owner is gone.
-func (n *Node) tryTake(ctx context.Context, name string, v *vacancy) {
+func (n *Node) tryTake(ctx context.Context, name string) {
 	ctx, cancel := context.WithTimeout(ctx, electTime)
 	defer cancel()
 	c := &claim.Claim{
@@ -96,12 +109,10 @@
 	now := time.Now()
 	// With a slow store the first stages open without waiting for it.
 	c.Loose = now.Sub(begun) > slowRead
-	if seat.Mark != v.mark {
-		v.mark, v.seen = seat.Mark, now
-	}
+	unwritten := n.sawSeat(name, seat, now)
 	// Those with less of a processor leave an owner's silence to others first.
 	later := time.Duration(n.rank(name, now)) * rankPause
-	why := n.vacant(ctx, seat, now.Sub(v.seen)-later)
+	why := n.vacant(ctx, seat, unwritten-later)
 	if why == "" || n.ownerHeard(name, time.Now(), cellSilence) {
 		return
 	}
--- a/cluster/node.go
+++ b/cluster/node.go
@@ -78,6 +78,8 @@
 
 	mu    sync.Mutex
 	cells map[string]*ownCell
+	// seats holds what was seen of the seats of all cells.
+	seats map[string]watched
 	times times
 	// slow is until when this instance takes no seat.
 	slow time.Time
@@ -171,6 +173,7 @@
 		dialer:  &link.Dialer{},
 		names:   cellNames(s.Cluster.Cells),
 		cells:   make(map[string]*ownCell),
+		seats:   make(map[string]watched),
 		times:   timesOf(s.Cluster),
 	}
 	n.server = &link.Server{Handler: n}
@@ -186,12 +189,19 @@
 // probeEvery spaces the reads that show whether the store answers.
 const probeEvery = 300 * time.Millisecond
 
-// probeStore reads a small row again and again, so that readiness follows the
-// store.
+// probeStore reads the seat of one cell after another, so that readiness follows
+// the store, and so that it is known how long a seat has gone unwritten when its
+// owner falls silent.
 func (n *Node) probeStore(ctx context.Context) {
-	small := claim.Range(n.names[0])
-	for ctx.Err() == nil {
-		go n.door.Probe(ctx, small)
+	for at := 0; ctx.Err() == nil; at++ {
+		name := n.names[at%len(n.names)]
+		go func() {
+			page, err := n.door.Probe(ctx, claim.Range(name))
+			if err == nil {
+				seat, _ := claim.SeatOf(page)
+				n.sawSeat(name, seat, time.Now())
+			}
+		}()
 		sleep(ctx, probeEvery)
 	}
 }
--- a/cluster/peers.go
+++ b/cluster/peers.go
@@ -69,7 +69,7 @@
 	if err != nil {
 		return nil, kind.Wrap(kind.BadRequest, err, "job")
 	}
-	return &wire.Reply{Body: &wire.Reply_JobState{JobState: &wire.JobState{}}}, d.Adopt(spec)
+	return &wire.Reply{Body: &wire.Reply_JobState{JobState: &wire.JobState{}}}, d.Adopt(spec, s.Ver)
 }
 
 func (n *Node) handleAsk(ctx context.Context, a *wire.JobAsk) (*wire.Reply, error) {
--- a/driver/driver_test.go
+++ b/driver/driver_test.go
@@ -149,6 +149,24 @@
 	})
 })
 
+var _ = ginkgo.Describe("a job that is handed in again", func() {
+	ginkgo.It("does not run again under a new owner that never read it", func(ctx context.Context) {
+		t := newTable()
+		t.putSpec("a1")
+		spec := &flow.Spec{ID: "a1", Cell: "c", Steps: []flow.Step{{Count: 1}}}
+		accepted := t.rows[SpecKey("a1")].Ver
+		delete(t.rows, SpecKey("a1"))
+		d := newDriver(ctx, t, func() {})
+		Expect(d.load()).To(BeTrue())
+		Expect(d.Adopt(spec, accepted)).To(Succeed())
+		Expect(d.cell.Known("a1")).To(BeFalse())
+		d.found([]rows.Row{{Key: SpecKey("a1"), Value: flow.Encode(spec), Ver: accepted}})
+		Expect(d.cell.Known("a1")).To(BeFalse(), "nor by a stale reading")
+		Expect(d.Adopt(spec, t.ver+1)).To(Succeed())
+		Expect(d.cell.Known("a1")).To(BeTrue(), "a job of after that is taken in")
+	})
+})
+
 var _ = ginkgo.Describe("a job that is over", func() {
 	ginkgo.It("leaves one small row, so that the next owner does not read it", func(ctx context.Context) {
 		t := newTable()
--- a/driver/scan.go
+++ b/driver/scan.go
@@ -15,19 +15,28 @@
 // scanEvery spaces the looks for jobs that nobody told this owner of.
 const scanEvery = 1200 * time.Millisecond
 
-// Adopt takes in a job that the store has just taken for this cell. Its error is
-// of kind Unavailable if the cell is not read yet.
-func (d *Driver) Adopt(spec *flow.Spec) error {
+// Adopt takes in a job that the store took at version ver. One that the store had
+// when this owner read its jobs, and that is not here, is over. The error is of
+// kind Unavailable if the cell is not read yet.
+func (d *Driver) Adopt(spec *flow.Spec, ver uint64) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if !d.loaded || d.frozen {
 		return kind.New(kind.Unavailable, "the cell is not read yet")
 	}
-	d.adopt(spec, time.Now())
-	poke(d.wake)
+	if d.isNew(spec.ID, ver) {
+		d.adopt(spec, time.Now())
+		poke(d.wake)
+	}
 	return nil
 }
 
+// isNew reports whether a job came after this owner read its jobs, and is not
+// here. The lock is held.
+func (d *Driver) isNew(id string, ver uint64) bool {
+	return ver > d.scanned && !d.cell.Known(id)
+}
+
 // adopt adds a job that no former owner can have started. The lock is held.
 func (d *Driver) adopt(spec *flow.Spec, now time.Time) {
 	d.cell.Submit(spec, arrivedAt(spec, now))
@@ -76,7 +85,7 @@
 	defer d.mu.Unlock()
 	now := time.Now()
 	for _, r := range all {
-		if r.Gone || d.cell.Known(r.Name) {
+		if r.Gone || !d.isNew(r.Name, r.Ver) {
 			continue
 		}
 		spec, err := flow.DecodeSpec(r.Value)
--- a/rows/door.go
+++ b/rows/door.go
@@ -192,12 +192,13 @@
 }
 
 // Probe asks the store itself, whatever became of earlier calls.
-func (d *Door) Probe(ctx context.Context, r Range) {
-	// What becomes of it is noted; there is nothing else to do with it.
-	_ = d.try(ctx, probeTime, func(ctx context.Context) error {
-		_, err := d.Direct.Get(ctx, r)
+func (d *Door) Probe(ctx context.Context, r Range) (Page, error) {
+	var page Page
+	err := d.try(ctx, probeTime, func(ctx context.Context) (err error) {
+		page, err = d.Direct.Get(ctx, r)
 		return err
 	})
+	return page, err
 }
 
 func (d *Door) try(ctx context.Context, limit time.Duration, direct func(context.Context) error) error {
--- a/rows/rows.go
+++ b/rows/rows.go
@@ -106,17 +106,22 @@
 	return Range{Table: k.Table, Part: k.Part, From: k.Name, To: k.Name + "\x00", Limit: 1}
 }
 
-// All reads a range to its end, page by page.
+// All reads a range to its end, page by page. The version is that of the first
+// page: what is not there was written after it, or removed.
 func All(ctx context.Context, s Store, r Range) ([]Row, uint64, error) {
 	var all []Row
+	var ver uint64
 	for {
 		page, err := s.Get(ctx, r)
 		if err != nil {
 			return nil, 0, err
 		}
 		all = append(all, page.Rows...)
+		if ver == 0 {
+			ver = page.Ver
+		}
 		if !page.More || len(page.Rows) == 0 {
-			return all, page.Ver, nil
+			return all, ver, nil
 		}
 		r.From = page.Rows[len(page.Rows)-1].Name + "\x00"
 	}
