--- a/cell/advice.go
+++ b/cell/advice.go
@@ -17,6 +17,11 @@
 	askMost = 30
 	// ticketMargin is how long before its end a ticket is not used any more.
 	ticketMargin = 80 * time.Millisecond
+	// longAsk is from when on a question counts as long.
+	longAsk = 150 * time.Millisecond
+	// shortShare is the part of the questions under way, as a divisor, that is kept
+	// for short ones: a long one would hold up many calls that somebody waits for.
+	shortShare = 3
 	// askAgain is the pause after a question that had no answer.
 	askAgain = 100 * time.Millisecond
 	// lookAgain is the pause after a look that found nobody to ask about.
@@ -77,6 +82,23 @@
 	return a.Advice.Decide + time.Duration(len(a.Workers))*a.Advice.Each
 }
 
+// Long reports whether the answer takes long.
+func (a *Ask) Long() bool { return a.Takes() > longAsk }
+
+// maySend reports whether a question may be asked while at most asks are under
+// way at once.
+func (c *Cell) maySend(a *Ask, asks int) bool {
+	return c.asks < asks && (!a.Long() || c.longAsks < max(asks-max(asks/shortShare, 1), 1))
+}
+
+// sent counts a question that is under way, by is 1, or is not any more, by is -1.
+func (c *Cell) sent(a *Ask, by int) {
+	c.asks += by
+	if a.Long() {
+		c.longAsks += by
+	}
+}
+
 // Ticket lets a worker run a step.
 type Ticket struct {
 	Worker, Text string
@@ -84,7 +106,7 @@
 
 // Advised takes in the answer to a question sent at sent.
 func (c *Cell) Advised(a Ask, tickets []Ticket, valid time.Duration, sent time.Time) {
-	c.asks--
+	c.sent(&a, -1)
 	s := c.stage(a.Step)
 	if s == nil {
 		return
@@ -105,7 +127,7 @@
 
 // Unadvised says that a question had no answer.
 func (c *Cell) Unadvised(a Ask, now time.Time) {
-	c.asks--
+	c.sent(&a, -1)
 	if s := c.stage(a.Step); s != nil {
 		s.advice.asking = false
 		s.advice.after = now.Add(askAgain)
--- a/cell/cell.go
+++ b/cell/cell.go
@@ -51,8 +51,9 @@
 	// that a former owner gave.
 	firstRun int
 	dirty    []*job
-	asks     int
-	counts   Counts
+	// asks counts the questions under way, longAsks the long ones among them.
+	asks, longAsks int
+	counts         Counts
 	// turn counts the lists that were taken in.
 	turn int
 	// restless says that there may be runs to stop, and looked when all runs were
--- a/cell/cell_test.go
+++ b/cell/cell_test.go
@@ -499,3 +499,27 @@
 		Expect(r.Known("j")).To(BeFalse())
 	})
 })
+
+var _ = Describe("questions to the policy", func() {
+	It("leave some callers to short ones, however many long ones wait", func() {
+		r := newRig(2)
+		r.Configure([]Queue{
+			{Name: "long", Pool: "p", Advice: &Advice{Decide: time.Second, Valid: time.Minute}},
+			{Name: "short", Pool: "p", Priority: 1, Advice: &Advice{Decide: 10 * time.Millisecond, Valid: time.Minute}},
+		})
+		submit := func(id, queue string) {
+			r.Submit(&flow.Spec{ID: id, Queue: queue, Steps: []flow.Step{{Count: 1, Demand: demand(1000)}}}, r.now)
+			r.Keep(id)
+		}
+		for i := range 6 {
+			submit(fmt.Sprintf("l%d", i), "long")
+		}
+		long := r.Place(r.now, r.now, 4).Asks
+		Expect(long).To(HaveLen(3))
+		submit("s", "short")
+		Expect(r.Place(r.now, r.now, 4).Asks).To(HaveLen(1))
+		r.Unadvised(long[0], r.now)
+		submit("t", "short")
+		Expect(r.Place(r.now, r.now, 4).Asks[0].Step.Job).To(Equal("l3"), "the next long one")
+	})
+})
--- a/cell/place.go
+++ b/cell/place.go
@@ -67,9 +67,9 @@
 			continue
 		}
 		if c.asks < asks && s.mayAsk(q, now) && (s.before == 0 || c.opensWithin(s, c.askLead(q), now)) {
-			if ask := c.ask(s, q, now); len(ask.Workers) > 0 {
+			if ask := c.ask(s, q, now); len(ask.Workers) > 0 && c.maySend(&ask, asks) {
 				s.advice.asking = true
-				c.asks++
+				c.sent(&ask, 1)
 				a.Asks = append(a.Asks, ask)
 			}
 		}
--- a/claim/claim.go
+++ b/claim/claim.go
@@ -25,14 +25,21 @@
 	"dewpass.org/rows"
 )
 
-// Valid is how long after its last write an owner may give orders that outlast
-// a change of owner. Others take a seat only after it has gone unwritten for
-// Silence.
+// An owner may give orders that outlast a change of owner for a while after its
+// last write, and says in the seat for how long. Others take a seat only after it
+// has gone unwritten for Margin longer. The while is between ValidLeast and
+// ValidMost: the slower writes are, the longer.
 const (
-	Valid   = 1300 * time.Millisecond
-	Silence = 1500 * time.Millisecond
+	ValidLeast = 600 * time.Millisecond
+	ValidMost  = 2 * time.Second
+	Margin     = 150 * time.Millisecond
+	// validWrites is how many writes of the length of the last one fit into it.
+	validWrites = 3
 )
 
+// Silence is how long a seat that says nothing of it may go unwritten.
+const Silence = ValidMost + Margin
+
 // Table is the table of the seats; the cell's name is the part.
 const Table = "cells"
 
@@ -55,10 +62,30 @@
 	Epoch uint64 `json:"epoch"`
 	// Loose says that the owner may start what it has not written down.
 	Loose bool `json:"loose,omitempty"`
+	// ValidMS is for how long after this write its owner may give orders, in
+	// milliseconds.
+	ValidMS int64 `json:"valid_ms,omitempty"`
 	// Mark is unique to each write.
 	Mark string `json:"mark"`
 }
 
+// Silence returns how long the seat may go unwritten before it may be taken.
+func (s Seat) Silence() time.Duration {
+	if s.ValidMS == 0 {
+		return Silence
+	}
+	return time.Duration(s.ValidMS)*time.Millisecond + Margin
+}
+
+// Write is a write of a seat that took effect.
+type Write struct {
+	// Begun is when it was begun, and Ver the version that it made.
+	Begun time.Time
+	Ver   uint64
+	// Valid is for how long after Begun the owner may give orders.
+	Valid time.Duration
+}
+
 // Claim is an instance's view of a cell's seat. Its exported fields must be
 // set before use. Only Epoch, Held and Written may be called beside others.
 type Claim struct {
@@ -73,20 +100,27 @@
 	epoch uint64
 	ver   uint64
 	count uint64
-	// written is when the last write that took effect was begun.
-	written atomic.Pointer[time.Time]
+	// took is how long the last write took.
+	took    time.Duration
+	written atomic.Pointer[Write]
 }
 
 // Epoch returns the epoch under which the seat is held.
 func (c *Claim) Epoch() uint64 { return c.epoch }
 
-// Written returns when the last write that took effect was begun: until a while
-// after that, nobody else can hold the seat.
-func (c *Claim) Written() time.Time {
-	if t := c.written.Load(); t != nil {
-		return *t
+// Written returns the last write that took effect: while it is valid, nobody else
+// can hold the seat.
+func (c *Claim) Written() Write {
+	if w := c.written.Load(); w != nil {
+		return *w
 	}
-	return time.Time{}
+	return Write{}
+}
+
+// Valid reports whether the last write is still valid.
+func (c *Claim) Valid(now time.Time) bool {
+	w := c.Written()
+	return now.Sub(w.Begun) < w.Valid
 }
 
 // Range returns the range that holds nothing but the seat of a cell.
@@ -151,9 +185,10 @@
 // write writes t together with the seat, which names owner.
 func (c *Claim) write(ctx context.Context, owner string, t rows.Tx) (rows.Result, error) {
 	c.count++
+	valid := min(max(validWrites*c.took, ValidLeast), ValidMost)
 	seat := Seat{
 		Owner: owner, Boot: c.Boot, Addr: c.Addr, Epoch: c.epoch, Loose: c.Loose,
-		Mark: c.mark(),
+		Mark: c.mark(), ValidMS: valid.Milliseconds(),
 	}
 	raw, err := json.Marshal(seat)
 	if err != nil {
@@ -166,7 +201,8 @@
 		t.Expect[0].Ver = c.ver
 		res, err := c.attempt(ctx, t, seat.Mark)
 		if err == nil {
-			c.written.Store(&begun)
+			c.took = time.Since(begun)
+			c.written.Store(&Write{Begun: begun, Ver: c.ver, Valid: valid})
 		}
 		if err == nil || kind.Is(err, kind.Fenced) || kind.Is(err, kind.Conflict) {
 			return res, err
--- a/claim/claim_test.go
+++ b/claim/claim_test.go
@@ -117,6 +117,20 @@
 		Expect(held).To(BeFalse())
 	})
 
+	It("says for how long its owner gives orders, longer where writes are slow", func(ctx context.Context) {
+		t := &table{}
+		a := claimOf(t, "a")
+		take(ctx, a)
+		seat, _, _ := a.Read(ctx)
+		Expect(seat.Silence()).To(Equal(ValidLeast + Margin))
+		a.took = time.Second / 3
+		_, err := a.Commit(ctx, rows.Tx{})
+		Expect(err).NotTo(HaveOccurred())
+		seat, _, _ = a.Read(ctx)
+		Expect(seat.Silence()).To(BeNumerically("~", time.Second+Margin, 2*time.Millisecond))
+		Expect(a.Written().Valid).To(BeNumerically("<", seat.Silence()))
+	})
+
 	It("settles a write whose answer was lost, done or not", func(ctx context.Context) {
 		t := &table{}
 		a := claimOf(t, "a")
--- a/cluster/advise.go
+++ b/cluster/advise.go
@@ -14,13 +14,13 @@
 )
 
 const (
-	// longQuestion is from when on a question to the policy is better asked by an
-	// instance that has no short ones to ask.
-	longQuestion = 150 * time.Millisecond
 	// adviseTries is how many instances are asked in turn to ask a question.
 	adviseTries = 3
 	// adviseSlack is added to the time that a peer should take for the answer.
 	adviseSlack = 250 * time.Millisecond
+	// askedWithin is how lately a peer must have been heard to be given a question.
+	// An owner greets all of them more often.
+	askedWithin = 700 * time.Millisecond
 	// shunTime is how long a peer that did not bring an answer is asked nothing.
 	// Without it the one that refuses connections would always be the one with
 	// the least to do.
@@ -29,7 +29,8 @@
 
 // callers is how many questions to the policy may be under way at once.
 func (n *Node) callers() int {
-	return 1 + len(n.members.list(time.Now(), func(k *member) bool { return !k.leaving }))
+	now := time.Now()
+	return 1 + len(n.members.list(now, func(k *member) bool { return k.asks(now) }))
 }
 
 // advise asks the policy, by the instance that will have the answer first, and by
@@ -86,7 +87,7 @@
 // are asked here while nothing is under way here, long ones by instances that
 // own no cell.
 func (n *Node) caller(a *cell.Ask) *member {
-	long := a.Takes() > longQuestion
+	long := a.Long()
 	n.mu.Lock()
 	own := n.asking
 	n.mu.Unlock()
@@ -108,7 +109,7 @@
 
 // asks reports whether a member may be given questions to ask.
 func (k *member) asks(now time.Time) bool {
-	return !k.leaving && now.Sub(k.failed) >= shunTime
+	return !k.leaving && now.Sub(k.heard) < askedWithin && now.Sub(k.failed) >= shunTime
 }
 
 // cost ranks a caller by the questions that it has under way, whether it owns a
--- a/cluster/advise_test.go
+++ b/cluster/advise_test.go
@@ -12,7 +12,6 @@
 	. "github.com/onsi/gomega"
 
 	"dewpass.org/cell"
-	"dewpass.org/claim"
 	"dewpass.org/driver"
 	"dewpass.org/flow"
 	"dewpass.org/rows"
@@ -60,13 +59,16 @@
 })
 
 var _ = Describe("a seat", func() {
-	It("counts as unwritten from when its mark was first seen", func() {
+	It("counts as unwritten from when a version is known to have been written", func() {
 		n := testNode(&policy{})
 		now := time.Now()
-		Expect(n.sawSeat("c", claim.Seat{Mark: "1"}, now)).To(BeZero())
-		Expect(n.sawSeat("c", claim.Seat{Mark: "1"}, now.Add(time.Second))).To(Equal(time.Second))
-		Expect(n.sawSeat("c", claim.Seat{Mark: "2"}, now.Add(2*time.Second))).To(BeZero())
-		Expect(n.sawSeat("c", claim.Seat{Mark: "2"}, now.Add(3*time.Second))).To(Equal(time.Second))
+		Expect(n.unwritten("c", 1, now)).To(BeZero(), "seen for the first time")
+		Expect(n.unwritten("c", 1, now.Add(time.Second))).To(Equal(time.Second))
+		n.sawWrite("c", 2, now)
+		Expect(n.unwritten("c", 1, now.Add(time.Second))).To(BeZero(), "an answer of before")
+		Expect(n.unwritten("c", 2, now.Add(time.Second))).To(Equal(time.Second), "its owner has said when")
+		n.sawWrite("c", 2, now.Add(time.Second))
+		Expect(n.unwritten("c", 2, now.Add(time.Second))).To(Equal(time.Second), "the first word counts")
 	})
 })
 
@@ -83,3 +85,17 @@
 		Expect(n.stronger(now.Add(strongerFor + 1))).To(Equal("large"))
 	})
 })
+
+var _ = Describe("an owner whose writes the store does not take", func() {
+	It("is obeyed while each other instance has answered lately, or has no process", func() {
+		n := testNode(&policy{})
+		now := time.Now()
+		n.members.heard(&wire.Greeting{Instance: "a", Hall: "h", Boot: "a", Addr: "a"}, now)
+		n.members.heard(&wire.Greeting{Instance: "b", Hall: "h", Boot: "b", Addr: "b"}, now)
+		n.members.answer("a", now)
+		Expect(n.members.allAnswer(now)).To(BeFalse(), "b may take the seat")
+		n.members.refusedAt("b", now)
+		Expect(n.members.allAnswer(now)).To(BeTrue(), "nobody is there to take it")
+		Expect(n.members.allAnswer(now.Add(cellSilence))).To(BeFalse(), "one that started since may")
+	})
+})
--- a/cluster/elect.go
+++ b/cluster/elect.go
@@ -19,12 +19,14 @@
 	electEvery = 60 * time.Millisecond
 	// firstLook is how long a new instance listens before it takes a free seat.
 	firstLook = 120 * time.Millisecond
-	// rankPause keeps the candidates for a cell apart.
-	rankPause = 120 * time.Millisecond
-	rankMost  = 8
-	// watchAfter is how long an owner may not have been heard before its seat is
-	// watched.
-	watchAfter = 600 * time.Millisecond
+	// rankPause keeps the candidates for a cell apart, and strongerPause lets those
+	// with much more of a processor go first.
+	rankPause     = 30 * time.Millisecond
+	rankMost      = 8
+	strongerPause = 300 * time.Millisecond
+	// watchAfter is how long an owner may not have been heard before its seat may
+	// be taken, if it is free or the owner's process is gone.
+	watchAfter = 450 * time.Millisecond
 	electTime  = 3 * time.Second
 	probeTime  = 250 * time.Millisecond
 	// slowPause is how long an instance takes no seat after it was too slow for
@@ -39,22 +41,31 @@
 	slowRead = 80 * time.Millisecond
 )
 
-// watched is what an instance has seen of the seat of a cell.
+// watched is what an instance knows of the last write of a cell's seat.
 type watched struct {
-	mark string
-	// since is when the mark was first seen, and so not before it was written.
+	ver uint64
+	// since is when the write had surely been begun.
 	since time.Time
 }
 
-// sawSeat notes what a reading of a seat brought, and returns for how long the
-// seat has surely gone unwritten.
-func (n *Node) sawSeat(name string, seat claim.Seat, now time.Time) time.Duration {
+// sawWrite notes that version ver of a seat had been written at since.
+func (n *Node) sawWrite(name string, ver uint64, since time.Time) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if w, ok := n.seats[name]; ok && w.mark == seat.Mark {
+	if w := n.seats[name]; ver > w.ver || (ver == w.ver && since.Before(w.since)) {
+		n.seats[name] = watched{ver: ver, since: since}
+	}
+}
+
+// unwritten returns for how long a seat that stands at version ver has surely gone
+// unwritten.
+func (n *Node) unwritten(name string, ver uint64, now time.Time) time.Duration {
+	n.sawWrite(name, ver, now)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if w := n.seats[name]; w.ver == ver {
 		return now.Sub(w.since)
 	}
-	n.seats[name] = watched{mark: seat.Mark, since: now}
 	return 0
 }
 
@@ -71,7 +82,7 @@
 			if unheard.IsZero() {
 				unheard = now
 			}
-			if now.Sub(unheard) >= time.Duration(n.rank(name, now))*rankPause {
+			if now.Sub(unheard) >= n.turn(name, now) {
 				n.tryTake(ctx, name)
 			}
 		}
@@ -83,9 +94,8 @@
 // this one, "" if there is none. When all start at once the first one takes a
 // seat, however small its machine.
 func (n *Node) stronger(now time.Time) string {
-	enough := n.processor() * strongerShare / 100
 	better := n.members.list(now, func(k *member) bool {
-		return !k.leaving && k.storeOK && k.processor > enough && now.Sub(k.since) > strongerFor
+		return !k.leaving && k.storeOK && k.processor > n.enough() && now.Sub(k.since) > strongerFor
 	})
 	if len(better) == 0 {
 		return ""
@@ -125,19 +135,26 @@
 	return o != nil && !o.leaving && now.Sub(o.heard) < within && o.refused.Before(o.heard)
 }
 
-// rank returns how many live instances go before this one as owners of a cell,
-// up to a bound: those with more of a processor, and by lot among equals.
-func (n *Node) rank(name string, now time.Time) int {
-	own, share := draw(name+"/"+n.settings.Instance), n.processor()
-	before := n.members.list(now, func(k *member) bool {
-		if k.leaving || !k.storeOK || k.processor != share {
-			return !k.leaving && k.storeOK && k.processor > share
+// turn returns how long this instance leaves a vacant cell to others: to those
+// with much more of a processor, and to those that come before it by lot.
+func (n *Node) turn(name string, now time.Time) time.Duration {
+	own, first, stronger := draw(name+"/"+n.settings.Instance), 0, false
+	for _, k := range n.members.list(now, func(k *member) bool { return !k.leaving && k.storeOK }) {
+		stronger = stronger || k.processor > n.enough()
+		if k.processor >= n.processor() && draw(name+"/"+k.name) < own {
+			first++
 		}
-		return draw(name+"/"+k.name) < own
-	})
-	return min(len(before), rankMost)
+	}
+	pause := time.Duration(min(first, rankMost)) * rankPause
+	if stronger {
+		pause += strongerPause
+	}
+	return pause
 }
 
+// enough returns the processor beyond which another instance is much stronger.
+func (n *Node) enough() uint32 { return n.processor() * strongerShare / 100 }
+
 // tryTake takes the seat if its owner is gone.
 func (n *Node) tryTake(ctx context.Context, name string) {
 	ctx, cancel := context.WithTimeout(ctx, electTime)
@@ -154,10 +171,8 @@
 	now := time.Now()
 	// With a slow store the first stages open without waiting for it.
 	c.Loose = now.Sub(begun) > slowRead
-	unwritten := n.sawSeat(name, seat, now)
-	// Those with less of a processor leave an owner's silence to others first.
-	later := time.Duration(n.rank(name, now)) * rankPause
-	why := n.vacant(ctx, seat, unwritten-later)
+	unwritten := n.unwritten(name, ver, now)
+	why := n.vacant(ctx, seat, unwritten-n.turn(name, now))
 	if why == "" || n.ownerHeard(name, time.Now(), cellSilence) {
 		return
 	}
@@ -176,7 +191,7 @@
 		return "free"
 	case seat.Owner == n.settings.Instance:
 		return "was this instance's before"
-	case unwritten > claim.Silence:
+	case unwritten > seat.Silence():
 		return "owner silent"
 	}
 	heard := n.members.list(time.Now(), func(k *member) bool { return k.name == seat.Owner })
@@ -226,6 +241,8 @@
 		d.Configure(conf.CellQueues())
 	}
 	d.Start()
+	// Those that answer can ask the policy for this owner at once.
+	go n.greetAll(context.Background(), true)
 }
 
 // obeyed reports whether every other instance that was heard lately has answered
--- a/cluster/greet.go
+++ b/cluster/greet.go
@@ -36,11 +36,12 @@
 		Processor: n.processor(), Leaving: n.leaving.Load(), ConfigVersion: n.config.Version(), StoreOk: n.door.DirectOK(),
 	}
 	for name, c := range n.owned() {
-		d := c.driver
+		d, written := c.driver, c.claim.Written()
 		load, racks := d.Load()
 		sum := &wire.CellSummary{
 			Name: name, Epoch: d.Seat.Epoch(), Ready: d.Ready(), Keeps: n.door.Reachable(),
 			Room: load.Room[sched.Milli], Free: load.Free[sched.Milli], Waiting: load.Waiting, Racks: racks,
+			SeatVer: written.Ver, SeatAgeUs: uint64(time.Since(written.Begun).Microseconds()),
 		}
 		for q, jobs := range load.Pending {
 			sum.Pending = append(sum.Pending, &wire.QueuePending{Queue: q, Jobs: uint32(jobs)})
@@ -100,6 +101,10 @@
 
 // greeted takes in a greeting.
 func (n *Node) greeted(g *wire.Greeting) {
+	for _, c := range g.GetCells() {
+		// The greeting took its time: the write was begun no later than that.
+		n.sawWrite(c.Name, c.SeatVer, time.Now().Add(-time.Duration(c.SeatAgeUs)*time.Microsecond))
+	}
 	if n.members.heard(g, time.Now()) {
 		level.Info(n.kit.Log).Log("event", "peer_heard", "peer", g.Instance, "peer_hall", g.Hall, "boot", g.Boot)
 	}
--- a/cluster/members.go
+++ b/cluster/members.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"dewpass.org/claim"
 	"dewpass.org/wire"
 )
 
@@ -18,10 +19,10 @@
 	silence    = 1200 * time.Millisecond
 	farSilence = 5 * time.Second
 	// cellSilence is how long a summary of a cell holds.
-	cellSilence = 1500 * time.Millisecond
+	cellSilence = claim.ValidLeast + 2*claim.Margin
 	// answerWithin is how lately all must have answered, below cellSilence, of
 	// those that were heard within answerWhile.
-	answerWithin = 1200 * time.Millisecond
+	answerWithin = claim.ValidLeast
 	answerWhile  = 30 * time.Second
 	// pendingSilence is how long an owner's counts stand in for those of the
 	// next one.
@@ -246,12 +247,14 @@
 }
 
 // allAnswer reports whether every member that was heard in a while has answered
-// lately.
+// lately, or has no process any more: one that starts there has to watch a seat
+// for longer before it may take it.
 func (m *members) allAnswer(now time.Time) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, k := range m.known {
-		if now.Sub(k.heard) < answerWhile && now.Sub(k.answered) > answerWithin {
+		harmless := now.Sub(k.answered) <= answerWithin || now.Sub(k.refused) <= answerWithin
+		if now.Sub(k.heard) < answerWhile && !harmless {
 			return false
 		}
 	}
--- a/cluster/node.go
+++ b/cluster/node.go
@@ -78,7 +78,7 @@
 
 	mu    sync.Mutex
 	cells map[string]*ownCell
-	// seats holds what was seen of the seats of all cells.
+	// seats holds what is known of the last writes of all seats.
 	seats map[string]watched
 	times times
 	// slow is until when this instance takes no seat.
@@ -199,8 +199,8 @@
 		go func() {
 			page, err := n.door.Probe(ctx, claim.Range(name))
 			if err == nil {
-				seat, _ := claim.SeatOf(page)
-				n.sawSeat(name, seat, time.Now())
+				_, ver := claim.SeatOf(page)
+				n.sawWrite(name, ver, time.Now())
 			}
 		}()
 		sleep(ctx, probeEvery)
--- a/driver/commit.go
+++ b/driver/commit.go
@@ -55,7 +55,7 @@
 	savesAtOnce  = 64
 	choresAtOnce = 10
 	// renewEvery is how long the seat may go without being written.
-	renewEvery = 400 * time.Millisecond
+	renewEvery = 200 * time.Millisecond
 	// rosterName is the row that lists a cell's workers beside its seat.
 	rosterName = "workers"
 )
--- a/driver/driver.go
+++ b/driver/driver.go
@@ -291,7 +291,7 @@
 // owner: the seat was written lately, or all who could take it hear this
 // instance.
 func (d *Driver) mayOrder(now time.Time) bool {
-	return now.Sub(d.Seat.Written()) < claim.Valid || d.Obeyed()
+	return d.Seat.Valid(now) || d.Obeyed()
 }
 
 // wantsLoose reports whether the store is too slow to wait for before a stage is
