--- a/driver/load.go
+++ b/driver/load.go
@@ -15,10 +15,12 @@
 )
 
 const (
-	// loadPage is how many rows are read at once, and loadAtOnce how many parts:
-	// an instance with a slow link has to have each answer in time.
-	loadPage   = 100
-	loadAtOnce = 4
+	// loadPage is how many rows are read at once. All parts are read side by side,
+	// as each answer of a slow store takes its time; what failed is read
+	// loadAgain parts at a time, as an instance with a slow link has to have each
+	// answer in time.
+	loadPage  = 100
+	loadAgain = 4
 	// loadMost is how long an owner may take to read its jobs before another
 	// instance should try.
 	loadMost = 4 * time.Second
@@ -27,6 +29,7 @@
 // reading is what was read so far of the jobs of a cell. A part that failed is
 // read again, the others are not.
 type reading struct {
+	tries   int
 	specs   [len(specParts)]part
 	records part
 	roster  part
@@ -70,7 +73,9 @@
 // readSpecs reads the jobs of all parts.
 func (d *Driver) readSpecs(ctx context.Context, r *reading) error {
 	reads, ctx := errgroup.WithContext(ctx)
-	reads.SetLimit(loadAtOnce)
+	if r.tries++; r.tries > 1 {
+		reads.SetLimit(loadAgain)
+	}
 	for i, name := range specParts {
 		reads.Go(func() error {
 			return r.specs[i].read(ctx, d.Store, rows.Range{Table: TableSpecs, Part: string(name), Limit: loadPage})
--- a/driver/tidy.go
+++ b/driver/tidy.go
@@ -25,9 +25,13 @@
 	remove []rows.Key
 }
 
-// chores returns the next chores and their transaction.
+// chores returns the next chores and their transaction. There are none while
+// writes are slow: one across parts holds up the jobs that are handed in.
 func (d *Driver) chores() ([]chore, rows.Tx) {
 	n := min(len(d.tidying), choresAtOnce)
+	if d.wantsLoose() {
+		n = 0
+	}
 	taken := d.tidying[:n:n]
 	d.tidying = d.tidying[n:]
 	t := rows.Tx{Across: n > 0}
