--- a/claim/claim.go
+++ b/claim/claim.go
@@ -51,6 +51,12 @@
 	checkEvery = 150 * time.Millisecond
 	// retryPause spaces the tries of a write that was turned away.
 	retryPause = 40 * time.Millisecond
+	// A write that is not there after patience times as long as answers take is
+	// sent again, between patienceLeast and patienceMost: its answer may be lost,
+	// and it may take effect seconds later or never.
+	patience      = 4
+	patienceLeast = 200 * time.Millisecond
+	patienceMost  = 1500 * time.Millisecond
 )
 
 // Seat is the row of a cell.
@@ -101,7 +107,9 @@
 	ver   uint64
 	count uint64
 	// took is how long the last write took.
-	took    time.Duration
+	took time.Duration
+	// answers is how long answered writes take.
+	answers time.Duration
 	written atomic.Pointer[Write]
 }
 
@@ -242,20 +250,32 @@
 		res, err := c.Store.Tx(ctx, t)
 		answer <- sent{res, err}
 	}()
+	begun := time.Now()
+	limit := min(max(patience*c.answers, patienceLeast), patienceMost)
 	tick := time.NewTicker(checkEvery)
 	defer tick.Stop()
 	for {
 		select {
 		case s := <-answer:
+			if s.err == nil {
+				c.answers += (time.Since(begun) - c.answers) / answersWeight
+			}
 			return c.settle(ctx, s, mark)
 		case <-tick.C:
 			if res, err, known := c.look(ctx, mark); known {
 				return res, err
 			}
+			if time.Since(begun) > limit {
+				return rows.Result{}, kind.New(kind.Lost, "the write is not there and has no answer")
+			}
 		}
 	}
 }
 
+// answersWeight is the weight of what was before in how long answers take, as a
+// divisor.
+const answersWeight = 4
+
 // settle turns the answer of a write into what became of it.
 func (c *Claim) settle(ctx context.Context, s sent, mark string) (rows.Result, error) {
 	switch {
--- a/claim/claim_test.go
+++ b/claim/claim_test.go
@@ -26,7 +26,7 @@
 	row rows.Row
 	ver uint64
 	// lose says of each write, in turn, whether it takes effect without an
-	// answer (1), later (2), or never (3).
+	// answer (1), later (2), or never (3), or has no answer at all (4).
 	lose []int
 	late []rows.Tx
 }
@@ -41,7 +41,7 @@
 	return rows.Result{Ver: t.ver}
 }
 
-func (t *table) Tx(_ context.Context, tx rows.Tx) (rows.Result, error) {
+func (t *table) Tx(ctx context.Context, tx rows.Tx) (rows.Result, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	how := 0
@@ -55,6 +55,11 @@
 	case 2:
 		t.late = append(t.late, tx)
 		return rows.Result{}, kind.New(kind.Lost, "no answer")
+	case 4:
+		t.mu.Unlock()
+		<-ctx.Done()
+		t.mu.Lock()
+		return rows.Result{}, kind.New(kind.Lost, "no answer")
 	case 3:
 		return rows.Result{}, kind.New(kind.Lost, "no answer")
 	}
@@ -144,6 +149,15 @@
 		}
 	})
 
+	It("sends a write again that is not there and has no answer", func(ctx context.Context) {
+		t := &table{}
+		a := claimOf(t, "a")
+		take(ctx, a)
+		t.lose = []int{4, 4}
+		_, err := a.Commit(ctx, rows.Tx{})
+		Expect(err).NotTo(HaveOccurred())
+	}, SpecTimeout(10*time.Second))
+
 	It("is released although an earlier write comes late", func(ctx context.Context) {
 		t := &table{}
 		a := claimOf(t, "a")
--- a/cluster/accept.go
+++ b/cluster/accept.go
@@ -145,6 +145,7 @@
 		res, err := n.door.Tx(ctx, t)
 		answer <- answered{res, err}
 	}()
+	begun, limit := time.Now(), n.door.Patience()
 	tick := time.NewTicker(acceptLook)
 	defer tick.Stop()
 	for {
@@ -159,6 +160,9 @@
 			if err == nil && page.One().Ver > 0 {
 				return rows.Result{Refused: true, Rows: page.Rows}, nil
 			}
+			if time.Since(begun) > limit {
+				return rows.Result{}, kind.New(kind.Lost, "the write is not there and has no answer")
+			}
 		}
 	}
 }
--- a/rows/door.go
+++ b/rows/door.go
@@ -22,6 +22,8 @@
 	// transaction rests on is in it, so that it takes effect once.
 	hedgeLeast = 120 * time.Millisecond
 	hedgeTimes = 4
+	// patienceLeast is how long a write is waited for at least.
+	patienceLeast = 250 * time.Millisecond
 	// fresh is how long an answer shows that the store can be reached.
 	fresh = 900 * time.Millisecond
 	// tookShare is the weight of a new answer in how long answers take, in
@@ -185,6 +187,14 @@
 	return max(hedgeLeast, hedgeTimes*d.took)
 }
 
+// Patience returns after how long a write that is not there should be sent again:
+// its answer may be lost, and it may take effect seconds later or never.
+func (d *Door) Patience() time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return min(max(patienceLeast, hedgeTimes*d.took), directTime)
+}
+
 func (d *Door) isAway() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
