cell, driver, cluster, claim: tasks start in their job's own hall without a write; 'loose' and 'doubt' go

Jobs went on being accepted within 13 ms, and none began, as each stage waited for a write that said it was open; 'loose' could not be set without that same part. Now a job bears the hall in which its owner may start tasks at once, drawn by free room when it is accepted; a new owner holds up just the jobs whose hall has a worker of which it does not know yet. Other halls are written first, as before. Ruled out: the policy (asked and answered), room.

--- a/cell/cell.go
+++ b/cell/cell.go
@@ -60,10 +60,6 @@
 	// last looked over.
 	restless bool
 	looked   time.Time
-	// loose says that stages open before the store knows it.
-	loose bool
-	// doubtful says that the former owner may have been loose.
-	doubtful bool
 }
 
 // Counts are totals since the cell was made.
@@ -90,14 +86,6 @@
 	}
 }
 
-// Loose lets stages open before the store knows it, or not. Whoever may own the
-// cell next has to know of it first, and then calls Doubt.
-func (c *Cell) Loose(loose bool) { c.loose = loose }
-
-// Doubt says that the former owner may have opened stages that the store does
-// not know of.
-func (c *Cell) Doubt() { c.doubtful = true }
-
 // Counts returns the totals.
 func (c *Cell) Counts() Counts { return c.counts }
 
@@ -105,6 +93,8 @@
 type Load struct {
 	// Room is what the attached workers have, Free what of it nobody takes.
 	Room, Free sched.Vec
+	// Halls is the free processor of each hall, in thousandths.
+	Halls map[string]int64
 	// Waiting is the work that waits, in milliseconds of one processor.
 	Waiting int64
 	// Pending counts the accepted jobs of which no task has begun, by queue.
@@ -117,7 +107,7 @@
 
 // Load returns the present load.
 func (c *Cell) Load() Load {
-	l := Load{Pending: make(map[string]int)}
+	l := Load{Pending: make(map[string]int), Halls: make(map[string]int64)}
 	for _, w := range c.order {
 		l.Workers++
 		if !w.attached || w.Draining || w.Gone {
@@ -126,6 +116,7 @@
 		l.Attached++
 		l.Room = l.Room.Add(w.Room)
 		l.Free = l.Free.Add(w.free)
+		l.Halls[w.Hall] += max(w.free[sched.Milli], 0)
 	}
 	for _, s := range c.open {
 		if s.waiting > 0 && s.ready() {
--- a/cell/doc.go
+++ b/cell/doc.go
@@ -1,7 +1,6 @@
 // SPDX-License-Identifier: Apache-2.0
 
-// Package cell decides what the workers of one data hall run, for jobs of
-// several steps.
+// Package cell decides what the workers of a cell run, for jobs of several steps.
 //
 // The package is pure. A Cell is fed with events: a worker was heard of, a
 // worker listed what it runs and what has ended, a job was accepted, a store
--- a/cell/job.go
+++ b/cell/job.go
@@ -62,11 +62,11 @@
 	rank rank
 	// moving says that a task has to leave its worker and finds no place yet.
 	moving bool
-	// opened says that the store knows that tasks may have been started, and
-	// opening that it has to be told.
-	opened, opening bool
-	// inherited says that a former owner had opened it.
-	inherited bool
+	// halls are those, beside the job's own, of which the store knows that tasks
+	// may have been started there, and opening those that it has to be told of.
+	halls, opening []string
+	// inherited are the halls that a former owner had opened.
+	inherited []string
 }
 
 type job struct {
@@ -184,7 +184,7 @@
 }
 
 func (c *Cell) add(spec *flow.Spec, rec *flow.Record, now time.Time) *job {
-	j := &job{spec: spec, state: flow.Pending, arrived: now}
+	j := &job{spec: spec, state: flow.Pending, arrived: now, hall: spec.Hall}
 	if rec != nil {
 		j.state, j.cancelled = rec.State, rec.Cancelled
 		j.began = rec.State != flow.Pending
@@ -231,7 +231,7 @@
 		return s
 	}
 	old := &rec.Stages[at]
-	s.opened, s.inherited = old.Opened, old.Opened
+	s.halls, s.inherited = old.Halls, old.Halls
 	for i := range s.tasks {
 		t := &s.tasks[i]
 		t.saved, t.fails = old.Saved[i], old.Fails[i]
@@ -407,26 +407,35 @@
 	}
 }
 
-// openedBy takes in which stages the store knows to be opened.
+// openedBy takes in which halls the store knows to be open to each stage.
 func (j *job) openedBy(rec *flow.Record) {
 	for at, s := range j.stages {
-		if at < len(rec.Stages) && rec.Stages[at].Opened {
-			s.opened, s.opening = true, false
+		if at < len(rec.Stages) {
+			s.halls = rec.Stages[at].Halls
+			s.opening = slices.DeleteFunc(s.opening, func(h string) bool { return slices.Contains(s.halls, h) })
 		}
 	}
 }
 
-// open lets tasks of s start, or has the store told first that they may. A cell
-// that goes on while the store is slow starts them at once.
-func (c *Cell) openStage(s *stage) bool {
-	if s.opened {
+// mayStart reports whether tasks of s may start on the workers of a hall. Those of
+// the job's own hall may at once, as every owner reckons with that; of any other
+// the store is told first.
+func (c *Cell) mayStart(s *stage, hall string) bool {
+	if (hall != "" && hall == s.job.spec.Hall) || slices.Contains(s.halls, hall) {
 		return true
 	}
-	if !s.opening {
-		s.opening = true
+	if !slices.Contains(s.opening, hall) {
+		s.opening = append(s.opening, hall)
 		c.mark(s.job)
 	}
-	return c.loose
+	return false
+}
+
+// heldUp reports whether a former owner may have started tasks of s on a worker of
+// which it is not known yet.
+func (c *Cell) heldUp(s *stage, unsettled *unsettled) bool {
+	return s.job.restored && (unsettled.any ||
+		unsettled.halls[s.job.spec.Hall] || slices.ContainsFunc(s.inherited, func(h string) bool { return unsettled.halls[h] }))
 }
 
 func (j *job) record() *flow.Record {
@@ -440,7 +449,7 @@
 	r.Stages = make([]flow.StageRecord, len(j.stages))
 	for at, s := range j.stages {
 		out := &r.Stages[at]
-		out.Opened = s.opened || s.opening
+		out.Halls = slices.Concat(s.halls, s.opening)
 		for i := range s.tasks {
 			t := &s.tasks[i]
 			if t.state == taskDone {
--- a/cell/place.go
+++ b/cell/place.go
@@ -74,7 +74,7 @@
 			}
 		}
 		s.moving = false
-		if s.waiting == 0 || s.before > 0 || !s.job.kept || (s.job.restored && unsettled && (s.inherited || c.doubtful)) {
+		if s.waiting == 0 || s.before > 0 || !s.job.kept || c.heldUp(s, &unsettled) {
 			continue
 		}
 		if room := s.def.Room(); !most.Covers(&room) {
@@ -219,7 +219,7 @@
 			}
 			continue
 		}
-		if !c.openStage(s) {
+		if !c.mayStart(s, w.Hall) {
 			return
 		}
 		t.last++
@@ -245,13 +245,10 @@
 	for i := range s.tasks {
 		t := &s.tasks[i]
 		w, ticket := c.choose(s, t, q, now)
-		if w == nil {
+		if w == nil || !c.mayStart(s, w.Hall) {
 			c.undo(starts)
 			return
 		}
-		if !c.openStage(s) {
-			return
-		}
 		t.saved = saved
 		t.last = n
 		starts = append(starts, c.begin(s, i, w, n, ticket, now))
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -224,15 +224,27 @@
 	}
 }
 
-// unsettled reports whether a worker may run something that a former owner
-// started and that is not on the books.
-func (c *Cell) unsettled() bool {
+// unsettled says where there are workers that may run something that a former
+// owner started and that is not on the books.
+type unsettled struct {
+	// any says that there may be such workers in any hall.
+	any   bool
+	halls map[string]bool
+}
+
+func (c *Cell) unsettled() unsettled {
+	u := unsettled{any: len(c.order) == 0}
 	for _, w := range c.order {
-		if !w.settled {
-			return true
+		if w.settled {
+			continue
+		}
+		if u.halls == nil {
+			u.halls = make(map[string]bool)
 		}
+		u.halls[w.Hall] = true
+		u.any = u.any || w.Hall == ""
 	}
-	return len(c.order) == 0
+	return u
 }
 
 // take takes in both lists and returns the turn that the running runs now bear.
--- a/claim/claim.go
+++ b/claim/claim.go
@@ -66,8 +66,6 @@
 	Boot  string `json:"boot,omitempty"`
 	Addr  string `json:"addr,omitempty"`
 	Epoch uint64 `json:"epoch"`
-	// Loose says that the owner may start what it has not written down.
-	Loose bool `json:"loose,omitempty"`
 	// ValidMS is for how long after this write its owner may give orders, in
 	// milliseconds.
 	ValidMS int64 `json:"valid_ms,omitempty"`
@@ -100,8 +98,6 @@
 	Owner string
 	Boot  string
 	Addr  string
-	// Loose is written with the seat.
-	Loose bool
 
 	epoch uint64
 	ver   uint64
@@ -195,7 +191,7 @@
 	c.count++
 	valid := min(max(validWrites*c.took, ValidLeast), ValidMost)
 	seat := Seat{
-		Owner: owner, Boot: c.Boot, Addr: c.Addr, Epoch: c.epoch, Loose: c.Loose,
+		Owner: owner, Boot: c.Boot, Addr: c.Addr, Epoch: c.epoch,
 		Mark: c.mark(), ValidMS: valid.Milliseconds(),
 	}
 	raw, err := json.Marshal(seat)
--- a/cluster/accept.go
+++ b/cluster/accept.go
@@ -3,7 +3,10 @@
 package cluster
 
 import (
+	"cmp"
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -45,6 +48,7 @@
 	begun := time.Now()
 	spec.AcceptedMS = begun.UnixMilli()
 	cell := n.choose(spec)
+	spec.Hall = n.hallFor(cell, spec.ID)
 	k, err := n.keep(ctx, cell, spec)
 	if err != nil {
 		level.Info(n.kit.Log).Log("event", "not_kept", "job", spec.ID, "cell", cell, "err", err, "last", true)
@@ -71,6 +75,49 @@
 	return n.names[draw(spec.ID)%uint32(len(n.names))]
 }
 
+// hallFor returns the hall in which a job may start without more ado: drawn by the
+// room that its cell has free in each, or the own one, which surely is not cut
+// off, while the cell's owner is not heard.
+func (n *Node) hallFor(cell, id string) string {
+	if d := n.own(cell); d != nil {
+		load, _ := d.Load()
+		var halls []*wire.HallRoom
+		for _, name := range slices.Sorted(maps.Keys(load.Halls)) {
+			halls = append(halls, &wire.HallRoom{Name: name, Free: load.Halls[name]})
+		}
+		return cmp.Or(drawHall(halls, id), n.settings.Hall)
+	}
+	now := time.Now()
+	for _, o := range n.members.cells(now) {
+		if o.cell.Name == cell && now.Sub(o.heard) < hallSilence {
+			return cmp.Or(drawHall(o.cell.Halls, id), n.settings.Hall)
+		}
+	}
+	return n.settings.Hall
+}
+
+// hallSilence is how long an owner may not have been heard before what it said of
+// its halls is not relied on.
+const hallSilence = 450 * time.Millisecond
+
+// drawHall draws a hall by lot, each as often as it has free room.
+func drawHall(halls []*wire.HallRoom, id string) string {
+	var sum int64
+	for _, h := range halls {
+		sum += h.Free
+	}
+	if sum <= 0 {
+		return ""
+	}
+	at := int64(draw(id)) % sum
+	for _, h := range halls {
+		if at -= h.Free; at < 0 {
+			return h.Name
+		}
+	}
+	return ""
+}
+
 // kept is what became of a job that was handed in: the cell that has it, the
 // version at which the store took it, and whether this write did that.
 type kept struct {
--- a/cluster/elect.go
+++ b/cluster/elect.go
@@ -37,8 +37,6 @@
 	strongerShare = 140
 	strongerFor   = 800 * time.Millisecond
 	yieldEvery    = 300 * time.Millisecond
-	// slowRead is how long a read takes at a store that is too slow to wait for.
-	slowRead = 80 * time.Millisecond
 )
 
 // watched is what an instance knows of the last write of a cell's seat.
@@ -163,14 +161,11 @@
 		Store: n.door, Cell: name, Owner: n.settings.Instance,
 		Boot: n.boot, Addr: n.settings.Listen.Peer,
 	}
-	begun := time.Now()
 	seat, ver, err := c.Read(ctx)
 	if err != nil {
 		return
 	}
 	now := time.Now()
-	// With a slow store the first stages open without waiting for it.
-	c.Loose = now.Sub(begun) > slowRead
 	unwritten := n.unwritten(name, ver, now)
 	why := n.vacant(ctx, seat, unwritten-n.turn(name, now))
 	if why == "" || n.ownerHeard(name, time.Now(), cellSilence) {
@@ -181,7 +176,7 @@
 		return
 	}
 	level.Info(n.kit.Log).Log("event", "seat_taken", "cell", name, "epoch", c.Epoch(), "before", seat.Owner, "why", why)
-	n.drive(name, c, seat.Loose)
+	n.drive(name, c)
 }
 
 // vacant returns why a seat may be taken, "" if it may not.
@@ -217,7 +212,7 @@
 func isRefused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
 
 // drive starts to drive a cell.
-func (n *Node) drive(name string, c *claim.Claim, doubt bool) {
+func (n *Node) drive(name string, c *claim.Claim) {
 	t := n.timesNow()
 	var d *driver.Driver
 	d = driver.New(driver.Config{
@@ -225,7 +220,7 @@
 		Lease: t.lease, Keep: t.keep,
 		Seat: c, Store: n.door, Reachable: n.door.Reachable,
 		Workers: n.Workers, Directory: n.Directory(n.door),
-		Advise: n.advise, Callers: n.callers, Obeyed: n.obeyed, Doubt: doubt,
+		Advise: n.advise, Callers: n.callers, Obeyed: n.obeyed,
 		Lost:    func() { n.dropDriver(name, d) },
 		TooSlow: func() { n.giveUp(name, d, c) },
 		Log:     n.kit.Log, Scope: n.kit.Scope,
--- a/cluster/greet.go
+++ b/cluster/greet.go
@@ -5,6 +5,8 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -46,6 +48,9 @@
 		for q, jobs := range load.Pending {
 			sum.Pending = append(sum.Pending, &wire.QueuePending{Queue: q, Jobs: uint32(jobs)})
 		}
+		for _, name := range slices.Sorted(maps.Keys(load.Halls)) {
+			sum.Halls = append(sum.Halls, &wire.HallRoom{Name: name, Free: load.Halls[name]})
+		}
 		g.Cells = append(g.Cells, sum)
 	}
 	return g
--- a/driver/commit.go
+++ b/driver/commit.go
@@ -93,11 +93,6 @@
 		return false
 	}
 	begun := time.Now()
-	// Stages open without the store only once the seat says so, and only until
-	// it is about to say otherwise.
-	loose := d.wantsLoose()
-	d.isLoose = d.isLoose && loose
-	d.Seat.Loose = loose
 	for _, s := range saves {
 		t.Put = append(t.Put, rows.Row{Key: RecordKey(d.Name, s.ID), Value: flow.Encode(s.Record)})
 	}
@@ -115,7 +110,6 @@
 	d.took = time.Since(begun)
 	d.Scope.Histogram("write_seconds", latency).RecordDuration(d.took)
 	d.Scope.Counter("write_rows_total").Inc(int64(len(t.Put)))
-	d.isLoose = loose && err == nil
 	d.cell.Saved(saves, err == nil)
 	poke(d.wake)
 	if err != nil {
--- a/driver/driver.go
+++ b/driver/driver.go
@@ -42,9 +42,6 @@
 	// Obeyed reports whether every instance that might take the seat is known
 	// to have heard this one lately.
 	Obeyed func() bool
-	// Doubt says that the former owner may have opened stages that the store
-	// does not know of.
-	Doubt bool
 	// Lost is called when another instance holds the seat.
 	Lost func()
 	// TooSlow is called when the jobs could not be read in time although the store
@@ -75,9 +72,6 @@
 	rosterChanged bool
 	// took is how long the last write took.
 	took time.Duration
-	// isLoose says that stages open before the store knows it, and that the
-	// store knows that.
-	isLoose bool
 	// kept is closed and renewed whenever the store has taken a write.
 	kept chan struct{}
 
@@ -100,7 +94,7 @@
 	// pauseLimit is the gap between two ticks that counts as a pause of the
 	// process.
 	pauseLimit = 900 * time.Millisecond
-	// slowWrite is how long a write may take before stages open without it.
+	// slowWrite is how long a write may take before what only tidies up waits.
 	slowWrite = 120 * time.Millisecond
 )
 
@@ -115,12 +109,6 @@
 		write:  make(chan struct{}, 1),
 		began:  time.Now(),
 	}
-	if c.Seat.Loose {
-		d.isLoose, d.took = true, 2*slowWrite
-	}
-	if c.Doubt {
-		d.cell.Doubt()
-	}
 	d.ctx, d.cancel = context.WithCancel(context.Background())
 	return d
 }
@@ -294,9 +282,8 @@
 	return d.Seat.Valid(now) || d.Obeyed()
 }
 
-// wantsLoose reports whether the store is too slow to wait for before a stage is
-// opened. The lock is held.
-func (d *Driver) wantsLoose() bool { return d.took > slowWrite }
+// slow reports whether the store takes long to write. The lock is held.
+func (d *Driver) slow() bool { return d.took > slowWrite }
 
 // confirm makes sure after a pause that the seat is still held.
 func (d *Driver) confirm(gap time.Duration) bool {
@@ -353,7 +340,6 @@
 	for id, l := range d.links {
 		d.cell.Silent(id, l.silent(now))
 	}
-	d.cell.Loose(d.isLoose)
 	a := d.cell.Place(now, now, d.Callers())
 	for i := range a.Starts {
 		d.startRun(a.Starts[i])
--- a/driver/link.go
+++ b/driver/link.go
@@ -39,9 +39,9 @@
 
 // link is what a Driver knows of a worker beyond the cell.
 type link struct {
-	id, addr string
-	fence    uint64
-	attached bool
+	id, addr, hall string
+	fence          uint64
+	attached       bool
 	// clockMS was read on the worker's clock at the moment clockAt or before.
 	clockMS int64
 	clockAt time.Time
@@ -62,10 +62,10 @@
 }
 
 // connect starts the link to a worker. The lock is held.
-func (d *Driver) connect(id, addr string) {
+func (d *Driver) connect(id, addr, hall string) {
 	ctx, cancel := context.WithCancel(d.ctx)
 	l := &link{
-		id: id, addr: addr, cancel: cancel, kick: make(chan struct{}, 1),
+		id: id, addr: addr, hall: hall, cancel: cancel, kick: make(chan struct{}, 1),
 		fence: d.Seat.Epoch() * fencesPerEpoch,
 		// A former owner that still lives gave its last orders before its seat was
 		// no longer valid, which was over when the seat was taken.
--- a/driver/roster.go
+++ b/driver/roster.go
@@ -18,6 +18,7 @@
 type rosterEntry struct {
 	ID   string `json:"id"`
 	Addr string `json:"addr"`
+	Hall string `json:"hall,omitempty"`
 }
 
 func (d *Driver) rosterKey() rows.Key {
@@ -28,7 +29,7 @@
 func (d *Driver) roster() []rosterEntry {
 	out := make([]rosterEntry, 0, len(d.links))
 	for _, l := range d.links {
-		out = append(out, rosterEntry{ID: l.id, Addr: l.addr})
+		out = append(out, rosterEntry{ID: l.id, Addr: l.addr, Hall: l.hall})
 	}
 	slices.SortFunc(out, func(a, b rosterEntry) int { return strings.Compare(a.ID, b.ID) })
 	return out
@@ -44,8 +45,8 @@
 	now := time.Now()
 	for _, e := range all {
 		if d.links[e.ID] == nil {
-			d.cell.Heard(cell.Worker{ID: e.ID, Addr: e.Addr, Gone: true}, now)
-			d.connect(e.ID, e.Addr)
+			d.cell.Heard(cell.Worker{ID: e.ID, Addr: e.Addr, Hall: e.Hall, Gone: true}, now)
+			d.connect(e.ID, e.Addr, e.Hall)
 			d.links[e.ID].missing = now
 		}
 	}
--- a/driver/tidy.go
+++ b/driver/tidy.go
@@ -29,7 +29,7 @@
 // writes are slow: one across parts holds up the jobs that are handed in.
 func (d *Driver) chores() ([]chore, rows.Tx) {
 	n := min(len(d.tidying), choresAtOnce)
-	if d.wantsLoose() {
+	if d.slow() {
 		n = 0
 	}
 	taken := d.tidying[:n:n]
--- a/driver/watch.go
+++ b/driver/watch.go
@@ -64,7 +64,7 @@
 	if link == nil {
 		level.Debug(d.Log).Log("event", "worker_heard", "worker", e.ID, "version", e.Ver)
 		d.cell.Heard(e.Worker, now)
-		d.connect(e.ID, e.Addr)
+		d.connect(e.ID, e.Addr, e.Hall)
 		d.links[e.ID].ver = e.Ver
 		return
 	}
--- a/flow/flow.go
+++ b/flow/flow.go
@@ -72,7 +72,10 @@
 	ID    string `json:"id"`
 	Queue string `json:"queue"`
 	// Cell names the cell that has the job.
-	Cell  string `json:"cell,omitempty"`
+	Cell string `json:"cell,omitempty"`
+	// Hall names the hall whose workers may be given tasks of the job without
+	// anything being written first; "" is none.
+	Hall  string `json:"hall,omitempty"`
 	Text  string `json:"text,omitempty"`
 	Steps []Step `json:"steps"`
 	// Times is how often the steps run; 0 is once, at once.
--- a/flow/record.go
+++ b/flow/record.go
@@ -15,8 +15,9 @@
 
 // StageRecord is the record of one step at one time.
 type StageRecord struct {
-	// Opened says that tasks may have been started.
-	Opened bool `json:"opened,omitempty"`
+	// Halls names the halls, beside that of the Spec, on whose workers tasks may
+	// have been started.
+	Halls []string `json:"halls,omitempty"`
 	// Done marks the tasks that are done, by their index.
 	Done Bits `json:"done,omitempty"`
 	// Fails holds the numbers of the runs that failed, by the index of the
