driver, cell, cluster: the ends of jobs are archived in the parts of their ids

Now the end of a job is one write in the part of its id, which removes the job with it; a job that has succeeded is shown from then on, also while the cell's part is silent. A cancel or a failure still waits for the record, whose write is bound to the seat.

--- a/cell/cell.go
+++ b/cell/cell.go
@@ -43,6 +43,8 @@
 	// order holds the workers by their id, so that decisions repeat.
 	order []*worker
 	jobs  map[string]*job
+	// finished holds the jobs whose end was not told by Ended yet.
+	finished []*job
 	// over holds the jobs that were retired.
 	over map[string]over
 	// open holds the stages that have tasks waiting or soon will have.
--- a/cell/job.go
+++ b/cell/job.go
@@ -77,11 +77,13 @@
 	cancelled bool
 	state     flow.State
 	// shown is the state that the store has.
-	shown   flow.State
-	arrived time.Time
-	ended   time.Time
-	stages  []*stage
-	left    int
+	shown flow.State
+	// archived says that the store has its end apart from the record.
+	archived bool
+	arrived  time.Time
+	ended    time.Time
+	stages   []*stage
+	left     int
 	// marked says that the job is among those to be saved.
 	marked bool
 	story  Story
@@ -201,6 +203,7 @@
 	}
 	if j.state.Final() {
 		j.ended = now
+		c.finished = append(c.finished, j)
 		return j
 	}
 	for _, s := range j.stages {
@@ -301,12 +304,34 @@
 	since time.Time
 }
 
-// Retire forgets the tasks of jobs that are over, and known to be so, for longer
-// than after. It returns these jobs; their state is remembered until Expire.
+// Ended returns the jobs that have ended since the last call. The caller archives
+// their ends, those that did not succeed once State shows them.
+func (c *Cell) Ended() []Over {
+	var out []Over
+	for _, j := range c.finished {
+		out = append(out, Over{ID: j.spec.ID, State: j.state})
+	}
+	c.finished = c.finished[:0]
+	return out
+}
+
+// Archived says that the store has the end of a job apart from its record. That a
+// job has succeeded is a fact whoever wrote it, and is shown from then on.
+func (c *Cell) Archived(id string) {
+	if j := c.jobs[id]; j != nil {
+		j.archived = true
+		if j.state == flow.Succeeded {
+			j.shown = flow.Succeeded
+		}
+	}
+}
+
+// Retire forgets the tasks of jobs that are over, and archived, for longer than
+// after. It returns these jobs; their state is remembered until Expire.
 func (c *Cell) Retire(after time.Duration, now time.Time) []Over {
 	var out []Over
 	for id, j := range c.jobs {
-		if j.state.Final() && j.shown == j.state && !j.marked && now.Sub(j.ended) > after {
+		if j.archived && j.shown == j.state && !j.marked && now.Sub(j.ended) > after {
 			out = append(out, Over{ID: id, State: j.state})
 			c.over[id] = over{state: j.state, since: j.ended}
 			delete(c.jobs, id)
@@ -333,6 +358,7 @@
 // finish ends a job. Its runs are stopped by the next Place.
 func (c *Cell) finish(j *job, state flow.State, now time.Time) {
 	j.state, j.ended = state, now
+	c.finished = append(c.finished, j)
 	c.restless = true
 	j.story.Took = now.Sub(j.arrived)
 	c.mark(j)
@@ -396,7 +422,9 @@
 			c.mark(j)
 			continue
 		}
-		j.shown = s.Record.State
+		if !j.shown.Final() {
+			j.shown = s.Record.State
+		}
 		j.openedBy(s.Record)
 	}
 	for _, w := range c.order {
--- a/cluster/jobs.go
+++ b/cluster/jobs.go
@@ -170,20 +170,24 @@
 	if err != nil {
 		return "", err
 	}
+	state := flow.Pending
 	if record.Ver > 0 {
 		rec, err := flow.DecodeRecord(record.Value)
 		if err != nil {
 			return "", kind.Wrap(kind.Damaged, err, "the job's record")
 		}
-		return rec.State, nil
+		state = rec.State
 	}
-	// A record goes when what is left of its job takes its place.
-	ended, err := n.row(ctx, driver.EndedKey(cell, id))
+	if state.Final() {
+		return state, nil
+	}
+	// The end may be written apart, before the record or in place of it.
+	ended, err := n.row(ctx, driver.EndedKey(id))
 	switch {
 	case err != nil:
 		return "", err
 	case ended.Ver == 0:
-		return flow.Pending, nil
+		return state, nil
 	}
 	e, err := flow.DecodeEnded(ended.Value)
 	if err != nil {
--- a/driver/commit.go
+++ b/driver/commit.go
@@ -43,17 +43,15 @@
 }
 
 // EndedKey returns the key of what is left of a job that is over.
-func EndedKey(cell, id string) rows.Key {
-	return rows.Key{Table: TableEnded, Part: cell, Name: id}
-}
+func EndedKey(id string) rows.Key { return rows.Key{Table: TableEnded, Part: partOf(id), Name: id} }
 
 const (
 	// commitGap spaces group commits, so that each carries what came meanwhile.
 	commitGap = 18 * time.Millisecond
-	// savesAtOnce bounds the records of a group commit, and choresAtOnce what only
-	// tidies up, so that all stay within rows.MaxEntries.
-	savesAtOnce  = 64
-	choresAtOnce = 10
+	// savesAtOnce and staleAtOnce bound the records that a group commit writes and
+	// removes, so that all stay within rows.MaxEntries.
+	savesAtOnce = 64
+	staleAtOnce = 30
 	// renewEvery is how long the seat may go without being written.
 	renewEvery = 200 * time.Millisecond
 	// rosterName is the row that lists a cell's workers beside its seat.
@@ -84,15 +82,20 @@
 func (d *Driver) commitOnce(renew bool) bool {
 	d.mu.Lock()
 	saves := d.cell.Saves(savesAtOnce)
-	chores, t := d.chores()
+	stale := d.stale[:min(len(d.stale), staleAtOnce)]
+	d.stale = d.stale[len(stale):]
 	roster := d.rosterChanged
-	if len(saves)+len(chores) == 0 && !roster && !renew {
+	if len(saves)+len(stale) == 0 && !roster && !renew {
 		d.cell.Saved(nil, true)
 		d.announce()
 		d.mu.Unlock()
 		return false
 	}
 	begun := time.Now()
+	var t rows.Tx
+	for _, id := range stale {
+		t.Remove = append(t.Remove, RecordKey(d.Name, id))
+	}
 	for _, s := range saves {
 		t.Put = append(t.Put, rows.Row{Key: RecordKey(d.Name, s.ID), Value: flow.Encode(s.Record)})
 	}
@@ -107,13 +110,12 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.took = time.Since(begun)
-	d.Scope.Histogram("write_seconds", latency).RecordDuration(d.took)
+	d.Scope.Histogram("write_seconds", latency).RecordDuration(time.Since(begun))
 	d.Scope.Counter("write_rows_total").Inc(int64(len(t.Put)))
 	d.cell.Saved(saves, err == nil)
 	poke(d.wake)
 	if err != nil {
-		d.tidying = append(chores, d.tidying...)
+		d.stale = append(stale[:len(stale):len(stale)], d.stale...)
 		d.rosterChanged = d.rosterChanged || roster
 		return false
 	}
--- a/driver/driver.go
+++ b/driver/driver.go
@@ -59,19 +59,21 @@
 	wg     sync.WaitGroup
 	began  time.Time
 
-	mu      sync.Mutex
-	cell    *cell.Cell
-	links   map[string]*link
-	tidying []chore
-	frozen  bool
-	loaded  bool
+	mu    sync.Mutex
+	cell  *cell.Cell
+	links map[string]*link
+	// stale names the jobs whose records are to be removed.
+	stale    []string
+	archives archives
+	// ended holds the jobs that are over and not archived yet.
+	ended  []cell.Over
+	frozen bool
+	loaded bool
 	// scanned is the version up to which the jobs were read.
 	scanned uint64
 	// rosterChanged says that the workers of the cell are not those of the
 	// roster in the store.
 	rosterChanged bool
-	// took is how long the last write took.
-	took time.Duration
 	// kept is closed and renewed whenever the store has taken a write.
 	kept chan struct{}
 
@@ -94,8 +96,6 @@
 	// pauseLimit is the gap between two ticks that counts as a pause of the
 	// process.
 	pauseLimit = 900 * time.Millisecond
-	// slowWrite is how long a write may take before what only tidies up waits.
-	slowWrite = 120 * time.Millisecond
 )
 
 // New returns a Driver for a seat that has just been taken.
@@ -282,9 +282,6 @@
 	return d.Seat.Valid(now) || d.Obeyed()
 }
 
-// slow reports whether the store takes long to write. The lock is held.
-func (d *Driver) slow() bool { return d.took > slowWrite }
-
 // confirm makes sure after a pause that the seat is still held.
 func (d *Driver) confirm(gap time.Duration) bool {
 	level.Warn(d.Log).Log("event", "paused", "gap_ms", gap.Milliseconds())
@@ -354,6 +351,7 @@
 		ask := a.Asks[i]
 		d.spawn(func() { d.ask(ask) })
 	}
+	d.archiveEnded()
 	if d.cell.Dirty() {
 		poke(d.write)
 	}
--- a/driver/driver_test.go
+++ b/driver/driver_test.go
@@ -21,6 +21,7 @@
 	"dewpass.org/flow"
 	"dewpass.org/kind"
 	"dewpass.org/rows"
+	"dewpass.org/sched"
 )
 
 func TestDriver(t *testing.T) {
@@ -167,6 +168,32 @@
 	})
 })
 
+var _ = ginkgo.Describe("while the cell's own part of the store is silent", func() {
+	ginkgo.It("shows a job that has succeeded, but no cancel", func(ctx context.Context) {
+		t := newTable()
+		d := newDriver(ctx, t, func() {})
+		room := sched.Vec{sched.Milli: 4000, sched.MiB: 4000}
+		d.cell.Configure([]cell.Queue{{Name: "q", Pool: "p", MaxAttempts: 1}})
+		d.cell.Heard(cell.Worker{ID: "w", Pool: "p", Hall: "h", Room: room}, time.Now())
+		d.cell.Attached("w", cell.Lists{}, time.Now())
+		d.adopt(&flow.Spec{ID: "1", Cell: "c", Queue: "q", Hall: "h", Steps: []flow.Step{{Count: 1}}}, time.Now())
+		start := d.cell.Place(time.Now(), time.Now(), 1).Starts[0]
+		d.adopt(&flow.Spec{ID: "2", Cell: "c", Queue: "none", Steps: []flow.Step{{Count: 1}}}, time.Now())
+		d.cell.Cancel("2", time.Now())
+		end := cell.Finished{Number: 1, Task: start.Task, Run: start.Run, How: flow.EndDone}
+		d.cell.Listed("w", cell.Lists{Finished: []cell.Finished{end}}, time.Now(), time.Now())
+		d.mu.Lock()
+		d.archiveEnded()
+		d.mu.Unlock()
+		d.wg.Wait()
+		// No group commit was written: the seat's part takes none.
+		s, _ := d.State("1")
+		Expect(s).To(Equal(flow.Succeeded))
+		s, _ = d.State("2")
+		Expect(s.Final()).To(BeFalse(), "another owner may not know of it")
+	})
+})
+
 var _ = ginkgo.Describe("a job that is over", func() {
 	ginkgo.It("leaves one small row, so that the next owner does not read it", func(ctx context.Context) {
 		t := newTable()
@@ -178,14 +205,24 @@
 			d.adopt(&flow.Spec{ID: id, Cell: "c", Steps: []flow.Step{{Count: 1}}, AcceptedMS: time.Now().UnixMilli()}, time.Now())
 			d.cell.Cancel(id, time.Now())
 		}
-		Eventually(func() bool { return d.commitOnce(false) }).Should(BeFalse())
+		settle := func() {
+			Eventually(func() bool {
+				d.mu.Lock()
+				d.archiveEnded()
+				d.mu.Unlock()
+				return d.commitOnce(false)
+			}).Should(BeFalse())
+			d.wg.Wait()
+		}
+		settle()
+		settle()
 		d.tidyUp(time.Now().Add(2 * retireAfter))
-		Eventually(func() bool { return d.commitOnce(false) }).Should(BeFalse())
+		settle()
 		for i := range jobs {
 			id := fmt.Sprintf("%x-%d", i%16, i)
 			Expect(t.has(SpecKey(id))).To(BeFalse())
 			Expect(t.has(RecordKey("c", id))).To(BeFalse())
-			Expect(t.has(EndedKey("c", id))).To(BeTrue())
+			Expect(t.has(EndedKey(id))).To(BeTrue())
 			s, known := d.State(id)
 			Expect(known).To(BeTrue())
 			Expect(s).To(Equal(flow.Canceled))
--- a/driver/load.go
+++ b/driver/load.go
@@ -143,6 +143,12 @@
 		}
 		d.cell.Restore(spec, byID[r.Name], arrivedAt(spec, now))
 	}
+	for id := range byID {
+		// The job itself was removed when its end was archived.
+		if !d.cell.Known(id) {
+			d.stale = append(d.stale, id)
+		}
+	}
 	d.loaded = true
 	level.Info(d.Log).Log("event", "loaded", "cell", d.Name, "epoch", d.Seat.Epoch(), "jobs", len(specs))
 }
--- a/driver/tidy.go
+++ b/driver/tidy.go
@@ -10,67 +10,145 @@
 )
 
 const (
-	// retireAfter is how long the rows of a job stay as they are after its end.
+	// retireAfter is how long a job is kept whole after its end.
 	retireAfter = time.Second
 	// tidyEvery spaces the looks for jobs that are over.
 	tidyEvery = 500 * time.Millisecond
 	// sweepEvery spaces the readings of all jobs that are over, for those of
 	// former owners.
 	sweepEvery = 10 * time.Minute
+	// archiveAtOnce bounds the jobs of a transaction, of two entries each.
+	archiveAtOnce = 40
 )
 
-// chore is what has to be written and removed together to tidy up, in no hurry.
-type chore struct {
-	put    []rows.Row
-	remove []rows.Key
+// archives are the ends of jobs on their way to the parts of their ids. They do not
+// go with the group commits: a part of the store may be silent alone, and an end
+// that is written in another one is one that clients can be shown.
+type archives struct {
+	waiting map[string][]archive
+	// busy says of each part that a write is under way.
+	busy map[string]bool
 }
 
-// chores returns the next chores and their transaction. There are none while
-// writes are slow: one across parts holds up the jobs that are handed in.
-func (d *Driver) chores() ([]chore, rows.Tx) {
-	n := min(len(d.tidying), choresAtOnce)
-	if d.slow() {
-		n = 0
+// archive is what is done with the rows of a job that is over.
+type archive struct {
+	id    string
+	state flow.State
+	// forget has the last rows removed.
+	forget bool
+}
+
+// add has something written.
+func (a *archives) add(x archive) {
+	if a.waiting == nil {
+		a.waiting, a.busy = make(map[string][]archive), make(map[string]bool)
+	}
+	a.waiting[partOf(x.id)] = append(a.waiting[partOf(x.id)], x)
+}
+
+// take takes what is to be written in a part, nothing while a write is under way
+// there.
+func (a *archives) take(part string) []archive {
+	if a.busy[part] {
+		return nil
 	}
-	taken := d.tidying[:n:n]
-	d.tidying = d.tidying[n:]
-	t := rows.Tx{Across: n > 0}
-	for _, c := range taken {
-		t.Put = append(t.Put, c.put...)
-		t.Remove = append(t.Remove, c.remove...)
+	n := min(len(a.waiting[part]), archiveAtOnce)
+	taken := a.waiting[part][:n:n]
+	a.waiting[part] = a.waiting[part][n:]
+	a.busy[part] = n > 0
+	return taken
+}
+
+// tx returns the transaction of some archives of one part.
+func (d *Driver) tx(batch []archive, now time.Time) rows.Tx {
+	var t rows.Tx
+	for _, x := range batch {
+		if x.forget {
+			t.Remove = append(t.Remove, EndedKey(x.id), HomeKey(x.id))
+			continue
+		}
+		e := flow.Ended{State: x.state, Cell: d.Name, AtMS: now.UnixMilli()}
+		t.Put = append(t.Put, rows.Row{Key: EndedKey(x.id), Value: flow.Encode(e)})
+		t.Remove = append(t.Remove, SpecKey(x.id))
 	}
-	return taken, t
+	return t
+}
+
+// archiveEnded has the ends of jobs written. That of one that succeeded is written
+// at once; of others only once the record, whose write is bound to the seat, is
+// kept: an owner that is none any more may not end a job. The lock is held, and the
+// seat valid.
+func (d *Driver) archiveEnded() {
+	for _, o := range d.cell.Ended() {
+		d.ended = append(d.ended, o)
+	}
+	later := d.ended[:0]
+	for _, o := range d.ended {
+		if s, _ := d.cell.State(o.ID); o.State == flow.Succeeded || s.Final() {
+			d.archives.add(archive{id: o.ID, state: o.State})
+		} else {
+			later = append(later, o)
+		}
+	}
+	d.ended = later
+	d.writeArchives()
+}
+
+// writeArchives starts the writes that may be started. The lock is held.
+func (d *Driver) writeArchives() {
+	for part := range d.archives.waiting {
+		if batch := d.archives.take(part); len(batch) > 0 {
+			d.spawn(func() { d.writeArchive(part, batch) })
+		}
+	}
+}
+
+// writeArchive writes a batch until the store has taken it.
+func (d *Driver) writeArchive(part string, batch []archive) {
+	for d.ctx.Err() == nil {
+		res, err := d.Store.Tx(d.ctx, d.tx(batch, time.Now()))
+		if err == nil && !res.Refused {
+			break
+		}
+		d.sleep(readRetry)
+	}
+	if d.ctx.Err() != nil {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, x := range batch {
+		if !x.forget {
+			d.cell.Archived(x.id)
+		}
+	}
+	d.archives.busy[part] = false
+	d.announce()
+	d.writeArchives()
 }
 
 // tidyUp lets the cell forget what is over. The lock is held.
 func (d *Driver) tidyUp(now time.Time) {
 	for _, o := range d.cell.Retire(retireAfter, now) {
-		e := flow.Ended{State: o.State, AtMS: now.UnixMilli()}
-		d.tidying = append(d.tidying, chore{
-			put:    []rows.Row{{Key: EndedKey(d.Name, o.ID), Value: flow.Encode(e)}},
-			remove: []rows.Key{SpecKey(o.ID), RecordKey(d.Name, o.ID)},
-		})
+		d.stale = append(d.stale, o.ID)
 	}
 	for _, id := range d.cell.Expire(d.Keep, now) {
-		d.forgetEnded(id)
+		d.archives.add(archive{id: id, forget: true})
 	}
-	if len(d.tidying) > 0 {
+	if len(d.stale) > 0 {
 		poke(d.write)
 	}
 }
 
-// forgetEnded has the last rows of a job removed. The lock is held.
-func (d *Driver) forgetEnded(id string) {
-	d.tidying = append(d.tidying, chore{remove: []rows.Key{EndedKey(d.Name, id), HomeKey(id)}})
-}
-
 // sweep removes what is left of jobs that ended under former owners.
 func (d *Driver) sweep() {
 	for d.ctx.Err() == nil {
 		d.sleep(sweepEvery)
-		all, _, err := rows.All(d.ctx, d.Store, rows.Range{Table: TableEnded, Part: d.Name})
-		if err == nil {
-			d.sweepAll(all, time.Now())
+		for _, part := range specParts {
+			all, _, err := rows.All(d.ctx, d.Store, rows.Range{Table: TableEnded, Part: string(part)})
+			if err == nil {
+				d.sweepAll(all, time.Now())
+			}
 		}
 	}
 }
@@ -80,8 +158,8 @@
 	defer d.mu.Unlock()
 	for _, r := range all {
 		e, err := flow.DecodeEnded(r.Value)
-		if err == nil && now.Sub(time.UnixMilli(e.AtMS)) > d.Keep && !d.cell.Known(r.Name) {
-			d.forgetEnded(r.Name)
+		if err == nil && e.Cell == d.Name && now.Sub(time.UnixMilli(e.AtMS)) > d.Keep && !d.cell.Known(r.Name) {
+			d.archives.add(archive{id: r.Name, forget: true})
 		}
 	}
 }
--- a/flow/record.go
+++ b/flow/record.go
@@ -30,6 +30,8 @@
 // Ended is what is left of a job that is over, until it is forgotten.
 type Ended struct {
 	State State `json:"state"`
+	// Cell names the cell that had the job.
+	Cell string `json:"cell"`
 	// AtMS is when that was written down, in milliseconds since 1970.
 	AtMS int64 `json:"at_ms"`
 }
