cell: a gang that finds no room leaves nothing behind

An owner has 4,096 numbers; past them the next owner's runs are refused as too old, 16 at a time and for one member of the gang at a time, so that the others end alone. Workers are now chosen for all members before any begins. The test is red before.

--- a/cell/cell_test.go
+++ b/cell/cell_test.go
@@ -139,6 +139,22 @@
 		Expect(r.startAll()).To(HaveLen(5))
 	})
 
+	It("uses no numbers up and has not begun while a gang waits for room", func() {
+		r := newRig(1)
+		r.Submit(&flow.Spec{ID: "j", Queue: "q", Hall: "h", Steps: []flow.Step{{Count: 5, Demand: demand(1000), Gang: true}}}, r.now)
+		r.Keep("j")
+		for range 5000 {
+			Expect(r.Place(r.now, r.now, 0).Starts).To(BeEmpty())
+		}
+		s, _ := r.State("j")
+		Expect(s).To(Equal(flow.Pending))
+		r.heard("w9", func(*Worker) {})
+		r.Attached("w9", Lists{}, r.now)
+		starts := r.startAll()
+		Expect(starts).To(HaveLen(5))
+		Expect(starts[0].Run).To(Equal(1<<12 + 1))
+	})
+
 	It("fails when a task has failed as often as the queue allows, counted by run", func() {
 		r := newRig(1)
 		r.add("j", flow.Step{Count: 1, Demand: demand(1000)})
--- a/cell/place.go
+++ b/cell/place.go
@@ -227,12 +227,24 @@
 	}
 }
 
-// placeGang starts all tasks of s, or none.
+// pick is a worker chosen for a member of a gang.
+type pick struct {
+	worker *worker
+	ticket string
+}
+
+// placeGang starts all tasks of s, or none. A try that finds no room for all leaves
+// nothing behind, no number of a run either: a gang may wait for long, and the
+// numbers of an owner are few.
 func (c *Cell) placeGang(s *stage, q *Queue, a *Actions, now time.Time) {
 	if s.waiting < len(s.tasks) {
 		return
 	}
 	c.chooseHall(s, q, now)
+	picks, ok := c.pickGang(s, q, now)
+	if !ok {
+		return
+	}
 	n, saved := s.gangLast, ""
 	for i := range s.tasks {
 		n = max(n, s.tasks[i].last)
@@ -241,29 +253,35 @@
 		}
 	}
 	n++
-	var starts []Start
-	for i := range s.tasks {
+	for i, p := range picks {
 		t := &s.tasks[i]
-		w, ticket := c.choose(s, t, q, now)
-		if w == nil || !c.mayStart(s, w.Hall) {
-			c.undo(starts)
-			return
-		}
-		t.saved = saved
-		t.last = n
-		starts = append(starts, c.begin(s, i, w, n, ticket, now))
+		t.saved, t.last = saved, n
+		a.Starts = append(a.Starts, c.begin(s, i, p.worker, n, p.ticket, now))
 	}
 	s.gangLast = n
-	a.Starts = append(a.Starts, starts...)
 }
 
-// undo takes back starts that were decided and not sent.
-func (c *Cell) undo(starts []Start) {
-	for _, st := range starts {
-		r := c.workers[st.Worker].runs[runKey{st.Task, st.Run}]
-		c.drop(r)
-		r.stage.setWaiting(&r.stage.tasks[r.index], true)
+// pickGang chooses the workers for all tasks of s. It reports whether each has one
+// on which it may start.
+func (c *Cell) pickGang(s *stage, q *Queue, now time.Time) ([]pick, bool) {
+	var picks []pick
+	room := s.def.Room()
+	defer func() {
+		for _, p := range picks {
+			p.worker.free = p.worker.free.Add(room)
+			s.onWorker(p.worker, -1)
+		}
+	}()
+	for i := range s.tasks {
+		w, ticket := c.choose(s, &s.tasks[i], q, now)
+		if w == nil || !c.mayStart(s, w.Hall) {
+			return nil, false
+		}
+		w.free = w.free.Sub(room)
+		s.onWorker(w, 1)
+		picks = append(picks, pick{w, ticket})
 	}
+	return picks, true
 }
 
 // begin puts a run on the books.
