--- a/cell/job.go
+++ b/cell/job.go
@@ -58,6 +58,8 @@
 	doneAt    time.Time
 	// chain is the estimate of the work from this step to the end of its job.
 	chain time.Duration
+	// told is when it was last told that the stage waits.
+	told time.Time
 	// rank is the stage's place in the present order.
 	rank rank
 	// moving says that a task has to leave its worker and finds no place yet.
--- a/cell/place.go
+++ b/cell/place.go
@@ -44,6 +44,8 @@
 	Stops  []Stop
 	Asks   []Ask
 	Paces  []Pace
+	// Waits are steps that have waited for long and wait on.
+	Waits []Wait
 }
 
 // Place decides what to do now. At most asks questions are under way at once.
@@ -74,17 +76,22 @@
 			}
 		}
 		s.moving = false
-		if s.waiting == 0 || s.before > 0 || !s.job.kept || c.heldUp(s, &unsettled) {
+		if s.waiting == 0 || s.before > 0 || !s.job.kept {
 			continue
 		}
-		if room := s.def.Room(); !most.Covers(&room) {
-			continue
-		}
-		if s.def.Gang {
+		room := s.def.Room()
+		why := NoWorker
+		switch {
+		case c.heldUp(s, &unsettled):
+			why = HeldUp
+		case !most.Covers(&room):
+			why = Full
+		case s.def.Gang:
 			c.placeGang(s, q, &a, now)
-		} else {
+		default:
 			c.placeTasks(s, q, &a, now)
 		}
+		c.tell(s, why, &a, now)
 	}
 	return a
 }
--- /dev/null
+++ b/cell/wait.go
@@ -0,0 +1,64 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package cell
+
+import (
+	"time"
+
+	"dewpass.org/flow"
+)
+
+// tellEvery is how long a step has waited when it is told of, and spaces what is
+// told of one step.
+const tellEvery = 5 * time.Second
+
+// Why says what a step waits for.
+type Why string
+
+// What steps wait for.
+const (
+	// HeldUp: workers of which it is not known what a former owner left there.
+	HeldUp Why = "held_up"
+	// Full: no worker has room for one task.
+	Full Why = "full"
+	// NoWorker: none of the workers that may run it has room.
+	NoWorker Why = "no_worker"
+	// NoAdvice: the policy has named no worker yet, or its tickets have ended.
+	NoAdvice Why = "no_advice"
+	// NotWritten: the store has not been told of the hall.
+	NotWritten Why = "not_written"
+)
+
+// Wait is a step that has waited for long.
+type Wait struct {
+	Step flow.StepID
+	Why  Why
+	// Tasks is how many of its tasks wait, and For how long.
+	Tasks int
+	For   time.Duration
+}
+
+// tell adds a stage to what is told if it has waited for long.
+func (c *Cell) tell(s *stage, why Why, a *Actions, now time.Time) {
+	waited := now.Sub(s.waitSince)
+	if s.waiting == 0 || waited < tellEvery || now.Sub(s.told) < tellEvery {
+		return
+	}
+	s.told = now
+	if why == NoWorker {
+		why = c.whyNone(s, now)
+	}
+	a.Waits = append(a.Waits, Wait{Step: s.id(), Why: why, Tasks: s.waiting, For: waited})
+}
+
+// whyNone tells apart why no worker was found.
+func (c *Cell) whyNone(s *stage, now time.Time) Why {
+	if len(s.opening) > 0 {
+		return NotWritten
+	}
+	q := c.queues[s.job.spec.Queue]
+	for range c.allowed(s, q, now) {
+		return NoWorker
+	}
+	return NoAdvice
+}
--- a/driver/driver.go
+++ b/driver/driver.go
@@ -347,6 +347,10 @@
 	for i := range a.Paces {
 		d.paceRun(a.Paces[i])
 	}
+	for i := range a.Waits {
+		w := &a.Waits[i]
+		level.Info(d.Log).Log("event", "step_waits", "job", w.Step.Job, "step", w.Step.Step, "why", string(w.Why), "tasks", w.Tasks, "waited_ms", w.For.Milliseconds())
+	}
 	for i := range a.Asks {
 		ask := a.Asks[i]
 		d.spawn(func() { d.ask(ask) })
