--- a/driver/tidy.go
+++ b/driver/tidy.go
@@ -79,9 +79,7 @@
 // kept: an owner that is none any more may not end a job. The lock is held, and the
 // seat valid.
 func (d *Driver) archiveEnded() {
-	for _, o := range d.cell.Ended() {
-		d.ended = append(d.ended, o)
-	}
+	d.ended = append(d.ended, d.cell.Ended()...)
 	later := d.ended[:0]
 	for _, o := range d.ended {
 		if s, _ := d.cell.State(o.ID); o.State == flow.Succeeded || s.Final() {
