--- a/internal/standin/world/book.go
+++ b/internal/standin/world/book.go
@@ -73,6 +73,18 @@
 	e.Observed = true
 }
 
+// lapsed writes down that a worker's lease lapsed. The ends that nobody has taken
+// note of by then need not be known to anybody.
+func (b *Book) lapsed(worker string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, e := range b.entries {
+		if e.Worker == worker && !e.Observed && !e.Ended.IsZero() {
+			e.Lapsed = true
+		}
+	}
+}
+
 // lost writes down that a worker's life is over.
 func (b *Book) lost(worker string) {
 	b.mu.Lock()
--- a/internal/standin/world/worker.go
+++ b/internal/standin/world/worker.go
@@ -64,8 +64,10 @@
 	number   int
 	observed int
 	// last holds the highest run of each task that stopped or ended here.
-	last     map[string]int
-	until    time.Time
+	last  map[string]int
+	until time.Time
+	// lapsed says that the lease that ended at until was noted as lapsed.
+	lapsed   bool
 	begun    time.Time
 	faults   WorkerFaults
 	random   *rand.Rand
@@ -186,7 +188,7 @@
 		until = most
 	}
 	if until.After(w.until) {
-		w.until = until
+		w.until, w.lapsed = until, false
 	}
 }
 
@@ -288,6 +290,10 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	lapsed := !w.until.IsZero() && now.After(w.until)
+	if lapsed && !w.lapsed {
+		w.lapsed = true
+		w.world.Book.lapsed(w.ID)
+	}
 	for _, r := range w.runs {
 		if lapsed {
 			w.finish(r, "lapsed")
