--- /dev/null
+++ b/cell/choose.go
@@ -0,0 +1,119 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package cell
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"dewpass.org/sched"
+)
+
+// suits reports whether w is one of the workers that may run s, whatever room
+// it has now.
+func (w *worker) suits(s *stage, q *Queue) bool {
+	if w.Pool != q.Pool {
+		return false
+	}
+	if s.def.Needs != "" && !slices.Contains(w.Labels, s.def.Needs) {
+		return false
+	}
+	room := s.def.Room()
+	return w.Room.Covers(&room)
+}
+
+// choose returns the worker for a task, nil if there is none.
+func (c *Cell) choose(s *stage, t *task, q *Queue, now time.Time) (*worker, string) {
+	var best *worker
+	var bestTicket string
+	bestScore := 0.0
+	room := s.def.Room()
+	for p := range c.allowed(s, q, now) {
+		w := p.worker
+		if !w.usable() || !w.free.Covers(&room) || s.full(w) || !w.suits(s, q) || !w.health.allows(len(w.runs), now) {
+			continue
+		}
+		score := c.score(s, t, w, &room)
+		if best == nil || score > bestScore {
+			best, bestScore, bestTicket = w, score, p.ticket
+		}
+	}
+	return best, bestTicket
+}
+
+const (
+	nearBonus    = 10.0
+	hallBonus    = 2.0
+	workerBonus  = 1.0
+	avoidMalus   = 20.0
+	failedMalus  = 3.0
+	sameRackGain = 5.0
+)
+
+// score says how well a task goes onto a worker that has room for it: best fit,
+// but near its data and away from where it failed.
+func (c *Cell) score(s *stage, t *task, w *worker, room *sched.Vec) float64 {
+	left := w.free.Sub(*room)
+	score := -left.Share(w.Room)
+	if s.def.Fills {
+		score = float64(w.free[sched.Milli]) / float64(max(w.Room[sched.Milli], 1))
+	}
+	if s.def.Near != "" && slices.Contains(w.Labels, s.def.Near) {
+		score += nearBonus
+	}
+	if slices.Contains(t.avoid, w.ID) {
+		score -= avoidMalus
+	}
+	if w.health.row > 0 {
+		score -= failedMalus
+	}
+	if !s.def.Lasting {
+		score += s.together(w)
+	}
+	if s.def.SameRack {
+		for other := range s.carried {
+			if other.Rack == w.Rack {
+				score += sameRackGain
+				break
+			}
+		}
+	}
+	return score
+}
+
+// together says how much is gained by keeping the tasks of a job in one hall and
+// on few workers: a job is lost as a whole, so that what fails should hit few
+// jobs.
+func (s *stage) together(w *worker) float64 {
+	gain := 0.0
+	if w.Hall == s.job.hall {
+		gain += hallBonus
+	}
+	if s.carried[w] > 0 {
+		gain += workerBonus
+	}
+	return gain
+}
+
+// chooseHall chooses the hall of a job: the one with the most room on workers that
+// may run s.
+func (c *Cell) chooseHall(s *stage, q *Queue, now time.Time) {
+	room := make(map[string]int64)
+	for p := range c.allowed(s, q, now) {
+		if p.worker.usable() && p.worker.suits(s, q) {
+			room[p.worker.Hall] += p.worker.free[sched.Milli]
+		}
+	}
+	best := room[s.job.hall] * stayShare
+	for _, hall := range slices.Sorted(maps.Keys(room)) {
+		if room[hall] > best {
+			best = room[hall]
+			s.job.hall = hall
+		}
+	}
+}
+
+// stayShare keeps a job in its hall unless another one has that many times the
+// room.
+const stayShare = 4
--- a/cell/job.go
+++ b/cell/job.go
@@ -4,7 +4,6 @@
 
 import (
 	"slices"
-	"strings"
 	"time"
 
 	"dewpass.org/flow"
@@ -294,69 +293,6 @@
 	return over || c.jobs[id] != nil
 }
 
-// Over is a job that is over, without its tasks.
-type Over struct {
-	ID    string
-	State flow.State
-}
-
-// over is what is remembered of a job that is over.
-type over struct {
-	state flow.State
-	since time.Time
-}
-
-// Ended returns the jobs that have ended since the last call. The caller archives
-// their ends, those that did not succeed once State shows them.
-func (c *Cell) Ended() []Over {
-	var out []Over
-	for _, j := range c.finished {
-		out = append(out, Over{ID: j.spec.ID, State: j.state})
-	}
-	c.finished = c.finished[:0]
-	return out
-}
-
-// Archived says that the store has the end of a job apart from its record. That a
-// job has succeeded is a fact whoever wrote it, and is shown from then on.
-func (c *Cell) Archived(id string) {
-	if j := c.jobs[id]; j != nil {
-		j.archived = true
-		if j.state == flow.Succeeded {
-			j.shown = flow.Succeeded
-		}
-	}
-}
-
-// Retire forgets the tasks of jobs that are over, and archived, for longer than
-// after. It returns these jobs; their state is remembered until Expire.
-func (c *Cell) Retire(after time.Duration, now time.Time) []Over {
-	var out []Over
-	for id, j := range c.jobs {
-		if j.archived && j.shown == j.state && !j.marked && now.Sub(j.ended) > after {
-			out = append(out, Over{ID: id, State: j.state})
-			c.over[id] = over{state: j.state, since: j.ended}
-			delete(c.jobs, id)
-		}
-	}
-	slices.SortFunc(out, func(a, b Over) int { return strings.Compare(a.ID, b.ID) })
-	return out
-}
-
-// Expire forgets the jobs that are over for longer than keep and returns their
-// ids.
-func (c *Cell) Expire(keep time.Duration, now time.Time) []string {
-	var ids []string
-	for id, o := range c.over {
-		if now.Sub(o.since) > keep {
-			ids = append(ids, id)
-			delete(c.over, id)
-		}
-	}
-	slices.Sort(ids)
-	return ids
-}
-
 // finish ends a job. Its runs are stopped by the next Place.
 func (c *Cell) finish(j *job, state flow.State, now time.Time) {
 	j.state, j.ended = state, now
@@ -373,80 +309,6 @@
 	}
 }
 
-// Save is a record that the store has to keep.
-type Save struct {
-	ID     string
-	Record *flow.Record
-	Story  Story
-}
-
-// Story is what this owner has seen of a job, for those who ask why it was late.
-type Story struct {
-	// Began is how long after its acceptance the first task was started here.
-	Began time.Duration
-	// Took is how long after its acceptance the job ended.
-	Took time.Duration
-	// Runs counts the starts, Failed the failed ones, and Lost those that ended
-	// with a lease or a worker.
-	Runs, Failed, Lost int
-}
-
-// Saves returns what has changed since the last call, at most limit records.
-// The caller says what became of it with Saved; there is one save at a time.
-func (c *Cell) Saves(limit int) []Save {
-	n := min(limit, len(c.dirty))
-	saves := make([]Save, 0, n)
-	for _, j := range c.dirty[:n] {
-		j.marked = false
-		saves = append(saves, Save{ID: j.spec.ID, Record: j.record(), Story: j.story})
-	}
-	c.dirty = append(c.dirty[:0], c.dirty[n:]...)
-	if len(c.dirty) == 0 {
-		for _, w := range c.order {
-			w.saving = w.seen
-		}
-	}
-	return saves
-}
-
-// Dirty reports whether there is something to save.
-func (c *Cell) Dirty() bool { return len(c.dirty) > 0 }
-
-// Saved says that the store keeps the records, or that it does not and they
-// have to be saved again.
-func (c *Cell) Saved(saves []Save, ok bool) {
-	for _, s := range saves {
-		j := c.jobs[s.ID]
-		if j == nil {
-			continue
-		}
-		if !ok {
-			c.mark(j)
-			continue
-		}
-		if !j.shown.Final() {
-			j.shown = s.Record.State
-		}
-		j.openedBy(s.Record)
-	}
-	for _, w := range c.order {
-		if ok {
-			w.observed = max(w.observed, w.saving)
-		}
-		w.saving = w.observed
-	}
-}
-
-// openedBy takes in which halls the store knows to be open to each stage.
-func (j *job) openedBy(rec *flow.Record) {
-	for at, s := range j.stages {
-		if at < len(rec.Stages) {
-			s.halls = rec.Stages[at].Halls
-			s.opening = slices.DeleteFunc(s.opening, func(h string) bool { return slices.Contains(s.halls, h) })
-		}
-	}
-}
-
 // mayStart reports whether tasks of s may start on the workers of a hall. Those of
 // the job's own hall may at once, as every owner reckons with that; of any other
 // the store is told first.
@@ -467,38 +329,3 @@
 	return s.job.restored && (unsettled.any ||
 		unsettled.halls[s.job.spec.Hall] || slices.ContainsFunc(s.inherited, func(h string) bool { return unsettled.halls[h] }))
 }
-
-func (j *job) record() *flow.Record {
-	r := &flow.Record{State: j.state, Cancelled: j.cancelled}
-	if !j.state.Final() && j.began {
-		r.State = flow.Running
-	}
-	if j.state.Final() {
-		return r
-	}
-	r.Stages = make([]flow.StageRecord, len(j.stages))
-	for at, s := range j.stages {
-		out := &r.Stages[at]
-		out.Halls = slices.Concat(s.halls, s.opening)
-		for i := range s.tasks {
-			t := &s.tasks[i]
-			if t.state == taskDone {
-				out.Done.Set(i)
-				continue
-			}
-			if len(t.fails) > 0 && !s.def.Lasting {
-				if out.Fails == nil {
-					out.Fails = make(map[int][]int)
-				}
-				out.Fails[i] = t.fails
-			}
-			if t.state == taskWaiting && t.saved != "" {
-				if out.Saved == nil {
-					out.Saved = make(map[int]string)
-				}
-				out.Saved[i] = t.saved
-			}
-		}
-	}
-	return r
-}
--- /dev/null
+++ b/cell/over.go
@@ -0,0 +1,74 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package cell
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"dewpass.org/flow"
+)
+
+// Over is a job that is over, without its tasks.
+type Over struct {
+	ID    string
+	State flow.State
+}
+
+// over is what is remembered of a job that is over.
+type over struct {
+	state flow.State
+	since time.Time
+}
+
+// Ended returns the jobs that have ended since the last call. The caller archives
+// their ends, those that did not succeed once State shows them.
+func (c *Cell) Ended() []Over {
+	var out []Over
+	for _, j := range c.finished {
+		out = append(out, Over{ID: j.spec.ID, State: j.state})
+	}
+	c.finished = c.finished[:0]
+	return out
+}
+
+// Archived says that the store has the end of a job apart from its record. That a
+// job has succeeded is a fact whoever wrote it, and is shown from then on.
+func (c *Cell) Archived(id string) {
+	if j := c.jobs[id]; j != nil {
+		j.archived = true
+		if j.state == flow.Succeeded {
+			j.shown = flow.Succeeded
+		}
+	}
+}
+
+// Retire forgets the tasks of jobs that are over, and archived, for longer than
+// after. It returns these jobs; their state is remembered until Expire.
+func (c *Cell) Retire(after time.Duration, now time.Time) []Over {
+	var out []Over
+	for id, j := range c.jobs {
+		if j.archived && j.shown == j.state && !j.marked && now.Sub(j.ended) > after {
+			out = append(out, Over{ID: id, State: j.state})
+			c.over[id] = over{state: j.state, since: j.ended}
+			delete(c.jobs, id)
+		}
+	}
+	slices.SortFunc(out, func(a, b Over) int { return strings.Compare(a.ID, b.ID) })
+	return out
+}
+
+// Expire forgets the jobs that are over for longer than keep and returns their
+// ids.
+func (c *Cell) Expire(keep time.Duration, now time.Time) []string {
+	var ids []string
+	for id, o := range c.over {
+		if now.Sub(o.since) > keep {
+			ids = append(ids, id)
+			delete(c.over, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
--- /dev/null
+++ b/cluster/elect_test.go
@@ -0,0 +1,54 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package cluster
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"dewpass.org/wire"
+)
+
+var _ = Describe("a seat", func() {
+	It("counts as unwritten from when a version is known to have been written", func() {
+		n := testNode(&policy{})
+		now := time.Now()
+		Expect(n.unwritten("c", 1, now)).To(BeZero(), "seen for the first time")
+		Expect(n.unwritten("c", 1, now.Add(time.Second))).To(Equal(time.Second))
+		n.sawWrite("c", 2, now)
+		Expect(n.unwritten("c", 1, now.Add(time.Second))).To(BeZero(), "an answer of before")
+		Expect(n.unwritten("c", 2, now.Add(time.Second))).To(Equal(time.Second), "its owner has said when")
+		n.sawWrite("c", 2, now.Add(time.Second))
+		Expect(n.unwritten("c", 2, now.Add(time.Second))).To(Equal(time.Second), "the first word counts")
+	})
+})
+
+var _ = Describe("an owner", func() {
+	It("yields to an instance with a much larger processor once that has been heard for a while", func() {
+		n := testNode(&policy{})
+		n.settings.Cluster.Processor = 0.2
+		now := time.Now()
+		n.members.heard(&wire.Greeting{Instance: "alike", Hall: "h", Boot: "a", Addr: "a", StoreOk: true, Processor: 250}, now)
+		n.members.heard(&wire.Greeting{Instance: "cut", Hall: "h", Boot: "b", Addr: "b", Processor: 800}, now)
+		Expect(n.stronger(now.Add(strongerFor + 1))).To(BeEmpty())
+		n.members.heard(&wire.Greeting{Instance: "large", Hall: "h", Boot: "c", Addr: "c", StoreOk: true, Processor: 800}, now)
+		Expect(n.stronger(now)).To(BeEmpty(), "it may still be starting")
+		Expect(n.stronger(now.Add(strongerFor + 1))).To(Equal("large"))
+	})
+})
+
+var _ = Describe("an owner whose writes the store does not take", func() {
+	It("is obeyed while each other instance has answered lately, or has no process", func() {
+		n := testNode(&policy{})
+		now := time.Now()
+		n.members.heard(&wire.Greeting{Instance: "a", Hall: "h", Boot: "a", Addr: "a"}, now)
+		n.members.heard(&wire.Greeting{Instance: "b", Hall: "h", Boot: "b", Addr: "b"}, now)
+		n.members.answer("a", now)
+		Expect(n.members.allAnswer(now)).To(BeFalse(), "b may take the seat")
+		n.members.refusedAt("b", now)
+		Expect(n.members.allAnswer(now)).To(BeTrue(), "nobody is there to take it")
+		Expect(n.members.allAnswer(now.Add(cellSilence))).To(BeFalse(), "one that started since may")
+	})
+})
