claim: an owner's time counts from the first sending of a write

Cause, found by reading: a write that was sent again counted as begun with its last sending, although the first may be the one that took effect, from which others count its silence: an owner could go on up to 0.3 s longer than the margin covers. Test in claim, red with the former place of the line.

--- a/claim/claim.go
+++ b/claim/claim.go
@@ -11,7 +11,8 @@
 //   - a write whose answer was lost is settled by reading the seat back: it
 //     holds the mark of the write, or it does not and the same write is sent
 //     again, of which at most one can take effect;
-//   - others see that the owner lives and writes.
+//   - others see that the owner lives and writes, and read for how long it goes on
+//     without.
 package claim
 
 import (
@@ -91,7 +92,7 @@
 }
 
 // Claim is an instance's view of a cell's seat. Its exported fields must be
-// set before use. Only Epoch, Held and Written may be called beside others.
+// set before use. Only Epoch, Held, Valid and Written may be called beside others.
 type Claim struct {
 	Store rows.Store
 	Cell  string
@@ -200,8 +201,10 @@
 	}
 	t.Expect = append([]rows.Check{{Key: c.key(), Ver: c.ver}}, t.Expect...)
 	t.Put = append([]rows.Row{{Key: c.key(), Value: raw}}, t.Put...)
+	// However often it is sent, it may be the first sending that takes effect, and
+	// others may count from there.
+	begun := time.Now()
 	for {
-		begun := time.Now()
 		t.Expect[0].Ver = c.ver
 		res, err := c.attempt(ctx, t, seat.Mark)
 		if err == nil {
--- a/claim/claim_test.go
+++ b/claim/claim_test.go
@@ -29,6 +29,8 @@
 	// answer (1), later (2), or never (3), or has no answer at all (4).
 	lose []int
 	late []rows.Tx
+	// sent holds when each write came.
+	sent []time.Time
 }
 
 func (t *table) apply(tx rows.Tx) rows.Result {
@@ -44,6 +46,7 @@
 func (t *table) Tx(ctx context.Context, tx rows.Tx) (rows.Result, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.sent = append(t.sent, time.Now())
 	how := 0
 	if len(t.lose) > 0 {
 		how, t.lose = t.lose[0], t.lose[1:]
@@ -153,9 +156,10 @@
 		t := &table{}
 		a := claimOf(t, "a")
 		take(ctx, a)
-		t.lose = []int{4, 4}
+		t.lose, t.sent = []int{4, 4}, nil
 		_, err := a.Commit(ctx, rows.Tx{})
 		Expect(err).NotTo(HaveOccurred())
+		Expect(a.Written().Begun).To(BeTemporally("<=", t.sent[0]), "the first may have been the one that took effect")
 	}, SpecTimeout(10*time.Second))
 
 	It("is released although an earlier write comes late", func(ctx context.Context) {
--- a/driver/doc.go
+++ b/driver/doc.go
@@ -1,7 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 
-// Package driver runs the cell: it carries what happens to a
-// cell.Cell and carries out what the cell decides.
+// Package driver runs a cell: it carries what happens to a cell.Cell and carries
+// out what the cell decides.
 //
 // A Driver lives as long as its instance holds the cell's seat. It begins by
 // reading the jobs of the cell from the store, and then runs one link to each
@@ -12,5 +12,7 @@
 //
 // Ends go into the cell at once, so that the next steps start without waiting
 // for the store. They are written in group commits, and only then is a worker
-// told that it may forget them.
+// told that it may forget them. That a job is over is also written where the job
+// itself stands: it goes with it, so that the next owner reads only what is still
+// to do, and clients see it while the cell's own part of the store is silent.
 package driver
