driver: the roster of a cell has a row for each 400 workers

The roster was one row, over 64 KiB from about 870 workers on, and it went with each group commit until one was taken: none was. Ruled out: the owner's processor (52%) and memory (164 MB). Test in driver: hangs with one row.

--- a/driver/commit.go
+++ b/driver/commit.go
@@ -54,8 +54,6 @@
 	staleAtOnce = 30
 	// renewEvery is how long the seat may go without being written.
 	renewEvery = 200 * time.Millisecond
-	// rosterName is the row that lists a cell's workers beside its seat.
-	rosterName = "workers"
 )
 
 // commitLoop writes what is to be kept, in groups.
@@ -82,9 +80,13 @@
 func (d *Driver) commitOnce(renew bool) bool {
 	d.mu.Lock()
 	saves := d.cell.Saves(savesAtOnce)
-	stale := d.stale[:min(len(d.stale), staleAtOnce)]
-	d.stale = d.stale[len(stale):]
 	roster := d.rosterChanged
+	var stale []string
+	if !roster {
+		// The rows of the roster take the place of these.
+		stale = d.stale[:min(len(d.stale), staleAtOnce)]
+		d.stale = d.stale[len(stale):]
+	}
 	if len(saves)+len(stale) == 0 && !roster && !renew {
 		d.cell.Saved(nil, true)
 		d.announce()
@@ -100,7 +102,7 @@
 		t.Put = append(t.Put, rows.Row{Key: RecordKey(d.Name, s.ID), Value: flow.Encode(s.Record)})
 	}
 	if roster {
-		t.Put = append(t.Put, rows.Row{Key: d.rosterKey(), Value: flow.Encode(d.roster())})
+		d.putRoster(&t)
 		d.rosterChanged = false
 	}
 	d.mu.Unlock()
--- a/driver/driver.go
+++ b/driver/driver.go
@@ -74,6 +74,8 @@
 	// rosterChanged says that the workers of the cell are not those of the
 	// roster in the store.
 	rosterChanged bool
+	// rosterRows is how many rows the roster in the store may have.
+	rosterRows int
 	// kept is closed and renewed whenever the store has taken a write.
 	kept chan struct{}
 
--- a/driver/driver_test.go
+++ b/driver/driver_test.go
@@ -39,6 +39,9 @@
 	reads map[string]int
 }
 
+// rowMost is how many bytes a row may have at the users' store.
+const rowMost = 65536
+
 func newTable() *table {
 	return &table{rows: make(map[rows.Key]rows.Row), fails: make(map[string]int), reads: make(map[string]int)}
 }
@@ -54,6 +57,11 @@
 			return rows.Result{Refused: true, Rows: []rows.Row{t.rows[e.Key]}}, nil
 		}
 	}
+	for _, r := range tx.Put {
+		if len(r.Value) > rowMost {
+			return rows.Result{}, kind.New(kind.BadRequest, "a value is too long")
+		}
+	}
 	t.ver++
 	for _, r := range tx.Put {
 		r.Ver = t.ver
@@ -94,6 +102,16 @@
 	return t.rows[k].Ver > 0
 }
 
+// away are workers that cannot be reached.
+type away struct{}
+
+var errAway = kind.New(kind.Unavailable, "no answer")
+
+func (away) Start(context.Context, StartOrder) (StartAnswer, error) { return StartAnswer{}, errAway }
+func (away) Stop(context.Context, StopOrder) error                  { return errAway }
+func (away) Pace(context.Context, PaceOrder) error                  { return errAway }
+func (away) Hold(context.Context, HoldOrder) (HoldAnswer, error)    { return HoldAnswer{}, errAway }
+
 // nobody is a directory without workers.
 type nobody struct{}
 
@@ -107,7 +125,7 @@
 	Expect(c.Take(ctx, seat, ver)).To(Succeed())
 	return New(Config{
 		Name: "c", Lease: time.Second, Keep: time.Hour, Seat: c, Store: t,
-		Mine: func(string) bool { return true }, Reachable: func() bool { return true },
+		Workers: away{}, Mine: func(string) bool { return true }, Reachable: func() bool { return true },
 		Directory: nobody{}, Callers: func() int { return 1 }, Obeyed: func() bool { return true },
 		Lost: func() {}, TooSlow: tooSlow, Log: log.NewNopLogger(), Scope: tally.NoopScope,
 	})
@@ -150,6 +168,37 @@
 	})
 })
 
+var _ = ginkgo.Describe("the roster of a large cell", func() {
+	ginkgo.It("is written in rows that the store takes, and read back whole", func(ctx context.Context) {
+		t := newTable()
+		d := newDriver(ctx, t, func() {})
+		const workers = 2 * rosterAtOnce
+		entries := make([]rosterEntry, workers)
+		for i := range entries {
+			entries[i] = rosterEntry{ID: fmt.Sprintf("i-%010d", i), Addr: "10.200.200.200:65000", Hall: "a-hall-with-a-long-name"}
+		}
+		defer d.Close()
+		d.mu.Lock()
+		d.restoreWorkers(entries)
+		d.mu.Unlock()
+		Expect(d.commitOnce(false)).To(BeTrue())
+		// A worker less, and a row less after it.
+		d.mu.Lock()
+		for _, e := range entries[rosterAtOnce:] {
+			d.forget(d.links[e.ID], time.Now())
+		}
+		d.mu.Unlock()
+		Expect(d.commitOnce(false)).To(BeTrue())
+		next := newDriver(ctx, t, func() {})
+		defer next.Close()
+		Expect(next.load()).To(BeTrue())
+		next.mu.Lock()
+		defer next.mu.Unlock()
+		Expect(next.links).To(HaveLen(rosterAtOnce))
+		Expect(next.rosterRows).To(Equal(1))
+	})
+})
+
 var _ = ginkgo.Describe("a job that is handed in again", func() {
 	ginkgo.It("does not run again under a new owner that never read it", func(ctx context.Context) {
 		t := newTable()
--- a/driver/load.go
+++ b/driver/load.go
@@ -90,7 +90,7 @@
 	reads.Go(func() error {
 		return r.records.read(ctx, d.Store, rows.Range{Table: TableRecords, Part: d.Name, Limit: loadPage})
 	})
-	reads.Go(func() error { return r.roster.read(ctx, d.Store, rows.Only(d.rosterKey())) })
+	reads.Go(func() error { return r.roster.read(ctx, d.Store, d.rosterRange()) })
 	return reads.Wait()
 }
 
@@ -106,7 +106,7 @@
 		if err == nil {
 			d.scanned = r.ver()
 			d.restore(r.jobs(), r.records.rows)
-			d.restoreRoster(rows.Page{Rows: r.roster.rows}.One().Value)
+			d.restoreRoster(r.roster.rows)
 			return true
 		}
 		level.Warn(d.Log).Log("event", "load_failed", "cell", d.Name, "epoch", d.Seat.Epoch(), "took_ms", time.Since(begun).Milliseconds(), "err", err)
--- a/driver/roster.go
+++ b/driver/roster.go
@@ -4,12 +4,16 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"slices"
 	"strings"
 	"time"
 
+	"github.com/go-kit/log/level"
+
 	"dewpass.org/cell"
 	"dewpass.org/claim"
+	"dewpass.org/flow"
 	"dewpass.org/rows"
 )
 
@@ -21,8 +25,22 @@
 	Hall string `json:"hall,omitempty"`
 }
 
-func (d *Driver) rosterKey() rows.Key {
-	return rows.Key{Table: claim.Table, Part: d.Name, Name: rosterName}
+const (
+	// rosterName begins the names of the rows that list a cell's workers beside
+	// its seat.
+	rosterName = "workers-"
+	// rosterAtOnce is how many workers a row lists, so that it stays far below what
+	// the store takes for a row.
+	rosterAtOnce = 400
+)
+
+func (d *Driver) rosterKey(row int) rows.Key {
+	return rows.Key{Table: claim.Table, Part: d.Name, Name: fmt.Sprintf("%s%03d", rosterName, row)}
+}
+
+// rosterRange is the range of all rows of the roster.
+func (d *Driver) rosterRange() rows.Range {
+	return rows.Range{Table: claim.Table, Part: d.Name, From: rosterName, To: rosterName + "~"}
 }
 
 // roster returns the workers that may run something. The lock is held.
@@ -35,13 +53,38 @@
 	return out
 }
 
-func (d *Driver) restoreRoster(raw []byte) {
-	var all []rosterEntry
-	if len(raw) == 0 || json.Unmarshal(raw, &all) != nil {
-		return
+// putRoster adds the roster to a transaction, and the removal of rows that it does
+// not take any more. The lock is held.
+func (d *Driver) putRoster(t *rows.Tx) {
+	n := 0
+	for chunk := range slices.Chunk(d.roster(), rosterAtOnce) {
+		t.Put = append(t.Put, rows.Row{Key: d.rosterKey(n), Value: flow.Encode(chunk)})
+		n++
+	}
+	for row := n; row < d.rosterRows; row++ {
+		t.Remove = append(t.Remove, d.rosterKey(row))
 	}
+	// Until the store has taken it, there may be as many as before.
+	d.rosterRows = max(d.rosterRows, n)
+}
+
+// restoreRoster takes in what the former owner wrote.
+func (d *Driver) restoreRoster(all []rows.Row) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.rosterRows = len(all)
+	for _, row := range all {
+		var entries []rosterEntry
+		if err := json.Unmarshal(row.Value, &entries); err != nil {
+			level.Error(d.Log).Log("event", "bad_roster", "row", row.Name, "err", err)
+			continue
+		}
+		d.restoreWorkers(entries)
+	}
+}
+
+// restoreWorkers starts links to workers of the roster. The lock is held.
+func (d *Driver) restoreWorkers(all []rosterEntry) {
 	now := time.Now()
 	for _, e := range all {
 		if d.links[e.ID] == nil {
