cell: a job has begun once a worker has a task of it

Cause: a job counted as begun from the decision to start a task. A start that the worker refuses, or whose answer is lost, left its job counted so for good, and the count of jobs that wait fell short: with few that wait, below the half that the users allow. Before, in the test: pending 0 and state running with nothing at any worker; after: pending 1. The test is red without the change.

--- a/cell/cell_test.go
+++ b/cell/cell_test.go
@@ -139,6 +139,23 @@
 		Expect(r.startAll()).To(HaveLen(5))
 	})
 
+	It("has begun once a worker has a task of it, not when an order for one was decided", func() {
+		r := newRig(1)
+		r.add("j", flow.Step{Count: 1, Demand: demand(1000)})
+		first := r.place().Starts[0]
+		s, _ := r.State("j")
+		Expect(s).To(Equal(flow.Pending))
+		Expect(r.Load().Pending["q"]).To(Equal(1), "the order is on its way")
+		r.Started(first.Worker, first.Task, first.Run, NoRoom, r.now)
+		Expect(r.Load().Pending["q"]).To(Equal(1), "the worker would not have it")
+		r.Attached("w0", Lists{}, r.now)
+		second := r.place().Starts[0]
+		r.Started(second.Worker, second.Task, second.Run, Accepted, r.now)
+		Expect(r.Load().Pending["q"]).To(BeZero())
+		s, _ = r.State("j")
+		Expect(s).To(Equal(flow.Running))
+	})
+
 	It("uses no numbers up and has not begun while a gang waits for room", func() {
 		r := newRig(1)
 		r.Submit(&flow.Spec{ID: "j", Queue: "q", Hall: "h", Steps: []flow.Step{{Count: 5, Demand: demand(1000), Gang: true}}}, r.now)
--- a/cell/ends.go
+++ b/cell/ends.go
@@ -19,6 +19,7 @@
 	if s == nil || f.Task.Index >= len(s.tasks) {
 		return
 	}
+	s.job.began = true
 	t := &s.tasks[f.Task.Index]
 	t.last = max(t.last, f.Run-c.firstRun)
 	if f.Saved != "" {
@@ -181,7 +182,7 @@
 		return
 	}
 	if o == Accepted {
-		r.confirmed, r.progressed = now, now
+		r.confirm(now)
 		return
 	}
 	c.drop(r)
--- a/cell/job.go
+++ b/cell/job.go
@@ -73,7 +73,8 @@
 type job struct {
 	spec *flow.Spec
 	// kept says that the store has the job; nothing starts before.
-	kept      bool
+	kept bool
+	// began says that a worker has had a task of it.
 	began     bool
 	cancelled bool
 	state     flow.State
--- a/cell/place.go
+++ b/cell/place.go
@@ -299,7 +299,6 @@
 	t.runs = append(t.runs, r)
 	w.hold(r)
 	s.onWorker(w, 1)
-	s.job.began = true
 	if s.job.story.Runs == 0 {
 		s.job.story.Began = now.Sub(s.job.arrived)
 	}
--- a/cell/run.go
+++ b/cell/run.go
@@ -42,6 +42,12 @@
 
 func (r *run) task() flow.TaskID { return r.stage.taskID(r.index) }
 
+// confirm notes that the worker has the run: its job has begun.
+func (r *run) confirm(now time.Time) {
+	r.confirmed, r.progressed = now, now
+	r.stage.job.began = true
+}
+
 // hold puts a run on the books of a worker.
 func (w *worker) hold(r *run) {
 	w.runs[runKey{r.task(), r.n}] = r
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -271,8 +271,7 @@
 	}
 	r.turn = c.turn
 	if r.confirmed.IsZero() {
-		r.confirmed = now
-		r.progressed = now
+		r.confirm(now)
 	}
 	r.listed, r.tail = now, row.Tail
 	if row.Percent != r.percent {
@@ -305,6 +304,5 @@
 	t.runs = append(t.runs, r)
 	t.last = max(t.last, row.Run-c.firstRun)
 	s.onWorker(w, 1)
-	s.job.began = true
 	return r
 }
