test/port: beds take ports that nobody else can be given

Cause, as far as its cut log lets one say: each address of a bed came from a listener on port 0 that was closed before the next was chosen. The kernel could also hand such a port to any connection before the instance bound it. After: none can be; a lane of ports below the kernel's own belongs to one holder, and no call gives an address twice. test/bed had lanes by number, which its callers had to hand out; it takes a lane now, and so do test/cluster and the demo. A bed that is not ready prints the last line of the instance that is not.

--- a/test/bed/bed.go
+++ b/test/bed/bed.go
@@ -18,6 +18,7 @@
 	"dewpass.org/internal/client"
 	"dewpass.org/keys"
 	"dewpass.org/ports"
+	"dewpass.org/test/port"
 	"dewpass.org/tree"
 )
 
@@ -44,9 +45,6 @@
 	OTLP string
 	// Pprof serves profiles.
 	Pprof bool
-	// Lane is the number of the process that starts beds beside others, so that
-	// they do not take each other's ports.
-	Lane int
 }
 
 // Bed is a running deployment.
@@ -55,6 +53,7 @@
 	Config  StandIn
 	Entries []*Process
 	standIn *Process
+	lane    *port.Lane
 	// Admin speaks to the stand-in's switches and record.
 	Admin *client.Client
 	// Balancer speaks to any entry.
@@ -70,11 +69,16 @@
 
 // Start starts a deployment and waits until every entry is ready.
 func Start(ctx context.Context, o Options) (*Bed, error) {
-	config, err := plan(o.Deployment, o.PerHall, o.Lane)
+	lane, err := port.Take()
 	if err != nil {
+		return nil, err
+	}
+	config, err := plan(o.Deployment, o.PerHall, lane)
+	if err != nil {
+		_ = lane.Close()
 		return nil, errors.Wrap(err, "ports")
 	}
-	b := &Bed{Options: o, Config: config}
+	b := &Bed{Options: o, Config: config, lane: lane}
 	hc := newHTTP()
 	b.Admin = &client.Client{Base: "http://" + config.Platform, HTTP: hc}
 	b.Balancer = &client.Client{Base: "http://" + config.Balancer, HTTP: hc}
@@ -255,6 +259,7 @@
 	if b.standIn != nil {
 		b.standIn.Kill()
 	}
+	_ = b.lane.Close()
 }
 
 // Start starts the process; it is also how one that has ended comes back.
--- a/test/bed/config.go
+++ b/test/bed/config.go
@@ -4,13 +4,10 @@
 
 import (
 	"fmt"
-	"net"
-	"sync"
-
-	"github.com/go-faster/errors"
 
 	"dewpass.org/ports"
 	"dewpass.org/sched"
+	"dewpass.org/test/port"
 )
 
 // StandIn is the configuration of the stand-in process.
@@ -50,20 +47,20 @@
 }
 
 // plan lays a deployment out on free ports of the loopback.
-func plan(d Deployment, perHall, lane int) (StandIn, error) {
+func plan(d Deployment, perHall int, lane *port.Lane) (StandIn, error) {
 	needed := 2
 	for i := range d.Halls {
 		entries, racks := d.size(i, perHall)
 		needed += 2*entries + racks*d.WorkersPerRack
 	}
-	ports, err := freePorts(lane, needed)
+	addrs, err := lane.Free(needed)
 	if err != nil {
 		return StandIn{}, err
 	}
 	next := func() string {
-		p := ports[0]
-		ports = ports[1:]
-		return p
+		addr := addrs[0]
+		addrs = addrs[1:]
+		return addr
 	}
 	s := StandIn{Platform: next(), Balancer: next()}
 	for n, hall := range d.Halls {
@@ -83,42 +80,3 @@
 	}
 	return s, nil
 }
-
-// The ports of beds lie below those that the kernel gives to outgoing
-// connections, so that a process that is restarted finds its port free.
-const (
-	firstPort = 10000
-	lanePorts = 2700
-	// lanes is how many processes may start beds side by side.
-	lanes = 8
-)
-
-// nextPort is where the next bed of this process looks for ports.
-var nextPort struct {
-	sync.Mutex
-	at int
-}
-
-// freePorts returns addresses of the loopback that nobody listens on. Each lane
-// has ports of its own: those of an entry that is down for a moment are free,
-// and must not go to the bed of another process.
-func freePorts(lane, n int) ([]string, error) {
-	nextPort.Lock()
-	defer nextPort.Unlock()
-	var out []string
-	for tries := 0; len(out) < n; tries++ {
-		if tries > lanePorts {
-			return nil, errors.New("no free ports")
-		}
-		port := firstPort + lane%lanes*lanePorts + nextPort.at%lanePorts
-		addr := fmt.Sprintf("127.0.0.1:%d", port)
-		nextPort.at++
-		l, err := net.Listen("tcp", addr)
-		if err != nil {
-			continue
-		}
-		_ = l.Close()
-		out = append(out, addr)
-	}
-	return out, nil
-}
--- a/test/cluster/bed_test.go
+++ b/test/cluster/bed_test.go
@@ -8,7 +8,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -24,6 +23,7 @@
 
 	"dewpass.org/claim"
 	"dewpass.org/internal/standin/world"
+	"dewpass.org/test/port"
 )
 
 func TestCluster(t *testing.T) {
@@ -101,8 +101,10 @@
 	b := &bed{world: w, http: &http.Client{Timeout: 5 * time.Second}}
 	dir, err := os.MkdirTemp("", "dewpass-bed")
 	Expect(err).NotTo(HaveOccurred())
+	lane, err := port.Take()
+	Expect(err).NotTo(HaveOccurred())
 	for i := range 2 * len(halls) {
-		b.entries = append(b.entries, newEntry(i, dir))
+		b.entries = append(b.entries, newEntry(i, dir, lane))
 	}
 	for _, e := range b.entries {
 		b.write(e, "6s")
@@ -113,6 +115,7 @@
 			e.kill()
 		}
 		w.Close()
+		_ = lane.Close()
 		_ = os.RemoveAll(dir)
 		if CurrentSpecReport().Failed() {
 			for _, e := range b.entries {
@@ -124,22 +127,17 @@
 	return b
 }
 
-func newEntry(i int, dir string) *entry {
+func newEntry(i int, dir string, lane *port.Lane) *entry {
+	GinkgoHelper()
+	addrs, err := lane.Free(3)
+	Expect(err).NotTo(HaveOccurred())
 	name := fmt.Sprintf("%s-%d", halls[i%len(halls)], i/len(halls)+1)
 	return &entry{
-		name: name, front: freeAddr(), peer: freeAddr(), ready: freeAddr(),
+		name: name, front: addrs[0], peer: addrs[1], ready: addrs[2],
 		settings: filepath.Join(dir, name+".json"), log: &syncBuffer{},
 	}
 }
 
-func freeAddr() string {
-	GinkgoHelper()
-	l, err := net.Listen("tcp", local+":0")
-	Expect(err).NotTo(HaveOccurred())
-	defer l.Close()
-	return l.Addr().String()
-}
-
 // write writes the settings of an instance.
 func (b *bed) write(e *entry, lease string) {
 	GinkgoHelper()
@@ -173,10 +171,16 @@
 	_ = e.cmd.Wait()
 }
 
+// lastLine returns the last line of the instance's log.
+func (e *entry) lastLine() string {
+	lines := strings.Split(strings.TrimSpace(e.log.String()), "\n")
+	return e.name + ": " + lines[len(lines)-1]
+}
+
 func (b *bed) waitReady() {
 	GinkgoHelper()
 	for _, e := range b.entries {
-		Eventually(func() int { return b.get("http://"+e.ready+"/dewpass/ready", nil) }).Should(Equal(http.StatusOK))
+		Eventually(func() int { return b.get("http://"+e.ready+"/dewpass/ready", nil) }).Should(Equal(http.StatusOK), e.lastLine)
 	}
 	Eventually(b.owner).ShouldNot(BeNil())
 }
--- a/test/demo/cluster.go
+++ b/test/demo/cluster.go
@@ -8,7 +8,6 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -22,6 +21,7 @@
 	"github.com/go-faster/errors"
 
 	"dewpass.org/internal/standin/world"
+	"dewpass.org/test/port"
 )
 
 const (
@@ -50,12 +50,17 @@
 	}
 	defer w.Close()
 	w.Configure(1, demoHost, demoPrefix)
+	lane, err := port.Take()
+	if err != nil {
+		return err
+	}
+	defer lane.Close()
 	dir, err := os.MkdirTemp("", "dewpass-demo")
 	if err != nil {
 		return err
 	}
 	defer os.RemoveAll(dir)
-	members, err := startMembers(w, dir, perHall)
+	members, err := startMembers(w, lane, dir, perHall)
 	if err != nil {
 		return err
 	}
@@ -77,13 +82,13 @@
 	return nil
 }
 
-func startMembers(w *world.World, dir string, perHall int) ([]*member, error) {
+func startMembers(w *world.World, lane *port.Lane, dir string, perHall int) ([]*member, error) {
 	var members []*member
 	var first string
 	for _, hall := range demoHalls {
 		for i := range perHall {
 			m := &member{name: fmt.Sprintf("%s-%d", hall, i+1)}
-			peer, err := m.write(w, dir, hall, first)
+			peer, err := m.write(w, lane, dir, hall, first)
 			if err != nil {
 				return members, err
 			}
@@ -100,15 +105,10 @@
 }
 
 // write writes the settings of a member and returns its address for peers.
-func (m *member) write(w *world.World, dir, hall, first string) (string, error) {
-	var addrs [3]string
-	for i := range addrs {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return "", err
-		}
-		addrs[i] = l.Addr().String()
-		defer l.Close()
+func (m *member) write(w *world.World, lane *port.Lane, dir, hall, first string) (string, error) {
+	addrs, err := lane.Free(3)
+	if err != nil {
+		return "", err
 	}
 	m.front, m.ready = addrs[0], addrs[2]
 	peers := []string{}
--- a/test/proof/matrix_test.go
+++ b/test/proof/matrix_test.go
@@ -176,7 +176,6 @@
 	}
 	b, err := bed.Start(ctx, bed.Options{
 		Deployment: small, PerHall: 2, Dir: dir, TaskLease: taskLease, Debug: true,
-		Lane:    GinkgoParallelProcess(),
 		Dewpass: binaries + "/dewpass", StandIn: binaries + "/standin", Examples: "../../examples",
 	})
 	if err != nil {
--- a/test/proof/suite_test.go
+++ b/test/proof/suite_test.go
@@ -58,7 +58,6 @@
 	Expect(err).NotTo(HaveOccurred())
 	options := bed.Options{
 		Deployment: d, PerHall: perHall, Dir: dir, TaskLease: taskLease, Debug: true,
-		Lane:     GinkgoParallelProcess(),
 		Dewpass:  filepath.Join(binaries, "dewpass"),
 		StandIn:  filepath.Join(binaries, "standin"),
 		Examples: "../../examples",
