cluster: the division into cells is decided from the number of workers

Cause: one cell drove all workers unless the same number of cells stood in every instance's settings, which no deployment did. An owner of several hands one to an instance alike that has none, and those with cells leave vacant ones to others. Ruled out: changing the division while jobs run; a worker obeys the highest fence it has seen, and fences of two cells do not compare.

--- a/cluster/accept.go
+++ b/cluster/accept.go
@@ -39,13 +39,14 @@
 	ctx, cancel := context.WithTimeout(ctx, acceptTime)
 	defer cancel()
 	if !n.door.Reachable() {
-		level.Info(n.kit.Log).Log("event", "refused", "job", spec.ID, "why", "the store is not reached", "last", true)
-		n.kit.Scope.Counter("jobs_refused_total").Inc(1)
-		return kind.New(kind.Unavailable, "the store is not reached").After(comeBack)
+		return n.refuse(spec.ID, "the store is not reached")
+	}
+	cell := n.choose(spec)
+	if cell == "" {
+		return n.refuse(spec.ID, "the cells are not known yet")
 	}
 	begun := time.Now()
 	spec.AcceptedMS = begun.UnixMilli()
-	cell := n.choose(spec)
 	spec.Hall = n.hallFor(cell, spec.ID)
 	k, err := n.keep(ctx, cell, spec)
 	if err != nil {
@@ -63,14 +64,21 @@
 	return nil
 }
 
+// refuse returns the answer for a job that is not taken.
+func (n *Node) refuse(id, why string) error {
+	level.Info(n.kit.Log).Log("event", "refused", "job", id, "why", why, "last", true)
+	n.kit.Scope.Counter("jobs_refused_total").Inc(1)
+	return kind.New(kind.Unavailable, why).After(comeBack)
+}
+
 // choose returns the cell for a job: the least loaded one, or one by lot while
-// no owner is heard.
+// no owner is heard, "" while the cells are not known.
 func (n *Node) choose(spec *flow.Spec) string {
 	if p := n.places(spec); len(p) > 0 {
 		n.members.sent(p[0].name, spec.Work().Milliseconds())
 		return p[0].cell
 	}
-	return n.names[draw(spec.ID)%uint32(len(n.names))]
+	return n.division.draw(spec.ID)
 }
 
 // hallFor returns the hall in which a job may start without more ado: drawn by the
--- /dev/null
+++ b/cluster/division.go
@@ -0,0 +1,177 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package cluster
+
+import (
+	"context"
+	"encoding/json"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/go-kit/log/level"
+
+	"dewpass.org/claim"
+	"dewpass.org/kind"
+	"dewpass.org/rows"
+)
+
+// The division of the workers into cells is decided once, before the first cell has
+// an owner, and kept in the store. It never changes then: a worker obeys the
+// highest fence that it has seen, and the fences of two cells do not compare.
+
+const (
+	// divisionName is the row that holds the division, in the table of the seats.
+	divisionName = "division"
+	// workersPerCell is how many workers a cell has at most when the division is
+	// decided. BenchmarkPlace and the sweep of docs/MEASUREMENTS.md are where it
+	// comes from; a policy that allows a third of the workers, and gangs, want
+	// many.
+	workersPerCell = 400
+	// The workers are counted until their number stays for countSettled, since all
+	// start together, or for countMost.
+	countEvery   = 300 * time.Millisecond
+	countSettled = 900 * time.Millisecond
+	countMost    = 4 * time.Second
+	// countTurn stretches the pauses by which instances take turns, so that mostly
+	// one counts.
+	countTurn = 4
+)
+
+// divisionRow is the row of the division.
+type divisionRow struct {
+	Cells   int `json:"cells"`
+	Workers int `json:"workers,omitempty"`
+}
+
+var divisionKey = rows.Key{Table: claim.Table, Name: divisionName}
+
+// division is what an instance knows of the division. The zero value knows nothing.
+type division struct{ names atomic.Pointer[[]string] }
+
+// cells returns the names of all cells, nil while they are not known.
+func (d *division) cells() []string {
+	if names := d.names.Load(); names != nil {
+		return *names
+	}
+	return nil
+}
+
+// set sets how many cells there are.
+func (d *division) set(count int) {
+	names := make([]string, count)
+	for i := range names {
+		names[i] = "cell-" + strconv.Itoa(i)
+	}
+	d.names.Store(&names)
+}
+
+// draw returns a cell by lot, the same for the same text, "" while the cells are
+// not known.
+func (d *division) draw(text string) string {
+	names := d.cells()
+	if len(names) == 0 {
+		return ""
+	}
+	return names[draw(text)%uint32(len(names))]
+}
+
+// cellsFor returns how many cells so many workers are divided into.
+func cellsFor(workers int) int {
+	return max(1, (workers+workersPerCell-1)/workersPerCell)
+}
+
+// census counts workers until their number does not change any more.
+type census struct {
+	begun, changed time.Time
+	count          int
+}
+
+// settled takes in a count and reports whether it may be relied on.
+func (c *census) settled(count int, now time.Time) bool {
+	if c.begun.IsZero() {
+		c.begun = now
+	}
+	if count != c.count || c.changed.IsZero() {
+		c.count, c.changed = count, now
+	}
+	return now.Sub(c.begun) >= countMost || (count > 0 && now.Sub(c.changed) >= countSettled)
+}
+
+// runCells learns or decides the division, and then sees that every cell has an
+// owner, until ctx ends.
+func (n *Node) runCells(ctx context.Context) {
+	if !n.learnDivision(ctx) {
+		return
+	}
+	for _, name := range n.division.cells() {
+		go n.electLoop(ctx, name)
+	}
+}
+
+// learnDivision reads the division until it is known, and decides it if nobody has.
+// It reports whether it is known when it returns.
+func (n *Node) learnDivision(ctx context.Context) bool {
+	var workers census
+	turn := time.Now().Add(firstLook)
+	for ctx.Err() == nil {
+		switch row, err := n.readDivision(ctx); {
+		case err != nil:
+			level.Info(n.kit.Log).Log("event", "division_not_read", "err", err)
+		case row.Cells > 0:
+			n.division.set(row.Cells)
+			level.Info(n.kit.Log).Log("event", "division_known", "cells", row.Cells, "workers", row.Workers)
+			return true
+		case time.Since(turn) >= countTurn*n.turn(divisionName, time.Now()):
+			if n.decideDivision(ctx, &workers) {
+				continue
+			}
+		}
+		sleep(ctx, countEvery)
+	}
+	return false
+}
+
+// readDivision reads the row; it has no cells if there is none.
+func (n *Node) readDivision(ctx context.Context) (divisionRow, error) {
+	page, err := n.door.Get(ctx, rows.Only(divisionKey))
+	if err != nil {
+		return divisionRow{}, err
+	}
+	row := page.One()
+	if row.Ver == 0 {
+		return divisionRow{}, nil
+	}
+	var d divisionRow
+	if err := json.Unmarshal(row.Value, &d); err != nil {
+		return divisionRow{}, kind.Wrap(kind.Damaged, err, "the division")
+	}
+	if d.Cells < 1 {
+		return divisionRow{}, kind.New(kind.Damaged, "the division has no cells")
+	}
+	return d, nil
+}
+
+// decideDivision writes the division once it can be decided, and reports whether it
+// should be read again at once. Of those who decide at the same time one is first.
+func (n *Node) decideDivision(ctx context.Context, workers *census) bool {
+	row := divisionRow{Cells: n.settings.Cluster.Cells}
+	if row.Cells == 0 {
+		all, err := n.Directory(n.door).All(ctx)
+		if err != nil || !workers.settled(len(all), time.Now()) {
+			return false
+		}
+		row = divisionRow{Cells: cellsFor(len(all)), Workers: len(all)}
+	}
+	raw, err := json.Marshal(row)
+	if err != nil {
+		return false
+	}
+	res, err := n.door.Tx(ctx, rows.Tx{Expect: []rows.Check{{Key: divisionKey}}, Put: []rows.Row{{Key: divisionKey, Value: raw}}})
+	if err == nil && res.Refused {
+		err = errors.New("another instance was first")
+	}
+	level.Info(n.kit.Log).Log("event", "division_decided", "cells", row.Cells, "workers", row.Workers, "err", err)
+	return true
+}
--- a/cluster/elect.go
+++ b/cluster/elect.go
@@ -4,6 +4,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"syscall"
 	"time"
 
@@ -21,8 +23,10 @@
 	firstLook = 120 * time.Millisecond
 	// rankPause keeps the candidates for a cell apart, and strongerPause lets those
 	// with much more of a processor go first.
-	rankPause     = 30 * time.Millisecond
-	rankMost      = 8
+	rankPause = 30 * time.Millisecond
+	rankMost  = 8
+	// ownedPause is added for each cell that an instance owns already.
+	ownedPause    = 300 * time.Millisecond
 	strongerPause = 300 * time.Millisecond
 	// watchAfter is how long an owner may not have been heard before its seat may
 	// be taken, if it is free or the owner's process is gone.
@@ -88,12 +92,12 @@
 	}
 }
 
-// stronger returns the name of an instance that would be a much better owner than
-// this one, "" if there is none. When all start at once the first one takes a
-// seat, however small its machine.
+// stronger returns the name of an instance that owns no cell and would be a much
+// better owner than this one, "" if there is none. When all start at once the first
+// one takes a seat, however small its machine.
 func (n *Node) stronger(now time.Time) string {
 	better := n.members.list(now, func(k *member) bool {
-		return !k.leaving && k.storeOK && k.processor > n.enough() && now.Sub(k.since) > strongerFor
+		return k.free() && k.processor > n.enough() && now.Sub(k.since) > strongerFor
 	})
 	if len(better) == 0 {
 		return ""
@@ -105,21 +109,45 @@
 func (n *Node) yieldLoop(ctx context.Context) {
 	for ctx.Err() == nil {
 		sleep(ctx, yieldEvery)
-		if len(n.owned()) == 0 || n.leaving.Load() {
+		own := n.owned()
+		if len(own) == 0 || n.leaving.Load() {
 			continue
 		}
-		name := n.stronger(time.Now())
-		if name == "" {
-			continue
+		if name := n.stronger(time.Now()); name != "" {
+			n.yield(ctx, own, name)
+		} else if name := n.idler(time.Now()); len(own) > 1 && name != "" {
+			n.yield(ctx, oneOf(own), name)
 		}
-		level.Info(n.kit.Log).Log("event", "seats_yielded", "to", name, "processor", n.processor())
-		n.rest(strongerFor)
-		ctx, cancel := context.WithTimeout(ctx, handoverMax)
-		n.handOver(ctx)
-		cancel()
 	}
 }
 
+// idler returns the name of an instance that owns no cell and would be about as good
+// an owner as this one, "" if there is none.
+func (n *Node) idler(now time.Time) string {
+	idle := n.members.list(now, func(k *member) bool {
+		return k.free() && k.processor*strongerShare/100 >= n.processor() && now.Sub(k.since) > strongerFor
+	})
+	if len(idle) == 0 {
+		return ""
+	}
+	return idle[0].name
+}
+
+// oneOf returns the last by name of some cells.
+func oneOf(own map[string]*ownCell) map[string]*ownCell {
+	name := slices.Max(slices.Collect(maps.Keys(own)))
+	return map[string]*ownCell{name: own[name]}
+}
+
+// yield hands cells over and takes none for a while, so that the other instance may.
+func (n *Node) yield(ctx context.Context, own map[string]*ownCell, to string) {
+	level.Info(n.kit.Log).Log("event", "seats_yielded", "to", to, "cells", len(own), "processor", n.processor())
+	n.rest(strongerFor)
+	ctx, cancel := context.WithTimeout(ctx, handoverMax)
+	defer cancel()
+	n.handOver(ctx, own)
+}
+
 // rest lets this instance take no seat for a while.
 func (n *Node) rest(d time.Duration) {
 	n.mu.Lock()
@@ -133,11 +161,11 @@
 	return o != nil && !o.leaving && now.Sub(o.heard) < within && o.refused.Before(o.heard)
 }
 
-// turn returns how long this instance leaves a vacant cell to others: to those
-// with much more of a processor, and to those that come before it by lot.
+// turn returns how long this instance leaves a vacant cell to others that own none:
+// to those with much more of a processor, and to those that come before it by lot.
 func (n *Node) turn(name string, now time.Time) time.Duration {
 	own, first, stronger := draw(name+"/"+n.settings.Instance), 0, false
-	for _, k := range n.members.list(now, func(k *member) bool { return !k.leaving && k.storeOK }) {
+	for _, k := range n.members.list(now, (*member).free) {
 		stronger = stronger || k.processor > n.enough()
 		if k.processor >= n.processor() && draw(name+"/"+k.name) < own {
 			first++
@@ -147,7 +175,7 @@
 	if stronger {
 		pause += strongerPause
 	}
-	return pause
+	return pause + time.Duration(len(n.owned()))*ownedPause
 }
 
 // enough returns the processor beyond which another instance is much stronger.
@@ -216,7 +244,7 @@
 	t := n.timesNow()
 	var d *driver.Driver
 	d = driver.New(driver.Config{
-		Name: name, Mine: func(rack string) bool { return n.cellOf(rack) == name },
+		Name: name, Mine: func(rack string) bool { return n.division.draw(rack) == name },
 		Lease: t.lease, Keep: t.keep,
 		Seat: c, Store: n.door, Reachable: n.door.Reachable,
 		Workers: n.Workers, Directory: n.Directory(n.door),
@@ -237,7 +265,7 @@
 	}
 	d.Start()
 	// Those that answer can ask the policy for this owner at once.
-	go n.greetAll(context.Background(), true)
+	go n.greet(context.Background())
 }
 
 // obeyed reports whether every other instance that was heard lately has answered
@@ -274,9 +302,9 @@
 	return n.resting
 }
 
-// handOver gives the seats up as planned.
-func (n *Node) handOver(ctx context.Context) {
-	for name, c := range n.owned() {
+// handOver gives the seats of some cells up as planned.
+func (n *Node) handOver(ctx context.Context, cells map[string]*ownCell) {
+	for name, c := range cells {
 		c.driver.Freeze()
 		if err := c.claim.Release(ctx); err != nil {
 			level.Warn(n.kit.Log).Log("event", "seat_not_released", "cell", name, "err", err)
--- a/cluster/greet.go
+++ b/cluster/greet.go
@@ -20,12 +20,7 @@
 
 const (
 	greetEvery = 250 * time.Millisecond
-	// ownerFarTicks and farTicks are how many rounds of greetings lie between
-	// two to other halls, for the owner of a cell, whose silence is noticed,
-	// and for others.
-	ownerFarTicks = 1
-	farTicks      = 8
-	greetTime     = 600 * time.Millisecond
+	greetTime  = 600 * time.Millisecond
 	// tableMembers lists the instances and their addresses.
 	tableMembers = "members"
 	membersEvery = 5 * time.Second
@@ -71,9 +66,8 @@
 func (n *Node) greetLoop(ctx context.Context) {
 	tick := time.NewTicker(greetEvery)
 	defer tick.Stop()
-	for round := 0; ; round++ {
-		far := round%farTicks == 0 || (len(n.owned()) > 0 && round%ownerFarTicks == 0)
-		n.greetAll(ctx, far)
+	for {
+		n.greet(ctx)
 		select {
 		case <-tick.C:
 		case <-ctx.Done():
@@ -82,9 +76,15 @@
 	}
 }
 
-func (n *Node) greetAll(ctx context.Context, far bool) {
+// greet greets everybody if this instance owns a cell, since an owner's silence is
+// noticed, and those whose turn it is if it does not.
+func (n *Node) greet(ctx context.Context) {
+	targets := n.members.round
+	if len(n.owned()) > 0 {
+		targets = n.members.all
+	}
 	req := &wire.Request{Body: &wire.Request_Greeting{Greeting: n.greeting()}}
-	for _, addr := range n.members.targets(time.Now(), far) {
+	for _, addr := range targets(time.Now()) {
 		go n.greetOne(ctx, addr, req)
 	}
 }
@@ -106,7 +106,7 @@
 func (n *Node) greetNow(ctx context.Context) {
 	req := &wire.Request{Body: &wire.Request_Greeting{Greeting: n.greeting()}}
 	var all sync.WaitGroup
-	for _, addr := range n.members.targets(time.Now(), true) {
+	for _, addr := range n.members.all(time.Now()) {
 		all.Go(func() { n.greetOne(ctx, addr, req) })
 	}
 	all.Wait()
--- a/cluster/members.go
+++ b/cluster/members.go
@@ -60,6 +60,9 @@
 	failed time.Time
 }
 
+// free reports whether an instance could own a cell and owns none.
+func (k *member) free() bool { return !k.leaving && k.storeOK && len(k.cells) == 0 }
+
 // members is what an instance knows of the others. Make one with newMembers.
 type members struct {
 	self string
@@ -72,6 +75,9 @@
 	addrs map[string]time.Time
 	// last holds what the owner of each cell said when it was last heard.
 	last map[string]lastWord
+	// near and far are how many rounds of greetings it takes to reach each instance
+	// of the own hall, and each other address.
+	near, far rotation
 }
 
 // lastWord is what an owner said when it was last heard.
@@ -141,9 +147,9 @@
 		return false
 	}
 	if k.hall == m.hall {
-		return now.Sub(k.heard) < silence
+		return now.Sub(k.heard) < silence*m.near.stretch(1)
 	}
-	return now.Sub(k.heard) < farSilence
+	return now.Sub(k.heard) < farSilence*m.far.stretch(farRounds)
 }
 
 // heardWithin returns copies of the members that were heard within a time.
@@ -287,30 +293,3 @@
 		k.failed = now
 	}
 }
-
-// targets returns the addresses to greet: those of the own hall and those at
-// which nobody is known, and those of other halls if far is set.
-func (m *members) targets(now time.Time, far bool) []string {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	at := make(map[string]*member, len(m.known))
-	for _, k := range m.known {
-		if old := at[k.addr]; old == nil || k.heard.After(old.heard) {
-			at[k.addr] = k
-		}
-	}
-	var out []string
-	for addr, since := range m.addrs {
-		k := at[addr]
-		lost := k == nil || !m.live(k, now)
-		if lost && now.Sub(since) > forgetAfter {
-			delete(m.addrs, addr)
-			continue
-		}
-		if far || (k != nil && k.hall == m.hall && !lost) {
-			out = append(out, addr)
-		}
-	}
-	slices.Sort(out)
-	return out
-}
--- a/cluster/node.go
+++ b/cluster/node.go
@@ -8,7 +8,6 @@
 	"net"
 	"net/http"
 	"runtime/debug"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -73,8 +72,7 @@
 	conns   drain.Conns
 	began   time.Time
 
-	// names are those of all cells.
-	names []string
+	division division
 
 	mu    sync.Mutex
 	cells map[string]*ownCell
@@ -105,9 +103,7 @@
 	go n.followConfig(work)
 	go n.probeStore(work)
 	go n.yieldLoop(work)
-	for _, name := range n.names {
-		go n.electLoop(work, name)
-	}
+	go n.runCells(work)
 	n.takeChanges(ctx, changes)
 	n.stop(servers)
 	level.Info(kit.Log).Log("event", "stopped")
@@ -172,7 +168,6 @@
 		Services: services, settings: s, kit: kit, boot: uid.New(), began: time.Now(),
 		members: newMembers(s.Instance, s.Hall, s.Peers, s.Listen.Peer, time.Now()),
 		dialer:  &link.Dialer{},
-		names:   cellNames(s.Cluster.Cells),
 		cells:   make(map[string]*ownCell),
 		seats:   make(map[string]watched),
 		times:   timesOf(s.Cluster),
@@ -195,18 +190,27 @@
 // owner falls silent.
 func (n *Node) probeStore(ctx context.Context) {
 	for at := 0; ctx.Err() == nil; at++ {
-		name := n.names[at%len(n.names)]
-		go func() {
-			page, err := n.door.Probe(ctx, claim.Range(name))
-			if err == nil {
-				_, ver := claim.SeatOf(page)
-				n.sawWrite(name, ver, time.Now())
-			}
-		}()
+		name := ""
+		if names := n.division.cells(); len(names) > 0 {
+			name = names[at%len(names)]
+		}
+		go n.probeSeat(ctx, name)
 		sleep(ctx, probeEvery)
 	}
 }
 
+// probeSeat reads the seat of a cell; "" is the division in its place.
+func (n *Node) probeSeat(ctx context.Context, name string) {
+	if name == "" {
+		_, _ = n.door.Probe(ctx, rows.Only(divisionKey))
+		return
+	}
+	if page, err := n.door.Probe(ctx, claim.Range(name)); err == nil {
+		_, ver := claim.SeatOf(page)
+		n.sawWrite(name, ver, time.Now())
+	}
+}
+
 // Config returns the newest configuration, nil if there is none yet.
 func (n *Node) Config() *config.Config { return n.config.Now() }
 
@@ -288,20 +292,6 @@
 	return nil
 }
 
-// cellNames returns the names of count cells.
-func cellNames(count int) []string {
-	names := make([]string, count)
-	for i := range names {
-		names[i] = "cell-" + strconv.Itoa(i)
-	}
-	return names
-}
-
-// cellOf returns the name of the cell that has the workers of a rack.
-func (n *Node) cellOf(rack string) string {
-	return n.names[draw(rack)%uint32(len(n.names))]
-}
-
 const (
 	// lingerShare is the part of the grace, in tenths, that a stopping instance
 	// stays for clients that keep their connections open.
@@ -331,7 +321,7 @@
 	level.Info(n.kit.Log).Log("event", "stopping")
 	n.leaving.Store(true)
 	ctx, cancel := context.WithTimeout(context.Background(), handoverMax)
-	n.handOver(ctx)
+	n.handOver(ctx, n.owned())
 	cancel()
 	n.drain(linger)
 	ctx, cancel = context.WithDeadline(context.Background(), linger.Add(grace/10))
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -62,7 +62,9 @@
 	// Processor is the share of a processor that the instance has; those with
 	// more of it own cells first. 0 is not known.
 	Processor float64 `json:"processor"`
-	// Cells is how many cells the workers are divided into, by their racks.
+	// Cells is how many cells the workers are divided into, by their racks, when the
+	// deployment starts for the first time; 0 goes by the number of workers then.
+	// It stays as it was decided.
 	Cells int `json:"cells"`
 	// Grace is how long the platform waits for a planned stop.
 	Grace Duration `json:"grace"`
@@ -160,7 +162,6 @@
 	if c.Keep == 0 {
 		c.Keep = Duration(defaultKeep)
 	}
-	c.Cells = max(c.Cells, 1)
 	if c.Grace == 0 {
 		c.Grace = Duration(defaultGrace)
 	}
--- a/test/cluster/bed_test.go
+++ b/test/cluster/bed_test.go
@@ -78,7 +78,9 @@
 
 // bed is a deployment on the stand-ins.
 type bed struct {
-	world   *world.World
+	world *world.World
+	// cells is what the settings say of cells.
+	cells   int
 	entries []*entry
 	http    *http.Client
 	next    int
@@ -90,6 +92,12 @@
 // start starts a bed of two instances a hall. It ends with the spec, after
 // which no promise may be broken.
 func start(more ...func(*world.Options)) *bed {
+	GinkgoHelper()
+	return startCells(1, more...)
+}
+
+// startCells is start with a number of cells, 0 for what the instances decide.
+func startCells(cells int, more ...func(*world.Options)) *bed {
 	GinkgoHelper()
 	o := world.Options{Halls: halls, PerHall: 4, CPU: 8000, Mem: 16000, Seed: 7, Host: local}
 	for _, f := range more {
@@ -98,7 +106,7 @@
 	w, err := world.Start(o)
 	Expect(err).NotTo(HaveOccurred())
 	w.Configure(1, host, prefix)
-	b := &bed{world: w, http: &http.Client{Timeout: 5 * time.Second}}
+	b := &bed{world: w, cells: cells, http: &http.Client{Timeout: 5 * time.Second}}
 	dir, err := os.MkdirTemp("", "dewpass-bed")
 	Expect(err).NotTo(HaveOccurred())
 	lane, err := port.Take()
@@ -147,7 +155,7 @@
 		"listen": map[string]any{"http": e.front, "peer": e.peer},
 		"peers":  []string{b.entries[0].peer},
 		"cluster": map[string]any{
-			"store": b.world.StoreAddr, "policy": b.world.PolicyAddr, "ready": e.ready,
+			"store": b.world.StoreAddr, "policy": b.world.PolicyAddr, "ready": e.ready, "cells": b.cells,
 			"lease": lease, "lease-most": "10s", "keep": "120s", "grace": "4s",
 		},
 	})
@@ -198,10 +206,13 @@
 	return resp.StatusCode
 }
 
-// owner returns the instance that holds the seat, nil if none does.
-func (b *bed) owner() *entry {
+// owner returns the instance that holds the seat of the first cell, nil if none does.
+func (b *bed) owner() *entry { return b.ownerOf("cell-0") }
+
+// ownerOf returns the instance that holds the seat of a cell, nil if none does.
+func (b *bed) ownerOf(cell string) *entry {
 	var seat claim.Seat
-	_ = json.Unmarshal(b.world.Store.Value(claim.Table, "cell-0", "seat"), &seat)
+	_ = json.Unmarshal(b.world.Store.Value(claim.Table, cell, "seat"), &seat)
 	for _, e := range b.entries {
 		if e.name == seat.Owner {
 			return e
--- a/test/cluster/cluster_test.go
+++ b/test/cluster/cluster_test.go
@@ -15,6 +15,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"dewpass.org/claim"
 	"dewpass.org/internal/standin/world"
 )
 
@@ -27,6 +28,31 @@
 		Expect(b.world.Policy.Asked()).To(BeNumerically(">", 0))
 	})
 
+	It("divides the workers into cells, of which each instance owns one", func() {
+		b := startCells(3, func(o *world.Options) { o.PerHall, o.Advice = 12, true })
+		owners := func() map[string]bool {
+			out := make(map[string]bool)
+			for _, cell := range []string{"cell-0", "cell-1", "cell-2"} {
+				if e := b.ownerOf(cell); e != nil {
+					out[e.name] = true
+				}
+			}
+			return out
+		}
+		Eventually(owners).Should(HaveLen(3))
+		ids := b.submitSome(30, 3, 300, time.Second)
+		b.ownerOf("cell-1").kill()
+		ids = append(ids, b.submitSome(10, 3, 300, time.Second)...)
+		b.wantWhole(ids)
+		Expect(len(b.world.Book.Starts())).To(BeNumerically(">=", 40*2*3))
+	})
+
+	It("decides by the number of workers how many cells there are", func() {
+		b := startCells(0)
+		Expect(b.world.Store.Value(claim.Table, "", "division")).To(MatchJSON(`{"cells":1,"workers":8}`))
+		b.wantWhole(b.submitSome(4, 2, 100, 100*time.Millisecond))
+	})
+
 	It("keeps a job once, however often it is handed in", func() {
 		b := start()
 		id := b.id()
