rows: one attempt to write, for seats and for jobs

The loop that sends a write, looks for it while there is no answer, and gives it up stood in claim and in cluster.

--- a/claim/claim.go
+++ b/claim/claim.go
@@ -235,40 +235,22 @@
 	}
 }
 
-type sent struct {
-	res rows.Result
-	err error
-}
-
 // attempt sends the write once. While there is no answer it looks at the seat.
 func (c *Claim) attempt(ctx context.Context, t rows.Tx, mark string) (rows.Result, error) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	answer := make(chan sent, 1)
-	go func() {
-		res, err := c.Store.Tx(ctx, t)
-		answer <- sent{res, err}
-	}()
 	begun := time.Now()
-	limit := min(max(patience*c.answers, patienceLeast), patienceMost)
-	tick := time.NewTicker(checkEvery)
-	defer tick.Stop()
-	for {
-		select {
-		case s := <-answer:
-			if s.err == nil {
-				c.answers += (time.Since(begun) - c.answers) / answersWeight
-			}
-			return c.settle(ctx, s, mark)
-		case <-tick.C:
-			if res, err, known := c.look(ctx, mark); known {
-				return res, err
-			}
-			if time.Since(begun) > limit {
-				return rows.Result{}, kind.New(kind.Lost, "the write is not there and has no answer")
-			}
-		}
+	send := rows.Attempt{
+		Store: c.Store, Tx: t, Every: checkEvery,
+		Limit: min(max(patience*c.answers, patienceLeast), patienceMost),
+		Look:  func(ctx context.Context) (rows.Result, bool, error) { return c.look(ctx, mark) },
+	}
+	res, answered, err := send.Send(ctx)
+	if !answered {
+		return res, err
 	}
+	if err == nil {
+		c.answers += (time.Since(begun) - c.answers) / answersWeight
+	}
+	return c.settle(ctx, res, err, mark)
 }
 
 // answersWeight is the weight of what was before in how long answers take, as a
@@ -276,43 +258,43 @@
 const answersWeight = 4
 
 // settle turns the answer of a write into what became of it.
-func (c *Claim) settle(ctx context.Context, s sent, mark string) (rows.Result, error) {
+func (c *Claim) settle(ctx context.Context, res rows.Result, err error, mark string) (rows.Result, error) {
 	switch {
-	case s.err != nil && kind.Is(s.err, kind.Lost):
-		if res, err, known := c.look(ctx, mark); known {
-			return res, err
+	case err != nil && kind.Is(err, kind.Lost):
+		if seen, known, err := c.look(ctx, mark); known {
+			return seen, err
 		}
-		return s.res, s.err
-	case s.err != nil:
-		return s.res, s.err
-	case !s.res.Refused:
-		c.ver = s.res.Ver
-		return s.res, nil
+		return res, err
+	case err != nil:
+		return res, err
+	case !res.Refused:
+		c.ver = res.Ver
+		return res, nil
 	}
-	for _, row := range s.res.Rows {
+	for _, row := range res.Rows {
 		if row.Key != c.key() || row.Ver == c.ver {
 			continue
 		}
 		return c.verdict(row, mark)
 	}
-	return s.res, kind.New(kind.Conflict, "a row is not as expected")
+	return res, kind.New(kind.Conflict, "a row is not as expected")
 }
 
 // look reads the seat and reports whether that tells what became of the write.
-func (c *Claim) look(ctx context.Context, mark string) (rows.Result, error, bool) {
+func (c *Claim) look(ctx context.Context, mark string) (rows.Result, bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, 4*checkEvery)
 	defer cancel()
 	page, err := c.Store.Get(ctx, Range(c.Cell))
 	if err != nil {
-		return rows.Result{}, err, false
+		return rows.Result{}, false, err
 	}
 	row := page.One()
 	if row.Ver <= c.ver {
 		// Nothing has changed yet, or the answer is a stale one.
-		return rows.Result{}, nil, false
+		return rows.Result{}, false, nil
 	}
 	res, err := c.verdict(row, mark)
-	return res, err, true
+	return res, true, err
 }
 
 // verdict is for a seat that has changed: by this write, or by another owner.
--- a/cluster/accept.go
+++ b/cluster/accept.go
@@ -179,41 +179,28 @@
 // latency holds the bounds of the histograms of waits.
 var latency = tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 14)
 
-type answered struct {
-	res rows.Result
-	err error
-}
-
 // sendKeep sends the write once. While there is no answer it asks whether the
 // job is there.
 func (n *Node) sendKeep(ctx context.Context, home rows.Key, t rows.Tx) (rows.Result, error) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	answer := make(chan answered, 1)
-	go func() {
-		res, err := n.door.Tx(ctx, t)
-		answer <- answered{res, err}
-	}()
-	begun, limit := time.Now(), n.door.Patience()
-	tick := time.NewTicker(acceptLook)
-	defer tick.Stop()
-	for {
-		select {
-		case a := <-answer:
-			return a.res, a.err
-		case <-tick.C:
-			if !n.door.Reachable() {
-				return rows.Result{}, kind.New(kind.Lost, "the store is not reached any more")
-			}
-			page, err := n.door.Get(ctx, rows.Only(home))
-			if err == nil && page.One().Ver > 0 {
-				return rows.Result{Refused: true, Rows: page.Rows}, nil
-			}
-			if time.Since(begun) > limit {
-				return rows.Result{}, kind.New(kind.Lost, "the write is not there and has no answer")
-			}
-		}
+	send := rows.Attempt{
+		Store: n.door, Tx: t, Every: acceptLook, Limit: n.door.Patience(),
+		Look: func(ctx context.Context) (rows.Result, bool, error) { return n.lookKept(ctx, home) },
+	}
+	res, _, err := send.Send(ctx)
+	return res, err
+}
+
+// lookKept asks whether a job is there, and reports whether there is no point in
+// waiting for the answer of the write that keeps it.
+func (n *Node) lookKept(ctx context.Context, home rows.Key) (rows.Result, bool, error) {
+	if !n.door.Reachable() {
+		return rows.Result{}, true, kind.New(kind.Lost, "the store is not reached any more")
+	}
+	page, err := n.door.Get(ctx, rows.Only(home))
+	if err == nil && page.One().Ver > 0 {
+		return rows.Result{Refused: true, Rows: page.Rows}, true, nil
 	}
+	return rows.Result{}, false, nil
 }
 
 // tell tells the owner of a cell of a job until it has heard, for a while.
