standin: parts of the store handle their writes one after another

The stand-in's parts have a rate now, and 60 jobs that come at once are all accepted within 2.5 s where a part takes 12 writes a second.

--- a/internal/standin/world/store.go
+++ b/internal/standin/world/store.go
@@ -53,6 +53,9 @@
 	// they take effect after that time.
 	Lose float64
 	Late time.Duration
+	// PartWrites is how many writes a second one part handles, one after another;
+	// 0 is any number. Beyond a second's worth that waits it turns them away.
+	PartWrites int
 	// Only holds the faults to callers with these addresses, if any are named.
 	Only []string
 }
@@ -65,6 +68,8 @@
 	first  uint64
 	ver    uint64
 	faults StoreFaults
+	// busy is until when each part has writes to handle.
+	busy   map[string]time.Time
 	random *rand.Rand
 	// Calls counts the calls, by path.
 	calls map[string]int
@@ -74,7 +79,7 @@
 
 func newStore(seed uint64) *Store {
 	return &Store{
-		rows: make(map[rowKey]storeRow), calls: make(map[string]int), begun: time.Now(),
+		rows: make(map[rowKey]storeRow), calls: make(map[string]int), busy: make(map[string]time.Time), begun: time.Now(),
 		random: rand.New(rand.NewPCG(seed, 1)), moved: make(chan struct{}),
 	}
 }
@@ -203,6 +208,12 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	wait, ok := s.queue(&t, f.PartWrites)
+	if !ok {
+		w.WriteHeader(http.StatusTooManyRequests)
+		return
+	}
+	time.Sleep(wait)
 	s.mu.Lock()
 	lose := f.Lose > 0 && s.random.Float64() < f.Lose
 	s.mu.Unlock()
@@ -219,6 +230,49 @@
 	writeJSON(w, status, page)
 }
 
+// partWaitMost is how much work a part takes on at most.
+const partWaitMost = time.Second
+
+// queue puts a transaction behind the others of its parts, of which each handles
+// perSecond; a transaction across parts takes twice as long. It returns when its
+// turn comes, and false if it is turned away.
+func (s *Store) queue(t *storeTx, perSecond int) (time.Duration, bool) {
+	if perSecond == 0 {
+		return 0, true
+	}
+	cost := time.Second / time.Duration(perSecond)
+	if t.Across {
+		cost *= 2
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	free := now
+	for _, part := range t.parts() {
+		if s.busy[part].After(free) {
+			free = s.busy[part]
+		}
+	}
+	if free.Sub(now) > partWaitMost {
+		return 0, false
+	}
+	for _, part := range t.parts() {
+		s.busy[part] = free.Add(cost)
+	}
+	return free.Add(cost).Sub(now), true
+}
+
+// parts returns the parts of all entries, each once.
+func (t *storeTx) parts() []string {
+	var out []string
+	for _, r := range slices.Concat(t.Expect, t.Put, t.Remove) {
+		if !slices.Contains(out, r.Part) {
+			out = append(out, r.Part)
+		}
+	}
+	return out
+}
+
 // try carries out a transaction if its conditions hold.
 func (s *Store) try(t *storeTx) (int, storePage) {
 	s.mu.Lock()
--- a/test/cluster/cluster_test.go
+++ b/test/cluster/cluster_test.go
@@ -267,6 +267,23 @@
 		b.wantWhole(ids)
 	})
 
+	It("accepts jobs at a rate that no single part of the store would take", func() {
+		b := start()
+		b.world.Store.Fail(world.StoreFaults{PartWrites: 12})
+		began := time.Now()
+		ids := make([]string, 60)
+		var all sync.WaitGroup
+		for i := range ids {
+			all.Go(func() {
+				defer GinkgoRecover()
+				ids[i] = b.submit(chain(1, 100))
+			})
+		}
+		all.Wait()
+		Expect(time.Since(began)).To(BeNumerically("<", 2500*time.Millisecond))
+		b.wantWhole(ids)
+	})
+
 	It("goes on when the store is slow or forgets its history", func() {
 		b := start()
 		b.world.Store.Fail(world.StoreFaults{Delay: 200 * time.Millisecond})
