upkeep: waves, each machine down once and no more at a time than allowed

A wave's book is a row of the store: a machine is in it before its upkeep is asked for, and holds a slot until it is back, so that owners of several cells and one that takes over share one count. An order without an answer is given again; if another life is there by then, a later look at the list tells whether the upkeep was over already. cell: a worker that is to go is emptied as one that drains is: nothing new, what lasts moves as its step allows, short tasks end. It is never taken while a step would miss more tasks than it may. platform: the list of machines, orders with holder and fence, rows of waves and states. standin: machines with upkeep, a list in pages, silent, busy and losing answers; it writes down LIMIT and ONE. Moves between pools and headroom are not built.

--- /dev/null
+++ b/cell/empty_test.go
@@ -0,0 +1,60 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package cell
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"dewpass.org/flow"
+)
+
+var _ = Describe("a worker that is emptied", func() {
+	const patience = 2 * time.Second
+	atWork := func(r *rig, s Start) {
+		r.Listed(s.Worker, Lists{Running: []Running{{Task: s.Task, Run: s.Run, Percent: 100}}, Cut: true}, r.now, r.now)
+	}
+
+	It("gets nothing new, and may go when nothing runs there", func() {
+		r := newRig(1)
+		Expect(r.Emptied("w0", r.now)).To(BeFalse(), "nobody asked")
+		r.Empty([]string{"w0"}, patience, r.now)
+		Expect(r.Emptied("w0", r.now)).To(BeTrue())
+		r.add("j", flow.Step{Count: 1, Demand: demand(1000)})
+		Expect(r.startAll()).To(BeEmpty())
+		r.Empty(nil, 0, r.now)
+		Expect(r.startAll()).To(HaveLen(1))
+	})
+
+	It("is waited for while tasks run that end in time, and not for ever", func() {
+		r := newRig(1)
+		r.add("j", flow.Step{Count: 1, Demand: demand(1000), EstimateMS: 500})
+		Expect(r.startAll()).To(HaveLen(1))
+		r.Empty([]string{"w0"}, patience, r.now)
+		Expect(r.place().Stops).To(BeEmpty())
+		Expect(r.Emptied("w0", r.now)).To(BeFalse())
+		r.now = r.now.Add(patience)
+		r.Empty([]string{"w0"}, patience, r.now)
+		Expect(r.Emptied("w0", r.now)).To(BeTrue(), "patience counts from the first call")
+	})
+
+	It("has what lasts moved, and never goes while a step would miss too many", func() {
+		r := newRig(2)
+		r.add("j", flow.Step{Count: 2, Demand: demand(1000), Lasting: true, MayMiss: 1, PerWorker: 1})
+		starts := r.startAll()
+		Expect(starts).To(HaveLen(2))
+		for _, s := range starts {
+			atWork(r, s)
+		}
+		r.Empty([]string{"w0"}, patience, r.now)
+		Expect(r.place().Stops).To(BeEmpty(), "the other worker may take no second task")
+		r.now = r.now.Add(2 * patience)
+		Expect(r.Emptied("w0", r.now)).To(BeFalse())
+		r.heard("w2", func(*Worker) {})
+		r.Attached("w2", Lists{}, r.now)
+		Expect(r.place().Stops).To(HaveLen(1))
+		Expect(r.Emptied("w0", r.now)).To(BeTrue(), "it is being stopped anyway")
+	})
+})
--- a/cell/stop.go
+++ b/cell/stop.go
@@ -80,7 +80,7 @@
 // checkLeaving marks a run for stopping whose worker leaves before it is done,
 // if it can go on elsewhere.
 func (c *Cell) checkLeaving(r *run, now time.Time) {
-	if !r.w.Draining || r.stopping || r.stage.def.Gang {
+	if !r.w.leaving() || r.stopping || r.stage.def.Gang {
 		return
 	}
 	s := r.stage
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -57,6 +57,8 @@
 	silent bool
 	// heard is when its entry was last read.
 	heard time.Time
+	// emptyBy is by when it should be empty, zero if it is not being emptied.
+	emptyBy time.Time
 }
 
 // Running is a run as its worker lists it.
@@ -103,8 +105,11 @@
 	w.Worker, w.heard = info, now
 }
 
-// leavesIn returns how long a draining worker surely stays.
+// leavesIn returns how long a worker that is leaving surely stays.
 func (w *worker) leavesIn(now time.Time) time.Duration {
+	if !w.Draining {
+		return w.emptyBy.Sub(now)
+	}
 	return w.Remaining - now.Sub(w.heard)
 }
 
@@ -118,7 +123,7 @@
 
 // usable reports whether w may be given anything now.
 func (w *worker) usable() bool {
-	return w.attached && !w.silent && !w.Draining && !w.Gone && w.strays == 0
+	return w.attached && !w.silent && !w.leaving() && !w.Gone && w.strays == 0
 }
 
 // Missing says that a worker's entry has been missing for too long to place
--- a/cluster/node.go
+++ b/cluster/node.go
@@ -25,6 +25,7 @@
 	"dewpass.org/rows"
 	"dewpass.org/settings"
 	"dewpass.org/telemetry"
+	"dewpass.org/upkeep"
 )
 
 // ConfigSource reads the operators' configuration.
@@ -43,6 +44,8 @@
 	Workers   driver.Workers
 	Directory func(rows.Store) driver.Directory
 	Configs   func(rows.Store) ConfigSource
+	// Upkeep is nil where there is no list of machines.
+	Upkeep func(rows.Store) upkeep.Platform
 	// ParseConfig reads a configuration that a peer passed on.
 	ParseConfig func([]byte) (*config.Config, error)
 	// Advisor is nil where there is no policy service.
@@ -104,6 +107,7 @@
 	go n.probeStore(work)
 	go n.yieldLoop(work)
 	go n.runCells(work)
+	go n.upkeepLoop(work)
 	n.takeChanges(ctx, changes)
 	n.stop(servers)
 	level.Info(kit.Log).Log("event", "stopped")
--- /dev/null
+++ b/driver/empty.go
@@ -0,0 +1,30 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package driver
+
+import (
+	"time"
+
+	"dewpass.org/upkeep"
+)
+
+var _ upkeep.Cell = (*Driver)(nil)
+
+// Empty implements upkeep.Cell.
+func (d *Driver) Empty(workers []string, patience time.Duration) {
+	d.mu.Lock()
+	d.cell.Empty(workers, patience, time.Now())
+	d.mu.Unlock()
+	poke(d.wake)
+}
+
+// Emptied implements upkeep.Cell.
+func (d *Driver) Emptied(worker string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := time.Now()
+	return d.loaded && !d.frozen && d.mayOrder(now) && d.cell.Emptied(worker, now)
+}
+
+// Over implements upkeep.Cell.
+func (d *Driver) Over(worker string) { d.workerDead(worker, "upkeep") }
--- a/internal/standin/world/world.go
+++ b/internal/standin/world/world.go
@@ -33,9 +33,12 @@
 	Policy  *Policy
 	Book    *Book
 	Workers []*Worker
+	// Machines has a machine for each worker.
+	Machines *Machines
 
-	StoreAddr  string
-	PolicyAddr string
+	StoreAddr    string
+	PolicyAddr   string
+	MachinesAddr string
 
 	options Options
 	servers []*http.Server
@@ -62,6 +65,10 @@
 	if w.PolicyAddr, err = w.serve(w.Policy); err != nil {
 		return nil, err
 	}
+	w.Machines = newMachines(w)
+	if w.MachinesAddr, err = w.serve(w.Machines); err != nil {
+		return nil, err
+	}
 	for _, hall := range o.Halls {
 		for i := range o.PerHall {
 			if _, err := w.AddWorker(hall, i); err != nil {
@@ -85,8 +92,17 @@
 	return l.Addr().String(), nil
 }
 
-// AddWorker starts a worker in a hall.
+// AddWorker starts a worker in a hall, on a new machine.
 func (w *World) AddWorker(hall string, number int) (*Worker, error) {
+	n, err := w.newWorker(hall, number)
+	if err == nil {
+		w.Machines.add(n, number)
+	}
+	return n, err
+}
+
+// newWorker starts a worker in a hall.
+func (w *World) newWorker(hall string, number int) (*Worker, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	n := &Worker{
--- a/test/cluster/bed_test.go
+++ b/test/cluster/bed_test.go
@@ -155,7 +155,8 @@
 		"listen": map[string]any{"http": e.front, "peer": e.peer},
 		"peers":  []string{b.entries[0].peer},
 		"cluster": map[string]any{
-			"store": b.world.StoreAddr, "policy": b.world.PolicyAddr, "ready": e.ready, "cells": b.cells,
+			"store": b.world.StoreAddr, "policy": b.world.PolicyAddr, "machines": b.world.MachinesAddr,
+			"ready": e.ready, "cells": b.cells,
 			"lease": lease, "lease-most": "10s", "keep": "120s", "grace": "4s",
 		},
 	})
--- a/test/demo/cluster.go
+++ b/test/demo/cluster.go
@@ -119,7 +119,8 @@
 		"instance": m.name, "hall": hall, "peers": peers,
 		"listen": map[string]any{"http": m.front, "peer": addrs[1]},
 		"cluster": map[string]any{
-			"store": w.StoreAddr, "policy": w.PolicyAddr, "ready": m.ready, "lease-most": "10s", "grace": "4s",
+			"store": w.StoreAddr, "policy": w.PolicyAddr, "machines": w.MachinesAddr,
+			"ready": m.ready, "lease-most": "10s", "grace": "4s",
 		},
 	})
 	if err != nil {
