cluster, telemetry: calls, seats, leases and waits are counted; ready only with the division

Metrics: calls to the store, workers and the policy by operation and outcome with their times, takeovers by why, seats lost, leases that ran out, when jobs began and how long they took, and lines dropped while they are dropped (the gauge was set only at the end). Two copies of the histograms' bounds are one.

--- a/cluster/accept.go
+++ b/cluster/accept.go
@@ -8,12 +8,12 @@
 	"time"
 
 	"github.com/go-kit/log/level"
-	"github.com/uber-go/tally/v4"
 
 	"dewpass.org/driver"
 	"dewpass.org/flow"
 	"dewpass.org/kind"
 	"dewpass.org/rows"
+	"dewpass.org/telemetry"
 	"dewpass.org/wire"
 )
 
@@ -56,7 +56,7 @@
 	}
 	level.Info(n.kit.Log).Log("event", "accepted", "job", spec.ID, "queue", spec.Queue, "cell", k.cell, "fresh", k.fresh, "version", k.ver, "took_ms", time.Now().UnixMilli()-spec.AcceptedMS)
 	n.kit.Scope.Counter("jobs_accepted_total").Inc(1)
-	n.kit.Scope.Histogram("accept_seconds", latency).RecordDuration(time.Since(begun))
+	n.kit.Scope.Histogram("accept_seconds", telemetry.Latency()).RecordDuration(time.Since(begun))
 	n.homes.set(spec.ID, k.cell)
 	// The same write may have gone two ways, and the answer may be that of the
 	// second: the owner is told in any case.
@@ -176,9 +176,6 @@
 	return k
 }
 
-// latency holds the bounds of the histograms of waits.
-var latency = tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 14)
-
 // sendKeep sends the write once. While there is no answer it asks whether the
 // job is there.
 func (n *Node) sendKeep(ctx context.Context, home rows.Key, t rows.Tx) (rows.Result, error) {
--- a/cluster/advise_test.go
+++ b/cluster/advise_test.go
@@ -7,7 +7,6 @@
 	"testing"
 	"time"
 
-	"github.com/go-kit/log"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -35,7 +34,7 @@
 
 func testNode(p *policy) *Node {
 	s := &settings.Settings{Instance: "me", Hall: "h", Cluster: &settings.Cluster{Cells: 1}}
-	return newNode(s, &telemetry.Kit{Log: log.NewNopLogger()}, Services{
+	return newNode(s, telemetry.Quiet(), Services{
 		Advisor: p, Configs: func(rows.Store) ConfigSource { return nil },
 	})
 }
--- /dev/null
+++ b/cluster/counted.go
@@ -0,0 +1,97 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package cluster
+
+import (
+	"context"
+	"time"
+
+	"dewpass.org/driver"
+	"dewpass.org/flow"
+	"dewpass.org/rows"
+	"dewpass.org/telemetry"
+)
+
+// countedStore counts the calls to a store.
+type countedStore struct {
+	rows.Store
+	calls *telemetry.Calls
+}
+
+func (s countedStore) Tx(ctx context.Context, t rows.Tx) (rows.Result, error) {
+	begun := time.Now()
+	res, err := s.Store.Tx(ctx, t)
+	s.calls.Done("tx", begun, err)
+	return res, err
+}
+
+func (s countedStore) Get(ctx context.Context, r rows.Range) (rows.Page, error) {
+	begun := time.Now()
+	page, err := s.Store.Get(ctx, r)
+	s.calls.Done("get", begun, err)
+	return page, err
+}
+
+func (s countedStore) Feed(ctx context.Context, f rows.Since) (rows.Page, error) {
+	begun := time.Now()
+	page, err := s.Store.Feed(ctx, f)
+	s.calls.Done("feed", begun, err)
+	return page, err
+}
+
+// countedWorkers counts the calls to workers.
+type countedWorkers struct {
+	driver.Workers
+	calls *telemetry.Calls
+}
+
+func (w countedWorkers) Start(ctx context.Context, o driver.StartOrder) (driver.StartAnswer, error) {
+	begun := time.Now()
+	a, err := w.Workers.Start(ctx, o)
+	w.calls.Done("start", begun, err)
+	return a, err
+}
+
+func (w countedWorkers) Stop(ctx context.Context, o driver.StopOrder) error {
+	begun := time.Now()
+	err := w.Workers.Stop(ctx, o)
+	w.calls.Done("stop", begun, err)
+	return err
+}
+
+func (w countedWorkers) Pace(ctx context.Context, o driver.PaceOrder) error {
+	begun := time.Now()
+	err := w.Workers.Pace(ctx, o)
+	w.calls.Done("pace", begun, err)
+	return err
+}
+
+func (w countedWorkers) Hold(ctx context.Context, o driver.HoldOrder) (driver.HoldAnswer, error) {
+	begun := time.Now()
+	a, err := w.Workers.Hold(ctx, o)
+	w.calls.Done("hold", begun, err)
+	return a, err
+}
+
+// countedAdvisor counts the questions to the policy.
+type countedAdvisor struct {
+	driver.Advisor
+	calls *telemetry.Calls
+}
+
+func (s countedAdvisor) Advise(ctx context.Context, step flow.StepID, workers []string) (driver.Tickets, error) {
+	begun := time.Now()
+	t, err := s.Advisor.Advise(ctx, step, workers)
+	s.calls.Done("advise", begun, err)
+	return t, err
+}
+
+// counted returns the services with their calls counted.
+func counted(s Services, kit *telemetry.Kit) Services {
+	s.Store = countedStore{s.Store, telemetry.NewCalls(kit.Scope, "store")}
+	s.Workers = countedWorkers{s.Workers, telemetry.NewCalls(kit.Scope, "worker")}
+	if s.Advisor != nil {
+		s.Advisor = countedAdvisor{s.Advisor, telemetry.NewCalls(kit.Scope, "policy")}
+	}
+	return s
+}
--- a/cluster/division_test.go
+++ b/cluster/division_test.go
@@ -3,11 +3,15 @@
 package cluster
 
 import (
+	"context"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"dewpass.org/config"
+	"dewpass.org/flow"
+	"dewpass.org/rows"
 	"dewpass.org/wire"
 )
 
@@ -44,6 +48,20 @@
 	})
 })
 
+var _ = Describe("an instance", func() {
+	It("is not ready before it knows the division: it could take no job", func(ctx context.Context) {
+		n := testNode(&policy{})
+		n.door.Direct = table{}
+		n.config.Install(&config.Config{Version: 1})
+		_, err := n.door.Get(ctx, rows.Range{Table: "t"})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(n.ready()).To(BeFalse())
+		Expect(n.Submit(ctx, &flow.Spec{ID: "j"})).To(MatchError(ContainSubstring("not known yet")))
+		n.division.set(1)
+		Expect(n.ready()).To(BeTrue())
+	})
+})
+
 var _ = Describe("an instance that owns cells", func() {
 	now := time.Now()
 	idle := &wire.Greeting{Instance: "idle", Hall: "h", Boot: "a", Addr: "a", StoreOk: true, Processor: 400}
--- a/cluster/elect.go
+++ b/cluster/elect.go
@@ -203,6 +203,7 @@
 		level.Info(n.kit.Log).Log("event", "seat_not_taken", "cell", name, "err", err)
 		return
 	}
+	n.kit.Scope.Tagged(map[string]string{"why": why}).Counter("seats_taken_total").Inc(1)
 	level.Info(n.kit.Log).Log("event", "seat_taken", "cell", name, "epoch", c.Epoch(), "before", seat.Owner, "why", why)
 	n.drive(name, c)
 }
--- a/cluster/node.go
+++ b/cluster/node.go
@@ -169,7 +169,7 @@
 
 func newNode(s *settings.Settings, kit *telemetry.Kit, services Services) *Node {
 	n := &Node{
-		Services: services, settings: s, kit: kit, boot: uid.New(), began: time.Now(),
+		Services: counted(services, kit), settings: s, kit: kit, boot: uid.New(), began: time.Now(),
 		members: newMembers(s.Instance, s.Hall, s.Peers, s.Listen.Peer, time.Now()),
 		dialer:  &link.Dialer{},
 		cells:   make(map[string]*ownCell),
@@ -177,7 +177,7 @@
 		times:   timesOf(s.Cluster),
 	}
 	n.server = &link.Server{Handler: n}
-	n.door = &rows.Door{Direct: services.Store, Now: time.Now, Carry: n.carry, Changed: n.storeChanged}
+	n.door = &rows.Door{Direct: n.Store, Now: time.Now, Carry: n.carry, Changed: n.storeChanged}
 	n.configs = services.Configs(n.door)
 	return n
 }
@@ -278,10 +278,8 @@
 
 // ready reports whether clients may be sent here.
 func (n *Node) ready() bool {
-	if n.leaving.Load() || n.config.Now() == nil || !n.door.Reachable() {
-		return false
-	}
-	return true
+	known := n.config.Now() != nil && len(n.division.cells()) > 0
+	return known && !n.leaving.Load() && n.door.Reachable()
 }
 
 // ownCell is a cell that this instance owns.
--- a/driver/commit.go
+++ b/driver/commit.go
@@ -12,6 +12,7 @@
 	"dewpass.org/flow"
 	"dewpass.org/kind"
 	"dewpass.org/rows"
+	"dewpass.org/telemetry"
 )
 
 // The tables of jobs. The record of a job is in the part of its cell, which the
@@ -124,7 +125,7 @@
 	if kind.Is(err, kind.Fenced) {
 		d.lost("the seat's row has another owner")
 	}
-	d.Scope.Histogram("write_seconds", latency).RecordDuration(time.Since(begun))
+	d.Scope.Histogram("write_seconds", telemetry.Latency()).RecordDuration(time.Since(begun))
 	d.Scope.Counter("write_rows_total").Inc(int64(len(g.tx.Put)))
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -152,6 +153,11 @@
 func (d *Driver) logEnded(saves []cell.Save) {
 	for _, s := range saves {
 		if s.Record.State.Final() {
+			if s.Story.Began > 0 {
+				d.Scope.Histogram("job_began_seconds", telemetry.Latency()).RecordDuration(s.Story.Began)
+			}
+			d.Scope.Histogram("job_took_seconds", telemetry.Latency()).RecordDuration(s.Story.Took)
+			d.Scope.Tagged(map[string]string{"state": string(s.Record.State)}).Counter("jobs_ended_total").Inc(1)
 			level.Info(d.Log).Log("event", "job_ended", "job", s.ID, "state", s.Record.State, "epoch", d.Seat.Epoch(),
 				"began_ms", s.Story.Began.Milliseconds(), "took_ms", s.Story.Took.Milliseconds(),
 				"runs", s.Story.Runs, "failed", s.Story.Failed, "lost", s.Story.Lost, "last", true)
--- a/driver/driver.go
+++ b/driver/driver.go
@@ -83,9 +83,6 @@
 	write chan struct{}
 }
 
-// latency holds the bounds of the histograms of waits.
-var latency = tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 14)
-
 const (
 	// runsPerEpoch is how many numbers for runs of one task an epoch has.
 	runsPerEpoch = 1 << 12
@@ -245,6 +242,7 @@
 	if was {
 		return
 	}
+	d.Scope.Counter("seats_lost_total").Inc(1)
 	level.Warn(d.Log).Log("event", "seat_lost", "cell", d.Name, "epoch", d.Seat.Epoch(), "why", why)
 	d.cancel()
 	go d.Lost()
--- a/driver/link.go
+++ b/driver/link.go
@@ -251,6 +251,7 @@
 	l.attached = false
 	if now.After(l.over) && !l.lapsed {
 		l.lapsed = true
+		d.Scope.Counter("leases_over_total").Inc(1)
 		level.Info(d.Log).Log("event", "lease_over", "worker", l.id)
 		d.cell.Lapsed(l.id, now)
 		poke(d.wake)
--- a/internal/logq/logq.go
+++ b/internal/logq/logq.go
@@ -33,6 +33,7 @@
 // Writer is a queue in front of an output. Make one with New.
 type Writer struct {
 	out     io.Writer
+	drop    func()
 	lines   chan []byte
 	dropped atomic.Uint64
 	told    uint64
@@ -41,9 +42,10 @@
 	once    sync.Once
 }
 
-// New returns a Writer whose lines go to out until Close.
-func New(out io.Writer) *Writer {
-	w := &Writer{out: out, lines: make(chan []byte, Size), stop: make(chan struct{}), done: make(chan struct{})}
+// New returns a Writer whose lines go to out until Close. For each line that is
+// dropped it calls drop, which must not wait.
+func New(out io.Writer, drop func()) *Writer {
+	w := &Writer{out: out, drop: drop, lines: make(chan []byte, Size), stop: make(chan struct{}), done: make(chan struct{})}
 	go w.run()
 	return w
 }
@@ -51,19 +53,21 @@
 // Write takes one line, or drops it. It never waits and never fails.
 func (w *Writer) Write(line []byte) (int, error) {
 	if len(w.lines) >= Size-reserve && !bytes.Contains(line, LastWord) {
-		w.dropped.Add(1)
+		w.dropLine()
 		return len(line), nil
 	}
 	select {
 	case w.lines <- bytes.Clone(line):
 	default:
-		w.dropped.Add(1)
+		w.dropLine()
 	}
 	return len(line), nil
 }
 
-// Dropped returns how many lines were dropped so far.
-func (w *Writer) Dropped() uint64 { return w.dropped.Load() }
+func (w *Writer) dropLine() {
+	w.dropped.Add(1)
+	w.drop()
+}
 
 // Close writes what waits, for a while. What is written after it is lost.
 func (w *Writer) Close() {
--- a/internal/logq/logq_test.go
+++ b/internal/logq/logq_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -41,14 +42,15 @@
 var _ = Describe("a log that nobody reads", func() {
 	It("holds nobody up, and keeps last words", func() {
 		g := &gate{open: make(chan struct{})}
-		w := New(g)
+		var dropped atomic.Int64
+		w := New(g, func() { dropped.Add(1) })
 		begun := time.Now()
 		for i := range 10 * Size {
 			fmt.Fprintf(w, `{"event":"start","n":%d}`+"\n", i)
 		}
 		fmt.Fprint(w, `{"event":"job_ended","last":true}`+"\n")
 		Expect(time.Since(begun)).To(BeNumerically("<", time.Second))
-		Expect(w.Dropped()).To(BeNumerically(">", 8*Size))
+		Expect(dropped.Load()).To(BeNumerically(">", 8*Size))
 		close(g.open)
 		Eventually(g.String).Should(ContainSubstring("log_dropped"))
 		Expect(g.String()).To(ContainSubstring("job_ended"))
--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -65,12 +65,12 @@
 
 // New returns the kit of an instance.
 func New(ctx context.Context, o Options) (*Kit, error) {
-	queue := logq.New(o.Output)
-	k := &Kit{Log: newLogger(o, queue)}
+	k := &Kit{}
 	k.metrics(o)
-	k.Scope.Gauge("log_lines_dropped").Update(0)
+	dropped := k.Scope.Counter("log_lines_dropped_total")
+	queue := logq.New(o.Output, func() { dropped.Inc(1) })
+	k.Log = newLogger(o, queue)
 	k.close = append(k.close, func(context.Context) error {
-		k.Scope.Gauge("log_lines_dropped").Update(float64(queue.Dropped()))
 		queue.Close()
 		return nil
 	})
--- a/test/cluster/bed_test.go
+++ b/test/cluster/bed_test.go
@@ -52,10 +52,11 @@
 
 // entry is an instance of the bed.
 type entry struct {
-	name, front, peer, ready string
-	settings                 string
-	log                      *syncBuffer
-	cmd                      *exec.Cmd
+	name, front, peer, ready, metrics string
+
+	settings string
+	log      *syncBuffer
+	cmd      *exec.Cmd
 }
 
 // syncBuffer keeps what a process writes.
@@ -137,11 +138,11 @@
 
 func newEntry(i int, dir string, lane *port.Lane) *entry {
 	GinkgoHelper()
-	addrs, err := lane.Free(3)
+	addrs, err := lane.Free(4)
 	Expect(err).NotTo(HaveOccurred())
 	name := fmt.Sprintf("%s-%d", halls[i%len(halls)], i/len(halls)+1)
 	return &entry{
-		name: name, front: addrs[0], peer: addrs[1], ready: addrs[2],
+		name: name, front: addrs[0], peer: addrs[1], ready: addrs[2], metrics: addrs[3],
 		settings: filepath.Join(dir, name+".json"), log: &syncBuffer{},
 	}
 }
@@ -156,7 +157,7 @@
 		"peers":  []string{b.entries[0].peer},
 		"cluster": map[string]any{
 			"store": b.world.StoreAddr, "policy": b.world.PolicyAddr, "machines": b.world.MachinesAddr,
-			"ready": e.ready, "cells": b.cells,
+			"ready": e.ready, "metrics": e.metrics, "cells": b.cells,
 			"lease": lease, "lease-most": "10s", "keep": "120s", "grace": "4s",
 		},
 	})
@@ -207,6 +208,21 @@
 	return resp.StatusCode
 }
 
+// metrics returns the metrics of all instances.
+func (b *bed) metrics() string {
+	var out strings.Builder
+	for _, e := range b.entries {
+		resp, err := b.http.Get("http://" + e.metrics + "/metrics")
+		if err != nil {
+			continue
+		}
+		raw, _ := io.ReadAll(resp.Body)
+		_ = resp.Body.Close()
+		out.Write(raw)
+	}
+	return out.String()
+}
+
 // owner returns the instance that holds the seat of the first cell, nil if none does.
 func (b *bed) owner() *entry { return b.ownerOf("cell-0") }
 
--- a/test/cluster/cluster_test.go
+++ b/test/cluster/cluster_test.go
@@ -103,6 +103,22 @@
 		b.wantKept()
 	})
 
+	It("counts what it does, by outcome", func() {
+		b := start(func(o *world.Options) { o.Advice = true })
+		b.wantWhole(b.submitSome(4, 2, 100, 100*time.Millisecond))
+		for _, line := range []string{
+			`dewpass_seats_taken_total{hall="\w+",why="free"} 1`,
+			`dewpass_store_calls_total{hall="\w+",op="tx",outcome="ok"} \d+`,
+			`dewpass_worker_calls_total{hall="\w+",op="start",outcome="ok"} 16`,
+			`dewpass_policy_calls_total{hall="\w+",op="advise",outcome="ok"} \d+`,
+			`dewpass_jobs_ended_total{hall="\w+",state="succeeded"} 4`,
+			`dewpass_job_took_seconds_count{hall="\w+"} 4`,
+			`dewpass_jobs_accepted_total{hall="\w+"} [1-4]`,
+		} {
+			Eventually(b.metrics, 5*time.Second).Should(MatchRegexp(line))
+		}
+	})
+
 	It("answers for what is not there, and for what is wrong", func() {
 		b := start()
 		status, _, _ := b.call(b.entryAt(), http.MethodGet, prefix+b.id(), "")
