cluster: instances without a cell greet a few others, the same ones

Now an instance without a cell greets the 5 that follow it in its hall, and 8 others in turn; owners still greet all. A newcomer is told of 13 others, not of all. The list of workers is read every 2 s where it has 1,000 or more, not every 0.8 s.

--- a/cluster/members.go
+++ b/cluster/members.go
@@ -67,6 +67,7 @@
 type members struct {
 	self string
 	hall string
+	addr string
 
 	mu    sync.Mutex
 	known map[string]*member
@@ -75,9 +76,8 @@
 	addrs map[string]time.Time
 	// last holds what the owner of each cell said when it was last heard.
 	last map[string]lastWord
-	// near and far are how many rounds of greetings it takes to reach each instance
-	// of the own hall, and each other address.
-	near, far rotation
+	// rounds counts the rounds of greetings.
+	rounds int
 }
 
 // lastWord is what an owner said when it was last heard.
@@ -87,7 +87,7 @@
 }
 
 func newMembers(self, hall string, first []string, own string, now time.Time) *members {
-	m := &members{self: self, hall: hall, known: make(map[string]*member), addrs: make(map[string]time.Time), last: make(map[string]lastWord)}
+	m := &members{self: self, hall: hall, addr: own, known: make(map[string]*member), addrs: make(map[string]time.Time), last: make(map[string]lastWord)}
 	for _, a := range first {
 		if a != own {
 			m.addrs[a] = now
@@ -123,6 +123,14 @@
 	return fresh
 }
 
+// knows reports whether a start of an instance was heard before.
+func (m *members) knows(name, boot string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	k := m.known[name]
+	return k != nil && k.boot == boot
+}
+
 // learn adds an address. The lock is held.
 func (m *members) learn(addr string, now time.Time) {
 	if _, ok := m.addrs[addr]; !ok && addr != "" {
@@ -147,22 +155,9 @@
 		return false
 	}
 	if k.hall == m.hall {
-		return now.Sub(k.heard) < silence*m.near.stretch(1)
+		return now.Sub(k.heard) < silence
 	}
-	return now.Sub(k.heard) < farSilence*m.far.stretch(farRounds)
-}
-
-// heardWithin returns copies of the members that were heard within a time.
-func (m *members) heardWithin(now time.Time, within time.Duration) []member {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	var out []member
-	for _, k := range m.known {
-		if now.Sub(k.heard) < within {
-			out = append(out, *k)
-		}
-	}
-	return out
+	return now.Sub(k.heard) < farSilence
 }
 
 // list returns copies of the live members for which keep holds, by name.
@@ -187,14 +182,7 @@
 
 // cells returns the cells whose owners are heard, each with its newest owner.
 func (m *members) cells(now time.Time) []owned {
-	newest := make(map[string]owned)
-	for _, k := range m.heardWithin(now, cellSilence) {
-		for _, c := range k.cells {
-			if old, ok := newest[c.Name]; !ok || old.cell.Epoch < c.Epoch {
-				newest[c.Name] = owned{member: k, cell: c}
-			}
-		}
-	}
+	newest := m.newest(now)
 	out := make([]owned, 0, len(newest))
 	for _, o := range newest {
 		out = append(out, o)
@@ -203,14 +191,31 @@
 	return out
 }
 
+// newest returns the cells whose owners are heard, by name.
+func (m *members) newest(now time.Time) map[string]owned {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	newest := make(map[string]owned)
+	for _, k := range m.known {
+		if len(k.cells) == 0 || now.Sub(k.heard) >= cellSilence {
+			continue
+		}
+		for _, c := range k.cells {
+			if old, ok := newest[c.Name]; !ok || old.cell.Epoch < c.Epoch {
+				newest[c.Name] = owned{member: *k, cell: c}
+			}
+		}
+	}
+	return newest
+}
+
 // owner returns the owner of a cell, nil if none is heard.
 func (m *members) owner(name string, now time.Time) *member {
-	for _, o := range m.cells(now) {
-		if o.cell.Name == name {
-			return &o.member
-		}
+	o, ok := m.newest(now)[name]
+	if !ok {
+		return nil
 	}
-	return nil
+	return &o.member
 }
 
 // answer notes that a member has answered a greeting that was sent at sent.
--- a/cluster/peers.go
+++ b/cluster/peers.go
@@ -46,14 +46,14 @@
 	return nil, kind.New(kind.BadRequest, "a peer's request is not known here")
 }
 
-// handleGreeting answers a greeting. A sender that was not known is told of the
-// others.
+// handleGreeting answers a greeting. A sender that was not known is told of some of
+// the others.
 func (n *Node) handleGreeting(g *wire.Greeting) *wire.Reply {
 	now := time.Now()
 	own := n.greeting()
-	if known := n.members.list(now, func(k *member) bool { return k.name == g.Instance && k.boot == g.Boot }); len(known) == 0 {
-		for _, m := range n.members.list(now, func(*member) bool { return true }) {
-			own.Peers = append(own.Peers, &wire.Peer{Instance: m.name, Addr: m.addr})
+	if !n.members.knows(g.Instance, g.Boot) {
+		for _, addr := range n.members.some(g.Addr, now) {
+			own.Peers = append(own.Peers, &wire.Peer{Addr: addr})
 		}
 	}
 	n.greeted(g)
--- a/cluster/rounds.go
+++ b/cluster/rounds.go
@@ -7,48 +7,35 @@
 	"time"
 )
 
-// What an instance spends on greetings does not grow with the number of instances,
-// unless it owns a cell: each round reaches a few of them in turn, and a silence
-// counts the later the more rounds it takes to reach all.
+// An instance that owns no cell greets a few others, the same ones again and again:
+// those that follow it when all addresses are sorted. What it spends on greetings,
+// and how many connections it keeps, does not grow with the number of instances, and
+// each is greeted by as many as it greets. Owners greet everybody, so that everybody
+// hears of all cells.
 const (
 	// nearMost is how many instances of the own hall a round reaches.
-	nearMost = 12
-	// A round reaches other addresses so that each is reached within farRounds
-	// rounds, but no fewer than farLeast and no more than farMost of them.
+	nearMost = 5
+	// farMost is how many other addresses are greeted, each once in farRounds rounds,
+	// and in each round while it is new.
+	farMost   = 8
 	farRounds = 8
-	farLeast  = 4
-	farMost   = 10
+	newFor    = 3 * time.Second
 )
 
-// rotation takes some of a list at a time, each in its turn. The zero value is ready
-// for use.
-type rotation struct {
-	at     int
-	rounds int
-}
-
-// next returns the next most of a sorted list.
-func (r *rotation) next(all []string, most int) []string {
-	if len(all) <= most {
-		r.at, r.rounds = 0, 1
-		return all
+// following returns the most addresses that follow own in a sorted list, which goes
+// on at its beginning.
+func following(sorted []string, own string, most int) []string {
+	if len(sorted) <= most {
+		return sorted
 	}
-	r.rounds = (len(all) + most - 1) / most
+	at, _ := slices.BinarySearch(sorted, own)
 	out := make([]string, 0, most)
-	for range most {
-		r.at %= len(all)
-		out = append(out, all[r.at])
-		r.at++
+	for i := range most {
+		out = append(out, sorted[(at+i)%len(sorted)])
 	}
 	return out
 }
 
-// stretch returns how many times as long as the usual number of rounds it takes to
-// reach all.
-func (r *rotation) stretch(usual int) time.Duration {
-	return time.Duration(max(1, (r.rounds+usual-1)/usual))
-}
-
 // all returns the addresses of all instances that may be there.
 func (m *members) all(now time.Time) []string {
 	near, far := m.addresses(now)
@@ -58,10 +45,27 @@
 // round returns the addresses to greet in the next round.
 func (m *members) round(now time.Time) []string {
 	near, far := m.addresses(now)
+	out := slices.Clone(following(near, m.addr, nearMost))
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	most := min(max((len(far)+farRounds-1)/farRounds, farLeast), farMost)
-	return append(m.near.next(near, nearMost), m.far.next(far, most)...)
+	m.rounds++
+	for i, addr := range following(far, m.addr, farMost) {
+		if i%farRounds == m.rounds%farRounds || now.Sub(m.addrs[addr]) < newFor {
+			out = append(out, addr)
+		}
+	}
+	return out
+}
+
+// some returns the addresses of live instances that follow an address, as many as an
+// instance greets.
+func (m *members) some(addr string, now time.Time) []string {
+	var all []string
+	for _, k := range m.list(now, func(k *member) bool { return k.addr != addr }) {
+		all = append(all, k.addr)
+	}
+	slices.Sort(all)
+	return following(all, addr, nearMost+farMost)
 }
 
 // addresses returns the addresses of the live instances of the own hall, and all
--- a/driver/watch.go
+++ b/driver/watch.go
@@ -12,21 +12,29 @@
 	// readEvery spaces the readings of the directory: a worker that leaves has
 	// to be known within two seconds.
 	readEvery = 800 * time.Millisecond
+	// A long list is read less often, down to every readMost: it is as long for
+	// each owner of a cell, of which a deployment has one for each readFull workers.
+	readMost  = 2 * time.Second
+	readFull  = 400
 	readRetry = 200 * time.Millisecond
 )
 
+// readPause returns how long to wait after a reading that brought so many workers.
+func readPause(workers int) time.Duration {
+	return min(max(readEvery*time.Duration(workers)/readFull, readEvery), readMost)
+}
+
 // watch reads the directory of workers again and again. Its feed would tell of
 // every heartbeat of every worker.
 func (d *Driver) watch() {
 	for d.ctx.Err() == nil {
 		entries, err := d.Directory.All(d.ctx)
-		pause := readEvery
 		if err != nil {
-			pause = readRetry
-		} else {
-			d.readAll(entries)
+			d.sleep(readRetry)
+			continue
 		}
-		d.sleep(pause)
+		d.readAll(entries)
+		d.sleep(readPause(len(entries)))
 	}
 }
 
