driver: the roster leaves out workers on which nothing runs for certain

Now a worker is out of the roster as soon as its leases are over, or once it leaves, is empty and all its ends are kept. One that is attached again is listed again, and while its entry is missing too nothing is placed there. Ruled out: a refused connection as a proof of a worker's end: a hall may be cut by resets.

--- a/cell/worker.go
+++ b/cell/worker.go
@@ -178,6 +178,13 @@
 	return w != nil && len(w.runs) > 0
 }
 
+// Left reports whether a worker that leaves has nothing more to do: nothing runs there,
+// all its ends are kept, and it is given nothing any more.
+func (c *Cell) Left(id string) bool {
+	w := c.workers[id]
+	return w != nil && w.Draining && w.attached && len(w.runs) == 0 && w.seen == w.observed
+}
+
 // Observed returns the number of the last end of a worker that is kept.
 func (c *Cell) Observed(id string) int {
 	if w := c.workers[id]; w != nil {
--- a/driver/driver.go
+++ b/driver/driver.go
@@ -74,8 +74,9 @@
 	// rosterChanged says that the workers of the cell are not those of the
 	// roster in the store.
 	rosterChanged bool
-	// rosterRows is how many rows the roster in the store may have.
-	rosterRows int
+	// rosterRows is how many rows the roster in the store may have, and rosterSize how
+	// many workers the last one lists.
+	rosterRows, rosterSize int
 	// kept is closed and renewed whenever the store has taken a write.
 	kept chan struct{}
 
@@ -311,6 +312,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.report()
+	d.checkRoster()
 	d.tidyUp(now)
 }
 
--- a/driver/driver_test.go
+++ b/driver/driver_test.go
@@ -234,6 +234,42 @@
 	})
 })
 
+var _ = ginkgo.Describe("the roster", func() {
+	ginkgo.It("leaves out workers on which nothing runs for certain, until they are attached again", func(ctx context.Context) {
+		d := newDriver(ctx, newTable(), func() {})
+		defer d.Close()
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		names := func() []string {
+			var out []string
+			for _, e := range d.roster() {
+				out = append(out, e.ID)
+			}
+			return out
+		}
+		now := time.Now()
+		for _, id := range []string{"runs", "lapsed", "leaves"} {
+			d.heard(Entry{Ver: 1, Worker: cell.Worker{ID: id, Addr: "127.0.0.1:1", Draining: id == "leaves"}}, now)
+			d.cell.Attached(id, cell.Lists{}, now)
+			d.links[id].attached = true
+		}
+		Expect(names()).To(Equal([]string{"lapsed", "runs"}), "leaves is empty and stays so")
+		d.links["leaves"].sentOrder(now)
+		Expect(names()).To(ContainElement("leaves"), "an order may still arrive")
+		d.rosterSize, d.rosterChanged = 3, false
+		d.checkRoster()
+		Expect(d.rosterChanged).To(BeFalse())
+		lapsed := d.links["lapsed"]
+		lapsed.lapsed, lapsed.attached = true, false
+		Expect(names()).To(Equal([]string{"leaves", "runs"}))
+		d.checkRoster()
+		Expect(d.rosterChanged).To(BeTrue())
+		d.rosterChanged = false
+		d.listAgain(lapsed)
+		Expect(d.rosterChanged).To(BeTrue())
+	})
+})
+
 var _ = ginkgo.Describe("a job that is handed in again", func() {
 	ginkgo.It("does not run again under a new owner that never read it", func(ctx context.Context) {
 		t := newTable()
--- a/driver/link.go
+++ b/driver/link.go
@@ -189,6 +189,9 @@
 		// An order was lost meanwhile; this answer is of before.
 		return
 	}
+	if attach && l.lapsed {
+		d.listAgain(l)
+	}
 	if attach {
 		d.cell.Attached(l.id, a.Lists, now)
 		l.attached, l.lapsed = true, false
@@ -206,6 +209,16 @@
 	poke(d.wake)
 }
 
+// listAgain takes a worker into the roster again whose leases were over. While its
+// entry is missing as well nothing is placed there: a next owner might not know of it.
+// The lock is held.
+func (d *Driver) listAgain(l *link) {
+	d.rosterChanged = true
+	if !l.missing.IsZero() {
+		d.cell.Missing(l.id)
+	}
+}
+
 // waitKept waits until the ends that were listed are kept, for a while.
 func (d *Driver) waitKept(ctx context.Context, l *link) {
 	timer := time.NewTimer(unsavedPause)
--- a/driver/roster.go
+++ b/driver/roster.go
@@ -43,11 +43,20 @@
 	return rows.Range{Table: claim.Table, Part: d.Name, From: rosterName, To: rosterName + "~"}
 }
 
-// roster returns the workers that may run something. The lock is held.
+// mayRun reports whether something may run on a worker now or later: not if its
+// leases are over, nor if it leaves and is empty. The lock is held.
+func (d *Driver) mayRun(l *link) bool {
+	return !l.lapsed && (len(l.orders) > 0 || !l.attached || !d.cell.Left(l.id))
+}
+
+// roster returns the workers that may run something: those of which the next owner
+// has to know what runs there. The lock is held.
 func (d *Driver) roster() []rosterEntry {
 	out := make([]rosterEntry, 0, len(d.links))
 	for _, l := range d.links {
-		out = append(out, rosterEntry{ID: l.id, Addr: l.addr, Hall: l.hall})
+		if d.mayRun(l) {
+			out = append(out, rosterEntry{ID: l.id, Addr: l.addr, Hall: l.hall})
+		}
 	}
 	slices.SortFunc(out, func(a, b rosterEntry) int { return strings.Compare(a.ID, b.ID) })
 	return out
@@ -56,8 +65,9 @@
 // putRoster adds the roster to a transaction, and the removal of rows that it does
 // not take any more. The lock is held.
 func (d *Driver) putRoster(t *rows.Tx) {
-	n := 0
-	for chunk := range slices.Chunk(d.roster(), rosterAtOnce) {
+	n, all := 0, d.roster()
+	d.rosterSize = len(all)
+	for chunk := range slices.Chunk(all, rosterAtOnce) {
 		t.Put = append(t.Put, rows.Row{Key: d.rosterKey(n), Value: flow.Encode(chunk)})
 		n++
 	}
@@ -68,6 +78,21 @@
 	d.rosterRows = max(d.rosterRows, n)
 }
 
+// checkRoster has the roster written again if a worker in it cannot run anything any
+// more. The lock is held.
+func (d *Driver) checkRoster() {
+	n := 0
+	for _, l := range d.links {
+		if d.mayRun(l) {
+			n++
+		}
+	}
+	if n < d.rosterSize {
+		d.rosterChanged = true
+		poke(d.write)
+	}
+}
+
 // restoreRoster takes in what the former owner wrote.
 func (d *Driver) restoreRoster(all []rows.Row) {
 	d.mu.Lock()
