cluster: an owner that has not read its jobs does not say that none wait

The seat had gone from one owner to a weak one at 39.78 s and on to a stronger one at 39.95 s, which had read its jobs at 40.42 s. Now counts come only from owners that have read their jobs, an instance that gives a cell up keeps its own, and they hold for 20 s, not 6: too high a count breaks nothing. Ruled out: the count itself; the owner before said 7 or more to the end.

--- a/cluster/elect.go
+++ b/cluster/elect.go
@@ -274,6 +274,10 @@
 func (n *Node) obeyed() bool { return n.members.allAnswer(time.Now()) }
 
 func (n *Node) dropDriver(name string, d *driver.Driver) {
+	if d.Loaded() {
+		load, _ := d.Load()
+		n.members.note(name, pendingOf(load), time.Now())
+	}
 	n.mu.Lock()
 	if c := n.cells[name]; c != nil && c.driver == d {
 		delete(n.cells, name)
--- a/cluster/greet.go
+++ b/cluster/greet.go
@@ -41,15 +41,22 @@
 			Room: load.Room[sched.Milli], Free: load.Free[sched.Milli], Waiting: load.Waiting, Racks: racks,
 			SeatVer: written.Ver, SeatAgeUs: uint64(time.Since(written.Begun).Microseconds()),
 		}
-		for q, jobs := range load.Pending {
-			sum.Pending = append(sum.Pending, &wire.QueuePending{Queue: q, Jobs: uint32(jobs)})
-		}
+		sum.Pending = pendingOf(load)
 		sum.Halls = hallRooms(load)
 		g.Cells = append(g.Cells, sum)
 	}
 	return g
 }
 
+// pendingOf returns how many jobs of each queue wait.
+func pendingOf(load cell.Load) []*wire.QueuePending {
+	out := make([]*wire.QueuePending, 0, len(load.Pending))
+	for q, jobs := range load.Pending {
+		out = append(out, &wire.QueuePending{Queue: q, Jobs: uint32(jobs)})
+	}
+	return out
+}
+
 // hallRooms returns what is free in each hall, by name.
 func hallRooms(load cell.Load) []*wire.HallRoom {
 	halls := make([]*wire.HallRoom, 0, len(load.Halls))
--- a/cluster/jobs.go
+++ b/cluster/jobs.go
@@ -263,11 +263,14 @@
 // Pending returns how many accepted jobs of a queue have not begun.
 func (n *Node) Pending(queue string) int {
 	sum := 0
-	own := n.owned()
-	for _, c := range own {
+	known := make(map[string]bool)
+	for name, c := range n.owned() {
+		if !c.driver.Ready() {
+			continue
+		}
+		known[name] = true
 		l, _ := c.driver.Load()
 		sum += l.Pending[queue]
 	}
-	others := n.members.pending(queue, time.Now(), func(cell string) bool { return own[cell] != nil })
-	return sum + others
+	return sum + n.members.pending(queue, time.Now(), func(cell string) bool { return known[cell] })
 }
--- a/cluster/members.go
+++ b/cluster/members.go
@@ -25,8 +25,8 @@
 	answerWithin = claim.ValidLeast
 	answerWhile  = 30 * time.Second
 	// pendingSilence is how long an owner's counts stand in for those of the
-	// next one.
-	pendingSilence = 6 * time.Second
+	// next one. They may be too high for a while, which harms nobody.
+	pendingSilence = 20 * time.Second
 	// forgetAfter is when the address of an instance that is not heard any more
 	// is given up.
 	forgetAfter = 40 * time.Second
@@ -115,7 +115,10 @@
 	k.processor = g.Processor
 	m.addrs[g.Addr] = now
 	for _, c := range g.Cells {
-		m.last[c.Name] = lastWord{pending: c.Pending, heard: now}
+		// An owner that has not read its jobs yet knows of none.
+		if c.Ready {
+			m.last[c.Name] = lastWord{pending: c.Pending, heard: now}
+		}
 	}
 	for _, p := range g.Peers {
 		m.learn(p.Addr, now)
@@ -123,6 +126,13 @@
 	return fresh
 }
 
+// note keeps what this instance knew of a cell that it owned.
+func (m *members) note(cell string, pending []*wire.QueuePending, now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.last[cell] = lastWord{pending: pending, heard: now}
+}
+
 // knows reports whether a start of an instance was heard before.
 func (m *members) knows(name, boot string) bool {
 	m.mu.Lock()
--- a/driver/driver.go
+++ b/driver/driver.go
@@ -195,6 +195,14 @@
 	return d.loaded && !d.frozen
 }
 
+// Loaded reports whether the cell's jobs have been read, also when it has been given
+// up since.
+func (d *Driver) Loaded() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.loaded
+}
+
 // Load returns the cell's load and the racks of its workers.
 func (d *Driver) Load() (cell.Load, []string) {
 	d.mu.Lock()
