cluster: one loop looks after all seats, and resting instances greet half as often

Now one loop looks at all cells, with one look at who is heard, and tries at most once at a time for each; an instance without a cell greets every 500 ms. Owners, whose silence matters, greet as before.

--- a/cluster/division.go
+++ b/cluster/division.go
@@ -102,11 +102,8 @@
 // runCells learns or decides the division, and then sees that every cell has an
 // owner, until ctx ends.
 func (n *Node) runCells(ctx context.Context) {
-	if !n.learnDivision(ctx) {
-		return
-	}
-	for _, name := range n.division.cells() {
-		go n.electLoop(ctx, name)
+	if n.learnDivision(ctx) {
+		n.electLoop(ctx)
 	}
 }
 
--- a/cluster/elect.go
+++ b/cluster/elect.go
@@ -6,6 +6,7 @@
 	"context"
 	"maps"
 	"slices"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -71,27 +72,51 @@
 	return 0
 }
 
+// vacancy is what an instance knows of a cell whose owner is not heard.
+type vacancy struct {
+	since time.Time
+	// trying says that this instance tries to take the seat.
+	trying atomic.Bool
+}
+
 // electLoop takes the seat of a cell whenever nobody else has it.
-func (n *Node) electLoop(ctx context.Context, name string) {
+func (n *Node) electLoop(ctx context.Context) {
 	sleep(ctx, firstLook)
-	// unheard is since when the owner is not heard.
-	var unheard time.Time
+	vacant := make(map[string]*vacancy)
 	for ctx.Err() == nil {
 		now := time.Now()
-		if n.leaving.Load() || now.Before(n.restsUntil()) || n.own(name) != nil || n.ownerHeard(name, now, watchAfter) {
-			unheard = time.Time{}
+		if n.leaving.Load() || now.Before(n.restsUntil()) {
+			clear(vacant)
 		} else {
-			if unheard.IsZero() {
-				unheard = now
-			}
-			if now.Sub(unheard) >= n.turn(name, now) {
-				n.tryTake(ctx, name)
-			}
+			n.elect(ctx, vacant, now)
 		}
 		sleep(ctx, electEvery)
 	}
 }
 
+// elect looks at every cell once.
+func (n *Node) elect(ctx context.Context, vacant map[string]*vacancy, now time.Time) {
+	newest := n.members.newest(now)
+	for _, name := range n.division.cells() {
+		if o, ok := newest[name]; n.own(name) != nil || (ok && o.drives(now, watchAfter)) {
+			delete(vacant, name)
+			continue
+		}
+		v := vacant[name]
+		if v == nil {
+			v = &vacancy{since: now}
+			vacant[name] = v
+		}
+		if now.Sub(v.since) < n.turn(name, now) || !v.trying.CompareAndSwap(false, true) {
+			continue
+		}
+		go func() {
+			defer v.trying.Store(false)
+			n.tryTake(ctx, name)
+		}()
+	}
+}
+
 // stronger returns the name of an instance that owns no cell and would be a much
 // better owner than this one, "" if there is none. When all start at once the first
 // one takes a seat, however small its machine.
@@ -158,7 +183,7 @@
 // ownerHeard reports whether the owner of a cell was heard within a time.
 func (n *Node) ownerHeard(name string, now time.Time, within time.Duration) bool {
 	o := n.members.owner(name, now)
-	return o != nil && !o.leaving && now.Sub(o.heard) < within && o.refused.Before(o.heard)
+	return o != nil && o.drives(now, within)
 }
 
 // turn returns how long this instance leaves a vacant cell to others that own none:
--- a/cluster/greet.go
+++ b/cluster/greet.go
@@ -19,7 +19,9 @@
 )
 
 const (
+	// An owner greets every greetEvery, another instance every restEvery.
 	greetEvery = 250 * time.Millisecond
+	restEvery  = 2 * greetEvery
 	greetTime  = 600 * time.Millisecond
 	// tableMembers lists the instances and their addresses.
 	tableMembers = "members"
@@ -71,15 +73,14 @@
 
 // greetLoop greets the others until ctx ends.
 func (n *Node) greetLoop(ctx context.Context) {
-	tick := time.NewTicker(greetEvery)
-	defer tick.Stop()
-	for {
-		n.greet(ctx)
-		select {
-		case <-tick.C:
-		case <-ctx.Done():
-			return
+	last := time.Time{}
+	for ctx.Err() == nil {
+		now := time.Now()
+		if len(n.owned()) > 0 || now.Sub(last) >= restEvery-greetEvery/2 {
+			last = now
+			n.greet(ctx)
 		}
+		sleep(ctx, greetEvery)
 	}
 }
 
--- a/cluster/members.go
+++ b/cluster/members.go
@@ -16,7 +16,7 @@
 	// silence is how long an instance of the own hall may not have been heard
 	// and still count as live; farSilence is for those of other halls, which
 	// are greeted less often.
-	silence    = 1200 * time.Millisecond
+	silence    = 1600 * time.Millisecond
 	farSilence = 5 * time.Second
 	// cellSilence is how long a summary of a cell holds.
 	cellSilence = claim.ValidLeast + 2*claim.Margin
@@ -63,6 +63,12 @@
 // free reports whether an instance could own a cell and owns none.
 func (k *member) free() bool { return !k.leaving && k.storeOK && len(k.cells) == 0 }
 
+// drives reports whether an owner was heard within a time, and neither leaves nor has
+// refused a connection since.
+func (k *member) drives(now time.Time, within time.Duration) bool {
+	return !k.leaving && now.Sub(k.heard) < within && k.refused.Before(k.heard)
+}
+
 // members is what an instance knows of the others. Make one with newMembers.
 type members struct {
 	self string
--- a/cluster/rounds.go
+++ b/cluster/rounds.go
@@ -14,11 +14,11 @@
 // hears of all cells.
 const (
 	// nearMost is how many instances of the own hall a round reaches.
-	nearMost = 5
+	nearMost = 4
 	// farMost is how many other addresses are greeted, each once in farRounds rounds,
 	// and in each round while it is new.
 	farMost   = 8
-	farRounds = 8
+	farRounds = 4
 	newFor    = 3 * time.Second
 )
 
