cluster: an owner is told of a job as the store has it

The first write took effect late, with hall athy; the second found it there and told the owner of its own copy, with hall naas. The owner started the step in naas without a write, as that was the job's hall to it. When naas was cut off, the next owner read hall athy from the store, did not hold the step up and started it again beside the runs in naas. A job that another write kept is now told of as it stands in the store, or left for its owner to find. The test fails without that (cluster, a job that is there already). Ruled out: the roster (the worker was in it), the division, the takeover by a refused connection (the runs were older).

--- a/cluster/accept.go
+++ b/cluster/accept.go
@@ -60,10 +60,30 @@
 	n.homes.set(spec.ID, k.cell)
 	// The same write may have gone two ways, and the answer may be that of the
 	// second: the owner is told in any case.
-	go n.tell(k, spec)
+	go n.announce(k, spec)
 	return nil
 }
 
+// announce tells the owner of a cell of a job as the store has it. Another write may
+// have been first, with another hall: were the owner told of this one, it would start
+// tasks where the next owner does not look for them.
+func (n *Node) announce(k kept, spec *flow.Spec) {
+	ctx, cancel := context.WithTimeout(context.Background(), tellTime)
+	defer cancel()
+	if !k.written {
+		row, err := n.row(ctx, driver.SpecKey(spec.ID))
+		if err != nil || row.Ver == 0 {
+			// It is over, or its owner finds it by itself.
+			return
+		}
+		if spec, err = flow.DecodeSpec(row.Value); err != nil {
+			level.Error(n.kit.Log).Log("event", "bad_spec", "job", row.Name, "err", err)
+			return
+		}
+	}
+	n.tell(ctx, k, spec)
+}
+
 // refuse returns the answer for a job that is not taken.
 func (n *Node) refuse(id, why string) error {
 	level.Info(n.kit.Log).Log("event", "refused", "job", id, "why", why, "last", true)
@@ -121,11 +141,13 @@
 }
 
 // kept is what became of a job that was handed in: the cell that has it, the
-// version at which the store took it, and whether this write did that.
+// version at which the store took it, whether it was new, and whether the store has
+// it for certain as this write says.
 type kept struct {
-	cell  string
-	ver   uint64
-	fresh bool
+	cell    string
+	ver     uint64
+	fresh   bool
+	written bool
 }
 
 // keep writes a job on the condition that no cell has it.
@@ -144,7 +166,7 @@
 		res, err := n.sendKeep(ctx, home, t)
 		switch {
 		case err == nil && !res.Refused:
-			return kept{cell: cell, ver: res.Ver, fresh: true}, nil
+			return kept{cell: cell, ver: res.Ver, fresh: true, written: true}, nil
 		case err == nil:
 			// Some cell has it, by this write or by an earlier one.
 			return keptBy(res, home, kept{cell: cell, fresh: uncertain}), nil
@@ -200,10 +222,8 @@
 	return rows.Result{}, false, nil
 }
 
-// tell tells the owner of a cell of a job until it has heard, for a while.
-func (n *Node) tell(k kept, spec *flow.Spec) {
-	ctx, cancel := context.WithTimeout(context.Background(), tellTime)
-	defer cancel()
+// tell tells the owner of a cell of a job until it has heard, or ctx ends.
+func (n *Node) tell(ctx context.Context, k kept, spec *flow.Spec) {
 	raw := flow.Encode(spec)
 	for ctx.Err() == nil {
 		if n.tellOnce(ctx, k, spec, raw) == nil {
--- a/cluster/accept_test.go
+++ b/cluster/accept_test.go
@@ -3,13 +3,17 @@
 package cluster
 
 import (
+	"context"
 	"fmt"
+	"net"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
 	"dewpass.org/driver"
+	"dewpass.org/flow"
+	"dewpass.org/link"
 	"dewpass.org/rows"
 	"dewpass.org/wire"
 )
@@ -39,7 +43,50 @@
 	})
 })
 
+// listener is the owner of a cell and keeps what it is told of.
+type listener struct{ told chan *flow.Spec }
+
+func (l listener) Handle(_ context.Context, req *wire.Request) *wire.Reply {
+	spec, err := flow.DecodeSpec(req.GetSubmitJob().GetSpec())
+	if err == nil {
+		l.told <- spec
+	}
+	return &wire.Reply{}
+}
+
+// taken is a store that has every job already.
+type taken struct {
+	table
+	home rows.Key
+}
+
+func (t taken) Tx(context.Context, rows.Tx) (rows.Result, error) {
+	return rows.Result{Refused: true, Rows: []rows.Row{{Key: t.home, Value: []byte("cell-0"), Ver: 5}}}, nil
+}
+
 var _ = Describe("a job that is there already", func() {
+	It("is told of as the store has it, not as it was handed in again", func(ctx context.Context) {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		told := make(chan *flow.Spec, 1)
+		server := &link.Server{Handler: listener{told}}
+		go server.Serve(l)
+		DeferCleanup(server.Close)
+		n := testNode(&policy{})
+		n.division.set(1)
+		n.members.heard(&wire.Greeting{
+			Instance: "owner", Hall: "h", Boot: "b", Addr: l.Addr().String(), Cells: []*wire.CellSummary{{Name: "cell-0"}},
+		}, time.Now())
+		stored := &flow.Spec{ID: "j", Hall: "first", Steps: []flow.Step{{Count: 1}}}
+		n.door.Direct = taken{table{driver.SpecKey("j"): flow.Encode(stored)}, driver.HomeKey("j")}
+		_, err = n.door.Get(ctx, rows.Range{})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(n.Submit(ctx, &flow.Spec{ID: "j", Steps: []flow.Step{{Count: 1}}})).To(Succeed())
+		var spec *flow.Spec
+		Eventually(told).Should(Receive(&spec))
+		Expect(spec.Hall).To(Equal("first"))
+	})
+
 	It("is told of with the cell that has it and the version at which it was taken", func() {
 		home := driver.HomeKey("j")
 		res := rows.Result{Refused: true, Rows: []rows.Row{{Key: home, Value: []byte("its"), Ver: 5}}}
--- a/cluster/elect.go
+++ b/cluster/elect.go
@@ -33,6 +33,9 @@
 	// be taken, if it is free or the owner's process is gone.
 	watchAfter = 450 * time.Millisecond
 	electTime  = 3 * time.Second
+	// startPause is for how long after its start an instance leaves cells to stronger
+	// ones that the store lists: as long as those take to start and to take a seat.
+	startPause = 700 * time.Millisecond
 	probeTime  = 250 * time.Millisecond
 	// slowPause is how long an instance takes no seat after it was too slow for
 	// one.
@@ -107,7 +110,7 @@
 			v = &vacancy{since: now}
 			vacant[name] = v
 		}
-		if now.Sub(v.since) < n.turn(name, now) || !v.trying.CompareAndSwap(false, true) {
+		if n.waitsForStronger(now) || now.Sub(v.since) < n.turn(name, now) || !v.trying.CompareAndSwap(false, true) {
 			continue
 		}
 		go func() {
@@ -203,6 +206,13 @@
 	return pause + time.Duration(len(n.owned()))*ownedPause
 }
 
+// waitsForStronger reports whether this instance has just started and leaves cells to
+// much stronger ones that may be starting too, and that it has not heard yet. After a
+// loss of power to all, a weak owner would have to read the jobs only to yield.
+func (n *Node) waitsForStronger(now time.Time) bool {
+	return now.Sub(n.began) < startPause && n.members.listedAbove(n.enough())
+}
+
 // enough returns the processor beyond which another instance is much stronger.
 func (n *Node) enough() uint32 { return n.processor() * strongerShare / 100 }
 
--- a/cluster/elect_test.go
+++ b/cluster/elect_test.go
@@ -28,6 +28,21 @@
 	})
 })
 
+var _ = Describe("an instance that has just started", func() {
+	It("leaves cells to much stronger ones that the store lists, for a while", func() {
+		n := testNode(&policy{})
+		n.settings.Cluster.Processor = 0.2
+		now := n.began
+		n.members.found([]memberRow{{Addr: "a", Processor: 250}}, now)
+		Expect(n.waitsForStronger(now)).To(BeFalse(), "hardly stronger")
+		n.members.found([]memberRow{{Addr: "b", Processor: 800}}, now)
+		Expect(n.waitsForStronger(now)).To(BeTrue())
+		Expect(n.waitsForStronger(now.Add(startPause))).To(BeFalse(), "they may be gone")
+		n.settings.Cluster.Processor = 0.8
+		Expect(n.waitsForStronger(now)).To(BeFalse())
+	})
+})
+
 var _ = Describe("an owner", func() {
 	It("yields to an instance with a much larger processor once that has been heard for a while", func() {
 		n := testNode(&policy{})
--- a/cluster/greet.go
+++ b/cluster/greet.go
@@ -137,11 +137,13 @@
 type memberRow struct {
 	Addr string `json:"addr"`
 	Hall string `json:"hall"`
+	// Processor is the share of a processor, in thousandths.
+	Processor uint32 `json:"processor,omitempty"`
 }
 
 // register writes this instance into the store's list and reads the others.
 func (n *Node) register(ctx context.Context) {
-	raw, err := json.Marshal(memberRow{Addr: n.settings.Listen.Peer, Hall: n.settings.Hall})
+	raw, err := json.Marshal(memberRow{Addr: n.settings.Listen.Peer, Hall: n.settings.Hall, Processor: n.processor()})
 	if err != nil {
 		return
 	}
@@ -168,13 +170,13 @@
 	if err != nil {
 		return false
 	}
-	var addrs []string
+	var listed []memberRow
 	for _, r := range all {
 		var m memberRow
 		if json.Unmarshal(r.Value, &m) == nil {
-			addrs = append(addrs, m.Addr)
+			listed = append(listed, m)
 		}
 	}
-	n.members.found(addrs, n.settings.Listen.Peer, time.Now())
+	n.members.found(listed, time.Now())
 	return len(all) > 1
 }
--- a/cluster/members.go
+++ b/cluster/members.go
@@ -84,6 +84,8 @@
 	last map[string]lastWord
 	// rounds counts the rounds of greetings.
 	rounds int
+	// strongest is the largest processor of others that the store lists.
+	strongest uint32
 }
 
 // lastWord is what an owner said when it was last heard.
@@ -155,16 +157,25 @@
 }
 
 // found adds the addresses of instances that the store lists.
-func (m *members) found(addrs []string, own string, now time.Time) {
+func (m *members) found(listed []memberRow, now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	for _, a := range addrs {
-		if a != own {
-			m.learn(a, now)
+	for _, row := range listed {
+		if row.Addr == m.addr {
+			continue
 		}
+		m.learn(row.Addr, now)
+		m.strongest = max(m.strongest, row.Processor)
 	}
 }
 
+// listedAbove reports whether the store lists an instance with more of a processor.
+func (m *members) listedAbove(processor uint32) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.strongest > processor
+}
+
 // live reports whether k was heard lately.
 func (m *members) live(k *member, now time.Time) bool {
 	if k.refused.After(k.heard) {
