cluster: a refused connection proves nothing about a hall that may be cut off

Now a refusal counts as the end of a process only where another instance of that hall answers, or in the own hall; and an owner that took a seat by a refusal reckons with orders of the former one until the end of its seat.

--- a/cluster/elect.go
+++ b/cluster/elect.go
@@ -240,9 +240,17 @@
 	}
 	n.kit.Scope.Tagged(map[string]string{"why": why}).Counter("seats_taken_total").Inc(1)
 	level.Info(n.kit.Log).Log("event", "seat_taken", "cell", name, "epoch", c.Epoch(), "before", seat.Owner, "why", why)
-	n.drive(name, c)
+	former := time.Duration(0)
+	if why == whyGone {
+		// It may be behind a cut that refuses connections, and go on for a while.
+		former = seat.Silence()
+	}
+	n.drive(name, c, former)
 }
 
+// whyGone is why a seat may be taken whose owner's address refuses connections.
+const whyGone = "owner's process is gone"
+
 // vacant returns why a seat may be taken, "" if it may not.
 func (n *Node) vacant(ctx context.Context, seat claim.Seat, unwritten time.Duration) string {
 	switch {
@@ -258,7 +266,7 @@
 		return "owner has started anew"
 	}
 	if n.refused(ctx, seat.Addr) {
-		return "owner's process is gone"
+		return whyGone
 	}
 	return ""
 }
@@ -275,13 +283,13 @@
 
 func isRefused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
 
-// drive starts to drive a cell.
-func (n *Node) drive(name string, c *claim.Claim) {
+// drive starts to drive a cell whose former owner may give orders for a while yet.
+func (n *Node) drive(name string, c *claim.Claim, former time.Duration) {
 	t := n.timesNow()
 	var d *driver.Driver
 	d = driver.New(driver.Config{
 		Name: name, Mine: func(rack string) bool { return n.division.draw(rack) == name },
-		Lease: t.lease, Keep: t.keep,
+		Lease: t.lease, Keep: t.keep, Former: former,
 		Seat: c, Store: n.door, Reachable: n.door.Reachable,
 		Workers: n.Workers, Directory: n.Directory(n.door),
 		Advise: n.advise, Callers: n.callers, Obeyed: n.obeyed,
--- a/cluster/elect_test.go
+++ b/cluster/elect_test.go
@@ -68,6 +68,12 @@
 		n.members.refusedAt("b", now)
 		Expect(n.members.allAnswer(now)).To(BeTrue(), "nobody is there to take it")
 		Expect(n.members.allAnswer(now.Add(cellSilence))).To(BeFalse(), "one that started since may")
+		n.members.heard(&wire.Greeting{Instance: "c", Hall: "other", Boot: "c", Addr: "c"}, now)
+		n.members.refusedAt("c", now)
+		Expect(n.members.allAnswer(now)).To(BeFalse(), "its hall may be cut off by resets")
+		n.members.heard(&wire.Greeting{Instance: "d", Hall: "other", Boot: "d", Addr: "d"}, now)
+		n.members.answer("d", now)
+		Expect(n.members.allAnswer(now)).To(BeTrue(), "d shows that it is not")
 	})
 })
 
--- a/cluster/members.go
+++ b/cluster/members.go
@@ -286,12 +286,18 @@
 
 // allAnswer reports whether every member that was heard in a while has answered
 // lately, or has no process any more: one that starts there has to watch a seat
-// for longer before it may take it.
+// for longer before it may take it. A refused connection shows that only from a hall
+// of which another member answers: one that is cut off may refuse them all.
 func (m *members) allAnswer(now time.Time) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	open := map[string]bool{m.hall: true}
 	for _, k := range m.known {
-		harmless := now.Sub(k.answered) <= answerWithin || now.Sub(k.refused) <= answerWithin
+		open[k.hall] = open[k.hall] || now.Sub(k.answered) <= answerWithin
+	}
+	for _, k := range m.known {
+		gone := now.Sub(k.refused) <= answerWithin && open[k.hall]
+		harmless := now.Sub(k.answered) <= answerWithin || gone
 		if now.Sub(k.heard) < answerWhile && !harmless {
 			return false
 		}
--- a/driver/driver.go
+++ b/driver/driver.go
@@ -27,6 +27,8 @@
 	Mine func(rack string) bool
 	// Lease is how long the runs of a worker go on without being renewed.
 	Lease time.Duration
+	// Former is for how long after the seat was taken a former owner may go on.
+	Former time.Duration
 	// Keep is how long a job that is over can be asked for.
 	Keep time.Duration
 	// Seat is the claim on the hall; the Driver is its only user.
--- a/driver/driver_test.go
+++ b/driver/driver_test.go
@@ -234,6 +234,18 @@
 	})
 })
 
+var _ = ginkgo.Describe("the leases of a former owner", func() {
+	ginkgo.It("last as long after it may have given its last order as they were given for", func(ctx context.Context) {
+		d := newDriver(ctx, newTable(), func() {})
+		defer d.Close()
+		d.Former = time.Second
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		d.restoreWorkers([]rosterEntry{{ID: "w", Addr: "127.0.0.1:1"}})
+		Expect(d.links["w"].over).To(BeTemporally(">=", d.began.Add(time.Second+claim.Margin+d.Lease)))
+	})
+})
+
 var _ = ginkgo.Describe("the roster", func() {
 	ginkgo.It("leaves out workers on which nothing runs for certain, until they are attached again", func(ctx context.Context) {
 		d := newDriver(ctx, newTable(), func() {})
--- a/driver/link.go
+++ b/driver/link.go
@@ -67,9 +67,9 @@
 	l := &link{
 		id: id, addr: addr, hall: hall, cancel: cancel, kick: make(chan struct{}, 1),
 		fence: d.Seat.Epoch() * fencesPerEpoch,
-		// A former owner that still lives gave its last orders before its seat was
-		// no longer valid, which was over when the seat was taken.
-		over: d.began.Add(claim.Margin + stretch(d.Lease)),
+		// A former owner that still lives gives its last orders before its seat is
+		// no longer valid.
+		over: d.began.Add(d.Former + claim.Margin + stretch(d.Lease)),
 	}
 	d.links[id] = l
 	d.rosterChanged = true
