--- a/cluster/elect.go
+++ b/cluster/elect.go
@@ -4,8 +4,6 @@
 
 import (
 	"context"
-	"maps"
-	"slices"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -14,7 +12,6 @@
 	"github.com/go-kit/log/level"
 
 	"dewpass.org/claim"
-	"dewpass.org/driver"
 	"dewpass.org/internal/sock"
 )
 
@@ -24,11 +21,11 @@
 	firstLook = 120 * time.Millisecond
 	// rankPause keeps the candidates for a cell apart, and strongerPause lets those
 	// with much more of a processor go first.
-	rankPause = 30 * time.Millisecond
-	rankMost  = 8
-	// ownedPause is added for each cell that an instance owns already.
-	ownedPause    = 300 * time.Millisecond
+	rankPause     = 30 * time.Millisecond
+	rankMost      = 8
 	strongerPause = 300 * time.Millisecond
+	// ownedPause is added for each cell that an instance owns already.
+	ownedPause = 300 * time.Millisecond
 	// watchAfter is how long an owner may not have been heard before its seat may
 	// be taken, if it is free or the owner's process is gone.
 	watchAfter = 450 * time.Millisecond
@@ -37,14 +34,6 @@
 	// ones that the store lists: as long as those take to start and to take a seat.
 	startPause = 700 * time.Millisecond
 	probeTime  = 250 * time.Millisecond
-	// slowPause is how long an instance takes no seat after it was too slow for
-	// one.
-	slowPause = 10 * time.Second
-	// A seat goes to an instance with strongerShare hundredths of this one's
-	// processor that was heard for strongerFor; yieldEvery spaces the looks.
-	strongerShare = 140
-	strongerFor   = 800 * time.Millisecond
-	yieldEvery    = 300 * time.Millisecond
 )
 
 // watched is what an instance knows of the last write of a cell's seat.
@@ -120,69 +109,6 @@
 	}
 }
 
-// stronger returns the name of an instance that owns no cell and would be a much
-// better owner than this one, "" if there is none. When all start at once the first
-// one takes a seat, however small its machine.
-func (n *Node) stronger(now time.Time) string {
-	better := n.members.list(now, func(k *member) bool {
-		return k.free() && k.processor > n.enough() && now.Sub(k.since) > strongerFor
-	})
-	if len(better) == 0 {
-		return ""
-	}
-	return better[0].name
-}
-
-// yieldLoop hands seats to stronger instances.
-func (n *Node) yieldLoop(ctx context.Context) {
-	for ctx.Err() == nil {
-		sleep(ctx, yieldEvery)
-		own := n.owned()
-		if len(own) == 0 || n.leaving.Load() {
-			continue
-		}
-		if name := n.stronger(time.Now()); name != "" {
-			n.yield(ctx, own, name)
-		} else if name := n.idler(time.Now()); len(own) > 1 && name != "" {
-			n.yield(ctx, oneOf(own), name)
-		}
-	}
-}
-
-// idler returns the name of an instance that owns no cell and would be about as good
-// an owner as this one, "" if there is none.
-func (n *Node) idler(now time.Time) string {
-	idle := n.members.list(now, func(k *member) bool {
-		return k.free() && k.processor*strongerShare/100 >= n.processor() && now.Sub(k.since) > strongerFor
-	})
-	if len(idle) == 0 {
-		return ""
-	}
-	return idle[0].name
-}
-
-// oneOf returns the last by name of some cells.
-func oneOf(own map[string]*ownCell) map[string]*ownCell {
-	name := slices.Max(slices.Collect(maps.Keys(own)))
-	return map[string]*ownCell{name: own[name]}
-}
-
-// yield hands cells over and takes none for a while, so that the other instance may.
-func (n *Node) yield(ctx context.Context, own map[string]*ownCell, to string) {
-	level.Info(n.kit.Log).Log("event", "seats_yielded", "to", to, "cells", len(own), "processor", n.processor())
-	n.rest(strongerFor)
-	ctx, cancel := context.WithTimeout(ctx, handoverMax)
-	defer cancel()
-	n.handOver(ctx, own)
-}
-
-// rest lets this instance take no seat for a while.
-func (n *Node) rest(d time.Duration) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.resting = time.Now().Add(d)
-}
-
 // ownerHeard reports whether the owner of a cell was heard within a time.
 func (n *Node) ownerHeard(name string, now time.Time, within time.Duration) bool {
 	o := n.members.owner(name, now)
@@ -213,9 +139,6 @@
 	return now.Sub(n.began) < startPause && n.members.listedAbove(n.enough())
 }
 
-// enough returns the processor beyond which another instance is much stronger.
-func (n *Node) enough() uint32 { return n.processor() * strongerShare / 100 }
-
 // tryTake takes the seat if its owner is gone.
 func (n *Node) tryTake(ctx context.Context, name string) {
 	ctx, cancel := context.WithTimeout(ctx, electTime)
@@ -282,82 +205,3 @@
 }
 
 func isRefused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
-
-// drive starts to drive a cell whose former owner may give orders for a while yet.
-func (n *Node) drive(name string, c *claim.Claim, former time.Duration) {
-	t := n.timesNow()
-	var d *driver.Driver
-	d = driver.New(driver.Config{
-		Name: name, Mine: func(rack string) bool { return n.division.draw(rack) == name },
-		Lease: t.lease, Keep: t.keep, Former: former,
-		Seat: c, Store: n.door, Reachable: n.door.Reachable,
-		Workers: n.Workers, Directory: n.Directory(n.door),
-		Advise: n.advise, Callers: n.callers, Obeyed: n.obeyed,
-		Lost:    func() { n.dropDriver(name, d) },
-		TooSlow: func() { n.giveUp(name, d, c) },
-		Log:     n.kit.Log, Scope: n.kit.Scope,
-	})
-	if conf := n.config.Now(); conf != nil {
-		d.Configure(conf.CellQueues())
-	}
-	n.mu.Lock()
-	n.cells[name] = &ownCell{driver: d, claim: c}
-	n.mu.Unlock()
-	// A version that came in between is set again.
-	if conf := n.config.Now(); conf != nil {
-		d.Configure(conf.CellQueues())
-	}
-	d.Start()
-	// Those that answer can ask the policy for this owner at once.
-	go n.greet(context.Background())
-}
-
-// obeyed reports whether every other instance that was heard lately has answered
-// the last greetings, and so will not take a seat of this one.
-func (n *Node) obeyed() bool { return n.members.allAnswer(time.Now()) }
-
-func (n *Node) dropDriver(name string, d *driver.Driver) {
-	if d.Loaded() {
-		load, _ := d.Load()
-		n.members.note(name, pendingOf(load), time.Now())
-	}
-	n.mu.Lock()
-	if c := n.cells[name]; c != nil && c.driver == d {
-		delete(n.cells, name)
-	}
-	n.mu.Unlock()
-	d.Close()
-}
-
-// giveUp gives a seat up whose jobs this instance cannot read in time, and takes
-// none for a while.
-func (n *Node) giveUp(name string, d *driver.Driver, c *claim.Claim) {
-	level.Warn(n.kit.Log).Log("event", "seat_given_up", "cell", name, "epoch", c.Epoch(), "why", "its jobs take too long to read")
-	n.rest(slowPause)
-	d.Freeze()
-	ctx, cancel := context.WithTimeout(context.Background(), handoverMax)
-	defer cancel()
-	if err := c.Release(ctx); err != nil {
-		level.Warn(n.kit.Log).Log("event", "seat_not_released", "cell", name, "err", err)
-	}
-	n.dropDriver(name, d)
-}
-
-// restsUntil returns until when this instance takes no seat.
-func (n *Node) restsUntil() time.Time {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.resting
-}
-
-// handOver gives the seats of some cells up as planned.
-func (n *Node) handOver(ctx context.Context, cells map[string]*ownCell) {
-	for name, c := range cells {
-		c.driver.Freeze()
-		if err := c.claim.Release(ctx); err != nil {
-			level.Warn(n.kit.Log).Log("event", "seat_not_released", "cell", name, "err", err)
-		}
-		n.dropDriver(name, c.driver)
-	}
-	n.greetNow(ctx)
-}
--- a/cluster/node.go
+++ b/cluster/node.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"maps"
 	"net"
 	"net/http"
 	"runtime/debug"
@@ -282,29 +281,6 @@
 	return known && !n.leaving.Load() && n.door.Reachable()
 }
 
-// ownCell is a cell that this instance owns.
-type ownCell struct {
-	driver *driver.Driver
-	claim  *claim.Claim
-}
-
-// owned returns the cells that this instance owns.
-func (n *Node) owned() map[string]*ownCell {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return maps.Clone(n.cells)
-}
-
-// own returns the driver of a cell, nil if this instance does not own it.
-func (n *Node) own(name string) *driver.Driver {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if c := n.cells[name]; c != nil {
-		return c.driver
-	}
-	return nil
-}
-
 const (
 	// lingerShare is the part of the grace, in tenths, that a stopping instance
 	// stays for clients that keep their connections open.
--- /dev/null
+++ b/cluster/own.go
@@ -0,0 +1,81 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package cluster
+
+import (
+	"context"
+	"maps"
+	"time"
+
+	"dewpass.org/claim"
+	"dewpass.org/driver"
+)
+
+// ownCell is a cell that this instance owns.
+type ownCell struct {
+	driver *driver.Driver
+	claim  *claim.Claim
+}
+
+// owned returns the cells that this instance owns.
+func (n *Node) owned() map[string]*ownCell {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return maps.Clone(n.cells)
+}
+
+// own returns the driver of a cell, nil if this instance does not own it.
+func (n *Node) own(name string) *driver.Driver {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if c := n.cells[name]; c != nil {
+		return c.driver
+	}
+	return nil
+}
+
+// drive starts to drive a cell whose former owner may give orders for a while yet.
+func (n *Node) drive(name string, c *claim.Claim, former time.Duration) {
+	t := n.timesNow()
+	var d *driver.Driver
+	d = driver.New(driver.Config{
+		Name: name, Mine: func(rack string) bool { return n.division.draw(rack) == name },
+		Lease: t.lease, Keep: t.keep, Former: former,
+		Seat: c, Store: n.door, Reachable: n.door.Reachable,
+		Workers: n.Workers, Directory: n.Directory(n.door),
+		Advise: n.advise, Callers: n.callers, Obeyed: n.obeyed,
+		Lost:    func() { n.dropDriver(name, d) },
+		TooSlow: func() { n.giveUp(name, d, c) },
+		Log:     n.kit.Log, Scope: n.kit.Scope,
+	})
+	if conf := n.config.Now(); conf != nil {
+		d.Configure(conf.CellQueues())
+	}
+	n.mu.Lock()
+	n.cells[name] = &ownCell{driver: d, claim: c}
+	n.mu.Unlock()
+	// A version that came in between is set again.
+	if conf := n.config.Now(); conf != nil {
+		d.Configure(conf.CellQueues())
+	}
+	d.Start()
+	// Those that answer can ask the policy for this owner at once.
+	go n.greet(context.Background())
+}
+
+// obeyed reports whether every other instance that was heard lately has answered
+// the last greetings, and so will not take a seat of this one.
+func (n *Node) obeyed() bool { return n.members.allAnswer(time.Now()) }
+
+func (n *Node) dropDriver(name string, d *driver.Driver) {
+	if d.Loaded() {
+		load, _ := d.Load()
+		n.members.note(name, pendingOf(load), time.Now())
+	}
+	n.mu.Lock()
+	if c := n.cells[name]; c != nil && c.driver == d {
+		delete(n.cells, name)
+	}
+	n.mu.Unlock()
+	d.Close()
+}
--- /dev/null
+++ b/cluster/yield.go
@@ -0,0 +1,125 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package cluster
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"dewpass.org/claim"
+	"dewpass.org/driver"
+)
+
+const (
+	// slowPause is how long an instance takes no seat after it was too slow for
+	// one.
+	slowPause = 10 * time.Second
+	// A seat goes to an instance with strongerShare hundredths of this one's
+	// processor that was heard for strongerFor; yieldEvery spaces the looks.
+	strongerShare = 140
+	strongerFor   = 800 * time.Millisecond
+	yieldEvery    = 300 * time.Millisecond
+)
+
+// stronger returns the name of an instance that owns no cell and would be a much
+// better owner than this one, "" if there is none. When all start at once the first
+// one takes a seat, however small its machine.
+func (n *Node) stronger(now time.Time) string {
+	better := n.members.list(now, func(k *member) bool {
+		return k.free() && k.processor > n.enough() && now.Sub(k.since) > strongerFor
+	})
+	if len(better) == 0 {
+		return ""
+	}
+	return better[0].name
+}
+
+// yieldLoop hands seats to stronger instances.
+func (n *Node) yieldLoop(ctx context.Context) {
+	for ctx.Err() == nil {
+		sleep(ctx, yieldEvery)
+		own := n.owned()
+		if len(own) == 0 || n.leaving.Load() {
+			continue
+		}
+		if name := n.stronger(time.Now()); name != "" {
+			n.yield(ctx, own, name)
+		} else if name := n.idler(time.Now()); len(own) > 1 && name != "" {
+			n.yield(ctx, oneOf(own), name)
+		}
+	}
+}
+
+// idler returns the name of an instance that owns no cell and would be about as good
+// an owner as this one, "" if there is none.
+func (n *Node) idler(now time.Time) string {
+	idle := n.members.list(now, func(k *member) bool {
+		return k.free() && k.processor*strongerShare/100 >= n.processor() && now.Sub(k.since) > strongerFor
+	})
+	if len(idle) == 0 {
+		return ""
+	}
+	return idle[0].name
+}
+
+// oneOf returns the last by name of some cells.
+func oneOf(own map[string]*ownCell) map[string]*ownCell {
+	name := slices.Max(slices.Collect(maps.Keys(own)))
+	return map[string]*ownCell{name: own[name]}
+}
+
+// yield hands cells over and takes none for a while, so that the other instance may.
+func (n *Node) yield(ctx context.Context, own map[string]*ownCell, to string) {
+	level.Info(n.kit.Log).Log("event", "seats_yielded", "to", to, "cells", len(own), "processor", n.processor())
+	n.rest(strongerFor)
+	ctx, cancel := context.WithTimeout(ctx, handoverMax)
+	defer cancel()
+	n.handOver(ctx, own)
+}
+
+// giveUp gives a seat up whose jobs this instance cannot read in time, and takes
+// none for a while.
+func (n *Node) giveUp(name string, d *driver.Driver, c *claim.Claim) {
+	level.Warn(n.kit.Log).Log("event", "seat_given_up", "cell", name, "epoch", c.Epoch(), "why", "its jobs take too long to read")
+	n.rest(slowPause)
+	d.Freeze()
+	ctx, cancel := context.WithTimeout(context.Background(), handoverMax)
+	defer cancel()
+	if err := c.Release(ctx); err != nil {
+		level.Warn(n.kit.Log).Log("event", "seat_not_released", "cell", name, "err", err)
+	}
+	n.dropDriver(name, d)
+}
+
+// rest lets this instance take no seat for a while.
+func (n *Node) rest(d time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.resting = time.Now().Add(d)
+}
+
+// restsUntil returns until when this instance takes no seat.
+func (n *Node) restsUntil() time.Time {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.resting
+}
+
+// handOver gives the seats of some cells up as planned.
+func (n *Node) handOver(ctx context.Context, cells map[string]*ownCell) {
+	for name, c := range cells {
+		c.driver.Freeze()
+		if err := c.claim.Release(ctx); err != nil {
+			level.Warn(n.kit.Log).Log("event", "seat_not_released", "cell", name, "err", err)
+		}
+		n.dropDriver(name, c.driver)
+	}
+	n.greetNow(ctx)
+}
+
+// enough returns the processor beyond which another instance is much stronger.
+func (n *Node) enough() uint32 { return n.processor() * strongerShare / 100 }
