--- a/cluster/doc.go
+++ b/cluster/doc.go
@@ -9,7 +9,10 @@
 // at most one instance holds the seat of a cell and drives it. One instance may
 // hold several.
 //
-// Instances greet each other. A greeting says who its sender is, whether it
+// How many cells there are is decided once, by the number of workers, before the first
+// one has an owner.
+//
+// Instances greet each other, owners everybody and others a few. A greeting says who its sender is, whether it
 // reaches the store, and how full the cells are that it owns. Nothing is decided
 // by greetings alone: they say whom to ask. Who holds a seat is decided by the
 // store, and what runs by the workers.
--- a/cluster/elect.go
+++ b/cluster/elect.go
@@ -118,7 +118,8 @@
 // turn returns how long this instance leaves a vacant cell to others that own none:
 // to those with much more of a processor, and to those that come before it by lot.
 func (n *Node) turn(name string, now time.Time) time.Duration {
-	own, first, stronger := draw(name+"/"+n.settings.Instance), 0, false
+	// Only some of the others are heard; the store lists all.
+	own, first, stronger := draw(name+"/"+n.settings.Instance), 0, n.members.listedAbove(n.enough())
 	for _, k := range n.members.list(now, (*member).free) {
 		stronger = stronger || k.processor > n.enough()
 		if k.processor >= n.processor() && draw(name+"/"+k.name) < own {
--- a/cluster/elect_test.go
+++ b/cluster/elect_test.go
@@ -96,4 +96,12 @@
 		n.members.heard(&wire.Greeting{Instance: "large", Hall: "h", Boot: "c", Addr: "c", StoreOk: true, Processor: 800}, now)
 		Expect(n.turn("c", now)).To(BeNumerically(">=", strongerPause))
 	})
+
+	It("is left to them also where they are only known from the store's list", func() {
+		n := testNode(&policy{})
+		n.settings.Cluster.Processor = 0.2
+		now := time.Now()
+		n.members.found([]memberRow{{Addr: "b", Processor: 800}}, now)
+		Expect(n.turn("c", now)).To(Equal(strongerPause))
+	})
 })
