--- a/driver/commit.go
+++ b/driver/commit.go
@@ -49,7 +49,7 @@
 
 const (
 	// commitGap spaces group commits, so that each carries what came meanwhile.
-	commitGap = 50 * time.Millisecond
+	commitGap = 18 * time.Millisecond
 	// savesAtOnce and staleAtOnce bound the records that a group commit writes and
 	// removes, so that all stay within rows.MaxEntries.
 	savesAtOnce = 64
