--- a/cell/empty_test.go
+++ b/cell/empty_test.go
@@ -28,6 +28,25 @@
 		Expect(r.startAll()).To(HaveLen(1))
 	})
 
+	It("may not go while it is not known what runs there", func() {
+		r := newRig(1)
+		r.Empty([]string{"w0"}, patience, r.now)
+		r.Unsure("w0", r.now)
+		Expect(r.Emptied("w0", r.now)).To(BeFalse())
+	})
+
+	It("has left only when all its ends are kept", func() {
+		r := newRig(1)
+		r.add("j", flow.Step{Count: 1, Demand: demand(1000)})
+		s := r.startAll()[0]
+		r.heard("w0", func(w *Worker) { w.Draining, w.Remaining = true, time.Second })
+		Expect(r.Left("w0")).To(BeFalse())
+		r.end(s, flow.EndDone)
+		Expect(r.Left("w0")).To(BeFalse(), "the end is not kept")
+		r.save()
+		Expect(r.Left("w0")).To(BeTrue())
+	})
+
 	It("is waited for while tasks run that end in time, and not for ever", func() {
 		r := newRig(1)
 		r.add("j", flow.Step{Count: 1, Demand: demand(1000), EstimateMS: 500})
--- a/cluster/greet.go
+++ b/cluster/greet.go
@@ -87,16 +87,20 @@
 // greet greets everybody if this instance owns a cell, since an owner's silence is
 // noticed, and those whose turn it is if it does not.
 func (n *Node) greet(ctx context.Context) {
-	targets := n.members.round
-	if len(n.owned()) > 0 {
-		targets = n.members.all
-	}
 	req := &wire.Request{Body: &wire.Request_Greeting{Greeting: n.greeting()}}
-	for _, addr := range targets(time.Now()) {
+	for _, addr := range n.targets(time.Now()) {
 		go n.greetOne(ctx, addr, req)
 	}
 }
 
+// targets returns the addresses to greet.
+func (n *Node) targets(now time.Time) []string {
+	if len(n.owned()) > 0 {
+		return n.members.all(now)
+	}
+	return n.members.round(now)
+}
+
 func (n *Node) greetOne(ctx context.Context, addr string, req *wire.Request) {
 	ctx, cancel := context.WithTimeout(ctx, greetTime)
 	defer cancel()
--- a/driver/driver_test.go
+++ b/driver/driver_test.go
@@ -277,8 +277,14 @@
 		d.checkRoster()
 		Expect(d.rosterChanged).To(BeTrue())
 		d.rosterChanged = false
-		d.listAgain(lapsed)
+		lapsed.missing = now
+		d.mu.Unlock()
+		d.held(lapsed, HoldOrder{Target: Target{Fence: lapsed.fence}}, HoldAnswer{}, now, true)
+		d.mu.Lock()
 		Expect(d.rosterChanged).To(BeTrue())
+		Expect(names()).To(ContainElement("lapsed"))
+		w := d.cell.Load()
+		Expect(w.Attached).To(Equal(1), "nothing is placed there while its entry is missing")
 	})
 })
 
--- a/upkeep/book.go
+++ b/upkeep/book.go
@@ -54,9 +54,9 @@
 	return l
 }
 
-// todo returns the machines that stay and whose upkeep is not known to have begun:
+// remaining returns the machines that stay and whose upkeep is not known to have begun:
 // first those that hold a slot.
-func (b Book) todo(w *Wave, all list) []Machine {
+func (b Book) remaining(w *Wave, all list) []Machine {
 	var held, rest []Machine
 	for _, name := range w.Machines {
 		m, stays := all[name]
@@ -103,7 +103,7 @@
 func (b Book) next(w *Wave, all list, mine func(rack string) bool) []Machine {
 	var out []Machine
 	free := b.slots(w, all)
-	for _, m := range b.todo(w, all) {
+	for _, m := range b.remaining(w, all) {
 		_, has := b[m.Name]
 		if !m.Up || !mine(m.Rack) || (!has && free <= 0) {
 			continue
--- a/upkeep/runner.go
+++ b/upkeep/runner.go
@@ -110,7 +110,7 @@
 	if err != nil {
 		return err
 	}
-	if len(p.todo(w, all)) == 0 {
+	if len(p.remaining(w, all)) == 0 {
 		r.Cell.Empty(nil, 0)
 		level.Info(r.Log).Log("event", "wave_done", "wave", w.Number, "machines", len(w.Machines))
 		return r.Platform.Report(ctx, w.Number, true)
--- a/upkeep/upkeep_test.go
+++ b/upkeep/upkeep_test.go
@@ -78,6 +78,13 @@
 	return rows.Result{Ver: s.row.Ver}, nil
 }
 
+// refusing is a store whose rows are always newer.
+type refusing struct{ rows.Store }
+
+func (refusing) Tx(context.Context, rows.Tx) (rows.Result, error) {
+	return rows.Result{Refused: true}, nil
+}
+
 var _ = Describe("a wave", func() {
 	var s *site
 	var c *cell
@@ -155,6 +162,18 @@
 		Expect(s.orders).To(HaveLen(3))
 	})
 
+	It("leaves machines of other cells alone", func() {
+		r.Mine = func(string) bool { return false }
+		Expect(step()).To(Succeed())
+		Expect(s.orders).To(BeEmpty())
+	})
+
+	It("orders nothing while another owner writes the book", func() {
+		r.Store = refusing{r.Store}
+		Expect(kind.Is(step(), kind.Conflict)).To(BeTrue())
+		Expect(s.orders).To(BeEmpty())
+	})
+
 	It("gives the slot back of a machine that is not up, and passes over one that is not wanted", func() {
 		s.answer = Busy
 		Expect(step()).To(Succeed())
