cluster: which cells to hand over is decided in one tested function

Cause: that an instance hands one of several cells over, but never its only one to an instance alike, was the one guard of the last changes that no unit test held; it stood in the loop. surplus decides it now; red with its bound removed.

--- a/cluster/division_test.go
+++ b/cluster/division_test.go
@@ -87,8 +87,17 @@
 		Expect(n.idler(now.Add(strongerFor + 1))).To(Equal("idle"))
 		n.settings.Cluster.Processor = 0.8
 		Expect(n.idler(now.Add(strongerFor+1))).To(BeEmpty(), "too weak")
+		n.settings.Cluster.Processor = 0.4
+		later := now.Add(strongerFor + 1)
 		own := map[string]*ownCell{"cell-0": {}, "cell-3": {}}
-		Expect(oneOf(own)).To(HaveKey("cell-3"))
-		Expect(oneOf(own)).To(HaveLen(1))
+		cells, to := n.surplus(own, later)
+		Expect(to).To(Equal("idle"))
+		Expect(cells).To(And(HaveLen(1), HaveKey("cell-3")))
+		_, to = n.surplus(cells, later)
+		Expect(to).To(BeEmpty(), "it has only one")
+		n.settings.Cluster.Processor = 0.1
+		cells, to = n.surplus(own, later)
+		Expect(to).To(Equal("idle"))
+		Expect(cells).To(HaveLen(2), "to a much stronger one, all")
 	})
 })
--- a/cluster/yield.go
+++ b/cluster/yield.go
@@ -46,14 +46,24 @@
 		if len(own) == 0 || n.leaving.Load() {
 			continue
 		}
-		if name := n.stronger(time.Now()); name != "" {
-			n.yield(ctx, own, name)
-		} else if name := n.idler(time.Now()); len(own) > 1 && name != "" {
-			n.yield(ctx, oneOf(own), name)
+		if cells, to := n.surplus(own, time.Now()); to != "" {
+			n.yield(ctx, cells, to)
 		}
 	}
 }
 
+// surplus returns which of its own cells this instance should hand over, and to whom:
+// all to a much stronger one, one of several to one alike. The name is "" for none.
+func (n *Node) surplus(own map[string]*ownCell, now time.Time) (map[string]*ownCell, string) {
+	if to := n.stronger(now); to != "" {
+		return own, to
+	}
+	if len(own) < 2 {
+		return nil, ""
+	}
+	return oneOf(own), n.idler(now)
+}
+
 // idler returns the name of an instance that owns no cell and would be about as good
 // an owner as this one, "" if there is none.
 func (n *Node) idler(now time.Time) string {
