--- a/cluster/accept_test.go
+++ b/cluster/accept_test.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -13,7 +12,6 @@
 
 	"dewpass.org/driver"
 	"dewpass.org/flow"
-	"dewpass.org/link"
 	"dewpass.org/rows"
 	"dewpass.org/wire"
 )
@@ -66,20 +64,11 @@
 
 var _ = Describe("a job that is there already", func() {
 	It("is told of as the store has it, not as it was handed in again", func(ctx context.Context) {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		Expect(err).NotTo(HaveOccurred())
 		told := make(chan *flow.Spec, 1)
-		server := &link.Server{Handler: listener{told}}
-		go server.Serve(l)
-		DeferCleanup(server.Close)
-		n := testNode(&policy{})
-		n.division.set(1)
-		n.members.heard(&wire.Greeting{
-			Instance: "owner", Hall: "h", Boot: "b", Addr: l.Addr().String(), Cells: []*wire.CellSummary{{Name: "cell-0"}},
-		}, time.Now())
+		n := nodeWithOwner(listener{told})
 		stored := &flow.Spec{ID: "j", Hall: "first", Steps: []flow.Step{{Count: 1}}}
 		n.door.Direct = taken{table{driver.SpecKey("j"): flow.Encode(stored)}, driver.HomeKey("j")}
-		_, err = n.door.Get(ctx, rows.Range{})
+		_, err := n.door.Get(ctx, rows.Range{})
 		Expect(err).NotTo(HaveOccurred())
 		Expect(n.Submit(ctx, &flow.Spec{ID: "j", Steps: []flow.Step{{Count: 1}}})).To(Succeed())
 		var spec *flow.Spec
--- a/cluster/jobs_test.go
+++ b/cluster/jobs_test.go
@@ -33,6 +33,23 @@
 
 func (t table) Feed(context.Context, rows.Since) (rows.Page, error) { return rows.Page{}, nil }
 
+// nodeWithOwner returns an instance that has heard the owner of the only cell, a peer
+// that answers as h does.
+func nodeWithOwner(h link.Handler) *Node {
+	GinkgoHelper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	server := &link.Server{Handler: h}
+	go server.Serve(l)
+	DeferCleanup(server.Close)
+	n := testNode(&policy{})
+	n.division.set(1)
+	n.members.heard(&wire.Greeting{
+		Instance: "owner", Hall: "h", Boot: "b", Addr: l.Addr().String(), Cells: []*wire.CellSummary{{Name: "cell-0"}},
+	}, time.Now())
+	return n
+}
+
 // ownerPeer is a peer that owns a cell and knows one job.
 type ownerPeer struct{ job string }
 
@@ -53,16 +70,7 @@
 
 var _ = Describe("the state of a job of the only cell", func() {
 	It("comes from its owner, and the store is asked for what that does not know", func(ctx context.Context) {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		Expect(err).NotTo(HaveOccurred())
-		server := &link.Server{Handler: ownerPeer{job: "j"}}
-		go server.Serve(l)
-		DeferCleanup(server.Close)
-		n := testNode(&policy{})
-		n.division.set(1)
-		n.members.heard(&wire.Greeting{
-			Instance: "owner", Hall: "h", Boot: "b", Addr: l.Addr().String(), Cells: []*wire.CellSummary{{Name: "cell-0"}},
-		}, time.Now())
+		n := nodeWithOwner(ownerPeer{job: "j"})
 		n.door.Direct = deaf{}
 		state, err := n.State(ctx, "j")
 		Expect(err).NotTo(HaveOccurred())
