--- a/cell/cell_test.go
+++ b/cell/cell_test.go
@@ -213,6 +213,14 @@
 		Expect(r.Place(r.now, r.now, 0).Starts).To(HaveLen(1))
 	})
 
+	It("does not start unwritten where neither it nor the worker names a hall", func() {
+		r := newRig(0)
+		r.heard("w", func(w *Worker) { w.Hall = "" })
+		r.Attached("w", Lists{}, r.now)
+		r.add("j", flow.Step{Count: 1, Demand: demand(1000)})
+		Expect(r.Place(r.now, r.now, 0).Starts).To(BeEmpty())
+	})
+
 	It("starts a time of a repeated job when it falls due", func() {
 		r := newRig(1)
 		spec := &flow.Spec{ID: "j", Queue: "q", Times: 2, StartMS: r.now.Add(time.Second).UnixMilli(), EveryMS: 1000, Steps: []flow.Step{{Count: 1, Demand: demand(100)}}}
@@ -336,121 +344,6 @@
 	})
 })
 
-var _ = Describe("a change of owner", func() {
-	record := func(halls ...string) *flow.Record {
-		return &flow.Record{State: flow.Running, Stages: []flow.StageRecord{{Halls: halls}}}
-	}
-	spec := &flow.Spec{ID: "j", Queue: "q", Steps: []flow.Step{{Count: 1, Demand: demand(1000)}}}
-
-	It("takes on what runs, and starts nothing twice", func() {
-		r := newRig(0)
-		r.Restore(spec, record("h"), r.now)
-		r.heard("w0", func(*Worker) {})
-		row := Running{Task: flow.TaskID{Job: "j"}, Run: 4097, Percent: 50}
-		r.Attached("w0", Lists{Running: []Running{row}}, r.now)
-		Expect(r.startAll()).To(BeEmpty())
-		r.Listed("w0", Lists{Finished: []Finished{{Number: 9, Task: row.Task, Run: row.Run, How: flow.EndDone}}}, r.now, r.now)
-		r.save()
-		s, _ := r.State("j")
-		Expect(s).To(Equal(flow.Succeeded))
-	})
-
-	It("waits with a step that was open for a worker that may run it", func() {
-		r := newRig(1)
-		r.heard("w9", func(*Worker) {})
-		r.Restore(spec, record("h"), r.now)
-		Expect(r.startAll()).To(BeEmpty())
-		r.Lapsed("w9", r.now)
-		Expect(r.startAll()).To(HaveLen(1))
-	})
-
-	It("waits for workers of the job's own hall, and for no others", func() {
-		for hall, held := range map[string]bool{"h": true, "other": false, "": true} {
-			r := newRig(1)
-			r.heard("w9", func(w *Worker) { w.Hall = hall })
-			own := *spec
-			own.Hall = "h"
-			r.Restore(&own, record(), r.now)
-			Expect(r.startAll()).To(HaveLen(map[bool]int{true: 0, false: 1}[held]), "an unknown worker in hall %q", hall)
-		}
-	})
-
-	It("does not wait with a job that came after it", func() {
-		r := newRig(1)
-		r.heard("w9", func(*Worker) {})
-		r.add("j", flow.Step{Count: 1, Demand: demand(1000)})
-		Expect(r.startAll()).To(HaveLen(1))
-	})
-
-	It("stops what belongs to no job", func() {
-		r := newRig(0)
-		r.heard("w0", func(*Worker) {})
-		r.Attached("w0", Lists{Running: []Running{{Task: flow.TaskID{Job: "gone"}, Run: 5}}}, r.now)
-		Expect(r.place().Stops).To(HaveLen(1))
-	})
-})
-
-var _ = Describe("a policy", func() {
-	advised := func() *rig {
-		r := newRig(2)
-		r.Configure([]Queue{{Name: "q", Pool: "p", MaxAttempts: 2, Stretch: 1.5, Advice: &Advice{Decide: 10 * time.Millisecond, Valid: time.Second}}})
-		r.add("j", flow.Step{Count: 1, Demand: demand(1000)})
-		return r
-	}
-
-	It("is asked, and only the workers that it names get the step, with their ticket", func() {
-		r := advised()
-		a := r.place()
-		Expect(a.Starts).To(BeEmpty())
-		Expect(a.Asks).To(HaveLen(1))
-		r.Advised(a.Asks[0], []Ticket{{Worker: "w1", Text: "t"}}, time.Second, r.now)
-		starts := r.startAll()
-		Expect(starts).To(HaveLen(1))
-		Expect(starts[0].Worker).To(Equal("w1"))
-		Expect(starts[0].Ticket).To(Equal("t"))
-	})
-
-	It("is asked again when its tickets have ended", func() {
-		r := advised()
-		a := r.place()
-		r.Advised(a.Asks[0], []Ticket{{Worker: "w1", Text: "t"}}, time.Second, r.now)
-		r.now = r.now.Add(time.Second)
-		again := r.place()
-		Expect(again.Starts).To(BeEmpty())
-		Expect(again.Asks).To(HaveLen(1))
-		Expect(again.Asks[0].Workers).To(Equal([]string{"w1"}))
-	})
-})
-
-var _ = Describe("tasks that fill", func() {
-	It("are slowed down while a task that serves beside them is over its target, fast down and slowly up", func() {
-		r := newRig(1)
-		r.add("serves", flow.Step{Count: 1, Demand: demand(1000), Lasting: true, TargetMS: 100})
-		r.add("fills", flow.Step{Count: 1, Demand: demand(8000), Fills: true, EstimateMS: 60_000})
-		starts := r.startAll()
-		Expect(starts).To(HaveLen(2))
-		list := func(tail int64, after time.Duration) []Pace {
-			r.now = r.now.Add(after)
-			var rows []Running
-			for _, s := range starts {
-				rows = append(rows, Running{Task: s.Task, Run: s.Run, Percent: 100, Tail: tail})
-			}
-			r.Listed("w0", Lists{Running: rows}, r.now, r.now)
-			return r.Place(r.now, r.now, 0).Paces
-		}
-		Expect(list(50, time.Second)).To(BeEmpty())
-		Expect(list(120, time.Second)).To(HaveLen(1))
-		down := list(120, time.Second)
-		Expect(down).To(HaveLen(1))
-		Expect(down[0].Percent).To(Equal(0), "well within harm_ms")
-		Expect(down[0].Task.Job).To(Equal("fills"))
-		Expect(list(50, time.Second)).To(BeEmpty())
-		up := list(50, 2*time.Second)
-		Expect(up).To(HaveLen(1))
-		Expect(up[0].Percent).To(Equal(paceUp))
-	})
-})
-
 var _ = Describe("a guard", func() {
 	It("keeps a step off workers without the label that it needs", func() {
 		r := newRig(1)
@@ -516,89 +409,3 @@
 		Expect(r.startAll()).To(BeEmpty(), "time alone proves nothing")
 	})
 })
-
-var _ = Describe("a worker that runs something of a job that is not known", func() {
-	It("is given nothing until that has ended, as it may take any room", func() {
-		r := newRig(1)
-		stray := Running{Task: flow.TaskID{Job: "gone"}, Run: 1 << 12}
-		r.Attached("w0", Lists{Running: []Running{stray}}, r.now)
-		r.add("j", flow.Step{Count: 1, Demand: demand(1000)})
-		a := r.place()
-		Expect(a.Starts).To(BeEmpty())
-		Expect(a.Stops).To(HaveLen(1))
-		r.Listed("w0", Lists{Finished: []Finished{{Number: 1, Task: stray.Task, Run: stray.Run, How: flow.EndStopped}}}, r.now, r.now)
-		Expect(r.place().Starts).To(HaveLen(1))
-	})
-})
-
-var _ = Describe("a job that is over", func() {
-	It("is remembered by its state alone once it was retired, and then forgotten", func() {
-		r := newRig(1)
-		r.add("j", flow.Step{Count: 1, Demand: demand(1000)})
-		r.end(r.startAll()[0], flow.EndDone)
-		Expect(r.Retire(0, r.now.Add(time.Second))).To(BeEmpty(), "not before its end is kept")
-		r.save()
-		Expect(r.Retire(0, r.now.Add(time.Second))).To(BeEmpty(), "nor before it is archived")
-		Expect(r.Ended()).To(Equal([]Over{{ID: "j", State: flow.Succeeded}}))
-		Expect(r.Ended()).To(BeEmpty())
-		r.Archived("j")
-		Expect(r.Retire(0, r.now.Add(time.Second))).To(Equal([]Over{{ID: "j", State: flow.Succeeded}}))
-		s, known := r.State("j")
-		Expect(known).To(BeTrue())
-		Expect(s).To(Equal(flow.Succeeded))
-		Expect(r.Cancel("j", r.now)).To(BeTrue())
-		r.add("j", flow.Step{Count: 1, Demand: demand(1000)})
-		Expect(r.startAll()).To(BeEmpty(), "it does not run again")
-		Expect(r.Expire(time.Minute, r.now.Add(time.Hour))).To(Equal([]string{"j"}))
-		Expect(r.Known("j")).To(BeFalse())
-	})
-})
-
-var _ = Describe("questions to the policy", func() {
-	It("leave some callers to short ones, however many long ones wait", func() {
-		r := newRig(2)
-		r.Configure([]Queue{
-			{Name: "long", Pool: "p", Advice: &Advice{Decide: time.Second, Valid: time.Minute}},
-			{Name: "short", Pool: "p", Priority: 1, Advice: &Advice{Decide: 10 * time.Millisecond, Valid: time.Minute}},
-		})
-		submit := func(id, queue string) {
-			r.Submit(&flow.Spec{ID: id, Queue: queue, Steps: []flow.Step{{Count: 1, Demand: demand(1000)}}}, r.now)
-			r.Keep(id)
-		}
-		for i := range 6 {
-			submit(fmt.Sprintf("l%d", i), "long")
-		}
-		long := r.Place(r.now, r.now, 4).Asks
-		Expect(long).To(HaveLen(3))
-		submit("s", "short")
-		Expect(r.Place(r.now, r.now, 4).Asks).To(HaveLen(1))
-		r.Unadvised(long[0], r.now)
-		submit("t", "short")
-		Expect(r.Place(r.now, r.now, 4).Asks[0].Step.Job).To(Equal("l3"), "the next long one")
-	})
-})
-
-var _ = Describe("a step that waits for long", func() {
-	It("is told of with what it waits for, now and then", func() {
-		r := newRig(1)
-		r.add("j", flow.Step{Count: 1, Demand: demand(9000)})
-		Expect(r.Place(r.now, r.now, 0).Waits).To(BeEmpty())
-		r.now = r.now.Add(tellEvery)
-		Expect(r.Place(r.now, r.now, 0).Waits).To(Equal([]Wait{{Step: flow.StepID{Job: "j"}, Why: Full, Tasks: 1, For: tellEvery}}))
-		Expect(r.Place(r.now, r.now, 0).Waits).To(BeEmpty())
-	})
-
-	It("tells a wait for the policy from one for the store and for workers", func() {
-		r := newRig(1)
-		r.Configure([]Queue{{Name: "q", Pool: "p", MaxAttempts: 1, Advice: &Advice{Valid: time.Hour}}})
-		r.add("j", flow.Step{Count: 1, Demand: demand(1000)})
-		a := r.Place(r.now, r.now, 1)
-		s := r.stage(flow.StepID{Job: "j"})
-		Expect(r.whyNone(s, r.now)).To(Equal(NoAdvice))
-		r.Advised(a.Asks[0], []Ticket{{Worker: "w0", Text: "t"}}, time.Hour, r.now)
-		r.Place(r.now, r.now, 1)
-		Expect(r.whyNone(s, r.now)).To(Equal(NotWritten))
-		r.save()
-		Expect(r.whyNone(s, r.now)).To(Equal(NoWorker))
-	})
-})
--- /dev/null
+++ b/cell/over_test.go
@@ -0,0 +1,35 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package cell
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"dewpass.org/flow"
+)
+
+var _ = Describe("a job that is over", func() {
+	It("is remembered by its state alone once it was retired, and then forgotten", func() {
+		r := newRig(1)
+		r.add("j", flow.Step{Count: 1, Demand: demand(1000)})
+		r.end(r.startAll()[0], flow.EndDone)
+		Expect(r.Retire(0, r.now.Add(time.Second))).To(BeEmpty(), "not before its end is kept")
+		r.save()
+		Expect(r.Retire(0, r.now.Add(time.Second))).To(BeEmpty(), "nor before it is archived")
+		Expect(r.Ended()).To(Equal([]Over{{ID: "j", State: flow.Succeeded}}))
+		Expect(r.Ended()).To(BeEmpty())
+		r.Archived("j")
+		Expect(r.Retire(0, r.now.Add(time.Second))).To(Equal([]Over{{ID: "j", State: flow.Succeeded}}))
+		s, known := r.State("j")
+		Expect(known).To(BeTrue())
+		Expect(s).To(Equal(flow.Succeeded))
+		Expect(r.Cancel("j", r.now)).To(BeTrue())
+		r.add("j", flow.Step{Count: 1, Demand: demand(1000)})
+		Expect(r.startAll()).To(BeEmpty(), "it does not run again")
+		Expect(r.Expire(time.Minute, r.now.Add(time.Hour))).To(Equal([]string{"j"}))
+		Expect(r.Known("j")).To(BeFalse())
+	})
+})
--- a/cluster/accept.go
+++ b/cluster/accept.go
@@ -5,8 +5,6 @@
 import (
 	"cmp"
 	"context"
-	"maps"
-	"slices"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -81,11 +79,7 @@
 func (n *Node) hallFor(cell, id string) string {
 	if d := n.own(cell); d != nil {
 		load, _ := d.Load()
-		var halls []*wire.HallRoom
-		for _, name := range slices.Sorted(maps.Keys(load.Halls)) {
-			halls = append(halls, &wire.HallRoom{Name: name, Free: load.Halls[name]})
-		}
-		return cmp.Or(drawHall(halls, id), n.settings.Hall)
+		return cmp.Or(drawHall(hallRooms(load), id), n.settings.Hall)
 	}
 	now := time.Now()
 	for _, o := range n.members.cells(now) {
--- a/cluster/advise_test.go
+++ b/cluster/advise_test.go
@@ -56,4 +56,14 @@
 		Expect(p.asked).To(Equal(1), "asked here, as the peer brought no answer")
 		Expect(n.caller(&long)).To(BeNil(), "the peer is given nothing for a while")
 	})
+
+	It("goes to peers that were heard a moment ago, not to those behind a cut", func() {
+		n := testNode(&policy{})
+		g := &wire.Greeting{Instance: "far", Hall: "other", Boot: "b", Addr: "127.0.0.1:1"}
+		n.members.heard(g, time.Now().Add(-2*askedWithin))
+		Expect(n.members.list(time.Now(), func(*member) bool { return true })).To(HaveLen(1), "it still counts as live")
+		Expect(n.caller(&long)).To(BeNil())
+		n.members.heard(g, time.Now())
+		Expect(n.caller(&long)).NotTo(BeNil())
+	})
 })
--- a/cluster/elect.go
+++ b/cluster/elect.go
@@ -74,7 +74,7 @@
 	var unheard time.Time
 	for ctx.Err() == nil {
 		now := time.Now()
-		if n.leaving.Load() || now.Before(n.slowUntil()) || n.own(name) != nil || n.ownerHeard(name, now, watchAfter) {
+		if n.leaving.Load() || now.Before(n.restsUntil()) || n.own(name) != nil || n.ownerHeard(name, now, watchAfter) {
 			unheard = time.Time{}
 		} else {
 			if unheard.IsZero() {
@@ -124,7 +124,7 @@
 func (n *Node) rest(d time.Duration) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.slow = time.Now().Add(d)
+	n.resting = time.Now().Add(d)
 }
 
 // ownerHeard reports whether the owner of a cell was heard within a time.
@@ -267,11 +267,11 @@
 	n.dropDriver(name, d)
 }
 
-// slowUntil returns until when this instance takes no seat.
-func (n *Node) slowUntil() time.Time {
+// restsUntil returns until when this instance takes no seat.
+func (n *Node) restsUntil() time.Time {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.slow
+	return n.resting
 }
 
 // handOver gives the seats up as planned.
--- a/cluster/elect_test.go
+++ b/cluster/elect_test.go
@@ -3,11 +3,14 @@
 package cluster
 
 import (
+	"context"
+	"net"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"dewpass.org/claim"
 	"dewpass.org/wire"
 )
 
@@ -52,3 +55,24 @@
 		Expect(n.members.allAnswer(now.Add(cellSilence))).To(BeFalse(), "one that started since may")
 	})
 })
+
+var _ = Describe("a seat that has an owner", func() {
+	It("may be taken once it went unwritten for longer than its owner goes on", func(ctx context.Context) {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		defer l.Close()
+		n := testNode(&policy{})
+		seat := claim.Seat{Owner: "other", Boot: "b", Addr: l.Addr().String(), ValidMS: 900}
+		Expect(n.vacant(ctx, seat, seat.Silence())).To(BeEmpty())
+		Expect(n.vacant(ctx, seat, seat.Silence()+1)).To(Equal("owner silent"))
+	})
+
+	It("is left to much stronger instances for a while", func() {
+		n := testNode(&policy{})
+		n.settings.Cluster.Processor = 0.2
+		now := time.Now()
+		Expect(n.turn("c", now)).To(BeZero())
+		n.members.heard(&wire.Greeting{Instance: "large", Hall: "h", Boot: "c", Addr: "c", StoreOk: true, Processor: 800}, now)
+		Expect(n.turn("c", now)).To(BeNumerically(">=", strongerPause))
+	})
+})
--- a/cluster/greet.go
+++ b/cluster/greet.go
@@ -12,6 +12,7 @@
 
 	"github.com/go-kit/log/level"
 
+	"dewpass.org/cell"
 	"dewpass.org/rows"
 	"dewpass.org/sched"
 	"dewpass.org/wire"
@@ -48,14 +49,21 @@
 		for q, jobs := range load.Pending {
 			sum.Pending = append(sum.Pending, &wire.QueuePending{Queue: q, Jobs: uint32(jobs)})
 		}
-		for _, name := range slices.Sorted(maps.Keys(load.Halls)) {
-			sum.Halls = append(sum.Halls, &wire.HallRoom{Name: name, Free: load.Halls[name]})
-		}
+		sum.Halls = hallRooms(load)
 		g.Cells = append(g.Cells, sum)
 	}
 	return g
 }
 
+// hallRooms returns what is free in each hall, by name.
+func hallRooms(load cell.Load) []*wire.HallRoom {
+	halls := make([]*wire.HallRoom, 0, len(load.Halls))
+	for _, name := range slices.Sorted(maps.Keys(load.Halls)) {
+		halls = append(halls, &wire.HallRoom{Name: name, Free: load.Halls[name]})
+	}
+	return halls
+}
+
 // processor returns the share of a processor, in thousandths.
 func (n *Node) processor() uint32 { return uint32(n.settings.Cluster.Processor * 1000) }
 
--- a/cluster/node.go
+++ b/cluster/node.go
@@ -81,8 +81,8 @@
 	// seats holds what is known of the last writes of all seats.
 	seats map[string]watched
 	times times
-	// slow is until when this instance takes no seat.
-	slow time.Time
+	// resting is until when this instance takes no seat.
+	resting time.Time
 	// asking counts the questions to the policy that this instance asks itself.
 	asking int
 }
--- a/driver/commit.go
+++ b/driver/commit.go
@@ -3,6 +3,7 @@
 package driver
 
 import (
+	"slices"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -76,57 +77,75 @@
 	}
 }
 
-// commitOnce writes one group, and reports whether it did.
+// group is what one group commit writes.
+type group struct {
+	saves []cell.Save
+	// stale names the jobs whose records are removed.
+	stale  []string
+	roster bool
+	tx     rows.Tx
+}
+
+// gather takes what there is to write. It reports whether there is anything. The
+// lock is held.
+func (d *Driver) gather() (group, bool) {
+	g := group{saves: d.cell.Saves(savesAtOnce), roster: d.rosterChanged}
+	if g.roster {
+		d.putRoster(&g.tx)
+		d.rosterChanged = false
+	} else {
+		// The rows of a roster take the place of these.
+		g.stale = d.stale[:min(len(d.stale), staleAtOnce)]
+		d.stale = d.stale[len(g.stale):]
+	}
+	for _, id := range g.stale {
+		g.tx.Remove = append(g.tx.Remove, RecordKey(d.Name, id))
+	}
+	for _, s := range g.saves {
+		g.tx.Put = append(g.tx.Put, rows.Row{Key: RecordKey(d.Name, s.ID), Value: flow.Encode(s.Record)})
+	}
+	return g, len(g.saves)+len(g.stale) > 0 || g.roster
+}
+
+// commitOnce writes one group, an empty one if renew is set, and reports whether
+// the store has taken it.
 func (d *Driver) commitOnce(renew bool) bool {
 	d.mu.Lock()
-	saves := d.cell.Saves(savesAtOnce)
-	roster := d.rosterChanged
-	var stale []string
-	if !roster {
-		// The rows of the roster take the place of these.
-		stale = d.stale[:min(len(d.stale), staleAtOnce)]
-		d.stale = d.stale[len(stale):]
-	}
-	if len(saves)+len(stale) == 0 && !roster && !renew {
+	g, found := d.gather()
+	if !found && !renew {
 		d.cell.Saved(nil, true)
 		d.announce()
 		d.mu.Unlock()
 		return false
 	}
-	begun := time.Now()
-	var t rows.Tx
-	for _, id := range stale {
-		t.Remove = append(t.Remove, RecordKey(d.Name, id))
-	}
-	for _, s := range saves {
-		t.Put = append(t.Put, rows.Row{Key: RecordKey(d.Name, s.ID), Value: flow.Encode(s.Record)})
-	}
-	if roster {
-		d.putRoster(&t)
-		d.rosterChanged = false
-	}
 	d.mu.Unlock()
-	_, err := d.Seat.Commit(d.ctx, t)
+	begun := time.Now()
+	_, err := d.Seat.Commit(d.ctx, g.tx)
 	if kind.Is(err, kind.Fenced) {
 		d.lost("the seat's row has another owner")
 	}
+	d.Scope.Histogram("write_seconds", latency).RecordDuration(time.Since(begun))
+	d.Scope.Counter("write_rows_total").Inc(int64(len(g.tx.Put)))
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.Scope.Histogram("write_seconds", latency).RecordDuration(time.Since(begun))
-	d.Scope.Counter("write_rows_total").Inc(int64(len(t.Put)))
-	d.cell.Saved(saves, err == nil)
+	d.committed(g, err == nil)
+	return err == nil
+}
+
+// committed takes in whether the store has taken a group. The lock is held.
+func (d *Driver) committed(g group, ok bool) {
+	d.cell.Saved(g.saves, ok)
 	poke(d.wake)
-	if err != nil {
-		d.stale = append(stale[:len(stale):len(stale)], d.stale...)
-		d.rosterChanged = d.rosterChanged || roster
-		return false
+	if !ok {
+		d.stale = slices.Concat(g.stale, d.stale)
+		d.rosterChanged = d.rosterChanged || g.roster
+		return
 	}
 	d.announce()
-	d.logEnded(saves)
+	d.logEnded(g.saves)
 	if d.cell.Dirty() {
 		poke(d.write)
 	}
-	return true
 }
 
 // logEnded logs the jobs that are over and kept: the last word on each.
--- a/driver/driver_test.go
+++ b/driver/driver_test.go
@@ -168,6 +168,41 @@
 	})
 })
 
+var _ = ginkgo.Describe("an owner", func() {
+	ginkgo.It("gives no orders once its seat may be taken, unless all obey it", func(ctx context.Context) {
+		d := newDriver(ctx, newTable(), func() {})
+		obeyed := false
+		d.Obeyed = func() bool { return obeyed }
+		w := d.Seat.Written()
+		Expect(d.mayOrder(w.Begun.Add(w.Valid - 1))).To(BeTrue())
+		Expect(d.mayOrder(w.Begun.Add(w.Valid))).To(BeFalse())
+		obeyed = true
+		Expect(d.mayOrder(w.Begun.Add(w.Valid))).To(BeTrue())
+	})
+
+	ginkgo.It("removes the records of jobs that went with their end", func(ctx context.Context) {
+		t := newTable()
+		old := RecordKey("c", "over")
+		_, err := t.Tx(ctx, rows.Tx{Put: []rows.Row{{Key: old, Value: flow.Encode(flow.Record{State: flow.Running})}}})
+		Expect(err).NotTo(HaveOccurred())
+		d := newDriver(ctx, t, func() {})
+		Expect(d.load()).To(BeTrue())
+		Expect(d.commitOnce(false)).To(BeTrue())
+		Expect(t.has(old)).To(BeFalse())
+	})
+
+	ginkgo.It("forgets the ends of its own cell that were kept for long enough, and no others", func(ctx context.Context) {
+		d := newDriver(ctx, newTable(), func() {})
+		now := time.Now()
+		row := func(id, cell string, age time.Duration) rows.Row {
+			e := flow.Ended{State: flow.Succeeded, Cell: cell, AtMS: now.Add(-age).UnixMilli()}
+			return rows.Row{Key: EndedKey(id), Value: flow.Encode(e)}
+		}
+		d.sweepAll([]rows.Row{row("a1", "c", 2*d.Keep), row("a2", "c", d.Keep/2), row("a3", "other", 2*d.Keep)}, now)
+		Expect(d.archives.take("a")).To(Equal([]archive{{id: "a1", forget: true}}))
+	})
+})
+
 var _ = ginkgo.Describe("the roster of a large cell", func() {
 	ginkgo.It("is written in rows that the store takes, and read back whole", func(ctx context.Context) {
 		t := newTable()
@@ -220,6 +255,8 @@
 var _ = ginkgo.Describe("while the cell's own part of the store is silent", func() {
 	ginkgo.It("shows a job that has succeeded, but no cancel", func(ctx context.Context) {
 		t := newTable()
+		t.putSpec("1")
+		t.putSpec("2")
 		d := newDriver(ctx, t, func() {})
 		room := sched.Vec{sched.Milli: 4000, sched.MiB: 4000}
 		d.cell.Configure([]cell.Queue{{Name: "q", Pool: "p", MaxAttempts: 1}})
@@ -240,6 +277,9 @@
 		Expect(s).To(Equal(flow.Succeeded))
 		s, _ = d.State("2")
 		Expect(s.Final()).To(BeFalse(), "another owner may not know of it")
+		Expect(t.has(SpecKey("1"))).To(BeFalse())
+		Expect(t.has(SpecKey("2"))).To(BeTrue(), "what the seat does not cover is not written")
+		Expect(t.has(EndedKey("2"))).To(BeFalse())
 	})
 })
 
--- a/rows/door_test.go
+++ b/rows/door_test.go
@@ -48,6 +48,29 @@
 	return &Door{Direct: own, Now: time.Now, Carry: peer.Serve}
 }
 
+// paged answers page by page, while others write.
+type paged struct {
+	Store
+	pages []Page
+}
+
+func (p *paged) Get(context.Context, Range) (Page, error) {
+	page := p.pages[0]
+	p.pages = p.pages[1:]
+	return page, nil
+}
+
+var _ = Describe("a reading of several pages", func() {
+	It("bears the version of the first, as what is written meanwhile may be missing", func(ctx context.Context) {
+		row := func(name string) Row { return Row{Key: Key{Name: name}} }
+		p := &paged{pages: []Page{{Rows: []Row{row("b")}, More: true, Ver: 7}, {Rows: []Row{row("c")}, Ver: 9}}}
+		all, ver, err := All(ctx, p, Range{})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(all).To(HaveLen(2))
+		Expect(ver).To(BeEquivalentTo(7))
+	})
+})
+
 var _ = Describe("a door", func() {
 	It("goes to the store itself while that answers", func(ctx context.Context) {
 		own, peers := &fake{}, &fake{}
--- a/test/hunt/hunt.sh
+++ b/test/hunt/hunt.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # SPDX-License-Identifier: Apache-2.0
-# Plays days of the users' bench: the standard days, those that test/days writes (PAIRS of them drawn by SEED), and days
-# drawn by it. Needs the bench (FLEETBENCH) and site files (SITES); it says so and
+# Plays days of the users' bench: the standard days, those that test/days writes
+# (PAIRS of them drawn by SEED), and days drawn by it. Needs the bench (FLEETBENCH) and site files (SITES); it says so and
 # ends well where they are not there. Prints one line a day, and what was broken.
 set -uo pipefail
 cd "$(dirname "$0")/../.."
