--- a/cell/over.go
+++ b/cell/over.go
@@ -59,16 +59,21 @@
 	return out
 }
 
-// Expire forgets the jobs that are over for longer than keep and returns their
-// ids.
-func (c *Cell) Expire(keep time.Duration, now time.Time) []string {
-	var ids []string
+// Expired is a job that Expire forgot, and for how long it was remembered.
+type Expired struct {
+	ID  string
+	Age time.Duration
+}
+
+// Expire forgets the jobs that are over for longer than keep and returns them.
+func (c *Cell) Expire(keep time.Duration, now time.Time) []Expired {
+	var out []Expired
 	for id, o := range c.over {
-		if now.Sub(o.since) > keep {
-			ids = append(ids, id)
+		if age := now.Sub(o.since); age > keep {
+			out = append(out, Expired{ID: id, Age: age})
 			delete(c.over, id)
 		}
 	}
-	slices.Sort(ids)
-	return ids
+	slices.SortFunc(out, func(a, b Expired) int { return strings.Compare(a.ID, b.ID) })
+	return out
 }
--- a/cell/over_test.go
+++ b/cell/over_test.go
@@ -29,7 +29,7 @@
 		Expect(r.Cancel("j", r.now)).To(BeTrue())
 		r.add("j", flow.Step{Count: 1, Demand: demand(1000)})
 		Expect(r.startAll()).To(BeEmpty(), "it does not run again")
-		Expect(r.Expire(time.Minute, r.now.Add(time.Hour))).To(Equal([]string{"j"}))
+		Expect(r.Expire(time.Minute, r.now.Add(time.Hour))).To(Equal([]Expired{{ID: "j", Age: time.Hour}}))
 		Expect(r.Known("j")).To(BeFalse())
 	})
 })
--- a/driver/load.go
+++ b/driver/load.go
@@ -141,7 +141,12 @@
 		if spec.Cell != d.Name {
 			continue
 		}
-		d.cell.Restore(spec, byID[r.Name], arrivedAt(spec, now))
+		rec := byID[r.Name]
+		d.cell.Restore(spec, rec, arrivedAt(spec, now))
+		if rec != nil && rec.State.Final() {
+			level.Info(d.Log).Log("event", "end_inherited", "job", r.Name, "epoch", d.Seat.Epoch(), "state", rec.State,
+				"accepted_ms_ago", now.UnixMilli()-spec.AcceptedMS)
+		}
 	}
 	for id := range byID {
 		// The job itself was removed when its end was archived.
--- a/driver/tidy.go
+++ b/driver/tidy.go
@@ -5,6 +5,8 @@
 import (
 	"time"
 
+	"github.com/go-kit/log/level"
+
 	"dewpass.org/flow"
 	"dewpass.org/rows"
 )
@@ -130,14 +132,22 @@
 	for _, o := range d.cell.Retire(retireAfter, now) {
 		d.stale = append(d.stale, o.ID)
 	}
-	for _, id := range d.cell.Expire(d.Keep, now) {
-		d.archives.add(archive{id: id, forget: true})
+	for _, x := range d.cell.Expire(d.Keep, now) {
+		d.forgetEnd(x.ID, x.Age, "kept")
 	}
 	if len(d.stale) > 0 {
 		poke(d.write)
 	}
 }
 
+// forgetEnd has what is left of a job removed: from then on nobody knows it.
+func (d *Driver) forgetEnd(id string, age time.Duration, why string) {
+	d.archives.add(archive{id: id, forget: true})
+	d.Scope.Counter("jobs_forgotten_total").Inc(1)
+	level.Info(d.Log).Log("event", "job_forgotten", "job", id, "cell", d.Name, "epoch", d.Seat.Epoch(),
+		"over_ms", age.Milliseconds(), "keep_ms", d.Keep.Milliseconds(), "why", why, "last", true)
+}
+
 // sweep removes what is left of jobs that ended under former owners.
 func (d *Driver) sweep() {
 	for d.ctx.Err() == nil {
@@ -156,8 +166,11 @@
 	defer d.mu.Unlock()
 	for _, r := range all {
 		e, err := flow.DecodeEnded(r.Value)
-		if err == nil && e.Cell == d.Name && now.Sub(time.UnixMilli(e.AtMS)) > d.Keep && !d.cell.Known(r.Name) {
-			d.archives.add(archive{id: r.Name, forget: true})
+		if err != nil || e.Cell != d.Name || d.cell.Known(r.Name) {
+			continue
+		}
+		if age := now.Sub(time.UnixMilli(e.AtMS)); age > d.Keep {
+			d.forgetEnd(r.Name, age, "swept")
 		}
 	}
 }
