cell, driver: how long a job that is over can be asked for counts from when its end could be shown

Cause: a new owner restored jobs with the time of their arrival as the time of day. The end of a job that was recorded and not archived yet became its arrival, and the job was forgotten 120 s after its acceptance (accepted at -5 s, 410 at 123.6 s). The class: the age of one thing measured from another one's time. Change: arrival and now are two times; a job is remembered from when it was retired, which is after its end is archived and shown, whatever its end was taken to be.

--- a/cell/advice_test.go
+++ b/cell/advice_test.go
@@ -52,7 +52,7 @@
 			{Name: "short", Pool: "p", Priority: 1, Advice: &Advice{Decide: 10 * time.Millisecond, Valid: time.Minute}},
 		})
 		submit := func(id, queue string) {
-			r.Submit(&flow.Spec{ID: id, Queue: queue, Steps: []flow.Step{{Count: 1, Demand: demand(1000)}}}, r.now)
+			r.Submit(&flow.Spec{ID: id, Queue: queue, Steps: []flow.Step{{Count: 1, Demand: demand(1000)}}}, r.now, r.now)
 			r.Keep(id)
 		}
 		for i := range 6 {
--- a/cell/cell_test.go
+++ b/cell/cell_test.go
@@ -53,7 +53,7 @@
 
 // add submits a job and has it kept.
 func (r *rig) add(id string, steps ...flow.Step) {
-	r.Submit(&flow.Spec{ID: id, Queue: "q", Steps: steps}, r.now)
+	r.Submit(&flow.Spec{ID: id, Queue: "q", Steps: steps}, r.now, r.now)
 	r.Keep(id)
 }
 
@@ -158,7 +158,7 @@
 
 	It("uses no numbers up and has not begun while a gang waits for room", func() {
 		r := newRig(1)
-		r.Submit(&flow.Spec{ID: "j", Queue: "q", Hall: "h", Steps: []flow.Step{{Count: 5, Demand: demand(1000), Gang: true}}}, r.now)
+		r.Submit(&flow.Spec{ID: "j", Queue: "q", Hall: "h", Steps: []flow.Step{{Count: 5, Demand: demand(1000), Gang: true}}}, r.now, r.now)
 		r.Keep("j")
 		for range 5000 {
 			Expect(r.Place(r.now, r.now, 0).Starts).To(BeEmpty())
@@ -201,7 +201,7 @@
 		r := newRig(1)
 		r.heard("far", func(w *Worker) { w.Hall = "other" })
 		r.Attached("far", Lists{}, r.now)
-		r.Submit(&flow.Spec{ID: "j", Queue: "q", Hall: "h", Steps: []flow.Step{{Count: 5, Demand: demand(1000)}}}, r.now)
+		r.Submit(&flow.Spec{ID: "j", Queue: "q", Hall: "h", Steps: []flow.Step{{Count: 5, Demand: demand(1000)}}}, r.now, r.now)
 		r.Keep("j")
 		own := r.Place(r.now, r.now, 0).Starts
 		Expect(own).To(HaveLen(4))
@@ -224,7 +224,7 @@
 	It("starts a time of a repeated job when it falls due", func() {
 		r := newRig(1)
 		spec := &flow.Spec{ID: "j", Queue: "q", Times: 2, StartMS: r.now.Add(time.Second).UnixMilli(), EveryMS: 1000, Steps: []flow.Step{{Count: 1, Demand: demand(100)}}}
-		r.Submit(spec, r.now)
+		r.Submit(spec, r.now, r.now)
 		r.Keep("j")
 		Expect(r.startAll()).To(BeEmpty())
 		r.now = r.now.Add(1100 * time.Millisecond)
@@ -404,7 +404,7 @@
 		r := newRig(1)
 		r.heard("w9", func(*Worker) {})
 		r.Restore(&flow.Spec{ID: "k", Queue: "q", Steps: []flow.Step{{Count: 1, Demand: demand(1000)}}},
-			&flow.Record{State: flow.Running, Stages: []flow.StageRecord{{Halls: []string{"h"}}}}, r.now)
+			&flow.Record{State: flow.Running, Stages: []flow.StageRecord{{Halls: []string{"h"}}}}, r.now, r.now)
 		r.now = r.now.Add(time.Minute)
 		Expect(r.startAll()).To(BeEmpty(), "time alone proves nothing")
 	})
--- a/cell/job.go
+++ b/cell/job.go
@@ -150,9 +150,9 @@
 
 // Submit adds a job that is not kept yet: advice may be asked for, but nothing
 // starts before Keep.
-func (c *Cell) Submit(spec *flow.Spec, now time.Time) {
+func (c *Cell) Submit(spec *flow.Spec, arrived, now time.Time) {
 	if !c.Known(spec.ID) {
-		c.add(spec, nil, now)
+		c.add(spec, nil, arrived, now)
 	}
 }
 
@@ -175,11 +175,11 @@
 }
 
 // Restore adds a job that the store has.
-func (c *Cell) Restore(spec *flow.Spec, rec *flow.Record, now time.Time) {
+func (c *Cell) Restore(spec *flow.Spec, rec *flow.Record, arrived, now time.Time) {
 	if c.jobs[spec.ID] != nil {
 		return
 	}
-	j := c.add(spec, rec, now)
+	j := c.add(spec, rec, arrived, now)
 	j.kept, j.restored = true, true
 	j.shown = flow.Pending
 	if rec != nil {
@@ -187,8 +187,10 @@
 	}
 }
 
-func (c *Cell) add(spec *flow.Spec, rec *flow.Record, now time.Time) *job {
-	j := &job{spec: spec, state: flow.Pending, arrived: now, hall: spec.Hall}
+// add adds a job that arrived at one time and is taken in now. What it does not know of
+// the end of a job that is over happens now, never at its arrival.
+func (c *Cell) add(spec *flow.Spec, rec *flow.Record, arrived, now time.Time) *job {
+	j := &job{spec: spec, state: flow.Pending, arrived: arrived, hall: spec.Hall}
 	if rec != nil {
 		j.state, j.cancelled = rec.State, rec.Cancelled
 		j.began = rec.State != flow.Pending
@@ -215,7 +217,7 @@
 			}
 		}
 		if s.left > 0 {
-			s.waitSince = now
+			s.waitSince = arrived
 			c.open = append(c.open, s)
 		}
 	}
--- a/cell/over.go
+++ b/cell/over.go
@@ -19,6 +19,7 @@
 // over is what is remembered of a job that is over.
 type over struct {
 	state flow.State
+	// since is when the job was retired, after its end could be shown.
 	since time.Time
 }
 
@@ -51,7 +52,9 @@
 	for id, j := range c.jobs {
 		if j.archived && j.shown == j.state && !j.marked && now.Sub(j.ended) > after {
 			out = append(out, Over{ID: id, State: j.state})
-			c.over[id] = over{state: j.state, since: j.ended}
+			// Clients can learn of the end only once it is archived: what an
+			// operator lets them ask for counts from then, whenever it ended.
+			c.over[id] = over{state: j.state, since: now}
 			delete(c.jobs, id)
 		}
 	}
--- a/cell/over_test.go
+++ b/cell/over_test.go
@@ -29,7 +29,25 @@
 		Expect(r.Cancel("j", r.now)).To(BeTrue())
 		r.add("j", flow.Step{Count: 1, Demand: demand(1000)})
 		Expect(r.startAll()).To(BeEmpty(), "it does not run again")
-		Expect(r.Expire(time.Minute, r.now.Add(time.Hour))).To(Equal([]Expired{{ID: "j", Age: time.Hour}}))
+		retired := r.now.Add(time.Second)
+		Expect(r.Expire(time.Minute, retired.Add(time.Minute))).To(BeEmpty(), "it is kept for all of the time")
+		Expect(r.Expire(time.Minute, retired.Add(time.Hour))).To(Equal([]Expired{{ID: "j", Age: time.Hour}}))
 		Expect(r.Known("j")).To(BeFalse())
 	})
+
+	It("is over since it was taken in, not since it arrived, if a former owner ended it", func() {
+		done := flow.Bits{1}
+		for _, rec := range []*flow.Record{
+			{State: flow.Succeeded},
+			{State: flow.Running, Stages: []flow.StageRecord{{Done: done}}},
+		} {
+			r := newRig(0)
+			r.Restore(&flow.Spec{ID: "j", Steps: []flow.Step{{Count: 1}}}, rec, r.now.Add(-time.Hour), r.now)
+			Expect(r.Ended()).To(Equal([]Over{{ID: "j", State: flow.Succeeded}}))
+			r.Archived("j")
+			r.save()
+			Expect(r.Retire(time.Second, r.now.Add(time.Second))).To(BeEmpty())
+			Expect(r.Retire(time.Second, r.now.Add(2*time.Second))).To(HaveLen(1))
+		}
+	})
 })
--- a/cell/owner_test.go
+++ b/cell/owner_test.go
@@ -17,7 +17,7 @@
 
 	It("takes on what runs, and starts nothing twice", func() {
 		r := newRig(0)
-		r.Restore(spec, record("h"), r.now)
+		r.Restore(spec, record("h"), r.now, r.now)
 		r.heard("w0", func(*Worker) {})
 		row := Running{Task: flow.TaskID{Job: "j"}, Run: 4097, Percent: 50}
 		r.Attached("w0", Lists{Running: []Running{row}}, r.now)
@@ -31,7 +31,7 @@
 	It("waits with a step that was open for a worker that may run it", func() {
 		r := newRig(1)
 		r.heard("w9", func(*Worker) {})
-		r.Restore(spec, record("h"), r.now)
+		r.Restore(spec, record("h"), r.now, r.now)
 		Expect(r.startAll()).To(BeEmpty())
 		r.Lapsed("w9", r.now)
 		Expect(r.startAll()).To(HaveLen(1))
@@ -43,7 +43,7 @@
 			r.heard("w9", func(w *Worker) { w.Hall = hall })
 			own := *spec
 			own.Hall = "h"
-			r.Restore(&own, record(), r.now)
+			r.Restore(&own, record(), r.now, r.now)
 			Expect(r.startAll()).To(HaveLen(map[bool]int{true: 0, false: 1}[held]), "an unknown worker in hall %q", hall)
 		}
 	})
--- a/driver/driver_test.go
+++ b/driver/driver_test.go
@@ -198,8 +198,8 @@
 			e := flow.Ended{State: flow.Succeeded, Cell: cell, AtMS: now.Add(-age).UnixMilli()}
 			return rows.Row{Key: EndedKey(id), Value: flow.Encode(e)}
 		}
-		d.sweepAll([]rows.Row{row("a1", "c", 2*d.Keep), row("a2", "c", d.Keep/2), row("a3", "other", 2*d.Keep)}, now)
-		Expect(d.archives.take("a")).To(Equal([]archive{{id: "a1", forget: true}}))
+		d.sweepAll([]rows.Row{row("a1", "c", 2*d.Keep), row("a2", "c", d.Keep/2), row("a3", "other", 2*d.Keep), row("a4", "c", d.Keep+sweepSlack/2)}, now)
+		Expect(d.archives.take("a")).To(Equal([]archive{{id: "a1", forget: true}}), "a4 may be younger by another clock")
 	})
 })
 
--- a/driver/load.go
+++ b/driver/load.go
@@ -142,7 +142,7 @@
 			continue
 		}
 		rec := byID[r.Name]
-		d.cell.Restore(spec, rec, arrivedAt(spec, now))
+		d.cell.Restore(spec, rec, arrivedAt(spec, now), now)
 		if rec != nil && rec.State.Final() {
 			level.Info(d.Log).Log("event", "end_inherited", "job", r.Name, "epoch", d.Seat.Epoch(), "state", rec.State,
 				"accepted_ms_ago", now.UnixMilli()-spec.AcceptedMS)
--- a/driver/scan.go
+++ b/driver/scan.go
@@ -39,7 +39,7 @@
 
 // adopt adds a job that no former owner can have started. The lock is held.
 func (d *Driver) adopt(spec *flow.Spec, now time.Time) {
-	d.cell.Submit(spec, arrivedAt(spec, now))
+	d.cell.Submit(spec, arrivedAt(spec, now), now)
 	d.cell.Keep(spec.ID)
 }
 
@@ -80,16 +80,28 @@
 	return r.ver()
 }
 
+// found takes in the jobs among changed rows, in the order of the changes. A job whose
+// row is there is not over, however long ago it was accepted.
 func (d *Driver) found(all []rows.Row) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	gone := make(map[string]uint64)
+	for _, r := range all {
+		if r.Gone {
+			gone[r.Name] = r.Ver
+		}
+	}
 	now := time.Now()
 	for _, r := range all {
-		if r.Gone || !d.isNew(r.Name, r.Ver) {
+		if r.Gone || gone[r.Name] > r.Ver || !d.isNew(r.Name, r.Ver) {
 			continue
 		}
 		spec, err := flow.DecodeSpec(r.Value)
-		if err != nil || spec.Cell != d.Name || now.Sub(arrivedAt(spec, now)) > d.Keep {
+		if err != nil {
+			level.Error(d.Log).Log("event", "bad_spec", "job", r.Name, "err", err)
+			continue
+		}
+		if spec.Cell != d.Name {
 			continue
 		}
 		level.Info(d.Log).Log("event", "job_found", "job", r.Name, "version", r.Ver)
--- a/driver/tidy.go
+++ b/driver/tidy.go
@@ -19,6 +19,10 @@
 	// sweepEvery spaces the readings of all jobs that are over, for those of
 	// former owners.
 	sweepEvery = 10 * time.Minute
+	// sweepSlack is by how much instances may disagree on the time of day, by which an
+	// end that another owner archived is told to be old. A minute is far beyond what
+	// synchronised clocks show, and costs only rows that stay a little longer.
+	sweepSlack = time.Minute
 	// archiveAtOnce bounds the jobs of a transaction, of two entries each.
 	archiveAtOnce = 40
 )
@@ -169,7 +173,7 @@
 		if err != nil || e.Cell != d.Name || d.cell.Known(r.Name) {
 			continue
 		}
-		if age := now.Sub(time.UnixMilli(e.AtMS)); age > d.Keep {
+		if age := now.Sub(time.UnixMilli(e.AtMS)); age > d.Keep+sweepSlack {
 			d.forgetEnd(r.Name, age, "swept")
 		}
 	}
