cluster: what an owner does not know of a job is asked of the store

An owner is told of a job after it was accepted, and forgets it before other instances do. Change: a pending job of a remembered home counts as forgotten once its home is gone; a cancel that the owner refuses is looked up, and the owner told of the job if it is not over. One reading more in both cases, none elsewhere.

--- a/cluster/jobs.go
+++ b/cluster/jobs.go
@@ -9,6 +9,8 @@
 	"sync"
 	"time"
 
+	"github.com/go-kit/log/level"
+
 	"dewpass.org/driver"
 	"dewpass.org/flow"
 	"dewpass.org/kind"
@@ -45,6 +47,13 @@
 	h.now[id] = cell
 }
 
+func (h *homes) drop(id string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	delete(h.now, id)
+	delete(h.last, id)
+}
+
 func (h *homes) get(id string) string {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -122,6 +131,7 @@
 			return s, nil
 		}
 	}
+	remembered := n.homes.get(id) != ""
 	cell, err := n.home(ctx, id)
 	if err != nil {
 		return "", err
@@ -131,7 +141,13 @@
 			return s, nil
 		}
 	}
-	return n.stored(ctx, cell, id)
+	state, err := n.stored(ctx, cell, id)
+	if err == nil && state == flow.Pending && remembered {
+		// A job that was forgotten has neither a record nor an end, like one that
+		// has not begun: only its home tells them apart.
+		_, err = n.readHome(ctx, id)
+	}
+	return state, err
 }
 
 // likelyHome returns the cell of another owner that has a job if it is there at all:
@@ -152,12 +168,17 @@
 	if cell := n.homes.get(id); cell != "" {
 		return cell, nil
 	}
-	page, err := n.door.Get(ctx, rows.Only(driver.HomeKey(id)))
+	return n.readHome(ctx, id)
+}
+
+// readHome reads from the store which cell has a job.
+func (n *Node) readHome(ctx context.Context, id string) (string, error) {
+	row, err := n.row(ctx, driver.HomeKey(id))
 	if err != nil {
-		return "", kind.Wrap(kind.Unavailable, err, "the job's cell").After(comeBack)
+		return "", err
 	}
-	row := page.One()
 	if row.Ver == 0 {
+		n.homes.drop(id)
 		return "", kind.New(kind.NotFound, "no job has this id")
 	}
 	n.homes.set(id, string(row.Value))
@@ -221,7 +242,7 @@
 func (n *Node) row(ctx context.Context, key rows.Key) (rows.Row, error) {
 	page, err := n.door.Get(ctx, rows.Only(key))
 	if err != nil {
-		return rows.Row{}, kind.Wrap(kind.Unavailable, err, "the job's record").After(comeBack)
+		return rows.Row{}, kind.Wrap(kind.Unavailable, err, "the job's row in "+key.Table).After(comeBack)
 	}
 	return page.One(), nil
 }
@@ -249,6 +270,14 @@
 	if err != nil {
 		return err
 	}
+	if err = n.cancelAt(ctx, cell, id); kind.Is(err, kind.NotFound) {
+		return n.tellOfCanceled(ctx, cell, id)
+	}
+	return err
+}
+
+// cancelAt has the owner of a cell cancel a job.
+func (n *Node) cancelAt(ctx context.Context, cell, id string) error {
 	d := n.own(cell)
 	if d == nil {
 		_, err := n.askOwner(ctx, cell, id, true)
@@ -260,6 +289,27 @@
 	return d.Cancel(ctx, id)
 }
 
+// tellOfCanceled tells an owner of a job that it does not know and that is not over: one
+// that was accepted a moment ago. The error is of kind NotFound if the job is over.
+func (n *Node) tellOfCanceled(ctx context.Context, cell, id string) error {
+	row, err := n.row(ctx, driver.SpecKey(id))
+	if err != nil {
+		return err
+	}
+	if row.Ver == 0 {
+		return kind.New(kind.NotFound, "the job is over")
+	}
+	spec, err := flow.DecodeSpec(row.Value)
+	if err != nil {
+		return kind.Wrap(kind.Damaged, err, "the job's row")
+	}
+	level.Info(n.kit.Log).Log("event", "cancel_waits", "job", id, "cell", cell, "version", row.Ver, "why", "its owner has not been told of it")
+	if err := n.tellOnce(ctx, kept{cell: cell, ver: row.Ver}, spec, row.Value); err != nil {
+		return err
+	}
+	return kind.New(kind.Unavailable, "the cell's owner has just been told of the job").After(comeBack)
+}
+
 // Pending returns how many accepted jobs of a queue have not begun.
 func (n *Node) Pending(queue string) int {
 	sum := 0
