--- a/internal/standin/world/world.go
+++ b/internal/standin/world/world.go
@@ -25,6 +25,9 @@
 	Host string
 	// Advice lets a policy choose: one worker of three may run a step.
 	Advice bool
+	// Via returns the address by which others reach what listens at one, if it is
+	// set.
+	Via func(addr string) (string, error)
 }
 
 // World is the users' platform in small.
@@ -89,6 +92,9 @@
 	w.servers = append(w.servers, s)
 	// Serve ends with the server.
 	go func() { _ = s.Serve(l) }()
+	if w.options.Via != nil {
+		return w.options.Via(l.Addr().String())
+	}
 	return l.Addr().String(), nil
 }
 
--- /dev/null
+++ b/link/silent_test.go
@@ -0,0 +1,55 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package link
+
+import (
+	"context"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"dewpass.org/test/mute"
+)
+
+// Peers' sessions went silent without a reset, and greetings to and from these peers had
+// no answer any more, while new connections worked. A session was closed only once an
+// opened stream had gone 2 s without an acknowledgement, and a caller that gave up and
+// closed its stream, after 600 ms for a greeting, called that timer off: each greeting
+// failed with "i/o deadline reached" and the next one took the same session.
+var _ = Describe("a session that goes silent", func() {
+	const (
+		// limit and every are those of greetings.
+		limit = 600 * time.Millisecond
+		every = 250 * time.Millisecond
+		// within is half of how long after a reset the rules of users hold again.
+		within = 1500 * time.Millisecond
+	)
+
+	It("is replaced within a second and a half, although callers give up sooner than that", func(ctx context.Context) {
+		addr, s, _ := listen(echo{})
+		p, err := mute.Listen(addr)
+		Expect(err).NotTo(HaveOccurred())
+		defer p.Close()
+		d := &Dialer{}
+		defer d.Close()
+		ask := func() error {
+			ctx, cancel := context.WithTimeout(ctx, limit)
+			defer cancel()
+			_, err := d.Do(ctx, p.Addr(), hello("a"))
+			return err
+		}
+		Expect(ask()).To(Succeed())
+		Expect(p.Silence()).To(Equal(1))
+		silent := time.Now()
+		Eventually(ask, 10*time.Second, every).Should(Succeed())
+		AddReportEntry("answers again after", time.Since(silent))
+		Expect(time.Since(silent)).To(BeNumerically("<", within))
+		sessions := func() int {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			return len(s.open)
+		}
+		Eventually(sessions).Should(Equal(1), "the server forgets the silent one")
+	})
+})
