link: replace a session that has gone silent

Cause: yamux closes a session whose stream is not acknowledged within 2 s, but a caller that gives up before closes its stream, which calls that timer off. Greetings give up after 0.6 s, so a session that went silent without a reset was used for good, and so was its other end by the server.

Change: the dialer notes when bytes last came on a session. A request that ends without a reply, after 0.3 s in which nothing came, closes the session. One on which nothing ever came is a paused peer's and is given 2 s, so that pauses do not cost a new connection for each greeting. Servers ping every 10 s, which ends their half.

--- a/link/dialer.go
+++ b/link/dialer.go
@@ -22,6 +22,10 @@
 	// redialPause keeps an unreachable peer from being dialled for every
 	// request.
 	redialPause = 200 * time.Millisecond
+	// silentAfter is for how long a session may bring nothing while a request waits: a
+	// live peer acknowledges a stream at once. The least time that a request is given
+	// is 400 ms, and a peer whose processor is used up pauses for 100 ms.
+	silentAfter = 300 * time.Millisecond
 )
 
 // Dialer keeps one session to each peer.
@@ -37,7 +41,7 @@
 	// turn holds one token; who has it may use the other fields. A caller whose
 	// time is over does not wait for another one's dial.
 	turn    chan struct{}
-	session *yamux.Session
+	session *session
 	failed  time.Time
 	err     error
 }
@@ -48,7 +52,12 @@
 	if err := fault.Link("peer/" + addr); err != nil {
 		return nil, err
 	}
-	stream, err := d.open(ctx, addr)
+	session, err := d.peer(addr).get(ctx, addr, d.TLS)
+	if err != nil {
+		return nil, kind.Wrap(kind.Unavailable, err, "peer "+addr)
+	}
+	begun := time.Now()
+	stream, err := session.OpenStream()
 	if err != nil {
 		return nil, kind.Wrap(kind.Unavailable, err, "peer "+addr)
 	}
@@ -60,6 +69,10 @@
 	}
 	var reply wire.Reply
 	if err := readFrame(stream, &reply); err != nil {
+		if session.silent(begun, time.Now()) {
+			// The next request would have no answer either. Close may wait for a write.
+			go session.Close()
+		}
 		return nil, kind.Wrap(kind.Lost, err, "peer "+addr)
 	}
 	if err := fault.Reply("peer/" + addr); err != nil {
@@ -104,16 +117,8 @@
 	return p
 }
 
-func (d *Dialer) open(ctx context.Context, addr string) (*yamux.Stream, error) {
-	session, err := d.peer(addr).get(ctx, addr, d.TLS)
-	if err != nil {
-		return nil, err
-	}
-	return session.OpenStream()
-}
-
 // get returns the session, dialling if there is none.
-func (p *peer) get(ctx context.Context, addr string, conf func(string) *tls.Config) (*yamux.Session, error) {
+func (p *peer) get(ctx context.Context, addr string, conf func(string) *tls.Config) (*session, error) {
 	select {
 	case p.turn <- struct{}{}:
 		defer func() { <-p.turn }()
@@ -133,13 +138,15 @@
 	return p.session, p.err
 }
 
-func dial(ctx context.Context, addr string, conf func(string) *tls.Config) (*yamux.Session, error) {
+func dial(ctx context.Context, addr string, conf func(string) *tls.Config) (*session, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	c, err := sock.Dialer(dialTimeout).DialContext(ctx, "tcp", addr)
+	raw, err := sock.Dialer(dialTimeout).DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return nil, err
 	}
+	heard := &heardConn{Conn: raw}
+	var c net.Conn = heard
 	if conf != nil {
 		host, _, _ := net.SplitHostPort(addr)
 		t := tls.Client(c, conf(host))
@@ -149,7 +156,8 @@
 		}
 		c = t
 	}
-	return yamux.Client(c, sessionConfig())
+	y, err := yamux.Client(c, sessionConfig())
+	return &session{Session: y, conn: heard, opened: time.Now()}, err
 }
 
 func (p *peer) drop() {
--- a/link/frame.go
+++ b/link/frame.go
@@ -24,15 +24,25 @@
 	closeTimeout  = 5 * time.Second
 	streamWindow  = 256 << 10
 	handshakeTime = 2 * time.Second
+	// pingEvery spaces the pings by which a server finds out sessions that their
+	// dialers have replaced without a word. Such a session costs memory only.
+	pingEvery = 10 * time.Second
 )
 
-// sessionConfig is the configuration of both ends. A window of the least size
+// serverConfig is the configuration of the end that accepts.
+func serverConfig() *yamux.Config {
+	c := sessionConfig()
+	c.EnableKeepAlive, c.KeepAliveInterval = true, pingEvery
+	return c
+}
+
+// sessionConfig is the configuration of the end that dials. A window of the least size
 // bounds what a slow reader can hold up in memory.
 func sessionConfig() *yamux.Config {
 	c := yamux.DefaultConfig()
 	c.AcceptBacklog = backlog
-	// Peers say hello, and every request has a deadline; pings would only add
-	// to it.
+	// Every request has a time limit and shows whether the peer is heard; pings would
+	// only add to it.
 	c.EnableKeepAlive = false
 	c.ConnectionWriteTimeout = writeTimeout
 	c.StreamOpenTimeout = openTimeout
--- a/link/server.go
+++ b/link/server.go
@@ -77,7 +77,7 @@
 	if s.TLS != nil {
 		c = tls.Server(c, s.TLS)
 	}
-	session, err := yamux.Server(c, sessionConfig())
+	session, err := yamux.Server(c, serverConfig())
 	if err != nil {
 		_ = c.Close()
 		return
