cluster: bound the question whether a job is kept

Cause: while a write that keeps a job is without an answer, the store is asked for it. That question could take 1.5 s, and the write was sent again only after it.

Change: it may take 0.6 s, as that for a seat may.

--- a/cluster/accept.go
+++ b/cluster/accept.go
@@ -22,8 +22,11 @@
 	acceptTime = 2200 * time.Millisecond
 	// acceptLook is how long the store may be without an answer before it is
 	// asked whether it has the job.
-	acceptLook  = 150 * time.Millisecond
-	acceptRetry = 60 * time.Millisecond
+	acceptLook = 150 * time.Millisecond
+	// acceptLookTime bounds that question as that for a seat is, so that the write is
+	// sent again, on another connection, well within acceptTime.
+	acceptLookTime = 4 * acceptLook
+	acceptRetry    = 60 * time.Millisecond
 	// tellTime bounds the telling of a cell's owner; the owner finds the job by
 	// itself later.
 	tellTime  = 4 * time.Second
@@ -215,6 +218,8 @@
 	if !n.door.Reachable() {
 		return rows.Result{}, true, kind.New(kind.Lost, "the store is not reached any more")
 	}
+	ctx, cancel := context.WithTimeout(ctx, acceptLookTime)
+	defer cancel()
 	page, err := n.door.Get(ctx, rows.Only(home))
 	if err == nil && page.One().Ver > 0 {
 		return rows.Result{Refused: true, Rows: page.Rows}, true, nil
