--- a/link/silent_test.go
+++ b/link/silent_test.go
@@ -4,11 +4,13 @@
 
 import (
 	"context"
+	"net"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"dewpass.org/kind"
 	"dewpass.org/test/mute"
 )
 
@@ -52,4 +54,28 @@
 		}
 		Eventually(sessions).Should(Equal(1), "the server forgets the silent one")
 	})
+
+	It("stays for two seconds if nothing ever came, as that of a paused peer does", func(ctx context.Context) {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		defer l.Close()
+		d := &Dialer{}
+		defer d.Close()
+		ask := func() {
+			ctx, cancel := context.WithTimeout(ctx, limit)
+			defer cancel()
+			_, err := d.Do(ctx, l.Addr().String(), hello("a"))
+			Expect(kind.Is(err, kind.Lost)).To(BeTrue())
+		}
+		ask()
+		first := d.peer(l.Addr().String()).session
+		for time.Since(first.opened) < openTimeout-limit {
+			ask()
+			Expect(d.peer(l.Addr().String()).session).To(BeIdenticalTo(first))
+			Expect(first.IsClosed()).To(BeFalse())
+		}
+		ask()
+		ask()
+		Eventually(first.IsClosed).Should(BeTrue())
+	})
 })
