--- a/test/days/main.go
+++ b/test/days/main.go
@@ -1,8 +1,9 @@
 // SPDX-License-Identifier: Apache-2.0
 
 // Command days writes day files for the users' bench: one for each disruption
-// that it knows, alone at three moments, and pairs that a seed draws, each of the
-// two several times and anywhere in the day. The same seed draws the same days.
+// that it knows, alone at three moments, pairs that a seed draws, each of the two
+// several times and anywhere in the day, and a few long days written by hand. The
+// same seed draws the same days.
 //
 //	days -dir DIR [-pairs N] [-seed S]
 //
@@ -95,6 +96,8 @@
 	lastMoment = 30.0
 	// timesMost is how often one of a pair comes at most.
 	timesMost = 3
+	// siteLength leaves the length of a day to the site.
+	siteLength = 0.0
 )
 
 // entry is a disruption at a moment.
@@ -103,8 +106,12 @@
 	at float64
 }
 
-// day returns the text of a day.
-func day(name string, seed uint64, entries []entry) string {
+// day returns the text of a day. It is as long as the site's days if lengthS is 0.
+func day(name string, seed uint64, lengthS float64, entries []entry) string {
+	length := ""
+	if lengthS > 0 {
+		length = fmt.Sprintf("length_s = %.1f\n", lengthS)
+	}
 	var plan, faults bytes.Buffer
 	fmt.Fprintf(&plan, "  { at = 6.5, kind = \"config_change\", how = \"timeout\" },\n")
 	for _, e := range entries {
@@ -112,13 +119,13 @@
 		if e.planned {
 			to = &plan
 		}
-		fmt.Fprintf(to, "  { at = %.1f, kind = %q, %s },\n", e.at, e.kind, e.with)
+		fmt.Fprintf(to, "  { at = %.2f, kind = %q, %s },\n", e.at, e.kind, e.with)
 	}
 	return fmt.Sprintf(`[[day]]
 name = %q
 slot = "trouble"
 seed = %d
-one = 1.0
+%sone = 1.0
 zero = 0.0
 goal = { floor = 0.0 }
 labels = []
@@ -126,7 +133,7 @@
 %s]
 faults = [
 %s]
-`, name, seed, plan.String(), faults.String())
+`, name, seed, length, plan.String(), faults.String())
 }
 
 // alone returns a day with one disruption at each of the moments.
@@ -136,7 +143,7 @@
 	for _, m := range moments {
 		entries = append(entries, entry{d, m})
 	}
-	return name, day(name, 4711, entries)
+	return name, day(name, 4711, siteLength, entries)
 }
 
 // pair returns a day with two disruptions, drawn by the seed.
@@ -150,7 +157,7 @@
 		}
 	}
 	name := fmt.Sprintf("pair-%d", seed)
-	return name, day(name, seed, entries)
+	return name, day(name, seed, siteLength, entries)
 }
 
 func main() {
@@ -174,6 +181,11 @@
 			return err
 		}
 	}
+	for _, d := range longDays() {
+		if err := put(dir)(d.text()); err != nil {
+			return err
+		}
+	}
 	for i := range pairs {
 		if err := put(dir)(pair(seed + uint64(i))); err != nil {
 			return err
