rows: a connection that has gone silent does not turn an instance away from the store

Cause: any call without an answer sent all others by peers until the next probe, also when the store had answered others meanwhile: a silent feed alone was enough. Change: only a call during which nothing came of the store at all does.

--- a/rows/door.go
+++ b/rows/door.go
@@ -284,7 +284,9 @@
 		d.away = false
 		// The size of an answer says nothing of how fast the store is.
 		d.took += (cmp.Or(answered, now.Sub(begun)) - d.took) * tookShare / 8
-	case answered == 0 && (kind.Is(err, kind.Unavailable) || kind.Is(err, kind.Lost)):
+	case d.direct.Before(begun) && (kind.Is(err, kind.Unavailable) || kind.Is(err, kind.Lost)):
+		// Nothing has come since the call was begun, of this answer or another: one
+		// connection that has gone silent says nothing of the store.
 		d.away = true
 	}
 	d.mu.Unlock()
--- a/rows/door_test.go
+++ b/rows/door_test.go
@@ -224,3 +224,33 @@
 		Expect(p.Ver).To(BeEquivalentTo(7), "the version is that of the first page")
 	})
 })
+
+// mixed answers calls for some tables only.
+type mixed struct {
+	Store
+	silent string
+}
+
+func (m mixed) Get(ctx context.Context, r Range) (Page, error) {
+	if r.Table == m.silent {
+		<-ctx.Done()
+		return Page{}, kind.Wrap(kind.Lost, ctx.Err(), "store")
+	}
+	return Page{Ver: 1}, nil
+}
+
+var _ = Describe("a call on a connection that has gone silent", func() {
+	It("does not turn others away from a store that answers them", func(ctx context.Context) {
+		d := &Door{Direct: mixed{silent: "x"}, Now: time.Now}
+		go func() {
+			time.Sleep(directTime / 2)
+			_, _ = d.Near().Get(ctx, Range{Table: "y"})
+		}()
+		_, err := d.Near().Get(ctx, Range{Table: "x"})
+		Expect(kind.Is(err, kind.Lost)).To(BeTrue())
+		Expect(d.isAway()).To(BeFalse())
+		_, err = d.Near().Get(ctx, Range{Table: "x"})
+		Expect(kind.Is(err, kind.Lost)).To(BeTrue())
+		Expect(d.isAway()).To(BeTrue(), "nobody was answered meanwhile")
+	})
+})
