--- a/test/days/long.go
+++ b/test/days/long.go
@@ -29,6 +29,15 @@
 	killsInTurn, killsAfterS, killsEveryS = 8, 1.7, 0.55
 )
 
+const (
+	// lateS is how long the day of late restarts lasts: jobs are asked for up to 15 s
+	// after it, some seconds less than the 120 s for which they are kept after the
+	// first seconds of the day.
+	lateS = 109.0
+	// rollAtS is when the restarts begin, so that all are over with the day.
+	rollAtS = 88.0
+)
+
 const (
 	// growthS is how long the day of a growing configuration lasts.
 	growthS = 80.0
@@ -85,8 +94,16 @@
 	return day
 }
 
+// lateRestarts returns a day in which the cell changes hands late: jobs that were
+// accepted before the traffic have then been over for longer than their owner is one,
+// and are asked for two minutes after their acceptance.
+func lateRestarts() longDay {
+	roll := disruption{kind: "roll_term", with: `share = 1.0, x = 1.0, gap_s = 1.0`, planned: true}
+	return longDay{name: "late-restarts", seed: 4711, lengthS: lateS, entries: []entry{{roll, rollAtS}}}
+}
+
 // longDays returns the days that are written by hand.
-func longDays() []longDay { return []longDay{longRestarts(), growingConfig()} }
+func longDays() []longDay { return []longDay{longRestarts(), lateRestarts(), growingConfig()} }
 
 // text returns the name and the text of the day.
 func (d longDay) text() (string, string) {
