--- a/cluster/configs_test.go
+++ b/cluster/configs_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"net"
 	"sync"
 	"time"
 
@@ -12,6 +13,7 @@
 
 	"dewpass.org/config"
 	"dewpass.org/kind"
+	"dewpass.org/link"
 	"dewpass.org/wire"
 )
 
@@ -141,3 +143,108 @@
 type handler func(*wire.Request) *wire.Reply
 
 func (h handler) Handle(_ context.Context, req *wire.Request) *wire.Reply { return h(req) }
+
+// stuck is a source whose feed cannot be taken from one place: its answer is too large.
+type stuck struct{ source }
+
+func (s *stuck) Changes(_ context.Context, ver uint64, _ time.Duration) (*config.Config, uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.places = append(s.places, ver)
+	if s.reads > 1 {
+		time.Sleep(5 * time.Millisecond)
+		return nil, ver + 1, nil
+	}
+	return nil, ver, kind.New(kind.Damaged, "an answer with four versions is longer than 8 MB")
+}
+
+// conflicting is a source whose feed has always forgotten its changes.
+type conflicting struct{ source }
+
+func (s *conflicting) Get(context.Context) (*config.Config, uint64, error) {
+	time.Sleep(2 * time.Millisecond)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reads++
+	return &config.Config{Version: 1, Raw: make([]byte, 1<<20)}, 10, nil
+}
+
+func (s *conflicting) Changes(_ context.Context, ver uint64, _ time.Duration) (*config.Config, uint64, error) {
+	time.Sleep(2 * time.Millisecond)
+	return nil, ver, kind.New(kind.Conflict, "forgotten")
+}
+
+// eager is a source whose feed does not wait.
+type eager struct{ source }
+
+func (s *eager) Get(context.Context) (*config.Config, uint64, error) {
+	return &config.Config{Version: 1, Raw: make([]byte, 1<<20)}, 10, nil
+}
+
+func (s *eager) Changes(_ context.Context, ver uint64, _ time.Duration) (*config.Config, uint64, error) {
+	time.Sleep(2 * time.Millisecond)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.places = append(s.places, ver)
+	return nil, ver, nil
+}
+
+var _ = Describe("the configuration, while something fails", func() {
+	It("is read in whole when the feed fails at one place again and again", func() {
+		s := &stuck{source{version: 1, raw: make([]byte, 1<<20)}}
+		n := testNode(&policy{})
+		n.configs = s
+		ctx, cancel := context.WithCancel(context.Background())
+		DeferCleanup(cancel)
+		go n.followConfig(ctx)
+		Eventually(func() int { reads, _ := s.seen(); return reads }, 5*time.Second).Should(BeNumerically(">", 1))
+	})
+
+	It("comes from a second peer within 2 s when the first one asked has paused", func() {
+		// The bound of a configuration is 3 s, and the store turns this instance away.
+		silent, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(silent.Close)
+		good, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		server := &link.Server{Handler: handler(func(*wire.Request) *wire.Reply {
+			return &wire.Reply{Body: &wire.Reply_Config{Config: &wire.ConfigDoc{Doc: (&config.Config{Raw: []byte("doc")}).Packed()}}}
+		})}
+		go server.Serve(good)
+		DeferCleanup(server.Close)
+		n := testNode(&policy{})
+		n.ParseConfig = func(raw []byte) (*config.Config, error) { return &config.Config{Version: 7, Raw: raw}, nil }
+		n.greeted(&wire.Greeting{Instance: "a", Hall: "h", Boot: "b", Addr: silent.Addr().String(), ConfigVersion: 7})
+		Eventually(n.fetching.Load).Should(BeTrue())
+		stop := time.Now().Add(2 * time.Second)
+		for time.Now().Before(stop) && n.config.Version() < 7 {
+			n.greeted(&wire.Greeting{Instance: "b", Hall: "h", Boot: "b", Addr: good.Addr().String(), ConfigVersion: 7})
+			time.Sleep(greetEvery)
+		}
+		Expect(n.config.Version()).To(BeEquivalentTo(7))
+	})
+
+	It("does not spin when the feed has forgotten its changes each time", func() {
+		s := &conflicting{}
+		n := testNode(&policy{})
+		n.configs = s
+		ctx, cancel := context.WithCancel(context.Background())
+		DeferCleanup(cancel)
+		go n.followConfig(ctx)
+		time.Sleep(time.Second)
+		reads, _ := s.seen()
+		Expect(reads).To(BeNumerically("<", 20))
+	})
+
+	It("does not spin when the feed answers at once without a change", func() {
+		s := &eager{}
+		n := testNode(&policy{})
+		n.configs = s
+		ctx, cancel := context.WithCancel(context.Background())
+		DeferCleanup(cancel)
+		go n.followConfig(ctx)
+		time.Sleep(time.Second)
+		_, places := s.seen()
+		Expect(len(places)).To(BeNumerically("<", 100))
+	})
+})
--- a/driver/driver_test.go
+++ b/driver/driver_test.go
@@ -469,3 +469,57 @@
 		Expect(d.cell.Known("1")).To(BeFalse())
 	})
 })
+
+// forgotten is a table whose feed has no history.
+type forgotten struct{ *table }
+
+func (f forgotten) Feed(context.Context, rows.Since) (rows.Page, error) {
+	return rows.Page{Forgotten: true}, nil
+}
+
+// A part of the store was silent for longer than jobs are kept, while all jobs were read
+// again. What had been read before was kept for the next try, and a job among it that had
+// ended and been forgotten meanwhile was taken for a new one.
+var _ = ginkgo.Describe("a reading of all jobs that goes on after failures", func() {
+	ginkgo.It("does not bring back a job that ended and was forgotten meanwhile", func(ctx context.Context) {
+		t := newTable()
+		d := newDriver(ctx, t, func() {})
+		defer d.Close()
+		d.Keep = time.Second
+		d.Store = forgotten{t}
+		Expect(d.load()).To(BeTrue())
+		t.putSpec("1")
+		t.putSpec("2")
+		d.found([]rows.Row{t.rows[SpecKey("1")]})
+		t.mu.Lock()
+		t.fails["f"] = 2 // the last part is silent
+		t.mu.Unlock()
+		d.spawn(d.scan)
+		Eventually(func() int { t.mu.Lock(); defer t.mu.Unlock(); return t.fails["f"] }, 5*time.Second).Should(Equal(1))
+		// The job ends, is archived and forgotten, as tidyUp does.
+		d.mu.Lock()
+		d.cell.Cancel("1", time.Now())
+		d.mu.Unlock()
+		d.commitOnce(false)
+		for range 3 {
+			d.mu.Lock()
+			d.archiveEnded()
+			d.mu.Unlock()
+			time.Sleep(20 * time.Millisecond)
+			d.mu.Lock()
+			d.tidyUp(time.Now().Add(time.Minute))
+			d.mu.Unlock()
+			d.commitOnce(false)
+		}
+		d.mu.Lock()
+		d.tidyUp(time.Now().Add(3 * d.Keep))
+		d.writeArchives()
+		gone := !d.cell.Known("1")
+		d.mu.Unlock()
+		Expect(gone).To(BeTrue())
+		Eventually(func() bool { return t.has(SpecKey("1")) || t.has(HomeKey("1")) }).Should(BeFalse())
+		Eventually(func() bool { return d.cell.Known("2") }, 10*time.Second).Should(BeTrue(), "the reading has ended")
+		s, known := d.State("1")
+		Expect(known).To(BeFalse(), "it is back, and would run again: %v", s)
+	})
+})
--- a/link/silent_test.go
+++ b/link/silent_test.go
@@ -12,6 +12,7 @@
 
 	"dewpass.org/kind"
 	"dewpass.org/test/mute"
+	"dewpass.org/wire"
 )
 
 // Peers' sessions went silent without a reset, and greetings to and from these peers had
@@ -79,3 +80,28 @@
 		Eventually(first.IsClosed).Should(BeTrue())
 	})
 })
+
+var _ = Describe("a session that goes silent under a large request", func() {
+	It("is replaced, though the request ends while it is written", func(ctx context.Context) {
+		addr, _, _ := listen(echo{})
+		p, err := mute.Listen(addr)
+		Expect(err).NotTo(HaveOccurred())
+		defer p.Close()
+		d := &Dialer{}
+		defer d.Close()
+		ask := func(req *wire.Request) error {
+			ctx, cancel := context.WithTimeout(ctx, 900*time.Millisecond)
+			defer cancel()
+			_, err := d.Do(ctx, p.Addr(), req)
+			return err
+		}
+		Expect(ask(hello("a"))).To(Succeed())
+		Expect(p.Silence()).To(Equal(1))
+		// A transaction of 1 MB that is carried by a peer: more than a stream's window.
+		large := &wire.Request{Body: &wire.Request_Store{Store: &wire.StoreCall{Call: make([]byte, 1<<20)}}}
+		for range 3 {
+			_ = ask(large)
+		}
+		Expect(ask(hello("a"))).To(Succeed())
+	})
+})
--- a/rows/door_test.go
+++ b/rows/door_test.go
@@ -254,3 +254,28 @@
 		Expect(d.isAway()).To(BeTrue(), "nobody was answered meanwhile")
 	})
 })
+
+// slowFeed is a store that answers readings at once and waits for changes.
+type slowFeed struct{ fake }
+
+func (f *slowFeed) Feed(_ context.Context, s Since) (Page, error) {
+	time.Sleep(s.Wait)
+	return Page{Ver: s.Ver}, nil
+}
+
+var _ = Describe("the wait for a change", func() {
+	It("does not count as how long the store takes", func(ctx context.Context) {
+		d := &Door{Direct: &slowFeed{}, Now: time.Now}
+		// What an instance without a cell does in 4.5 s: feed waits of 0.9 s, and probes every 0.3 s.
+		for range 5 {
+			_, err := d.Near().Feed(ctx, Since{Wait: 900 * time.Millisecond})
+			Expect(err).NotTo(HaveOccurred())
+			for range 3 {
+				_, err = d.Probe(ctx, Range{})
+				Expect(err).NotTo(HaveOccurred())
+			}
+		}
+		Expect(d.hedgeAfter(Call{Get: &Range{}}, false)).To(Equal(hedgeLeast))
+		Expect(d.Patience()).To(Equal(patienceLeast))
+	})
+})
