--- a/cluster/configs.go
+++ b/cluster/configs.go
@@ -15,26 +15,34 @@
 )
 
 // The configuration comes on one way at a time: the store's feed brings each change once.
-// Only when a peer has had a newer one for a while is it asked as well, and one peer at a
-// time. What an instance reads does not grow with the number of its peers, and a change
-// takes the link of an instance for one transfer.
+// Only when a peer has had a newer one for a while, and nothing comes from the store, is
+// it asked as well, and one peer at a time. What an instance reads does not grow with the
+// number of its peers, and a change takes the link of an instance for one transfer.
 const (
-	// configSoon spaces tries while there is no configuration, or the feed fails.
+	// configSoon spaces tries while there is no configuration, the feed fails, or it
+	// answers without waiting.
 	configSoon = 200 * time.Millisecond
 	// configWait is how long the feed is waited on at once. A connection that has gone
 	// silent is noticed that much later than with a plain call.
 	configWait = 900 * time.Millisecond
+	// positionKept is for how long after its last answer the position in the feed is gone
+	// on from: more than one call without an answer takes, 2.4 s. The feed brings each
+	// version that was missed, the document alone brings the last.
+	positionKept = 3 * time.Second
 	// auditRate is how many bytes a second are spent, on average, on reading the whole
-	// document again in case the feed has left out a change, and auditLeast the least
-	// time between two readings: 11 KB for 45 queues are read every 6 s, 800 KB for
-	// 4,000 queues every 7 minutes.
+	// document again in case the feed has left out a change: less than half of the 5 KB
+	// a second that an instance has for control. 11 KB for 45 queues are read every 6 s,
+	// 800 KB for 4,000 queues every 7 minutes; auditLeast is the least time between two.
 	auditRate  = 2 << 10
 	auditLeast = 5 * time.Second
-	// fetchAfter is how long the store's feed has to bring a configuration that a peer
-	// has: the feed of an instance with a link of 200 Mbit/s takes 70 ms for 4,000 queues.
+	// fetchAfter is how long the store's feed has to begin to bring a configuration that
+	// a peer has: on a link of 200 Mbit/s it has brought 4,000 queues after 70 ms.
 	fetchAfter = 250 * time.Millisecond
-	// fetchTime bounds the asking of a peer: 10 Mbit/s carry 3.7 MB, packed, in it.
-	fetchTime = 3 * time.Second
+	// fetchTime bounds the asking of a peer, so that one that has paused does not hold
+	// up the asking of another: 10 Mbit/s carry 1.2 MB, compressed, in it.
+	fetchTime = time.Second
+	// logConfigEvery spaces the lines on an unread configuration; counters have all.
+	logConfigEvery = 2 * time.Second
 )
 
 func (n *Node) install(c *config.Config, from string) {
@@ -49,30 +57,48 @@
 
 // followConfig takes in the changes as the store tells them.
 func (n *Node) followConfig(ctx context.Context) {
-	var place uint64
-	var read time.Time
+	var f feedState
 	for ctx.Err() == nil {
-		if place > 0 && time.Since(read) > auditAfter(n.config.Now()) {
-			place = 0
-		}
+		whole := f.whole(time.Now(), n.config.Now())
 		begun := time.Now()
-		c, from, at, err := n.nextConfig(ctx, place)
+		c, from, at, err := n.nextConfig(ctx, whole, f.position)
 		n.transferred(c, from, begun, err)
-		switch {
-		case kind.Is(err, kind.Conflict):
-			place = 0
-		case at == 0 || err != nil && at <= place:
-			// The place is kept: what was missed comes with the next answer.
+		f.took(whole, at, err, begun)
+		if c == nil && time.Since(begun) < configSoon {
+			// It failed at once, or did not wait.
 			sleep(ctx, configSoon)
-		default:
-			if place == 0 {
-				read = begun
-			}
-			place = at
 		}
 	}
 }
 
+// feedState is where an instance is in the feed of the configuration.
+type feedState struct {
+	// position is the version of the store to go on from, 0 if there is none.
+	position uint64
+	// heard is when the last call that was answered began, and read when the last
+	// reading of the whole document did.
+	heard, read time.Time
+}
+
+// whole reports whether the whole document is read next.
+func (f *feedState) whole(now time.Time, c *config.Config) bool {
+	return f.position == 0 || now.Sub(f.heard) > positionKept || now.Sub(f.read) > auditAfter(c)
+}
+
+// took takes in how a call ended. One that failed leaves the position as it was, unless
+// the store has forgotten its changes, or the call brought a document that cannot be used.
+func (f *feedState) took(whole bool, at uint64, err error, begun time.Time) {
+	if whole {
+		f.read = begun
+	}
+	switch {
+	case kind.Is(err, kind.Conflict):
+		f.position = 0
+	case err == nil || at > f.position:
+		f.position, f.heard = at, begun
+	}
+}
+
 // auditAfter returns after how long the whole document is read again.
 func auditAfter(c *config.Config) time.Duration {
 	if c == nil {
@@ -81,17 +107,29 @@
 	return max(auditLeast, time.Duration(len(c.Raw))*time.Second/auditRate)
 }
 
-// nextConfig reads the configuration, or waits for a change after a place in the feed.
-// It returns the place to go on from.
-func (n *Node) nextConfig(ctx context.Context, place uint64) (c *config.Config, from string, at uint64, err error) {
-	if place == 0 {
+// nextConfig reads the whole configuration, or waits for a change after a position in the
+// feed. It returns the position to go on from.
+func (n *Node) nextConfig(ctx context.Context, whole bool, position uint64) (c *config.Config, from string, at uint64, err error) {
+	if whole {
 		c, at, err = n.configs.Get(ctx)
 		return c, "read", at, err
 	}
-	c, at, err = n.configs.Changes(ctx, place, configWait)
+	c, at, err = n.configs.Changes(ctx, position, configWait)
 	return c, "feed", at, err
 }
 
+// configArrives notes that the store's answer with the configuration brings something.
+func (n *Node) configArrives() {
+	now := time.Now()
+	n.arriving.Store(&now)
+}
+
+// configComes reports whether the store is bringing the configuration.
+func (n *Node) configComes(now time.Time) bool {
+	last := n.arriving.Load()
+	return last != nil && now.Sub(*last) < fetchAfter
+}
+
 // fetchConfig takes a configuration that a peer has, unless the store's feed brings it
 // meanwhile.
 func (n *Node) fetchConfig(addr string, version uint64) {
@@ -102,7 +140,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), fetchTime)
 	defer cancel()
 	sleep(ctx, fetchAfter)
-	if n.config.Version() >= version {
+	if n.config.Version() >= version || n.configComes(time.Now()) {
 		return
 	}
 	begun := time.Now()
@@ -132,6 +170,11 @@
 	scope := n.kit.Scope.Tagged(map[string]string{"from": from})
 	if err != nil {
 		scope.Counter("config_transfers_failed_total").Inc(1)
+		if last := n.configLogged.Load(); last != nil && time.Since(*last) < logConfigEvery {
+			return
+		}
+		now := time.Now()
+		n.configLogged.Store(&now)
 		level.Info(n.kit.Log).Log("event", "config_not_read", "from", from, "has", n.config.Version(), "took_ms", took.Milliseconds(), "err", err)
 		return
 	}
--- a/cluster/jobs.go
+++ b/cluster/jobs.go
@@ -307,7 +307,10 @@
 	if err := n.tellOnce(ctx, kept{cell: cell, ver: row.Ver}, spec, row.Value); err != nil {
 		return err
 	}
-	return kind.New(kind.Unavailable, "the cell's owner has just been told of the job").After(comeBack)
+	if err = n.cancelAt(ctx, cell, id); kind.Is(err, kind.NotFound) {
+		return kind.New(kind.Unavailable, "the cell's owner does not take the job yet").After(comeBack)
+	}
+	return err
 }
 
 // Pending returns how many accepted jobs of a queue have not begun.
--- a/cluster/node.go
+++ b/cluster/node.go
@@ -67,14 +67,18 @@
 	config  config.Register
 	// fetching says that the configuration is being asked of a peer.
 	fetching atomic.Bool
-	members  *members
-	homes    homes
-	dialer   *link.Dialer
-	server   *link.Server
-	leaving  atomic.Bool
-	clients  net.Listener
-	conns    drain.Conns
-	began    time.Time
+	// arriving is when the store's answer with the configuration last brought something.
+	arriving atomic.Pointer[time.Time]
+	// configLogged is when a line was last logged on a configuration that was not read.
+	configLogged atomic.Pointer[time.Time]
+	members      *members
+	homes        homes
+	dialer       *link.Dialer
+	server       *link.Server
+	leaving      atomic.Bool
+	clients      net.Listener
+	conns        drain.Conns
+	began        time.Time
 
 	division division
 
@@ -178,7 +182,7 @@
 	}
 	n.server = &link.Server{Handler: n}
 	n.door = &rows.Door{Direct: n.Store, Now: time.Now, Carry: n.carry, Changed: n.storeChanged}
-	n.configs = services.Configs(n.door.Near())
+	n.configs = services.Configs(n.door.Near(n.configArrives))
 	return n
 }
 
--- a/config/pack.go
+++ b/config/pack.go
@@ -23,8 +23,15 @@
 	return buf.Bytes()
 }
 
-// Unpack returns the document that Packed has compressed.
+// gzipMagic is how compressed documents begin, and JSON does not.
+var gzipMagic = []byte{0x1f, 0x8b}
+
+// Unpack returns the document that Packed has compressed. One that is not compressed is
+// returned as it is: instances of before send it so.
 func Unpack(packed []byte) ([]byte, error) {
+	if !bytes.HasPrefix(packed, gzipMagic) {
+		return packed, nil
+	}
 	r, err := gzip.NewReader(bytes.NewReader(packed))
 	if err != nil {
 		return nil, kind.Wrap(kind.Damaged, err, "packed configuration")
--- a/driver/load.go
+++ b/driver/load.go
@@ -29,6 +29,8 @@
 // reading is what was read so far of the jobs of a cell. A part that failed is
 // read on from where it was, the others are not read again.
 type reading struct {
+	// begun is when the first of it was read; only scan sets it.
+	begun   time.Time
 	tries   int
 	specs   [len(specParts)]rows.Reading
 	records rows.Reading
--- a/driver/scan.go
+++ b/driver/scan.go
@@ -51,31 +51,51 @@
 
 // scan finds jobs that the store has taken and that nobody told this owner of.
 func (d *Driver) scan() {
-	ver := d.scanned
+	ver, heard := d.scanned, time.Now()
 	// What was read of all jobs is kept over a failure: over a thin link the next try
 	// would fail as the last one did.
 	var all reading
 	for d.ctx.Err() == nil {
 		d.sleep(scanEvery)
+		if d.outdated(heard) {
+			ver = 0
+		}
 		if ver == 0 {
-			if d.readSpecs(d.ctx, &all) == nil {
-				d.found(all.jobs())
-				ver, all = all.ver(), reading{}
+			if d.outdated(all.begun) {
+				all = reading{begun: time.Now()}
 			}
+			if err := d.readSpecs(d.ctx, &all); err != nil {
+				d.logScan(err)
+				continue
+			}
+			d.found(all.jobs())
+			ver, heard, all = all.ver(), all.begun, reading{}
 			continue
 		}
+		begun := time.Now()
 		page, err := d.Store.Feed(d.ctx, rows.Since{Table: TableSpecs, Ver: ver})
 		switch {
 		case err != nil:
+			d.logScan(err)
 		case page.Forgotten:
 			ver = 0
 		default:
-			ver = max(ver, page.Ver)
+			ver, heard = max(ver, page.Ver), begun
 			d.found(page.Rows)
 		}
 	}
 }
 
+// outdated reports whether what was read of the jobs at a time may hold some that have
+// ended and been forgotten since: those would be taken for new.
+func (d *Driver) outdated(read time.Time) bool { return time.Since(read) > d.Keep/2 }
+
+func (d *Driver) logScan(err error) {
+	if d.ctx.Err() == nil {
+		level.Info(d.Log).Log("event", "jobs_not_read", "cell", d.Name, "epoch", d.Seat.Epoch(), "err", err)
+	}
+}
+
 // found takes in the jobs among changed rows, in the order of the changes. A job whose
 // row is there is not over, however long ago it was accepted.
 func (d *Driver) found(all []rows.Row) {
--- a/link/dialer.go
+++ b/link/dialer.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"io"
 	"net"
 	"sync"
 	"time"
@@ -64,11 +65,8 @@
 	stop := context.AfterFunc(ctx, func() { _ = stream.SetDeadline(time.Now()) })
 	defer stop()
 	defer stream.Close()
-	if err := writeFrame(stream, req); err != nil {
-		return nil, kind.Wrap(kind.Lost, err, "peer "+addr)
-	}
 	var reply wire.Reply
-	if err := readFrame(stream, &reply); err != nil {
+	if err := exchange(stream, req, &reply); err != nil {
 		if session.silent(begun, time.Now()) {
 			// The next request would have no answer either. Close may wait for a write.
 			go session.Close()
@@ -84,6 +82,14 @@
 	return &reply, nil
 }
 
+// exchange sends a request on a stream and reads its reply.
+func exchange(stream io.ReadWriter, req *wire.Request, reply *wire.Reply) error {
+	if err := writeFrame(stream, req); err != nil {
+		return err
+	}
+	return readFrame(stream, reply)
+}
+
 // Close ends all sessions.
 func (d *Dialer) Close() {
 	d.mu.Lock()
--- a/rows/door.go
+++ b/rows/door.go
@@ -63,8 +63,8 @@
 	Changed func(direct, reachable bool)
 
 	mu sync.Mutex
-	// away says that the store did not answer this instance while a peer could
-	// ask it. Only a probe ends that.
+	// away says that the store did not answer this instance: calls go by a peer first.
+	// Any answer of the store itself ends that.
 	away     bool
 	took     time.Duration
 	direct   time.Time
@@ -122,12 +122,16 @@
 
 // Near returns the store as this instance reaches it itself, never by a peer. It is for
 // what a peer can pass on in a better way than by carrying the call.
-func (d *Door) Near() Store { return near{d} }
+// progress is told of each part of an answer that comes in; it may be nil.
+func (d *Door) Near(progress func()) Store { return near{d, progress} }
 
-type near struct{ door *Door }
+type near struct {
+	door     *Door
+	progress func()
+}
 
 func (n near) Tx(ctx context.Context, t Tx) (res Result, err error) {
-	err = n.door.try(ctx, directTime, nil, func(ctx context.Context) error {
+	err = n.door.try(ctx, directTime, n.progress, func(ctx context.Context) error {
 		res, err = n.door.Direct.Tx(ctx, t)
 		return err
 	})
@@ -135,7 +139,7 @@
 }
 
 func (n near) Get(ctx context.Context, r Range) (page Page, err error) {
-	err = n.door.try(ctx, directTime, nil, func(ctx context.Context) error {
+	err = n.door.try(ctx, directTime, n.progress, func(ctx context.Context) error {
 		page, err = n.door.Direct.Get(ctx, r)
 		return err
 	})
@@ -143,7 +147,7 @@
 }
 
 func (n near) Feed(ctx context.Context, s Since) (page Page, err error) {
-	err = n.door.try(ctx, directTime+s.Wait, nil, func(ctx context.Context) error {
+	err = n.door.try(ctx, directTime+s.Wait, n.progress, func(ctx context.Context) error {
 		page, err = n.door.Direct.Feed(ctx, s)
 		return err
 	})
@@ -282,8 +286,11 @@
 	case err == nil:
 		d.direct = now
 		d.away = false
-		// The size of an answer says nothing of how fast the store is.
-		d.took += (cmp.Or(answered, now.Sub(begun)) - d.took) * tookShare / 8
+		if first <= directTime {
+			// Neither the size of an answer nor a wait for a change says how fast the
+			// store is.
+			d.took += (cmp.Or(answered, now.Sub(begun)) - d.took) * tookShare / 8
+		}
 	case d.direct.Before(begun) && (kind.Is(err, kind.Unavailable) || kind.Is(err, kind.Lost)):
 		// Nothing has come since the call was begun, of this answer or another: one
 		// connection that has gone silent says nothing of the store.
