--- a/claim/claim.go
+++ b/claim/claim.go
@@ -2,13 +2,13 @@
 
 // Package claim keeps one owner for each cell, through one row of the store.
 //
-// The row is the cell's Seat. It names the owner and its epoch, which rises
-// with each change of owner. An owner writes the seat again with everything
+// The row is the cell's Lease. It names the owner and its epoch, which rises
+// with each change of owner. An owner writes the lease again with everything
 // that it writes, on the condition that nobody else did in between. That one
 // row serves three ends:
 //
 //   - a former owner's writes are refused, whenever they arrive;
-//   - a write whose answer was lost is settled by reading the seat back: it
+//   - a write whose answer was lost is settled by reading the lease back: it
 //     holds the mark of the write, or it does not and the same write is sent
 //     again, of which at most one can take effect;
 //   - others see that the owner lives and writes, and read for how long it goes on
@@ -27,7 +27,7 @@
 )
 
 // An owner may give orders that outlast a change of owner for a while after its
-// last write, and says in the seat for how long. Others take a seat only after it
+// last write, and says in the lease for how long. Others take a lease only after it
 // has gone unwritten for Margin longer. The while is between ValidLeast and
 // ValidMost: the slower writes are, the longer.
 const (
@@ -38,16 +38,18 @@
 	validWrites = 3
 )
 
-// Silence is how long a seat that says nothing of it may go unwritten.
+// Silence is how long a lease that says nothing of it may go unwritten.
 const Silence = ValidMost + Margin
 
-// Table is the table of the seats; the cell's name is the part.
+// Table is the table of the cell leases; the cell's name is the part.
 const Table = "cells"
 
-const seatName = "seat"
+// leaseName is the row's name. It stays what it was at first, since instances of two
+// versions read it during an upgrade.
+const leaseName = "seat"
 
 const (
-	// checkEvery is how long a write may be without an answer before the seat
+	// checkEvery is how long a write may be without an answer before the lease
 	// is read to see what became of it.
 	checkEvery = 150 * time.Millisecond
 	// retryPause spaces the tries of a write that was turned away.
@@ -60,8 +62,8 @@
 	patienceMost  = 1500 * time.Millisecond
 )
 
-// Seat is the row of a cell.
-type Seat struct {
+// Lease is the row of a cell: who owns it, and for how long without another write.
+type Lease struct {
 	// Owner is empty once an owner has left as planned.
 	Owner string `json:"owner,omitempty"`
 	Boot  string `json:"boot,omitempty"`
@@ -74,15 +76,15 @@
 	Mark string `json:"mark"`
 }
 
-// Silence returns how long the seat may go unwritten before it may be taken.
-func (s Seat) Silence() time.Duration {
+// Silence returns how long the lease may go unwritten before it may be taken.
+func (s Lease) Silence() time.Duration {
 	if s.ValidMS == 0 {
 		return Silence
 	}
 	return time.Duration(s.ValidMS)*time.Millisecond + Margin
 }
 
-// Write is a write of a seat that took effect.
+// Write is a write of a lease that took effect.
 type Write struct {
 	// Begun is when it was begun, and Ver the version that it made.
 	Begun time.Time
@@ -91,7 +93,7 @@
 	Valid time.Duration
 }
 
-// Claim is an instance's view of a cell's seat. Its exported fields must be
+// Claim is an instance's view of a cell's lease. Its exported fields must be
 // set before use. Only Epoch, Held, Valid and Written may be called beside others.
 type Claim struct {
 	Store rows.Store
@@ -110,11 +112,11 @@
 	written atomic.Pointer[Write]
 }
 
-// Epoch returns the epoch under which the seat is held.
+// Epoch returns the epoch under which the lease is held.
 func (c *Claim) Epoch() uint64 { return c.epoch }
 
 // Written returns the last write that took effect: while it is valid, nobody else
-// can hold the seat.
+// can hold the lease.
 func (c *Claim) Written() Write {
 	if w := c.written.Load(); w != nil {
 		return *w
@@ -128,76 +130,76 @@
 	return now.Sub(w.Begun) < w.Valid
 }
 
-// Range returns the range that holds nothing but the seat of a cell.
+// Range returns the range that holds nothing but the lease of a cell.
 func Range(cell string) rows.Range {
-	return rows.Only(rows.Key{Table: Table, Part: cell, Name: seatName})
+	return rows.Only(rows.Key{Table: Table, Part: cell, Name: leaseName})
 }
 
-func (c *Claim) key() rows.Key { return rows.Key{Table: Table, Part: c.Cell, Name: seatName} }
+func (c *Claim) key() rows.Key { return rows.Key{Table: Table, Part: c.Cell, Name: leaseName} }
 
-// Read returns the seat as it stands, and its version.
-func (c *Claim) Read(ctx context.Context) (Seat, uint64, error) {
+// Read returns the lease as it stands, and its version.
+func (c *Claim) Read(ctx context.Context) (Lease, uint64, error) {
 	page, err := c.Store.Get(ctx, Range(c.Cell))
 	if err != nil {
-		return Seat{}, 0, err
+		return Lease{}, 0, err
 	}
-	seat, ver := SeatOf(page)
-	return seat, ver, nil
+	lease, ver := LeaseOf(page)
+	return lease, ver, nil
 }
 
-// SeatOf returns the seat that a reading of Range brought, and its version.
-func SeatOf(page rows.Page) (Seat, uint64) {
+// LeaseOf returns the lease that a reading of Range brought, and its version.
+func LeaseOf(page rows.Page) (Lease, uint64) {
 	row := page.One()
 	return decode(row.Value), row.Ver
 }
 
-func decode(raw []byte) Seat {
-	var s Seat
+func decode(raw []byte) Lease {
+	var s Lease
 	if len(raw) > 0 {
-		// A seat that cannot be read is one that somebody else holds.
+		// A lease that cannot be read is one that somebody else holds.
 		_ = json.Unmarshal(raw, &s)
 	}
 	return s
 }
 
-// Held reports whether the seat is still the Claim's own.
+// Held reports whether the lease is still the Claim's own.
 func (c *Claim) Held(ctx context.Context) (bool, error) {
-	seat, _, err := c.Read(ctx)
-	return seat.Boot == c.Boot && seat.Owner == c.Owner && seat.Epoch == c.epoch, err
+	lease, _, err := c.Read(ctx)
+	return lease.Boot == c.Boot && lease.Owner == c.Owner && lease.Epoch == c.epoch, err
 }
 
-// Take takes the seat that was read before. Its error is of kind Fenced if
+// Take takes the lease that was read before. Its error is of kind Fenced if
 // another instance was first.
-func (c *Claim) Take(ctx context.Context, seen Seat, ver uint64) error {
+func (c *Claim) Take(ctx context.Context, seen Lease, ver uint64) error {
 	c.epoch, c.ver = seen.Epoch+1, ver
 	_, err := c.write(ctx, c.Owner, rows.Tx{})
 	return err
 }
 
-// Release gives the seat up, so that another instance takes it at once.
+// Release gives the lease up, so that another instance takes it at once.
 func (c *Claim) Release(ctx context.Context) error {
 	_, err := c.write(ctx, "", rows.Tx{})
 	return err
 }
 
-// Commit writes t together with the seat. It returns the versions of the rows
+// Commit writes t together with the lease. It returns the versions of the rows
 // that were expected otherwise, with an error of kind Conflict; an error of
-// kind Fenced if the seat is lost; and goes on trying until ctx ends otherwise.
+// kind Fenced if the lease is lost; and goes on trying until ctx ends otherwise.
 func (c *Claim) Commit(ctx context.Context, t rows.Tx) (rows.Result, error) {
 	return c.write(ctx, c.Owner, t)
 }
 
-// write writes t together with the seat, which names owner.
+// write writes t together with the lease, which names owner.
 func (c *Claim) write(ctx context.Context, owner string, t rows.Tx) (rows.Result, error) {
 	c.count++
 	valid := min(max(validWrites*c.took, ValidLeast), ValidMost)
-	seat := Seat{
+	lease := Lease{
 		Owner: owner, Boot: c.Boot, Addr: c.Addr, Epoch: c.epoch,
 		Mark: c.mark(), ValidMS: valid.Milliseconds(),
 	}
-	raw, err := json.Marshal(seat)
+	raw, err := json.Marshal(lease)
 	if err != nil {
-		return rows.Result{}, kind.Wrap(kind.Internal, err, "seat")
+		return rows.Result{}, kind.Wrap(kind.Internal, err, "cell lease")
 	}
 	t.Expect = append([]rows.Check{{Key: c.key(), Ver: c.ver}}, t.Expect...)
 	t.Put = append([]rows.Row{{Key: c.key(), Value: raw}}, t.Put...)
@@ -206,7 +208,7 @@
 	begun := time.Now()
 	for {
 		t.Expect[0].Ver = c.ver
-		res, err := c.attempt(ctx, t, seat.Mark)
+		res, err := c.attempt(ctx, t, lease.Mark)
 		if err == nil {
 			c.took = time.Since(begun)
 			c.written.Store(&Write{Begun: begun, Ver: c.ver, Valid: valid})
@@ -235,7 +237,7 @@
 	}
 }
 
-// attempt sends the write once. While there is no answer it looks at the seat.
+// attempt sends the write once. While there is no answer it looks at the lease.
 func (c *Claim) attempt(ctx context.Context, t rows.Tx, mark string) (rows.Result, error) {
 	begun := time.Now()
 	send := rows.Attempt{
@@ -280,7 +282,7 @@
 	return res, kind.New(kind.Conflict, "a row is not as expected")
 }
 
-// look reads the seat and reports whether that tells what became of the write.
+// look reads the lease and reports whether that tells what became of the write.
 func (c *Claim) look(ctx context.Context, mark string) (rows.Result, bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, 4*checkEvery)
 	defer cancel()
@@ -297,18 +299,18 @@
 	return res, true, err
 }
 
-// verdict is for a seat that has changed: by this write, or by another owner.
+// verdict is for a lease that has changed: by this write, or by another owner.
 func (c *Claim) verdict(row rows.Row, mark string) (rows.Result, error) {
-	seat := decode(row.Value)
+	lease := decode(row.Value)
 	switch {
-	case seat.Mark == mark:
+	case lease.Mark == mark:
 		c.ver = row.Ver
 		return rows.Result{Ver: row.Ver}, nil
-	case seat.Owner == c.Owner && seat.Boot == c.Boot && seat.Epoch == c.epoch:
+	case lease.Owner == c.Owner && lease.Boot == c.Boot && lease.Epoch == c.epoch:
 		// An earlier write of this instance, of which it gave up waiting for the
 		// answer, took effect after all: this one has to be sent again on top.
 		c.ver = row.Ver
 		return rows.Result{}, kind.New(kind.Lost, "an earlier write came late")
 	}
-	return rows.Result{}, kind.New(kind.Fenced, "another instance holds the cell's seat")
+	return rows.Result{}, kind.New(kind.Fenced, "another instance holds the cell's lease")
 }
--- a/claim/claim_test.go
+++ b/claim/claim_test.go
@@ -86,12 +86,12 @@
 
 func take(ctx context.Context, c *Claim) {
 	GinkgoHelper()
-	seat, ver, err := c.Read(ctx)
+	lease, ver, err := c.Read(ctx)
 	Expect(err).NotTo(HaveOccurred())
-	Expect(c.Take(ctx, seat, ver)).To(Succeed())
+	Expect(c.Take(ctx, lease, ver)).To(Succeed())
 }
 
-var _ = Describe("a seat", func() {
+var _ = Describe("a cell lease", func() {
 	It("has one owner, whose writes others end", func(ctx context.Context) {
 		t := &table{}
 		a, b := claimOf(t, "a"), claimOf(t, "b")
@@ -108,18 +108,18 @@
 	It("is taken by one of two that saw it free", func(ctx context.Context) {
 		t := &table{}
 		a, b := claimOf(t, "a"), claimOf(t, "b")
-		seat, ver, _ := a.Read(ctx)
-		Expect(a.Take(ctx, seat, ver)).To(Succeed())
-		Expect(kind.Is(b.Take(ctx, seat, ver), kind.Fenced)).To(BeTrue())
+		lease, ver, _ := a.Read(ctx)
+		Expect(a.Take(ctx, lease, ver)).To(Succeed())
+		Expect(kind.Is(b.Take(ctx, lease, ver), kind.Fenced)).To(BeTrue())
 	})
 
 	It("is not shared by two whose boots were drawn alike", func(ctx context.Context) {
 		t := &table{}
 		a, b := claimOf(t, "a"), claimOf(t, "b")
 		b.Boot = a.Boot
-		seat, ver, _ := a.Read(ctx)
-		Expect(a.Take(ctx, seat, ver)).To(Succeed())
-		Expect(kind.Is(b.Take(ctx, seat, ver), kind.Fenced)).To(BeTrue())
+		lease, ver, _ := a.Read(ctx)
+		Expect(a.Take(ctx, lease, ver)).To(Succeed())
+		Expect(kind.Is(b.Take(ctx, lease, ver), kind.Fenced)).To(BeTrue())
 		held, err := b.Held(ctx)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(held).To(BeFalse())
@@ -129,14 +129,14 @@
 		t := &table{}
 		a := claimOf(t, "a")
 		take(ctx, a)
-		seat, _, _ := a.Read(ctx)
-		Expect(seat.Silence()).To(Equal(ValidLeast + Margin))
+		lease, _, _ := a.Read(ctx)
+		Expect(lease.Silence()).To(Equal(ValidLeast + Margin))
 		a.took = time.Second / 3
 		_, err := a.Commit(ctx, rows.Tx{})
 		Expect(err).NotTo(HaveOccurred())
-		seat, _, _ = a.Read(ctx)
-		Expect(seat.Silence()).To(BeNumerically("~", time.Second+Margin, 2*time.Millisecond))
-		Expect(a.Written().Valid).To(BeNumerically("<", seat.Silence()))
+		lease, _, _ = a.Read(ctx)
+		Expect(lease.Silence()).To(BeNumerically("~", time.Second+Margin, 2*time.Millisecond))
+		Expect(a.Written().Valid).To(BeNumerically("<", lease.Silence()))
 	})
 
 	It("settles a write whose answer was lost, done or not", func(ctx context.Context) {
@@ -175,7 +175,7 @@
 		t.lose = nil
 		t.apply(t.late[0])
 		Expect(a.Release(ctx)).To(Succeed())
-		seat, _, _ := a.Read(ctx)
-		Expect(seat.Owner).To(BeEmpty())
+		lease, _, _ := a.Read(ctx)
+		Expect(lease.Owner).To(BeEmpty())
 	})
 })
--- a/cluster/accept.go
+++ b/cluster/accept.go
@@ -23,7 +23,7 @@
 	// acceptLook is how long the store may be without an answer before it is
 	// asked whether it has the job.
 	acceptLook = 150 * time.Millisecond
-	// acceptLookTime bounds that question as that for a seat is, so that the write is
+	// acceptLookTime bounds that question as that for a cell lease is, so that the write is
 	// sent again, on another connection, well within acceptTime.
 	acceptLookTime = 4 * acceptLook
 	acceptRetry    = 60 * time.Millisecond
@@ -38,10 +38,10 @@
 // nil also if the job was kept before. Errors are of kind Unavailable (not
 // taken, and never runs) or Lost. It needs the store and no owner: a job that
 // comes while a cell changes hands waits in the store.
-func (n *Node) Submit(ctx context.Context, spec *flow.Spec) error {
+func (n *Instance) Submit(ctx context.Context, spec *flow.Spec) error {
 	ctx, cancel := context.WithTimeout(ctx, acceptTime)
 	defer cancel()
-	if !n.door.Reachable() {
+	if !n.storeClient.Reachable() {
 		return n.refuse(spec.ID, "the store is not reached")
 	}
 	cell := n.choose(spec)
@@ -70,7 +70,7 @@
 // announce tells the owner of a cell of a job as the store has it. Another write may
 // have been first, with another hall: were the owner told of this one, it would start
 // tasks where the next owner does not look for them.
-func (n *Node) announce(k kept, spec *flow.Spec) {
+func (n *Instance) announce(k kept, spec *flow.Spec) {
 	ctx, cancel := context.WithTimeout(context.Background(), tellTime)
 	defer cancel()
 	if !k.written {
@@ -88,7 +88,7 @@
 }
 
 // refuse returns the answer for a job that is not taken.
-func (n *Node) refuse(id, why string) error {
+func (n *Instance) refuse(id, why string) error {
 	level.Info(n.kit.Log).Log("event", "refused", "job", id, "why", why, "last", true)
 	n.kit.Scope.Counter("jobs_refused_total").Inc(1)
 	return kind.New(kind.Unavailable, why).After(comeBack)
@@ -96,7 +96,7 @@
 
 // choose returns the cell for a job: the least loaded one, or one by lot while
 // no owner is heard, "" while the cells are not known.
-func (n *Node) choose(spec *flow.Spec) string {
+func (n *Instance) choose(spec *flow.Spec) string {
 	if p := n.places(spec); len(p) > 0 {
 		n.members.sent(p[0].name, spec.Work().Milliseconds())
 		return p[0].cell
@@ -107,7 +107,7 @@
 // hallFor returns the hall in which a job may start without more ado: drawn by the
 // room that its cell has free in each, or the own one, which surely is not cut
 // off, while the cell's owner is not heard.
-func (n *Node) hallFor(cell, id string) string {
+func (n *Instance) hallFor(cell, id string) string {
 	if d := n.own(cell); d != nil {
 		load, _ := d.Load()
 		return cmp.Or(drawHall(hallRooms(load), id), n.settings.Hall)
@@ -154,7 +154,7 @@
 }
 
 // keep writes a job on the condition that no cell has it.
-func (n *Node) keep(ctx context.Context, cell string, spec *flow.Spec) (kept, error) {
+func (n *Instance) keep(ctx context.Context, cell string, spec *flow.Spec) (kept, error) {
 	spec.Cell = cell
 	home := driver.HomeKey(spec.ID)
 	t := rows.Tx{
@@ -175,10 +175,10 @@
 			return keptBy(res, home, kept{cell: cell, fresh: uncertain}), nil
 		case !kind.Is(err, kind.Unavailable):
 			uncertain = true
-			if !n.door.Reachable() {
+			if !n.storeClient.Reachable() {
 				return kept{}, kind.Of(err).Uncertain(spec.ID)
 			}
-		case !uncertain && !n.door.Reachable():
+		case !uncertain && !n.storeClient.Reachable():
 			return kept{}, kind.Of(err).After(comeBack)
 		}
 		sleep(ctx, acceptRetry)
@@ -203,9 +203,9 @@
 
 // sendKeep sends the write once. While there is no answer it asks whether the
 // job is there.
-func (n *Node) sendKeep(ctx context.Context, home rows.Key, t rows.Tx) (rows.Result, error) {
+func (n *Instance) sendKeep(ctx context.Context, home rows.Key, t rows.Tx) (rows.Result, error) {
 	send := rows.Attempt{
-		Store: n.door, Tx: t, Every: acceptLook, Limit: n.door.Patience(),
+		Store: n.storeClient, Tx: t, Every: acceptLook, Limit: n.storeClient.Patience(),
 		Look: func(ctx context.Context) (rows.Result, bool, error) { return n.lookKept(ctx, home) },
 	}
 	res, _, err := send.Send(ctx)
@@ -214,13 +214,13 @@
 
 // lookKept asks whether a job is there, and reports whether there is no point in
 // waiting for the answer of the write that keeps it.
-func (n *Node) lookKept(ctx context.Context, home rows.Key) (rows.Result, bool, error) {
-	if !n.door.Reachable() {
+func (n *Instance) lookKept(ctx context.Context, home rows.Key) (rows.Result, bool, error) {
+	if !n.storeClient.Reachable() {
 		return rows.Result{}, true, kind.New(kind.Lost, "the store is not reached any more")
 	}
 	ctx, cancel := context.WithTimeout(ctx, acceptLookTime)
 	defer cancel()
-	page, err := n.door.Get(ctx, rows.Only(home))
+	page, err := n.storeClient.Get(ctx, rows.Only(home))
 	if err == nil && page.One().Ver > 0 {
 		return rows.Result{Refused: true, Rows: page.Rows}, true, nil
 	}
@@ -228,7 +228,7 @@
 }
 
 // tell tells the owner of a cell of a job until it has heard, or ctx ends.
-func (n *Node) tell(ctx context.Context, k kept, spec *flow.Spec) {
+func (n *Instance) tell(ctx context.Context, k kept, spec *flow.Spec) {
 	raw := flow.Encode(spec)
 	for ctx.Err() == nil {
 		if n.tellOnce(ctx, k, spec, raw) == nil {
@@ -239,7 +239,7 @@
 	level.Warn(n.kit.Log).Log("event", "owner_not_told", "job", spec.ID, "cell", k.cell)
 }
 
-func (n *Node) tellOnce(ctx context.Context, k kept, spec *flow.Spec, raw []byte) error {
+func (n *Instance) tellOnce(ctx context.Context, k kept, spec *flow.Spec, raw []byte) error {
 	if d := n.own(k.cell); d != nil {
 		return d.Adopt(spec, k.ver)
 	}
--- a/cluster/accept_test.go
+++ b/cluster/accept_test.go
@@ -30,7 +30,7 @@
 	})
 
 	It("is the own one while the cell's owner is not heard", func() {
-		n := testNode(&policy{})
+		n := testInstance(&policy{})
 		g := &wire.Greeting{Instance: "owner", Hall: "other", Boot: "b", Addr: "o", Cells: []*wire.CellSummary{
 			{Name: "c", Halls: []*wire.HallRoom{{Name: "a", Free: 1}}},
 		}}
@@ -65,10 +65,10 @@
 var _ = Describe("a job that is there already", func() {
 	It("is told of as the store has it, not as it was handed in again", func(ctx context.Context) {
 		told := make(chan *flow.Spec, 1)
-		n := nodeWithOwner(listener{told})
+		n := instanceWithOwner(listener{told})
 		stored := &flow.Spec{ID: "j", Hall: "first", Steps: []flow.Step{{Count: 1}}}
-		n.door.Direct = taken{table{driver.SpecKey("j"): flow.Encode(stored)}, driver.HomeKey("j")}
-		_, err := n.door.Get(ctx, rows.Range{})
+		n.storeClient.Direct = taken{table{driver.SpecKey("j"): flow.Encode(stored)}, driver.HomeKey("j")}
+		_, err := n.storeClient.Get(ctx, rows.Range{})
 		Expect(err).NotTo(HaveOccurred())
 		Expect(n.Submit(ctx, &flow.Spec{ID: "j", Steps: []flow.Step{{Count: 1}}})).To(Succeed())
 		var spec *flow.Spec
--- a/cluster/advise.go
+++ b/cluster/advise.go
@@ -28,14 +28,14 @@
 )
 
 // callers is how many questions to the policy may be under way at once.
-func (n *Node) callers() int {
+func (n *Instance) callers() int {
 	now := time.Now()
 	return 1 + len(n.members.list(now, func(k *member) bool { return k.asks(now) }))
 }
 
 // advise asks the policy, by the instance that will have the answer first, and by
 // another one if that brings none.
-func (n *Node) advise(ctx context.Context, a cell.Ask) (driver.Tickets, error) {
+func (n *Instance) advise(ctx context.Context, a cell.Ask) (driver.Tickets, error) {
 	if n.Advisor == nil {
 		return driver.Tickets{}, kind.New(kind.Unavailable, "there is no policy service")
 	}
@@ -52,14 +52,14 @@
 	}
 }
 
-func (n *Node) adviseSelf(ctx context.Context, a cell.Ask) (driver.Tickets, error) {
+func (n *Instance) adviseSelf(ctx context.Context, a cell.Ask) (driver.Tickets, error) {
 	n.addAsking(1)
 	defer n.addAsking(-1)
 	return n.Advisor.Advise(ctx, a.Step, a.Workers)
 }
 
 // adviseBy has a peer ask a question.
-func (n *Node) adviseBy(ctx context.Context, by *member, a cell.Ask) (driver.Tickets, error) {
+func (n *Instance) adviseBy(ctx context.Context, by *member, a cell.Ask) (driver.Tickets, error) {
 	n.members.asks(by.name, 1)
 	defer n.members.asks(by.name, -1)
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(by.asking+2)*a.Takes()+adviseSlack)
@@ -77,7 +77,7 @@
 	return t, nil
 }
 
-func (n *Node) addAsking(by int) {
+func (n *Instance) addAsking(by int) {
 	n.mu.Lock()
 	n.asking += by
 	n.mu.Unlock()
@@ -86,7 +86,7 @@
 // caller chooses who asks a question: nil is this instance itself. Short ones
 // are asked here while nothing is under way here, long ones by instances that
 // own no cell.
-func (n *Node) caller(a *cell.Ask) *member {
+func (n *Instance) caller(a *cell.Ask) *member {
 	long := a.Long()
 	n.mu.Lock()
 	own := n.asking
@@ -125,7 +125,7 @@
 	return c
 }
 
-func (n *Node) handleAdvice(ctx context.Context, q *wire.AdviceQuery) (*wire.Reply, error) {
+func (n *Instance) handleAdvice(ctx context.Context, q *wire.AdviceQuery) (*wire.Reply, error) {
 	if n.Advisor == nil {
 		return nil, kind.New(kind.Unavailable, "there is no policy service")
 	}
--- a/cluster/advise_test.go
+++ b/cluster/advise_test.go
@@ -32,9 +32,9 @@
 	return driver.Tickets{Rows: []cell.Ticket{{Worker: "w", Text: "t"}}}, nil
 }
 
-func testNode(p *policy) *Node {
+func testInstance(p *policy) *Instance {
 	s := &settings.Settings{Instance: "me", Hall: "h", Cluster: &settings.Cluster{Cells: 1}}
-	return newNode(s, telemetry.Quiet(), Services{
+	return newInstance(s, telemetry.Quiet(), Services{
 		Advisor: p, Configs: func(rows.Store) ConfigSource { return nil },
 	})
 }
@@ -44,7 +44,7 @@
 
 	It("is not given again and again to a peer whose process is gone", func(ctx context.Context) {
 		p := &policy{}
-		n := testNode(p)
+		n := testInstance(p)
 		now := time.Now()
 		// Nobody listens at port 1.
 		n.members.heard(&wire.Greeting{Instance: "gone", Hall: "h", Boot: "b", Addr: "127.0.0.1:1"}, now)
@@ -57,7 +57,7 @@
 	})
 
 	It("goes to peers that were heard a moment ago, not to those behind a cut", func() {
-		n := testNode(&policy{})
+		n := testInstance(&policy{})
 		g := &wire.Greeting{Instance: "far", Hall: "other", Boot: "b", Addr: "127.0.0.1:1"}
 		n.members.heard(g, time.Now().Add(-2*askedWithin))
 		Expect(n.members.list(time.Now(), func(*member) bool { return true })).To(HaveLen(1), "it still counts as live")
--- a/cluster/configs.go
+++ b/cluster/configs.go
@@ -45,7 +45,7 @@
 	logConfigEvery = 2 * time.Second
 )
 
-func (n *Node) install(c *config.Config, from string) {
+func (n *Instance) install(c *config.Config, from string) {
 	if c == nil || !n.config.Install(c) {
 		return
 	}
@@ -56,7 +56,7 @@
 }
 
 // followConfig takes in the changes as the store tells them.
-func (n *Node) followConfig(ctx context.Context) {
+func (n *Instance) followConfig(ctx context.Context) {
 	var f feedState
 	for ctx.Err() == nil {
 		whole := f.whole(time.Now(), n.config.Now())
@@ -109,7 +109,7 @@
 
 // nextConfig reads the whole configuration, or waits for a change after a position in the
 // feed. It returns the position to go on from.
-func (n *Node) nextConfig(ctx context.Context, whole bool, position uint64) (c *config.Config, from string, at uint64, err error) {
+func (n *Instance) nextConfig(ctx context.Context, whole bool, position uint64) (c *config.Config, from string, at uint64, err error) {
 	if whole {
 		c, at, err = n.configs.Get(ctx)
 		return c, "read", at, err
@@ -119,20 +119,20 @@
 }
 
 // configArrives notes that the store's answer with the configuration brings something.
-func (n *Node) configArrives() {
+func (n *Instance) configArrives() {
 	now := time.Now()
 	n.arriving.Store(&now)
 }
 
 // configComes reports whether the store is bringing the configuration.
-func (n *Node) configComes(now time.Time) bool {
+func (n *Instance) configComes(now time.Time) bool {
 	last := n.arriving.Load()
 	return last != nil && now.Sub(*last) < fetchAfter
 }
 
 // fetchConfig takes a configuration that a peer has, unless the store's feed brings it
 // meanwhile.
-func (n *Node) fetchConfig(addr string, version uint64) {
+func (n *Instance) fetchConfig(addr string, version uint64) {
 	if !n.fetching.CompareAndSwap(false, true) {
 		return
 	}
@@ -149,7 +149,7 @@
 }
 
 // askConfig asks a peer for a newer configuration. It returns nil if there is none.
-func (n *Node) askConfig(ctx context.Context, addr string) (*config.Config, error) {
+func (n *Instance) askConfig(ctx context.Context, addr string) (*config.Config, error) {
 	reply, err := n.dialer.Do(ctx, addr, &wire.Request{Body: &wire.Request_Config{
 		Config: &wire.ConfigQuery{Above: n.config.Version()},
 	}})
@@ -165,7 +165,7 @@
 
 // transferred takes in what came of asking for the configuration, and logs what a
 // transfer cost or why there was none.
-func (n *Node) transferred(c *config.Config, from string, begun time.Time, err error) {
+func (n *Instance) transferred(c *config.Config, from string, begun time.Time, err error) {
 	took := time.Since(begun)
 	scope := n.kit.Scope.Tagged(map[string]string{"from": from})
 	if err != nil {
--- a/cluster/configs_test.go
+++ b/cluster/configs_test.go
@@ -53,9 +53,9 @@
 	return s.reads, append([]uint64(nil), s.places...)
 }
 
-// followingNode returns an instance that follows a source until the spec ends.
-func followingNode(s *source) *Node {
-	n := testNode(&policy{})
+// followingInstance returns an instance that follows a source until the spec ends.
+func followingInstance(s *source) *Instance {
+	n := testInstance(&policy{})
 	n.configs = s
 	ctx, cancel := context.WithCancel(context.Background())
 	DeferCleanup(cancel)
@@ -69,7 +69,7 @@
 var _ = Describe("the configuration", func() {
 	It("is read in whole once, and then only what changes", func() {
 		s := &source{version: 1, raw: make([]byte, 1<<20)}
-		n := followingNode(s)
+		n := followingInstance(s)
 		Eventually(n.config.Version).Should(BeEquivalentTo(1))
 		Eventually(func() int { _, places := s.seen(); return len(places) }, 15*time.Second).Should(BeNumerically(">", 20))
 		reads, places := s.seen()
@@ -79,7 +79,7 @@
 
 	It("keeps its place in the feed when a call fails", func() {
 		s := &source{version: 1, fails: map[uint64]error{11: kind.New(kind.Lost, "broken off")}}
-		followingNode(s)
+		followingInstance(s)
 		Eventually(func() []uint64 { _, places := s.seen(); return places }, 3*time.Second).Should(ContainElement(uint64(12)))
 		reads, places := s.seen()
 		Expect(reads).To(Equal(1))
@@ -88,7 +88,7 @@
 
 	It("is read in whole again once the feed has forgotten its changes", func() {
 		s := &source{version: 1, fails: map[uint64]error{11: kind.New(kind.Conflict, "forgotten")}}
-		followingNode(s)
+		followingInstance(s)
 		Eventually(func() int { reads, _ := s.seen(); return reads }, 3*time.Second).Should(Equal(2))
 	})
 
@@ -101,7 +101,7 @@
 	It("is asked of one peer at a time, and of none once the feed has brought it", func(ctx context.Context) {
 		var mu sync.Mutex
 		asked, most, now := 0, 0, 0
-		n := nodeWithOwner(handler(func(req *wire.Request) *wire.Reply {
+		n := instanceWithOwner(handler(func(req *wire.Request) *wire.Reply {
 			mu.Lock()
 			asked++
 			now++
@@ -192,7 +192,7 @@
 var _ = Describe("the configuration, while something fails", func() {
 	It("is read in whole when the feed fails at one place again and again", func() {
 		s := &stuck{source{version: 1, raw: make([]byte, 1<<20)}}
-		n := testNode(&policy{})
+		n := testInstance(&policy{})
 		n.configs = s
 		ctx, cancel := context.WithCancel(context.Background())
 		DeferCleanup(cancel)
@@ -212,7 +212,7 @@
 		})}
 		go server.Serve(good)
 		DeferCleanup(server.Close)
-		n := testNode(&policy{})
+		n := testInstance(&policy{})
 		n.ParseConfig = func(raw []byte) (*config.Config, error) { return &config.Config{Version: 7, Raw: raw}, nil }
 		n.greeted(&wire.Greeting{Instance: "a", Hall: "h", Boot: "b", Addr: silent.Addr().String(), ConfigVersion: 7})
 		Eventually(n.fetching.Load).Should(BeTrue())
@@ -226,7 +226,7 @@
 
 	It("does not spin when the feed has forgotten its changes each time", func() {
 		s := &conflicting{}
-		n := testNode(&policy{})
+		n := testInstance(&policy{})
 		n.configs = s
 		ctx, cancel := context.WithCancel(context.Background())
 		DeferCleanup(cancel)
@@ -238,7 +238,7 @@
 
 	It("does not spin when the feed answers at once without a change", func() {
 		s := &eager{}
-		n := testNode(&policy{})
+		n := testInstance(&policy{})
 		n.configs = s
 		ctx, cancel := context.WithCancel(context.Background())
 		DeferCleanup(cancel)
@@ -286,7 +286,7 @@
 
 var _ = Describe("a configuration that a peer asks for", func() {
 	It("is passed on compressed, if the peer's is older", func(ctx context.Context) {
-		n := testNode(&policy{})
+		n := testInstance(&policy{})
 		raw := make([]byte, 100_000)
 		n.install(&config.Config{Version: 7, Raw: raw}, "feed")
 		ask := func(above uint64) []byte {
@@ -303,7 +303,7 @@
 
 	It("is not asked for while the store brings it", func() {
 		asked := make(chan struct{}, 10)
-		n := nodeWithOwner(handler(func(*wire.Request) *wire.Reply {
+		n := instanceWithOwner(handler(func(*wire.Request) *wire.Reply {
 			asked <- struct{}{}
 			return &wire.Reply{}
 		}))
--- a/cluster/division.go
+++ b/cluster/division.go
@@ -22,7 +22,7 @@
 // highest fence that it has seen, and the fences of two cells do not compare.
 
 const (
-	// divisionName is the row that holds the division, in the table of the seats.
+	// divisionName is the row that holds the division, in the table of the cell leases.
 	divisionName = "division"
 	// workersPerCell is how many workers a cell has at most when the division is
 	// decided. BenchmarkPlace and the sweep of docs/MEASUREMENTS.md are where it
@@ -101,7 +101,7 @@
 
 // runCells learns or decides the division, and then sees that every cell has an
 // owner, until ctx ends.
-func (n *Node) runCells(ctx context.Context) {
+func (n *Instance) runCells(ctx context.Context) {
 	if n.learnDivision(ctx) {
 		n.electLoop(ctx)
 	}
@@ -109,7 +109,7 @@
 
 // learnDivision reads the division until it is known, and decides it if nobody has.
 // It reports whether it is known when it returns.
-func (n *Node) learnDivision(ctx context.Context) bool {
+func (n *Instance) learnDivision(ctx context.Context) bool {
 	var workers census
 	turn := time.Now().Add(firstLook)
 	for ctx.Err() == nil {
@@ -131,8 +131,8 @@
 }
 
 // readDivision reads the row; it has no cells if there is none.
-func (n *Node) readDivision(ctx context.Context) (divisionRow, error) {
-	page, err := n.door.Get(ctx, rows.Only(divisionKey))
+func (n *Instance) readDivision(ctx context.Context) (divisionRow, error) {
+	page, err := n.storeClient.Get(ctx, rows.Only(divisionKey))
 	if err != nil {
 		return divisionRow{}, err
 	}
@@ -152,10 +152,10 @@
 
 // decideDivision writes the division once it can be decided, and reports whether it
 // should be read again at once. Of those who decide at the same time one is first.
-func (n *Node) decideDivision(ctx context.Context, workers *census) bool {
+func (n *Instance) decideDivision(ctx context.Context, workers *census) bool {
 	row := divisionRow{Cells: n.settings.Cluster.Cells}
 	if row.Cells == 0 {
-		all, err := n.Directory(n.door).All(ctx)
+		all, err := n.Directory(n.storeClient).All(ctx)
 		if err != nil || !workers.settled(len(all), time.Now()) {
 			return false
 		}
@@ -165,7 +165,7 @@
 	if err != nil {
 		return false
 	}
-	res, err := n.door.Tx(ctx, rows.Tx{Expect: []rows.Check{{Key: divisionKey}}, Put: []rows.Row{{Key: divisionKey, Value: raw}}})
+	res, err := n.storeClient.Tx(ctx, rows.Tx{Expect: []rows.Check{{Key: divisionKey}}, Put: []rows.Row{{Key: divisionKey, Value: raw}}})
 	if err == nil && res.Refused {
 		err = errors.New("another instance was first")
 	}
--- a/cluster/division_test.go
+++ b/cluster/division_test.go
@@ -50,10 +50,10 @@
 
 var _ = Describe("an instance", func() {
 	It("is not ready before it knows the division: it could take no job", func(ctx context.Context) {
-		n := testNode(&policy{})
-		n.door.Direct = table{}
+		n := testInstance(&policy{})
+		n.storeClient.Direct = table{}
 		n.config.Install(&config.Config{Version: 1})
-		_, err := n.door.Get(ctx, rows.Range{Table: "t"})
+		_, err := n.storeClient.Get(ctx, rows.Range{Table: "t"})
 		Expect(err).NotTo(HaveOccurred())
 		Expect(n.ready()).To(BeFalse())
 		Expect(n.Submit(ctx, &flow.Spec{ID: "j"})).To(MatchError(ContainSubstring("not known yet")))
@@ -71,14 +71,14 @@
 	}
 
 	It("leaves a vacant one to those that own none", func() {
-		n := testNode(&policy{})
+		n := testInstance(&policy{})
 		free := n.turn("cell-2", now)
 		n.cells["cell-0"] = &ownCell{}
 		Expect(n.turn("cell-2", now)).To(Equal(free + ownedPause))
 	})
 
 	It("hands one over to an instance alike that owns none", func() {
-		n := testNode(&policy{})
+		n := testInstance(&policy{})
 		n.settings.Cluster.Processor = 0.4
 		n.members.heard(busy, now)
 		Expect(n.stronger(now.Add(strongerFor+1))).To(BeEmpty(), "the stronger one has a cell already")
--- a/cluster/elect.go
+++ b/cluster/elect.go
@@ -17,7 +17,7 @@
 
 const (
 	electEvery = 60 * time.Millisecond
-	// firstLook is how long a new instance listens before it takes a free seat.
+	// firstLook is how long a new instance listens before it takes a free cell.
 	firstLook = 120 * time.Millisecond
 	// rankPause keeps the candidates for a cell apart, and strongerPause lets those
 	// with much more of a processor go first.
@@ -26,39 +26,39 @@
 	strongerPause = 300 * time.Millisecond
 	// ownedPause is added for each cell that an instance owns already.
 	ownedPause = 300 * time.Millisecond
-	// watchAfter is how long an owner may not have been heard before its seat may
+	// watchAfter is how long an owner may not have been heard before its cell lease may
 	// be taken, if it is free or the owner's process is gone.
 	watchAfter = 450 * time.Millisecond
 	electTime  = 3 * time.Second
 	// startPause is for how long after its start an instance leaves cells to stronger
-	// ones that the store lists: as long as those take to start and to take a seat.
+	// ones that the store lists: as long as those take to start and to take a cell.
 	startPause = 700 * time.Millisecond
 	probeTime  = 250 * time.Millisecond
 )
 
-// watched is what an instance knows of the last write of a cell's seat.
+// watched is what an instance knows of the last write of a cell's lease.
 type watched struct {
 	ver uint64
 	// since is when the write had surely been begun.
 	since time.Time
 }
 
-// sawWrite notes that version ver of a seat had been written at since.
-func (n *Node) sawWrite(name string, ver uint64, since time.Time) {
+// sawWrite notes that version ver of a cell lease had been written at since.
+func (n *Instance) sawWrite(name string, ver uint64, since time.Time) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if w := n.seats[name]; ver > w.ver || (ver == w.ver && since.Before(w.since)) {
-		n.seats[name] = watched{ver: ver, since: since}
+	if w := n.lastWrites[name]; ver > w.ver || (ver == w.ver && since.Before(w.since)) {
+		n.lastWrites[name] = watched{ver: ver, since: since}
 	}
 }
 
-// unwritten returns for how long a seat that stands at version ver has surely gone
+// unwritten returns for how long a cell lease that stands at version ver has surely gone
 // unwritten.
-func (n *Node) unwritten(name string, ver uint64, now time.Time) time.Duration {
+func (n *Instance) unwritten(name string, ver uint64, now time.Time) time.Duration {
 	n.sawWrite(name, ver, now)
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if w := n.seats[name]; w.ver == ver {
+	if w := n.lastWrites[name]; w.ver == ver {
 		return now.Sub(w.since)
 	}
 	return 0
@@ -67,12 +67,12 @@
 // vacancy is what an instance knows of a cell whose owner is not heard.
 type vacancy struct {
 	since time.Time
-	// trying says that this instance tries to take the seat.
+	// trying says that this instance tries to take the cell lease.
 	trying atomic.Bool
 }
 
-// electLoop takes the seat of a cell whenever nobody else has it.
-func (n *Node) electLoop(ctx context.Context) {
+// electLoop takes the lease of a cell whenever nobody else has it.
+func (n *Instance) electLoop(ctx context.Context) {
 	sleep(ctx, firstLook)
 	vacant := make(map[string]*vacancy)
 	for ctx.Err() == nil {
@@ -87,7 +87,7 @@
 }
 
 // elect looks at every cell once.
-func (n *Node) elect(ctx context.Context, vacant map[string]*vacancy, now time.Time) {
+func (n *Instance) elect(ctx context.Context, vacant map[string]*vacancy, now time.Time) {
 	newest := n.members.newest(now)
 	for _, name := range n.division.cells() {
 		if o, ok := newest[name]; n.own(name) != nil || (ok && o.drives(now, watchAfter)) {
@@ -110,14 +110,14 @@
 }
 
 // ownerHeard reports whether the owner of a cell was heard within a time.
-func (n *Node) ownerHeard(name string, now time.Time, within time.Duration) bool {
+func (n *Instance) ownerHeard(name string, now time.Time, within time.Duration) bool {
 	o := n.members.owner(name, now)
 	return o != nil && o.drives(now, within)
 }
 
 // turn returns how long this instance leaves a vacant cell to others that own none:
 // to those with much more of a processor, and to those that come before it by lot.
-func (n *Node) turn(name string, now time.Time) time.Duration {
+func (n *Instance) turn(name string, now time.Time) time.Duration {
 	// Only some of the others are heard; the store lists all.
 	own, first, stronger := draw(name+"/"+n.settings.Instance), 0, n.members.listedAbove(n.enough())
 	for _, k := range n.members.list(now, (*member).free) {
@@ -136,67 +136,67 @@
 // waitsForStronger reports whether this instance has just started and leaves cells to
 // much stronger ones that may be starting too, and that it has not heard yet. After a
 // loss of power to all, a weak owner would have to read the jobs only to yield.
-func (n *Node) waitsForStronger(now time.Time) bool {
+func (n *Instance) waitsForStronger(now time.Time) bool {
 	return now.Sub(n.began) < startPause && n.members.listedAbove(n.enough())
 }
 
-// tryTake takes the seat if its owner is gone.
-func (n *Node) tryTake(ctx context.Context, name string) {
+// tryTake takes the cell lease if its owner is gone.
+func (n *Instance) tryTake(ctx context.Context, name string) {
 	ctx, cancel := context.WithTimeout(ctx, electTime)
 	defer cancel()
 	c := &claim.Claim{
-		Store: n.door, Cell: name, Owner: n.settings.Instance,
+		Store: n.storeClient, Cell: name, Owner: n.settings.Instance,
 		Boot: n.boot, Addr: n.settings.Listen.Peer,
 	}
-	seat, ver, err := c.Read(ctx)
+	lease, ver, err := c.Read(ctx)
 	if err != nil {
 		return
 	}
 	now := time.Now()
 	unwritten := n.unwritten(name, ver, now)
-	why := n.vacant(ctx, seat, unwritten-n.turn(name, now))
+	why := n.vacant(ctx, lease, unwritten-n.turn(name, now))
 	if why == "" || n.ownerHeard(name, time.Now(), cellSilence) {
 		return
 	}
-	if err := c.Take(ctx, seat, ver); err != nil {
+	if err := c.Take(ctx, lease, ver); err != nil {
 		level.Info(n.kit.Log).Log("event", "seat_not_taken", "cell", name, "err", err)
 		return
 	}
 	n.kit.Scope.Tagged(map[string]string{"why": why}).Counter("seats_taken_total").Inc(1)
-	level.Info(n.kit.Log).Log("event", "seat_taken", "cell", name, "epoch", c.Epoch(), "before", seat.Owner, "why", why)
+	level.Info(n.kit.Log).Log("event", "seat_taken", "cell", name, "epoch", c.Epoch(), "before", lease.Owner, "why", why)
 	former := time.Duration(0)
 	if why == whyGone {
 		// It may be behind a cut that refuses connections, and go on for a while.
-		former = seat.Silence()
+		former = lease.Silence()
 	}
 	n.drive(name, c, former)
 }
 
-// whyGone is why a seat may be taken whose owner's address refuses connections.
+// whyGone is why a cell lease may be taken whose owner's address refuses connections.
 const whyGone = "owner's process is gone"
 
-// vacant returns why a seat may be taken, "" if it may not.
-func (n *Node) vacant(ctx context.Context, seat claim.Seat, unwritten time.Duration) string {
+// vacant returns why a cell lease may be taken, "" if it may not.
+func (n *Instance) vacant(ctx context.Context, lease claim.Lease, unwritten time.Duration) string {
 	switch {
-	case seat.Owner == "":
+	case lease.Owner == "":
 		return "free"
-	case seat.Owner == n.settings.Instance:
+	case lease.Owner == n.settings.Instance:
 		return "was this instance's before"
-	case unwritten > seat.Silence():
+	case unwritten > lease.Silence():
 		return "owner silent"
 	}
-	heard := n.members.list(time.Now(), func(k *member) bool { return k.name == seat.Owner })
-	if len(heard) > 0 && heard[0].boot != seat.Boot {
+	heard := n.members.list(time.Now(), func(k *member) bool { return k.name == lease.Owner })
+	if len(heard) > 0 && heard[0].boot != lease.Boot {
 		return "owner has started anew"
 	}
-	if n.refused(ctx, seat.Addr) {
+	if n.refused(ctx, lease.Addr) {
 		return whyGone
 	}
 	return ""
 }
 
 // refused reports whether nobody listens at an address.
-func (n *Node) refused(ctx context.Context, addr string) bool {
+func (n *Instance) refused(ctx context.Context, addr string) bool {
 	c, err := sock.Dialer(probeTime).DialContext(ctx, "tcp", addr)
 	if err == nil {
 		_ = c.Close()
--- a/cluster/elect_test.go
+++ b/cluster/elect_test.go
@@ -14,9 +14,9 @@
 	"dewpass.org/wire"
 )
 
-var _ = Describe("a seat", func() {
+var _ = Describe("a cell lease", func() {
 	It("counts as unwritten from when a version is known to have been written", func() {
-		n := testNode(&policy{})
+		n := testInstance(&policy{})
 		now := time.Now()
 		Expect(n.unwritten("c", 1, now)).To(BeZero(), "seen for the first time")
 		Expect(n.unwritten("c", 1, now.Add(time.Second))).To(Equal(time.Second))
@@ -30,7 +30,7 @@
 
 var _ = Describe("an instance that has just started", func() {
 	It("leaves cells to much stronger ones that the store lists, for a while", func() {
-		n := testNode(&policy{})
+		n := testInstance(&policy{})
 		n.settings.Cluster.Processor = 0.2
 		now := n.began
 		n.members.found([]memberRow{{Addr: "a", Processor: 250}}, now)
@@ -45,7 +45,7 @@
 
 var _ = Describe("an owner", func() {
 	It("yields to an instance with a much larger processor once that has been heard for a while", func() {
-		n := testNode(&policy{})
+		n := testInstance(&policy{})
 		n.settings.Cluster.Processor = 0.2
 		now := time.Now()
 		n.members.heard(&wire.Greeting{Instance: "alike", Hall: "h", Boot: "a", Addr: "a", StoreOk: true, Processor: 250}, now)
@@ -58,13 +58,13 @@
 })
 
 var _ = Describe("an owner whose writes the store does not take", func() {
-	It("is obeyed while each other instance has answered lately, or has no process", func() {
-		n := testNode(&policy{})
+	It("is heard by all while each other instance has answered lately, or has no process", func() {
+		n := testInstance(&policy{})
 		now := time.Now()
 		n.members.heard(&wire.Greeting{Instance: "a", Hall: "h", Boot: "a", Addr: "a"}, now)
 		n.members.heard(&wire.Greeting{Instance: "b", Hall: "h", Boot: "b", Addr: "b"}, now)
 		n.members.answer("a", now)
-		Expect(n.members.allAnswer(now)).To(BeFalse(), "b may take the seat")
+		Expect(n.members.allAnswer(now)).To(BeFalse(), "b may take the cell lease")
 		n.members.refusedAt("b", now)
 		Expect(n.members.allAnswer(now)).To(BeTrue(), "nobody is there to take it")
 		Expect(n.members.allAnswer(now.Add(cellSilence))).To(BeFalse(), "one that started since may")
@@ -77,19 +77,19 @@
 	})
 })
 
-var _ = Describe("a seat that has an owner", func() {
+var _ = Describe("a cell lease that has an owner", func() {
 	It("may be taken once it went unwritten for longer than its owner goes on", func(ctx context.Context) {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
 		defer l.Close()
-		n := testNode(&policy{})
-		seat := claim.Seat{Owner: "other", Boot: "b", Addr: l.Addr().String(), ValidMS: 900}
-		Expect(n.vacant(ctx, seat, seat.Silence())).To(BeEmpty())
-		Expect(n.vacant(ctx, seat, seat.Silence()+1)).To(Equal("owner silent"))
+		n := testInstance(&policy{})
+		lease := claim.Lease{Owner: "other", Boot: "b", Addr: l.Addr().String(), ValidMS: 900}
+		Expect(n.vacant(ctx, lease, lease.Silence())).To(BeEmpty())
+		Expect(n.vacant(ctx, lease, lease.Silence()+1)).To(Equal("owner silent"))
 	})
 
 	It("is left to much stronger instances for a while", func() {
-		n := testNode(&policy{})
+		n := testInstance(&policy{})
 		n.settings.Cluster.Processor = 0.2
 		now := time.Now()
 		Expect(n.turn("c", now)).To(BeZero())
@@ -98,7 +98,7 @@
 	})
 
 	It("is left to them also where they are only known from the store's list", func() {
-		n := testNode(&policy{})
+		n := testInstance(&policy{})
 		n.settings.Cluster.Processor = 0.2
 		now := time.Now()
 		n.members.found([]memberRow{{Addr: "b", Processor: 800}}, now)
--- a/cluster/greet.go
+++ b/cluster/greet.go
@@ -30,16 +30,16 @@
 )
 
 // greeting says who this instance is.
-func (n *Node) greeting() *wire.Greeting {
+func (n *Instance) greeting() *wire.Greeting {
 	g := &wire.Greeting{
 		Instance: n.settings.Instance, Hall: n.settings.Hall, Boot: n.boot, Addr: n.settings.Listen.Peer,
-		Processor: n.processor(), Leaving: n.leaving.Load(), ConfigVersion: n.config.Version(), StoreOk: n.door.DirectOK(),
+		Processor: n.processor(), Leaving: n.leaving.Load(), ConfigVersion: n.config.Version(), StoreOk: n.storeClient.DirectOK(),
 	}
 	for name, c := range n.owned() {
 		d, written := c.driver, c.claim.Written()
 		load, racks := d.Load()
 		sum := &wire.CellSummary{
-			Name: name, Epoch: d.Seat.Epoch(), Ready: d.Ready(), Keeps: n.door.Reachable(),
+			Name: name, Epoch: d.Claim.Epoch(), Ready: d.Ready(), Keeps: n.storeClient.Reachable(),
 			Room: load.Room[sched.Milli], Free: load.Free[sched.Milli], Waiting: load.Waiting, Racks: racks,
 			SeatVer: written.Ver, SeatAgeUs: uint64(time.Since(written.Begun).Microseconds()),
 		}
@@ -69,10 +69,10 @@
 }
 
 // processor returns the share of a processor, in thousandths.
-func (n *Node) processor() uint32 { return uint32(n.settings.Cluster.Processor * 1000) }
+func (n *Instance) processor() uint32 { return uint32(n.settings.Cluster.Processor * 1000) }
 
 // greetLoop greets the others until ctx ends.
-func (n *Node) greetLoop(ctx context.Context) {
+func (n *Instance) greetLoop(ctx context.Context) {
 	last := time.Time{}
 	for ctx.Err() == nil {
 		now := time.Now()
@@ -86,7 +86,7 @@
 
 // greet greets everybody if this instance owns a cell, since an owner's silence is
 // noticed, and those whose turn it is if it does not.
-func (n *Node) greet(ctx context.Context) {
+func (n *Instance) greet(ctx context.Context) {
 	req := &wire.Request{Body: &wire.Request_Greeting{Greeting: n.greeting()}}
 	for _, addr := range n.targets(time.Now()) {
 		go n.greetOne(ctx, addr, req)
@@ -94,14 +94,14 @@
 }
 
 // targets returns the addresses to greet.
-func (n *Node) targets(now time.Time) []string {
+func (n *Instance) targets(now time.Time) []string {
 	if len(n.owned()) > 0 {
 		return n.members.all(now)
 	}
 	return n.members.round(now)
 }
 
-func (n *Node) greetOne(ctx context.Context, addr string, req *wire.Request) {
+func (n *Instance) greetOne(ctx context.Context, addr string, req *wire.Request) {
 	ctx, cancel := context.WithTimeout(ctx, greetTime)
 	defer cancel()
 	sent := time.Now()
@@ -115,7 +115,7 @@
 }
 
 // greetNow greets everybody and waits for the answers, for a while.
-func (n *Node) greetNow(ctx context.Context) {
+func (n *Instance) greetNow(ctx context.Context) {
 	req := &wire.Request{Body: &wire.Request_Greeting{Greeting: n.greeting()}}
 	var all sync.WaitGroup
 	for _, addr := range n.members.all(time.Now()) {
@@ -125,7 +125,7 @@
 }
 
 // greeted takes in a greeting.
-func (n *Node) greeted(g *wire.Greeting) {
+func (n *Instance) greeted(g *wire.Greeting) {
 	for _, c := range g.GetCells() {
 		// The greeting took its time: the write was begun no later than that.
 		n.sawWrite(c.Name, c.SeatVer, time.Now().Add(-time.Duration(c.SeatAgeUs)*time.Microsecond))
@@ -146,7 +146,7 @@
 }
 
 // register writes this instance into the store's list and reads the others.
-func (n *Node) register(ctx context.Context) {
+func (n *Instance) register(ctx context.Context) {
 	raw, err := json.Marshal(memberRow{Addr: n.settings.Listen.Peer, Hall: n.settings.Hall, Processor: n.processor()})
 	if err != nil {
 		return
@@ -156,7 +156,7 @@
 	for ctx.Err() == nil {
 		pause := membersEvery
 		if !written {
-			_, err := n.door.Tx(ctx, put)
+			_, err := n.storeClient.Tx(ctx, put)
 			written = err == nil
 		}
 		if !n.readMembers(ctx) || !written {
@@ -169,8 +169,8 @@
 	}
 }
 
-func (n *Node) readMembers(ctx context.Context) bool {
-	all, _, err := rows.All(ctx, n.door, rows.Range{Table: tableMembers})
+func (n *Instance) readMembers(ctx context.Context) bool {
+	all, _, err := rows.All(ctx, n.storeClient, rows.Range{Table: tableMembers})
 	if err != nil {
 		return false
 	}
--- a/cluster/node.go
+++ b/cluster/instance.go
@@ -49,21 +49,22 @@
 	// Advisor is nil where there is no policy service.
 	Advisor driver.Advisor
 	// Front makes the handler of clients' requests.
-	Front func(*Node) http.Handler
+	Front func(*Instance) http.Handler
 	// Ready makes the handler that says whether clients may be sent here.
 	Ready func(ready func() bool) http.Handler
 }
 
-// Node is an entry instance.
-type Node struct {
+// Instance is one entry instance: it answers clients and its peers, and drives the
+// cells that it owns.
+type Instance struct {
 	Services
 	settings *settings.Settings
 	kit      *telemetry.Kit
 	boot     string
 
-	door    *rows.Door
-	configs ConfigSource
-	config  config.Register
+	storeClient *rows.Client
+	configs     ConfigSource
+	config      config.Register
 	// fetching says that the configuration is being asked of a peer.
 	fetching atomic.Bool
 	// arriving is when the store's answer with the configuration last brought something.
@@ -82,10 +83,10 @@
 
 	mu    sync.Mutex
 	cells map[string]*ownCell
-	// seats holds what is known of the last writes of all seats.
-	seats map[string]watched
-	times times
-	// resting is until when this instance takes no seat.
+	// lastWrites holds what is known of the last write of each cell lease.
+	lastWrites map[string]watched
+	times      times
+	// resting is until when this instance takes no cell.
 	resting time.Time
 	// asking counts the questions to the policy that this instance asks itself.
 	asking int
@@ -95,7 +96,7 @@
 // Settings that come by changes are taken where they can be without a restart.
 func Run(ctx context.Context, s *settings.Settings, kit *telemetry.Kit, services Services, changes <-chan *settings.Settings) error {
 	limitMemory(s)
-	n := newNode(s, kit, services)
+	n := newInstance(s, kit, services)
 	work, end := context.WithCancel(context.Background())
 	defer end()
 	others, err := n.listen(work)
@@ -128,7 +129,7 @@
 }
 
 // takeChanges takes changed settings until ctx ends.
-func (n *Node) takeChanges(ctx context.Context, changes <-chan *settings.Settings) {
+func (n *Instance) takeChanges(ctx context.Context, changes <-chan *settings.Settings) {
 	for {
 		select {
 		case s := <-changes:
@@ -142,7 +143,7 @@
 // reload takes what may change while an instance runs: how long leases, jobs
 // that are over, and the grace last. A lease counts for cells that are taken
 // from then on.
-func (n *Node) reload(s *settings.Settings) {
+func (n *Instance) reload(s *settings.Settings) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if s.Cluster == nil {
@@ -163,28 +164,28 @@
 	return times{lease: time.Duration(c.Lease), keep: time.Duration(c.Keep), grace: time.Duration(c.Grace)}
 }
 
-func (n *Node) timesNow() times {
+func (n *Instance) timesNow() times {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	return n.times
 }
 
-func newNode(s *settings.Settings, kit *telemetry.Kit, services Services) *Node {
-	n := &Node{
+func newInstance(s *settings.Settings, kit *telemetry.Kit, services Services) *Instance {
+	n := &Instance{
 		Services: counted(services, kit), settings: s, kit: kit, boot: uid.New(), began: time.Now(),
-		members: newMembers(s.Instance, s.Hall, s.Peers, s.Listen.Peer, time.Now()),
-		dialer:  &link.Dialer{},
-		cells:   make(map[string]*ownCell),
-		seats:   make(map[string]watched),
-		times:   timesOf(s.Cluster),
+		members:    newMembers(s.Instance, s.Hall, s.Peers, s.Listen.Peer, time.Now()),
+		dialer:     &link.Dialer{},
+		cells:      make(map[string]*ownCell),
+		lastWrites: make(map[string]watched),
+		times:      timesOf(s.Cluster),
 	}
 	n.server = &link.Server{Handler: n}
-	n.door = &rows.Door{Direct: n.Store, Now: time.Now, Carry: n.carry, Changed: n.storeChanged}
-	n.configs = services.Configs(n.door.Near(n.configArrives))
+	n.storeClient = &rows.Client{Direct: n.Store, Now: time.Now, Carry: n.carry, Changed: n.storeChanged}
+	n.configs = services.Configs(n.storeClient.Near(n.configArrives))
 	return n
 }
 
-func (n *Node) storeChanged(direct, reachable bool) {
+func (n *Instance) storeChanged(direct, reachable bool) {
 	level.Info(n.kit.Log).Log("event", "store", "direct", direct, "reachable", reachable)
 }
 
@@ -194,17 +195,17 @@
 // probeSpare is how lately another call must have been answered to spare a probe.
 const probeSpare = 200 * time.Millisecond
 
-// probeStore reads the seat of one cell after another, so that readiness follows
-// the store, and so that it is known how long a seat has gone unwritten when its
+// probeStore reads the lease of one cell after another, so that readiness follows
+// the store, and so that it is known how long a cell lease has gone unwritten when its
 // owner falls silent.
-func (n *Node) probeStore(ctx context.Context) {
+func (n *Instance) probeStore(ctx context.Context) {
 	for at := 0; ctx.Err() == nil; at++ {
 		name := ""
 		if names := n.division.cells(); len(names) > 0 {
 			name = names[at%len(names)]
 		}
 		if !n.known(name, time.Now()) {
-			go n.probeSeat(ctx, name)
+			go n.probeLease(ctx, name)
 		}
 		sleep(ctx, probeEvery)
 	}
@@ -212,30 +213,30 @@
 
 // known reports whether what a probe would tell is known: the store has just answered
 // another call, and the cell's owner says how old its last write is.
-func (n *Node) known(name string, now time.Time) bool {
-	return n.door.Answered(probeSpare) && (n.own(name) != nil || n.ownerHeard(name, now, watchAfter))
+func (n *Instance) known(name string, now time.Time) bool {
+	return n.storeClient.Answered(probeSpare) && (n.own(name) != nil || n.ownerHeard(name, now, watchAfter))
 }
 
-// probeSeat reads the seat of a cell; "" is the division in its place.
-func (n *Node) probeSeat(ctx context.Context, name string) {
+// probeLease reads the lease of a cell; "" is the division in its place.
+func (n *Instance) probeLease(ctx context.Context, name string) {
 	if name == "" {
-		_, _ = n.door.Probe(ctx, rows.Only(divisionKey))
+		_, _ = n.storeClient.Probe(ctx, rows.Only(divisionKey))
 		return
 	}
-	if page, err := n.door.Probe(ctx, claim.Range(name)); err == nil {
-		_, ver := claim.SeatOf(page)
+	if page, err := n.storeClient.Probe(ctx, claim.Range(name)); err == nil {
+		_, ver := claim.LeaseOf(page)
 		n.sawWrite(name, ver, time.Now())
 	}
 }
 
 // Config returns the newest configuration, nil if there is none yet.
-func (n *Node) Config() *config.Config { return n.config.Now() }
+func (n *Instance) Config() *config.Config { return n.config.Now() }
 
 // Leaving reports whether a planned stop is under way.
-func (n *Node) Leaving() bool { return n.leaving.Load() }
+func (n *Instance) Leaving() bool { return n.leaving.Load() }
 
 // listen serves peers and clients, and returns the servers that are for neither.
-func (n *Node) listen(ctx context.Context) ([]*drain.Server, error) {
+func (n *Instance) listen(ctx context.Context) ([]*drain.Server, error) {
 	peers, err := sock.Listen(ctx, n.settings.Listen.Peer)
 	if err != nil {
 		return nil, kind.At(kind.BadSettings, "/listen/peer", err.Error())
@@ -279,9 +280,9 @@
 }
 
 // ready reports whether clients may be sent here.
-func (n *Node) ready() bool {
+func (n *Instance) ready() bool {
 	known := n.config.Now() != nil && len(n.division.cells()) > 0
-	return known && !n.leaving.Load() && n.door.Reachable()
+	return known && !n.leaving.Load() && n.storeClient.Reachable()
 }
 
 const (
@@ -300,7 +301,7 @@
 const notice = 2500 * time.Millisecond
 
 // stop hands the cells on, lets what is in progress end, and closes.
-func (n *Node) stop(others []*drain.Server) {
+func (n *Instance) stop(others []*drain.Server) {
 	grace, begun := n.timesNow().grace, time.Now()
 	level.Info(n.kit.Log).Log("event", "stopping")
 	n.leaving.Store(true)
--- a/cluster/jobs.go
+++ b/cluster/jobs.go
@@ -70,7 +70,7 @@
 }
 
 // places returns the cells that may take a job, the best first.
-func (n *Node) places(spec *flow.Spec) []place {
+func (n *Instance) places(spec *flow.Spec) []place {
 	var out []place
 	own := n.owned()
 	for name, c := range own {
@@ -117,7 +117,7 @@
 
 // State returns the state of a job. Its error is of kind NotFound if there is
 // no such job.
-func (n *Node) State(ctx context.Context, id string) (flow.State, error) {
+func (n *Instance) State(ctx context.Context, id string) (flow.State, error) {
 	for _, c := range n.owned() {
 		if s, ok := c.driver.State(id); ok {
 			return s, nil
@@ -152,7 +152,7 @@
 
 // likelyHome returns the cell of another owner that has a job if it is there at all:
 // the one that was seen to have it, or the only one. It is "" if that is not known.
-func (n *Node) likelyHome(id string) string {
+func (n *Instance) likelyHome(id string) string {
 	cell := n.homes.get(id)
 	if names := n.division.cells(); cell == "" && len(names) == 1 {
 		cell = names[0]
@@ -164,7 +164,7 @@
 }
 
 // home returns the cell that has a job.
-func (n *Node) home(ctx context.Context, id string) (string, error) {
+func (n *Instance) home(ctx context.Context, id string) (string, error) {
 	if cell := n.homes.get(id); cell != "" {
 		return cell, nil
 	}
@@ -172,7 +172,7 @@
 }
 
 // readHome reads from the store which cell has a job.
-func (n *Node) readHome(ctx context.Context, id string) (string, error) {
+func (n *Instance) readHome(ctx context.Context, id string) (string, error) {
 	row, err := n.row(ctx, driver.HomeKey(id))
 	if err != nil {
 		return "", err
@@ -186,7 +186,7 @@
 }
 
 // askOwner asks the owner of a cell for a job's state, or cancels the job.
-func (n *Node) askOwner(ctx context.Context, cell, id string, cancelJob bool) (flow.State, error) {
+func (n *Instance) askOwner(ctx context.Context, cell, id string, cancelJob bool) (flow.State, error) {
 	o := n.members.owner(cell, time.Now())
 	if o == nil {
 		return "", kind.New(kind.Unavailable, "the cell's owner is not heard").After(comeBack)
@@ -207,7 +207,7 @@
 }
 
 // stored returns the state that the store has.
-func (n *Node) stored(ctx context.Context, cell, id string) (flow.State, error) {
+func (n *Instance) stored(ctx context.Context, cell, id string) (flow.State, error) {
 	record, err := n.row(ctx, driver.RecordKey(cell, id))
 	if err != nil {
 		return "", err
@@ -239,8 +239,8 @@
 }
 
 // row reads a row of a job, with version 0 if there is none.
-func (n *Node) row(ctx context.Context, key rows.Key) (rows.Row, error) {
-	page, err := n.door.Get(ctx, rows.Only(key))
+func (n *Instance) row(ctx context.Context, key rows.Key) (rows.Row, error) {
+	page, err := n.storeClient.Get(ctx, rows.Only(key))
 	if err != nil {
 		return rows.Row{}, kind.Wrap(kind.Unavailable, err, "the job's row in "+key.Table).After(comeBack)
 	}
@@ -248,7 +248,7 @@
 }
 
 // Cancel cancels a job. Its error is of kind NotFound if there is no such job.
-func (n *Node) Cancel(ctx context.Context, id string) error {
+func (n *Instance) Cancel(ctx context.Context, id string) error {
 	ctx, cancel := context.WithTimeout(ctx, cancelTime)
 	defer cancel()
 	for {
@@ -265,7 +265,7 @@
 
 const retryCancel = 200 * time.Millisecond
 
-func (n *Node) cancelOnce(ctx context.Context, id string) error {
+func (n *Instance) cancelOnce(ctx context.Context, id string) error {
 	cell, err := n.home(ctx, id)
 	if err != nil {
 		return err
@@ -277,7 +277,7 @@
 }
 
 // cancelAt has the owner of a cell cancel a job.
-func (n *Node) cancelAt(ctx context.Context, cell, id string) error {
+func (n *Instance) cancelAt(ctx context.Context, cell, id string) error {
 	d := n.own(cell)
 	if d == nil {
 		_, err := n.askOwner(ctx, cell, id, true)
@@ -291,7 +291,7 @@
 
 // tellOfCanceled tells an owner of a job that it does not know and that is not over: one
 // that was accepted a moment ago. The error is of kind NotFound if the job is over.
-func (n *Node) tellOfCanceled(ctx context.Context, cell, id string) error {
+func (n *Instance) tellOfCanceled(ctx context.Context, cell, id string) error {
 	row, err := n.row(ctx, driver.SpecKey(id))
 	if err != nil {
 		return err
@@ -314,7 +314,7 @@
 }
 
 // Pending returns how many accepted jobs of a queue have not begun.
-func (n *Node) Pending(queue string) int {
+func (n *Instance) Pending(queue string) int {
 	sum := 0
 	known := make(map[string]bool)
 	for name, c := range n.owned() {
--- a/cluster/jobs_test.go
+++ b/cluster/jobs_test.go
@@ -34,16 +34,16 @@
 
 func (t table) Feed(context.Context, rows.Since) (rows.Page, error) { return rows.Page{}, nil }
 
-// nodeWithOwner returns an instance that has heard the owner of the only cell, a peer
+// instanceWithOwner returns an instance that has heard the owner of the only cell, a peer
 // that answers as h does.
-func nodeWithOwner(h link.Handler) *Node {
+func instanceWithOwner(h link.Handler) *Instance {
 	GinkgoHelper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
 	server := &link.Server{Handler: h}
 	go server.Serve(l)
 	DeferCleanup(server.Close)
-	n := testNode(&policy{})
+	n := testInstance(&policy{})
 	n.division.set(1)
 	n.members.heard(&wire.Greeting{
 		Instance: "owner", Hall: "h", Boot: "b", Addr: l.Addr().String(), Cells: []*wire.CellSummary{{Name: "cell-0"}},
@@ -71,12 +71,12 @@
 
 var _ = Describe("the state of a job of the only cell", func() {
 	It("comes from its owner, and the store is asked for what that does not know", func(ctx context.Context) {
-		n := nodeWithOwner(ownerPeer{job: "j"})
-		n.door.Direct = deaf{}
+		n := instanceWithOwner(ownerPeer{job: "j"})
+		n.storeClient.Direct = deaf{}
 		state, err := n.State(ctx, "j")
 		Expect(err).NotTo(HaveOccurred())
 		Expect(state).To(Equal(flow.Running))
-		n.door.Direct = table{
+		n.storeClient.Direct = table{
 			driver.HomeKey("old"):  []byte("cell-0"),
 			driver.EndedKey("old"): flow.Encode(flow.Ended{State: flow.Succeeded}),
 		}
@@ -90,12 +90,12 @@
 
 var _ = Describe("what a probe of the store would tell", func() {
 	It("is known while another call is answered and the owner is heard", func(ctx context.Context) {
-		n := testNode(&policy{})
-		n.door.Direct = table{}
+		n := testInstance(&policy{})
+		n.storeClient.Direct = table{}
 		Expect(n.known("c", time.Now())).To(BeFalse())
-		_, err := n.door.Get(ctx, rows.Range{Table: "t"})
+		_, err := n.storeClient.Get(ctx, rows.Range{Table: "t"})
 		Expect(err).NotTo(HaveOccurred())
-		Expect(n.known("c", time.Now())).To(BeFalse(), "how old the seat is")
+		Expect(n.known("c", time.Now())).To(BeFalse(), "how old the cell lease is")
 		n.members.heard(&wire.Greeting{Instance: "o", Hall: "h", Boot: "b", Addr: "o", Cells: []*wire.CellSummary{{Name: "c"}}}, time.Now())
 		Expect(n.known("c", time.Now())).To(BeTrue())
 		Expect(n.known("c", time.Now().Add(watchAfter))).To(BeFalse())
@@ -122,8 +122,8 @@
 			if c.ended != nil {
 				t[driver.EndedKey("j")] = c.ended
 			}
-			n := testNode(&policy{})
-			n.door.Direct = t
+			n := testInstance(&policy{})
+			n.storeClient.Direct = t
 			state, err := n.stored(ctx, "c", "j")
 			Expect(err).NotTo(HaveOccurred())
 			Expect(state).To(Equal(c.want))
@@ -136,16 +136,16 @@
 // had not begun.
 var _ = Describe("the state of a job that was forgotten", func() {
 	It("is not known to an instance that remembers its cell either", func(ctx context.Context) {
-		n := nodeWithOwner(ownerPeer{})
-		n.door.Direct = table{}
+		n := instanceWithOwner(ownerPeer{})
+		n.storeClient.Direct = table{}
 		n.homes.set("j", "cell-0")
 		_, err := n.State(ctx, "j")
 		Expect(kind.Is(err, kind.NotFound)).To(BeTrue())
 	})
 
 	It("is pending as long as its home is kept", func(ctx context.Context) {
-		n := nodeWithOwner(ownerPeer{})
-		n.door.Direct = table{driver.HomeKey("j"): []byte("cell-0")}
+		n := instanceWithOwner(ownerPeer{})
+		n.storeClient.Direct = table{driver.HomeKey("j"): []byte("cell-0")}
 		n.homes.set("j", "cell-0")
 		state, err := n.State(ctx, "j")
 		Expect(err).NotTo(HaveOccurred())
@@ -181,9 +181,9 @@
 var _ = Describe("the cancel of a job that its owner has not been told of", func() {
 	It("is not refused: the owner is told, and cancels it", func(ctx context.Context) {
 		o := &lateOwner{}
-		n := nodeWithOwner(o)
+		n := instanceWithOwner(o)
 		spec := &flow.Spec{ID: "j", Cell: "cell-0", Queue: "q", Steps: []flow.Step{{Count: 1}}}
-		n.door.Direct = table{driver.HomeKey("j"): []byte("cell-0"), driver.SpecKey("j"): flow.Encode(spec)}
+		n.storeClient.Direct = table{driver.HomeKey("j"): []byte("cell-0"), driver.SpecKey("j"): flow.Encode(spec)}
 		Expect(n.Cancel(ctx, "j")).To(Succeed())
 		o.mu.Lock()
 		defer o.mu.Unlock()
@@ -194,8 +194,8 @@
 	})
 
 	It("finds no job once that is over and its owner does not know it", func(ctx context.Context) {
-		n := nodeWithOwner(&lateOwner{})
-		n.door.Direct = table{driver.HomeKey("j"): []byte("cell-0"), driver.EndedKey("j"): flow.Encode(flow.Ended{State: flow.Succeeded})}
+		n := instanceWithOwner(&lateOwner{})
+		n.storeClient.Direct = table{driver.HomeKey("j"): []byte("cell-0"), driver.EndedKey("j"): flow.Encode(flow.Ended{State: flow.Succeeded})}
 		Expect(kind.Is(n.Cancel(ctx, "j"), kind.NotFound)).To(BeTrue())
 	})
 })
--- a/cluster/members.go
+++ b/cluster/members.go
@@ -285,7 +285,7 @@
 }
 
 // allAnswer reports whether every member that was heard in a while has answered
-// lately, or has no process any more: one that starts there has to watch a seat
+// lately, or has no process any more: one that starts there has to watch a cell lease
 // for longer before it may take it. A refused connection shows that only from a hall
 // of which another member answers: one that is cut off may refuse them all.
 func (m *members) allAnswer(now time.Time) bool {
--- a/cluster/own.go
+++ b/cluster/own.go
@@ -18,14 +18,14 @@
 }
 
 // owned returns the cells that this instance owns.
-func (n *Node) owned() map[string]*ownCell {
+func (n *Instance) owned() map[string]*ownCell {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	return maps.Clone(n.cells)
 }
 
 // own returns the driver of a cell, nil if this instance does not own it.
-func (n *Node) own(name string) *driver.Driver {
+func (n *Instance) own(name string) *driver.Driver {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if c := n.cells[name]; c != nil {
@@ -35,18 +35,18 @@
 }
 
 // drive starts to drive a cell whose former owner may give orders for a while yet.
-func (n *Node) drive(name string, c *claim.Claim, former time.Duration) {
+func (n *Instance) drive(name string, c *claim.Claim, former time.Duration) {
 	t := n.timesNow()
 	var d *driver.Driver
 	d = driver.New(driver.Config{
 		Name: name, Mine: func(rack string) bool { return n.division.draw(rack) == name },
 		Lease: t.lease, Keep: t.keep, Former: former,
-		Seat: c, Store: n.door, Reachable: n.door.Reachable,
-		Workers: n.Workers, Directory: n.Directory(n.door),
-		Advise: n.advise, Callers: n.callers, Obeyed: n.obeyed,
-		Lost:    func() { n.dropDriver(name, d) },
-		TooSlow: func() { n.giveUp(name, d, c) },
-		Log:     n.kit.Log, Scope: n.kit.Scope,
+		Claim: c, Store: n.storeClient, Reachable: n.storeClient.Reachable,
+		Workers: n.Workers, Directory: n.Directory(n.storeClient),
+		Advise: n.advise, Callers: n.callers, HeardByAll: n.heardByAll,
+		Lost:         func() { n.dropDriver(name, d) },
+		LoadTimedOut: func() { n.giveUp(name, d, c) },
+		Log:          n.kit.Log, Scope: n.kit.Scope,
 	})
 	if conf := n.config.Now(); conf != nil {
 		d.Configure(conf.CellQueues())
@@ -63,11 +63,11 @@
 	go n.greet(context.Background())
 }
 
-// obeyed reports whether every other instance that was heard lately has answered
-// the last greetings, and so will not take a seat of this one.
-func (n *Node) obeyed() bool { return n.members.allAnswer(time.Now()) }
+// heardByAll reports whether every other instance that was heard lately has answered
+// the last greetings, and so will not take a cell from this one.
+func (n *Instance) heardByAll() bool { return n.members.allAnswer(time.Now()) }
 
-func (n *Node) dropDriver(name string, d *driver.Driver) {
+func (n *Instance) dropDriver(name string, d *driver.Driver) {
 	if d.Loaded() {
 		load, _ := d.Load()
 		n.members.note(name, pendingOf(load), time.Now())
--- a/cluster/peers.go
+++ b/cluster/peers.go
@@ -15,7 +15,7 @@
 )
 
 // Handle implements link.Handler.
-func (n *Node) Handle(ctx context.Context, req *wire.Request) *wire.Reply {
+func (n *Instance) Handle(ctx context.Context, req *wire.Request) *wire.Reply {
 	reply, err := n.handle(ctx, req)
 	if err != nil {
 		return &wire.Reply{Error: wire.ToError(err)}
@@ -23,7 +23,7 @@
 	return reply
 }
 
-func (n *Node) handle(ctx context.Context, req *wire.Request) (*wire.Reply, error) {
+func (n *Instance) handle(ctx context.Context, req *wire.Request) (*wire.Reply, error) {
 	switch b := req.Body.(type) {
 	case *wire.Request_Greeting:
 		return n.handleGreeting(b.Greeting), nil
@@ -34,7 +34,7 @@
 	case *wire.Request_Advice:
 		return n.handleAdvice(ctx, b.Advice)
 	case *wire.Request_Store:
-		answer, err := n.door.Serve(ctx, b.Store.Call)
+		answer, err := n.storeClient.Serve(ctx, b.Store.Call)
 		return &wire.Reply{Body: &wire.Reply_Store{Store: &wire.StoreAnswer{Answer: answer}}}, err
 	case *wire.Request_Config:
 		doc := &wire.ConfigDoc{}
@@ -48,7 +48,7 @@
 
 // handleGreeting answers a greeting. A sender that was not known is told of some of
 // the others.
-func (n *Node) handleGreeting(g *wire.Greeting) *wire.Reply {
+func (n *Instance) handleGreeting(g *wire.Greeting) *wire.Reply {
 	now := time.Now()
 	own := n.greeting()
 	if !n.members.knows(g.Instance, g.Boot) {
@@ -60,7 +60,7 @@
 	return &wire.Reply{Body: &wire.Reply_Greeting{Greeting: own}}
 }
 
-func (n *Node) handleSubmit(s *wire.JobSubmit) (*wire.Reply, error) {
+func (n *Instance) handleSubmit(s *wire.JobSubmit) (*wire.Reply, error) {
 	d := n.own(s.Cell)
 	if d == nil {
 		return nil, kind.New(kind.Unavailable, "the cell is not here")
@@ -72,7 +72,7 @@
 	return &wire.Reply{Body: &wire.Reply_JobState{JobState: &wire.JobState{}}}, d.Adopt(spec, s.Ver)
 }
 
-func (n *Node) handleAsk(ctx context.Context, a *wire.JobAsk) (*wire.Reply, error) {
+func (n *Instance) handleAsk(ctx context.Context, a *wire.JobAsk) (*wire.Reply, error) {
 	d := n.own(a.Cell)
 	if d == nil || !d.Ready() {
 		return nil, kind.New(kind.Unavailable, "the cell is not here")
@@ -90,7 +90,7 @@
 }
 
 // carry sends a call to the store by a peer that reaches it.
-func (n *Node) carry(ctx context.Context, call []byte) ([]byte, error) {
+func (n *Instance) carry(ctx context.Context, call []byte) ([]byte, error) {
 	peers := n.members.list(time.Now(), func(k *member) bool { return k.storeOK })
 	slices.SortStableFunc(peers, func(a, b member) int {
 		return cmp.Compare(n.farther(a), n.farther(b))
@@ -115,7 +115,7 @@
 )
 
 // farther is 1 for a member of another hall.
-func (n *Node) farther(m member) int {
+func (n *Instance) farther(m member) int {
 	if m.hall == n.settings.Hall {
 		return 0
 	}
@@ -123,7 +123,7 @@
 }
 
 // draw spreads the choices of several owners over the same callers.
-func (n *Node) draw(name string) uint32 { return draw(n.settings.Instance + "/" + name) }
+func (n *Instance) draw(name string) uint32 { return draw(n.settings.Instance + "/" + name) }
 
 // draw turns a text into a number that is as good as drawn by lot.
 func draw(text string) uint32 {
--- a/cluster/stop_test.go
+++ b/cluster/stop_test.go
@@ -35,15 +35,15 @@
 	var (
 		begun   time.Time
 		stopped chan struct{}
-		n       *Node
+		n       *Instance
 		others  []*drain.Server
 	)
 	BeforeEach(func(ctx context.Context) {
-		n = testNode(&policy{})
+		n = testInstance(&policy{})
 		n.times.grace = leastGrace
 		n.settings.Listen.HTTP, n.settings.Listen.Peer, n.settings.Cluster.Ready = "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0"
 		n.Ready = func(func() bool) http.Handler { return http.NotFoundHandler() }
-		n.Front = func(n *Node) http.Handler {
+		n.Front = func(n *Instance) http.Handler {
 			return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 				if n.Leaving() {
 					w.Header().Set("Connection", "close")
--- a/cluster/upkeep.go
+++ b/cluster/upkeep.go
@@ -18,11 +18,11 @@
 )
 
 // upkeepLoop carries out waves of upkeep for the cells that this instance owns.
-func (n *Node) upkeepLoop(ctx context.Context) {
+func (n *Instance) upkeepLoop(ctx context.Context) {
 	if n.Upkeep == nil {
 		return
 	}
-	platform := n.Upkeep(n.door)
+	platform := n.Upkeep(n.storeClient)
 	for ctx.Err() == nil {
 		sleep(ctx, upkeepEvery)
 		for name, c := range n.owned() {
@@ -33,11 +33,11 @@
 	}
 }
 
-func (n *Node) upkeepStep(ctx context.Context, platform upkeep.Platform, name string, c *ownCell) {
+func (n *Instance) upkeepStep(ctx context.Context, platform upkeep.Platform, name string, c *ownCell) {
 	ctx, cancel := context.WithTimeout(ctx, upkeepTime)
 	defer cancel()
 	r := upkeep.Runner{
-		Platform: platform, Store: n.door, Cell: c.driver,
+		Platform: platform, Store: n.storeClient, Cell: c.driver,
 		Holder: n.settings.Instance, Fence: c.claim.Epoch(),
 		Mine: func(rack string) bool { return n.division.draw(rack) == name },
 		Log:  n.kit.Log,
--- a/cluster/yield.go
+++ b/cluster/yield.go
@@ -15,10 +15,10 @@
 )
 
 const (
-	// slowPause is how long an instance takes no seat after it was too slow for
+	// slowPause is how long an instance takes no cell after it was too slow for
 	// one.
 	slowPause = 10 * time.Second
-	// A seat goes to an instance with strongerShare hundredths of this one's
+	// A cell goes to an instance with strongerShare hundredths of this one's
 	// processor that was heard for strongerFor; yieldEvery spaces the looks.
 	strongerShare = 140
 	strongerFor   = 800 * time.Millisecond
@@ -27,8 +27,8 @@
 
 // stronger returns the name of an instance that owns no cell and would be a much
 // better owner than this one, "" if there is none. When all start at once the first
-// one takes a seat, however small its machine.
-func (n *Node) stronger(now time.Time) string {
+// one takes a cell, however small its machine.
+func (n *Instance) stronger(now time.Time) string {
 	better := n.members.list(now, func(k *member) bool {
 		return k.free() && k.processor > n.enough() && now.Sub(k.since) > strongerFor
 	})
@@ -38,8 +38,8 @@
 	return better[0].name
 }
 
-// yieldLoop hands seats to stronger instances.
-func (n *Node) yieldLoop(ctx context.Context) {
+// yieldLoop hands cells to stronger instances.
+func (n *Instance) yieldLoop(ctx context.Context) {
 	for ctx.Err() == nil {
 		sleep(ctx, yieldEvery)
 		own := n.owned()
@@ -54,7 +54,7 @@
 
 // surplus returns which of its own cells this instance should hand over, and to whom:
 // all to a much stronger one, one of several to one alike. The name is "" for none.
-func (n *Node) surplus(own map[string]*ownCell, now time.Time) (map[string]*ownCell, string) {
+func (n *Instance) surplus(own map[string]*ownCell, now time.Time) (map[string]*ownCell, string) {
 	if to := n.stronger(now); to != "" {
 		return own, to
 	}
@@ -66,7 +66,7 @@
 
 // idler returns the name of an instance that owns no cell and would be about as good
 // an owner as this one, "" if there is none.
-func (n *Node) idler(now time.Time) string {
+func (n *Instance) idler(now time.Time) string {
 	idle := n.members.list(now, func(k *member) bool {
 		return k.free() && k.processor*strongerShare/100 >= n.processor() && now.Sub(k.since) > strongerFor
 	})
@@ -83,7 +83,7 @@
 }
 
 // yield hands cells over and takes none for a while, so that the other instance may.
-func (n *Node) yield(ctx context.Context, own map[string]*ownCell, to string) {
+func (n *Instance) yield(ctx context.Context, own map[string]*ownCell, to string) {
 	level.Info(n.kit.Log).Log("event", "seats_yielded", "to", to, "cells", len(own), "processor", n.processor())
 	n.rest(strongerFor)
 	ctx, cancel := context.WithTimeout(ctx, handoverMax)
@@ -91,9 +91,9 @@
 	n.handOver(ctx, own)
 }
 
-// giveUp gives a seat up whose jobs this instance cannot read in time, and takes
+// giveUp gives a cell up whose jobs this instance cannot read in time, and takes
 // none for a while.
-func (n *Node) giveUp(name string, d *driver.Driver, c *claim.Claim) {
+func (n *Instance) giveUp(name string, d *driver.Driver, c *claim.Claim) {
 	level.Warn(n.kit.Log).Log("event", "seat_given_up", "cell", name, "epoch", c.Epoch(), "why", "its jobs take too long to read")
 	n.rest(slowPause)
 	d.Freeze()
@@ -105,22 +105,22 @@
 	n.dropDriver(name, d)
 }
 
-// rest lets this instance take no seat for a while.
-func (n *Node) rest(d time.Duration) {
+// rest lets this instance take no cell for a while.
+func (n *Instance) rest(d time.Duration) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.resting = time.Now().Add(d)
 }
 
-// restsUntil returns until when this instance takes no seat.
-func (n *Node) restsUntil() time.Time {
+// restsUntil returns until when this instance takes no cell.
+func (n *Instance) restsUntil() time.Time {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	return n.resting
 }
 
-// handOver gives the seats of some cells up as planned.
-func (n *Node) handOver(ctx context.Context, cells map[string]*ownCell) {
+// handOver releases the leases of some cells as planned.
+func (n *Instance) handOver(ctx context.Context, cells map[string]*ownCell) {
 	for name, c := range cells {
 		c.driver.Freeze()
 		if err := c.claim.Release(ctx); err != nil {
@@ -132,4 +132,4 @@
 }
 
 // enough returns the processor beyond which another instance is much stronger.
-func (n *Node) enough() uint32 { return n.processor() * strongerShare / 100 }
+func (n *Instance) enough() uint32 { return n.processor() * strongerShare / 100 }
--- a/cmd/dewpass/explain.go
+++ b/cmd/dewpass/explain.go
@@ -24,7 +24,7 @@
 		Name:        "explain",
 		Usage:       "tell the story of a request from the logs of any number of instances",
 		ArgsUsage:   "ID [FILE...]",
-		Description: "Reads the files, or standard input, merges them by time and prints what concerns\nthe request: each line that names it, and what instances believed meanwhile of\nseats, the store and the workers that it ran on.\n\nExample: dewpass explain 5c0e7a21d94b36f8 naas-1.log athy-1.log",
+		Description: "Reads the files, or standard input, merges them by time and prints what concerns\nthe request: each line that names it, and what instances believed meanwhile of\ncell leases, the store and the workers that it ran on.\n\nExample: dewpass explain 5c0e7a21d94b36f8 naas-1.log athy-1.log",
 		Action: func(_ context.Context, c *cli.Command) error {
 			if c.Args().Len() == 0 {
 				return kind.At(kind.BadRequest, "ID", "is missing")
--- a/driver/commit.go
+++ b/driver/commit.go
@@ -54,7 +54,7 @@
 	// removes, so that all stay within rows.MaxEntries.
 	savesAtOnce = 64
 	staleAtOnce = 30
-	// renewEvery is how long the seat may go without being written.
+	// renewEvery is how long the cell lease may go without being written.
 	renewEvery = 200 * time.Millisecond
 )
 
@@ -82,20 +82,20 @@
 type group struct {
 	saves []cell.Save
 	// stale names the jobs whose records are removed.
-	stale  []string
-	roster bool
-	tx     rows.Tx
+	stale      []string
+	workerList bool
+	tx         rows.Tx
 }
 
 // gather takes what there is to write. It reports whether there is anything. The
 // lock is held.
 func (d *Driver) gather() (group, bool) {
-	g := group{saves: d.cell.Saves(savesAtOnce), roster: d.rosterChanged}
-	if g.roster {
-		d.putRoster(&g.tx)
-		d.rosterChanged = false
+	g := group{saves: d.cell.Saves(savesAtOnce), workerList: d.workerListChanged}
+	if g.workerList {
+		d.putWorkerList(&g.tx)
+		d.workerListChanged = false
 	} else {
-		// The rows of a roster take the place of these.
+		// The rows of a worker list take the place of these.
 		g.stale = d.stale[:min(len(d.stale), staleAtOnce)]
 		d.stale = d.stale[len(g.stale):]
 	}
@@ -105,7 +105,7 @@
 	for _, s := range g.saves {
 		g.tx.Put = append(g.tx.Put, rows.Row{Key: RecordKey(d.Name, s.ID), Value: flow.Encode(s.Record)})
 	}
-	return g, len(g.saves)+len(g.stale) > 0 || g.roster
+	return g, len(g.saves)+len(g.stale) > 0 || g.workerList
 }
 
 // commitOnce writes one group, an empty one if renew is set, and reports whether
@@ -121,9 +121,9 @@
 	}
 	d.mu.Unlock()
 	begun := time.Now()
-	_, err := d.Seat.Commit(d.ctx, g.tx)
+	_, err := d.Claim.Commit(d.ctx, g.tx)
 	if kind.Is(err, kind.Fenced) {
-		d.lost("the seat's row has another owner")
+		d.lost("the cell's lease has another owner")
 	}
 	d.Scope.Histogram("write_seconds", telemetry.Latency()).RecordDuration(time.Since(begun))
 	d.Scope.Counter("write_rows_total").Inc(int64(len(g.tx.Put)))
@@ -136,16 +136,16 @@
 // committed takes in whether the store has taken a group. The lock is held.
 func (d *Driver) committed(g group, ok bool) {
 	d.cell.Saved(g.saves, ok)
-	poke(d.wake)
+	notify(d.wake)
 	if !ok {
 		d.stale = slices.Concat(g.stale, d.stale)
-		d.rosterChanged = d.rosterChanged || g.roster
+		d.workerListChanged = d.workerListChanged || g.workerList
 		return
 	}
 	d.announce()
 	d.logEnded(g.saves)
 	if d.cell.Dirty() {
-		poke(d.write)
+		notify(d.write)
 	}
 }
 
@@ -158,7 +158,7 @@
 			}
 			d.Scope.Histogram("job_took_seconds", telemetry.Latency()).RecordDuration(s.Story.Took)
 			d.Scope.Tagged(map[string]string{"state": string(s.Record.State)}).Counter("jobs_ended_total").Inc(1)
-			level.Info(d.Log).Log("event", "job_ended", "job", s.ID, "state", s.Record.State, "epoch", d.Seat.Epoch(),
+			level.Info(d.Log).Log("event", "job_ended", "job", s.ID, "state", s.Record.State, "epoch", d.Claim.Epoch(),
 				"began_ms", s.Story.Began.Milliseconds(), "took_ms", s.Story.Took.Milliseconds(),
 				"runs", s.Story.Runs, "failed", s.Story.Failed, "lost", s.Story.Lost, "last", true)
 		}
--- a/driver/doc.go
+++ b/driver/doc.go
@@ -3,7 +3,7 @@
 // Package driver runs a cell: it carries what happens to a cell.Cell and carries
 // out what the cell decides.
 //
-// A Driver lives as long as its instance holds the cell's seat. It begins by
+// A Driver lives as long as its instance holds the cell's lease. It begins by
 // reading the jobs of the cell from the store, and then runs one link to each
 // worker. A link first holds the worker under a fence above all earlier ones,
 // which brings back all that runs there, and then holds it again and again,
--- a/driver/driver.go
+++ b/driver/driver.go
@@ -27,12 +27,12 @@
 	Mine func(rack string) bool
 	// Lease is how long the runs of a worker go on without being renewed.
 	Lease time.Duration
-	// Former is for how long after the seat was taken a former owner may go on.
+	// Former is for how long after the cell lease was taken a former owner may go on.
 	Former time.Duration
 	// Keep is how long a job that is over can be asked for.
 	Keep time.Duration
-	// Seat is the claim on the hall; the Driver is its only user.
-	Seat      *claim.Claim
+	// Claim is this instance's claim to the cell; the Driver is its only user.
+	Claim     *claim.Claim
 	Store     rows.Store
 	Reachable func() bool
 	Workers   Workers
@@ -41,16 +41,16 @@
 	// way at once.
 	Advise  func(ctx context.Context, a cell.Ask) (Tickets, error)
 	Callers func() int
-	// Obeyed reports whether every instance that might take the seat is known
+	// HeardByAll reports whether every instance that might take the cell lease is known
 	// to have heard this one lately.
-	Obeyed func() bool
-	// Lost is called when another instance holds the seat.
+	HeardByAll func() bool
+	// Lost is called when another instance holds the cell lease.
 	Lost func()
-	// TooSlow is called when the jobs could not be read in time although the store
+	// LoadTimedOut is called when the jobs could not be read in time although the store
 	// answers: another instance may have the means.
-	TooSlow func()
-	Log     log.Logger
-	Scope   tally.Scope
+	LoadTimedOut func()
+	Log          log.Logger
+	Scope        tally.Scope
 }
 
 // Driver runs the cell. Make one with New.
@@ -73,12 +73,12 @@
 	loaded bool
 	// scanned is the version up to which the jobs were read.
 	scanned uint64
-	// rosterChanged says that the workers of the cell are not those of the
-	// roster in the store.
-	rosterChanged bool
-	// rosterRows is how many rows the roster in the store may have, and rosterSize how
-	// many workers the last one lists.
-	rosterRows, rosterSize int
+	// workerListChanged says that the workers of the cell are not those of the
+	// worker list in the store.
+	workerListChanged bool
+	// workerListRows is how many rows the worker list in the store may have, and
+	// workerListSize how many workers the last one lists.
+	workerListRows, workerListSize int
 	// kept is closed and renewed whenever the store has taken a write.
 	kept chan struct{}
 
@@ -100,11 +100,11 @@
 	pauseLimit = 900 * time.Millisecond
 )
 
-// New returns a Driver for a seat that has just been taken.
+// New returns a Driver for a cell lease that has just been taken.
 func New(c Config) *Driver {
 	d := &Driver{
 		Config: c,
-		cell:   cell.New(int(c.Seat.Epoch()) * runsPerEpoch),
+		cell:   cell.New(int(c.Claim.Epoch()) * runsPerEpoch),
 		links:  make(map[string]*link),
 		kept:   make(chan struct{}),
 		wake:   make(chan struct{}, 1),
@@ -117,7 +117,7 @@
 
 // Start reads the cell's jobs and then runs until Close.
 func (d *Driver) Start() {
-	// The seat is renewed while the jobs are read.
+	// The cell lease is renewed while the jobs are read.
 	d.spawn(d.commitLoop)
 	d.spawn(func() {
 		if d.load() {
@@ -187,7 +187,7 @@
 	d.mu.Lock()
 	d.cell.Configure(queues)
 	d.mu.Unlock()
-	poke(d.wake)
+	notify(d.wake)
 }
 
 // Ready reports whether the cell's jobs have been read.
@@ -229,8 +229,8 @@
 	if !known {
 		return kind.New(kind.NotFound, "the cell has no such job")
 	}
-	poke(d.wake)
-	poke(d.write)
+	notify(d.wake)
+	notify(d.write)
 	for {
 		kept := d.keptSignal()
 		if s, ok := d.State(id); !ok || s.Final() {
@@ -254,7 +254,7 @@
 		return
 	}
 	d.Scope.Counter("seats_lost_total").Inc(1)
-	level.Warn(d.Log).Log("event", "seat_lost", "cell", d.Name, "epoch", d.Seat.Epoch(), "why", why)
+	level.Warn(d.Log).Log("event", "seat_lost", "cell", d.Name, "epoch", d.Claim.Epoch(), "why", why)
 	d.cancel()
 	go d.Lost()
 }
@@ -287,13 +287,13 @@
 }
 
 // mayOrder reports whether what is ordered now cannot meet the orders of another
-// owner: the seat was written lately, or all who could take it hear this
+// owner: the cell lease was written lately, or all who could take it hear this
 // instance.
 func (d *Driver) mayOrder(now time.Time) bool {
-	return d.Seat.Valid(now) || d.Obeyed()
+	return d.Claim.Valid(now) || d.HeardByAll()
 }
 
-// confirm makes sure after a pause that the seat is still held.
+// confirm makes sure after a pause that the cell lease is still held.
 func (d *Driver) confirm(gap time.Duration) bool {
 	level.Warn(d.Log).Log("event", "paused", "gap_ms", gap.Milliseconds())
 	d.mu.Lock()
@@ -303,11 +303,11 @@
 	d.mu.Unlock()
 	for d.ctx.Err() == nil {
 		ctx, cancel := context.WithTimeout(d.ctx, time.Second)
-		held, err := d.Seat.Held(ctx)
+		held, err := d.Claim.Held(ctx)
 		cancel()
 		if err == nil {
 			if !held {
-				d.lost("the seat changed hands during a pause")
+				d.lost("the cell lease changed hands during a pause")
 			}
 			return held
 		}
@@ -322,7 +322,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.report()
-	d.checkRoster()
+	d.checkWorkerList()
 	d.tidyUp(now)
 }
 
@@ -369,7 +369,7 @@
 	}
 	d.archiveEnded()
 	if d.cell.Dirty() {
-		poke(d.write)
+		notify(d.write)
 	}
 	d.mu.Unlock()
 }
@@ -393,7 +393,7 @@
 		valid = min(valid, t.Valid)
 	}
 	d.cell.Advised(a, t.Rows, valid, maxTime(sent.Add(a.Takes()), sent))
-	poke(d.wake)
+	notify(d.wake)
 }
 
 func maxTime(a, b time.Time) time.Time {
@@ -403,7 +403,8 @@
 	return b
 }
 
-func poke(c chan struct{}) {
+// notify wakes whoever waits on c, which has room for one value. It never blocks.
+func notify(c chan struct{}) {
 	select {
 	case c <- struct{}{}:
 	default:
--- a/driver/driver_test.go
+++ b/driver/driver_test.go
@@ -117,17 +117,17 @@
 
 func (nobody) All(context.Context) ([]Entry, error) { return nil, nil }
 
-func newDriver(ctx context.Context, t *table, tooSlow func()) *Driver {
+func newDriver(ctx context.Context, t *table, loadTimedOut func()) *Driver {
 	ginkgo.GinkgoHelper()
 	c := &claim.Claim{Store: t, Cell: "c", Owner: "me", Boot: "b"}
-	seat, ver, err := c.Read(ctx)
+	lease, ver, err := c.Read(ctx)
 	Expect(err).NotTo(HaveOccurred())
-	Expect(c.Take(ctx, seat, ver)).To(Succeed())
+	Expect(c.Take(ctx, lease, ver)).To(Succeed())
 	return New(Config{
-		Name: "c", Lease: time.Second, Keep: time.Hour, Seat: c, Store: t,
+		Name: "c", Lease: time.Second, Keep: time.Hour, Claim: c, Store: t,
 		Workers: away{}, Mine: func(string) bool { return true }, Reachable: func() bool { return true },
-		Directory: nobody{}, Callers: func() int { return 1 }, Obeyed: func() bool { return true },
-		Lost: func() {}, TooSlow: tooSlow, Log: log.NewNopLogger(), Scope: tally.NoopScope,
+		Directory: nobody{}, Callers: func() int { return 1 }, HeardByAll: func() bool { return true },
+		Lost: func() {}, LoadTimedOut: loadTimedOut, Log: log.NewNopLogger(), Scope: tally.NoopScope,
 	})
 }
 
@@ -153,7 +153,7 @@
 		}
 	})
 
-	ginkgo.It("renews its seat while it reads, and lets another try if that takes too long", func(ctx context.Context) {
+	ginkgo.It("renews its cell lease while it reads, and lets another try if that takes too long", func(ctx context.Context) {
 		t := newTable()
 		t.fails["a"] = 1 << 20
 		var slow atomic.Bool
@@ -169,14 +169,14 @@
 })
 
 var _ = ginkgo.Describe("an owner", func() {
-	ginkgo.It("gives no orders once its seat may be taken, unless all obey it", func(ctx context.Context) {
+	ginkgo.It("gives no orders once its cell lease may be taken, unless all hear it", func(ctx context.Context) {
 		d := newDriver(ctx, newTable(), func() {})
-		obeyed := false
-		d.Obeyed = func() bool { return obeyed }
-		w := d.Seat.Written()
+		heardByAll := false
+		d.HeardByAll = func() bool { return heardByAll }
+		w := d.Claim.Written()
 		Expect(d.mayOrder(w.Begun.Add(w.Valid - 1))).To(BeTrue())
 		Expect(d.mayOrder(w.Begun.Add(w.Valid))).To(BeFalse())
-		obeyed = true
+		heardByAll = true
 		Expect(d.mayOrder(w.Begun.Add(w.Valid))).To(BeTrue())
 	})
 
@@ -203,14 +203,14 @@
 	})
 })
 
-var _ = ginkgo.Describe("the roster of a large cell", func() {
+var _ = ginkgo.Describe("the worker list of a large cell", func() {
 	ginkgo.It("is written in rows that the store takes, and read back whole", func(ctx context.Context) {
 		t := newTable()
 		d := newDriver(ctx, t, func() {})
-		const workers = 2 * rosterAtOnce
-		entries := make([]rosterEntry, workers)
+		const workers = 2 * workersPerRow
+		entries := make([]workerListEntry, workers)
 		for i := range entries {
-			entries[i] = rosterEntry{ID: fmt.Sprintf("i-%010d", i), Addr: "10.200.200.200:65000", Hall: "a-hall-with-a-long-name"}
+			entries[i] = workerListEntry{ID: fmt.Sprintf("i-%010d", i), Addr: "10.200.200.200:65000", Hall: "a-hall-with-a-long-name"}
 		}
 		defer d.Close()
 		d.mu.Lock()
@@ -219,7 +219,7 @@
 		Expect(d.commitOnce(false)).To(BeTrue())
 		// A worker less, and a row less after it.
 		d.mu.Lock()
-		for _, e := range entries[rosterAtOnce:] {
+		for _, e := range entries[workersPerRow:] {
 			d.forget(d.links[e.ID], time.Now())
 		}
 		d.mu.Unlock()
@@ -229,8 +229,8 @@
 		Expect(next.load()).To(BeTrue())
 		next.mu.Lock()
 		defer next.mu.Unlock()
-		Expect(next.links).To(HaveLen(rosterAtOnce))
-		Expect(next.rosterRows).To(Equal(1))
+		Expect(next.links).To(HaveLen(workersPerRow))
+		Expect(next.workerListRows).To(Equal(1))
 	})
 })
 
@@ -241,12 +241,12 @@
 		d.Former = time.Second
 		d.mu.Lock()
 		defer d.mu.Unlock()
-		d.restoreWorkers([]rosterEntry{{ID: "w", Addr: "127.0.0.1:1"}})
+		d.restoreWorkers([]workerListEntry{{ID: "w", Addr: "127.0.0.1:1"}})
 		Expect(d.links["w"].over).To(BeTemporally(">=", d.began.Add(time.Second+claim.Margin+d.Lease)))
 	})
 })
 
-var _ = ginkgo.Describe("the roster", func() {
+var _ = ginkgo.Describe("the worker list", func() {
 	ginkgo.It("leaves out workers on which nothing runs for certain, until they are attached again", func(ctx context.Context) {
 		d := newDriver(ctx, newTable(), func() {})
 		defer d.Close()
@@ -257,7 +257,7 @@
 		defer d.mu.Unlock()
 		names := func() []string {
 			var out []string
-			for _, e := range d.roster() {
+			for _, e := range d.workerList() {
 				out = append(out, e.ID)
 			}
 			return out
@@ -271,20 +271,20 @@
 		Expect(names()).To(Equal([]string{"lapsed", "runs"}), "leaves is empty and stays so")
 		d.links["leaves"].sentOrder(now)
 		Expect(names()).To(ContainElement("leaves"), "an order may still arrive")
-		d.rosterSize, d.rosterChanged = 3, false
-		d.checkRoster()
-		Expect(d.rosterChanged).To(BeFalse())
+		d.workerListSize, d.workerListChanged = 3, false
+		d.checkWorkerList()
+		Expect(d.workerListChanged).To(BeFalse())
 		lapsed := d.links["lapsed"]
 		lapsed.lapsed, lapsed.attached = true, false
 		Expect(names()).To(Equal([]string{"leaves", "runs"}))
-		d.checkRoster()
-		Expect(d.rosterChanged).To(BeTrue())
-		d.rosterChanged = false
+		d.checkWorkerList()
+		Expect(d.workerListChanged).To(BeTrue())
+		d.workerListChanged = false
 		lapsed.missing = now
 		d.mu.Unlock()
 		d.held(lapsed, HoldOrder{Target: Target{Fence: lapsed.fence}}, HoldAnswer{}, now, true)
 		d.mu.Lock()
-		Expect(d.rosterChanged).To(BeTrue())
+		Expect(d.workerListChanged).To(BeTrue())
 		Expect(names()).To(ContainElement("lapsed"))
 		w := d.cell.Load()
 		Expect(w.Attached).To(Equal(1), "nothing is placed there while its entry is missing")
@@ -329,13 +329,13 @@
 		d.archiveEnded()
 		d.mu.Unlock()
 		d.wg.Wait()
-		// No group commit was written: the seat's part takes none.
+		// No group commit was written: the part of the cell lease takes none.
 		s, _ := d.State("1")
 		Expect(s).To(Equal(flow.Succeeded))
 		s, _ = d.State("2")
 		Expect(s.Final()).To(BeFalse(), "another owner may not know of it")
 		Expect(t.has(SpecKey("1"))).To(BeFalse())
-		Expect(t.has(SpecKey("2"))).To(BeTrue(), "what the seat does not cover is not written")
+		Expect(t.has(SpecKey("2"))).To(BeTrue(), "what the cell lease does not cover is not written")
 		Expect(t.has(EndedKey("2"))).To(BeFalse())
 	})
 })
--- a/driver/empty.go
+++ b/driver/empty.go
@@ -15,7 +15,7 @@
 	d.mu.Lock()
 	d.cell.Empty(workers, patience, time.Now())
 	d.mu.Unlock()
-	poke(d.wake)
+	notify(d.wake)
 }
 
 // Emptied implements upkeep.Cell.
--- a/driver/link.go
+++ b/driver/link.go
@@ -66,13 +66,13 @@
 	ctx, cancel := context.WithCancel(d.ctx)
 	l := &link{
 		id: id, addr: addr, hall: hall, cancel: cancel, kick: make(chan struct{}, 1),
-		fence: d.Seat.Epoch() * fencesPerEpoch,
-		// A former owner that still lives gives its last orders before its seat is
+		fence: d.Claim.Epoch() * fencesPerEpoch,
+		// A former owner that still lives gives its last orders before its cell lease is
 		// no longer valid.
 		over: d.began.Add(d.Former + claim.Margin + stretch(d.Lease)),
 	}
 	d.links[id] = l
-	d.rosterChanged = true
+	d.workerListChanged = true
 	d.spawn(func() { d.runLink(ctx, l) })
 }
 
@@ -204,16 +204,16 @@
 		level.Debug(d.Log).Log("event", "end", "job", f.Task.Job, "step", f.Task.Step, "index", f.Task.Index, "run", f.Run, "how", f.How, "worker", l.id, "number", f.Number)
 	}
 	if d.cell.Unsaved(l.id) {
-		poke(d.write)
+		notify(d.write)
 	}
-	poke(d.wake)
+	notify(d.wake)
 }
 
-// listAgain takes a worker into the roster again whose leases were over. While its
+// listAgain puts a worker whose leases were over on the worker list again. While its
 // entry is missing as well nothing is placed there: a next owner might not know of it.
 // The lock is held.
 func (d *Driver) listAgain(l *link) {
-	d.rosterChanged = true
+	d.workerListChanged = true
 	if !l.missing.IsZero() {
 		d.cell.Missing(l.id)
 	}
@@ -267,7 +267,7 @@
 		d.Scope.Counter("leases_over_total").Inc(1)
 		level.Info(d.Log).Log("event", "lease_over", "worker", l.id)
 		d.cell.Lapsed(l.id, now)
-		poke(d.wake)
+		notify(d.wake)
 	}
 	if l.lapsed && !l.missing.IsZero() && now.Sub(l.missing) > goneAfter {
 		d.forget(l, now)
@@ -281,8 +281,8 @@
 	d.cell.Forget(l.id, now)
 	l.cancel()
 	delete(d.links, l.id)
-	d.rosterChanged = true
-	poke(d.wake)
+	d.workerListChanged = true
+	notify(d.wake)
 }
 
 // workerDead takes in that a life of a worker is surely over.
@@ -306,7 +306,7 @@
 	if l.waiting != nil {
 		l.waiting()
 	}
-	poke(l.kick)
+	notify(l.kick)
 }
 
 // startRun sends a start. The lock is held.
@@ -366,10 +366,10 @@
 		if l.waiting != nil {
 			l.waiting()
 		}
-		poke(l.kick)
+		notify(l.kick)
 	}
 	if a.Outcome != cell.Accepted {
-		poke(d.wake)
+		notify(d.wake)
 	}
 }
 
--- a/driver/load.go
+++ b/driver/load.go
@@ -30,11 +30,11 @@
 // read on from where it was, the others are not read again.
 type reading struct {
 	// begun is when the first of it was read; only scan sets it.
-	begun   time.Time
-	tries   int
-	specs   [len(specParts)]rows.Reading
-	records rows.Reading
-	roster  rows.Reading
+	begun      time.Time
+	tries      int
+	specs      [len(specParts)]rows.Reading
+	records    rows.Reading
+	workerList rows.Reading
 }
 
 // jobs returns the jobs of all parts.
@@ -75,7 +75,7 @@
 	reads.Go(func() error {
 		return r.records.Read(ctx, d.Store, rows.Range{Table: TableRecords, Part: d.Name, Limit: loadPage})
 	})
-	reads.Go(func() error { return r.roster.Read(ctx, d.Store, d.rosterRange()) })
+	reads.Go(func() error { return r.workerList.Read(ctx, d.Store, d.workerListRange()) })
 	return reads.Wait()
 }
 
@@ -91,12 +91,12 @@
 		if err == nil {
 			d.scanned = r.ver()
 			d.restore(r.jobs(), r.records.Rows)
-			d.restoreRoster(r.roster.Rows)
+			d.restoreWorkerList(r.workerList.Rows)
 			return true
 		}
-		level.Warn(d.Log).Log("event", "load_failed", "cell", d.Name, "epoch", d.Seat.Epoch(), "took_ms", time.Since(begun).Milliseconds(), "err", err)
+		level.Warn(d.Log).Log("event", "load_failed", "cell", d.Name, "epoch", d.Claim.Epoch(), "took_ms", time.Since(begun).Milliseconds(), "err", err)
 		if time.Since(begun) > loadMost && d.Reachable() {
-			go d.TooSlow()
+			go d.LoadTimedOut()
 			return false
 		}
 		d.sleep(readRetry)
@@ -129,7 +129,7 @@
 		rec := byID[r.Name]
 		d.cell.Restore(spec, rec, arrivedAt(spec, now), now)
 		if rec != nil && rec.State.Final() {
-			level.Info(d.Log).Log("event", "end_inherited", "job", r.Name, "epoch", d.Seat.Epoch(), "state", rec.State,
+			level.Info(d.Log).Log("event", "end_inherited", "job", r.Name, "epoch", d.Claim.Epoch(), "state", rec.State,
 				"accepted_ms_ago", now.UnixMilli()-spec.AcceptedMS)
 		}
 	}
@@ -140,5 +140,5 @@
 		}
 	}
 	d.loaded = true
-	level.Info(d.Log).Log("event", "loaded", "cell", d.Name, "epoch", d.Seat.Epoch(), "jobs", len(specs))
+	level.Info(d.Log).Log("event", "loaded", "cell", d.Name, "epoch", d.Claim.Epoch(), "jobs", len(specs))
 }
--- a/driver/scan.go
+++ b/driver/scan.go
@@ -26,7 +26,7 @@
 	}
 	if d.isNew(spec.ID, ver) {
 		d.adopt(spec, time.Now())
-		poke(d.wake)
+		notify(d.wake)
 	}
 	return nil
 }
@@ -92,7 +92,7 @@
 
 func (d *Driver) logScan(err error) {
 	if d.ctx.Err() == nil {
-		level.Info(d.Log).Log("event", "jobs_not_read", "cell", d.Name, "epoch", d.Seat.Epoch(), "err", err)
+		level.Info(d.Log).Log("event", "jobs_not_read", "cell", d.Name, "epoch", d.Claim.Epoch(), "err", err)
 	}
 }
 
@@ -123,5 +123,5 @@
 		level.Info(d.Log).Log("event", "job_found", "job", r.Name, "version", r.Ver)
 		d.adopt(spec, now)
 	}
-	poke(d.wake)
+	notify(d.wake)
 }
--- a/driver/tidy.go
+++ b/driver/tidy.go
@@ -81,9 +81,9 @@
 }
 
 // archiveEnded has the ends of jobs written. That of one that succeeded is written
-// at once; of others only once the record, whose write is bound to the seat, is
+// at once; of others only once the record, whose write is bound to the cell lease, is
 // kept: an owner that is none any more may not end a job. The lock is held, and the
-// seat valid.
+// cell lease valid.
 func (d *Driver) archiveEnded() {
 	d.ended = append(d.ended, d.cell.Ended()...)
 	later := d.ended[:0]
@@ -140,7 +140,7 @@
 		d.forgetEnd(x.ID, x.Age, "kept")
 	}
 	if len(d.stale) > 0 {
-		poke(d.write)
+		notify(d.write)
 	}
 }
 
@@ -148,7 +148,7 @@
 func (d *Driver) forgetEnd(id string, age time.Duration, why string) {
 	d.archives.add(archive{id: id, forget: true})
 	d.Scope.Counter("jobs_forgotten_total").Inc(1)
-	level.Info(d.Log).Log("event", "job_forgotten", "job", id, "cell", d.Name, "epoch", d.Seat.Epoch(),
+	level.Info(d.Log).Log("event", "job_forgotten", "job", id, "cell", d.Name, "epoch", d.Claim.Epoch(),
 		"over_ms", age.Milliseconds(), "keep_ms", d.Keep.Milliseconds(), "why", why, "last", true)
 }
 
--- a/driver/watch.go
+++ b/driver/watch.go
@@ -60,7 +60,7 @@
 			d.miss(link, now)
 		}
 	}
-	poke(d.wake)
+	notify(d.wake)
 }
 
 // heard takes in an entry. The lock is held.
--- a/internal/uid/uid.go
+++ b/internal/uid/uid.go
@@ -5,7 +5,7 @@
 // The library's own ulid.Make draws from a generator that is seeded with the time
 // of day in nanoseconds. Instances that are started together may read the same
 // time, and then draw the same identifiers for as long as they call in step. What
-// is compared across processes (who holds a seat, whose write it was) must not
+// is compared across processes (who holds a cell lease, whose write it was) must not
 // hang on that, so New draws from the system's source.
 package uid
 
--- a/ports/doc.go
+++ b/ports/doc.go
@@ -1,6 +1,6 @@
 // SPDX-License-Identifier: Apache-2.0
 
-// Package ports is the only door to what the platform gives: its table,
+// Package ports is the only way to what the platform gives: its table,
 // its object store, its list of instances, and its workers.
 //
 // Each has one small interface here and one adapter that speaks the platform's
--- a/rows/door.go
+++ b/rows/client.go
@@ -51,9 +51,9 @@
 	Page   *Page   `json:"page,omitempty"`
 }
 
-// Door is a Store that goes by a peer while the store cannot be reached
+// Client is a Store that goes by a peer while the store cannot be reached
 // directly. Its fields must be set before use.
-type Door struct {
+type Client struct {
 	Direct Store
 	// Carry sends a call by a peer that reaches the store; nil is never. Its
 	// error is of kind Unavailable if there is none.
@@ -73,48 +73,48 @@
 }
 
 // DirectOK reports whether the store answers this instance itself.
-func (d *Door) DirectOK() bool { return d.Answered(fresh) }
+func (c *Client) DirectOK() bool { return c.Answered(fresh) }
 
 // Answered reports whether the store has answered this instance itself within a time.
-func (d *Door) Answered(within time.Duration) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.Now().Sub(d.direct) < within
+func (c *Client) Answered(within time.Duration) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.Now().Sub(c.direct) < within
 }
 
 // Reachable reports whether the store answers, directly or by a peer.
-func (d *Door) Reachable() bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	now := d.Now()
-	return now.Sub(d.direct) < fresh || now.Sub(d.carried) < fresh
+func (c *Client) Reachable() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.Now()
+	return now.Sub(c.direct) < fresh || now.Sub(c.carried) < fresh
 }
 
 // Tx implements Store.
-func (d *Door) Tx(ctx context.Context, t Tx) (Result, error) {
+func (c *Client) Tx(ctx context.Context, t Tx) (Result, error) {
 	var out Result
-	err := d.do(ctx, directTime, func(ctx context.Context) (func(), error) {
-		got, err := d.Direct.Tx(ctx, t)
+	err := c.do(ctx, directTime, func(ctx context.Context) (func(), error) {
+		got, err := c.Direct.Tx(ctx, t)
 		return func() { out = got }, err
 	}, Call{Tx: &t}, func(a *Answer) { out = *a.Result }, true)
 	return out, err
 }
 
 // Get implements Store.
-func (d *Door) Get(ctx context.Context, r Range) (Page, error) {
+func (c *Client) Get(ctx context.Context, r Range) (Page, error) {
 	var out Page
-	err := d.do(ctx, directTime, func(ctx context.Context) (func(), error) {
-		got, err := d.Direct.Get(ctx, r)
+	err := c.do(ctx, directTime, func(ctx context.Context) (func(), error) {
+		got, err := c.Direct.Get(ctx, r)
 		return func() { out = got }, err
 	}, Call{Get: &r}, func(a *Answer) { out = *a.Page }, false)
 	return out, err
 }
 
 // Feed implements Store.
-func (d *Door) Feed(ctx context.Context, s Since) (Page, error) {
+func (c *Client) Feed(ctx context.Context, s Since) (Page, error) {
 	var out Page
-	err := d.do(ctx, directTime+s.Wait, func(ctx context.Context) (func(), error) {
-		got, err := d.Direct.Feed(ctx, s)
+	err := c.do(ctx, directTime+s.Wait, func(ctx context.Context) (func(), error) {
+		got, err := c.Direct.Feed(ctx, s)
 		return func() { out = got }, err
 	}, Call{Feed: &s}, func(a *Answer) { out = *a.Page }, false)
 	return out, err
@@ -123,32 +123,32 @@
 // Near returns the store as this instance reaches it itself, never by a peer. It is for
 // what a peer can pass on in a better way than by carrying the call.
 // progress is told of each part of an answer that comes in; it may be nil.
-func (d *Door) Near(progress func()) Store { return near{d, progress} }
+func (c *Client) Near(progress func()) Store { return near{c, progress} }
 
 type near struct {
-	door     *Door
+	client   *Client
 	progress func()
 }
 
 func (n near) Tx(ctx context.Context, t Tx) (res Result, err error) {
-	err = n.door.try(ctx, directTime, n.progress, func(ctx context.Context) error {
-		res, err = n.door.Direct.Tx(ctx, t)
+	err = n.client.try(ctx, directTime, n.progress, func(ctx context.Context) error {
+		res, err = n.client.Direct.Tx(ctx, t)
 		return err
 	})
 	return res, err
 }
 
 func (n near) Get(ctx context.Context, r Range) (page Page, err error) {
-	err = n.door.try(ctx, directTime, n.progress, func(ctx context.Context) error {
-		page, err = n.door.Direct.Get(ctx, r)
+	err = n.client.try(ctx, directTime, n.progress, func(ctx context.Context) error {
+		page, err = n.client.Direct.Get(ctx, r)
 		return err
 	})
 	return page, err
 }
 
 func (n near) Feed(ctx context.Context, s Since) (page Page, err error) {
-	err = n.door.try(ctx, directTime+s.Wait, n.progress, func(ctx context.Context) error {
-		page, err = n.door.Direct.Feed(ctx, s)
+	err = n.client.try(ctx, directTime+s.Wait, n.progress, func(ctx context.Context) error {
+		page, err = n.client.Direct.Feed(ctx, s)
 		return err
 	})
 	return page, err
@@ -164,31 +164,31 @@
 // do sends a call to the store itself, and by a peer if that takes too long or
 // the store is away. The first answer counts. A write whose answer was lost is
 // not sent again: only its sender can tell what became of it.
-func (d *Door) do(ctx context.Context, limit time.Duration, direct func(context.Context) (func(), error), call Call, take func(*Answer), write bool) error {
+func (c *Client) do(ctx context.Context, limit time.Duration, direct func(context.Context) (func(), error), call Call, take func(*Answer), write bool) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	answers := make(chan outcome, 2)
 	var arriving atomic.Bool
 	byStore := func() {
 		var done func()
-		err := d.try(ctx, limit, func() { arriving.Store(true) }, func(ctx context.Context) (err error) {
+		err := c.try(ctx, limit, func() { arriving.Store(true) }, func(ctx context.Context) (err error) {
 			done, err = direct(ctx)
 			return err
 		})
 		answers <- outcome{err, done}
 	}
 	byPeer := func() {
-		a, err := d.carry(ctx, call)
+		a, err := c.carry(ctx, call)
 		answers <- outcome{err, func() { take(a) }}
 	}
-	away := d.isAway()
+	away := c.isAway()
 	first, second := byStore, byPeer
 	if away {
 		first, second = byPeer, byStore
 	}
 	go first()
 	open, hedged := 1, false
-	hedge := time.NewTimer(d.hedgeAfter(call, away))
+	hedge := time.NewTimer(c.hedgeAfter(call, away))
 	defer hedge.Stop()
 	var lost error
 	for {
@@ -227,34 +227,34 @@
 
 // hedgeAfter returns how long a call may be without an answer before it goes the
 // other way as well.
-func (d *Door) hedgeAfter(call Call, away bool) time.Duration {
+func (c *Client) hedgeAfter(call Call, away bool) time.Duration {
 	if away || call.Feed != nil {
 		return directTime + carriedTime
 	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return max(hedgeLeast, hedgeTimes*d.took)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return max(hedgeLeast, hedgeTimes*c.took)
 }
 
 // Patience returns after how long a write that is not there should be sent again:
 // its answer may be lost, and it may take effect seconds later or never.
-func (d *Door) Patience() time.Duration {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return min(max(patienceLeast, hedgeTimes*d.took), directTime)
+func (c *Client) Patience() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return min(max(patienceLeast, hedgeTimes*c.took), directTime)
 }
 
-func (d *Door) isAway() bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.away
+func (c *Client) isAway() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.away
 }
 
 // Probe asks the store itself, whatever became of earlier calls.
-func (d *Door) Probe(ctx context.Context, r Range) (Page, error) {
+func (c *Client) Probe(ctx context.Context, r Range) (Page, error) {
 	var page Page
-	err := d.try(ctx, probeTime, nil, func(ctx context.Context) (err error) {
-		page, err = d.Direct.Get(ctx, r)
+	err := c.try(ctx, probeTime, nil, func(ctx context.Context) (err error) {
+		page, err = c.Direct.Get(ctx, r)
 		return err
 	})
 	return page, err
@@ -263,46 +263,46 @@
 // try sends a call to the store itself. first is how long its answer may take to begin;
 // one that comes in is waited for, however large it is. arriving is told of each part of
 // the answer; it may be nil.
-func (d *Door) try(ctx context.Context, first time.Duration, arriving func(), direct func(context.Context) error) error {
-	begun := d.Now()
+func (c *Client) try(ctx context.Context, first time.Duration, arriving func(), direct func(context.Context) error) error {
+	begun := c.Now()
 	var answered time.Duration
 	limits := stall.Limits{First: first, Gap: directTime, Whole: wholeTime}
 	ctx, cancel := stall.Context(ctx, limits, func() {
-		d.mu.Lock()
-		d.direct = d.Now()
+		c.mu.Lock()
+		c.direct = c.Now()
 		if answered == 0 {
-			answered = d.direct.Sub(begun)
+			answered = c.direct.Sub(begun)
 		}
-		d.mu.Unlock()
+		c.mu.Unlock()
 		if arriving != nil {
 			arriving()
 		}
 	})
 	defer cancel()
 	err := direct(ctx)
-	d.mu.Lock()
-	now := d.Now()
+	c.mu.Lock()
+	now := c.Now()
 	switch {
 	case err == nil:
-		d.direct = now
-		d.away = false
+		c.direct = now
+		c.away = false
 		if first <= directTime {
 			// Neither the size of an answer nor a wait for a change says how fast the
 			// store is.
-			d.took += (cmp.Or(answered, now.Sub(begun)) - d.took) * tookShare / 8
+			c.took += (cmp.Or(answered, now.Sub(begun)) - c.took) * tookShare / 8
 		}
-	case d.direct.Before(begun) && (kind.Is(err, kind.Unavailable) || kind.Is(err, kind.Lost)):
+	case c.direct.Before(begun) && (kind.Is(err, kind.Unavailable) || kind.Is(err, kind.Lost)):
 		// Nothing has come since the call was begun, of this answer or another: one
 		// connection that has gone silent says nothing of the store.
-		d.away = true
+		c.away = true
 	}
-	d.mu.Unlock()
-	d.report()
+	c.mu.Unlock()
+	c.report()
 	return err
 }
 
-func (d *Door) carry(ctx context.Context, call Call) (*Answer, error) {
-	if d.Carry == nil {
+func (c *Client) carry(ctx context.Context, call Call) (*Answer, error) {
+	if c.Carry == nil {
 		return nil, kind.New(kind.Unavailable, "no peer reaches the store")
 	}
 	raw, err := json.Marshal(call)
@@ -311,7 +311,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, carriedTime)
 	defer cancel()
-	back, err := d.Carry(ctx, raw)
+	back, err := c.Carry(ctx, raw)
 	if err != nil {
 		return nil, err
 	}
@@ -319,27 +319,27 @@
 	if err := json.Unmarshal(back, &a); err != nil || (a.Page == nil) == (a.Result == nil) {
 		return nil, kind.New(kind.Damaged, "a peer's answer for the store")
 	}
-	d.mu.Lock()
-	d.carried = d.Now()
-	d.mu.Unlock()
-	d.report()
+	c.mu.Lock()
+	c.carried = c.Now()
+	c.mu.Unlock()
+	c.report()
 	return &a, nil
 }
 
 // report tells of a change once.
-func (d *Door) report() {
-	now := [2]bool{d.DirectOK(), d.Reachable()}
-	d.mu.Lock()
-	changed := now != d.wasState
-	d.wasState = now
-	d.mu.Unlock()
-	if changed && d.Changed != nil {
-		d.Changed(now[0], now[1])
+func (c *Client) report() {
+	now := [2]bool{c.DirectOK(), c.Reachable()}
+	c.mu.Lock()
+	changed := now != c.wasState
+	c.wasState = now
+	c.mu.Unlock()
+	if changed && c.Changed != nil {
+		c.Changed(now[0], now[1])
 	}
 }
 
 // Serve carries out a call that a peer sent, directly and never by a third.
-func (d *Door) Serve(ctx context.Context, raw []byte) ([]byte, error) {
+func (c *Client) Serve(ctx context.Context, raw []byte) ([]byte, error) {
 	var call Call
 	if err := json.Unmarshal(raw, &call); err != nil {
 		return nil, kind.Wrap(kind.BadRequest, err, "call to the store")
@@ -348,18 +348,18 @@
 	// An asker that does not wait any longer says nothing of the store.
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), carriedTime)
 	defer cancel()
-	err := d.try(ctx, carriedTime, nil, func(ctx context.Context) error {
+	err := c.try(ctx, carriedTime, nil, func(ctx context.Context) error {
 		switch {
 		case call.Tx != nil:
-			res, err := d.Direct.Tx(ctx, *call.Tx)
+			res, err := c.Direct.Tx(ctx, *call.Tx)
 			a.Result = &res
 			return err
 		case call.Get != nil:
-			page, err := d.Direct.Get(ctx, *call.Get)
+			page, err := c.Direct.Get(ctx, *call.Get)
 			a.Page = &page
 			return err
 		case call.Feed != nil:
-			page, err := d.Direct.Feed(ctx, *call.Feed)
+			page, err := c.Direct.Feed(ctx, *call.Feed)
 			a.Page = &page
 			return err
 		}
--- a/rows/door_test.go
+++ b/rows/client_test.go
@@ -43,10 +43,10 @@
 }
 func (f *fake) Feed(ctx context.Context, _ Since) (Page, error) { return Page{Ver: 1}, f.answer(ctx) }
 
-// pair returns a door whose peer reaches the store through another door.
-func pair(own, peers *fake) *Door {
-	peer := &Door{Direct: peers, Now: time.Now}
-	return &Door{Direct: own, Now: time.Now, Carry: peer.Serve}
+// pair returns a client whose peer reaches the store through another client.
+func pair(own, peers *fake) *Client {
+	peer := &Client{Direct: peers, Now: time.Now}
+	return &Client{Direct: own, Now: time.Now, Carry: peer.Serve}
 }
 
 // paged answers page by page, while others write.
@@ -72,40 +72,40 @@
 	})
 })
 
-var _ = Describe("a door", func() {
+var _ = Describe("a store client", func() {
 	It("goes to the store itself while that answers", func(ctx context.Context) {
 		own, peers := &fake{}, &fake{}
-		d := pair(own, peers)
-		_, err := d.Tx(ctx, Tx{})
+		c := pair(own, peers)
+		_, err := c.Tx(ctx, Tx{})
 		Expect(err).NotTo(HaveOccurred())
-		Expect(d.DirectOK()).To(BeTrue())
+		Expect(c.DirectOK()).To(BeTrue())
 		Expect(peers.calls.Load()).To(BeZero())
 	})
 
 	It("goes by a peer as well once the store is silent, and stays with it until a probe has an answer", func(ctx context.Context) {
 		own, peers := &fake{after: time.Minute}, &fake{}
-		d := pair(own, peers)
+		c := pair(own, peers)
 		begun := time.Now()
-		_, err := d.Get(ctx, Range{})
+		_, err := c.Get(ctx, Range{})
 		Expect(err).NotTo(HaveOccurred())
 		Expect(time.Since(begun)).To(BeNumerically("<", 2*hedgeLeast))
-		Eventually(d.isAway).Should(BeTrue())
+		Eventually(c.isAway).Should(BeTrue())
 		before := own.calls.Load()
-		_, err = d.Get(ctx, Range{})
+		_, err = c.Get(ctx, Range{})
 		Expect(err).NotTo(HaveOccurred())
 		Expect(own.calls.Load()).To(Equal(before), "the store is left alone")
 		own.after = 0
-		d.Probe(ctx, Range{})
-		Expect(d.isAway()).To(BeFalse())
+		c.Probe(ctx, Range{})
+		Expect(c.isAway()).To(BeFalse())
 	})
 
 	It("goes by a peer when the store turns it away", func(ctx context.Context) {
-		d := pair(&fake{err: kind.New(kind.Unavailable, "busy")}, &fake{})
-		res, err := d.Tx(ctx, Tx{})
+		c := pair(&fake{err: kind.New(kind.Unavailable, "busy")}, &fake{})
+		res, err := c.Tx(ctx, Tx{})
 		Expect(err).NotTo(HaveOccurred())
 		Expect(res.Ver).To(Equal(uint64(1)))
-		Expect(d.Reachable()).To(BeTrue())
-		Expect(d.DirectOK()).To(BeFalse())
+		Expect(c.Reachable()).To(BeTrue())
+		Expect(c.DirectOK()).To(BeFalse())
 	})
 
 	It("does not send a write again whose answer was lost", func(ctx context.Context) {
@@ -117,10 +117,10 @@
 
 	It("says so when the store is reached in no way", func(ctx context.Context) {
 		gone := kind.New(kind.Unavailable, "busy")
-		d := pair(&fake{err: gone}, &fake{err: gone})
-		_, err := d.Get(ctx, Range{})
+		c := pair(&fake{err: gone}, &fake{err: gone})
+		_, err := c.Get(ctx, Range{})
 		Expect(kind.Is(err, kind.Unavailable)).To(BeTrue())
-		Expect(d.Reachable()).To(BeFalse())
+		Expect(c.Reachable()).To(BeFalse())
 	})
 })
 
@@ -152,33 +152,33 @@
 var _ = Describe("a large answer over a thin link", func() {
 	It("is let in for as long as it comes, and not asked of a peer as well", func(ctx context.Context) {
 		peers := &fake{}
-		d := &Door{Direct: &trickle{parts: 20}, Now: time.Now, Carry: (&Door{Direct: peers, Now: time.Now}).Serve}
+		c := &Client{Direct: &trickle{parts: 20}, Now: time.Now, Carry: (&Client{Direct: peers, Now: time.Now}).Serve}
 		begun := time.Now()
-		_, err := d.Get(ctx, Range{})
+		_, err := c.Get(ctx, Range{})
 		Expect(err).NotTo(HaveOccurred())
 		Expect(time.Since(begun)).To(BeNumerically(">", directTime))
 		Expect(peers.calls.Load()).To(BeZero())
-		Expect(d.Patience()).To(Equal(patienceLeast), "the store itself is as fast as before")
+		Expect(c.Patience()).To(Equal(patienceLeast), "the store itself is as fast as before")
 	})
 
 	It("shows while it comes that the store answers", func(ctx context.Context) {
-		d := &Door{Direct: &trickle{parts: 20}, Now: time.Now}
+		c := &Client{Direct: &trickle{parts: 20}, Now: time.Now}
 		done := make(chan struct{})
 		go func() {
 			defer GinkgoRecover()
 			defer close(done)
-			_, err := d.Near(nil).Get(ctx, Range{})
+			_, err := c.Near(nil).Get(ctx, Range{})
 			Expect(err).NotTo(HaveOccurred())
 		}()
-		Eventually(d.DirectOK).Should(BeTrue())
-		Consistently(d.DirectOK, time.Second).Should(BeTrue())
+		Eventually(c.DirectOK).Should(BeTrue())
+		Consistently(c.DirectOK, time.Second).Should(BeTrue())
 		<-done
 	})
 
 	It("is given up when nothing more comes", func(ctx context.Context) {
-		d := &Door{Direct: &trickle{parts: 2, stops: true}, Now: time.Now}
+		c := &Client{Direct: &trickle{parts: 2, stops: true}, Now: time.Now}
 		begun := time.Now()
-		_, err := d.Near(nil).Get(ctx, Range{})
+		_, err := c.Near(nil).Get(ctx, Range{})
 		Expect(kind.Is(err, kind.Lost)).To(BeTrue())
 		Expect(time.Since(begun)).To(BeNumerically("~", directTime, time.Second))
 	})
@@ -186,12 +186,12 @@
 
 var _ = Describe("a call that is carried for a peer", func() {
 	It("says nothing of the store when the peer stops waiting", func(ctx context.Context) {
-		d := &Door{Direct: &fake{after: 300 * time.Millisecond}, Now: time.Now}
+		c := &Client{Direct: &fake{after: 300 * time.Millisecond}, Now: time.Now}
 		asked, cancel := context.WithCancel(ctx)
 		time.AfterFunc(50*time.Millisecond, cancel)
-		_, err := d.Serve(asked, []byte(`{"get":{"t":"x"}}`))
+		_, err := c.Serve(asked, []byte(`{"get":{"t":"x"}}`))
 		Expect(err).NotTo(HaveOccurred())
-		Expect(d.isAway()).To(BeFalse())
+		Expect(c.isAway()).To(BeFalse())
 	})
 })
 
@@ -241,17 +241,17 @@
 
 var _ = Describe("a call on a connection that has gone silent", func() {
 	It("does not turn others away from a store that answers them", func(ctx context.Context) {
-		d := &Door{Direct: mixed{silent: "x"}, Now: time.Now}
+		c := &Client{Direct: mixed{silent: "x"}, Now: time.Now}
 		go func() {
 			time.Sleep(directTime / 2)
-			_, _ = d.Near(nil).Get(ctx, Range{Table: "y"})
+			_, _ = c.Near(nil).Get(ctx, Range{Table: "y"})
 		}()
-		_, err := d.Near(nil).Get(ctx, Range{Table: "x"})
+		_, err := c.Near(nil).Get(ctx, Range{Table: "x"})
 		Expect(kind.Is(err, kind.Lost)).To(BeTrue())
-		Expect(d.isAway()).To(BeFalse())
-		_, err = d.Near(nil).Get(ctx, Range{Table: "x"})
+		Expect(c.isAway()).To(BeFalse())
+		_, err = c.Near(nil).Get(ctx, Range{Table: "x"})
 		Expect(kind.Is(err, kind.Lost)).To(BeTrue())
-		Expect(d.isAway()).To(BeTrue(), "nobody was answered meanwhile")
+		Expect(c.isAway()).To(BeTrue(), "nobody was answered meanwhile")
 	})
 })
 
@@ -265,17 +265,17 @@
 
 var _ = Describe("the wait for a change", func() {
 	It("does not count as how long the store takes", func(ctx context.Context) {
-		d := &Door{Direct: &slowFeed{}, Now: time.Now}
+		c := &Client{Direct: &slowFeed{}, Now: time.Now}
 		// What an instance without a cell does in 4.5 s: feed waits of 0.9 s, and probes every 0.3 s.
 		for range 5 {
-			_, err := d.Near(nil).Feed(ctx, Since{Wait: 900 * time.Millisecond})
+			_, err := c.Near(nil).Feed(ctx, Since{Wait: 900 * time.Millisecond})
 			Expect(err).NotTo(HaveOccurred())
 			for range 3 {
-				_, err = d.Probe(ctx, Range{})
+				_, err = c.Probe(ctx, Range{})
 				Expect(err).NotTo(HaveOccurred())
 			}
 		}
-		Expect(d.hedgeAfter(Call{Get: &Range{}}, false)).To(Equal(hedgeLeast))
-		Expect(d.Patience()).To(Equal(patienceLeast))
+		Expect(c.hedgeAfter(Call{Get: &Range{}}, false)).To(Equal(hedgeLeast))
+		Expect(c.Patience()).To(Equal(patienceLeast))
 	})
 })
--- a/rows/rows.go
+++ b/rows/rows.go
@@ -8,7 +8,7 @@
 // drawn from one counter for the whole store, so that a row's version tells
 // whether it has changed, and the newest version how old an answer is.
 //
-// A Door is a Store that goes by a peer while the store turns this instance
+// A Client is a Store that goes by a peer while the store turns this instance
 // away. All that a transaction rests on is in the transaction, so it does not
 // matter who sends it.
 package rows
--- a/test/cluster/bed_test.go
+++ b/test/cluster/bed_test.go
@@ -260,15 +260,15 @@
 	return out.String()
 }
 
-// owner returns the instance that holds the seat of the first cell, nil if none does.
+// owner returns the instance that holds the lease of the first cell, nil if none does.
 func (b *bed) owner() *entry { return b.ownerOf("cell-0") }
 
-// ownerOf returns the instance that holds the seat of a cell, nil if none does.
+// ownerOf returns the instance that holds the lease of a cell, nil if none does.
 func (b *bed) ownerOf(cell string) *entry {
-	var seat claim.Seat
-	_ = json.Unmarshal(b.world.Store.Value(claim.Table, cell, "seat"), &seat)
+	var lease claim.Lease
+	_ = json.Unmarshal(b.world.Store.Value(claim.Table, cell, "seat"), &lease)
 	for _, e := range b.entries {
-		if e.name == seat.Owner {
+		if e.name == lease.Owner {
 			return e
 		}
 	}
--- a/test/cluster/silent_test.go
+++ b/test/cluster/silent_test.go
@@ -93,9 +93,9 @@
 	return ids, slowest
 }
 
-// seatGap returns the longest time for which the seat of the first cell went unwritten,
+// leaseGap returns the longest time for which the lease of the first cell went unwritten,
 // until stop.
-func (b *bed) seatGap(stop <-chan struct{}) time.Duration {
+func (b *bed) leaseGap(stop <-chan struct{}) time.Duration {
 	last, at, longest := "", time.Now(), time.Duration(0)
 	for {
 		select {
@@ -110,15 +110,15 @@
 	}
 }
 
-// watchSeat watches the seat until the returned function is called, which returns the
-// longest gap.
-func (b *bed) watchSeat() func() time.Duration {
+// watchLease watches the cell lease until the returned function is called, which
+// returns the longest gap.
+func (b *bed) watchLease() func() time.Duration {
 	stop, gap := make(chan struct{}), make(chan time.Duration, 1)
-	go func() { gap <- b.seatGap(stop) }()
+	go func() { gap <- b.leaseGap(stop) }()
 	return func() time.Duration {
 		close(stop)
 		longest := <-gap
-		AddReportEntry("the seat went unwritten for", longest)
+		AddReportEntry("the cell lease went unwritten for", longest)
 		return longest
 	}
 }
@@ -134,7 +134,7 @@
 		var p proxies
 		b := start(p.via)
 		ids := b.submitSome(8, 4, 400, 300*time.Millisecond)
-		gap := b.watchSeat()
+		gap := b.watchLease()
 		p.silence(b.world.StoreAddr)
 		more, slowest := b.submitAtOnce(append(b.entries, b.entries...), chain(2, 100))
 		Expect(slowest).To(BeNumerically("<", inTouch))
@@ -157,7 +157,7 @@
 			some, _ := b.submitAtOnce([]*entry{alone, alone, alone, alone, alone, alone, alone, alone}, chain(2, 300))
 			ids = append(ids, some...)
 		}
-		gap := b.watchSeat()
+		gap := b.watchLease()
 		p.silence(b.world.StoreAddr)
 		more, slowest := b.submitAtOnce([]*entry{alone}, chain(2, 100))
 		Expect(slowest).To(BeNumerically("<", inTouch))
@@ -187,7 +187,7 @@
 	It("loses nothing as all of them do, again and again", func() {
 		var p proxies
 		b := start(p.via, func(o *world.Options) { o.Advice = true })
-		gap := b.watchSeat()
+		gap := b.watchLease()
 		var ids []string
 		for range 3 {
 			ids = append(ids, b.submitSome(4, 4, 1000, 300*time.Millisecond)...)
