owner: an answer to a stop that overtakes a reply to the watch (red)

Cause: a worker's word reaches the owner on two connections, in the reply to the watch and in the answer to an action. Where the second says that an attempt is over, the next one starts; a reply to the watch from before, which arrives after that, puts the old attempt back on the books in its place, and its end, heard again, starts a third one. The cells of the owner's tests can have more workers and serve plain tests.

--- a/owner/owner_test.go
+++ b/owner/owner_test.go
@@ -37,9 +37,10 @@
 
 const doc = `{"settings":{"cpu":"1","memory":"1GiB"},"branches":{
   "batch":{"settings":{"kind":"batch"}},
+  "saving":{"settings":{"kind":"batch","yield":["checkpoint"]}},
   "order":{"settings":{"kind":"call","deadline":"3s","repeat":"never"}}}}`
 
-// cell is a rack of two stand-in workers, a table, and owners that share them.
+// cell is a rack of stand-in workers, a table, and owners that share them.
 type cell struct {
 	platform *standin.Platform
 	table    *standin.Local
@@ -47,6 +48,8 @@
 	register *tree.Register
 	servers  map[string]*httptest.Server
 	standins []*standin.Worker
+	// cleanup has a function called at the end of the test.
+	cleanup func(func())
 }
 
 // stop makes a worker unreachable.
@@ -55,14 +58,23 @@
 	c.servers[id].Close()
 }
 
+// newCell makes a cell of two workers for a spec.
 func newCell() *cell {
-	c := &cell{platform: standin.NewPlatform(), table: standin.NewLocal(), register: &tree.Register{}, servers: make(map[string]*httptest.Server)}
+	return newCellOf(func(f func()) { DeferCleanup(f) }, "w1", "w2")
+}
+
+// newCellOf makes a cell of the named workers.
+func newCellOf(cleanup func(func()), ids ...string) *cell {
+	c := &cell{
+		platform: standin.NewPlatform(), table: standin.NewLocal(), register: &tree.Register{},
+		servers: make(map[string]*httptest.Server), cleanup: cleanup,
+	}
 	_, err := c.register.InstallHead(tree.Head{Version: 1, Doc: []byte(doc)})
 	Expect(err).NotTo(HaveOccurred())
-	for _, id := range []string{"w1", "w2"} {
+	for _, id := range ids {
 		w := standin.NewWorker(c.platform, id, "h", "r", "", sched.Vec{4000, 8 << 10, 0, 8, 64})
 		s := httptest.NewServer(w.Handler())
-		DeferCleanup(s.Close)
+		c.cleanup(s.Close)
 		c.servers[id] = s
 		c.standins = append(c.standins, w)
 		addr := strings.TrimPrefix(s.URL, "http://")
@@ -74,7 +86,7 @@
 // own writes an owner into the row of the rack and makes it own the rack.
 func (c *cell) own(name string, epoch uint64, connect func(string) ports.Worker, workers []ports.Instance) *owner.Owner {
 	ctx, cancel := context.WithCancel(context.Background())
-	DeferCleanup(cancel)
+	c.cleanup(cancel)
 	j := commit.New(c.table, name, "boot")
 	go j.Run(ctx)
 	o := owner.New(ctx, owner.Config{
--- /dev/null
+++ b/owner/report_test.go
@@ -0,0 +1,179 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package owner_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"dewpass.org/job"
+	"dewpass.org/kind"
+	"dewpass.org/ports"
+)
+
+// A task ran in two places at once when its worker began to leave. The record of
+// the workers, and a log line for each report taken in:
+//
+//	47.531  w1     starts attempt 1
+//	47.934  w1     saves and stops it, as asked
+//	47.935  owner  takes in the answer: attempt 1 is over
+//	47.936  w3     starts attempt 2
+//	47.937  owner  w1 reports attempt 1 as running: in the place of attempt 2
+//	47.939  owner  w1 reports attempt 1 as over: a further attempt
+//	47.940  owner  w3 reports attempt 2 as running: in the place of attempt 3
+//	47.941  w4     starts attempt 3
+//	48.134  w3     finishes attempt 2
+//
+// The answer to the stop, on one connection, had overtaken a reply to the watch, on
+// another, that the worker had given a moment before. The owner took the late reply
+// for news. It does the same where the worker has been told to forget attempt 1 by
+// then: what starts attempt 3 there is that the worker does not have attempt 1.
+
+// lateWatch holds back one reply to a watch that tells of a running task until
+// the worker has answered the request to stop that task.
+type lateWatch struct {
+	mu sync.Mutex
+	// sent holds the attempts that were sent, in order, and first is the address
+	// of the worker of the first one.
+	sent  []uint32
+	first string
+	// held is closed once a reply is held back, stopped once the worker has
+	// answered the stop, and release lets the reply go on.
+	held, stopped, release chan struct{}
+
+	hold, stop sync.Once
+	// keeps is set if workers are never told to forget an attempt.
+	keeps bool
+}
+
+func newLateWatch(keeps bool) *lateWatch {
+	return &lateWatch{
+		held: make(chan struct{}), stopped: make(chan struct{}), release: make(chan struct{}),
+		keeps: keeps,
+	}
+}
+
+func (l *lateWatch) connect(addr string) ports.Worker {
+	return &lateWorker{Worker: ports.NewWorkers().At(addr), addr: addr, late: l}
+}
+
+func (l *lateWatch) at() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.first
+}
+
+func (l *lateWatch) attempts() []uint32 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return append([]uint32(nil), l.sent...)
+}
+
+// pass lets a reply through; the first that tells of a running task is late.
+func (l *lateWatch) pass(reply ports.WatchReply) {
+	for _, rep := range reply.Tasks {
+		if !rep.State.Over() {
+			l.hold.Do(func() {
+				close(l.held)
+				<-l.release
+			})
+		}
+	}
+}
+
+// lateWorker is a worker behind a lateWatch.
+type lateWorker struct {
+	ports.Worker
+	addr string
+	late *lateWatch
+}
+
+func (w *lateWorker) Start(ctx context.Context, c ports.Command, t ports.Task, d time.Duration) (ports.TaskReport, error) {
+	w.late.mu.Lock()
+	if len(w.late.sent) == 0 {
+		w.late.first = w.addr
+	}
+	w.late.sent = append(w.late.sent, t.Attempt)
+	w.late.mu.Unlock()
+	return w.Worker.Start(ctx, c, t, d)
+}
+
+func (w *lateWorker) Watch(ctx context.Context, r ports.WatchRequest) (ports.WatchReply, error) {
+	reply, err := w.Worker.Watch(ctx, r)
+	if err == nil {
+		w.late.pass(reply)
+	}
+	return reply, err
+}
+
+func (w *lateWorker) Act(ctx context.Context, c ports.Command, id string, attempt uint32, a ports.Action) (ports.TaskReport, error) {
+	rep, err := w.Worker.Act(ctx, c, id, attempt, a)
+	if err == nil && attempt == 1 {
+		w.late.stop.Do(func() { close(w.late.stopped) })
+	}
+	return rep, err
+}
+
+func (w *lateWorker) Ack(ctx context.Context, id string, attempt uint32) error {
+	if w.late.keeps {
+		return kind.New(kind.Lost, "test")
+	}
+	return w.Worker.Ack(ctx, id, attempt)
+}
+
+// takeInTime is what the owner gets to take an answer in; longer harms nothing.
+const takeInTime = 300 * time.Millisecond
+
+// yieldLate runs a job whose worker begins to leave, and lets a report of before
+// the stop arrive after it.
+func yieldLate(c *cell, l *lateWatch) {
+	o := c.own("o1", 1, l.connect, c.workers)
+	_, err := o.Submit(context.Background(), job.Job{
+		ID: "j1", Shop: "s", Workload: "saving", Repeat: ports.RepeatSafe, Hall: "h", Rack: "r",
+		// It saves once, so that a watch tells of it; what is left then is too short
+		// for the next attempt to do so again.
+		Payload: []byte(`{"ms":1900,"save_ms":1000}`), Submitted: time.Now(),
+	})
+	Expect(err).NotTo(HaveOccurred())
+	Eventually(l.held).Should(BeClosed())
+	workers := append([]ports.Instance(nil), c.workers...)
+	for i := range workers {
+		workers[i].Leaving = workers[i].Addr == l.at()
+	}
+	o.Workers(workers)
+	Eventually(l.stopped).Should(BeClosed())
+	time.Sleep(takeInTime)
+	close(l.release)
+}
+
+// doneWithin is far longer than both attempts take.
+const doneWithin = 10 * time.Second
+
+// expectTwoAttempts expects the job to be done by its second attempt.
+func expectTwoAttempts(c *cell, l *lateWatch) {
+	Eventually(func() job.State {
+		row, _ := job.Decode(c.table.Table.Get(job.RowKey("j1"))[0].Value)
+		return row.State
+	}).WithTimeout(doneWithin).Should(Equal(job.Done))
+	Expect(l.attempts()).To(Equal([]uint32{1, 2}))
+	Expect(c.platform.Record.Summary().Doubled).To(BeEmpty())
+}
+
+func TestOvertakenReport(t *testing.T) {
+	for name, keeps := range map[string]bool{
+		"of an attempt that its worker still has":     true,
+		"of an attempt that its worker has forgotten": false,
+	} {
+		t.Run(name, func(t *testing.T) {
+			RegisterTestingT(t)
+			SetDefaultEventuallyTimeout(30 * time.Second)
+			c, l := newCellOf(t.Cleanup, "w1", "w2", "w3"), newLateWatch(keeps)
+			yieldLate(c, l)
+			expectTwoAttempts(c, l)
+		})
+	}
+}
