test/proof: a cell of the matrix that is broken keeps the workers' record

Cause: a broken cell kept the logs of the instances, which do not name single starts, so that a task in two places could not be traced. Change: the events are written beside the logs, as for the specs.

--- a/test/proof/matrix_test.go
+++ b/test/proof/matrix_test.go
@@ -190,6 +190,7 @@
 	if len(broken) == 0 {
 		_ = os.RemoveAll(dir)
 	} else {
+		writeEvents(b, dir)
 		broken = append(broken, "logs in "+dir)
 	}
 	return r.hit, broken
--- a/test/proof/suite_test.go
+++ b/test/proof/suite_test.go
@@ -102,9 +102,13 @@
 
 // keepEvents keeps what the workers wrote down in a spec that failed.
 func keepEvents(b *bed.Bed, dir string) {
-	if !CurrentSpecReport().Failed() {
-		return
+	if CurrentSpecReport().Failed() {
+		writeEvents(b, dir)
 	}
+}
+
+// writeEvents writes what the workers wrote down beside the logs of a deployment.
+func writeEvents(b *bed.Bed, dir string) {
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
 	var events json.RawMessage
