owner: the end of a task is taken in from its worker's watch, in order

Cause: the answer to a stop told that a task was over and could overtake a reply to the watch, on another connection, in which it still ran. The late reply dropped the next attempt, already sent, from the books and put the old one back; its end, told again by the next watch, started a further attempt beside the one that ran. Change: ends of tasks without a waiting caller come from attach and watch alone, which follow one another; an answer to an action brings no end. Calls with a waiting caller are as before: their end does not come by the watch.

--- a/owner/jobs.go
+++ b/owner/jobs.go
@@ -214,7 +214,8 @@
 	return js.row, nil
 }
 
-// act throttles, resumes, saves or stops a task at its worker.
+// act throttles, resumes, saves or stops a task at its worker. That a task is over
+// is then told by the worker's watch, or, for a call, on its caller's connection.
 func (o *Owner) act(t *task, w *worker, a ports.Action) {
 	for range actTries {
 		o.mu.Lock()
@@ -248,6 +249,11 @@
 	if o.byRef[t.ref] != t {
 		return
 	}
+	if rep.State.Over() && !t.callerWaits {
+		// The watch tells of it in order. Taken in here, an end may overtake a report
+		// that the task runs, and the attempt after the next starts beside the next.
+		return
+	}
 	if rep.State == ports.TaskThrottled && a == ports.ActThrottle {
 		o.cell.Throttled(t.handle)
 	}
--- a/ports/types.go
+++ b/ports/types.go
@@ -227,7 +227,8 @@
 	Join(ctx context.Context, c Command, id string, attempt uint32) (TaskReport, error)
 	// Watch renews the leases and returns changes.
 	Watch(ctx context.Context, w WatchRequest) (WatchReply, error)
-	// Act throttles, resumes, checkpoints or stops a task.
+	// Act throttles, resumes, checkpoints or stops a task. Its reply may overtake a
+	// reply to a watch that the worker gave before; a watch tells of an end too.
 	Act(ctx context.Context, c Command, id string, attempt uint32, a Action) (TaskReport, error)
 	// Ack lets the worker forget an answer.
 	Ack(ctx context.Context, id string, attempt uint32) error
