internal/pool, ports: connections that go silent are given up together on every path

Cause: ports had a transport of its own, in which each silent connection costs a call. Change: the pool of the users' platform is a package of its own, which both use; dialling and times stay what they were on each.

--- a/platform/pool.go
+++ b/internal/pool/pool.go
@@ -1,23 +1,18 @@
 // SPDX-License-Identifier: Apache-2.0
 
-package platform
+package pool
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
-
-	"dewpass.org/internal/sock"
 )
 
 const (
-	dialTime = 500 * time.Millisecond
-	// idleTime is for how long a connection stays open that is not used, and what is
-	// kept of an address.
-	idleTime = 90 * time.Second
 	// silentAfter is how long a call must have been without an answer before its end
 	// tells something of its connection: twice what the store may take before a call
 	// goes by a peer as well. Workers and the store answer in milliseconds.
@@ -28,26 +23,35 @@
 // connections to one can be closed without those to others. Its methods may be called
 // from several goroutines.
 type Pool struct {
-	// idle is how many idle connections to an address stay open, and most how many it
-	// may have, 0 for no bound.
-	idle, most int
+	options Options
 
 	mu    sync.Mutex
 	addrs map[string]*address
 	swept time.Time
 }
 
+// Options are the bounds of a Pool.
+type Options struct {
+	// Idle is how many idle connections to an address stay open, and Most how many it
+	// may have, 0 for no bound.
+	Idle, Most int
+	// Dial sets a connection up.
+	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
+	// Unused is for how long a connection that is not used stays open, and what is kept
+	// of an address.
+	Unused time.Duration
+	// Buffer is how many bytes a connection has for reading, and for writing.
+	Buffer int
+}
+
 // address is what a Pool keeps of an address.
 type address struct {
 	transport *http.Transport
 	used      time.Time
 }
 
-// NewPool returns a pool that keeps up to idle connections open to each address, and has
-// at most most of them, 0 for no bound.
-func NewPool(idle, most int) *Pool {
-	return &Pool{idle: idle, most: most, addrs: make(map[string]*address)}
-}
+// New returns a pool.
+func New(o Options) *Pool { return &Pool{options: o, addrs: make(map[string]*address)} }
 
 // RoundTrip implements http.RoundTripper.
 func (p *Pool) RoundTrip(req *http.Request) (*http.Response, error) {
@@ -71,7 +75,7 @@
 	a := p.addrs[addr]
 	if a == nil {
 		p.sweep(now)
-		a = &address{transport: newTransport(p.idle, p.most)}
+		a = &address{transport: newTransport(p.options)}
 		p.addrs[addr] = a
 	}
 	a.used = now
@@ -81,26 +85,35 @@
 // sweep forgets addresses that are not used any more: workers come and go. The lock is
 // held.
 func (p *Pool) sweep(now time.Time) {
-	if now.Sub(p.swept) < idleTime {
+	if now.Sub(p.swept) < p.options.Unused {
 		return
 	}
 	p.swept = now
 	for addr, a := range p.addrs {
-		if now.Sub(a.used) > idleTime {
+		if now.Sub(a.used) > p.options.Unused {
 			a.transport.CloseIdleConnections()
 			delete(p.addrs, addr)
 		}
 	}
 }
 
-func newTransport(idle, most int) *http.Transport {
+// CloseIdleConnections closes the idle connections to all addresses.
+func (p *Pool) CloseIdleConnections() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, a := range p.addrs {
+		a.transport.CloseIdleConnections()
+	}
+}
+
+func newTransport(o Options) *http.Transport {
 	return &http.Transport{
-		DialContext:         sock.Dialer(dialTime).DialContext,
+		DialContext:         o.Dial,
 		DisableCompression:  true,
-		MaxIdleConnsPerHost: idle,
-		MaxConnsPerHost:     most,
-		IdleConnTimeout:     idleTime,
-		ReadBufferSize:      4 << 10,
-		WriteBufferSize:     4 << 10,
+		MaxIdleConnsPerHost: o.Idle,
+		MaxConnsPerHost:     o.Most,
+		IdleConnTimeout:     o.Unused,
+		ReadBufferSize:      o.Buffer,
+		WriteBufferSize:     o.Buffer,
 	}
 }
--- a/ports/http.go
+++ b/ports/http.go
@@ -17,6 +17,7 @@
 
 	"dewpass.org/internal/body"
 	"dewpass.org/internal/fault"
+	"dewpass.org/internal/pool"
 	"dewpass.org/kind"
 	"dewpass.org/lease"
 )
@@ -25,6 +26,10 @@
 	maxAnswer   = 8 << 20
 	callTimeout = 2 * time.Second
 	dialTimeout = time.Second
+	// unusedTime is for how long a connection stays open that is not used.
+	unusedTime = 30 * time.Second
+	// bufferSize holds most messages whole.
+	bufferSize = 2 << 10
 	// idlePerHost is enough for the calls of one instance to one service.
 	idlePerHost = 16
 )
@@ -44,25 +49,18 @@
 func NewClient(base string) *Client {
 	return &Client{
 		base:    base,
-		http:    newTransport(idlePerHost, 0),
+		http:    newPool(idlePerHost, 0),
 		table:   newGate("table"),
 		objects: newGate("objects"),
 		list:    newGate("instances"),
 	}
 }
 
-func newTransport(idle, most int) *http.Transport {
+func newPool(idle, most int) *pool.Pool {
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	return &http.Transport{
-		DialContext:         dialer.DialContext,
-		DisableCompression:  true,
-		MaxIdleConns:        idle * 64,
-		MaxIdleConnsPerHost: idle,
-		MaxConnsPerHost:     most,
-		IdleConnTimeout:     30 * time.Second,
-		ReadBufferSize:      2 << 10,
-		WriteBufferSize:     2 << 10,
-	}
+	return pool.New(pool.Options{
+		Idle: idle, Most: most, Dial: dialer.DialContext, Unused: unusedTime, Buffer: bufferSize,
+	})
 }
 
 // Get implements Table.
--- a/ports/worker.go
+++ b/ports/worker.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"dewpass.org/internal/fault"
+	"dewpass.org/internal/pool"
 	"dewpass.org/kind"
 )
 
@@ -21,14 +22,14 @@
 	idlePerWorker = 4
 )
 
-// Workers makes the adapters of workers. They share one transport.
+// Workers makes the adapters of workers. They share one pool of connections.
 type Workers struct {
-	http *http.Transport
+	http *pool.Pool
 }
 
 // NewWorkers returns a maker of adapters.
 func NewWorkers() *Workers {
-	return &Workers{http: newTransport(idlePerWorker, ConnsPerOwner)}
+	return &Workers{http: newPool(idlePerWorker, ConnsPerOwner)}
 }
 
 // At returns the worker at an address such as "10.0.0.7:7000".
@@ -41,7 +42,7 @@
 
 type worker struct {
 	base string
-	http *http.Transport
+	http *pool.Pool
 }
 
 // StartRequest is the body of a start.
