--- a/cluster/instance.go
+++ b/cluster/instance.go
@@ -181,7 +181,7 @@
 	}
 	n.server = &link.Server{Handler: n}
 	n.storeClient = &rows.Client{Direct: n.Store, Now: time.Now, Carry: n.carry, Changed: n.storeChanged}
-	n.configs = services.Configs(n.storeClient.Near(n.configArrives))
+	n.configs = services.Configs(n.storeClient.DirectOnly(n.configArrives))
 	return n
 }
 
--- a/link/doc.go
+++ b/link/doc.go
@@ -5,7 +5,8 @@
 // A Server accepts yamux sessions on a TCP address, with TLS if it is given a
 // configuration, and hands each stream's request to a Handler. A Dialer keeps
 // one session to each peer, opens it when first needed, and drops it when it
-// breaks. One exchange is one stream: a request, a reply, both protobuf with
+// breaks or goes silent: a connection may stop carrying anything without a reset.
+// One exchange is one stream: a request, a reply, both protobuf with
 // their length in front.
 //
 // An exchange that fails says how far it got. Unavailable means that the
--- a/rows/client.go
+++ b/rows/client.go
@@ -3,7 +3,6 @@
 package rows
 
 import (
-	"cmp"
 	"context"
 	"encoding/json"
 	"sync"
@@ -65,11 +64,13 @@
 	mu sync.Mutex
 	// away says that the store did not answer this instance: calls go by a peer first.
 	// Any answer of the store itself ends that.
-	away     bool
-	took     time.Duration
-	direct   time.Time
-	carried  time.Time
-	wasState [2]bool
+	away bool
+	// took is how long the store takes to begin an answer, of late.
+	took time.Duration
+	// lastDirect is when something last came of the store itself, and lastCarried when a
+	// peer last brought an answer.
+	lastDirect, lastCarried time.Time
+	wasState                [2]bool
 }
 
 // DirectOK reports whether the store answers this instance itself.
@@ -79,7 +80,7 @@
 func (c *Client) Answered(within time.Duration) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.Now().Sub(c.direct) < within
+	return c.Now().Sub(c.lastDirect) < within
 }
 
 // Reachable reports whether the store answers, directly or by a peer.
@@ -87,7 +88,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.Now()
-	return now.Sub(c.direct) < fresh || now.Sub(c.carried) < fresh
+	return now.Sub(c.lastDirect) < fresh || now.Sub(c.lastCarried) < fresh
 }
 
 // Tx implements Store.
@@ -120,17 +121,17 @@
 	return out, err
 }
 
-// Near returns the store as this instance reaches it itself, never by a peer. It is for
-// what a peer can pass on in a better way than by carrying the call.
-// progress is told of each part of an answer that comes in; it may be nil.
-func (c *Client) Near(progress func()) Store { return near{c, progress} }
+// DirectOnly returns the store as this instance reaches it itself, never by a peer. It is
+// for what a peer can pass on in a better way than by carrying the call. progress is told
+// of each part of an answer that comes in; it may be nil.
+func (c *Client) DirectOnly(progress func()) Store { return directOnly{c, progress} }
 
-type near struct {
+type directOnly struct {
 	client   *Client
 	progress func()
 }
 
-func (n near) Tx(ctx context.Context, t Tx) (res Result, err error) {
+func (n directOnly) Tx(ctx context.Context, t Tx) (res Result, err error) {
 	err = n.client.try(ctx, directTime, n.progress, func(ctx context.Context) error {
 		res, err = n.client.Direct.Tx(ctx, t)
 		return err
@@ -138,7 +139,7 @@
 	return res, err
 }
 
-func (n near) Get(ctx context.Context, r Range) (page Page, err error) {
+func (n directOnly) Get(ctx context.Context, r Range) (page Page, err error) {
 	err = n.client.try(ctx, directTime, n.progress, func(ctx context.Context) error {
 		page, err = n.client.Direct.Get(ctx, r)
 		return err
@@ -146,7 +147,7 @@
 	return page, err
 }
 
-func (n near) Feed(ctx context.Context, s Since) (page Page, err error) {
+func (n directOnly) Feed(ctx context.Context, s Since) (page Page, err error) {
 	err = n.client.try(ctx, directTime+s.Wait, n.progress, func(ctx context.Context) error {
 		page, err = n.client.Direct.Feed(ctx, s)
 		return err
@@ -260,45 +261,60 @@
 	return page, err
 }
 
-// try sends a call to the store itself. first is how long its answer may take to begin;
-// one that comes in is waited for, however large it is. arriving is told of each part of
-// the answer; it may be nil.
-func (c *Client) try(ctx context.Context, first time.Duration, arriving func(), direct func(context.Context) error) error {
+// try sends a call to the store itself. firstByte is how long its answer may take to
+// begin; one that comes in is waited for, however large it is. progress is told of each
+// part of the answer; it may be nil.
+func (c *Client) try(ctx context.Context, firstByte time.Duration, progress func(), direct func(context.Context) error) error {
 	begun := c.Now()
-	var answered time.Duration
-	limits := stall.Limits{First: first, Gap: directTime, Whole: wholeTime}
+	var latency time.Duration
+	limits := stall.Limits{First: firstByte, Gap: directTime, Whole: wholeTime}
 	ctx, cancel := stall.Context(ctx, limits, func() {
-		c.mu.Lock()
-		c.direct = c.Now()
-		if answered == 0 {
-			answered = c.direct.Sub(begun)
+		heard := c.heardDirect()
+		if latency == 0 {
+			latency = heard.Sub(begun)
 		}
-		c.mu.Unlock()
-		if arriving != nil {
-			arriving()
+		if progress != nil {
+			progress()
 		}
 	})
 	defer cancel()
 	err := direct(ctx)
+	if firstByte > directTime {
+		// A wait for a change says nothing of how fast the store is.
+		latency = 0
+	} else if latency == 0 {
+		latency = c.Now().Sub(begun)
+	}
+	c.tried(begun, latency, err)
+	c.report()
+	return err
+}
+
+// heardDirect notes that something has come of the store itself.
+func (c *Client) heardDirect() time.Time {
 	c.mu.Lock()
-	now := c.Now()
+	defer c.mu.Unlock()
+	c.lastDirect = c.Now()
+	return c.lastDirect
+}
+
+// tried takes in how a call to the store itself has ended. latency is 0 if it says nothing
+// of the store.
+func (c *Client) tried(begun time.Time, latency time.Duration, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	switch {
 	case err == nil:
-		c.direct = now
+		c.lastDirect = c.Now()
 		c.away = false
-		if first <= directTime {
-			// Neither the size of an answer nor a wait for a change says how fast the
-			// store is.
-			c.took += (cmp.Or(answered, now.Sub(begun)) - c.took) * tookShare / 8
+		if latency > 0 {
+			c.took += (latency - c.took) * tookShare / 8
 		}
-	case c.direct.Before(begun) && (kind.Is(err, kind.Unavailable) || kind.Is(err, kind.Lost)):
+	case c.lastDirect.Before(begun) && (kind.Is(err, kind.Unavailable) || kind.Is(err, kind.Lost)):
 		// Nothing has come since the call was begun, of this answer or another: one
 		// connection that has gone silent says nothing of the store.
 		c.away = true
 	}
-	c.mu.Unlock()
-	c.report()
-	return err
 }
 
 func (c *Client) carry(ctx context.Context, call Call) (*Answer, error) {
@@ -320,7 +336,7 @@
 		return nil, kind.New(kind.Damaged, "a peer's answer for the store")
 	}
 	c.mu.Lock()
-	c.carried = c.Now()
+	c.lastCarried = c.Now()
 	c.mu.Unlock()
 	c.report()
 	return &a, nil
@@ -345,7 +361,8 @@
 		return nil, kind.Wrap(kind.BadRequest, err, "call to the store")
 	}
 	var a Answer
-	// An asker that does not wait any longer says nothing of the store.
+	// The answer to a call that is given up early says nothing of the store: its end is
+	// that of its own limit.
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), carriedTime)
 	defer cancel()
 	err := c.try(ctx, carriedTime, nil, func(ctx context.Context) error {
--- a/rows/client_test.go
+++ b/rows/client_test.go
@@ -167,7 +167,7 @@
 		go func() {
 			defer GinkgoRecover()
 			defer close(done)
-			_, err := c.Near(nil).Get(ctx, Range{})
+			_, err := c.DirectOnly(nil).Get(ctx, Range{})
 			Expect(err).NotTo(HaveOccurred())
 		}()
 		Eventually(c.DirectOK).Should(BeTrue())
@@ -178,7 +178,7 @@
 	It("is given up when nothing more comes", func(ctx context.Context) {
 		c := &Client{Direct: &trickle{parts: 2, stops: true}, Now: time.Now}
 		begun := time.Now()
-		_, err := c.Near(nil).Get(ctx, Range{})
+		_, err := c.DirectOnly(nil).Get(ctx, Range{})
 		Expect(kind.Is(err, kind.Lost)).To(BeTrue())
 		Expect(time.Since(begun)).To(BeNumerically("~", directTime, time.Second))
 	})
@@ -244,12 +244,12 @@
 		c := &Client{Direct: mixed{silent: "x"}, Now: time.Now}
 		go func() {
 			time.Sleep(directTime / 2)
-			_, _ = c.Near(nil).Get(ctx, Range{Table: "y"})
+			_, _ = c.DirectOnly(nil).Get(ctx, Range{Table: "y"})
 		}()
-		_, err := c.Near(nil).Get(ctx, Range{Table: "x"})
+		_, err := c.DirectOnly(nil).Get(ctx, Range{Table: "x"})
 		Expect(kind.Is(err, kind.Lost)).To(BeTrue())
 		Expect(c.isAway()).To(BeFalse())
-		_, err = c.Near(nil).Get(ctx, Range{Table: "x"})
+		_, err = c.DirectOnly(nil).Get(ctx, Range{Table: "x"})
 		Expect(kind.Is(err, kind.Lost)).To(BeTrue())
 		Expect(c.isAway()).To(BeTrue(), "nobody was answered meanwhile")
 	})
@@ -268,7 +268,7 @@
 		c := &Client{Direct: &slowFeed{}, Now: time.Now}
 		// What an instance without a cell does in 4.5 s: feed waits of 0.9 s, and probes every 0.3 s.
 		for range 5 {
-			_, err := c.Near(nil).Feed(ctx, Since{Wait: 900 * time.Millisecond})
+			_, err := c.DirectOnly(nil).Feed(ctx, Since{Wait: 900 * time.Millisecond})
 			Expect(err).NotTo(HaveOccurred())
 			for range 3 {
 				_, err = c.Probe(ctx, Range{})
