--- a/entry/entry.go
+++ b/entry/entry.go
@@ -48,6 +48,8 @@
 	http     *drain.Server
 
 	leaving atomic.Bool
+	// pulling says that a tree is being fetched from a peer that greeted with it.
+	pulling atomic.Bool
 	spread  spread
 	reader  reader
 }
--- a/entry/greet.go
+++ b/entry/greet.go
@@ -250,7 +250,7 @@
 	}
 	e.front.HeardRefusals(h.Refusals)
 	if h.TreeVersion > e.register.Now().Version {
-		go e.pull(h.PeerAddr)
+		go e.pullNewer(h.PeerAddr)
 	}
 	if !known && len(e.keeper.Directory()) == 0 {
 		go e.askDirectory(h.PeerAddr)
--- a/entry/read.go
+++ b/entry/read.go
@@ -150,6 +150,17 @@
 	}
 }
 
+// pullNewer fetches the tree of a peer that has greeted with a higher version, unless one
+// is being fetched: a tree for each peer that has it would fill a thin link, and none
+// would arrive in time.
+func (e *Entry) pullNewer(addr string) {
+	if !e.pulling.CompareAndSwap(false, true) {
+		return
+	}
+	defer e.pulling.Store(false)
+	e.pull(addr)
+}
+
 // pull fetches the tree of a peer that has a higher version.
 func (e *Entry) pull(addr string) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), pullTimeout)
