--- a/cluster/configs.go
+++ b/cluster/configs.go
@@ -63,7 +63,7 @@
 		begun := time.Now()
 		c, from, at, err := n.nextConfig(ctx, whole, f.position)
 		n.transferred(c, from, begun, err)
-		f.took(whole, at, err, begun)
+		f.took(whole, at, err, time.Now())
 		if c == nil && time.Since(begun) < configSoon {
 			// It failed at once, or did not wait.
 			sleep(ctx, configSoon)
@@ -75,8 +75,8 @@
 type feedState struct {
 	// position is the version of the store to go on from, 0 if there is none.
 	position uint64
-	// heard is when the last call that was answered began, and read when the last
-	// reading of the whole document did.
+	// heard is when a call was last answered, and read when the whole document was last
+	// asked for.
 	heard, read time.Time
 }
 
@@ -87,15 +87,15 @@
 
 // took takes in how a call ended. One that failed leaves the position as it was, unless
 // the store has forgotten its changes, or the call brought a document that cannot be used.
-func (f *feedState) took(whole bool, at uint64, err error, begun time.Time) {
+func (f *feedState) took(whole bool, at uint64, err error, now time.Time) {
 	if whole {
-		f.read = begun
+		f.read = now
 	}
 	switch {
 	case kind.Is(err, kind.Conflict):
 		f.position = 0
 	case err == nil || at > f.position:
-		f.position, f.heard = at, begun
+		f.position, f.heard = at, now
 	}
 }
 
@@ -137,12 +137,12 @@
 		return
 	}
 	defer n.fetching.Store(false)
-	ctx, cancel := context.WithTimeout(context.Background(), fetchTime)
-	defer cancel()
-	sleep(ctx, fetchAfter)
+	time.Sleep(fetchAfter)
 	if n.config.Version() >= version || n.configComes(time.Now()) {
 		return
 	}
+	ctx, cancel := context.WithTimeout(context.Background(), fetchTime)
+	defer cancel()
 	begun := time.Now()
 	c, err := n.askConfig(ctx, addr)
 	n.transferred(c, "peer", begun, err)
