cluster: a planned stop stays 1.1 s after the notice, not for a part of the grace

Cause: the mend of stops that cut requests waited for 8/10 of the grace, 4.8 s of 6 s in place of 3.6 s, as 6/10 was too short for a grace of 4 s. Restarts in turn, 1 s apart, then kept five of seven instances away at once. Change: the wait is the notice and 1.1 s, the 3.6 s of before, within 8/10 of the grace.

--- a/cluster/instance.go
+++ b/cluster/instance.go
@@ -286,9 +286,11 @@
 }
 
 const (
-	// lingerShare is the part of the grace, in tenths, that a stopping instance
-	// stays for clients that keep their connections open. At the least grace, 4 s,
-	// it is 0.7 s longer than the notice.
+	// lingerTime is how long after the notice a stopping instance stays for clients
+	// that keep their connections open, and lingerShare the part of the grace, in tenths,
+	// that bounds it: at the least grace, 4 s, it is 0.7 s longer than the notice. Each
+	// second more keeps more instances away at once while all are restarted in turn.
+	lingerTime  = 1100 * time.Millisecond
 	lingerShare = 8
 	// cutShare is the part of the grace after which a request still under way is
 	// cut. The rest, 0.4 s at the least grace, is for the end of the process.
@@ -308,7 +310,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), handoverMax)
 	n.handOver(ctx, n.owned())
 	cancel()
-	patience, cancel := context.WithDeadline(context.Background(), begun.Add(grace*lingerShare/10))
+	patience, cancel := context.WithDeadline(context.Background(), begun.Add(min(notice+lingerTime, grace*lingerShare/10)))
 	defer cancel()
 	limit, cancel := context.WithDeadline(context.Background(), begun.Add(grace*cutShare/10))
 	defer cancel()
