cluster, driver: two tests that the guard they are for could be taken from

A connection without a request ends by the header time-out before the linger does; the test keeps one that has had an answer. A feed that has failed for long had no test. Both are red without their guard now.

--- a/cluster/stop_test.go
+++ b/cluster/stop_test.go
@@ -112,7 +112,9 @@
 	// 3.6 s, so many were away at once that the worst seconds fell from 0.96 of the worth to 0.79.
 	It("ends soon after the notice though a caller keeps its connection and the grace is long", func() {
 		n.times.grace = 4 * leastGrace
-		dial()
+		c, r := dial()
+		fmt.Fprint(c, head+rest)
+		wantAnswer(r)
 		stop()
 		Eventually(stopped, n.times.grace).Should(BeClosed())
 		Expect(time.Since(begun)).To(BeNumerically("<", notice+lingerTime+500*time.Millisecond))
--- a/driver/driver_test.go
+++ b/driver/driver_test.go
@@ -526,3 +526,20 @@
 		Expect(known("1")).To(BeFalse(), "it is back, and would run again")
 	})
 })
+
+var _ = ginkgo.Describe("an owner whose feed of jobs has failed for long", func() {
+	ginkgo.It("reads them all, as the feed may tell apart what was put and what is gone", func(ctx context.Context) {
+		t := newTable()
+		d := newDriver(ctx, t, func() {})
+		defer d.Close()
+		d.Keep = time.Second
+		Expect(d.load()).To(BeTrue())
+		d.spawn(d.scan)
+		t.putSpec("7")
+		Eventually(func() bool {
+			d.mu.Lock()
+			defer d.mu.Unlock()
+			return d.cell.Known("7")
+		}, 10*time.Second).Should(BeTrue())
+	})
+})
