--- a/cluster/configs_test.go
+++ b/cluster/configs_test.go
@@ -54,7 +54,7 @@
 }
 
 // followingInstance returns an instance that follows a source until the spec ends.
-func followingInstance(s *source) *Instance {
+func followingInstance(s ConfigSource) *Instance {
 	n := testInstance(&policy{})
 	n.configs = s
 	ctx, cancel := context.WithCancel(context.Background())
@@ -192,11 +192,7 @@
 var _ = Describe("the configuration, while something fails", func() {
 	It("is read in whole when the feed fails at one place again and again", func() {
 		s := &stuck{source{version: 1, raw: make([]byte, 1<<20)}}
-		n := testInstance(&policy{})
-		n.configs = s
-		ctx, cancel := context.WithCancel(context.Background())
-		DeferCleanup(cancel)
-		go n.followConfig(ctx)
+		followingInstance(s)
 		Eventually(func() int { reads, _ := s.seen(); return reads }, 5*time.Second).Should(BeNumerically(">", 1))
 	})
 
@@ -226,11 +222,7 @@
 
 	It("does not spin when the feed has forgotten its changes each time", func() {
 		s := &conflicting{}
-		n := testInstance(&policy{})
-		n.configs = s
-		ctx, cancel := context.WithCancel(context.Background())
-		DeferCleanup(cancel)
-		go n.followConfig(ctx)
+		followingInstance(s)
 		time.Sleep(time.Second)
 		reads, _ := s.seen()
 		Expect(reads).To(BeNumerically("<", 20))
@@ -238,11 +230,7 @@
 
 	It("does not spin when the feed answers at once without a change", func() {
 		s := &eager{}
-		n := testInstance(&policy{})
-		n.configs = s
-		ctx, cancel := context.WithCancel(context.Background())
-		DeferCleanup(cancel)
-		go n.followConfig(ctx)
+		followingInstance(s)
 		time.Sleep(time.Second)
 		_, places := s.seen()
 		Expect(len(places)).To(BeNumerically("<", 100))
