cell: large tasks claim the room that they wait for

Cause: where tasks that need up to a whole worker share a pool with small ones of a less urgent queue, room came free in small bits and went to small tasks at once. Change: a step of large tasks, or a gang, that finds no room claims workers; what comes after it gets what is left; the policy is asked ahead; tasks of less urgent queues that save their work yield, each twice at the most. Tried beside it and not kept: the best fit counted over processor, memory and accelerators.

--- a/cell/advice.go
+++ b/cell/advice.go
@@ -191,7 +191,7 @@
 		at, good := s.advice.find(w.ID)
 		switch {
 		case first:
-		case !w.free.Covers(&room) || !w.health.allows(len(w.runs), now) || s.full(w):
+		case !w.hasRoom(&room) && !c.soonFree(s, w, q, now) || !w.health.allows(len(w.runs), now) || s.full(w):
 			continue
 		case s.advice.asked[w.ID] && (!good || now.Before(s.advice.good[at].until)):
 			continue
@@ -204,6 +204,16 @@
 	return out
 }
 
+// soonFree reports whether w, which s has claimed, will have room by the time the answer
+// to a question is there.
+func (c *Cell) soonFree(s *stage, w *worker, q *Queue, now time.Time) bool {
+	if s.claim.workers[w] == 0 {
+		return false
+	}
+	o := c.offer(w, s, q, now)
+	return o.tasks > 0 && o.wait <= c.askLead(q)
+}
+
 // full reports whether w carries as many tasks of s as it may.
 func (s *stage) full(w *worker) bool {
 	return s.def.PerWorker > 0 && s.carried[w] >= s.def.PerWorker
--- a/cell/choose.go
+++ b/cell/choose.go
@@ -31,7 +31,7 @@
 	room := s.def.Room()
 	for p := range c.allowed(s, q, now) {
 		w := p.worker
-		if !w.usable() || !w.free.Covers(&room) || s.full(w) || !w.suits(s, q) || !w.health.allows(len(w.runs), now) {
+		if !w.usable() || !w.hasRoom(&room) || s.full(w) || !w.suits(s, q) || !w.health.allows(len(w.runs), now) {
 			continue
 		}
 		score := c.score(s, t, w, &room)
@@ -42,6 +42,15 @@
 	return best, bestTicket
 }
 
+// hasRoom reports whether w has room that nobody has claimed before.
+func (w *worker) hasRoom(room *sched.Vec) bool {
+	if !w.free.Covers(room) {
+		return false
+	}
+	free := w.free.Sub(w.claimed)
+	return free.Covers(room)
+}
+
 const (
 	nearBonus    = 10.0
 	hallBonus    = 2.0
--- /dev/null
+++ b/cell/claim.go
@@ -0,0 +1,235 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package cell
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"dewpass.org/sched"
+)
+
+// Large tasks, and gangs, need much room in one piece. Where small tasks take each bit
+// of room as it comes free, that piece hardly ever comes, and where a policy has to be
+// asked first, others have taken it when the answer is there. So a step of large tasks
+// that finds no room claims workers. What comes after it in the order gets only what the
+// claim leaves, the policy is asked ahead of the moment at which the room comes free, and
+// tasks of less urgent queues that can go on where they stopped yield.
+
+const (
+	// largeFew is how many tasks of a step an empty worker holds at most for them to be
+	// large. Smaller ones find room soon, as often as a task of any kind ends.
+	largeFew = 2
+	// claimEvery spaces the choices of workers for one claim.
+	claimEvery = 100 * time.Millisecond
+	// claimStays is how much sooner another worker must be free for a claim to move.
+	claimStays = 300 * time.Millisecond
+	// yieldWait is how long room that comes free by itself is waited for. A task that
+	// yields has to be stopped and to read its checkpoint, which takes about as long.
+	yieldWait = 500 * time.Millisecond
+	// yieldMost is how often one task may be made to yield.
+	yieldMost = 2
+	// stopTakes is about how long it takes until the room of a run that is stopped is
+	// free.
+	stopTakes = 250 * time.Millisecond
+)
+
+// claim is the room that a step holds on workers until its tasks can start there: how
+// many tasks on each.
+type claim struct {
+	workers map[*worker]int
+	chosen  time.Time
+}
+
+// offer is what a worker could do for a claim.
+type offer struct {
+	worker *worker
+	// tasks is how many it has room for, and wait how long until it has.
+	tasks int
+	wait  time.Duration
+}
+
+// placeClaim has a step that found no room for all its tasks claim it.
+func (c *Cell) placeClaim(s *stage, q *Queue, now time.Time) {
+	if !s.def.Gang && !c.large(s, q) {
+		return
+	}
+	if now.Sub(s.claim.chosen) >= claimEvery || !s.claimHolds() {
+		s.claim = c.newClaim(s, q, now)
+		c.yieldFor(s, q, now)
+	}
+	room := s.def.Room()
+	for w, n := range s.claim.workers {
+		w.claimed = w.claimed.Add(room.Scale(int64(n)))
+	}
+}
+
+// large reports whether the tasks of s are large for the workers that may run it.
+func (c *Cell) large(s *stage, q *Queue) bool {
+	few := s.def.Room().Scale(largeFew + 1)
+	for _, w := range c.order {
+		if w.suits(s, q) {
+			return !w.Room.Covers(&few)
+		}
+	}
+	return false
+}
+
+// claimHolds reports whether all workers of the claim can still be given something.
+func (s *stage) claimHolds() bool {
+	for w := range s.claim.workers {
+		if !w.usable() {
+			return false
+		}
+	}
+	return true
+}
+
+// newClaim chooses the workers on which the tasks of s that wait can start soonest. A
+// gang claims room for all of its members or none.
+func (c *Cell) newClaim(s *stage, q *Queue, now time.Time) claim {
+	var offers []offer
+	for _, w := range c.mayRun(s, q) {
+		if o := c.offer(w, s, q, now); o.tasks > 0 {
+			if s.claim.workers[w] > 0 {
+				o.wait -= claimStays
+			}
+			offers = append(offers, o)
+		}
+	}
+	slices.SortStableFunc(offers, func(a, b offer) int {
+		return cmp.Or(cmp.Compare(a.wait, b.wait), cmp.Compare(b.tasks, a.tasks))
+	})
+	out := claim{workers: make(map[*worker]int), chosen: now}
+	left := s.waiting
+	for _, o := range offers {
+		n := min(o.tasks, left)
+		out.workers[o.worker] = n
+		if left -= n; left == 0 {
+			return out
+		}
+	}
+	if s.def.Gang {
+		return claim{chosen: now}
+	}
+	return out
+}
+
+// mayRun returns the workers that may run s as far as is known, whether or not its
+// tickets still hold.
+func (c *Cell) mayRun(s *stage, q *Queue) []*worker {
+	var out []*worker
+	if q.Advice == nil {
+		out = slices.Clone(c.order)
+	}
+	for _, t := range s.advice.good {
+		out = append(out, t.worker)
+	}
+	return slices.DeleteFunc(out, func(w *worker) bool { return !w.usable() || !w.suits(s, q) })
+}
+
+// offer returns how many tasks of s a worker can take beside the claims of others, and
+// how long until it has room for them.
+func (c *Cell) offer(w *worker, s *stage, q *Queue, now time.Time) offer {
+	o := offer{worker: w}
+	room := s.def.Room()
+	most := w.Room.Sub(w.claimed)
+	for o.tasks < s.waiting && most.Covers(&room) && (s.def.PerWorker == 0 || s.carried[w]+o.tasks < s.def.PerWorker) {
+		most = most.Sub(room)
+		o.tasks++
+	}
+	if o.tasks == 0 || !w.health.allows(0, now) {
+		return offer{}
+	}
+	ends := slices.Clone(w.held)
+	slices.SortStableFunc(ends, func(a, b *run) int {
+		return cmp.Compare(c.frees(a, q, now), c.frees(b, q, now))
+	})
+	need := room.Scale(int64(o.tasks))
+	free := w.free.Sub(w.claimed)
+	for _, r := range ends {
+		if free.Covers(&need) {
+			break
+		}
+		free = free.Add(r.taken)
+		o.wait = c.frees(r, q, now)
+	}
+	if !free.Covers(&need) || o.wait >= never {
+		return offer{}
+	}
+	return o
+}
+
+// never is how long a task that lasts runs on.
+const never = time.Hour
+
+// frees guesses how long until the room of r is free for a task of queue q.
+func (c *Cell) frees(r *run, q *Queue, now time.Time) time.Duration {
+	if r.stage.def.Lasting {
+		return never
+	}
+	left := r.remaining(now)
+	if r.stopping || c.mayYield(r, q) {
+		return min(left, stopTakes)
+	}
+	return left
+}
+
+// mayYield reports whether r may be made to yield to a task of queue q: its own queue is
+// less urgent, and it goes on where it stopped.
+func (c *Cell) mayYield(r *run, q *Queue) bool {
+	s := r.stage
+	if s.stray || !s.def.Checkpoints || s.def.Gang || s.def.Lasting || s.def.Copies || r.confirmed.IsZero() {
+		return false
+	}
+	own := c.queues[s.job.spec.Queue]
+	return own != nil && own.Priority > q.Priority && s.tasks[r.index].yields < yieldMost
+}
+
+// yieldFor stops tasks so that the claim of s comes free, those with the most left to do
+// first, where waiting for their ends would take long.
+func (c *Cell) yieldFor(s *stage, q *Queue, now time.Time) {
+	room := s.def.Room()
+	for w, n := range s.claim.workers {
+		need := room.Scale(int64(n))
+		c.yield(w, need, s, q, now)
+	}
+}
+
+func (c *Cell) yield(w *worker, need sched.Vec, s *stage, q *Queue, now time.Time) {
+	free := w.free.Sub(w.claimed)
+	var may []*run
+	for _, r := range w.held {
+		switch {
+		case r.stopping || r.remaining(now) <= yieldWait:
+			free = free.Add(r.taken)
+		case c.mayYield(r, q):
+			may = append(may, r)
+		}
+	}
+	slices.SortStableFunc(may, func(a, b *run) int { return cmp.Compare(b.remaining(now), a.remaining(now)) })
+	for _, r := range may {
+		if free.Covers(&need) {
+			return
+		}
+		if !helps(&free, &need, &r.taken) {
+			continue
+		}
+		free = free.Add(r.taken)
+		r.stopping, r.stopSent = true, time.Time{}
+		r.stage.tasks[r.index].yields++
+		r.stage.job.story.Yields++
+		c.restless = true
+	}
+}
+
+// helps reports whether taken has something of what free lacks of need.
+func helps(free, need, taken *sched.Vec) bool {
+	for d := range need {
+		if need[d] > free[d] && taken[d] > 0 {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/cell/claim_test.go
@@ -0,0 +1,115 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package cell
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"dewpass.org/flow"
+)
+
+var _ = Describe("a step of large tasks that finds no room", func() {
+	const estimate = 4000
+	queues := []Queue{
+		{Name: "urgent", Pool: "p", Priority: 0, MaxAttempts: 2, Stretch: 2, Target: time.Second},
+		{Name: "q", Pool: "p", Priority: 1, MaxAttempts: 2, Stretch: 2, Target: time.Second},
+		{Name: "later", Pool: "p", Priority: 2, MaxAttempts: 2, Stretch: 2, Target: time.Second},
+	}
+	submit := func(r *rig, id, queue string, step flow.Step) {
+		step.EstimateMS = estimate
+		r.Submit(&flow.Spec{ID: id, Queue: queue, Hall: "h", Steps: []flow.Step{step}}, r.now, r.now)
+		r.Keep(id)
+	}
+	small := flow.Step{Count: 4, Demand: demand(1000), Checkpoints: true}
+	large := flow.Step{Count: 1, Demand: demand(4000)}
+	// full returns a rig whose one worker runs four small tasks of a queue.
+	full := func(queue string, step flow.Step) (*rig, []Start) {
+		r := newRig(1)
+		r.Configure(queues)
+		submit(r, "a", queue, step)
+		return r, r.startAll()
+	}
+
+	It("has tasks of less urgent queues stopped that go on where they were", func() {
+		r, _ := full("later", small)
+		submit(r, "b", "q", large)
+		Expect(r.place().Stops).To(HaveLen(4))
+	})
+
+	It("has nothing stopped that would begin anew, nor what is as urgent", func() {
+		anew := small
+		anew.Checkpoints = false
+		r, _ := full("later", anew)
+		submit(r, "b", "q", large)
+		Expect(r.place().Stops).To(BeEmpty())
+
+		r, _ = full("q", small)
+		submit(r, "b", "q", large)
+		Expect(r.place().Stops).To(BeEmpty())
+	})
+
+	It("has nothing stopped where room comes free as soon", func() {
+		r, starts := full("later", small)
+		for _, s := range starts {
+			r.Listed(s.Worker, Lists{Running: []Running{{Task: s.Task, Run: s.Run, Percent: 50}}, Cut: true}, r.now, r.now)
+		}
+		r.now = r.now.Add(estimate*time.Millisecond - yieldWait)
+		submit(r, "b", "q", large)
+		Expect(r.place().Stops).To(BeEmpty())
+	})
+
+	It("lets a task yield twice and no more", func() {
+		r, starts := full("later", flow.Step{Count: 1, Demand: demand(4000), Checkpoints: true})
+		for i := range yieldMost + 1 {
+			id := string(rune('b' + i))
+			submit(r, id, "q", large)
+			stops := r.place().Stops
+			if i == yieldMost {
+				Expect(stops).To(BeEmpty())
+				return
+			}
+			Expect(stops).To(HaveLen(1))
+			r.end(starts[0], flow.EndStopped)
+			urgent := r.startAll()
+			Expect(urgent[0].Task.Job).To(Equal(id))
+			r.end(urgent[0], flow.EndDone)
+			starts = r.startAll()
+			Expect(starts[0].Task.Job).To(Equal("a"))
+		}
+	})
+
+	It("keeps what comes free from those after it, and from none before it", func() {
+		r, starts := full("q", small)
+		submit(r, "b", "q", large)
+		r.place()
+		r.end(starts[0], flow.EndDone)
+		submit(r, "c", "later", flow.Step{Count: 1, Demand: demand(1000)})
+		Expect(r.startAll()).To(BeEmpty(), "the room that came free is claimed")
+		submit(r, "d", "urgent", flow.Step{Count: 1, Demand: demand(1000)})
+		Expect(r.startAll()).To(HaveLen(1))
+	})
+
+	It("asks the policy ahead of the moment at which the room comes free", func() {
+		r := newRig(1)
+		advised := queues[1]
+		advised.Advice = &Advice{Decide: 400 * time.Millisecond, Valid: time.Second}
+		r.Configure([]Queue{queues[0], advised})
+		submit(r, "a", "urgent", flow.Step{Count: 1, Demand: demand(4000)})
+		running := r.startAll()[0]
+		submit(r, "b", "q", large)
+		first := r.place().Asks
+		Expect(first).To(HaveLen(1))
+		r.Advised(first[0], []Ticket{{Worker: "w0", Text: "t"}}, time.Second, r.now)
+		r.now = r.now.Add(2 * time.Second)
+		Expect(r.place().Asks).To(BeEmpty(), "its answer would have ended before there is room")
+		r.now = r.now.Add(estimate*time.Millisecond - 2*time.Second - 500*time.Millisecond)
+		ahead := r.place().Asks
+		Expect(ahead).To(HaveLen(1))
+		r.Advised(ahead[0], []Ticket{{Worker: "w0", Text: "u"}}, time.Second, r.now)
+		r.end(running, flow.EndDone)
+		Expect(r.startAll()).To(HaveLen(1))
+	})
+})
--- a/cell/job.go
+++ b/cell/job.go
@@ -26,6 +26,8 @@
 	// fails holds the numbers of the runs that failed.
 	fails []int
 	saved string
+	// yields counts how often it was stopped for a task of a more urgent queue.
+	yields int
 	// avoid are workers on which the task has failed.
 	avoid []string
 }
@@ -52,6 +54,8 @@
 	// of its last run.
 	gangFails map[int]bool
 	gangLast  int
+	// claim is the room that it holds while it waits as a gang.
+	claim claim
 	// waitSince is since when a task waits, and doneAt when the last was done.
 	waitSince time.Time
 	doneAt    time.Time
--- /dev/null
+++ b/cell/large_load_test.go
@@ -0,0 +1,107 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package cell
+
+import (
+	"fmt"
+	"math"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"dewpass.org/flow"
+	"dewpass.org/sched"
+)
+
+// What happened: with tasks that need up to all accelerators of a worker, and jobs of
+// small tasks of a less urgent queue that together ask for nearly all accelerators of a
+// pool, a seventh of the large ones were late and the slowest took 40 s, though they take
+// 4 s and come first in the order. A worker that one task had left was given to a small
+// one at once; the policy, which lets a large task use four workers of thirteen, was asked
+// only when one of them was free, and by the time of its answer, half a second later,
+// that worker was not free any more. Nothing was ever kept free for the large ones.
+
+// largeLoad is that load, for a minute: large tasks, alone, a few at a time or in gangs, and
+// small ones, of which twice as many come in the last third of the time.
+func largeLoad(seed uint64, gang bool) *replay {
+	r := newReplay(seed, []Queue{
+		{Name: "large", Pool: "p", Priority: 1, MaxAttempts: 3, Stretch: 2.2, Target: time.Second,
+			Advice: &Advice{Decide: 490 * time.Millisecond, Each: 7 * time.Millisecond, Valid: 2 * time.Second}},
+		{Name: "small", Pool: "p", Priority: 2, MaxAttempts: 4, Stretch: 4, Target: 3 * time.Second,
+			Advice: &Advice{Decide: 140 * time.Millisecond, Each: 2 * time.Millisecond, Valid: 2 * time.Second}},
+	}, map[string]float64{"large": 0.3, "small": 0.45})
+	speeds := []float64{0.8, 1, 1.25}
+	for i := range 13 {
+		room := sched.Vec{sched.Milli: 64_000, sched.MiB: 131_072, sched.Accel: 8, sched.Slots: plenty, sched.Conns: plenty}
+		r.worker(fmt.Sprintf("w%02d", i), fmt.Sprintf("h%d", i%4), fmt.Sprintf("r%d", i/3), room, speeds[i%3])
+	}
+	r.arrivalsAt(time.Minute, func(time.Duration) float64 { return 1.6 }, func(at time.Duration, n int) {
+		step := flow.Step{
+			Count: 1 + min(int(r.rng.ExpFloat64()*0.9), 4), Gang: gang, Checkpoints: r.rng.Float64() < 0.9,
+			Demand: sched.Vec{sched.Milli: 31_000, sched.MiB: 45_000, sched.Accel: []int64{2, 4, 8, 8}[r.rng.IntN(4)]},
+		}
+		r.job(at, fmt.Sprintf("g%04d", n), "large", step, 3600*time.Millisecond)
+	})
+	smallRate := func(at time.Duration) float64 {
+		if at > 40*time.Second {
+			return 3
+		}
+		return 1.7
+	}
+	r.arrivalsAt(time.Minute, smallRate, func(at time.Duration, n int) {
+		step := flow.Step{
+			Count: 1 + min(int(r.rng.ExpFloat64()*3.1), 19), Checkpoints: r.rng.Float64() < 0.8,
+			Demand: sched.Vec{sched.Milli: 5_600, sched.MiB: 11_000, sched.Accel: 1},
+		}
+		r.job(at, fmt.Sprintf("s%04d", n), "small", step, 3800*time.Millisecond)
+	})
+	return r
+}
+
+// arrivalsAt draws the times of arrivals, at a rate in jobs a second.
+func (r *replay) arrivalsAt(length time.Duration, rate func(at time.Duration) float64, arrive func(at time.Duration, n int)) {
+	for at, n := time.Duration(0), 0; at < length; n++ {
+		at += time.Duration(r.rng.ExpFloat64() / rate(at) * float64(time.Second))
+		arrive(at, n)
+	}
+}
+
+// job records a job of one step, with tasks of about mean and an estimate that may be
+// off by a fifth.
+func (r *replay) job(at time.Duration, id, queue string, step flow.Step, mean time.Duration) {
+	work := time.Duration(float64(mean) * min(math.Exp(r.rng.NormFloat64()*0.47-0.11), 2.5))
+	step.EstimateMS = int64(float64(work.Milliseconds()) * (0.8 + 0.4*r.rng.Float64()))
+	hall := fmt.Sprintf("h%d", r.rng.IntN(4))
+	r.arrive(at, &flow.Spec{ID: id, Queue: queue, Hall: hall, Steps: []flow.Step{step}}, work)
+}
+
+var _ = Describe("large tasks among small ones that fill the pool", func() {
+	const seeds = 4
+	for _, gang := range []bool{false, true} {
+		It(fmt.Sprintf("are in time, and the small ones too (gangs: %v)", gang), func() {
+			var large, small, greedy, inOrder float64
+			for seed := range uint64(seeds) {
+				base := largeLoad(seed, gang).playGreedy(100*time.Second, false)
+				GinkgoWriter.Printf("seed %d, first come first fit: large %v\n", seed, base["large"])
+				greedy += base["large"].worth() / seeds
+				base = largeLoad(seed, gang).playGreedy(100*time.Second, true)
+				GinkgoWriter.Printf("seed %d, strict priority: large %v\n", seed, base["large"])
+				inOrder += base["large"].worth() / seeds
+
+				r := largeLoad(seed, gang)
+				r.play(100 * time.Second)
+				got := r.outcomes()
+				GinkgoWriter.Printf("seed %d, the cell: large %v; small %v; %d stops\n", seed, got["large"], got["small"], r.stops)
+				large += got["large"].worth() / seeds
+				small += got["small"].worth() / seeds
+				Expect(r.thrown).To(BeZero(), "only tasks that save their work yield")
+			}
+			GinkgoWriter.Printf("large: %.3f, first come first fit %.3f, strict priority %.3f; small: %.3f\n", large, greedy, inOrder, small)
+			Expect(large).To(BeNumerically(">=", 0.94))
+			Expect(large).To(BeNumerically(">=", inOrder+0.05))
+			Expect(large).To(BeNumerically(">=", greedy+0.05))
+			Expect(small).To(BeNumerically(">=", 0.97))
+		})
+	}
+})
--- a/cell/place.go
+++ b/cell/place.go
@@ -59,6 +59,9 @@
 	c.tidy()
 	c.sort(now)
 	unsettled, most := c.unsettled(), c.mostFree()
+	for _, w := range c.order {
+		w.claimed = sched.Vec{}
+	}
 	for _, s := range c.open {
 		q := c.queues[s.job.spec.Queue]
 		if q == nil || s.job.state.Final() {
@@ -83,12 +86,16 @@
 		switch {
 		case c.heldUp(s, &unsettled):
 			why = HeldUp
-		case !most.Covers(&room):
-			why = Full
 		case s.def.Gang:
 			c.placeGang(s, q, &a, now)
+		case !most.Covers(&room):
+			why = Full
+			c.placeClaim(s, q, now)
 		default:
 			c.placeTasks(s, q, &a, now)
+			if s.waiting > 0 {
+				c.placeClaim(s, q, now)
+			}
 		}
 		c.tell(s, why, &a, now)
 	}
@@ -249,6 +256,7 @@
 	c.chooseHall(s, q, now)
 	picks, ok := c.pickGang(s, q, now)
 	if !ok {
+		c.placeClaim(s, q, now)
 		return
 	}
 	n, saved := s.gangLast, ""
--- /dev/null
+++ b/cell/replay_test.go
@@ -0,0 +1,402 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package cell
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"dewpass.org/flow"
+	"dewpass.org/sched"
+)
+
+// replay plays recorded arrivals against a cell in virtual time. Workers, the policy
+// and the store are played with the delays that they have in production; what the cell
+// decides is its own.
+type replay struct {
+	*Cell
+	now      time.Time
+	began    time.Time
+	rng      *rand.Rand
+	queues   []Queue
+	events   []replayEvent
+	workers  map[string]*replayWorker
+	arrivals map[string]*replayJob
+	good     map[flow.StepID]map[string]bool
+	// gangs holds the members of each run of a gang, which its number stands for.
+	gangs map[flow.TaskID][]*replayRun
+	// fit is the share of the workers that the policy lets run a step, by queue.
+	fit map[string]float64
+	// thrown is the work that was stopped and not saved, in processor seconds.
+	thrown float64
+	stops  int
+}
+
+// replayEvent is something that happens at a time.
+type replayEvent struct {
+	at    time.Time
+	order int
+	do    func()
+}
+
+// replayWorker is what runs on a worker, with its clock's speed.
+type replayWorker struct {
+	id    string
+	room  sched.Vec
+	speed float64
+	ends  int
+	runs  map[runKey]*replayRun
+}
+
+type replayRun struct {
+	w      *replayWorker
+	start  Start
+	step   *flow.Step
+	begun  time.Time
+	length time.Duration
+	ended  bool
+}
+
+// replayJob is a recorded arrival: a job, how long each of its tasks takes in truth, and
+// what became of it.
+type replayJob struct {
+	spec   *flow.Spec
+	queue  *Queue
+	work   time.Duration
+	at     time.Time
+	ended  time.Time
+	result flow.State
+	// done counts the tasks that a baseline has done.
+	done int
+}
+
+const (
+	// replayTick is how often the cell decides, as a driver does at the least.
+	replayTick = 10 * time.Millisecond
+	// replayOrder is how long an order takes to a worker, and replayEnd the news of an
+	// end to the owner.
+	replayOrder = 4 * time.Millisecond
+	replayEnd   = 4 * time.Millisecond
+	// replayStop is how long a stop takes, and replayRestore how long it takes to go on
+	// from what was saved.
+	replayStop    = 200 * time.Millisecond
+	replayRestore = 600 * time.Millisecond
+	// replayKeep is how long it takes until an accepted job is known to be kept.
+	replayKeep = 12 * time.Millisecond
+)
+
+func newReplay(seed uint64, queues []Queue, fit map[string]float64) *replay {
+	r := &replay{
+		Cell: New(1 << 12), began: time.Unix(1_000_000, 0), rng: rand.New(rand.NewPCG(seed, 1)), queues: queues,
+		workers: make(map[string]*replayWorker), arrivals: make(map[string]*replayJob),
+		good: make(map[flow.StepID]map[string]bool), gangs: make(map[flow.TaskID][]*replayRun), fit: fit,
+	}
+	r.now = r.began
+	r.Configure(queues)
+	return r
+}
+
+func (r *replay) worker(id, hall, rack string, room sched.Vec, speed float64) {
+	r.workers[id] = &replayWorker{id: id, room: room, speed: speed, runs: make(map[runKey]*replayRun)}
+	r.Heard(Worker{ID: id, Addr: id, Pool: "p", Hall: hall, Rack: rack, Room: room}, r.now)
+	r.Attached(id, Lists{}, r.now)
+}
+
+func (r *replay) after(d time.Duration, do func()) {
+	r.events = append(r.events, replayEvent{at: r.now.Add(d), order: len(r.events), do: do})
+}
+
+// arrive records that a job arrives, after the beginning.
+func (r *replay) arrive(after time.Duration, spec *flow.Spec, work time.Duration) {
+	j := &replayJob{spec: spec, work: work, at: r.began.Add(after)}
+	for i := range r.queues {
+		if r.queues[i].Name == spec.Queue {
+			j.queue = &r.queues[i]
+		}
+	}
+	r.arrivals[spec.ID] = j
+	r.events = append(r.events, replayEvent{at: j.at, order: len(r.events), do: func() {
+		r.Submit(spec, r.now, r.now)
+		r.after(replayKeep, func() { r.Keep(spec.ID) })
+	}})
+}
+
+// play runs until nothing has happened any more or the time is over.
+func (r *replay) play(length time.Duration) {
+	for r.now.Before(r.began.Add(length)) {
+		r.due()
+		r.decide()
+		r.now = r.now.Add(replayTick)
+	}
+}
+
+// due does what falls due now, in order.
+func (r *replay) due() {
+	var now []replayEvent
+	r.events = slices.DeleteFunc(r.events, func(e replayEvent) bool {
+		if e.at.After(r.now) {
+			return false
+		}
+		now = append(now, e)
+		return true
+	})
+	slices.SortStableFunc(now, func(a, b replayEvent) int {
+		return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.order, b.order))
+	})
+	for _, e := range now {
+		e.do()
+	}
+}
+
+func (r *replay) decide() {
+	r.Saved(r.Saves(100), true)
+	a := r.Place(r.now, r.now, 9)
+	for _, s := range a.Starts {
+		r.after(replayOrder, func() { r.begin(s) })
+	}
+	for _, s := range a.Stops {
+		r.after(replayOrder+replayStop, func() { r.stopped(s) })
+	}
+	for _, ask := range a.Asks {
+		sent := r.now
+		r.after(ask.Takes(), func() { r.answer(ask, sent) })
+	}
+	for _, o := range r.Ended() {
+		if j := r.arrivals[o.ID]; j.result == "" {
+			j.ended, j.result = r.now, o.State
+		}
+		r.Archived(o.ID)
+	}
+}
+
+// answer is the policy's: it lets some workers run a step, always the same.
+func (r *replay) answer(a Ask, sent time.Time) {
+	good := r.good[a.Step]
+	if good == nil {
+		good = make(map[string]bool)
+		r.good[a.Step] = good
+	}
+	j := r.arrivals[a.Step.Job]
+	var tickets []Ticket
+	for _, id := range a.Workers {
+		fit, known := good[id]
+		if !known {
+			// One is let run it in any case.
+			fit = r.rng.Float64() < r.fit[j.spec.Queue] || len(good) == 0
+			good[id] = fit
+		}
+		if fit {
+			tickets = append(tickets, Ticket{Worker: id, Text: "t"})
+		}
+	}
+	r.Advised(a, tickets, a.Advice.Valid, sent.Add(a.Takes()))
+}
+
+func (r *replay) begin(s Start) {
+	j := r.arrivals[s.Task.Job]
+	step := &j.spec.Steps[s.Task.Step]
+	w := r.workers[s.Worker]
+	length := time.Duration(float64(j.work) / w.speed)
+	if s.Saved != "" {
+		length = savedLeft(s.Saved) + replayRestore
+	}
+	run := &replayRun{w: w, start: s, step: step, begun: r.now, length: length}
+	w.runs[runKey{s.Task, s.Run}] = run
+	r.Started(s.Worker, s.Task, s.Run, Accepted, r.now)
+	if step.Gang {
+		r.join(run)
+		return
+	}
+	r.after(length+replayEnd, func() { r.end(run, flow.EndDone, "") })
+}
+
+// join adds a member to its gang, which ends as one with its slowest member.
+func (r *replay) join(run *replayRun) {
+	key := run.start.Task
+	key.Index = run.start.Run
+	gang := append(r.gangs[key], run)
+	r.gangs[key] = gang
+	if len(gang) < run.step.Count {
+		return
+	}
+	var slowest time.Duration
+	for _, m := range gang {
+		slowest = max(slowest, m.length)
+	}
+	for _, m := range gang {
+		m.length = slowest
+		r.after(slowest+replayEnd, func() { r.end(m, flow.EndDone, "") })
+	}
+}
+
+// end lists an end once.
+func (r *replay) end(run *replayRun, how flow.End, saved string) {
+	if run.ended {
+		return
+	}
+	run.ended = true
+	w := run.w
+	delete(w.runs, runKey{run.start.Task, run.start.Run})
+	w.ends++
+	f := Finished{Number: w.ends, Task: run.start.Task, Run: run.start.Run, How: how, Saved: saved}
+	r.Listed(w.id, Lists{Finished: []Finished{f}, Cut: true}, r.now, r.now)
+}
+
+func (r *replay) stopped(s Stop) {
+	w := r.workers[s.Worker]
+	run := w.runs[runKey{s.Task, s.Run}]
+	if run == nil {
+		return
+	}
+	r.stops++
+	saved := ""
+	worked := r.now.Sub(run.begun)
+	if run.step.Checkpoints {
+		saved = "left " + (run.length - worked).String()
+	} else {
+		d := run.step.Demand
+		r.thrown += worked.Seconds() * (float64(d[sched.Milli])/1000 + 8*float64(d[sched.Accel]))
+	}
+	r.end(run, flow.EndStopped, saved)
+}
+
+func savedLeft(s string) time.Duration {
+	d, err := time.ParseDuration(s[len("left "):])
+	if err != nil {
+		panic(err)
+	}
+	return d
+}
+
+// outcome sums up the jobs of a queue: the shares in time, late, and for nothing, and
+// how long they took.
+type outcome struct {
+	jobs         int
+	inTime, late float64
+	half, most   time.Duration
+}
+
+func (o outcome) String() string {
+	return fmt.Sprintf("%d jobs, %.3f in time, %.3f late, p50 %v, p95 %v", o.jobs, o.inTime, o.late,
+		o.half.Round(time.Millisecond), o.most.Round(time.Millisecond))
+}
+
+// worth is the credit of an outcome: what is late counts a fifth.
+func (o outcome) worth() float64 { return o.inTime + o.late/5 }
+
+// outcomes sums up the jobs of each queue.
+func (r *replay) outcomes() map[string]outcome {
+	took := make(map[string][]time.Duration)
+	out := make(map[string]outcome)
+	for _, j := range r.arrivals {
+		name := j.spec.Queue
+		d := r.now.Sub(j.at)
+		if j.result == flow.Succeeded {
+			d = j.ended.Sub(j.at)
+		}
+		took[name] = append(took[name], d)
+		o := out[name]
+		switch objective := j.objective(); {
+		case d <= objective:
+			o.inTime++
+		case d <= 3*objective:
+			o.late++
+		}
+		out[name] = o
+	}
+	for name, all := range took {
+		slices.Sort(all)
+		o := out[name]
+		o.jobs = len(all)
+		o.inTime /= float64(o.jobs)
+		o.late /= float64(o.jobs)
+		o.half, o.most = all[len(all)/2], all[len(all)*95/100]
+		out[name] = o
+	}
+	return out
+}
+
+// objective is by when the job should be over: its work on a sound worker, stretched, and
+// one question to the policy.
+func (j *replayJob) objective() time.Duration {
+	d := j.queue.Target + time.Duration(j.queue.Stretch*float64(len(j.spec.Steps))*float64(j.work))
+	if a := j.queue.Advice; a != nil {
+		d += a.Decide + askMost*a.Each
+	}
+	return d
+}
+
+// playGreedy plays the same arrivals against a baseline: each task goes to the first
+// worker that has room and may run it, in the order of arrival, or by priority and then
+// arrival. The policy's answers come after one question a job and hold for good.
+func (r *replay) playGreedy(length time.Duration, byPriority bool) map[string]outcome {
+	jobs := slices.SortedFunc(maps.Values(r.arrivals), func(a, b *replayJob) int {
+		return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.spec.ID, b.spec.ID))
+	})
+	if byPriority {
+		slices.SortStableFunc(jobs, func(a, b *replayJob) int { return cmp.Compare(a.queue.Priority, b.queue.Priority) })
+	}
+	ids := slices.Sorted(maps.Keys(r.workers))
+	left := make(map[*replayJob]int, len(jobs))
+	fits := make(map[*replayJob][]string, len(jobs))
+	for _, j := range jobs {
+		left[j] = j.spec.Steps[0].Count
+		for _, id := range ids {
+			if r.rng.Float64() < r.fit[j.spec.Queue] || (id == ids[len(ids)-1] && len(fits[j]) == 0) {
+				fits[j] = append(fits[j], id)
+			}
+		}
+	}
+	r.events = nil
+	for ; r.now.Before(r.began.Add(length)); r.now = r.now.Add(replayTick) {
+		r.due()
+		for _, j := range jobs {
+			advised := j.at.Add(j.queue.Advice.Decide + time.Duration(len(ids))*j.queue.Advice.Each)
+			if left[j] > 0 && !r.now.Before(advised) {
+				r.greedyStart(j, fits[j], left)
+			}
+		}
+	}
+	return r.outcomes()
+}
+
+// greedyStart starts the tasks of a job that find room, those of a gang all or none.
+func (r *replay) greedyStart(j *replayJob, fits []string, left map[*replayJob]int) {
+	step := &j.spec.Steps[0]
+	demand := step.Demand
+	var picks []*replayWorker
+	for _, id := range fits {
+		w := r.workers[id]
+		for len(picks) < left[j] && w.room.Covers(&demand) {
+			w.room = w.room.Sub(demand)
+			picks = append(picks, w)
+		}
+	}
+	if step.Gang && len(picks) < step.Count {
+		for _, w := range picks {
+			w.room = w.room.Add(demand)
+		}
+		return
+	}
+	left[j] -= len(picks)
+	slowest := 10.0
+	for _, w := range picks {
+		slowest = min(slowest, w.speed)
+	}
+	for _, w := range picks {
+		speed := w.speed
+		if step.Gang {
+			speed = slowest
+		}
+		r.after(time.Duration(float64(j.work)/speed)+replayOrder+replayEnd, func() {
+			w.room = w.room.Add(demand)
+			if j.done++; j.done == step.Count {
+				j.ended, j.result = r.now, flow.Succeeded
+			}
+		})
+	}
+}
--- a/cell/save.go
+++ b/cell/save.go
@@ -25,6 +25,8 @@
 	// Runs counts the starts, Failed the failed ones, and Lost those that ended
 	// with a lease or a worker.
 	Runs, Failed, Lost int
+	// Yields counts how often its tasks were stopped for more urgent ones.
+	Yields int
 }
 
 // Saves returns what has changed since the last call, at most limit records.
