driver: an order without an answer is taken for lost by its worker's answer times

Cause: while workers leave orders unanswered and carry them out late, each of them cost 0.7 s, the fixed limit of an order, though answers take 4 ms: longer than a job of ticket-issue has. Change: the wait follows the worker's own answers as TCP's retransmission timer does, 0.1 to 0.7 s, 0.2 s before the first; a worker that is lost is tried again after 20 ms, not 60. The next fence makes sure that the late order is not carried out.

--- a/driver/link.go
+++ b/driver/link.go
@@ -10,19 +10,24 @@
 
 	"dewpass.org/cell"
 	"dewpass.org/claim"
+	"dewpass.org/internal/rtt"
 	"dewpass.org/kind"
 )
 
 const (
-	// orderTime bounds an order's answer; beyond it the answer is lost.
-	orderTime = 700 * time.Millisecond
+	// An order whose answer takes much longer than those of its worker do is taken for
+	// lost, between orderLeast and orderMost after it was sent: the worker is held under
+	// the next fence at once, and what did not begin starts again. Answers take 2 to 12 ms
+	// between halls; an owner that is short of a processor needs some tens to read them.
+	orderLeast = 100 * time.Millisecond
+	orderMost  = 700 * time.Millisecond
 	// waitTime is how long a worker may wait for an end before it answers.
 	waitTime = 500 * time.Millisecond
 	// quiet is how long an order may go without an answer before the worker is
 	// given nothing more; answers take a few milliseconds.
 	quiet = 150 * time.Millisecond
 	// retryFirst and retryMost space the tries to reach a worker.
-	retryFirst = 60 * time.Millisecond
+	retryFirst = 20 * time.Millisecond
 	retryMost  = 400 * time.Millisecond
 	// unsavedPause is how long a link waits for the store to take the ends that
 	// were listed, before it renews the lease without observing them.
@@ -53,6 +58,8 @@
 	cancel  context.CancelFunc
 	// missing is since when the worker's entry is gone.
 	missing time.Time
+	// answers are those of the worker to starts, and to holds that do not wait.
+	answers rtt.Estimate
 	// orders holds when each order without an answer was sent.
 	orders map[uint64]time.Time
 	count  uint64
@@ -105,6 +112,9 @@
 	return l.count
 }
 
+// orderTime returns how long the answer to an order is waited for. The lock is held.
+func (l *link) orderTime() time.Duration { return l.answers.Wait(orderLeast, orderMost) }
+
 // silent reports whether an order has gone without an answer for too long.
 func (l *link) silent(now time.Time) bool {
 	for _, sent := range l.orders {
@@ -163,7 +173,7 @@
 	if !attach && !unsaved {
 		o.Wait = waitTime
 	}
-	holding, cancel := context.WithTimeout(ctx, o.Wait+orderTime)
+	holding, cancel := context.WithTimeout(ctx, o.Wait+l.orderTime())
 	l.waiting = cancel
 	d.mu.Unlock()
 	a, err := d.Workers.Hold(holding, o)
@@ -184,6 +194,9 @@
 	now := time.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if o.Wait == 0 {
+		l.answers.Answered(now.Sub(sent))
+	}
 	l.heardClock(a.ClockMS, now)
 	if l.fence != o.Fence {
 		// An order was lost meanwhile; this answer is of before.
@@ -257,6 +270,9 @@
 		l.attached = false
 		return false
 	}
+	if kind.Is(err, kind.Lost) {
+		l.answers.Lost()
+	}
 	if l.attached {
 		level.Info(d.Log).Log("event", "worker_unreachable", "worker", l.id, "err", err)
 	}
@@ -322,13 +338,14 @@
 		UntilMS: d.until(l, time.Now()),
 	}
 	level.Debug(d.Log).Log("event", "start", "job", s.Task.Job, "step", s.Task.Step, "index", s.Task.Index, "run", s.Run, "worker", s.Worker, "fence", o.Fence)
-	number := l.sentOrder(time.Now())
-	d.spawn(func() { d.sendStart(o, number) })
+	number, limit := l.sentOrder(time.Now()), l.orderTime()
+	d.spawn(func() { d.sendStart(o, number, limit) })
 }
 
-func (d *Driver) sendStart(o StartOrder, number uint64) {
-	ctx, cancel := context.WithTimeout(d.ctx, orderTime)
+func (d *Driver) sendStart(o StartOrder, number uint64, limit time.Duration) {
+	ctx, cancel := context.WithTimeout(d.ctx, limit)
 	defer cancel()
+	sent := time.Now()
 	a, err := d.Workers.Start(ctx, o)
 	if kind.Is(err, kind.NotFound) {
 		d.workerDead(o.Worker, "another life is at its address")
@@ -348,11 +365,13 @@
 			return
 		}
 		if l.fence == o.Fence {
-			level.Info(d.Log).Log("event", "start_lost", "job", o.Task.Job, "worker", o.Worker, "run", o.Run, "err", err)
+			level.Info(d.Log).Log("event", "start_lost", "job", o.Task.Job, "worker", o.Worker, "run", o.Run, "limit_ms", limit.Milliseconds(), "err", err)
+			l.answers.Lost()
 			d.unsure(o.Worker)
 		}
 		return
 	}
+	l.answers.Answered(now.Sub(sent))
 	l.heardClock(a.ClockMS, now)
 	if a.Outcome != cell.Accepted {
 		level.Info(d.Log).Log("event", "start_refused", "job", o.Task.Job, "step", o.Task.Step, "index", o.Task.Index, "worker", o.Worker, "run", o.Run, "outcome", int(a.Outcome))
@@ -396,10 +415,11 @@
 }
 
 // order sends an order whose outcome the worker's lists show. If its answer is
-// lost, the worker is attached again.
+// lost, the worker is attached again. The lock is held.
 func (d *Driver) order(t Target, send func(context.Context) error) {
+	limit := d.links[t.Worker].orderTime()
 	d.spawn(func() {
-		ctx, cancel := context.WithTimeout(d.ctx, orderTime)
+		ctx, cancel := context.WithTimeout(d.ctx, limit)
 		defer cancel()
 		err := send(ctx)
 		d.mu.Lock()
