--- a/cluster/division_test.go
+++ b/cluster/division_test.go
@@ -55,10 +55,10 @@
 		n.config.Install(&config.Config{Version: 1})
 		_, err := n.storeClient.Get(ctx, rows.Range{Table: "t"})
 		Expect(err).NotTo(HaveOccurred())
-		Expect(n.ready()).To(BeFalse())
+		Expect(n.Ready()).To(BeFalse())
 		Expect(n.Submit(ctx, &flow.Spec{ID: "j"})).To(MatchError(ContainSubstring("not known yet")))
 		n.division.set(1)
-		Expect(n.ready()).To(BeTrue())
+		Expect(n.Ready()).To(BeTrue())
 	})
 })
 
--- a/cluster/instance.go
+++ b/cluster/instance.go
@@ -50,8 +50,8 @@
 	Advisor driver.Advisor
 	// Front makes the handler of clients' requests.
 	Front func(*Instance) http.Handler
-	// Ready makes the handler that says whether clients may be sent here.
-	Ready func(ready func() bool) http.Handler
+	// Readiness makes the handler that says whether clients may be sent here.
+	Readiness func(ready func() bool) http.Handler
 }
 
 // Instance is one entry instance: it answers clients and its peers, and drives the
@@ -192,7 +192,8 @@
 // probeEvery spaces the reads that show whether the store answers.
 const probeEvery = 300 * time.Millisecond
 
-// probeSpare is how lately another call must have been answered to spare a probe.
+// probeSpare is how lately another call must have been answered to spare a probe, by the
+// store itself or by a peer.
 const probeSpare = 200 * time.Millisecond
 
 // probeStore reads the lease of one cell after another, so that readiness follows
@@ -207,10 +208,20 @@
 		if !n.known(name, time.Now()) {
 			go n.probeLease(ctx, name)
 		}
+		if !n.storeClient.DirectOK() && !n.storeClient.Carried(probeSpare) {
+			go n.probeByPeer(ctx, name)
+		}
 		sleep(ctx, probeEvery)
 	}
 }
 
+// probeByPeer shows whether a peer still reaches the store. Without it an instance that
+// the store turns away refused jobs as soon as no client had asked for 0.9 s, and, since
+// jobs that are refused ask nothing of the store, went on to do so for 2 s and more.
+func (n *Instance) probeByPeer(ctx context.Context, name string) {
+	n.probe(ctx, name, n.storeClient.ProbePeer)
+}
+
 // known reports whether what a probe would tell is known: the store has just answered
 // another call, and the cell's owner says how old its last write is.
 func (n *Instance) known(name string, now time.Time) bool {
@@ -219,11 +230,16 @@
 
 // probeLease reads the lease of a cell; "" is the division in its place.
 func (n *Instance) probeLease(ctx context.Context, name string) {
-	if name == "" {
-		_, _ = n.storeClient.Probe(ctx, rows.Only(divisionKey))
-		return
+	n.probe(ctx, name, n.storeClient.Probe)
+}
+
+func (n *Instance) probe(ctx context.Context, name string, get func(context.Context, rows.Range) (rows.Page, error)) {
+	r := rows.Only(divisionKey)
+	if name != "" {
+		r = claim.Range(name)
 	}
-	if page, err := n.storeClient.Probe(ctx, claim.Range(name)); err == nil {
+	page, err := get(ctx, r)
+	if err == nil && name != "" {
 		_, ver := claim.LeaseOf(page)
 		n.sawWrite(name, ver, time.Now())
 	}
@@ -232,9 +248,6 @@
 // Config returns the newest configuration, nil if there is none yet.
 func (n *Instance) Config() *config.Config { return n.config.Now() }
 
-// Leaving reports whether a planned stop is under way.
-func (n *Instance) Leaving() bool { return n.leaving.Load() }
-
 // listen serves peers and clients, and returns the servers that are for neither.
 func (n *Instance) listen(ctx context.Context) ([]*drain.Server, error) {
 	peers, err := sock.Listen(ctx, n.settings.Listen.Peer)
@@ -247,7 +260,7 @@
 	if err != nil {
 		return nil, err
 	}
-	ready, err := serve(ctx, "/cluster/ready", c.Ready, n.Ready(n.ready))
+	ready, err := serve(ctx, "/cluster/ready", c.Ready, n.Readiness(n.Ready))
 	if err != nil {
 		return nil, err
 	}
@@ -279,8 +292,8 @@
 	return s, nil
 }
 
-// ready reports whether clients may be sent here.
-func (n *Instance) ready() bool {
+// Ready reports whether clients may be sent here.
+func (n *Instance) Ready() bool {
 	known := n.config.Now() != nil && len(n.division.cells()) > 0
 	return known && !n.leaving.Load() && n.storeClient.Reachable()
 }
--- a/cluster/stop_test.go
+++ b/cluster/stop_test.go
@@ -42,10 +42,10 @@
 		n = testInstance(&policy{})
 		n.times.grace = leastGrace
 		n.settings.Listen.HTTP, n.settings.Listen.Peer, n.settings.Cluster.Ready = "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0"
-		n.Ready = func(func() bool) http.Handler { return http.NotFoundHandler() }
+		n.Readiness = func(func() bool) http.Handler { return http.NotFoundHandler() }
 		n.Front = func(n *Instance) http.Handler {
 			return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-				if n.Leaving() {
+				if n.leaving.Load() {
 					w.Header().Set("Connection", "close")
 				}
 			})
--- /dev/null
+++ b/cluster/turned_away_test.go
@@ -0,0 +1,65 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package cluster
+
+import (
+	"context"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"dewpass.org/flow"
+	"dewpass.org/kind"
+	"dewpass.org/rows"
+)
+
+// What happened: the store turned one instance away for 9 s and served the others. The
+// instance refused jobs for 2 to 3 s of them ("the store is not reached"), though its peers
+// carried its calls: no client had asked for 0.9 s, so that nothing had been carried, and
+// a job that is refused asks nothing of the store either. It went on until the
+// configuration was read again.
+
+// busy is a store that turns this instance away.
+type busy struct{}
+
+var errBusy = kind.New(kind.Unavailable, "busy")
+
+func (busy) Get(context.Context, rows.Range) (rows.Page, error)        { return rows.Page{}, errBusy }
+func (busy) Tx(context.Context, rows.Tx) (rows.Result, error)          { return rows.Result{}, errBusy }
+func (busy) Feed(ctx context.Context, _ rows.Since) (rows.Page, error) { return rows.Page{}, errBusy }
+
+var _ = Describe("an instance that the store turns away, while no client calls", func() {
+	It("knows that its peers reach the store", func(ctx context.Context) {
+		n := testInstance(&policy{})
+		n.division.set(1)
+		n.storeClient.Direct = busy{}
+		peer := &rows.Client{Direct: table{}, Now: time.Now}
+		n.storeClient.Carry = peer.Serve
+		ctx, cancel := context.WithCancel(ctx)
+		defer cancel()
+		go n.probeStore(ctx)
+		Eventually(n.storeClient.Reachable, "5s").Should(BeTrue())
+		Consistently(n.storeClient.Reachable, "2s", "50ms").Should(BeTrue())
+	})
+
+	It("says at once that it can't tell of a job when no peer reaches it either", func(ctx context.Context) {
+		n := testInstance(&policy{})
+		n.division.set(1)
+		n.storeClient.Direct = silentStore{}
+		n.storeClient.Carry = nil
+		begun := time.Now()
+		_, err := n.State(ctx, "0123456789abcdef")
+		Expect(kind.Is(err, kind.Unavailable)).To(BeTrue())
+		Expect(time.Since(begun)).To(BeNumerically("<", time.Second), "in place of the 1.5 s that the store is given")
+		Expect(n.Submit(ctx, &flow.Spec{ID: "0123456789abcdef"})).To(MatchError(ContainSubstring("not reached")))
+	})
+})
+
+// silentStore answers nothing.
+type silentStore struct{ table }
+
+func (silentStore) Get(ctx context.Context, _ rows.Range) (rows.Page, error) {
+	<-ctx.Done()
+	return rows.Page{}, kind.Wrap(kind.Lost, ctx.Err(), "store")
+}
--- a/rows/client.go
+++ b/rows/client.go
@@ -261,6 +261,23 @@
 	return page, err
 }
 
+// ProbePeer asks the store by a peer. While the store turns this instance away that alone
+// shows whether calls can go on: between two requests of clients there may be none.
+func (c *Client) ProbePeer(ctx context.Context, r Range) (Page, error) {
+	a, err := c.carry(ctx, Call{Get: &r})
+	if err != nil {
+		return Page{}, err
+	}
+	return *a.Page, nil
+}
+
+// Carried reports whether a peer has brought an answer of the store within a time.
+func (c *Client) Carried(within time.Duration) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.Now().Sub(c.lastCarried) < within
+}
+
 // try sends a call to the store itself. firstByte is how long its answer may take to
 // begin; one that comes in is waited for, however large it is. progress is told of each
 // part of the answer; it may be nil.
@@ -332,7 +349,7 @@
 		return nil, err
 	}
 	var a Answer
-	if err := json.Unmarshal(back, &a); err != nil || (a.Page == nil) == (a.Result == nil) {
+	if err := json.Unmarshal(back, &a); err != nil || (a.Page == nil) == (a.Result == nil) || (call.Tx == nil) == (a.Page == nil) {
 		return nil, kind.New(kind.Damaged, "a peer's answer for the store")
 	}
 	c.mu.Lock()
