--- a/cluster/jobs.go
+++ b/cluster/jobs.go
@@ -241,7 +241,7 @@
 // row reads a row of a job, with version 0 if there is none. It fails at once while the
 // store is known not to be reached.
 func (n *Instance) row(ctx context.Context, key rows.Key) (rows.Row, error) {
-	if !n.storeClient.Reachable() {
+	if n.storeClient.KnownAway() {
 		return rows.Row{}, kind.New(kind.Unavailable, "the store is not reached").After(comeBack)
 	}
 	page, err := n.storeClient.Get(ctx, rows.Only(key))
--- a/cluster/turned_away_test.go
+++ b/cluster/turned_away_test.go
@@ -46,8 +46,10 @@
 	It("says at once that it can't tell of a job when no peer reaches it either", func(ctx context.Context) {
 		n := testInstance(&policy{})
 		n.division.set(1)
-		n.storeClient.Direct = silentStore{}
+		n.storeClient.Direct = busy{}
 		n.storeClient.Carry = nil
+		n.probeLease(ctx, "")
+		n.storeClient.Direct = silentStore{}
 		begun := time.Now()
 		_, err := n.State(ctx, "0123456789abcdef")
 		Expect(kind.Is(err, kind.Unavailable)).To(BeTrue())
--- a/rows/client.go
+++ b/rows/client.go
@@ -91,6 +91,9 @@
 	return now.Sub(c.lastDirect) < fresh || now.Sub(c.lastCarried) < fresh
 }
 
+// KnownAway reports whether calls have shown that the store is not reached, in any way.
+func (c *Client) KnownAway() bool { return c.isAway() && !c.Reachable() }
+
 // Tx implements Store.
 func (c *Client) Tx(ctx context.Context, t Tx) (Result, error) {
 	var out Result
