cell, cluster: short questions to the policy never wait for long ones

Cause: after a loss of power to all, each step has to ask anew. Change: a third of the callers is for short questions, also when fewer callers are left than long questions are under way; a question goes to the caller whose answers are there first, by their length, not by their number.

--- a/cell/advice.go
+++ b/cell/advice.go
@@ -20,7 +20,9 @@
 	// longAsk is from when on a question counts as long.
 	longAsk = 150 * time.Millisecond
 	// shortShare is the part of the questions under way, as a divisor, that is kept
-	// for short ones: a long one would hold up many calls that somebody waits for.
+	// for short ones, however many callers there still are: a long one would hold up many
+	// calls that somebody waits for. After a loss of power to all, when each step has to
+	// ask anew, long ones held up all calls for 0.5 s.
 	shortShare = 3
 	// askAgain is the pause after a question that had no answer.
 	askAgain = 100 * time.Millisecond
@@ -85,10 +87,31 @@
 // Long reports whether the answer takes long.
 func (a *Ask) Long() bool { return a.Takes() > longAsk }
 
-// maySend reports whether a question may be asked while at most asks are under
-// way at once.
+// maySend reports whether a question may be asked where about asks may be under way at
+// once.
 func (c *Cell) maySend(a *Ask, asks int) bool {
-	return c.asks < asks && (!a.Long() || c.longAsks < max(asks-max(asks/shortShare, 1), 1))
+	if a.Long() {
+		return c.asks < asks && c.longAsks < max(asks-max(asks/shortShare, 1), 1)
+	}
+	return c.maySendShort(asks)
+}
+
+func (c *Cell) maySendShort(asks int) bool {
+	return asks > 0 && c.asks-c.longAsks < max(asks-c.longAsks, asks/shortShare, 1)
+}
+
+// askFor asks the policy about s if that is of use now.
+func (c *Cell) askFor(s *stage, q *Queue, a *Actions, asks int, now time.Time) {
+	if !c.maySendShort(asks) || !s.mayAsk(q, now) || (s.before > 0 && !c.opensWithin(s, c.askLead(q), now)) {
+		return
+	}
+	ask := c.ask(s, q, now)
+	if len(ask.Workers) == 0 || !c.maySend(&ask, asks) {
+		return
+	}
+	s.advice.asking = true
+	c.sent(&ask, 1)
+	a.Asks = append(a.Asks, ask)
 }
 
 // sent counts a question that is under way, by is 1, or is not any more, by is -1.
--- a/cell/place.go
+++ b/cell/place.go
@@ -70,13 +70,7 @@
 		if !s.due.IsZero() && s.due.After(wall) {
 			continue
 		}
-		if c.asks < asks && s.mayAsk(q, now) && (s.before == 0 || c.opensWithin(s, c.askLead(q), now)) {
-			if ask := c.ask(s, q, now); len(ask.Workers) > 0 && c.maySend(&ask, asks) {
-				s.advice.asking = true
-				c.sent(&ask, 1)
-				a.Asks = append(a.Asks, ask)
-			}
-		}
+		c.askFor(s, q, &a, asks, now)
 		s.moving = false
 		if s.waiting == 0 || s.before > 0 || !s.job.kept {
 			continue
--- a/cluster/advise.go
+++ b/cluster/advise.go
@@ -53,16 +53,16 @@
 }
 
 func (n *Instance) adviseSelf(ctx context.Context, a cell.Ask) (driver.Tickets, error) {
-	n.addAsking(1)
-	defer n.addAsking(-1)
+	n.addAsking(a.Takes())
+	defer n.addAsking(-a.Takes())
 	return n.Advisor.Advise(ctx, a.Step, a.Workers)
 }
 
 // adviseBy has a peer ask a question.
 func (n *Instance) adviseBy(ctx context.Context, by *member, a cell.Ask) (driver.Tickets, error) {
-	n.members.asks(by.name, 1)
-	defer n.members.asks(by.name, -1)
-	ctx, cancel := context.WithTimeout(ctx, time.Duration(by.asking+2)*a.Takes()+adviseSlack)
+	n.members.asks(by.name, a.Takes())
+	defer n.members.asks(by.name, -a.Takes())
+	ctx, cancel := context.WithTimeout(ctx, by.asking+2*a.Takes()+adviseSlack)
 	defer cancel()
 	reply, err := n.dialer.Do(ctx, by.addr, &wire.Request{Body: &wire.Request_Advice{Advice: &wire.AdviceQuery{
 		Job: a.Step.Job, Time: uint32(a.Step.Time), Step: uint32(a.Step.Step), Workers: a.Workers,
@@ -77,14 +77,15 @@
 	return t, nil
 }
 
-func (n *Instance) addAsking(by int) {
+func (n *Instance) addAsking(by time.Duration) {
 	n.mu.Lock()
 	n.asking += by
 	n.mu.Unlock()
 }
 
-// caller chooses who asks a question: nil is this instance itself. Short ones
-// are asked here while nothing is under way here, long ones by instances that
+// caller chooses who asks a question: the instance whose questions under way are answered
+// first, since the policy takes those of one caller in turn; nil is this instance itself.
+// Short ones are asked here while nothing is under way here, long ones by instances that
 // own no cell.
 func (n *Instance) caller(a *cell.Ask) *member {
 	long := a.Long()
@@ -112,15 +113,23 @@
 	return !k.leaving && now.Sub(k.heard) < askedWithin && now.Sub(k.failed) >= shunTime
 }
 
-// cost ranks a caller by the questions that it has under way, whether it owns a
-// cell, and whether it is in another hall.
-func cost(asking int, owner, far, long bool) int {
-	c := 4 * asking
+const (
+	// farCost is what a caller in another hall counts for, the way there and back, and
+	// ownerCost what one that owns a cell does for a long question: short ones should not
+	// have to wait behind it.
+	farCost   = 4 * time.Millisecond
+	ownerCost = 250 * time.Millisecond
+)
+
+// cost ranks a caller by how long the answers to its questions under way take, whether it
+// owns a cell, and whether it is in another hall.
+func cost(asking time.Duration, owner, far, long bool) time.Duration {
+	c := asking
 	if owner && long {
-		c += 3
+		c += ownerCost
 	}
 	if far {
-		c++
+		c += farCost
 	}
 	return c
 }
--- a/cluster/instance.go
+++ b/cluster/instance.go
@@ -88,8 +88,9 @@
 	times      times
 	// resting is until when this instance takes no cell.
 	resting time.Time
-	// asking counts the questions to the policy that this instance asks itself.
-	asking int
+	// asking is how long the answers take to the questions to the policy that this
+	// instance asks itself.
+	asking time.Duration
 }
 
 // Run runs an instance until ctx ends, and then stops it as planned.
--- a/cluster/members.go
+++ b/cluster/members.go
@@ -54,9 +54,9 @@
 	// work is what was sent to its cells since the last summary, in milliseconds
 	// of one processor.
 	work int64
-	// asking counts the questions to the policy that it asks for this instance,
-	// and failed is when it last brought no answer to one.
-	asking int
+	// asking is how long the answers take to the questions to the policy that it asks for
+	// this instance, and failed is when it last brought no answer to one.
+	asking time.Duration
 	failed time.Time
 }
 
@@ -314,8 +314,9 @@
 	}
 }
 
-// asks adds to the questions that a member asks for this instance.
-func (m *members) asks(name string, by int) {
+// asks adds to how long the answers to the questions take that a member asks for this
+// instance.
+func (m *members) asks(name string, by time.Duration) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if k := m.known[name]; k != nil {
