retry: when a refused caller should come back follows the age of the outage

In an outage of 30 s each caller asks 16 times, and all of them return within the second after its end, when the store has to catch up. Change: package retry, pure: a part of the outage's age, half of it drawn by the caller's own id, between 1 and 15 s. An outage of a second as before.

--- a/cluster/accept.go
+++ b/cluster/accept.go
@@ -12,6 +12,7 @@
 	"dewpass.org/driver"
 	"dewpass.org/flow"
 	"dewpass.org/kind"
+	"dewpass.org/retry"
 	"dewpass.org/rows"
 	"dewpass.org/telemetry"
 	"dewpass.org/wire"
@@ -91,7 +92,12 @@
 func (n *Instance) refuse(id, why string) error {
 	level.Info(n.kit.Log).Log("event", "refused", "job", id, "why", why, "last", true)
 	n.kit.Scope.Counter("jobs_refused_total").Inc(1)
-	return kind.New(kind.Unavailable, why).After(comeBack)
+	return kind.New(kind.Unavailable, why).After(n.comeBack(id))
+}
+
+// comeBack returns when a caller that is refused now, with a job, should come back.
+func (n *Instance) comeBack(id string) time.Duration {
+	return retry.After(n.storeClient.Silence(), id)
 }
 
 // choose returns the cell for a job: the least loaded one, or one by lot while
@@ -179,11 +185,11 @@
 				return kept{}, kind.Of(err).Uncertain(spec.ID)
 			}
 		case !uncertain && !n.storeClient.Reachable():
-			return kept{}, kind.Of(err).After(comeBack)
+			return kept{}, kind.Of(err).After(n.comeBack(spec.ID))
 		}
 		sleep(ctx, acceptRetry)
 		if ctx.Err() != nil && !uncertain {
-			return kept{}, kind.New(kind.Unavailable, "the store takes no writes now").After(comeBack)
+			return kept{}, kind.New(kind.Unavailable, "the store takes no writes now").After(n.comeBack(spec.ID))
 		}
 		if ctx.Err() != nil {
 			return kept{}, kind.New(kind.Lost, "the store has not answered").Uncertain(spec.ID)
--- a/cluster/jobs.go
+++ b/cluster/jobs.go
@@ -22,8 +22,6 @@
 const (
 	askTime    = 700 * time.Millisecond
 	cancelTime = 2500 * time.Millisecond
-	// comeBack is when a client that was refused may try again.
-	comeBack = time.Second
 	// window is the length of the time in which the work that waits should find
 	// room, for comparing halls.
 	window = 2 * time.Second
@@ -189,7 +187,7 @@
 func (n *Instance) askOwner(ctx context.Context, cell, id string, cancelJob bool) (flow.State, error) {
 	o := n.members.owner(cell, time.Now())
 	if o == nil {
-		return "", kind.New(kind.Unavailable, "the cell's owner is not heard").After(comeBack)
+		return "", kind.New(kind.Unavailable, "the cell's owner is not heard").After(n.comeBack(id))
 	}
 	limit := askTime
 	if cancelJob {
@@ -242,11 +240,11 @@
 // store is known not to be reached.
 func (n *Instance) row(ctx context.Context, key rows.Key) (rows.Row, error) {
 	if n.storeClient.KnownAway() {
-		return rows.Row{}, kind.New(kind.Unavailable, "the store is not reached").After(comeBack)
+		return rows.Row{}, kind.New(kind.Unavailable, "the store is not reached").After(n.comeBack(key.Name))
 	}
 	page, err := n.storeClient.Get(ctx, rows.Only(key))
 	if err != nil {
-		return rows.Row{}, kind.Wrap(kind.Unavailable, err, "the job's row in "+key.Table).After(comeBack)
+		return rows.Row{}, kind.Wrap(kind.Unavailable, err, "the job's row in "+key.Table).After(n.comeBack(key.Name))
 	}
 	return page.One(), nil
 }
@@ -262,7 +260,7 @@
 		}
 		sleep(ctx, retryCancel)
 		if ctx.Err() != nil {
-			return kind.Of(err).After(comeBack)
+			return kind.Of(err).After(n.comeBack(id))
 		}
 	}
 }
@@ -288,7 +286,7 @@
 		return err
 	}
 	if !d.Ready() {
-		return kind.New(kind.Unavailable, "the cell is being read").After(comeBack)
+		return kind.New(kind.Unavailable, "the cell is being read").After(n.comeBack(id))
 	}
 	return d.Cancel(ctx, id)
 }
@@ -312,7 +310,7 @@
 		return err
 	}
 	if err = n.cancelAt(ctx, cell, id); kind.Is(err, kind.NotFound) {
-		return kind.New(kind.Unavailable, "the cell's owner does not take the job yet").After(comeBack)
+		return kind.New(kind.Unavailable, "the cell's owner does not take the job yet").After(n.comeBack(id))
 	}
 	return err
 }
--- a/owner/save.go
+++ b/owner/save.go
@@ -15,6 +15,7 @@
 	"dewpass.org/job"
 	"dewpass.org/kind"
 	"dewpass.org/ports"
+	"dewpass.org/retry"
 	"dewpass.org/wire"
 )
 
@@ -148,7 +149,7 @@
 func createError(err error, js *jobState) error {
 	switch kind.Of(err).Kind {
 	case kind.Unavailable:
-		return kind.Wrap(kind.CutOff, err, "").After(time.Second)
+		return kind.Wrap(kind.CutOff, err, "").After(retry.Least)
 	case kind.Lost:
 		return kind.Of(err).Uncertain(js.row.ID)
 	}
@@ -171,7 +172,7 @@
 	cutOff := r.row == 0
 	o.mu.Unlock()
 	if cutOff {
-		return kind.New(kind.CutOff, "the rack was taken without the table").After(time.Second)
+		return kind.New(kind.CutOff, "the rack was taken without the table").After(retry.Least)
 	}
 	ctx, cancel := context.WithTimeout(ctx, intentTime)
 	defer cancel()
--- a/rows/client.go
+++ b/rows/client.go
@@ -91,6 +91,21 @@
 	return now.Sub(c.lastDirect) < fresh || now.Sub(c.lastCarried) < fresh
 }
 
+// Silence returns for how long nothing has come of the store, directly or by a peer; 0
+// before anything has.
+func (c *Client) Silence() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	last := c.lastDirect
+	if c.lastCarried.After(last) {
+		last = c.lastCarried
+	}
+	if last.IsZero() {
+		return 0
+	}
+	return c.Now().Sub(last)
+}
+
 // KnownAway reports whether calls have shown that the store is not reached, in any way.
 func (c *Client) KnownAway() bool { return c.isAway() && !c.Reachable() }
 
