--- a/cell/claim.go
+++ b/cell/claim.go
@@ -10,7 +10,7 @@
 	"dewpass.org/sched"
 )
 
-// Large tasks, and gangs, need much room in one piece. Where small tasks take each bit
+// Large tasks need much room in one piece. Where small tasks take each bit
 // of room as it comes free, that piece hardly ever comes, and where a policy has to be
 // asked first, others have taken it when the answer is there. So a step of large tasks
 // that finds no room claims workers. What comes after it in the order gets only what the
@@ -19,7 +19,8 @@
 
 const (
 	// largeFew is how many tasks of a step an empty worker holds at most for them to be
-	// large. Smaller ones find room soon, as often as a task of any kind ends.
+	// large. Smaller ones find room soon, as often as a task of any kind ends; claims of
+	// gangs of small tasks, tried, made the calls beside them late.
 	largeFew = 2
 	// claimEvery spaces the choices of workers for one claim.
 	claimEvery = 100 * time.Millisecond
@@ -50,9 +51,9 @@
 	wait  time.Duration
 }
 
-// placeClaim has a step that found no room for all its tasks claim it.
+// placeClaim has a step of large tasks claim room for those that found none.
 func (c *Cell) placeClaim(s *stage, q *Queue, now time.Time) {
-	if !s.def.Gang && !c.large(s, q) {
+	if !c.large(s, q) {
 		return
 	}
 	if now.Sub(s.claim.chosen) >= claimEvery || !s.claimHolds() {
@@ -65,15 +66,15 @@
 	}
 }
 
-// large reports whether the tasks of s are large for the workers that may run it.
+// large reports whether the tasks of s are large for all workers that may run it.
 func (c *Cell) large(s *stage, q *Queue) bool {
 	few := s.def.Room().Scale(largeFew + 1)
 	for _, w := range c.order {
-		if w.suits(s, q) {
-			return !w.Room.Covers(&few)
+		if w.Room.Covers(&few) && w.suits(s, q) {
+			return false
 		}
 	}
-	return false
+	return true
 }
 
 // claimHolds reports whether all workers of the claim can still be given something.
--- a/driver/link.go
+++ b/driver/link.go
@@ -115,6 +115,31 @@
 // orderTime returns how long the answer to an order is waited for. The lock is held.
 func (l *link) orderTime() time.Duration { return l.answers.Wait(orderLeast, orderMost) }
 
+// lateTimer is how late a timer may be served before it says that this process was not
+// running: its limit is then no sign of how long a worker took.
+const lateTimer = 20 * time.Millisecond
+
+// answerWithin returns a context that ends when no answer has come within limit. Where this
+// process itself was not running meanwhile, the answer may have been waiting to be read
+// for long, and the limit begins again, once.
+func answerWithin(parent context.Context, limit time.Duration) (context.Context, context.CancelFunc) {
+	ctx, stop := context.WithCancelCause(parent)
+	due := time.Now().Add(limit)
+	end := func() { stop(context.DeadlineExceeded) }
+	timer := time.AfterFunc(limit, func() {
+		if time.Since(due) < lateTimer {
+			end()
+			return
+		}
+		again := time.AfterFunc(limit, end)
+		context.AfterFunc(ctx, func() { again.Stop() })
+	})
+	return ctx, func() {
+		timer.Stop()
+		stop(context.Canceled)
+	}
+}
+
 // silent reports whether an order has gone without an answer for too long.
 func (l *link) silent(now time.Time) bool {
 	for _, sent := range l.orders {
@@ -173,7 +198,7 @@
 	if !attach && !unsaved {
 		o.Wait = waitTime
 	}
-	holding, cancel := context.WithTimeout(ctx, o.Wait+l.orderTime())
+	holding, cancel := answerWithin(ctx, o.Wait+l.orderTime())
 	l.waiting = cancel
 	d.mu.Unlock()
 	a, err := d.Workers.Hold(holding, o)
@@ -343,7 +368,7 @@
 }
 
 func (d *Driver) sendStart(o StartOrder, number uint64, limit time.Duration) {
-	ctx, cancel := context.WithTimeout(d.ctx, limit)
+	ctx, cancel := answerWithin(d.ctx, limit)
 	defer cancel()
 	sent := time.Now()
 	a, err := d.Workers.Start(ctx, o)
@@ -419,7 +444,7 @@
 func (d *Driver) order(t Target, send func(context.Context) error) {
 	limit := d.links[t.Worker].orderTime()
 	d.spawn(func() {
-		ctx, cancel := context.WithTimeout(d.ctx, limit)
+		ctx, cancel := answerWithin(d.ctx, limit)
 		defer cancel()
 		err := send(ctx)
 		d.mu.Lock()
