--- a/test/cluster/silent_test.go
+++ b/test/cluster/silent_test.go
@@ -63,6 +63,20 @@
 	return out
 }
 
+// drainNotice is how long after a worker's word that it leaves it may still be given tasks.
+const drainNotice = 2 * time.Second
+
+// startsOn counts the starts on a worker.
+func (b *bed) startsOn(w *world.Worker) int {
+	n := 0
+	for _, e := range b.world.Book.Starts() {
+		if e.Worker == w.ID {
+			n++
+		}
+	}
+	return n
+}
+
 // wide is a job of one step of some tasks that save nothing.
 func wide(count, ms int) string {
 	return fmt.Sprintf(`{"spec":"ms=%d cpu=500 mem=100","steps":[{"count":%d,"cpu":500,"mem_mb":100,"estimate_ms":%d}]}`, ms, count, ms)
@@ -165,6 +179,27 @@
 		Expect(gap()).To(BeNumerically("<", inTouch))
 	})
 
+	// The symptom to exclude: with most connections to the store silent, a reading of the
+	// list of workers that waits for good, so that an owner goes on giving tasks to a
+	// worker that has said that it leaves.
+	It("gives nothing to a worker that says meanwhile that it leaves", func() {
+		var p proxies
+		b := start(p.via)
+		ids := b.submitSome(8, 4, 400, 300*time.Millisecond)
+		p.silence(b.world.StoreAddr)
+		leaves := b.world.Workers[0]
+		b.world.Drain(leaves)
+		time.Sleep(drainNotice)
+		before := b.startsOn(leaves)
+		// More than the others have room for at once.
+		more, _ := b.submitAtOnce(b.entries, wide(28, 300))
+		for _, id := range more {
+			b.wantState(id, "succeeded")
+		}
+		Expect(b.startsOn(leaves)).To(Equal(before))
+		b.wantWhole(append(ids, more...))
+	})
+
 	It("loses no run as those to the workers do", func() {
 		var p proxies
 		b := start(p.via)
