--- a/cell/advice.go
+++ b/cell/advice.go
@@ -246,10 +246,10 @@
 	return out
 }
 
-// soonFree reports whether w, which s has claimed, will have room by the time the answer
+// soonFree reports whether w, which is reserved for s, will have room by the time the answer
 // to a question is there.
 func (c *Cell) soonFree(s *stage, w *worker, q *Queue, now time.Time) bool {
-	if s.claim.workers[w] == 0 {
+	if s.reserved.workers[w] == 0 {
 		return false
 	}
 	o := c.offer(w, s, q, now)
--- a/cell/choose.go
+++ b/cell/choose.go
@@ -42,12 +42,12 @@
 	return best, bestTicket
 }
 
-// hasRoom reports whether w has room that nobody has claimed before.
+// hasRoom reports whether w has room that is not reserved.
 func (w *worker) hasRoom(room *sched.Vec) bool {
 	if !w.free.Covers(room) {
 		return false
 	}
-	free := w.free.Sub(w.claimed)
+	free := w.free.Sub(w.reserved)
 	return free.Covers(room)
 }
 
--- a/cell/job.go
+++ b/cell/job.go
@@ -54,8 +54,8 @@
 	// of its last run.
 	gangFails map[int]bool
 	gangLast  int
-	// claim is the room that it holds while it waits as a gang.
-	claim claim
+	// reserved is the room that is held for its tasks while they wait.
+	reserved reservation
 	// waitSince is since when a task waits, and doneAt when the last was done.
 	waitSince time.Time
 	doneAt    time.Time
--- a/cell/place.go
+++ b/cell/place.go
@@ -60,7 +60,7 @@
 	c.sort(now)
 	unsettled, most := c.unsettled(), c.mostFree()
 	for _, w := range c.order {
-		w.claimed = sched.Vec{}
+		w.reserved = sched.Vec{}
 	}
 	for _, s := range c.open {
 		q := c.queues[s.job.spec.Queue]
@@ -90,7 +90,7 @@
 		}
 		if s.waiting > 0 && why != HeldUp {
 			c.askFor(s, q, &a, asks, now)
-			c.placeClaim(s, q, now)
+			c.reserve(s, q, now)
 		}
 		c.tell(s, why, &a, now)
 	}
--- a/cell/claim.go
+++ b/cell/reserve.go
@@ -10,40 +10,42 @@
 	"dewpass.org/sched"
 )
 
-// Large tasks need much room in one piece. Where small tasks take each bit
-// of room as it comes free, that piece hardly ever comes, and where a policy has to be
+// Large tasks need much room in one piece. Where small tasks take each bit of room as it
+// comes free, that piece hardly ever comes, and where a policy has to be
 // asked first, others have taken it when the answer is there. So a step of large tasks
-// that finds no room claims workers. What comes after it in the order gets only what the
-// claim leaves, the policy is asked ahead of the moment at which the room comes free, and
-// tasks of less urgent queues that can go on where they stopped yield.
+// that finds no room has some reserved. What comes after it in the order gets only what is
+// left, the policy is asked ahead of the moment at which the room comes free, and tasks of
+// less urgent queues that can go on where they stopped yield.
 
 const (
 	// largeFew is how many tasks of a step an empty worker holds at most for them to be
-	// large. Smaller ones find room soon, as often as a task of any kind ends; claims of
-	// gangs of small tasks, tried, made the calls beside them late.
+	// large. Smaller ones find room soon, as often as a task of any kind ends;
+	// reservations for gangs of small tasks, tried, made the calls beside them late.
 	largeFew = 2
-	// claimEvery spaces the choices of workers for one claim.
-	claimEvery = 100 * time.Millisecond
-	// claimStays is how much sooner another worker must be free for a claim to move.
-	claimStays = 300 * time.Millisecond
+	// reserveEvery spaces the choices of workers for one step: as often as a driver decides
+	// when nothing happens.
+	reserveEvery = 100 * time.Millisecond
+	// reserveStays is how much sooner another worker must be free for a reservation to
+	// move there.
+	reserveStays = 300 * time.Millisecond
 	// yieldWait is how long room that comes free by itself is waited for. A task that
 	// yields has to be stopped and to read its checkpoint, which takes about as long.
 	yieldWait = 500 * time.Millisecond
 	// yieldMost is how often one task may be made to yield.
 	yieldMost = 2
 	// stopTakes is about how long it takes until the room of a run that is stopped is
-	// free.
+	// free: half of the longest that workers take for a stop.
 	stopTakes = 250 * time.Millisecond
 )
 
-// claim is the room that a step holds on workers until its tasks can start there: how
+// reservation is the room that is held for a step until its tasks can start there: how
 // many tasks on each.
-type claim struct {
+type reservation struct {
 	workers map[*worker]int
 	chosen  time.Time
 }
 
-// offer is what a worker could do for a claim.
+// offer is what a worker could do for a step.
 type offer struct {
 	worker *worker
 	// tasks is how many it has room for, and wait how long until it has.
@@ -51,18 +53,18 @@
 	wait  time.Duration
 }
 
-// placeClaim has a step of large tasks claim room for those that found none.
-func (c *Cell) placeClaim(s *stage, q *Queue, now time.Time) {
+// reserve reserves room for the tasks of a step that found none, if they are large.
+func (c *Cell) reserve(s *stage, q *Queue, now time.Time) {
 	if !c.large(s, q) {
 		return
 	}
-	if now.Sub(s.claim.chosen) >= claimEvery || !s.claimHolds() {
-		s.claim = c.newClaim(s, q, now)
+	if now.Sub(s.reserved.chosen) >= reserveEvery || !s.reservationHolds() {
+		s.reserved = c.newReservation(s, q, now)
 		c.yieldFor(s, q, now)
 	}
 	room := s.def.Room()
-	for w, n := range s.claim.workers {
-		w.claimed = w.claimed.Add(room.Scale(int64(n)))
+	for w, n := range s.reserved.workers {
+		w.reserved = w.reserved.Add(room.Scale(int64(n)))
 	}
 }
 
@@ -77,9 +79,10 @@
 	return true
 }
 
-// claimHolds reports whether all workers of the claim can still be given something.
-func (s *stage) claimHolds() bool {
-	for w := range s.claim.workers {
+// reservationHolds reports whether all workers of the reservation can still be given
+// something.
+func (s *stage) reservationHolds() bool {
+	for w := range s.reserved.workers {
 		if !w.usable() {
 			return false
 		}
@@ -87,14 +90,14 @@
 	return true
 }
 
-// newClaim chooses the workers on which the tasks of s that wait can start soonest. A
-// gang claims room for all of its members or none.
-func (c *Cell) newClaim(s *stage, q *Queue, now time.Time) claim {
+// newReservation chooses the workers on which the tasks of s that wait can start soonest. A
+// gang gets room for all of its members or none.
+func (c *Cell) newReservation(s *stage, q *Queue, now time.Time) reservation {
 	var offers []offer
 	for _, w := range c.mayRun(s, q) {
 		if o := c.offer(w, s, q, now); o.tasks > 0 {
-			if s.claim.workers[w] > 0 {
-				o.wait -= claimStays
+			if s.reserved.workers[w] > 0 {
+				o.wait -= reserveStays
 			}
 			offers = append(offers, o)
 		}
@@ -102,7 +105,7 @@
 	slices.SortStableFunc(offers, func(a, b offer) int {
 		return cmp.Or(cmp.Compare(a.wait, b.wait), cmp.Compare(b.tasks, a.tasks))
 	})
-	out := claim{workers: make(map[*worker]int), chosen: now}
+	out := reservation{workers: make(map[*worker]int), chosen: now}
 	left := s.waiting
 	for _, o := range offers {
 		n := min(o.tasks, left)
@@ -112,7 +115,7 @@
 		}
 	}
 	if s.def.Gang {
-		return claim{chosen: now}
+		return reservation{chosen: now}
 	}
 	return out
 }
@@ -130,12 +133,12 @@
 	return slices.DeleteFunc(out, func(w *worker) bool { return !w.usable() || !w.suits(s, q) })
 }
 
-// offer returns how many tasks of s a worker can take beside the claims of others, and
+// offer returns how many tasks of s a worker can take beside what is reserved, and
 // how long until it has room for them.
 func (c *Cell) offer(w *worker, s *stage, q *Queue, now time.Time) offer {
 	o := offer{worker: w}
 	room := s.def.Room()
-	most := w.Room.Sub(w.claimed)
+	most := w.Room.Sub(w.reserved)
 	for o.tasks < s.waiting && most.Covers(&room) && (s.def.PerWorker == 0 || s.carried[w]+o.tasks < s.def.PerWorker) {
 		most = most.Sub(room)
 		o.tasks++
@@ -148,7 +151,7 @@
 		return cmp.Compare(c.frees(a, q, now), c.frees(b, q, now))
 	})
 	need := room.Scale(int64(o.tasks))
-	free := w.free.Sub(w.claimed)
+	free := w.free.Sub(w.reserved)
 	for _, r := range ends {
 		if free.Covers(&need) {
 			break
@@ -188,18 +191,18 @@
 	return own != nil && own.Priority > q.Priority && s.tasks[r.index].yields < yieldMost
 }
 
-// yieldFor stops tasks so that the claim of s comes free, those with the most left to do
+// yieldFor stops tasks so that the room reserved for s comes free, those with the most left to do
 // first, where waiting for their ends would take long.
 func (c *Cell) yieldFor(s *stage, q *Queue, now time.Time) {
 	room := s.def.Room()
-	for w, n := range s.claim.workers {
+	for w, n := range s.reserved.workers {
 		need := room.Scale(int64(n))
 		c.yield(w, need, s, q, now)
 	}
 }
 
 func (c *Cell) yield(w *worker, need sched.Vec, s *stage, q *Queue, now time.Time) {
-	free := w.free.Sub(w.claimed)
+	free := w.free.Sub(w.reserved)
 	var may []*run
 	for _, r := range w.held {
 		switch {
--- a/cell/claim_test.go
+++ b/cell/reserve_test.go
@@ -87,7 +87,7 @@
 		r.place()
 		r.end(starts[0], flow.EndDone)
 		submit(r, "c", "later", flow.Step{Count: 1, Demand: demand(1000)})
-		Expect(r.startAll()).To(BeEmpty(), "the room that came free is claimed")
+		Expect(r.startAll()).To(BeEmpty(), "the room that came free is reserved")
 		submit(r, "d", "urgent", flow.Step{Count: 1, Demand: demand(1000)})
 		Expect(r.startAll()).To(HaveLen(1))
 	})
@@ -113,7 +113,7 @@
 		Expect(r.startAll()).To(HaveLen(1))
 	})
 
-	It("claims nothing if an empty worker holds more than two of its tasks", func() {
+	It("gets nothing reserved if an empty worker holds more than two of its tasks", func() {
 		r, starts := full("later", small)
 		submit(r, "b", "q", flow.Step{Count: 4, Demand: demand(1300), Gang: true})
 		Expect(r.place().Stops).To(BeEmpty())
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -34,9 +34,9 @@
 	// unsureSince is when the worker was last attached, while it is not.
 	unsureSince time.Time
 	free        sched.Vec
-	// claimed is what gangs that come first in the order have claimed, during Place.
-	claimed sched.Vec
-	runs    map[runKey]*run
+	// reserved is what is held for steps that come first in the order, during Place.
+	reserved sched.Vec
+	runs     map[runKey]*run
 	// held holds the same runs in the order in which they came, so that decisions
 	// repeat, and fills counts those that fill.
 	held  []*run
