cell, driver: logs say how often a job's tasks yielded, and what is reserved for a step

job_ended has "yields", step_waits "reserved": who asks why a job was late sees that its tasks were stopped for more urgent ones, or that it waits with room held for it.

--- a/cell/reserve.go
+++ b/cell/reserve.go
@@ -11,9 +11,9 @@
 )
 
 // Large tasks need much room in one piece. Where small tasks take each bit of room as it
-// comes free, that piece hardly ever comes, and where a policy has to be
-// asked first, others have taken it when the answer is there. So a step of large tasks
-// that finds no room has some reserved. What comes after it in the order gets only what is
+// comes free, that piece hardly ever comes, and where a policy has to be asked first,
+// others have taken it when the answer is there. So a step of large tasks that finds no
+// room has some reserved. What comes after it in the order gets only what is
 // left, the policy is asked ahead of the moment at which the room comes free, and tasks of
 // less urgent queues that can go on where they stopped yield.
 
--- a/cell/wait.go
+++ b/cell/wait.go
@@ -36,6 +36,8 @@
 	// Tasks is how many of its tasks wait, and For how long.
 	Tasks int
 	For   time.Duration
+	// Reserved is on how many workers room is held for them.
+	Reserved int
 }
 
 // tell adds a stage to what is told if it has waited for long.
@@ -48,7 +50,7 @@
 	if why == NoWorker {
 		why = c.whyNone(s, now)
 	}
-	a.Waits = append(a.Waits, Wait{Step: s.id(), Why: why, Tasks: s.waiting, For: waited})
+	a.Waits = append(a.Waits, Wait{Step: s.id(), Why: why, Tasks: s.waiting, For: waited, Reserved: len(s.reserved.workers)})
 }
 
 // whyNone tells apart why no worker was found.
--- a/driver/commit.go
+++ b/driver/commit.go
@@ -160,7 +160,7 @@
 			d.Scope.Tagged(map[string]string{"state": string(s.Record.State)}).Counter("jobs_ended_total").Inc(1)
 			level.Info(d.Log).Log("event", "job_ended", "job", s.ID, "state", s.Record.State, "epoch", d.Claim.Epoch(),
 				"began_ms", s.Story.Began.Milliseconds(), "took_ms", s.Story.Took.Milliseconds(),
-				"runs", s.Story.Runs, "failed", s.Story.Failed, "lost", s.Story.Lost, "last", true)
+				"runs", s.Story.Runs, "failed", s.Story.Failed, "lost", s.Story.Lost, "yields", s.Story.Yields, "last", true)
 		}
 	}
 }
--- a/driver/driver.go
+++ b/driver/driver.go
@@ -361,7 +361,7 @@
 	}
 	for i := range a.Waits {
 		w := &a.Waits[i]
-		level.Info(d.Log).Log("event", "step_waits", "job", w.Step.Job, "step", w.Step.Step, "why", string(w.Why), "tasks", w.Tasks, "waited_ms", w.For.Milliseconds())
+		level.Info(d.Log).Log("event", "step_waits", "job", w.Step.Job, "step", w.Step.Step, "why", string(w.Why), "tasks", w.Tasks, "waited_ms", w.For.Milliseconds(), "reserved", w.Reserved)
 	}
 	for i := range a.Asks {
 		ask := a.Asks[i]
