cluster, link, driver: slow owners keep their cells again; a session that is being closed is replaced

Driver: a hold that is given up as its worker is held anew does not count as lost; it had doubled the wait for that worker's next answers.

--- a/cluster/division_test.go
+++ b/cluster/division_test.go
@@ -90,13 +90,13 @@
 		n.settings.Cluster.Processor = 0.4
 		later := now.Add(strongerFor + 1)
 		own := map[string]*ownCell{"cell-0": {}, "cell-3": {}}
-		cells, to, _ := n.surplus(own, later)
+		cells, to := n.surplus(own, later)
 		Expect(to).To(Equal("idle"))
 		Expect(cells).To(And(HaveLen(1), HaveKey("cell-3")))
-		_, to, _ = n.surplus(cells, later)
+		_, to = n.surplus(cells, later)
 		Expect(to).To(BeEmpty(), "it has only one")
 		n.settings.Cluster.Processor = 0.1
-		cells, to, _ = n.surplus(own, later)
+		cells, to = n.surplus(own, later)
 		Expect(to).To(Equal("idle"))
 		Expect(cells).To(HaveLen(2), "to a much stronger one, all")
 	})
--- a/cluster/elect.go
+++ b/cluster/elect.go
@@ -130,9 +130,6 @@
 	if stronger {
 		pause += strongerPause
 	}
-	if n.slow() {
-		pause += slowTurn
-	}
 	return pause + time.Duration(len(n.owned()))*ownedPause
 }
 
--- a/cluster/instance.go
+++ b/cluster/instance.go
@@ -16,7 +16,6 @@
 	"dewpass.org/config"
 	"dewpass.org/driver"
 	"dewpass.org/internal/drain"
-	"dewpass.org/internal/lag"
 	"dewpass.org/internal/sock"
 	"dewpass.org/internal/uid"
 	"dewpass.org/kind"
@@ -89,8 +88,6 @@
 	times      times
 	// resting is until when this instance takes no cell.
 	resting time.Time
-	// lag follows how late this process serves its timers.
-	lag lag.Meter
 	// asking is how long the answers take to the questions to the policy that this
 	// instance asks itself.
 	asking time.Duration
@@ -113,7 +110,6 @@
 	go n.followConfig(work)
 	go n.probeStore(work)
 	go n.yieldLoop(work)
-	go n.watchLag(work)
 	go n.runCells(work)
 	go n.upkeepLoop(work)
 	n.takeChanges(ctx, changes)
--- a/cluster/own.go
+++ b/cluster/own.go
@@ -15,8 +15,6 @@
 type ownCell struct {
 	driver *driver.Driver
 	claim  *claim.Claim
-	// since is when it was taken.
-	since time.Time
 }
 
 // owned returns the cells that this instance owns.
@@ -54,7 +52,7 @@
 		d.Configure(conf.CellQueues())
 	}
 	n.mu.Lock()
-	n.cells[name] = &ownCell{driver: d, claim: c, since: time.Now()}
+	n.cells[name] = &ownCell{driver: d, claim: c}
 	n.mu.Unlock()
 	// A version that came in between is set again.
 	if conf := n.config.Now(); conf != nil {
--- a/cluster/yield.go
+++ b/cluster/yield.go
@@ -12,7 +12,6 @@
 
 	"dewpass.org/claim"
 	"dewpass.org/driver"
-	"dewpass.org/internal/lag"
 )
 
 const (
@@ -24,37 +23,8 @@
 	strongerShare = 140
 	strongerFor   = 800 * time.Millisecond
 	yieldEvery    = 300 * time.Millisecond
-	// slowLeast is how long a cell is owned before it goes to another instance because
-	// this one is slow: where the load itself is too much for any of them, cells do not
-	// go round.
-	slowLeast = 5 * time.Second
-	// slowTurn is how long a slow instance leaves a vacant cell to others.
-	slowTurn = 600 * time.Millisecond
 )
 
-// watchLag measures how late this process serves its timers.
-func (n *Instance) watchLag(ctx context.Context) {
-	for ctx.Err() == nil {
-		begun := time.Now()
-		sleep(ctx, lag.Every)
-		n.mu.Lock()
-		was := n.lag.Slow()
-		n.lag.Observe(time.Since(begun) - lag.Every)
-		slow, mean := n.lag.Slow(), n.lag.Mean()
-		n.mu.Unlock()
-		if slow != was {
-			level.Info(n.kit.Log).Log("event", "lag", "slow", slow, "late_ms", mean.Milliseconds())
-		}
-	}
-}
-
-// slow reports whether this instance is short of a processor.
-func (n *Instance) slow() bool {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.lag.Slow()
-}
-
 // stronger returns the name of an instance that owns no cell and would be a much
 // better owner than this one, "" if there is none. When all start at once the first
 // one takes a cell, however small its machine.
@@ -76,33 +46,22 @@
 		if len(own) == 0 || n.leaving.Load() {
 			continue
 		}
-		if cells, to, rest := n.surplus(own, time.Now()); to != "" {
-			n.yield(ctx, cells, to, rest)
+		if cells, to := n.surplus(own, time.Now()); to != "" {
+			n.yield(ctx, cells, to)
 		}
 	}
 }
 
-// surplus returns which of its own cells this instance should hand over, to whom, and for
-// how long it should take none: all to a much stronger one, all to one alike if this one
-// is slow, one of several to one alike. The name is "" for none.
-func (n *Instance) surplus(own map[string]*ownCell, now time.Time) (map[string]*ownCell, string, time.Duration) {
+// surplus returns which of its own cells this instance should hand over, and to whom:
+// all to a much stronger one, one of several to one alike. The name is "" for none.
+func (n *Instance) surplus(own map[string]*ownCell, now time.Time) (map[string]*ownCell, string) {
 	if to := n.stronger(now); to != "" {
-		return own, to, strongerFor
-	}
-	if n.slow() {
-		return settled(own, now), n.idler(now), slowPause
+		return own, to
 	}
 	if len(own) < 2 {
-		return nil, "", 0
+		return nil, ""
 	}
-	return oneOf(own), n.idler(now), strongerFor
-}
-
-// settled returns the cells that have been owned for a while.
-func settled(own map[string]*ownCell, now time.Time) map[string]*ownCell {
-	out := maps.Clone(own)
-	maps.DeleteFunc(out, func(_ string, c *ownCell) bool { return now.Sub(c.since) < slowLeast })
-	return out
+	return oneOf(own), n.idler(now)
 }
 
 // idler returns the name of an instance that owns no cell and would be about as good
@@ -124,12 +83,9 @@
 }
 
 // yield hands cells over and takes none for a while, so that the other instance may.
-func (n *Instance) yield(ctx context.Context, own map[string]*ownCell, to string, rest time.Duration) {
-	if len(own) == 0 {
-		return
-	}
-	level.Info(n.kit.Log).Log("event", "seats_yielded", "to", to, "cells", len(own), "processor", n.processor(), "slow", n.slow())
-	n.rest(rest)
+func (n *Instance) yield(ctx context.Context, own map[string]*ownCell, to string) {
+	level.Info(n.kit.Log).Log("event", "seats_yielded", "to", to, "cells", len(own), "processor", n.processor())
+	n.rest(strongerFor)
 	ctx, cancel := context.WithTimeout(ctx, handoverMax)
 	defer cancel()
 	n.handOver(ctx, own)
--- a/driver/link.go
+++ b/driver/link.go
@@ -295,7 +295,8 @@
 		l.attached = false
 		return false
 	}
-	if kind.Is(err, kind.Lost) {
+	if l.attached && kind.Is(err, kind.Lost) {
+		// A hold that was given up as the worker is held anew says nothing of it.
 		l.answers.Lost()
 	}
 	if l.attached {
--- a/link/dialer.go
+++ b/link/dialer.go
@@ -53,12 +53,8 @@
 	if err := fault.Link("peer/" + addr); err != nil {
 		return nil, err
 	}
-	session, err := d.peer(addr).get(ctx, addr, d.TLS)
-	if err != nil {
-		return nil, kind.Wrap(kind.Unavailable, err, "peer "+addr)
-	}
 	begun := time.Now()
-	stream, err := session.OpenStream()
+	session, stream, err := d.open(ctx, addr)
 	if err != nil {
 		return nil, kind.Wrap(kind.Unavailable, err, "peer "+addr)
 	}
@@ -82,6 +78,21 @@
 	return &reply, nil
 }
 
+// open opens a stream to the peer at an address. A session that is being closed, as it was
+// silent for an earlier request, is replaced once: nothing was sent on it.
+func (d *Dialer) open(ctx context.Context, addr string) (*session, *yamux.Stream, error) {
+	for again := true; ; again = false {
+		session, err := d.peer(addr).get(ctx, addr, d.TLS)
+		if err != nil {
+			return nil, nil, err
+		}
+		stream, err := session.OpenStream()
+		if err == nil || !again || !session.IsClosed() {
+			return session, stream, err
+		}
+	}
+}
+
 // exchange sends a request on a stream and reads its reply.
 func exchange(stream io.ReadWriter, req *wire.Request, reply *wire.Reply) error {
 	if err := writeFrame(stream, req); err != nil {
