--- a/cell/replay_test.go
+++ b/cell/replay_test.go
@@ -148,7 +148,7 @@
 	r.arrive(at, &flow.Spec{ID: id, Queue: queue, Hall: hall, Steps: steps}, work)
 }
 
-// play runs until nothing has happened any more or the time is over.
+// play runs for a length of time.
 func (r *replay) play(length time.Duration) {
 	for r.now.Before(r.began.Add(length)) {
 		r.due()
