hall: a rack taken without the table is written down also while its former owner lives

Cause: an owner that is paused while its neighbour has no answer of the table for 3 s loses its rack to it under a local epoch, wakes and drops it. The row still named that owner, and as it showed itself in the table its lease never ended: the rack took no jobs for good ("the rack was taken without the table", 13 s after the table was back). Change: the row is claimed also if that start of the former owner is live and claims the rack no more. The claim holds only on the version of the row, as before. Test: red before (the row names the former owner for good), green now.

--- a/hall/hall_test.go
+++ b/hall/hall_test.go
@@ -305,6 +305,48 @@
 		Eventually(first.Owned).Should(HaveLen(1))
 	})
 
+	// A batch was refused with "the rack was taken without the table" 13 s after the table
+	// was back, and would have been for good. Sequence: an owner is paused; the table gives
+	// no answer to its neighbour for 3 s, which takes the rack under epoch 1.1; the owner
+	// wakes, hears of the higher epoch and drops the rack. Cause: the row still named the
+	// owner, which lived, so that the neighbour never wrote its own name there. Logs:
+	// "rack taken without the table", "rack lost", no "rack taken" after it.
+	It("writes down a rack that it took without the table also while the former owner lives", func() {
+		peers := hall.NewPeers("two", "h", nil)
+		_, first, stopFirst := start("one", hall.NewPeers("one", "h", nil))
+		Eventually(first.Owned).Should(HaveLen(2))
+		stopFirst()
+		says := func(seq uint64, racks ...*wire.Rack) {
+			peers.Heard(&wire.Hello{Instance: "one", Hall: "h", Boot: "b", PeerAddr: "x", RacksSeq: seq, Racks: racks}, time.Now())
+		}
+		says(1, &wire.Rack{Rack: "r1", EpochTable: 1}, &wire.Rack{Rack: "r2", EpochTable: 1})
+		fail := func() error { return kind.New(kind.Unavailable, "test") }
+		table.Set(func(l *standin.Local) {
+			l.Before = func(ports.Txn) error { return fail() }
+			l.Reading = fail
+		})
+		_, second, _ := start("two", peers)
+		Eventually(second.Owned, 4*hall.MemberLease).Should(HaveLen(2))
+
+		stop := make(chan struct{})
+		DeferCleanup(func() { close(stop) })
+		go func() {
+			// The owner is back, shows itself and says that it owns nothing.
+			for beat := 0; ; beat++ {
+				says(2)
+				table.Table.Commit(ports.Txn{Puts: []ports.Put{{Key: "member/h/one@b", Value: []byte(fmt.Sprintf(`{"beat":%d}`, beat))}}})
+				select {
+				case <-stop:
+					return
+				case <-time.After(200 * time.Millisecond):
+				}
+			}
+		}()
+		table.Set(func(l *standin.Local) { l.Before, l.Reading = nil, nil })
+		Eventually(func() string { return owner("r1").Owner }, 4*hall.MemberLease).Should(Equal("two@b"))
+		Eventually(second.Owned).Should(HaveKeyWithValue("r1", lease.Epoch{Table: 2}))
+	})
+
 	It("goes on without the table, and takes a silent peer's rack by itself", func() {
 		peers := hall.NewPeers("one", "h", nil)
 		other := &wire.Hello{
--- a/hall/takeover.go
+++ b/hall/takeover.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"slices"
 	"sort"
 	"time"
 
@@ -13,6 +14,7 @@
 	"dewpass.org/internal/fault"
 	"dewpass.org/lease"
 	"dewpass.org/ports"
+	"dewpass.org/wire"
 )
 
 // watch is the row of a silent owner as first seen.
@@ -44,7 +46,7 @@
 		case row.owner != k.Name() && target[r] != k.Instance:
 		case row.owner == k.Name():
 			k.adopt(r, lease.Epoch{Table: row.epoch}, row.version, racks[r])
-		case row.owner == "" || k.lapsed(row.owner, members[row.owner]):
+		case row.owner == "" || k.lapsed(row.owner, members[row.owner]) || k.givenUp(r, row.owner):
 			k.claim(ctx, r, row, members[row.owner], racks[r])
 		}
 	}
@@ -168,3 +170,19 @@
 	}
 	k.takeOver(ctx, local, own, racks)
 }
+
+// givenUp reports whether a rack that is owned here under a local epoch was given up by
+// the owner that its row names: that start of it is live and claims the rack no more.
+// Without this, an owner that was only paused while the table was away shows itself in
+// the table again, never lapses, and the rack takes no jobs for as long as it lives.
+func (k *Keeper) givenUp(rack, owner string) bool {
+	if e, owned := k.Racks.Owned()[rack]; !owned || e.Local == 0 {
+		return false
+	}
+	for _, p := range k.Peers.Live(k.Hall, clock.Now()) {
+		if OwnerName(p.Instance, p.Boot) == owner {
+			return !slices.ContainsFunc(p.Racks, func(r *wire.Rack) bool { return r.Rack == rack })
+		}
+	}
+	return false
+}
