cell, cluster, claim: an owner that the store does not answer goes on, and what ends is shown

And an instance lost 15 s before an outage ended all orders for its length: the owner goes on while all that it has heard in 30 s answer it, and that one did not. Change: ends that the store takes longer than 0.1 s to keep are told to other instances with the greetings, and shown once one of them knows. They tell the next owner, so that the loss of the owner and of the worker that listed the end does not run the job again. Failures and cancels are decisions, and wait for the store as before. The cell lease names instances that its owner does not hear; those wait 8 s longer before they take it, and the owner needs no answer of them for as long. An instance new to an owner watches its lease for its whole length again. Tests: cell, cluster, driver, claim; and on processes: six jobs that end in an outage, after which the owner and a worker are lost, run once each; red (seven starts) without the passing on.

--- a/cell/cell.go
+++ b/cell/cell.go
@@ -45,6 +45,8 @@
 	jobs  map[string]*job
 	// finished holds the jobs whose end was not told by Ended yet.
 	finished []*job
+	// unkept holds the jobs that have succeeded and of which the store may not know yet.
+	unkept map[string]*job
 	// over holds the jobs that were retired.
 	over map[string]over
 	// open holds the stages that have tasks waiting or soon will have.
@@ -76,6 +78,7 @@
 		workers:  make(map[string]*worker),
 		jobs:     make(map[string]*job),
 		over:     make(map[string]over),
+		unkept:   make(map[string]*job),
 		firstRun: firstRun,
 	}
 }
--- a/cell/job.go
+++ b/cell/job.go
@@ -86,10 +86,12 @@
 	shown flow.State
 	// archived says that the store has its end apart from the record.
 	archived bool
-	arrived  time.Time
-	ended    time.Time
-	stages   []*stage
-	left     int
+	// shared says that another instance knows that it has succeeded.
+	shared  bool
+	arrived time.Time
+	ended   time.Time
+	stages  []*stage
+	left    int
 	// marked says that the job is among those to be saved.
 	marked bool
 	story  Story
@@ -288,6 +290,8 @@
 		return "", false
 	case j.shown.Final():
 		return j.shown, true
+	case j.shared:
+		return flow.Succeeded, true
 	case j.began:
 		return flow.Running, true
 	}
@@ -305,6 +309,9 @@
 	j.state, j.ended = state, now
 	c.finished = append(c.finished, j)
 	c.restless = true
+	if state == flow.Succeeded {
+		c.unkept[j.spec.ID] = j
+	}
 	j.story.Took = now.Sub(j.arrived)
 	c.mark(j)
 }
--- /dev/null
+++ b/cell/unkept_test.go
@@ -0,0 +1,75 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package cell
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"dewpass.org/flow"
+)
+
+// What happened: the store gave no answers for 5.6 s. Tasks ran on, and their ends came in,
+// but whoever asked for a job was told "running" until the store was back: of the jobs that
+// ended in that time, all were shown up to 5 s late, and callers gave up on some.
+var _ = Describe("the end of a job that the store does not take", func() {
+	// ended returns a rig with a job whose task has just ended.
+	ended := func(how flow.End) *rig {
+		r := newRig(1)
+		r.add("j", flow.Step{Count: 1, Demand: demand(1000)})
+		r.end(r.startAll()[0], how)
+		return r
+	}
+	state := func(r *rig) flow.State {
+		s, _ := r.State("j")
+		return s
+	}
+
+	It("is told to others when the store takes longer than usual, and shown once one knows", func() {
+		r := ended(flow.EndDone)
+		Expect(r.Unkept(10, r.now)).To(BeEmpty(), "the store will have it in a moment")
+		late := r.now.Add(unkeptLeast)
+		Expect(r.Unkept(10, late)).To(Equal([]string{"j"}))
+		Expect(r.Unkept(0, late)).To(BeEmpty())
+		Expect(state(r)).To(Equal(flow.Running), "nobody else knows")
+		r.Shared([]string{"j", "unknown"})
+		Expect(state(r)).To(Equal(flow.Succeeded))
+	})
+
+	It("is told for a while, and on until somebody knows", func() {
+		r := ended(flow.EndDone)
+		late := r.now.Add(unkeptMost)
+		Expect(r.Unkept(10, late)).To(HaveLen(1))
+		r.Shared([]string{"j"})
+		Expect(r.Unkept(10, late)).To(BeEmpty())
+		Expect(state(r)).To(Equal(flow.Succeeded))
+	})
+
+	It("is told no more once the store has it", func() {
+		r := ended(flow.EndDone)
+		r.save()
+		Expect(r.Unkept(10, r.now.Add(unkeptLeast))).To(BeEmpty())
+		Expect(r.unkept).To(BeEmpty())
+	})
+
+	It("is not shown where it is a decision: a cancel", func() {
+		r := newRig(1)
+		r.add("j", flow.Step{Count: 1, Demand: demand(1000)})
+		r.Cancel("j", r.now)
+		Expect(r.Unkept(10, r.now.Add(time.Second))).To(BeEmpty())
+		r.Shared([]string{"j"})
+		Expect(state(r)).To(Equal(flow.Pending))
+	})
+
+	It("keeps the next owner from starting the job again", func() {
+		r := newRig(1)
+		spec := &flow.Spec{ID: "j", Queue: "q", Steps: []flow.Step{{Count: 1, Demand: demand(1000), EstimateMS: 100}}}
+		r.Restore(spec, &flow.Record{State: flow.Running, Stages: make([]flow.StageRecord, 1)}, r.now, r.now)
+		r.Succeeded([]string{"j", "unknown"}, r.now)
+		Expect(state(r)).To(Equal(flow.Succeeded))
+		Expect(r.startAll()).To(BeEmpty())
+		Expect(r.Ended()).To(Equal([]Over{{ID: "j", State: flow.Succeeded}}), "so that it is archived")
+	})
+})
--- a/claim/claim.go
+++ b/claim/claim.go
@@ -19,6 +19,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -41,6 +42,12 @@
 	validWrites = 3
 )
 
+// AbsentWait is how much longer a lease has to go unwritten before an instance takes it that
+// it names as absent. So long an owner that the store does not answer may go on without an
+// answer of those: an instance that was lost shortly before an outage of the store ended
+// all orders for its length, 4.2 s.
+const AbsentWait = 8 * time.Second
+
 // Silence is how long a lease that says nothing of it may go unwritten.
 const Silence = ValidMost + Margin
 
@@ -78,6 +85,8 @@
 	// WrittenMS is when this write was begun, or somewhat later, by the store's clock in
 	// milliseconds; 0 if the writer did not know that clock.
 	WrittenMS int64 `json:"written_ms,omitempty"`
+	// Absent names the instances that its owner did not hear when it was written.
+	Absent []string `json:"absent,omitempty"`
 	// Mark is unique to each write.
 	Mark string `json:"mark"`
 }
@@ -90,6 +99,14 @@
 	return time.Duration(s.ValidMS)*time.Millisecond + Margin
 }
 
+// SilenceFor returns how long the lease may go unwritten before an instance may take it.
+func (s Lease) SilenceFor(instance string) time.Duration {
+	if slices.Contains(s.Absent, instance) {
+		return s.Silence() + AbsentWait
+	}
+	return s.Silence()
+}
+
 // Seen is a lease as a reading showed it.
 type Seen struct {
 	Lease
@@ -141,6 +158,17 @@
 	Ver   uint64
 	// Valid is for how long after Begun the owner may give orders.
 	Valid time.Duration
+	// Absent are the instances that it names as absent.
+	Absent []string
+}
+
+// Excused returns the instances of which the owner needs no answer to go on for the reason
+// that all others answer it.
+func (w Write) Excused(now time.Time) []string {
+	if now.Sub(w.Begun) < AbsentWait {
+		return w.Absent
+	}
+	return nil
 }
 
 // Claim is an instance's view of a cell's lease. Its exported fields must be
@@ -151,6 +179,8 @@
 	Owner string
 	Boot  string
 	Addr  string
+	// Absent returns the instances that the next write names as absent; nil is none.
+	Absent func() []string
 
 	epoch uint64
 	ver   uint64
@@ -245,6 +275,9 @@
 		Owner: owner, Boot: c.Boot, Addr: c.Addr, Epoch: c.epoch,
 		Mark: c.mark(), ValidMS: valid.Milliseconds(), WrittenMS: c.clock.latest(begun),
 	}
+	if c.Absent != nil {
+		lease.Absent = c.Absent()
+	}
 	raw, err := json.Marshal(lease)
 	if err != nil {
 		return rows.Result{}, kind.Wrap(kind.Internal, err, "cell lease")
@@ -256,7 +289,7 @@
 		res, err := c.attempt(ctx, t, lease.Mark)
 		if err == nil {
 			c.took = time.Since(begun)
-			c.written.Store(&Write{Begun: begun, Ver: c.ver, Valid: valid})
+			c.written.Store(&Write{Begun: begun, Ver: c.ver, Valid: valid, Absent: lease.Absent})
 		}
 		if err == nil || kind.Is(err, kind.Fenced) || kind.Is(err, kind.Conflict) {
 			return res, err
--- a/claim/claim_test.go
+++ b/claim/claim_test.go
@@ -156,6 +156,20 @@
 		Expect(seen.Unwritten).To(BeNumerically(">", 600*time.Millisecond))
 	})
 
+	It("names those that its owner does not hear, and excuses them for less time than they wait", func(ctx context.Context) {
+		t := &table{}
+		a := claimOf(t, "a")
+		a.Absent = func() []string { return []string{"x"} }
+		take(ctx, a)
+		seen, err := a.Read(ctx)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(seen.SilenceFor("x")).To(Equal(seen.Silence() + AbsentWait))
+		Expect(seen.SilenceFor("y")).To(Equal(seen.Silence()))
+		w := a.Written()
+		Expect(w.Excused(w.Begun)).To(Equal([]string{"x"}))
+		Expect(w.Excused(w.Begun.Add(AbsentWait))).To(BeEmpty())
+	})
+
 	It("does not count as unwritten where the store's clock is not known", func(ctx context.Context) {
 		t := &table{}
 		a, b := claimOf(t, "a"), claimOf(t, "b")
--- a/cluster/elect.go
+++ b/cluster/elect.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -152,15 +153,22 @@
 	c := &claim.Claim{
 		Store: n.storeClient, Cell: name, Owner: n.settings.Instance,
 		Boot: n.boot, Addr: n.settings.Listen.Peer,
+		Absent: func() []string { return n.members.absent(time.Now()) },
 	}
 	lease, err := c.Read(ctx)
 	if err != nil {
 		return
 	}
 	now := time.Now()
-	// Without the store's clock the time counts only from when this instance saw the last
-	// write: another 0.3 s in which nothing starts after the loss of an owner.
-	unwritten := max(n.unwritten(name, lease.Ver, now), lease.Unwritten)
+	watched := n.unwritten(name, lease.Ver, now)
+	unwritten := watched
+	if n.listed.Load() {
+		// Without the store's clock the time counts only from when this instance saw the last
+		// write: another 0.3 s in which nothing starts after the loss of an owner. One that is
+		// new to the owner has to watch that long: the store may be away for the owner alone,
+		// which goes on without an answer of those that it does not know.
+		unwritten = max(watched, lease.Unwritten)
+	}
 	why := n.vacant(ctx, lease.Lease, unwritten-n.turn(name, now))
 	if why == "" || n.ownerHeard(name, time.Now(), ownerGoesOn) {
 		return
@@ -172,15 +180,23 @@
 	n.kit.Scope.Tagged(map[string]string{"why": why}).Counter("seats_taken_total").Inc(1)
 	level.Info(n.kit.Log).Log("event", "seat_taken", "cell", name, "epoch", c.Epoch(), "before", lease.Owner, "why", why)
 	former := time.Duration(0)
-	if why == whyGone {
+	switch {
+	case why == whyGone:
 		// It may be behind a cut that refuses connections, and go on for a while.
 		former = lease.Silence()
+	case why == whySilent && watched < lease.Silence():
+		// The former life of this instance may have answered it a moment ago.
+		former = claim.Margin
 	}
 	n.drive(name, c, former)
 }
 
-// whyGone is why a cell lease may be taken whose owner's address refuses connections.
-const whyGone = "owner's process is gone"
+// Why a cell lease may be taken: its owner's address refuses connections, or it went
+// unwritten for longer than its owner goes on.
+const (
+	whyGone   = "owner's process is gone"
+	whySilent = "owner silent"
+)
 
 // vacant returns why a cell lease may be taken, "" if it may not.
 func (n *Instance) vacant(ctx context.Context, lease claim.Lease, unwritten time.Duration) string {
@@ -189,13 +205,17 @@
 		return "free"
 	case lease.Owner == n.settings.Instance:
 		return "was this instance's before"
-	case unwritten > lease.Silence():
-		return "owner silent"
+	case unwritten > lease.SilenceFor(n.settings.Instance):
+		return whySilent
 	}
 	heard := n.members.list(time.Now(), func(k *member) bool { return k.name == lease.Owner })
 	if len(heard) > 0 && heard[0].boot != lease.Boot {
 		return "owner has started anew"
 	}
+	if slices.Contains(lease.Absent, n.settings.Instance) {
+		// The refusal may come of the cut that keeps this instance from its owner.
+		return ""
+	}
 	// An address behind a cut says nothing: it is asked no longer than the lease is left,
 	// or the look that finds the lease over comes that much later.
 	ctx, cancel := context.WithTimeout(ctx, lease.Silence()-unwritten+electEvery/2)
--- /dev/null
+++ b/cluster/ends_test.go
@@ -0,0 +1,108 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package cluster
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"dewpass.org/claim"
+	"dewpass.org/flow"
+	"dewpass.org/wire"
+)
+
+var _ = Describe("the end of a job that an owner tells of", func() {
+	It("is passed on to the next owner, a few times, and not to the one that said it", func() {
+		var e ends
+		e.hear([]string{"j"}, "first")
+		Expect(e.forOwner("first")).To(BeEmpty())
+		for range endTold {
+			Expect(e.forOwner("second")).To(Equal([]string{"j"}))
+		}
+		Expect(e.forOwner("second")).To(BeEmpty())
+		Expect(e.forOwner("third")).To(Equal([]string{"j"}))
+		Expect(e.all()).To(Equal([]string{"j"}))
+	})
+
+	It("is passed on in the answer to an owner's greeting", func() {
+		n := testInstance(&policy{})
+		owner := func(boot string) *wire.Greeting {
+			return &wire.Greeting{Instance: boot, Hall: "h", Boot: boot, Addr: boot, Cells: []*wire.CellSummary{{Name: "cell-0"}}}
+		}
+		g := owner("first")
+		g.Succeeded = []string{"j"}
+		Expect(n.handleGreeting(g).GetGreeting().GetSucceeded()).To(BeEmpty())
+		Expect(n.handleGreeting(owner("second")).GetGreeting().GetSucceeded()).To(Equal([]string{"j"}))
+		other := &wire.Greeting{Instance: "x", Hall: "h", Boot: "x", Addr: "x"}
+		Expect(n.handleGreeting(other).GetGreeting().GetSucceeded()).To(BeEmpty(), "it owns nothing")
+	})
+
+	It("is shown while its owner is not heard", func(ctx context.Context) {
+		n := testInstance(&policy{})
+		n.division.set(1)
+		n.storeClient.Direct = busy{}
+		n.storeClient.Carry = nil
+		n.heardEnds([]string{"j"}, "owner")
+		Expect(n.State(ctx, "j")).To(Equal(flow.Succeeded))
+	})
+
+	It("is forgotten when there are too many, the oldest first", func() {
+		var e ends
+		for i := range endsMost/2 + 1 {
+			e.hear([]string{fmt.Sprint(i)}, "o")
+		}
+		Expect(e.has("0")).To(BeTrue())
+		for i := range endsMost / 2 {
+			e.hear([]string{fmt.Sprint("more", i)}, "o")
+		}
+		Expect(e.has("0")).To(BeFalse())
+		Expect(len(e.all())).To(BeNumerically("<=", endsMost))
+	})
+})
+
+// What happened: an instance was lost for good, and 15 s later the store gave no answers for
+// 4.2 s. The owner goes on through that as long as all whom it has heard answer it, since
+// any of them could take its cell. The lost one did not, so that nothing started and no
+// lease was renewed until the store was back.
+var _ = Describe("an instance that is lost before the store is", func() {
+	lost := func() (*Instance, time.Time) {
+		n := testInstance(&policy{})
+		now := time.Now()
+		for _, name := range []string{"a", "b", "gone"} {
+			n.members.heard(&wire.Greeting{Instance: name, Hall: "h", Boot: name, Addr: name}, now.Add(-10*time.Second))
+		}
+		for _, name := range []string{"a", "b"} {
+			n.members.heard(&wire.Greeting{Instance: name, Hall: "h", Boot: name, Addr: name}, now)
+			n.members.answer(name, now)
+		}
+		return n, now
+	}
+
+	It("is named in the cell lease as absent, and need not answer for a while", func() {
+		n, now := lost()
+		Expect(n.members.absent(now)).To(Equal([]string{"gone"}))
+		Expect(n.members.allAnswer(now, nil)).To(BeFalse())
+		last := claim.Write{Begun: now.Add(-claim.AbsentWait / 2), Absent: []string{"gone"}}
+		Expect(n.heardByAll(last)).To(BeTrue())
+		last.Begun = now.Add(-claim.AbsentWait)
+		Expect(n.heardByAll(last)).To(BeFalse(), "it may take the cell from now on")
+	})
+
+	It("is not named where half of the instances are not heard: the owner may be cut off", func() {
+		n, now := lost()
+		Expect(n.members.absent(now.Add(absentAfter + 1))).To(BeEmpty())
+	})
+
+	It("takes the cell only long after those that were heard", func(ctx context.Context) {
+		n := testInstance(&policy{})
+		lease := claim.Lease{Owner: "other", Boot: "b", Addr: "127.0.0.1:1", ValidMS: 400, Absent: []string{"me"}}
+		Expect(n.vacant(ctx, lease, lease.Silence()+1)).To(BeEmpty(), "though nobody listens at its owner's address")
+		Expect(n.vacant(ctx, lease, lease.Silence()+claim.AbsentWait+1)).To(Equal(whySilent))
+		lease.Absent = []string{"x"}
+		Expect(n.vacant(ctx, lease, lease.Silence()+1)).To(Equal(whySilent))
+	})
+})
--- a/cluster/greet.go
+++ b/cluster/greet.go
@@ -3,6 +3,7 @@
 package cluster
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"maps"
@@ -47,6 +48,7 @@
 		sum.Halls = hallRooms(load)
 		g.Cells = append(g.Cells, sum)
 	}
+	g.Succeeded = n.unkept(time.Now())
 	return g
 }
 
@@ -107,6 +109,7 @@
 	sent := time.Now()
 	reply, err := n.dialer.Do(ctx, addr, req)
 	if err == nil {
+		n.shared(req.GetGreeting().GetSucceeded())
 		n.greeted(reply.GetGreeting())
 		n.members.answer(reply.GetGreeting().GetInstance(), sent)
 	} else if isRefused(err) {
@@ -130,6 +133,7 @@
 		// The greeting took its time: the write was begun no later than that.
 		n.sawWrite(c.Name, c.SeatVer, time.Now().Add(-time.Duration(c.SeatAgeUs)*time.Microsecond))
 	}
+	n.heardEnds(g.GetSucceeded(), g.GetBoot())
 	if n.members.heard(g, time.Now()) {
 		level.Info(n.kit.Log).Log("event", "peer_heard", "peer", g.Instance, "peer_hall", g.Hall, "boot", g.Boot)
 	}
@@ -145,22 +149,27 @@
 	Processor uint32 `json:"processor,omitempty"`
 }
 
-// register writes this instance into the store's list and reads the others.
+// register reads the store's list of instances again and again, and writes this instance
+// into it where it does not stand there as it is.
 func (n *Instance) register(ctx context.Context) {
-	raw, err := json.Marshal(memberRow{Addr: n.settings.Listen.Peer, Hall: n.settings.Hall, Processor: n.processor()})
+	own, err := json.Marshal(memberRow{Addr: n.settings.Listen.Peer, Hall: n.settings.Hall, Processor: n.processor()})
 	if err != nil {
 		return
 	}
-	put := rows.Tx{Put: []rows.Row{{Key: rows.Key{Table: tableMembers, Name: n.settings.Instance}, Value: raw}}}
-	written := false
+	put := rows.Tx{Put: []rows.Row{{Key: rows.Key{Table: tableMembers, Name: n.settings.Instance}, Value: own}}}
+	written := time.Time{}
 	for ctx.Err() == nil {
-		pause := membersEvery
-		if !written {
-			_, err := n.storeClient.Tx(ctx, put)
-			written = err == nil
-		}
-		if !n.readMembers(ctx) || !written {
-			pause = membersSoon
+		pause := membersSoon
+		if all, ok := n.readMembers(ctx); ok {
+			at := slices.IndexFunc(all, func(r rows.Row) bool { return r.Name == n.settings.Instance })
+			if at >= 0 && time.Since(written) > membersEvery {
+				n.listed.Store(true)
+			}
+			if at >= 0 && bytes.Equal(all[at].Value, own) {
+				pause = membersPause(len(all))
+			} else if _, err := n.storeClient.Tx(ctx, put); err == nil {
+				written = time.Now()
+			}
 		}
 		select {
 		case <-time.After(pause):
@@ -169,10 +178,20 @@
 	}
 }
 
-func (n *Instance) readMembers(ctx context.Context) bool {
+// membersPause returns when the list is read again that names so many instances: soon while
+// the others may still be starting.
+func membersPause(listed int) time.Duration {
+	if listed > 1 {
+		return membersEvery
+	}
+	return membersSoon
+}
+
+// readMembers reads the store's list of instances.
+func (n *Instance) readMembers(ctx context.Context) ([]rows.Row, bool) {
 	all, _, err := rows.All(ctx, n.storeClient, rows.Range{Table: tableMembers})
 	if err != nil {
-		return false
+		return nil, false
 	}
 	var listed []memberRow
 	for _, r := range all {
@@ -182,5 +201,5 @@
 		}
 	}
 	n.members.found(listed, time.Now())
-	return len(all) > 1
+	return all, true
 }
--- a/cluster/instance.go
+++ b/cluster/instance.go
@@ -73,11 +73,15 @@
 	configLogged atomic.Pointer[time.Time]
 	members      *members
 	homes        homes
+	ends         ends
 	dialer       *link.Dialer
 	server       *link.Server
 	leaving      atomic.Bool
 	front        *drain.Server
 	began        time.Time
+	// listed says that the store lists this instance, by a former life of it or for as long
+	// as others need to read the list: owners know it.
+	listed atomic.Bool
 
 	division division
 
--- a/cluster/jobs.go
+++ b/cluster/jobs.go
@@ -129,6 +129,10 @@
 			return s, nil
 		}
 	}
+	if n.ends.has(id) {
+		// Its owner has said so, and is not heard now.
+		return flow.Succeeded, nil
+	}
 	remembered := n.homes.get(id) != ""
 	cell, err := n.home(ctx, id)
 	if err != nil {
--- a/cluster/members.go
+++ b/cluster/members.go
@@ -24,6 +24,9 @@
 	// those that were heard within answerWhile.
 	answerWithin = claim.ValidLeast
 	answerWhile  = 30 * time.Second
+	// absentAfter is for how long an instance must not have answered before the cell lease
+	// names it as absent: six greetings of an owner.
+	absentAfter = 6 * greetEvery
 	// pendingSilence is how long an owner's counts stand in for those of the
 	// next one. They may be too high for a while, which harms nobody.
 	pendingSilence = 20 * time.Second
@@ -288,7 +291,8 @@
 // lately, or has no process any more: one that starts there has to watch a cell lease
 // for longer before it may take it. A refused connection shows that only from a hall
 // of which another member answers: one that is cut off may refuse them all.
-func (m *members) allAnswer(now time.Time) bool {
+// The excused need not answer: they may not take it so soon.
+func (m *members) allAnswer(now time.Time, excused []string) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	open := map[string]bool{m.hall: true}
@@ -298,13 +302,36 @@
 	for _, k := range m.known {
 		gone := now.Sub(k.refused) <= answerWithin && open[k.hall]
 		harmless := now.Sub(k.answered) <= answerWithin || gone
-		if now.Sub(k.heard) < answerWhile && !harmless {
+		if now.Sub(k.heard) < answerWhile && !harmless && !slices.Contains(excused, k.name) {
 			return false
 		}
 	}
 	return len(m.known) > 0
 }
 
+// absent returns the instances that were heard in a while and have not answered for some
+// time, by name; none if they are half of all or more, as this instance may then be the one
+// that is cut off, and the others are to take its cells without delay.
+func (m *members) absent(now time.Time) []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	all, silent := 0, []string(nil)
+	for _, k := range m.known {
+		if now.Sub(k.heard) >= answerWhile {
+			continue
+		}
+		all++
+		if now.Sub(k.answered) > absentAfter && now.Sub(k.heard) > absentAfter {
+			silent = append(silent, k.name)
+		}
+	}
+	if 2*len(silent) >= all {
+		return nil
+	}
+	slices.Sort(silent)
+	return silent
+}
+
 // sent notes work that was sent to a member's cell.
 func (m *members) sent(name string, work int64) {
 	m.mu.Lock()
--- a/cluster/own.go
+++ b/cluster/own.go
@@ -43,7 +43,7 @@
 		Lease: t.lease, Keep: t.keep, Former: former,
 		Claim: c, Store: n.storeClient, Reachable: n.storeClient.Reachable,
 		Workers: n.Workers, Directory: n.Directory(n.storeClient),
-		Advise: n.advise, Callers: n.callers, HeardByAll: n.heardByAll,
+		Advise: n.advise, Callers: n.callers, HeardByAll: func() bool { return n.heardByAll(c.Written()) }, Succeeded: n.ends.all,
 		Lost:         func() { n.dropDriver(name, d) },
 		LoadTimedOut: func() { n.giveUp(name, d, c) },
 		Log:          n.kit.Log, Scope: n.kit.Scope,
@@ -63,9 +63,13 @@
 	go n.greet(context.Background())
 }
 
-// heardByAll reports whether every other instance that was heard lately has answered
-// the last greetings, and so will not take a cell from this one.
-func (n *Instance) heardByAll() bool { return n.members.allAnswer(time.Now()) }
+// heardByAll reports whether every other instance that was heard lately has answered the
+// last greetings, or may not take a cell so soon after its last write, and so will not take
+// it from this one.
+func (n *Instance) heardByAll(last claim.Write) bool {
+	now := time.Now()
+	return n.members.allAnswer(now, last.Excused(now))
+}
 
 func (n *Instance) dropDriver(name string, d *driver.Driver) {
 	if d.Loaded() {
--- a/cluster/own_test.go
+++ b/cluster/own_test.go
@@ -101,6 +101,7 @@
 	// 0.27 s: it had not seen the lease before, and counted from its first look.
 	It("is taken at the first look once the store's clock shows that its lease is over", func(ctx context.Context) {
 		n, s := instanceOnOwnedStore()
+		n.listed.Store(true)
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
 		defer l.Close()
@@ -109,8 +110,13 @@
 		n.tryTake(ctx, "cell-0")
 		Expect(n.own("cell-0")).To(BeNil(), "its owner may still give orders")
 		s.clock++
+		n.listed.Store(false)
+		n.tryTake(ctx, "cell-0")
+		Expect(n.own("cell-0")).To(BeNil(), "its owner may go on, and does not know this instance")
+		n.listed.Store(true)
 		n.tryTake(ctx, "cell-0")
 		Expect(n.own("cell-0")).NotTo(BeNil())
+		Expect(n.own("cell-0").Former).To(Equal(claim.Margin))
 	})
 
 	// An owner behind a cut: its address said nothing for 0.25 s, and the look that found
--- a/cluster/peers.go
+++ b/cluster/peers.go
@@ -56,6 +56,9 @@
 			own.Peers = append(own.Peers, &wire.Peer{Addr: addr})
 		}
 	}
+	if len(g.Cells) > 0 {
+		own.Succeeded = append(own.Succeeded, n.ends.forOwner(g.Boot)...)
+	}
 	n.greeted(g)
 	return &wire.Reply{Body: &wire.Reply_Greeting{Greeting: own}}
 }
--- a/driver/driver.go
+++ b/driver/driver.go
@@ -44,6 +44,8 @@
 	// HeardByAll reports whether every instance that might take the cell lease is known
 	// to have heard this one lately.
 	HeardByAll func() bool
+	// Succeeded returns the jobs of which this instance has heard that they succeeded.
+	Succeeded func() []string
 	// Lost is called when another instance holds the cell lease.
 	Lost func()
 	// LoadTimedOut is called when the jobs could not be read in time although the store
--- a/driver/driver_test.go
+++ b/driver/driver_test.go
@@ -126,7 +126,7 @@
 	return New(Config{
 		Name: "c", Lease: time.Second, Keep: time.Hour, Claim: c, Store: t,
 		Workers: away{}, Mine: func(string) bool { return true }, Reachable: func() bool { return true },
-		Directory: nobody{}, Callers: func() int { return 1 }, HeardByAll: func() bool { return true },
+		Directory: nobody{}, Callers: func() int { return 1 }, HeardByAll: func() bool { return true }, Succeeded: func() []string { return nil },
 		Lost: func() {}, LoadTimedOut: loadTimedOut, Log: log.NewNopLogger(), Scope: tally.NoopScope,
 	})
 }
@@ -180,6 +180,21 @@
 		Expect(d.mayOrder(w.Begun.Add(w.Valid))).To(BeTrue())
 	})
 
+	ginkgo.It("tells of ends that the store does not know only while no other may own the cell", func(ctx context.Context) {
+		d := newDriver(ctx, newTable(), func() {})
+		d.HeardByAll = func() bool { return false }
+		d.Succeeded = func() []string { return []string{"a1"} }
+		spec := &flow.Spec{ID: "a1", Cell: "c", Steps: []flow.Step{{Count: 1}}}
+		_, err := d.Store.Tx(ctx, rows.Tx{Put: []rows.Row{{Key: SpecKey("a1"), Value: flow.Encode(spec)}}})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(d.load()).To(BeTrue())
+		s, _ := d.State("a1")
+		Expect(s).To(Equal(flow.Succeeded), "a peer has heard so from a former owner")
+		soon := time.Now().Add(time.Second / 4)
+		Expect(d.Unkept(soon)).To(Equal([]string{"a1"}))
+		Expect(d.Unkept(soon.Add(claim.ValidMost))).To(BeEmpty())
+	})
+
 	ginkgo.It("removes the records of jobs that went with their end", func(ctx context.Context) {
 		t := newTable()
 		old := RecordKey("c", "over")
--- a/driver/load.go
+++ b/driver/load.go
@@ -91,6 +91,7 @@
 		if err == nil {
 			d.scanned = r.ver()
 			d.restore(r.jobs(), r.records.Rows)
+			d.Heard(d.Succeeded())
 			d.restoreWorkerList(r.workerList.Rows)
 			return true
 		}
--- a/test/cluster/cluster_test.go
+++ b/test/cluster/cluster_test.go
@@ -265,6 +265,38 @@
 		b.wantWhole(ids)
 	})
 
+	// What happened: jobs whose tasks had ended were shown as running until the store was
+	// back, up to 5 s late. What must not happen instead: a job that was shown as over runs
+	// again, since its owner and the worker that listed its end were both lost meanwhile.
+	It("shows what ends while the store is away, and never runs it again", func() {
+		b := start()
+		owner := b.owner()
+		var ids []string
+		for range 6 {
+			ids = append(ids, b.submit(wide(1, 700)))
+		}
+		Eventually(b.running).Should(Equal(6))
+		b.world.Store.Fail(world.StoreFaults{Silent: true})
+		for _, id := range ids {
+			b.wantState(id, "succeeded")
+		}
+		Expect(b.world.Store.Value("ended", ids[0][:1], ids[0])).To(BeEmpty(), "the store does not know yet")
+		owner.kill()
+		victim := b.world.Book.Starts()[0].Worker
+		for _, w := range b.world.Workers {
+			if w.ID == victim {
+				b.world.Kill(w)
+			}
+		}
+		b.world.Store.Fail(world.StoreFaults{})
+		Eventually(func() bool { o := b.owner(); return o != nil && o != owner }).Should(BeTrue())
+		for _, id := range ids {
+			Eventually(func() string { return string(b.world.Store.Value("ended", id[:1], id)) }).Should(ContainSubstring("succeeded"))
+		}
+		b.wantWhole(ids)
+		Expect(b.world.Book.Starts()).To(HaveLen(6), "each ran once")
+	})
+
 	It("refuses at once with when to come back while the store is away, and goes on", func() {
 		b := start()
 		ids := b.submitSome(4, 4, 500, 100*time.Millisecond)
