retry, cluster: a caller waits a quarter of a second for the end of an outage

Cause: whoever came in the last quarter of a second of an outage was refused and came back a second later, when what it asked for was late. Measured: replay, all of those callers late before, none after.

--- a/cluster/accept.go
+++ b/cluster/accept.go
@@ -28,6 +28,9 @@
 	// sent again, on another connection, well within acceptTime.
 	acceptLookTime = 4 * acceptLook
 	acceptRetry    = 60 * time.Millisecond
+	// awaitEvery spaces the looks of a caller that waits for the store: a few milliseconds
+	// of the quarter of a second that it waits.
+	awaitEvery = 10 * time.Millisecond
 	// tellTime bounds the telling of a cell's owner; the owner finds the job by
 	// itself later.
 	tellTime  = 4 * time.Second
@@ -42,7 +45,7 @@
 func (n *Instance) Submit(ctx context.Context, spec *flow.Spec) error {
 	ctx, cancel := context.WithTimeout(ctx, acceptTime)
 	defer cancel()
-	if !n.storeClient.Reachable() {
+	if !n.awaitStore(ctx) {
 		return n.refuse(spec.ID, "the store is not reached")
 	}
 	cell := n.choose(spec)
@@ -88,6 +91,24 @@
 	n.tell(ctx, k, spec)
 }
 
+// awaitStore reports whether the store is reached, for which a caller waits for a moment.
+func (n *Instance) awaitStore(ctx context.Context) bool {
+	if n.storeClient.Reachable() {
+		return true
+	}
+	others := n.waiting.Add(1) - 1
+	defer n.waiting.Add(-1)
+	ctx, cancel := context.WithTimeout(ctx, retry.Wait(int(others)))
+	defer cancel()
+	for ctx.Err() == nil && !n.leaving.Load() {
+		if n.storeClient.Reachable() {
+			return true
+		}
+		sleep(ctx, awaitEvery)
+	}
+	return n.storeClient.Reachable()
+}
+
 // refuse returns the answer for a job that is not taken.
 func (n *Instance) refuse(id, why string) error {
 	level.Info(n.kit.Log).Log("event", "refused", "job", id, "why", why, "last", true)
--- a/cluster/instance.go
+++ b/cluster/instance.go
@@ -77,8 +77,10 @@
 	dialer       *link.Dialer
 	server       *link.Server
 	leaving      atomic.Bool
-	front        *drain.Server
-	began        time.Time
+	// waiting counts the callers that wait for the store.
+	waiting atomic.Int32
+	front   *drain.Server
+	began   time.Time
 	// listed says that the store lists this instance, by a former life of it or for as long
 	// as others need to read the list: owners know it.
 	listed atomic.Bool
--- a/cluster/turned_away_test.go
+++ b/cluster/turned_away_test.go
@@ -11,6 +11,7 @@
 
 	"dewpass.org/flow"
 	"dewpass.org/kind"
+	"dewpass.org/retry"
 	"dewpass.org/rows"
 )
 
@@ -52,6 +53,30 @@
 		Expect(kind.Of(err).RetryAfter).To(BeNumerically(">=", 5*time.Second))
 	})
 
+	// Callers that came in the last quarter of a second of an outage were refused and came
+	// back a second later, when what they asked for was late.
+	It("keeps callers for a moment, and serves those in whose moment it is back", func(ctx context.Context) {
+		n := testInstance(&policy{})
+		n.division.set(1)
+		n.storeClient.Direct = table{}
+		begun := time.Now()
+		Expect(n.Submit(ctx, &flow.Spec{ID: "0123456789abcdef"})).To(MatchError(ContainSubstring("not reached")))
+		Expect(time.Since(begun)).To(BeNumerically(">=", retry.Patience))
+		Expect(n.waiting.Load()).To(BeZero())
+
+		go func() {
+			time.Sleep(retry.Patience / 4)
+			n.probeLease(ctx, "")
+		}()
+		Expect(n.Submit(ctx, &flow.Spec{ID: "0123456789abcdef", Steps: []flow.Step{{Count: 1}}})).To(Succeed())
+
+		n.storeClient.Now = func() time.Time { return time.Now().Add(time.Minute) }
+		n.waiting.Store(retry.WaitingMost)
+		begun = time.Now()
+		Expect(n.Submit(ctx, &flow.Spec{ID: "0123456789abcdef"})).To(MatchError(ContainSubstring("not reached")))
+		Expect(time.Since(begun)).To(BeNumerically("<", retry.Patience), "too many wait already")
+	})
+
 	It("says at once that it can't tell of a job when no peer reaches it either", func(ctx context.Context) {
 		n := testInstance(&policy{})
 		n.division.set(1)
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -21,6 +21,28 @@
 	busiest int
 }
 
+// lateIn returns, of the callers that come in the last quarter of a second of an outage, the
+// share that is served half a second after its end or later, if each waits for its end
+// before it is refused and then comes back when it is told to.
+func lateIn(length, wait time.Duration, rate int) float64 {
+	late, came := 0, 0
+	for i := range int(length.Seconds() * float64(rate)) {
+		begun := time.Duration(i) * time.Second / time.Duration(rate)
+		if begun < length-Patience {
+			continue
+		}
+		at := begun
+		for at+wait < length {
+			at += wait + After(at+wait, fmt.Sprintf("%016x", i*2654435761))
+		}
+		came++
+		if max(at, length)-length >= time.Second/2 {
+			late++
+		}
+	}
+	return float64(late) / float64(came)
+}
+
 // replay plays an outage into which rate new callers a second run, as recorded arrivals,
 // each of which comes back when it is told to.
 func replay(length time.Duration, rate int, after func(age time.Duration, key string) time.Duration) outcome {
@@ -63,6 +85,22 @@
 	}
 }
 
+func TestCallersThatComeJustBeforeTheEndAreServedAtItsEnd(t *testing.T) {
+	g := NewWithT(t)
+	for _, length := range []time.Duration{time.Second / 2, 4 * time.Second, 20 * time.Second} {
+		at, waited := lateIn(length, 0, 100), lateIn(length, Wait(0), 100)
+		t.Logf("%v: late %.2f refused at once, %.2f after a wait", length, at, waited)
+		g.Expect(at).To(Equal(1.0))
+		g.Expect(waited).To(BeZero())
+	}
+}
+
+func TestNoMoreCallersWaitThanThereIsRoomFor(t *testing.T) {
+	g := NewWithT(t)
+	g.Expect(Wait(WaitingMost - 1)).To(Equal(Patience))
+	g.Expect(Wait(WaitingMost)).To(BeZero())
+}
+
 func TestACallerIsToldTheSameAgain(t *testing.T) {
 	g := NewWithT(t)
 	var told []time.Duration
