retry: a caller whose time is nearly over is refused in time

Cause: a caller that had less than a quarter of a second left waited until it gave up, and heard nothing. Change: the wait is a quarter of the time left at the most.

--- a/cluster/accept.go
+++ b/cluster/accept.go
@@ -98,7 +98,8 @@
 	}
 	others := n.waiting.Add(1) - 1
 	defer n.waiting.Add(-1)
-	ctx, cancel := context.WithTimeout(ctx, retry.Wait(int(others)))
+	by, _ := ctx.Deadline()
+	ctx, cancel := context.WithTimeout(ctx, retry.Wait(time.Until(by), int(others)))
 	defer cancel()
 	for ctx.Err() == nil && !n.leaving.Load() {
 		if n.storeClient.Reachable() {
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -51,12 +51,17 @@
 	return min(max(half+spread, Least), Most)
 }
 
-// Wait returns how long a caller may wait for the end of an outage while others do.
-func Wait(others int) time.Duration {
+// leftParts is the part of the time that a caller has left which it waits at the most: the
+// rest is for coming back, or for hearing that it was refused.
+const leftParts = 4
+
+// Wait returns how long a caller that has so much time left may wait for the end of an
+// outage while others do.
+func Wait(left time.Duration, others int) time.Duration {
 	if others >= WaitingMost {
 		return 0
 	}
-	return Patience
+	return max(min(Patience, left/leftParts), 0)
 }
 
 // draw returns a number below spreadParts that is as good as drawn by lot.
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -88,7 +88,7 @@
 func TestCallersThatComeJustBeforeTheEndAreServedAtItsEnd(t *testing.T) {
 	g := NewWithT(t)
 	for _, length := range []time.Duration{time.Second / 2, 4 * time.Second, 20 * time.Second} {
-		at, waited := lateIn(length, 0, 100), lateIn(length, Wait(0), 100)
+		at, waited := lateIn(length, 0, 100), lateIn(length, Wait(time.Minute, 0), 100)
 		t.Logf("%v: late %.2f refused at once, %.2f after a wait", length, at, waited)
 		g.Expect(at).To(Equal(1.0))
 		g.Expect(waited).To(BeZero())
@@ -97,8 +97,16 @@
 
 func TestNoMoreCallersWaitThanThereIsRoomFor(t *testing.T) {
 	g := NewWithT(t)
-	g.Expect(Wait(WaitingMost - 1)).To(Equal(Patience))
-	g.Expect(Wait(WaitingMost)).To(BeZero())
+	g.Expect(Wait(time.Minute, WaitingMost-1)).To(Equal(Patience))
+	g.Expect(Wait(time.Minute, WaitingMost)).To(BeZero())
+}
+
+func TestACallerWhoseTimeIsNearlyOverIsAnsweredInTime(t *testing.T) {
+	g := NewWithT(t)
+	for _, left := range []time.Duration{time.Second / 2, 100 * time.Millisecond, time.Millisecond} {
+		g.Expect(Wait(left, 0)).To(BeNumerically("<=", left/4))
+	}
+	g.Expect(Wait(-time.Second, 0)).To(BeZero())
 }
 
 func TestACallerIsToldTheSameAgain(t *testing.T) {
