cluster: what decides on the taking of a cell lease stands in functions of its own

Cause: tryTake had grown to three decisions in one; and a new owner could name instances as absent that it had only not greeted yet: others than owners hear each other every 2 s. Change: goneUnwritten, formerGoesOn, newClaim; none is named before the owner has greeted for 1.5 s. The log line of a taken cell gives what was decided on.

--- a/cluster/elect.go
+++ b/cluster/elect.go
@@ -150,26 +150,14 @@
 func (n *Instance) tryTake(ctx context.Context, name string) {
 	ctx, cancel := context.WithTimeout(ctx, electTime)
 	defer cancel()
-	c := &claim.Claim{
-		Store: n.storeClient, Cell: name, Owner: n.settings.Instance,
-		Boot: n.boot, Addr: n.settings.Listen.Peer,
-		Absent: func() []string { return n.members.absent(time.Now()) },
-	}
+	c := n.newClaim(name)
 	lease, err := c.Read(ctx)
 	if err != nil {
 		return
 	}
 	now := time.Now()
 	watched := n.unwritten(name, lease.Ver, now)
-	unwritten := watched
-	if n.listed.Load() {
-		// Without the store's clock the time counts only from when this instance saw the last
-		// write: another 0.3 s in which nothing starts after the loss of an owner. One that is
-		// new to the owner has to watch that long: the store may be away for the owner alone,
-		// which goes on without an answer of those that it does not know.
-		unwritten = max(watched, lease.Unwritten)
-	}
-	why := n.vacant(ctx, lease.Lease, unwritten-n.turn(name, now))
+	why := n.vacant(ctx, lease.Lease, n.goneUnwritten(lease, watched)-n.turn(name, now))
 	if why == "" || n.ownerHeard(name, time.Now(), ownerGoesOn) {
 		return
 	}
@@ -178,17 +166,39 @@
 		return
 	}
 	n.kit.Scope.Tagged(map[string]string{"why": why}).Counter("seats_taken_total").Inc(1)
-	level.Info(n.kit.Log).Log("event", "seat_taken", "cell", name, "epoch", c.Epoch(), "before", lease.Owner, "why", why)
-	former := time.Duration(0)
-	switch {
-	case why == whyGone:
-		// It may be behind a cut that refuses connections, and go on for a while.
-		former = lease.Silence()
-	case why == whySilent && watched < lease.Silence():
-		// The former life of this instance may have answered it a moment ago.
-		former = claim.Margin
+	level.Info(n.kit.Log).Log("event", "seat_taken", "cell", name, "epoch", c.Epoch(), "before", lease.Owner, "why", why,
+		"unwritten_ms", lease.Unwritten.Milliseconds(), "watched_ms", watched.Milliseconds(), "absent", len(lease.Absent))
+	n.drive(name, c, formerGoesOn(why, lease.Lease, watched))
+}
+
+// newClaim returns a claim of this instance to a cell.
+func (n *Instance) newClaim(name string) *claim.Claim {
+	begun := time.Now()
+	return &claim.Claim{
+		Store: n.storeClient, Cell: name, Owner: n.settings.Instance,
+		Boot: n.boot, Addr: n.settings.Listen.Peer,
+		Absent: func() []string {
+			now := time.Now()
+			if now.Sub(begun) < absentAfter {
+				// Those that an instance hears seldom have not answered its greetings as an
+				// owner yet.
+				return nil
+			}
+			return n.members.absent(now)
+		},
 	}
-	n.drive(name, c, former)
+}
+
+// goneUnwritten returns for how long a lease has gone unwritten that was watched for so long.
+// The store's clock tells of the time before as well: without it nothing starts for another
+// 0.3 s after the loss of an owner. An instance that is new to the owner has to watch for the
+// whole time, since the store may be away for the owner alone, which then goes on without an
+// answer of those that it does not know.
+func (n *Instance) goneUnwritten(lease claim.Seen, watched time.Duration) time.Duration {
+	if !n.listed.Load() {
+		return watched
+	}
+	return max(watched, lease.Unwritten)
 }
 
 // Why a cell lease may be taken: its owner's address refuses connections, or it went
@@ -198,6 +208,20 @@
 	whySilent = "owner silent"
 )
 
+// formerGoesOn returns for how long after the taking of a lease its former owner may give
+// orders.
+func formerGoesOn(why string, lease claim.Lease, watched time.Duration) time.Duration {
+	switch {
+	case why == whyGone:
+		// It may be behind a cut that refuses connections.
+		return lease.Silence()
+	case why == whySilent && watched < lease.Silence():
+		// The former life of this instance may have answered it a moment ago.
+		return claim.Margin
+	}
+	return 0
+}
+
 // vacant returns why a cell lease may be taken, "" if it may not.
 func (n *Instance) vacant(ctx context.Context, lease claim.Lease, unwritten time.Duration) string {
 	switch {
--- a/cluster/ends_test.go
+++ b/cluster/ends_test.go
@@ -97,6 +97,11 @@
 		Expect(n.members.absent(now.Add(absentAfter + 1))).To(BeEmpty())
 	})
 
+	It("is not named by an owner that has not greeted for long enough to know", func() {
+		n, _ := lost()
+		Expect(n.newClaim("c").Absent()).To(BeEmpty())
+	})
+
 	It("takes the cell only long after those that were heard", func(ctx context.Context) {
 		n := testInstance(&policy{})
 		lease := claim.Lease{Owner: "other", Boot: "b", Addr: "127.0.0.1:1", ValidMS: 400, Absent: []string{"me"}}
