cluster: ends that owners told of are forgotten after five to ten minutes

Cause: they were kept until 20,000 had come, and looked through at every greeting of an owner. Change: two halves that age, by number and by time. Test: none is left after twice the time.

--- a/cluster/ends.go
+++ b/cluster/ends.go
@@ -12,6 +12,9 @@
 	// tells: as many as the design size has in an outage of a minute, and in 3 s.
 	endsMost   = 20_000
 	endsAtOnce = 1024
+	// endsKept is for how long an end is remembered at the least: longer than outages of the
+	// store are to last, after which it knows.
+	endsKept = 5 * time.Minute
 	// endTold is how often the same owner is told of an end: an answer to a greeting may be
 	// lost, and two in a row hardly are.
 	endTold = 3
@@ -23,8 +26,9 @@
 type ends struct {
 	mu    sync.Mutex
 	known map[string]*end
-	// last are those that were known before known was full.
-	last map[string]*end
+	// last are those that were known before known was full, or begun.
+	last  map[string]*end
+	begun time.Time
 }
 
 // end is what is known of one of them.
@@ -37,17 +41,22 @@
 }
 
 // hear takes in what an instance says.
-func (e *ends) hear(ids []string, source string) {
+func (e *ends) hear(ids []string, source string, now time.Time) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for _, id := range ids {
-		if e.get(id) != nil {
-			continue
+		if e.get(id) == nil {
+			e.age(now)
+			e.known[id] = &end{source: source}
 		}
-		if e.known == nil || len(e.known) >= endsMost/2 {
-			e.known, e.last = make(map[string]*end), e.known
-		}
-		e.known[id] = &end{source: source}
+	}
+}
+
+// age lets the older half go once the newer one is full, or was begun long ago. The lock is
+// held.
+func (e *ends) age(now time.Time) {
+	if e.known == nil || len(e.known) >= endsMost/2 || now.Sub(e.begun) > endsKept {
+		e.known, e.last, e.begun = make(map[string]*end), e.known, now
 	}
 }
 
@@ -80,9 +89,10 @@
 }
 
 // forOwner returns what an owner should be told: what others have said, a few times.
-func (e *ends) forOwner(boot string) []string {
+func (e *ends) forOwner(boot string, now time.Time) []string {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.age(now)
 	var out []string
 	for _, m := range []map[string]*end{e.known, e.last} {
 		for id, x := range m {
@@ -122,7 +132,7 @@
 	if len(ids) == 0 {
 		return
 	}
-	n.ends.hear(ids, source)
+	n.ends.hear(ids, source, time.Now())
 	for _, c := range n.owned() {
 		c.driver.Heard(ids)
 	}
--- a/cluster/ends_test.go
+++ b/cluster/ends_test.go
@@ -18,14 +18,19 @@
 var _ = Describe("the end of a job that an owner tells of", func() {
 	It("is passed on to the next owner, a few times, and not to the one that said it", func() {
 		var e ends
-		e.hear([]string{"j"}, "first")
-		Expect(e.forOwner("first")).To(BeEmpty())
+		now := time.Now()
+		e.hear([]string{"j"}, "first", now)
+		Expect(e.forOwner("first", now)).To(BeEmpty())
 		for range endTold {
-			Expect(e.forOwner("second")).To(Equal([]string{"j"}))
+			Expect(e.forOwner("second", now)).To(Equal([]string{"j"}))
 		}
-		Expect(e.forOwner("second")).To(BeEmpty())
-		Expect(e.forOwner("third")).To(Equal([]string{"j"}))
+		Expect(e.forOwner("second", now)).To(BeEmpty())
+		Expect(e.forOwner("third", now)).To(Equal([]string{"j"}))
 		Expect(e.all()).To(Equal([]string{"j"}))
+		for _, age := range []time.Duration{endsKept + 1, 2*endsKept + 2} {
+			e.forOwner("third", now.Add(age))
+		}
+		Expect(e.all()).To(BeEmpty(), "the store knows by now")
 	})
 
 	It("is passed on in the answer to an owner's greeting", func() {
@@ -52,12 +57,13 @@
 
 	It("is forgotten when there are too many, the oldest first", func() {
 		var e ends
+		now := time.Now()
 		for i := range endsMost/2 + 1 {
-			e.hear([]string{fmt.Sprint(i)}, "o")
+			e.hear([]string{fmt.Sprint(i)}, "o", now)
 		}
 		Expect(e.has("0")).To(BeTrue())
 		for i := range endsMost / 2 {
-			e.hear([]string{fmt.Sprint("more", i)}, "o")
+			e.hear([]string{fmt.Sprint("more", i)}, "o", now)
 		}
 		Expect(e.has("0")).To(BeFalse())
 		Expect(len(e.all())).To(BeNumerically("<=", endsMost))
--- a/cluster/peers.go
+++ b/cluster/peers.go
@@ -57,7 +57,7 @@
 		}
 	}
 	if len(g.Cells) > 0 {
-		own.Succeeded = append(own.Succeeded, n.ends.forOwner(g.Boot)...)
+		own.Succeeded = append(own.Succeeded, n.ends.forOwner(g.Boot, now)...)
 	}
 	n.greeted(g)
 	return &wire.Reply{Body: &wire.Reply_Greeting{Greeting: own}}
