--- a/cell/unkept.go
+++ b/cell/unkept.go
@@ -18,7 +18,7 @@
 
 const (
 	// unkeptLeast is how long the store may take to keep an end before others are told of
-	// it: five times as long as it takes when all is well.
+	// it: several times as long as it takes when all is well, some 20 ms.
 	unkeptLeast = 100 * time.Millisecond
 	// unkeptMost is for how long after its end others are told of a job again and again;
 	// longer only if none is known to have heard it.
