--- a/claim/claim_test.go
+++ b/claim/claim_test.go
@@ -33,6 +33,8 @@
 	sent []time.Time
 	// clock is the store's, 0 if it has none.
 	clock int64
+	// slow is how long the answer to a write takes after it took effect.
+	slow time.Duration
 }
 
 func (t *table) apply(tx rows.Tx) rows.Result {
@@ -68,14 +70,16 @@
 	case 3:
 		return rows.Result{}, kind.New(kind.Lost, "no answer")
 	}
-	return t.apply(tx), nil
+	res := t.apply(tx)
+	time.Sleep(t.slow)
+	return res, nil
 }
 
 func (t *table) Get(context.Context, rows.Range) (rows.Page, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.row.Ver == 0 {
-		return rows.Page{}, nil
+		return rows.Page{ClockMS: t.clock}, nil
 	}
 	return rows.Page{Rows: []rows.Row{t.row}, Ver: t.ver, ClockMS: t.clock}, nil
 }
@@ -156,6 +160,22 @@
 		Expect(seen.Unwritten).To(BeNumerically(">", 600*time.Millisecond))
 	})
 
+	It("is never written earlier than it says, however long the last answer took", func(ctx context.Context) {
+		t := &table{clock: 5000, slow: 100 * time.Millisecond}
+		a := claimOf(t, "a")
+		take(ctx, a)
+		first, _ := a.Read(ctx)
+		Expect(first.WrittenMS).To(BeNumerically(">", 5000), "known from the reading before")
+		begun := time.Now()
+		_, err := a.Commit(ctx, rows.Tx{})
+		Expect(err).NotTo(HaveOccurred())
+		// By the store the clock showed 5000 when the answer before was made, a tenth of a
+		// second before it came.
+		second, _ := a.Read(ctx)
+		Expect(second.WrittenMS).To(BeNumerically(">=", 5000+t.slow.Milliseconds()))
+		Expect(time.Since(begun)).To(BeNumerically("<", time.Second))
+	})
+
 	It("names those that its owner does not hear, and excuses them for less time than they wait", func(ctx context.Context) {
 		t := &table{}
 		a := claimOf(t, "a")
--- a/hall/takeover.go
+++ b/hall/takeover.go
@@ -171,12 +171,12 @@
 	k.takeOver(ctx, local, own, racks)
 }
 
-// givenUp reports whether a rack that is owned here under a local epoch was given up by
-// the owner that its row names: that start of it is live and claims the rack no more.
+// givenUp reports whether a rack that is owned here, but not by its row, was given up by
+// the owner that the row names: that start of it is live and claims the rack no more.
 // Without this, an owner that was only paused while the table was away shows itself in
 // the table again, never lapses, and the rack takes no jobs for as long as it lives.
 func (k *Keeper) givenUp(rack, owner string) bool {
-	if e, owned := k.Racks.Owned()[rack]; !owned || e.Local == 0 {
+	if _, owned := k.Racks.Owned()[rack]; !owned {
 		return false
 	}
 	for _, p := range k.Peers.Live(k.Hall, clock.Now()) {
