--- a/cluster/own_test.go
+++ b/cluster/own_test.go
@@ -34,6 +34,8 @@
 	clock int64
 	looks atomic.Int32
 	wrote rows.Tx
+	// full is after how many transactions the store takes no more, 0 if never.
+	full, taken int32
 }
 
 func (s *ownedStore) Get(ctx context.Context, r rows.Range) (rows.Page, error) {
@@ -41,10 +43,22 @@
 		s.looks.Add(1)
 		return rows.Page{Ver: 1, ClockMS: s.clock, Rows: []rows.Row{{Value: flow.Encode(s.lease), Ver: 1}}}, nil
 	}
-	return s.table.Get(ctx, r)
+	if r.From != "" {
+		return s.table.Get(ctx, r)
+	}
+	page := rows.Page{Ver: 1}
+	for key, value := range s.table {
+		if key.Table == r.Table && key.Part == r.Part {
+			page.Rows = append(page.Rows, rows.Row{Key: key, Value: value, Ver: 1})
+		}
+	}
+	return page, nil
 }
 
 func (s *ownedStore) Tx(_ context.Context, t rows.Tx) (rows.Result, error) {
+	if s.full > 0 && atomic.AddInt32(&s.taken, 1) > s.full {
+		return rows.Result{}, errBusy
+	}
 	s.wrote = t
 	return rows.Result{Ver: 2}, nil
 }
--- a/cluster/turned_away_test.go
+++ b/cluster/turned_away_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -30,6 +31,17 @@
 func (busy) Tx(context.Context, rows.Tx) (rows.Result, error)          { return rows.Result{}, errBusy }
 func (busy) Feed(ctx context.Context, _ rows.Since) (rows.Page, error) { return rows.Page{}, errBusy }
 
+// countedBusy counts the reads that it turns away.
+type countedBusy struct {
+	busy
+	gets atomic.Int32
+}
+
+func (s *countedBusy) Get(context.Context, rows.Range) (rows.Page, error) {
+	s.gets.Add(1)
+	return rows.Page{}, errBusy
+}
+
 var _ = Describe("an instance that the store turns away, while no client calls", func() {
 	It("knows that its peers reach the store", func(ctx context.Context) {
 		n := testInstance(&policy{})
@@ -71,6 +83,16 @@
 		Expect(n.Submit(ctx, &flow.Spec{ID: "0123456789abcdef", Steps: []flow.Step{{Count: 1}}})).To(Succeed())
 
 		n.storeClient.Now = func() time.Time { return time.Now().Add(time.Minute) }
+		short, cancel := context.WithTimeout(ctx, retry.Patience)
+		defer cancel()
+		begun = time.Now()
+		Expect(n.Submit(short, &flow.Spec{ID: "0123456789abcdef"})).To(MatchError(ContainSubstring("not reached")))
+		Expect(time.Since(begun)).To(BeNumerically("<", retry.Patience/2), "it has little time left")
+		n.leaving.Store(true)
+		begun = time.Now()
+		Expect(n.Submit(ctx, &flow.Spec{ID: "0123456789abcdef"})).To(MatchError(ContainSubstring("not reached")))
+		Expect(time.Since(begun)).To(BeNumerically("<", retry.Patience/2), "a planned stop does not wait")
+		n.leaving.Store(false)
 		n.waiting.Store(retry.WaitingMost)
 		begun = time.Now()
 		Expect(n.Submit(ctx, &flow.Spec{ID: "0123456789abcdef"})).To(MatchError(ContainSubstring("not reached")))
@@ -103,6 +125,17 @@
 // A third of all calls that 34 instances made to the store on a quiet day were probes, 2.6 a
 // second each, though other calls had just been answered.
 var _ = Describe("a probe of the store", func() {
+	It("is sent every 0.3 s while the store is away, however often that is looked at", func(ctx context.Context) {
+		n := testInstance(&policy{})
+		n.division.set(1)
+		s := &countedBusy{}
+		n.storeClient.Direct = s
+		ctx, cancel := context.WithTimeout(ctx, 3*probeEvery)
+		defer cancel()
+		n.probeStore(ctx)
+		Expect(s.gets.Load()).To(BeNumerically("~", 3, 1))
+	})
+
 	It("is spared while other calls are answered, and the lease needs no watching", func(ctx context.Context) {
 		n := testInstance(&policy{})
 		n.division.set(1)
