driver, cell, cluster: an owner on a thin link has its orders carried, and sends no more than it can

Cause: on 18 instances with links of 2 Mbit/s (the small twin of the large deployment) one owner sent all starts of a wide step at once, 1 KB each, looked at 120 workers 240 times a second, and read the whole list of workers in one piece. The link queued for 0.2 to 3 s, orders were taken for lost after 0.1 to 0.3 s, and each cost a hold under a new fence over the same link. Change: starts are decided as the link has room for them (a congestion window by delay), the most urgent first. While some are held back, other instances send starts and holds for the owner, under its fences; a text goes to a carrier once. Limits of orders grow by how late several workers' answers are together. Workers are looked at as often as what runs there has to be watched, less often while this side is late; a hold under an earlier fence still brings its ends. Eight workers of a hall are attached at once. The worker list is read in pieces of 50 ms of the link, jobs that nobody told of are found by their homes, racks are left out of greetings. The word seat is gone from messages, log events and metrics; the stored row keeps its name.

--- a/cell/cell.go
+++ b/cell/cell.go
@@ -3,7 +3,7 @@
 package cell
 
 import (
-	"slices"
+	"math"
 	"strings"
 	"time"
 
@@ -58,6 +58,10 @@
 	// asks counts the questions under way, longAsks the long ones among them.
 	asks, longAsks int
 	counts         Counts
+	// sendMost is how many bytes the starts of the next decision may have, sendLeft what is
+	// left of that during Place, and sendShared says that those of a step share their text.
+	sendMost, sendLeft int
+	sendShared         bool
 	// turn counts the lists that were taken in.
 	turn int
 	// restless says that there may be runs to stop, and looked when all runs were
@@ -80,6 +84,7 @@
 		over:     make(map[string]over),
 		unkept:   make(map[string]*job),
 		firstRun: firstRun,
+		sendMost: math.MaxInt,
 	}
 }
 
@@ -140,17 +145,6 @@
 	return l
 }
 
-// Racks returns the racks of the workers.
-func (c *Cell) Racks() []string {
-	var racks []string
-	for _, w := range c.order {
-		if w.Rack != "" && !slices.Contains(racks, w.Rack) {
-			racks = append(racks, w.Rack)
-		}
-	}
-	return racks
-}
-
 func byID(w *worker, id string) int { return strings.Compare(w.ID, id) }
 
 func (c *Cell) stage(id flow.StepID) *stage {
--- a/cell/place.go
+++ b/cell/place.go
@@ -59,6 +59,7 @@
 	c.tidy()
 	c.sort(now)
 	unsettled, most := c.unsettled(), c.mostFree()
+	c.sendLeft = c.sendMost
 	for _, w := range c.order {
 		w.reserved = sched.Vec{}
 	}
@@ -76,6 +77,11 @@
 			continue
 		}
 		s.moving = false
+		if c.sendLeft <= 0 {
+			c.askAhead(s, q, &a, asks, now)
+			c.tell(s, LinkFull, &a, now)
+			continue
+		}
 		room := s.def.Room()
 		why := NoWorker
 		switch {
@@ -88,7 +94,10 @@
 		default:
 			c.placeTasks(s, q, &a, now)
 		}
-		if s.waiting > 0 && why != HeldUp {
+		if s.waiting > 0 && c.sendLeft <= 0 {
+			why = LinkFull
+		}
+		if s.waiting > 0 && why != HeldUp && why != LinkFull {
 			c.askFor(s, q, &a, asks, now)
 			c.reserve(s, q, now)
 		}
@@ -220,6 +229,9 @@
 		if t.state != taskWaiting {
 			continue
 		}
+		if c.sendLeft <= 0 {
+			return
+		}
 		w, ticket := c.choose(s, t, q, now)
 		if w == nil {
 			if len(t.avoid) == 0 {
@@ -306,8 +318,48 @@
 	}
 	s.job.story.Runs++
 	c.counts.Started++
-	return Start{
+	start := Start{
 		Worker: w.ID, Addr: w.Addr, Task: r.task(), Run: r.n,
 		Text: s.job.spec.Text, Saved: t.saved, Ticket: ticket,
 	}
+	c.sendLeft -= c.sendSize(&start)
+	return start
+}
+
+// startOverhead is about how many bytes an order to start a run has on the wire beside its
+// texts: names, fences and headers.
+const startOverhead = 450
+
+// Size returns about how many bytes the order has on the wire.
+func (s *Start) Size() int { return startOverhead + len(s.Text) + len(s.Saved) + len(s.Ticket) }
+
+// sendSize returns about how many bytes a start takes of this instance's link.
+func (c *Cell) sendSize(start *Start) int {
+	if c.sendShared {
+		return start.CarriedSize()
+	}
+	return start.Size()
 }
+
+const (
+	// carriedOverhead is about how many bytes an order has in the message to the instance
+	// that carries it beside its texts.
+	carriedOverhead = 100
+	// textShared is how many starts share a text that one instance was given: as many as a
+	// job has tasks on average, over the few instances that carry them.
+	textShared = 8
+)
+
+// CarriedSize returns about how many bytes the order takes where another instance carries it.
+func (s *Start) CarriedSize() int {
+	return carriedOverhead + len(s.Text)/textShared + len(s.Saved) + len(s.Ticket)
+}
+
+// SendMost says how many bytes the orders of the next decision may have, and whether those of
+// a step share their text. Starts that would only wait at this instance's own link are not
+// decided, so that the most urgent goes first whenever there is room to send, and no answer
+// is late for that wait. A gang goes whole.
+func (c *Cell) SendMost(bytes int, shared bool) { c.sendMost, c.sendShared = bytes, shared }
+
+// HeldBack reports whether the last decision left out starts for want of room to send.
+func (c *Cell) HeldBack() bool { return c.sendLeft <= 0 }
--- a/cell/wait.go
+++ b/cell/wait.go
@@ -25,6 +25,8 @@
 	NoWorker Why = "no_worker"
 	// NoAdvice: the policy has named no worker yet, or its tickets have ended.
 	NoAdvice Why = "no_advice"
+	// LinkFull: as many orders are under way as this instance's link carries in time.
+	LinkFull Why = "link_full"
 	// NotWritten: the store has not been told of the hall.
 	NotWritten Why = "not_written"
 )
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -238,6 +238,15 @@
 	}
 }
 
+// EndsListed takes in the ends that a worker listed, from an answer that says nothing of what
+// runs there now: one under an earlier fence, or one from which that was left out. An end is
+// a fact under every fence.
+func (c *Cell) EndsListed(id string, ends []Finished, now time.Time) {
+	if w := c.workers[id]; w != nil {
+		c.takeEnds(w, ends, now)
+	}
+}
+
 // unsettled says where there are workers that may run something that a former
 // owner started and that is not on the books.
 type unsettled struct {
@@ -263,18 +272,24 @@
 
 // take takes in both lists and returns the turn that the running runs now bear.
 func (c *Cell) take(w *worker, l Lists, now time.Time) int {
-	for _, f := range l.Finished {
+	c.takeEnds(w, l.Finished, now)
+	c.turn++
+	for i := range l.Running {
+		c.listed(w, &l.Running[i], now)
+	}
+	return c.turn
+}
+
+// takeEnds takes in the ends that are new. A worker lists all ends in their order from the
+// first one that it was not told to forget, so that none is passed over.
+func (c *Cell) takeEnds(w *worker, ends []Finished, now time.Time) {
+	for _, f := range ends {
 		if f.Number <= w.seen {
 			continue
 		}
 		w.seen = f.Number
 		c.ended(w, f, now)
 	}
-	c.turn++
-	for i := range l.Running {
-		c.listed(w, &l.Running[i], now)
-	}
-	return c.turn
 }
 
 // listed takes in one running run.
--- a/cluster/accept.go
+++ b/cluster/accept.go
@@ -137,7 +137,7 @@
 // off, while the cell's owner is not heard.
 func (n *Instance) hallFor(cell, id string) string {
 	if d := n.own(cell); d != nil {
-		load, _ := d.Load()
+		load := d.Load()
 		return cmp.Or(drawHall(hallRooms(load), id), n.settings.Hall)
 	}
 	now := time.Now()
--- /dev/null
+++ b/cluster/carry.go
@@ -0,0 +1,227 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package cluster
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"dewpass.org/cell"
+	"dewpass.org/driver"
+	"dewpass.org/flow"
+	"dewpass.org/kind"
+	"dewpass.org/wire"
+)
+
+// carriers are the instances that send orders for this one: those of the workers' hall
+// that have the fewest under way. It implements driver.Carriers.
+type carriers struct{ n *Instance }
+
+// Ready implements driver.Carriers. An owner that does not reach the store itself has its
+// orders sent by nobody: what it does not hear of there, that a worker leaves or that a
+// job was cancelled, would be done by an instance that does.
+func (s carriers) Ready() bool { return s.n.storeClient.DirectOK() }
+
+// Starts implements driver.Carriers.
+func (s carriers) Starts(ctx context.Context, hall string, orders []driver.StartOrder, limit time.Duration) ([]driver.StartResult, error) {
+	job := orders[0].Task.Job
+	by, given := s.n.startCarrier(hall, job, len(orders))
+	if by == nil {
+		return nil, kind.New(kind.Unavailable, "no other instance is heard")
+	}
+	s.n.members.carries(by.name, len(orders))
+	defer s.n.members.carries(by.name, -len(orders))
+	m := startOrders(orders, limit)
+	if given {
+		m.Text = ""
+	}
+	reply, err := s.n.dialer.Do(ctx, by.addr, &wire.Request{Body: &wire.Request_Starts{Starts: m}})
+	if given && kind.Is(err, kind.Conflict) {
+		// Nothing was sent: it has started anew, or has had many other texts since.
+		m.Text = orders[0].Text
+		reply, err = s.n.dialer.Do(ctx, by.addr, &wire.Request{Body: &wire.Request_Starts{Starts: m}})
+	}
+	if err != nil {
+		s.n.members.failed(by.name, time.Now())
+		return nil, err
+	}
+	s.n.given.add(job, by.name, time.Now())
+	return startResults(reply.GetStarts()), nil
+}
+
+// startCarrier chooses the instance that sends orders to start runs of a job, and says whether
+// it was given the job's text before; nil if there is none.
+func (n *Instance) startCarrier(hall, job string, orders int) (*member, bool) {
+	now := time.Now()
+	holders := n.given.holders(job, now)
+	peers := n.members.list(now, func(k *member) bool {
+		return k.asks(now) && slices.Contains(holders, k.name) && k.carrying+orders <= carryingMost
+	})
+	if by := n.leastCarrying(peers); by != nil {
+		return by, true
+	}
+	return n.carrier(hall), false
+}
+
+// carryingMost is how many orders an instance that has the text of a job may have under way
+// before another one is given it: 32 of 1 KB take 0.13 s of a link of 2 Mbit/s.
+const carryingMost = 32
+
+// carrier chooses the instance that sends orders to the workers of a hall, nil if there is
+// none: one of that hall, if any is heard.
+func (n *Instance) carrier(hall string) *member {
+	now := time.Now()
+	peers := n.members.list(now, func(k *member) bool { return k.hall == hall && k.asks(now) })
+	if len(peers) == 0 {
+		peers = n.members.list(now, func(k *member) bool { return k.asks(now) })
+	}
+	return n.leastCarrying(peers)
+}
+
+// leastCarrying returns the member that has the fewest orders under way, nil if there is none.
+func (n *Instance) leastCarrying(peers []member) *member {
+	var best *member
+	for i := range peers {
+		p := &peers[i]
+		if best == nil || p.carrying < best.carrying || (p.carrying == best.carrying && n.draw(p.name) < n.draw(best.name)) {
+			best = p
+		}
+	}
+	return best
+}
+
+// startOrders returns the message for orders of one step.
+func startOrders(orders []driver.StartOrder, limit time.Duration) *wire.StartOrders {
+	task := orders[0].Task
+	m := &wire.StartOrders{Text: orders[0].Text, Job: task.Job, Time: uint32(task.Time), Step: uint32(task.Step)}
+	for i := range orders {
+		o := &orders[i]
+		m.Orders = append(m.Orders, &wire.StartOrder{
+			Worker: o.Worker, Addr: o.Addr, Fence: o.Fence, Index: uint32(o.Task.Index), Run: uint64(o.Run),
+			Saved: o.Saved, Ticket: o.Ticket, UntilMs: o.UntilMS, LimitUs: uint32(limit.Microseconds()),
+		})
+	}
+	return m
+}
+
+func startResults(m *wire.StartResults) []driver.StartResult {
+	out := make([]driver.StartResult, 0, len(m.GetResults()))
+	for _, r := range m.GetResults() {
+		out = append(out, driver.StartResult{
+			Answer: driver.StartAnswer{ClockMS: r.ClockMs, Outcome: cell.Outcome(r.Outcome)},
+			Err:    wire.ErrorOf(r.Error), Took: time.Duration(r.TookUs) * time.Microsecond,
+		})
+	}
+	return out
+}
+
+// Hold implements driver.Carriers.
+func (s carriers) Hold(ctx context.Context, hall string, o driver.HoldOrder, limit time.Duration) (driver.HoldAnswer, bool, error) {
+	by := s.n.carrier(hall)
+	if by == nil {
+		return driver.HoldAnswer{}, false, nil
+	}
+	s.n.members.carries(by.name, 1)
+	defer s.n.members.carries(by.name, -1)
+	reply, err := s.n.dialer.Do(ctx, by.addr, &wire.Request{Body: &wire.Request_Hold{Hold: &wire.HoldOrder{
+		Worker: o.Worker, Addr: o.Addr, Fence: o.Fence, Observed: uint64(o.Observed), UntilMs: o.UntilMS,
+		WaitMs: uint32(o.Wait.Milliseconds()), LimitMs: uint32(limit.Milliseconds()), Brief: o.Brief,
+	}}})
+	if err != nil {
+		if ctx.Err() == nil || context.Cause(ctx) != context.Canceled {
+			s.n.members.failed(by.name, time.Now())
+		}
+		return driver.HoldAnswer{}, false, err
+	}
+	a, err := holdAnswer(reply.GetHold())
+	return a, true, err
+}
+
+func holdAnswer(m *wire.HoldResult) (driver.HoldAnswer, error) {
+	if err := wire.ErrorOf(m.GetError()); err != nil {
+		return driver.HoldAnswer{}, err
+	}
+	a := driver.HoldAnswer{ClockMS: m.GetClockMs(), Lists: cell.Lists{Cut: m.GetCut()}, Brief: m.GetBrief()}
+	for _, r := range m.GetRunning() {
+		a.Lists.Running = append(a.Lists.Running, cell.Running{
+			Task: taskID(r.Task), Run: int(r.Run), Saved: r.Saved, Percent: int(r.Percent), Tail: r.Tail,
+		})
+	}
+	for _, f := range m.GetFinished() {
+		a.Lists.Finished = append(a.Lists.Finished, cell.Finished{
+			Number: int(f.Number), Task: taskID(f.Task), Run: int(f.Run), How: flow.End(f.How), Saved: f.Saved,
+		})
+	}
+	return a, nil
+}
+
+func taskID(t *wire.TaskName) flow.TaskID {
+	return flow.TaskID{Job: t.GetJob(), Time: int(t.GetTime()), Step: int(t.GetStep()), Index: int(t.GetIndex())}
+}
+
+func taskName(t flow.TaskID) *wire.TaskName {
+	return &wire.TaskName{Job: t.Job, Time: uint32(t.Time), Step: uint32(t.Step), Index: uint32(t.Index)}
+}
+
+// handleHold holds a worker for its owner.
+func (n *Instance) handleHold(ctx context.Context, m *wire.HoldOrder) *wire.Reply {
+	wait := time.Duration(m.WaitMs) * time.Millisecond
+	ctx, cancel := context.WithTimeout(ctx, wait+time.Duration(m.LimitMs)*time.Millisecond)
+	defer cancel()
+	a, err := n.Workers.Hold(ctx, driver.HoldOrder{
+		Target:   driver.Target{Worker: m.Worker, Addr: m.Addr, Fence: m.Fence},
+		Observed: int(m.Observed), UntilMS: m.UntilMs, Wait: wait,
+	})
+	out := &wire.HoldResult{
+		Error: wire.ToError(err), ClockMs: a.ClockMS, Cut: a.Lists.Cut, Brief: m.Brief && len(a.Lists.Finished) > 0,
+	}
+	for i := range a.Lists.Running {
+		if out.Brief {
+			break
+		}
+		r := &a.Lists.Running[i]
+		out.Running = append(out.Running, &wire.RunningRow{
+			Task: taskName(r.Task), Run: uint64(r.Run), Saved: r.Saved, Percent: int32(r.Percent), Tail: r.Tail,
+		})
+	}
+	for i := range a.Lists.Finished {
+		f := &a.Lists.Finished[i]
+		out.Finished = append(out.Finished, &wire.FinishedRow{
+			Number: uint64(f.Number), Task: taskName(f.Task), Run: uint64(f.Run), How: string(f.How), Saved: f.Saved,
+		})
+	}
+	return &wire.Reply{Body: &wire.Reply_Hold{Hold: out}}
+}
+
+// handleStarts sends orders for their owner and returns once all are answered or given up.
+func (n *Instance) handleStarts(ctx context.Context, m *wire.StartOrders) (*wire.Reply, error) {
+	if m.Text == "" {
+		if m.Text = n.texts.get(m.Job); m.Text == "" {
+			return nil, kind.New(kind.Conflict, "the text of the job is not here")
+		}
+	}
+	n.texts.set(m.Job, m.Text)
+	results := make([]*wire.StartResult, len(m.Orders))
+	var all sync.WaitGroup
+	for i, o := range m.Orders {
+		all.Go(func() { results[i] = n.sendStart(ctx, m, o) })
+	}
+	all.Wait()
+	return &wire.Reply{Body: &wire.Reply_Starts{Starts: &wire.StartResults{Results: results}}}, nil
+}
+
+func (n *Instance) sendStart(ctx context.Context, m *wire.StartOrders, o *wire.StartOrder) *wire.StartResult {
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(o.LimitUs)*time.Microsecond)
+	defer cancel()
+	sent := time.Now()
+	a, err := n.Workers.Start(ctx, driver.StartOrder{
+		Target: driver.Target{Worker: o.Worker, Addr: o.Addr, Fence: o.Fence},
+		Task:   flow.TaskID{Job: m.Job, Time: int(m.Time), Step: int(m.Step), Index: int(o.Index)},
+		Run:    int(o.Run), Text: m.Text, Saved: o.Saved, Ticket: o.Ticket, UntilMS: o.UntilMs,
+	})
+	return &wire.StartResult{
+		Error: wire.ToError(err), Outcome: uint32(a.Outcome), ClockMs: a.ClockMS, TookUs: uint32(time.Since(sent).Microseconds()),
+	}
+}
--- a/cluster/elect.go
+++ b/cluster/elect.go
@@ -162,11 +162,11 @@
 		return
 	}
 	if err := c.Take(ctx, lease); err != nil {
-		level.Info(n.kit.Log).Log("event", "seat_not_taken", "cell", name, "err", err)
+		level.Info(n.kit.Log).Log("event", "cell_lease_not_taken", "cell", name, "err", err)
 		return
 	}
-	n.kit.Scope.Tagged(map[string]string{"why": why}).Counter("seats_taken_total").Inc(1)
-	level.Info(n.kit.Log).Log("event", "seat_taken", "cell", name, "epoch", c.Epoch(), "before", lease.Owner, "why", why,
+	n.kit.Scope.Tagged(map[string]string{"why": why}).Counter("cell_leases_taken_total").Inc(1)
+	level.Info(n.kit.Log).Log("event", "cell_lease_taken", "cell", name, "epoch", c.Epoch(), "before", lease.Owner, "why", why,
 		"unwritten_ms", lease.Unwritten.Milliseconds(), "watched_ms", watched.Milliseconds(), "absent", len(lease.Absent))
 	n.drive(name, c, formerGoesOn(why, lease.Lease, watched))
 }
--- a/cluster/greet.go
+++ b/cluster/greet.go
@@ -38,11 +38,11 @@
 	}
 	for name, c := range n.owned() {
 		d, written := c.driver, c.claim.Written()
-		load, racks := d.Load()
+		load := d.Load()
 		sum := &wire.CellSummary{
 			Name: name, Epoch: d.Claim.Epoch(), Ready: d.Ready(), Keeps: n.storeClient.Reachable(),
-			Room: load.Room[sched.Milli], Free: load.Free[sched.Milli], Waiting: load.Waiting, Racks: racks,
-			SeatVer: written.Ver, SeatAgeUs: uint64(time.Since(written.Begun).Microseconds()),
+			Room: load.Room[sched.Milli], Free: load.Free[sched.Milli], Waiting: load.Waiting,
+			LeaseVer: written.Ver, LeaseAgeUs: uint64(time.Since(written.Begun).Microseconds()),
 		}
 		sum.Pending = pendingOf(load)
 		sum.Halls = hallRooms(load)
@@ -131,7 +131,7 @@
 func (n *Instance) greeted(g *wire.Greeting) {
 	for _, c := range g.GetCells() {
 		// The greeting took its time: the write was begun no later than that.
-		n.sawWrite(c.Name, c.SeatVer, time.Now().Add(-time.Duration(c.SeatAgeUs)*time.Microsecond))
+		n.sawWrite(c.Name, c.LeaseVer, time.Now().Add(-time.Duration(c.LeaseAgeUs)*time.Microsecond))
 	}
 	n.heardEnds(g.GetSucceeded(), g.GetBoot())
 	if n.members.heard(g, time.Now()) {
--- a/cluster/instance.go
+++ b/cluster/instance.go
@@ -74,9 +74,13 @@
 	members      *members
 	homes        homes
 	ends         ends
-	dialer       *link.Dialer
-	server       *link.Server
-	leaving      atomic.Bool
+	// texts are those of jobs for which this instance sends orders, and given says who has
+	// those of the jobs that it owns.
+	texts   texts
+	given   given
+	dialer  *link.Dialer
+	server  *link.Server
+	leaving atomic.Bool
 	// waiting counts the callers that wait for the store.
 	waiting atomic.Int32
 	front   *drain.Server
--- a/cluster/jobs.go
+++ b/cluster/jobs.go
@@ -75,8 +75,8 @@
 		if !c.driver.Ready() {
 			continue
 		}
-		l, racks := c.driver.Load()
-		out = append(out, place{cell: name, load: loadOf(spec, l.Room[sched.Milli], l.Free[sched.Milli], l.Waiting, racks)})
+		l := c.driver.Load()
+		out = append(out, place{cell: name, load: loadOf(l.Room[sched.Milli], l.Free[sched.Milli], l.Waiting) - n.near(spec, name)})
 	}
 	for _, o := range n.members.cells(time.Now()) {
 		if !o.cell.Ready || own[o.cell.Name] != nil {
@@ -84,7 +84,7 @@
 		}
 		out = append(out, place{
 			cell: o.cell.Name, addr: o.addr, name: o.name,
-			load: loadOf(spec, o.cell.Room, o.cell.Free, o.cell.Waiting+o.work, o.cell.Racks),
+			load: loadOf(o.cell.Room, o.cell.Free, o.cell.Waiting+o.work) - n.near(spec, o.cell.Name),
 		})
 	}
 	slices.SortStableFunc(out, func(a, b place) int {
@@ -97,18 +97,23 @@
 
 // loadOf says how full a cell is: the part of its room that is in use, and the
 // work that waits against what it does in a window.
-func loadOf(spec *flow.Spec, room, free, waiting int64, racks []string) float64 {
+func loadOf(room, free, waiting int64) float64 {
 	if room <= 0 {
 		return fullLoad
 	}
 	used := float64(room-free) / float64(room)
-	load := used + float64(waiting)/(float64(room)/1000*float64(window.Milliseconds()))
+	return used + float64(waiting)/(float64(room)/1000*float64(window.Milliseconds()))
+}
+
+// near returns what it is worth that the racks of a job's data are in a cell.
+func (n *Instance) near(spec *flow.Spec, cell string) float64 {
+	gain := 0.0
 	for i := range spec.Steps {
-		if near := spec.Steps[i].Near; near != "" && slices.Contains(racks, near) {
-			load -= nearGain / float64(len(spec.Steps))
+		if rack := spec.Steps[i].Near; rack != "" && n.division.draw(rack) == cell {
+			gain += nearGain / float64(len(spec.Steps))
 		}
 	}
-	return load
+	return gain
 }
 
 const fullLoad = 1e9
@@ -328,7 +333,7 @@
 			continue
 		}
 		known[name] = true
-		l, _ := c.driver.Load()
+		l := c.driver.Load()
 		sum += l.Pending[queue]
 	}
 	return sum + n.members.pending(queue, time.Now(), func(cell string) bool { return known[cell] })
--- a/cluster/members.go
+++ b/cluster/members.go
@@ -61,6 +61,8 @@
 	// this instance, and failed is when it last brought no answer to one.
 	asking time.Duration
 	failed time.Time
+	// carrying is how many orders it is sending for this instance.
+	carrying int
 }
 
 // free reports whether an instance could own a cell and owns none.
@@ -351,7 +353,17 @@
 	}
 }
 
-// failed notes that a member brought no answer to a question.
+// carries adds to how many orders a member is sending for this instance.
+func (m *members) carries(name string, by int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if k := m.known[name]; k != nil {
+		// A member that has started anew meanwhile counts from nothing.
+		k.carrying = max(k.carrying+by, 0)
+	}
+}
+
+// failed notes that a member brought no answer to a question, or to orders.
 func (m *members) failed(name string, now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/cluster/own.go
+++ b/cluster/own.go
@@ -42,7 +42,7 @@
 		Name: name, Mine: func(rack string) bool { return n.division.draw(rack) == name },
 		Lease: t.lease, Keep: t.keep, Former: former,
 		Claim: c, Store: n.storeClient, Reachable: n.storeClient.Reachable,
-		Workers: n.Workers, Directory: n.Directory(n.storeClient),
+		Workers: n.Workers, Carriers: carriers{n}, Directory: n.Directory(n.storeClient),
 		Advise: n.advise, Callers: n.callers, HeardByAll: func() bool { return n.heardByAll(c.Written()) }, Succeeded: n.ends.all,
 		Lost:         func() { n.dropDriver(name, d) },
 		LoadTimedOut: func() { n.giveUp(name, d, c) },
@@ -73,7 +73,7 @@
 
 func (n *Instance) dropDriver(name string, d *driver.Driver) {
 	if d.Loaded() {
-		load, _ := d.Load()
+		load := d.Load()
 		n.members.note(name, pendingOf(load), time.Now())
 	}
 	n.mu.Lock()
--- a/cluster/own_test.go
+++ b/cluster/own_test.go
@@ -39,7 +39,7 @@
 }
 
 func (s *ownedStore) Get(ctx context.Context, r rows.Range) (rows.Page, error) {
-	if r.Table == claim.Table && r.Part != "" && r.From == "seat" {
+	if r.Table == claim.Table && r.Part != "" && r.From == claim.Range(r.Part).From {
 		s.looks.Add(1)
 		return rows.Page{Ver: 1, ClockMS: s.clock, Rows: []rows.Row{{Value: flow.Encode(s.lease), Ver: 1}}}, nil
 	}
--- a/cluster/peers.go
+++ b/cluster/peers.go
@@ -33,6 +33,10 @@
 		return n.handleAsk(ctx, b.AskJob)
 	case *wire.Request_Advice:
 		return n.handleAdvice(ctx, b.Advice)
+	case *wire.Request_Starts:
+		return n.handleStarts(ctx, b.Starts)
+	case *wire.Request_Hold:
+		return n.handleHold(ctx, b.Hold), nil
 	case *wire.Request_Store:
 		answer, err := n.storeClient.Serve(ctx, b.Store.Call)
 		return &wire.Reply{Body: &wire.Reply_Store{Store: &wire.StoreAnswer{Answer: answer}}}, err
@@ -98,7 +102,7 @@
 	slices.SortStableFunc(peers, func(a, b member) int {
 		return cmp.Compare(n.farther(a), n.farther(b))
 	})
-	for _, p := range peers[:min(len(peers), carriers)] {
+	for _, p := range peers[:min(len(peers), storeCarriers)] {
 		one, cancel := context.WithTimeout(ctx, carryTime)
 		reply, err := n.dialer.Do(one, p.addr, &wire.Request{Body: &wire.Request_Store{Store: &wire.StoreCall{Call: call}}})
 		cancel()
@@ -113,8 +117,8 @@
 }
 
 const (
-	carriers  = 3
-	carryTime = 900 * time.Millisecond
+	storeCarriers = 3
+	carryTime     = 900 * time.Millisecond
 )
 
 // farther is 1 for a member of another hall.
--- a/cluster/yield.go
+++ b/cluster/yield.go
@@ -84,7 +84,7 @@
 
 // yield hands cells over and takes none for a while, so that the other instance may.
 func (n *Instance) yield(ctx context.Context, own map[string]*ownCell, to string) {
-	level.Info(n.kit.Log).Log("event", "seats_yielded", "to", to, "cells", len(own), "processor", n.processor())
+	level.Info(n.kit.Log).Log("event", "cells_yielded", "to", to, "cells", len(own), "processor", n.processor())
 	n.rest(strongerFor)
 	ctx, cancel := context.WithTimeout(ctx, handoverMax)
 	defer cancel()
@@ -94,13 +94,13 @@
 // giveUp gives a cell up whose jobs this instance cannot read in time, and takes
 // none for a while.
 func (n *Instance) giveUp(name string, d *driver.Driver, c *claim.Claim) {
-	level.Warn(n.kit.Log).Log("event", "seat_given_up", "cell", name, "epoch", c.Epoch(), "why", "its jobs take too long to read")
+	level.Warn(n.kit.Log).Log("event", "cell_lease_given_up", "cell", name, "epoch", c.Epoch(), "why", "its jobs take too long to read")
 	n.rest(slowPause)
 	d.Freeze()
 	ctx, cancel := context.WithTimeout(context.Background(), handoverMax)
 	defer cancel()
 	if err := c.Release(ctx); err != nil {
-		level.Warn(n.kit.Log).Log("event", "seat_not_released", "cell", name, "err", err)
+		level.Warn(n.kit.Log).Log("event", "cell_lease_not_released", "cell", name, "err", err)
 	}
 	n.dropDriver(name, d)
 }
@@ -124,7 +124,7 @@
 	for name, c := range cells {
 		c.driver.Freeze()
 		if err := c.claim.Release(ctx); err != nil {
-			level.Warn(n.kit.Log).Log("event", "seat_not_released", "cell", name, "err", err)
+			level.Warn(n.kit.Log).Log("event", "cell_lease_not_released", "cell", name, "err", err)
 		}
 		n.dropDriver(name, c.driver)
 	}
--- a/cmd/dewpass/explain_test.go
+++ b/cmd/dewpass/explain_test.go
@@ -16,7 +16,7 @@
 {"time":"3","instance":"b","event":"start","job":"j","worker":"w1"}
 {"time":"1","instance":"a","event":"accepted","job":"j"}
 {"time":"2","instance":"a","event":"accepted","job":"other"}
-{"time":"2","instance":"b","event":"seat_taken","why":"owner silent"}
+{"time":"2","instance":"b","event":"cell_lease_taken","why":"owner silent"}
 {"time":"4","instance":"b","event":"lease_over","worker":"w1"}
 {"time":"4","instance":"b","event":"lease_over","worker":"w2"}
 not a line
@@ -29,7 +29,7 @@
 		for _, l := range strings.Split(strings.TrimSpace(out.String()), "\n") {
 			events = append(events, strings.Fields(l)[2])
 		}
-		Expect(events).To(Equal([]string{"accepted", "seat_taken", "start", "lease_over", "job_ended"}))
+		Expect(events).To(Equal([]string{"accepted", "cell_lease_taken", "start", "lease_over", "job_ended"}))
 		Expect(explain(&out, "nobody", lines)).To(MatchError(ContainSubstring("not_found")))
 	})
 })
--- a/driver/driver.go
+++ b/driver/driver.go
@@ -14,6 +14,8 @@
 	"dewpass.org/cell"
 	"dewpass.org/claim"
 	"dewpass.org/flow"
+	"dewpass.org/internal/rtt"
+	"dewpass.org/internal/window"
 	"dewpass.org/kind"
 	"dewpass.org/rows"
 	"dewpass.org/sched"
@@ -36,6 +38,8 @@
 	Store     rows.Store
 	Reachable func() bool
 	Workers   Workers
+	// Carriers send orders where this instance cannot send all by itself; nil is none.
+	Carriers  Carriers
 	Directory Directory
 	// Advise asks the policy, and Callers is how many questions may be under
 	// way at once.
@@ -81,6 +85,14 @@
 	// workerListRows is how many rows the worker list in the store may have, and
 	// workerListSize how many workers the last one lists.
 	workerListRows, workerListSize int
+	// starts bounds the starts under way by what this instance's link and processor carry.
+	starts window.Window
+	// lateness follows by how much the answers of workers are late by this side's doing.
+	lateness rtt.Common
+	// heldBack is when orders were last held back for want of room to send.
+	heldBack time.Time
+	// attaching holds a place for each worker of a hall that is being attached.
+	attaching map[string]chan struct{}
 	// kept is closed and renewed whenever the store has taken a write.
 	kept chan struct{}
 
@@ -108,10 +120,15 @@
 		Config: c,
 		cell:   cell.New(int(c.Claim.Epoch()) * runsPerEpoch),
 		links:  make(map[string]*link),
-		kept:   make(chan struct{}),
-		wake:   make(chan struct{}, 1),
-		write:  make(chan struct{}, 1),
-		began:  time.Now(),
+
+		attaching: make(map[string]chan struct{}),
+		kept:      make(chan struct{}),
+		wake:      make(chan struct{}, 1),
+		write:     make(chan struct{}, 1),
+		began:     time.Now(),
+	}
+	if d.Carriers == nil {
+		d.Carriers = noCarriers{}
 	}
 	d.ctx, d.cancel = context.WithCancel(context.Background())
 	return d
@@ -207,11 +224,11 @@
 	return d.loaded
 }
 
-// Load returns the cell's load and the racks of its workers.
-func (d *Driver) Load() (cell.Load, []string) {
+// Load returns the cell's load.
+func (d *Driver) Load() cell.Load {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.cell.Load(), d.cell.Racks()
+	return d.cell.Load()
 }
 
 // State returns the state of a job, and whether the cell has it. It is not
@@ -255,8 +272,8 @@
 	if was {
 		return
 	}
-	d.Scope.Counter("seats_lost_total").Inc(1)
-	level.Warn(d.Log).Log("event", "seat_lost", "cell", d.Name, "epoch", d.Claim.Epoch(), "why", why)
+	d.Scope.Counter("cell_leases_lost_total").Inc(1)
+	level.Warn(d.Log).Log("event", "cell_lease_lost", "cell", d.Name, "epoch", d.Claim.Epoch(), "why", why)
 	d.cancel()
 	go d.Lost()
 }
@@ -351,10 +368,13 @@
 	for id, l := range d.links {
 		d.cell.Silent(id, l.silent(now))
 	}
-	a := d.cell.Place(now, now, d.Callers())
-	for i := range a.Starts {
-		d.startRun(a.Starts[i])
+	if d.cell.HeldBack() {
+		d.heldBack = now
 	}
+	carried := d.carries(now)
+	d.cell.SendMost(d.starts.Free(), carried)
+	a := d.cell.Place(now, now, d.Callers())
+	d.startRuns(a.Starts, carried)
 	for i := range a.Stops {
 		d.stopRun(a.Stops[i])
 	}
--- a/driver/driver_test.go
+++ b/driver/driver_test.go
@@ -158,13 +158,13 @@
 		t.fails["a"] = 1 << 20
 		var slow atomic.Bool
 		d := newDriver(ctx, t, func() { slow.Store(true) })
-		before := t.rows[rows.Key{Table: claim.Table, Part: "c", Name: "seat"}].Ver
+		before := t.rows[rows.Key{Table: claim.Table, Part: "c", Name: claim.Range("c").From}].Ver
 		d.Start()
 		ginkgo.DeferCleanup(d.Close)
 		Eventually(slow.Load, 2*loadMost, 20*time.Millisecond).Should(BeTrue())
 		t.mu.Lock()
 		defer t.mu.Unlock()
-		Expect(t.rows[rows.Key{Table: claim.Table, Part: "c", Name: "seat"}].Ver).To(BeNumerically(">", before+4))
+		Expect(t.rows[rows.Key{Table: claim.Table, Part: "c", Name: claim.Range("c").From}].Ver).To(BeNumerically(">", before+4))
 	})
 })
 
--- a/driver/link.go
+++ b/driver/link.go
@@ -21,8 +21,11 @@
 	// between halls; an owner that is short of a processor needs some tens to read them.
 	orderLeast = 100 * time.Millisecond
 	orderMost  = 700 * time.Millisecond
-	// waitTime is how long a worker may wait for an end before it answers.
-	waitTime = 500 * time.Millisecond
+	// attachMost is how many workers of one hall are attached at once. Each answer lists
+	// what runs, about 1 KB: those of five halls take 0.16 s on a link of 2 Mbit/s, within
+	// the time that a first answer has, and all 220 workers of a hall 0.2 s on a fast one.
+	// Those of a hall that is out of reach do not hold up the others.
+	attachMost = 8
 	// quiet is how long an order may go without an answer before the worker is
 	// given nothing more; answers take a few milliseconds.
 	quiet = 150 * time.Millisecond
@@ -64,6 +67,10 @@
 	orders map[uint64]time.Time
 	count  uint64
 	kick   chan struct{}
+	// listed is when the worker last listed what runs there.
+	listed time.Time
+	// attaching has room for as many as may be attached at once.
+	attaching chan struct{}
 	// ver is the version of the newest entry.
 	ver uint64
 }
@@ -79,6 +86,10 @@
 		over: d.began.Add(d.Former + claim.Margin + stretch(d.Lease)),
 	}
 	d.links[id] = l
+	if d.attaching[hall] == nil {
+		d.attaching[hall] = make(chan struct{}, attachMost)
+	}
+	l.attaching = d.attaching[hall]
 	d.workerListChanged = true
 	d.spawn(func() { d.runLink(ctx, l) })
 }
@@ -112,9 +123,15 @@
 	return l.count
 }
 
-// orderTime returns how long the answer to an order is waited for. The lock is held.
+// orderTime returns how long the answer to an order is waited for where nothing else is late.
 func (l *link) orderTime() time.Duration { return l.answers.Wait(orderLeast, orderMost) }
 
+// orderTime returns how long the answer to an order is waited for: longer while the answers
+// of several workers are late, which is then no sign that one is lost. The lock is held.
+func (d *Driver) orderTime(l *link, now time.Time) time.Duration {
+	return min(l.orderTime()+d.lateness.By(now), orderMost)
+}
+
 // lateTimer is how late a timer may be served before it says that this process was not
 // running: its limit is then no sign of how long a worker took.
 const lateTimer = 20 * time.Millisecond
@@ -179,12 +196,20 @@
 
 // hold attaches the worker, or renews its lease.
 func (d *Driver) hold(ctx context.Context, l *link) error {
-	now := time.Now()
 	d.mu.Lock()
 	attach := !l.attached
 	if attach {
+		d.mu.Unlock()
+		select {
+		case l.attaching <- struct{}{}:
+			defer func() { <-l.attaching }()
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		d.mu.Lock()
 		l.fence++
 	}
+	now := time.Now()
 	unsaved := d.cell.Unsaved(l.id)
 	o := HoldOrder{
 		Target:   Target{Worker: l.id, Addr: l.addr, Fence: l.fence},
@@ -196,12 +221,16 @@
 		o.UntilMS = d.until(l, now)
 	}
 	if !attach && !unsaved {
-		o.Wait = waitTime
+		o.Wait = d.lookWithin(l, now)
+		o.Brief = now.Sub(l.listed) < o.Wait
 	}
-	holding, cancel := answerWithin(ctx, o.Wait+l.orderTime())
+	limit := d.orderTime(l, now)
+	// Where a carried hold brings no word of the worker it is sent from here as well.
+	holding, cancel := context.WithCancel(ctx)
 	l.waiting = cancel
+	carried := !attach && d.carries(now)
 	d.mu.Unlock()
-	a, err := d.Workers.Hold(holding, o)
+	a, err := d.sendHold(holding, l.hall, o, limit, carried)
 	cancel()
 	if err != nil {
 		return err
@@ -214,6 +243,38 @@
 	return nil
 }
 
+// lookWithin returns for how long a worker may wait before it answers a look: longer while
+// this side is late, as looks are the first that its link can do without. The lock is held.
+func (d *Driver) lookWithin(l *link, now time.Time) time.Duration {
+	wait := d.cell.LookWithin(l.id)
+	late := d.lateness.By(now)
+	return min(wait+wait*time.Duration(late/lateStep), max(wait, lookLateMost))
+}
+
+const (
+	// For each lateStep that answers are late, looks come that much seldomer, down to one
+	// in lookLateMost, a third of the shortest lease. At 0.15 s, a third of them is left.
+	lateStep     = 50 * time.Millisecond
+	lookLateMost = 2 * time.Second
+)
+
+// sendHold sends a hold, by another instance if carried is set. A hold that is renewed may be
+// sent twice: it orders nothing.
+func (d *Driver) sendHold(ctx context.Context, hall string, o HoldOrder, limit time.Duration, carried bool) (HoldAnswer, error) {
+	if carried {
+		within, cancel := answerWithin(ctx, o.Wait+limit+carryTakes)
+		a, done, err := d.Carriers.Hold(within, hall, o, limit)
+		cancel()
+		if done || ctx.Err() != nil {
+			return a, err
+		}
+		o.Wait = 0
+	}
+	within, cancel := answerWithin(ctx, o.Wait+limit)
+	defer cancel()
+	return d.Workers.Hold(within, o)
+}
+
 // held takes in the answer to a hold.
 func (d *Driver) held(l *link, o HoldOrder, a HoldAnswer, sent time.Time, attach bool) {
 	now := time.Now()
@@ -221,21 +282,25 @@
 	defer d.mu.Unlock()
 	if o.Wait == 0 {
 		l.answers.Answered(now.Sub(sent))
+	} else if late := now.Sub(sent) - o.Wait; late > 0 {
+		d.lateness.Saw(l.id, late, now)
 	}
 	l.heardClock(a.ClockMS, now)
-	if l.fence != o.Fence {
-		// An order was lost meanwhile; this answer is of before.
-		return
-	}
-	if attach && l.lapsed {
+	if attach && l.lapsed && l.fence == o.Fence {
 		d.listAgain(l)
 	}
-	if attach {
+	switch {
+	case l.fence != o.Fence || a.Brief || (!attach && !l.attached):
+		// Where an order was lost meanwhile, what runs is of before. Its ends are facts: a
+		// worker that leaves may not list them again.
+		d.cell.EndsListed(l.id, a.Lists.Finished, now)
+	case attach:
 		d.cell.Attached(l.id, a.Lists, now)
 		l.attached, l.lapsed = true, false
 		level.Debug(d.Log).Log("event", "worker_attached", "worker", l.id, "fence", l.fence, "running", len(a.Lists.Running), "finished", len(a.Lists.Finished))
-	} else if l.attached {
+	default:
 		d.cell.Listed(l.id, a.Lists, sent, now)
+		l.listed = now
 	}
 	for i := range a.Lists.Finished {
 		f := &a.Lists.Finished[i]
@@ -332,11 +397,16 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if l := d.links[id]; l != nil {
-		level.Info(d.Log).Log("event", "worker_dead", "worker", id, "why", why)
-		d.forget(l, time.Now())
+		d.dead(l, why)
 	}
 }
 
+// dead ends the link to a worker whose life is surely over. The lock is held.
+func (d *Driver) dead(l *link, why string) {
+	level.Info(d.Log).Log("event", "worker_dead", "worker", l.id, "why", why)
+	d.forget(l, time.Now())
+}
+
 // unsure makes a link attach again. The lock is held.
 func (d *Driver) unsure(id string) {
 	l := d.links[id]
@@ -351,73 +421,6 @@
 	notify(l.kick)
 }
 
-// startRun sends a start. The lock is held.
-func (d *Driver) startRun(s cell.Start) {
-	l := d.links[s.Worker]
-	if l == nil || !l.attached {
-		// The cell will hear of it when the worker is attached.
-		return
-	}
-	o := StartOrder{
-		Target: Target{Worker: s.Worker, Addr: l.addr, Fence: l.fence},
-		Task:   s.Task, Run: s.Run, Text: s.Text, Saved: s.Saved, Ticket: s.Ticket,
-		UntilMS: d.until(l, time.Now()),
-	}
-	level.Debug(d.Log).Log("event", "start", "job", s.Task.Job, "step", s.Task.Step, "index", s.Task.Index, "run", s.Run, "worker", s.Worker, "fence", o.Fence)
-	number, limit := l.sentOrder(time.Now()), l.orderTime()
-	d.spawn(func() { d.sendStart(o, number, limit) })
-}
-
-func (d *Driver) sendStart(o StartOrder, number uint64, limit time.Duration) {
-	ctx, cancel := answerWithin(d.ctx, limit)
-	defer cancel()
-	sent := time.Now()
-	a, err := d.Workers.Start(ctx, o)
-	if kind.Is(err, kind.NotFound) {
-		d.workerDead(o.Worker, "another life is at its address")
-		return
-	}
-	now := time.Now()
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	l := d.links[o.Worker]
-	if l == nil || d.ctx.Err() != nil {
-		return
-	}
-	delete(l.orders, number)
-	if err != nil {
-		if kind.Is(err, kind.Fenced) && l.fence == o.Fence {
-			go d.lost("worker " + o.Worker + " has seen a higher fence")
-			return
-		}
-		if l.fence == o.Fence {
-			level.Info(d.Log).Log("event", "start_lost", "job", o.Task.Job, "worker", o.Worker, "run", o.Run, "limit_ms", limit.Milliseconds(), "err", err)
-			l.answers.Lost()
-			d.unsure(o.Worker)
-		}
-		return
-	}
-	l.answers.Answered(now.Sub(sent))
-	l.heardClock(a.ClockMS, now)
-	if a.Outcome != cell.Accepted {
-		level.Info(d.Log).Log("event", "start_refused", "job", o.Task.Job, "step", o.Task.Step, "index", o.Task.Index, "worker", o.Worker, "run", o.Run, "outcome", int(a.Outcome))
-	}
-	if l.fence != o.Fence && a.Outcome != cell.Accepted {
-		return
-	}
-	d.cell.Started(o.Worker, o.Task, o.Run, a.Outcome, now)
-	if a.Outcome == cell.NoRoom {
-		l.attached = false
-		if l.waiting != nil {
-			l.waiting()
-		}
-		notify(l.kick)
-	}
-	if a.Outcome != cell.Accepted {
-		notify(d.wake)
-	}
-}
-
 // stopRun sends a stop. The lock is held.
 func (d *Driver) stopRun(s cell.Stop) {
 	l := d.links[s.Worker]
@@ -443,7 +446,7 @@
 // order sends an order whose outcome the worker's lists show. If its answer is
 // lost, the worker is attached again. The lock is held.
 func (d *Driver) order(t Target, send func(context.Context) error) {
-	limit := d.links[t.Worker].orderTime()
+	limit := d.orderTime(d.links[t.Worker], time.Now())
 	d.spawn(func() {
 		ctx, cancel := answerWithin(d.ctx, limit)
 		defer cancel()
--- a/driver/ports.go
+++ b/driver/ports.go
@@ -62,12 +62,17 @@
 	UntilMS int64
 	// Wait is how long the worker may wait for an end before it answers.
 	Wait time.Duration
+	// Brief says that only the ends are wanted, if there are some. Only carriers go by it:
+	// a worker lists everything.
+	Brief bool
 }
 
 // HoldAnswer is the answer to a HoldOrder.
 type HoldAnswer struct {
 	ClockMS int64
 	Lists   cell.Lists
+	// Brief says that what runs is left out of the lists.
+	Brief bool
 }
 
 // Workers gives orders to workers. Errors are of kind Fenced (the worker has
--- a/driver/scan.go
+++ b/driver/scan.go
@@ -73,7 +73,12 @@
 			continue
 		}
 		begun := time.Now()
-		page, err := d.Store.Feed(d.ctx, rows.Since{Table: TableSpecs, Ver: ver})
+		// The homes of jobs are a tenth of what the jobs are, most of which this owner has
+		// been told of.
+		page, err := d.Store.Feed(d.ctx, rows.Since{Table: TableHomes, Ver: ver})
+		if err == nil && !page.Forgotten {
+			err = d.findMissed(page.Rows)
+		}
 		switch {
 		case err != nil:
 			d.logScan(err)
@@ -81,11 +86,33 @@
 			ver = 0
 		default:
 			ver, heard = max(ver, page.Ver), begun
-			d.found(page.Rows)
 		}
 	}
 }
 
+// findMissed reads the jobs of this cell among changed homes that are not known here.
+func (d *Driver) findMissed(homes []rows.Row) error {
+	for _, home := range homes {
+		if home.Gone || string(home.Value) != d.Name || !d.missed(home.Name, home.Ver) {
+			continue
+		}
+		page, err := d.Store.Get(d.ctx, rows.Only(SpecKey(home.Name)))
+		if err != nil {
+			return err
+		}
+		// The row of a job that is over is gone.
+		d.found(page.Rows)
+	}
+	return nil
+}
+
+// missed reports whether a job came after this owner read its jobs, and is not here.
+func (d *Driver) missed(id string, ver uint64) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.isNew(id, ver)
+}
+
 // outdated reports whether what was read of the jobs at a time may hold some that have
 // ended and been forgotten since: those would be taken for new.
 func (d *Driver) outdated(read time.Time) bool { return time.Since(read) > d.Keep/2 }
--- a/driver/watch.go
+++ b/driver/watch.go
@@ -17,24 +17,29 @@
 	readMost  = 2 * time.Second
 	readFull  = 400
 	readRetry = 200 * time.Millisecond
+	// readShare is how many times as long as a reading took the pause after it is: on a
+	// thin link, the list takes at most a tenth of it.
+	readShare = 9
 )
 
-// readPause returns how long to wait after a reading that brought so many workers.
-func readPause(workers int) time.Duration {
-	return min(max(readEvery*time.Duration(workers)/readFull, readEvery), readMost)
+// readPause returns how long to wait after a reading that brought so many workers and took
+// so long.
+func readPause(workers int, took time.Duration) time.Duration {
+	return min(max(readEvery*time.Duration(workers)/readFull, readEvery, took*readShare), readMost)
 }
 
 // watch reads the directory of workers again and again. Its feed would tell of
 // every heartbeat of every worker.
 func (d *Driver) watch() {
 	for d.ctx.Err() == nil {
+		begun := time.Now()
 		entries, err := d.Directory.All(d.ctx)
 		if err != nil {
 			d.sleep(readRetry)
 			continue
 		}
 		d.readAll(entries)
-		d.sleep(readPause(len(entries)))
+		d.sleep(readPause(len(entries), time.Since(begun)))
 	}
 }
 
--- /dev/null
+++ b/internal/rtt/common_test.go
@@ -0,0 +1,31 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package rtt
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// What happened: a list of 48 KB took 0.2 s of a link of 2 Mbit/s, and the answers of all
+// workers that came behind it were taken for lost after 0.1 s.
+func TestAnswersOfSeveralPeersThatAreLateTogether(t *testing.T) {
+	g := NewWithT(t)
+	var c Common
+	now := time.Unix(1000, 0)
+	g.Expect(c.By(now)).To(BeZero())
+	c.Saw("a", 200*time.Millisecond, now)
+	c.Saw("b", 150*time.Millisecond, now)
+	c.Saw("b", 900*time.Millisecond, now)
+	g.Expect(c.By(now)).To(BeZero(), "one or two peers may be slow by themselves")
+	c.Saw("c", 120*time.Millisecond, now)
+	c.Saw("d", 5*time.Millisecond, now)
+	g.Expect(c.By(now)).To(Equal(120 * time.Millisecond))
+	now = now.Add(commonSpan + time.Millisecond)
+	c.Saw("a", time.Millisecond, now)
+	g.Expect(c.By(now)).To(Equal(120*time.Millisecond), "a delay counts for a while")
+	g.Expect(c.By(now.Add(commonSpan))).To(BeZero())
+	g.Expect(c.By(now.Add(time.Minute))).To(BeZero())
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -62,6 +62,9 @@
 	// Processor is the share of a processor that the instance has; those with
 	// more of it own cells first. 0 is not known.
 	Processor float64 `json:"processor"`
+	// LinkMbps is what the instance's link carries, in Mbit/s: long lists are read in
+	// pieces that do not hold up other answers. 0 is not known.
+	LinkMbps float64 `json:"link-mbps"`
 	// Cells is how many cells the workers are divided into, by their racks, when the
 	// deployment starts for the first time; 0 goes by the number of workers then.
 	// It stays as it was decided.
--- a/test/cluster/bed_test.go
+++ b/test/cluster/bed_test.go
@@ -266,7 +266,7 @@
 // ownerOf returns the instance that holds the lease of a cell, nil if none does.
 func (b *bed) ownerOf(cell string) *entry {
 	var lease claim.Lease
-	_ = json.Unmarshal(b.world.Store.Value(claim.Table, cell, "seat"), &lease)
+	_ = json.Unmarshal(b.world.Store.Value(claim.Table, cell, claim.Range(cell).From), &lease)
 	for _, e := range b.entries {
 		if e.name == lease.Owner {
 			return e
--- a/test/cluster/cluster_test.go
+++ b/test/cluster/cluster_test.go
@@ -107,7 +107,7 @@
 		b := start(func(o *world.Options) { o.Advice = true })
 		b.wantWhole(b.submitSome(4, 2, 100, 100*time.Millisecond))
 		for _, line := range []string{
-			`dewpass_seats_taken_total{hall="\w+",why="free"} 1`,
+			`dewpass_cell_leases_taken_total{hall="\w+",why="free"} 1`,
 			`dewpass_store_calls_total{hall="\w+",op="tx",outcome="ok"} \d+`,
 			`dewpass_worker_calls_total{hall="\w+",op="start",outcome="ok"} 16`,
 			`dewpass_policy_calls_total{hall="\w+",op="advise",outcome="ok"} \d+`,
--- a/test/cluster/silent_test.go
+++ b/test/cluster/silent_test.go
@@ -117,7 +117,7 @@
 			return max(longest, time.Since(at))
 		case <-time.After(5 * time.Millisecond):
 		}
-		if now := string(b.world.Store.Value(claim.Table, "cell-0", "seat")); now != last {
+		if now := string(b.world.Store.Value(claim.Table, "cell-0", claim.Range("cell-0").From)); now != last {
 			longest = max(longest, time.Since(at))
 			last, at = now, time.Now()
 		}
