--- a/cell/cell.go
+++ b/cell/cell.go
@@ -62,6 +62,8 @@
 	// left of that during Place, and sendShared says that those of a step share their text.
 	sendMost, sendLeft int
 	sendShared         bool
+	// heldBack says that the last Place left out starts for want of room to send.
+	heldBack bool
 	// turn counts the lists that were taken in.
 	turn int
 	// restless says that there may be runs to stop, and looked when all runs were
--- a/cell/place.go
+++ b/cell/place.go
@@ -59,7 +59,7 @@
 	c.tidy()
 	c.sort(now)
 	unsettled, most := c.unsettled(), c.mostFree()
-	c.sendLeft = c.sendMost
+	c.sendLeft, c.heldBack = c.sendMost, false
 	for _, w := range c.order {
 		w.reserved = sched.Vec{}
 	}
@@ -78,6 +78,7 @@
 		}
 		s.moving = false
 		if c.sendLeft <= 0 {
+			c.heldBack = true
 			c.askAhead(s, q, &a, asks, now)
 			c.tell(s, LinkFull, &a, now)
 			continue
@@ -95,6 +96,7 @@
 			c.placeTasks(s, q, &a, now)
 		}
 		if s.waiting > 0 && c.sendLeft <= 0 {
+			c.heldBack = true
 			why = LinkFull
 		}
 		if s.waiting > 0 && why != HeldUp && why != LinkFull {
@@ -362,4 +364,4 @@
 func (c *Cell) SendMost(bytes int, shared bool) { c.sendMost, c.sendShared = bytes, shared }
 
 // HeldBack reports whether the last decision left out starts for want of room to send.
-func (c *Cell) HeldBack() bool { return c.sendLeft <= 0 }
+func (c *Cell) HeldBack() bool { return c.heldBack }
--- /dev/null
+++ b/cluster/carry_test.go
@@ -0,0 +1,177 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package cluster
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"dewpass.org/cell"
+	"dewpass.org/driver"
+	"dewpass.org/flow"
+	"dewpass.org/kind"
+	"dewpass.org/wire"
+)
+
+// told are workers that note the orders that they get.
+type told struct {
+	driver.Workers
+	mu     sync.Mutex
+	starts []driver.StartOrder
+	ends   []cell.Finished
+}
+
+func (w *told) Start(_ context.Context, o driver.StartOrder) (driver.StartAnswer, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.starts = append(w.starts, o)
+	if o.Worker == "full" {
+		return driver.StartAnswer{ClockMS: 7, Outcome: cell.NoRoom}, nil
+	}
+	if o.Worker == "gone" {
+		return driver.StartAnswer{}, kind.New(kind.NotFound, "another life")
+	}
+	return driver.StartAnswer{ClockMS: 7}, nil
+}
+
+func (w *told) Hold(_ context.Context, o driver.HoldOrder) (driver.HoldAnswer, error) {
+	if o.Worker == "gone" {
+		return driver.HoldAnswer{}, kind.New(kind.NotFound, "another life")
+	}
+	run := cell.Running{Task: flow.TaskID{Job: "j", Time: 1, Step: 2, Index: 3}, Run: 4, Saved: "s", Percent: 50, Tail: 9}
+	return driver.HoldAnswer{ClockMS: 7, Lists: cell.Lists{Running: []cell.Running{run}, Finished: w.ends, Cut: true}}, nil
+}
+
+// passedOn gives a carrier's message to a carrier as it would travel.
+func passedOn(ctx context.Context, n *Instance, orders []driver.StartOrder, text string) ([]driver.StartResult, error) {
+	m := startOrders(orders, time.Second)
+	m.Text = text
+	reply, err := n.handle(ctx, &wire.Request{Body: &wire.Request_Starts{Starts: m}})
+	return startResults(reply.GetStarts()), err
+}
+
+var _ = Describe("orders that another instance sends", func() {
+	order := func(worker string, index int) driver.StartOrder {
+		return driver.StartOrder{
+			Target: driver.Target{Worker: worker, Addr: "a", Fence: 99},
+			Task:   flow.TaskID{Job: "j", Time: 1, Step: 2, Index: index}, Run: 5, Text: "text", Saved: "s", Ticket: "t", UntilMS: 1234,
+		}
+	}
+
+	It("reach the workers as the owner gave them, each with its own result", func(ctx context.Context) {
+		n, w := testInstance(nil), &told{}
+		n.Workers = w
+		orders := []driver.StartOrder{order("good", 3), order("full", 4), order("gone", 5)}
+		got, err := passedOn(ctx, n, orders, "text")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(w.starts).To(ConsistOf(orders))
+		Expect(got).To(HaveLen(3))
+		Expect(got[0].Answer).To(Equal(driver.StartAnswer{ClockMS: 7}))
+		Expect(got[1].Answer.Outcome).To(Equal(cell.NoRoom))
+		Expect(kind.Is(got[2].Err, kind.NotFound)).To(BeTrue())
+	})
+
+	It("bear the text of a job once", func(ctx context.Context) {
+		n, w := testInstance(nil), &told{}
+		n.Workers = w
+		_, err := passedOn(ctx, n, []driver.StartOrder{order("good", 0)}, "")
+		Expect(kind.Is(err, kind.Conflict)).To(BeTrue(), "it does not have the text")
+		Expect(w.starts).To(BeEmpty())
+		_, err = passedOn(ctx, n, []driver.StartOrder{order("good", 0)}, "text")
+		Expect(err).NotTo(HaveOccurred())
+		_, err = passedOn(ctx, n, []driver.StartOrder{order("good", 1)}, "")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(w.starts).To(HaveLen(2))
+		Expect(w.starts[1].Text).To(Equal("text"))
+	})
+
+	It("leave out what runs only where ends are there and nothing else is wanted", func(ctx context.Context) {
+		n, w := testInstance(nil), &told{}
+		n.Workers = w
+		hold := func(worker string, brief bool) (driver.HoldAnswer, error) {
+			reply, err := n.handle(ctx, &wire.Request{Body: &wire.Request_Hold{Hold: &wire.HoldOrder{Worker: worker, Brief: brief}}})
+			Expect(err).NotTo(HaveOccurred())
+			return holdAnswer(reply.GetHold())
+		}
+		a, err := hold("good", true)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(a.Brief).To(BeFalse())
+		Expect(a.Lists.Cut).To(BeTrue())
+		Expect(a.ClockMS).To(Equal(int64(7)))
+		Expect(a.Lists.Running).To(Equal([]cell.Running{{Task: flow.TaskID{Job: "j", Time: 1, Step: 2, Index: 3}, Run: 4, Saved: "s", Percent: 50, Tail: 9}}))
+		w.ends = []cell.Finished{{Number: 3, Task: flow.TaskID{Job: "j"}, Run: 2, How: flow.EndDone, Saved: "x"}}
+		a, err = hold("good", false)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(a.Lists.Running).To(HaveLen(1))
+		a, err = hold("good", true)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(a.Brief).To(BeTrue())
+		Expect(a.Lists.Running).To(BeEmpty())
+		Expect(a.Lists.Finished).To(Equal(w.ends))
+		_, err = hold("gone", true)
+		Expect(kind.Is(err, kind.NotFound)).To(BeTrue(), "the worker's own word comes through")
+	})
+
+	It("go to an instance of the workers' hall, and to one that has the text while it is not busy", func() {
+		n := testInstance(nil)
+		now := time.Now()
+		hear := func(name, hall string) {
+			n.members.heard(&wire.Greeting{Instance: name, Hall: hall, Boot: "b", Addr: name}, now)
+		}
+		by, _ := n.startCarrier("h", "j", 8)
+		Expect(by).To(BeNil())
+		hear("far", "other")
+		by, given := n.startCarrier("h", "j", 8)
+		Expect(by.name).To(Equal("far"))
+		Expect(given).To(BeFalse())
+		hear("near", "h")
+		by, _ = n.startCarrier("h", "j", 8)
+		Expect(by.name).To(Equal("near"))
+		n.given.add("j", "far", now)
+		by, given = n.startCarrier("h", "j", 8)
+		Expect(by.name).To(Equal("far"))
+		Expect(given).To(BeTrue())
+		n.members.carries("far", carryingMost)
+		by, given = n.startCarrier("h", "j", 8)
+		Expect(by.name).To(Equal("near"))
+		Expect(given).To(BeFalse())
+		n.members.carries("far", -2*carryingMost)
+		Expect(n.members.list(now, func(k *member) bool { return k.carrying < 0 })).To(BeEmpty())
+	})
+
+	It("are the owner's own to send while it does not reach the store itself", func() {
+		Expect(carriers{testInstance(nil)}.Ready()).To(BeFalse())
+	})
+})
+
+var _ = Describe("the texts that an instance keeps for owners", func() {
+	It("are those used last, and bounded", func() {
+		var t texts
+		for i := range textsMost {
+			t.set(fmt.Sprint(i), "x")
+		}
+		t.set("0", "x")
+		t.set("new", "x")
+		Expect(t.get("0")).To(Equal("x"))
+		Expect(t.get("1")).To(BeEmpty())
+		Expect(t.texts).To(HaveLen(textsMost))
+		Expect(t.order).To(HaveLen(textsMost))
+	})
+
+	It("are forgotten by their owner a while after the last order", func() {
+		var g given
+		now := time.Now()
+		g.add("j", "a", now)
+		g.add("j", "a", now)
+		g.add("j", "b", now)
+		Expect(g.holders("j", now)).To(Equal([]string{"a", "b"}))
+		Expect(g.holders("j", now.Add(givenFor+1))).To(BeEmpty())
+		g.add("k", "a", now.Add(givenFor+1))
+		Expect(g.jobs).To(HaveLen(1))
+	})
+})
--- a/test/cluster/bed_test.go
+++ b/test/cluster/bed_test.go
@@ -368,3 +368,14 @@
 	}
 	return ids
 }
+
+// callsIn returns the lines of metrics that count calls, which a failure shows whole.
+func callsIn(metrics string) string {
+	var out []string
+	for _, line := range strings.Split(metrics, "\n") {
+		if strings.Contains(line, "_calls_total{") {
+			out = append(out, line)
+		}
+	}
+	return strings.Join(out, "\n")
+}
--- a/test/cluster/cluster_test.go
+++ b/test/cluster/cluster_test.go
@@ -115,7 +115,7 @@
 			`dewpass_job_took_seconds_count{hall="\w+"} 4`,
 			`dewpass_jobs_accepted_total{hall="\w+"} [1-4]`,
 		} {
-			Eventually(b.metrics, 5*time.Second).Should(MatchRegexp(line))
+			Eventually(b.metrics, 5*time.Second).Should(MatchRegexp(line), func() string { return callsIn(b.metrics()) })
 		}
 	})
 
