platform, rows, driver, claim: a row of another writer costs that row alone

Cause: an entry with an unnamed state, without address, service or hall, or with capacity below zero was taken for a worker that is ready; one row whose value is no base64 made its whole page unreadable, and with it the list of workers or the jobs. A lease that cannot be read was free, at epoch 1 below the fences that workers had seen; a job whose record cannot be read began from nothing. Change: rows are read one by one; those that cannot be are told apart, counted and logged once a version. Entries are checked whole; a known worker whose entry turns bad keeps its runs and gets nothing new. An unreadable lease is somebody else's, with its row's version as the epoch. Records and ends with an unnamed state are not read. The window lets through what the link carries in 50 ms.

--- a/claim/claim.go
+++ b/claim/claim.go
@@ -122,7 +122,10 @@
 // SeenIn returns the lease that a reading of Range brought, which was begun at asked.
 func SeenIn(page rows.Page, asked time.Time) Seen {
 	row := page.One()
-	s := Seen{Lease: decode(row.Value), Ver: row.Ver, clock: storeClock{ms: page.ClockMS, asked: asked}}
+	if row.Ver == 0 && len(page.Bad) > 0 {
+		row.Ver = page.Bad[0].Ver
+	}
+	s := Seen{Lease: decode(row), Ver: row.Ver, clock: storeClock{ms: page.ClockMS, asked: asked}}
 	if s.WrittenMS > 0 && page.ClockMS > s.WrittenMS {
 		s.Unwritten = time.Duration(page.ClockMS-s.WrittenMS) * time.Millisecond
 	}
@@ -228,11 +231,19 @@
 	return SeenIn(page, asked), nil
 }
 
-func decode(raw []byte) Lease {
+// unreadable stands for the owner of a lease that cannot be read.
+const unreadable = "?"
+
+// decode reads the lease in a row. One that cannot be read is taken for that of somebody else,
+// who may go on for as long as any owner does. Its epoch is not known, but not above the row's
+// version, as each change of owner is a write: the next owner's is above both.
+func decode(row rows.Row) Lease {
+	if row.Ver == 0 {
+		return Lease{}
+	}
 	var s Lease
-	if len(raw) > 0 {
-		// A lease that cannot be read is one that somebody else holds.
-		_ = json.Unmarshal(raw, &s)
+	if err := json.Unmarshal(row.Value, &s); err != nil {
+		return Lease{Owner: unreadable, Epoch: row.Ver}
 	}
 	return s
 }
@@ -380,7 +391,7 @@
 
 // verdict is for a lease that has changed: by this write, or by another owner.
 func (c *Claim) verdict(row rows.Row, mark string) (rows.Result, error) {
-	lease := decode(row.Value)
+	lease := decode(row)
 	switch {
 	case lease.Mark == mark:
 		c.ver = row.Ver
--- a/cluster/counted.go
+++ b/cluster/counted.go
@@ -16,6 +16,7 @@
 type countedStore struct {
 	rows.Store
 	calls *telemetry.Calls
+	bad   *badRows
 }
 
 func (s countedStore) Tx(ctx context.Context, t rows.Tx) (rows.Result, error) {
@@ -29,6 +30,7 @@
 	begun := time.Now()
 	page, err := s.Store.Get(ctx, r)
 	s.calls.Done("get", begun, err)
+	s.bad.note(page.Bad)
 	return page, err
 }
 
@@ -36,6 +38,7 @@
 	begun := time.Now()
 	page, err := s.Store.Feed(ctx, f)
 	s.calls.Done("feed", begun, err)
+	s.bad.note(page.Bad)
 	return page, err
 }
 
@@ -87,8 +90,8 @@
 }
 
 // counted returns the services with their calls counted.
-func counted(s Services, kit *telemetry.Kit) Services {
-	s.Store = countedStore{s.Store, telemetry.NewCalls(kit.Scope, "store")}
+func counted(s Services, kit *telemetry.Kit, bad *badRows) Services {
+	s.Store = countedStore{s.Store, telemetry.NewCalls(kit.Scope, "store"), bad}
 	s.Workers = countedWorkers{s.Workers, telemetry.NewCalls(kit.Scope, "worker")}
 	if s.Advisor != nil {
 		s.Advisor = countedAdvisor{s.Advisor, telemetry.NewCalls(kit.Scope, "policy")}
--- a/cluster/division.go
+++ b/cluster/division.go
@@ -13,6 +13,7 @@
 	"github.com/go-kit/log/level"
 
 	"dewpass.org/claim"
+	"dewpass.org/driver"
 	"dewpass.org/kind"
 	"dewpass.org/rows"
 )
@@ -150,16 +151,28 @@
 	return d, nil
 }
 
+// usable counts the entries that name a worker.
+func usable(all []driver.Entry) int {
+	count := 0
+	for i := range all {
+		if all[i].Bad == "" && !all[i].Gone {
+			count++
+		}
+	}
+	return count
+}
+
 // decideDivision writes the division once it can be decided, and reports whether it
 // should be read again at once. Of those who decide at the same time one is first.
 func (n *Instance) decideDivision(ctx context.Context, workers *census) bool {
 	row := divisionRow{Cells: n.settings.Cluster.Cells}
 	if row.Cells == 0 {
 		all, err := n.Directory(n.storeClient).All(ctx)
-		if err != nil || !workers.settled(len(all), time.Now()) {
+		count := usable(all)
+		if err != nil || !workers.settled(count, time.Now()) {
 			return false
 		}
-		row = divisionRow{Cells: cellsFor(len(all)), Workers: len(all)}
+		row = divisionRow{Cells: cellsFor(count), Workers: count}
 	}
 	raw, err := json.Marshal(row)
 	if err != nil {
--- a/cluster/greet.go
+++ b/cluster/greet.go
@@ -7,6 +7,7 @@
 	"context"
 	"encoding/json"
 	"maps"
+	"net/netip"
 	"slices"
 	"sync"
 	"time"
@@ -149,6 +150,15 @@
 	Processor uint32 `json:"processor,omitempty"`
 }
 
+func decodeMember(raw []byte) (memberRow, error) {
+	var m memberRow
+	if err := json.Unmarshal(raw, &m); err != nil {
+		return m, err
+	}
+	_, err := netip.ParseAddrPort(m.Addr)
+	return m, err
+}
+
 // register reads the store's list of instances again and again, and writes this instance
 // into it where it does not stand there as it is.
 func (n *Instance) register(ctx context.Context) {
@@ -195,10 +205,12 @@
 	}
 	var listed []memberRow
 	for _, r := range all {
-		var m memberRow
-		if json.Unmarshal(r.Value, &m) == nil {
-			listed = append(listed, m)
+		m, err := decodeMember(r.Value)
+		if err != nil {
+			n.badRows.note([]rows.Bad{{Key: r.Key, Ver: r.Ver, Reason: err.Error()}})
+			continue
 		}
+		listed = append(listed, m)
 	}
 	n.members.found(listed, time.Now())
 	return all, true
--- a/cluster/instance.go
+++ b/cluster/instance.go
@@ -71,6 +71,7 @@
 	arriving atomic.Pointer[time.Time]
 	// configLogged is when a line was last logged on a configuration that was not read.
 	configLogged atomic.Pointer[time.Time]
+	badRows      *badRows
 	members      *members
 	homes        homes
 	ends         ends
@@ -182,8 +183,9 @@
 }
 
 func newInstance(s *settings.Settings, kit *telemetry.Kit, services Services) *Instance {
+	bad := newBadRows(kit)
 	n := &Instance{
-		Services: counted(services, kit), settings: s, kit: kit, boot: uid.New(), began: time.Now(),
+		Services: counted(services, kit, bad), badRows: bad, settings: s, kit: kit, boot: uid.New(), began: time.Now(),
 		members:    newMembers(s.Instance, s.Hall, s.Peers, s.Listen.Peer, time.Now()),
 		dialer:     &link.Dialer{},
 		cells:      make(map[string]*ownCell),
--- a/cluster/own.go
+++ b/cluster/own.go
@@ -41,7 +41,8 @@
 	d = driver.New(driver.Config{
 		Name: name, Mine: func(rack string) bool { return n.division.draw(rack) == name },
 		Lease: t.lease, Keep: t.keep, Former: former,
-		Claim: c, Store: n.storeClient, Reachable: n.storeClient.Reachable,
+		LinkRate: n.settings.Cluster.LinkRate(),
+		Claim:    c, Store: n.storeClient, Reachable: n.storeClient.Reachable,
 		Workers: n.Workers, Carriers: carriers{n}, Directory: n.Directory(n.storeClient),
 		Advise: n.advise, Callers: n.callers, HeardByAll: func() bool { return n.heardByAll(c.Written()) }, Succeeded: n.ends.all,
 		Lost:         func() { n.dropDriver(name, d) },
--- a/driver/driver.go
+++ b/driver/driver.go
@@ -41,6 +41,8 @@
 	// Carriers send orders where this instance cannot send all by itself; nil is none.
 	Carriers  Carriers
 	Directory Directory
+	// LinkRate is how many bytes a second this instance's link carries, 0 if not known.
+	LinkRate int
 	// Advise asks the policy, and Callers is how many questions may be under
 	// way at once.
 	Advise  func(ctx context.Context, a cell.Ask) (Tickets, error)
@@ -87,6 +89,8 @@
 	workerListRows, workerListSize int
 	// starts bounds the starts under way by what this instance's link and processor carry.
 	starts window.Window
+	// bad holds why entries of workers could not be used, as last logged.
+	bad map[string]string
 	// lateness follows by how much the answers of workers are late by this side's doing.
 	lateness rtt.Common
 	// heldBack is when orders were last held back for want of room to send.
@@ -127,6 +131,7 @@
 		write:     make(chan struct{}, 1),
 		began:     time.Now(),
 	}
+	d.starts.Rate = d.LinkRate
 	if d.Carriers == nil {
 		d.Carriers = noCarriers{}
 	}
--- /dev/null
+++ b/driver/foreign_test.go
@@ -0,0 +1,160 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package driver
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"dewpass.org/cell"
+	"dewpass.org/flow"
+	"dewpass.org/kind"
+	"dewpass.org/rows"
+	"dewpass.org/sched"
+)
+
+var _ = ginkgo.Describe("an entry that another writer left", func() {
+	room := sched.Vec{sched.Milli: 1000, sched.MiB: 1000}
+	good := func(ver uint64) Entry {
+		return Entry{Worker: cell.Worker{ID: "w", Addr: "w", Pool: "p", Hall: "h", Room: room}, Ver: ver}
+	}
+	bad := func(id string, ver uint64) Entry {
+		return Entry{Worker: cell.Worker{ID: id}, Ver: ver, Bad: "state \"retired\""}
+	}
+	place := func(d *Driver) []cell.Start {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		now := time.Now()
+		return d.cell.Place(now, now, 0).Starts
+	}
+	// known is a driver that knows a worker, which runs one of two tasks.
+	known := func(ctx context.Context) *Driver {
+		d := newDriver(ctx, newTable(), func() {})
+		d.readAll([]Entry{good(1)})
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		now := time.Now()
+		d.cell.Configure([]cell.Queue{{Name: "q", Pool: "p", MaxAttempts: 1}})
+		d.cell.Attached("w", cell.Lists{}, now)
+		step := flow.Step{Count: 2, Demand: sched.Vec{sched.Milli: 800}}
+		d.cell.Submit(&flow.Spec{ID: "0", Cell: "c", Queue: "q", Hall: "h", Steps: []flow.Step{step}}, now, now)
+		d.cell.Keep("0")
+		return d
+	}
+
+	ginkgo.It("names no worker", func(ctx context.Context) {
+		d := newDriver(ctx, newTable(), func() {})
+		defer d.Close()
+		d.readAll([]Entry{bad("x", 1), good(1)})
+		Expect(d.links).To(HaveLen(1))
+	})
+
+	ginkgo.It("in place of that of a known worker keeps what runs there and adds nothing", func(ctx context.Context) {
+		d := known(ctx)
+		defer d.Close()
+		Expect(place(d)).To(HaveLen(1))
+		d.readAll([]Entry{bad("w", 2)})
+		Expect(d.links).To(HaveKey("w"), "what runs there goes on")
+		d.mu.Lock()
+		Expect(d.cell.Busy("w")).To(BeTrue())
+		d.cell.Listed("w", cell.Lists{Finished: []cell.Finished{{Number: 1, Task: flow.TaskID{Job: "0"}, Run: 1 + int(d.Claim.Epoch())*runsPerEpoch, How: flow.EndDone}}}, time.Now(), time.Now())
+		d.mu.Unlock()
+		Expect(place(d)).To(BeEmpty(), "there is room, but the entry names no worker to use")
+		d.readAll([]Entry{good(3)})
+		Expect(place(d)).To(HaveLen(1), "it is used again once its own entry is back")
+	})
+
+	ginkgo.It("that is older than the worker's own changes nothing", func(ctx context.Context) {
+		d := known(ctx)
+		defer d.Close()
+		d.readAll([]Entry{good(5)})
+		d.readAll([]Entry{bad("w", 2)})
+		Expect(place(d)).To(HaveLen(1))
+	})
+
+	ginkgo.It("is logged once in each of its kinds, and forgotten in the end", func(ctx context.Context) {
+		d := newDriver(ctx, newTable(), func() {})
+		defer d.Close()
+		for i := range 3 * badLogMost {
+			d.readAll([]Entry{bad(string(rune('a'+i%26))+time.Duration(i).String(), 1)})
+		}
+		Expect(len(d.bad)).To(BeNumerically("<=", badLogMost))
+	})
+})
+
+// What is done of a job is known from its record alone.
+var _ = ginkgo.Describe("a job whose record cannot be read", func() {
+	spec := func(id string) rows.Row {
+		raw, err := json.Marshal(flow.Spec{ID: id, Cell: "c", Queue: "q", Steps: []flow.Step{{Count: 1}}})
+		Expect(err).NotTo(HaveOccurred())
+		return rows.Row{Key: SpecKey(id), Value: raw, Ver: 1}
+	}
+
+	ginkgo.It("is not run again", func(ctx context.Context) {
+		d := newDriver(ctx, newTable(), func() {})
+		defer d.Close()
+		records := []rows.Row{
+			{Key: RecordKey("c", "1"), Value: []byte(`{"state":"running","stages":[{"done":`)},
+			{Key: RecordKey("c", "2"), Value: []byte(`{"state":"odd"}`)},
+			{Key: RecordKey("c", "3"), Value: []byte(`{"state":"running","stages":[{}]}`)},
+		}
+		d.restore([]rows.Row{spec("0"), spec("1"), spec("2"), spec("3")}, records, []rows.Bad{{Key: RecordKey("c", "0"), Reason: "value"}})
+		for id, runs := range map[string]bool{"0": false, "1": false, "2": false, "3": true} {
+			Expect(d.cell.Known(id)).To(Equal(runs), id)
+		}
+	})
+
+	ginkgo.It("does not keep a job away whose own row is another writer's", func(ctx context.Context) {
+		d := newDriver(ctx, newTable(), func() {})
+		defer d.Close()
+		odd := rows.Row{Key: SpecKey("9"), Value: []byte(`{"id":"9","cell":"c","steps":[{"count":-1}]}`), Ver: 1}
+		d.restore([]rows.Row{odd, {Key: SpecKey("8"), Value: []byte(`null`), Ver: 1}, spec("3")}, nil, nil)
+		Expect(d.cell.Known("9")).To(BeFalse())
+		Expect(d.cell.Known("3")).To(BeTrue())
+	})
+})
+
+
+// Most jobs are told to the owner by the instance that took them: reading all of them again
+// took 10 KB/s of a link that carries 250.
+var _ = ginkgo.Describe("jobs that nobody told an owner of", func() {
+	home := func(id, cell string, ver uint64) rows.Row {
+		return rows.Row{Key: HomeKey(id), Value: []byte(cell), Ver: ver}
+	}
+
+	ginkgo.It("are found by their homes, and only they are read", func(ctx context.Context) {
+		t := newTable()
+		t.putSpec("a1")
+		t.putSpec("b1")
+		t.putSpec("c1")
+		d := newDriver(ctx, t, func() {})
+		defer d.Close()
+		d.loaded = true
+		Expect(d.Adopt(&flow.Spec{ID: "a1", Cell: "c", Queue: "q", Steps: []flow.Step{{Count: 1}}}, 50)).To(Succeed())
+		gone := home("d1", "c", 60)
+		gone.Gone = true
+		before := t.reads["b"]
+		Expect(d.findMissed([]rows.Row{home("a1", "c", 50), home("b1", "c", 51), home("c1", "other", 52), gone, home("e1", "c", 53)})).To(Succeed())
+		Expect(d.cell.Known("b1")).To(BeTrue())
+		Expect(d.cell.Known("c1")).To(BeFalse())
+		Expect(t.reads["b"]).To(Equal(before + 1))
+		Expect(t.reads["a"]).To(BeZero(), "it was told")
+		Expect(d.cell.Known("e1")).To(BeFalse(), "its row is gone: it is over")
+	})
+
+	ginkgo.It("are looked for again if they cannot be read now", func(ctx context.Context) {
+		t := newTable()
+		t.putSpec("b1")
+		t.fails["b"] = 1
+		d := newDriver(ctx, t, func() {})
+		defer d.Close()
+		d.loaded = true
+		Expect(kind.Is(d.findMissed([]rows.Row{home("b1", "c", 51)}), kind.Lost)).To(BeTrue())
+		Expect(d.findMissed([]rows.Row{home("b1", "c", 51)})).To(Succeed())
+		Expect(d.cell.Known("b1")).To(BeTrue())
+	})
+})
--- a/driver/load.go
+++ b/driver/load.go
@@ -90,7 +90,7 @@
 		}
 		if err == nil {
 			d.scanned = r.ver()
-			d.restore(r.jobs(), r.records.Rows)
+			d.restore(r.jobs(), r.records.Rows, r.records.Bad)
 			d.Heard(d.Succeeded())
 			d.restoreWorkerList(r.workerList.Rows)
 			return true
@@ -105,14 +105,22 @@
 	return false
 }
 
-func (d *Driver) restore(specs, records []rows.Row) {
+func (d *Driver) restore(specs, records []rows.Row, bad []rows.Bad) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
 	byID := make(map[string]*flow.Record, len(records))
+	// What of a job was done is not known without its record. It is left alone, so that
+	// nothing of it runs twice, until the row is put right.
+	unreadable := make(map[string]bool)
+	for _, b := range bad {
+		unreadable[b.Name] = true
+		level.Error(d.Log).Log("event", "bad_record", "job", b.Name, "err", b.Reason)
+	}
 	for _, r := range records {
 		rec, err := flow.DecodeRecord(r.Value)
 		if err != nil {
+			unreadable[r.Name] = true
 			level.Error(d.Log).Log("event", "bad_record", "job", r.Name, "err", err)
 			continue
 		}
@@ -124,7 +132,7 @@
 			level.Error(d.Log).Log("event", "bad_spec", "job", r.Name, "err", err)
 			continue
 		}
-		if spec.Cell != d.Name {
+		if spec.Cell != d.Name || unreadable[r.Name] {
 			continue
 		}
 		rec := byID[r.Name]
--- a/driver/ports.go
+++ b/driver/ports.go
@@ -90,6 +90,9 @@
 	cell.Worker
 	// Ver is the version of the entry; a lower one is older.
 	Ver uint64
+	// Bad says why the entry names no worker to use, "" if it does. Only its id and version
+	// count then.
+	Bad string
 }
 
 // Directory lists the workers.
--- a/driver/watch.go
+++ b/driver/watch.go
@@ -57,6 +57,10 @@
 	now := time.Now()
 	there := make(map[string]bool, len(entries))
 	for _, e := range entries {
+		if e.Bad != "" {
+			d.heardBad(&e, now)
+			continue
+		}
 		there[e.ID] = true
 		d.heard(e, now)
 	}
@@ -91,6 +95,28 @@
 	link.missing = time.Time{}
 }
 
+// badLogMost bounds the entries that are remembered as logged.
+const badLogMost = 1000
+
+// heardBad takes in an entry that cannot be used. A worker that is known by that id is
+// given nothing new from now on. What runs there goes on under its leases: the entry says
+// nothing of that. The lock is held.
+func (d *Driver) heardBad(e *Entry, now time.Time) {
+	d.Scope.Counter("bad_worker_entries_total").Inc(1)
+	if d.bad == nil || len(d.bad) >= badLogMost {
+		d.bad = make(map[string]string)
+	}
+	l := d.links[e.ID]
+	if d.bad[e.ID] != e.Bad {
+		d.bad[e.ID] = e.Bad
+		level.Warn(d.Log).Log("event", "bad_worker_entry", "worker", e.ID, "version", e.Ver, "why", e.Bad, "known", l != nil)
+	}
+	if l != nil && e.Ver >= l.ver {
+		d.miss(l, now)
+		d.cell.Missing(l.id)
+	}
+}
+
 // miss takes in that a worker has no entry. The lock is held.
 func (d *Driver) miss(l *link, now time.Time) {
 	switch {
--- a/flow/record.go
+++ b/flow/record.go
@@ -2,7 +2,12 @@
 
 package flow
 
-import "encoding/json"
+import (
+	"encoding/json"
+	"strconv"
+
+	"dewpass.org/kind"
+)
 
 // Record is what must last of a job beside its Spec.
 type Record struct {
@@ -39,7 +44,13 @@
 // DecodeEnded reads the row of an Ended.
 func DecodeEnded(raw []byte) (*Ended, error) {
 	e := new(Ended)
-	return e, json.Unmarshal(raw, e)
+	if err := json.Unmarshal(raw, e); err != nil {
+		return e, err
+	}
+	if !e.State.Final() {
+		return e, kind.New(kind.Damaged, "an end with state "+strconv.Quote(string(e.State)))
+	}
+	return e, nil
 }
 
 // Bits is a set of small numbers. Its zero value is empty.
@@ -69,11 +80,20 @@
 // DecodeSpec reads the row of a Spec.
 func DecodeSpec(raw []byte) (*Spec, error) {
 	s := new(Spec)
-	return s, json.Unmarshal(raw, s)
+	if err := json.Unmarshal(raw, s); err != nil {
+		return s, err
+	}
+	return s, s.Check()
 }
 
 // DecodeRecord reads the row of a Record.
 func DecodeRecord(raw []byte) (*Record, error) {
 	r := new(Record)
-	return r, json.Unmarshal(raw, r)
+	if err := json.Unmarshal(raw, r); err != nil {
+		return r, err
+	}
+	if !r.State.Final() && r.State != Pending && r.State != Running {
+		return r, kind.New(kind.Damaged, "a record with state "+strconv.Quote(string(r.State)))
+	}
+	return r, nil
 }
--- a/internal/window/window.go
+++ b/internal/window/window.go
@@ -16,14 +16,12 @@
 	// Target is how long requests may queue: half of the least time that the answer to
 	// an order is waited for, so that a queue of this sender's own never looks like a loss.
 	Target = 50 * time.Millisecond
-	// initial takes some tens of requests, 0.13 s on a link of 2 Mbit/s.
-	initial = 32 << 10
-	// least lets some tens of requests through whatever the answers say: the link may be
-	// full of what is less urgent than they are. With 6 KB, starts got an eighth of a link of
-	// 2 Mbit/s on which answers took 0.2 s. most is more than 1 Gbit/s carries within a round
-	// trip of some milliseconds.
-	least = 24 << 10
-	most  = 4 << 20
+	// leastShort bounds the least from below: some tens of requests go through whatever the
+	// answers say, as the link may be full of what is less urgent. With 6 KB, starts got an
+	// eighth of a link of 2 Mbit/s on which answers took 0.2 s.
+	leastShort = 24 << 10
+	// most is more than 1 Gbit/s carries within a round trip of some milliseconds.
+	most = 4 << 20
 	// segment is by how much the window grows in a round trip once it has met its limit:
 	// about one packet.
 	segment = 1400
@@ -36,6 +34,12 @@
 
 // Window bounds the bytes under way. Its zero value is ready for use.
 type Window struct {
+	// Rate is how many bytes a second the own link carries, 0 if that is not known. As many
+	// as it carries within Target are always let through: answers that are late although
+	// the link is not full say that something else is slow, and waiting here as well would
+	// not help that.
+	Rate int
+
 	size, used int
 	// met says that the target was exceeded before: the window does not double any more.
 	met bool
@@ -49,11 +53,11 @@
 // are under way.
 func (w *Window) Free() int { return w.limit() - w.used }
 
-func (w *Window) limit() int {
-	if w.size == 0 {
-		return initial
-	}
-	return w.size
+func (w *Window) limit() int { return max(w.size, w.least()) }
+
+// least returns the least size of the window, with which it begins.
+func (w *Window) least() int {
+	return min(max(int(float64(w.Rate)*Target.Seconds()), leastShort), most)
 }
 
 // Sent takes in that a request of n bytes was sent.
@@ -105,7 +109,7 @@
 	w.set(w.limit() / 2)
 }
 
-func (w *Window) set(size int) { w.size = min(max(size, least), most) }
+func (w *Window) set(size int) { w.size = min(max(size, w.least()), most) }
 
 // shortest returns the shortest answer of late, of which took is the newest.
 func (w *Window) shortest(took time.Duration, now time.Time) time.Duration {
--- a/rows/rows.go
+++ b/rows/rows.go
@@ -88,6 +88,27 @@
 	ClockMS int64  `json:"clock,omitempty"`
 	// Forgotten says that the changes asked for are not known any more.
 	Forgotten bool `json:"forgotten,omitempty"`
+	// Bad holds the rows that cannot be read. They cost themselves and no other row.
+	Bad []Bad `json:"bad,omitempty"`
+	// Last is the last name of the page, of a row that can be read or not; "" is that of
+	// the last one in Rows.
+	Last string `json:"last,omitempty"`
+}
+
+// Bad is a row that cannot be read: another writer's, or damaged.
+type Bad struct {
+	// Key is what of the row's key can be read.
+	Key
+	Ver    uint64 `json:"v,omitempty"`
+	Reason string `json:"why"`
+}
+
+// last returns the last name of a page, "" if it has none.
+func (p *Page) last() string {
+	if p.Last == "" && len(p.Rows) > 0 {
+		return p.Rows[len(p.Rows)-1].Name
+	}
+	return p.Last
 }
 
 // Store is a transactional store of rows. Errors are of kind Unavailable when
@@ -116,6 +137,8 @@
 // value has read nothing.
 type Reading struct {
 	Rows []Row
+	// Bad holds the rows of the range that cannot be read.
+	Bad []Bad
 	// Ver is the version of the first page: what is not there was written after it, or
 	// removed.
 	Ver  uint64
@@ -134,14 +157,14 @@
 		if err != nil {
 			return err
 		}
-		p.Rows = append(p.Rows, page.Rows...)
+		p.Rows, p.Bad = append(p.Rows, page.Rows...), append(p.Bad, page.Bad...)
 		if p.Ver == 0 {
 			p.Ver = page.Ver
 		}
-		p.Done = !page.More || len(page.Rows) == 0
-		if !p.Done {
-			p.from = page.Rows[len(page.Rows)-1].Name + "\x00"
-		}
+		next := page.last() + "\x00"
+		// A page that brings no later name would come again and again.
+		p.Done = !page.More || next <= p.from
+		p.from = next
 	}
 	return nil
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -154,6 +154,9 @@
 	return s, nil
 }
 
+// LinkRate returns how many bytes a second the link carries, 0 if that is not known.
+func (c *Cluster) LinkRate() int { return int(c.LinkMbps * 1e6 / 8) }
+
 // fill sets the defaults of what was left out.
 func (c *Cluster) fill() {
 	if c.Lease == 0 {
--- a/upkeep/book.go
+++ b/upkeep/book.go
@@ -9,6 +9,8 @@
 
 // Wave is what operators ask.
 type Wave struct {
+	// Bad says why what the operators' table holds asks for no wave, "" if it does.
+	Bad      string
 	Number   int
 	Machines []string
 	// Most is how many may be down for this wave at once, and Time how long all
--- a/upkeep/runner.go
+++ b/upkeep/runner.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"strconv"
 	"time"
 
@@ -76,13 +77,13 @@
 	if err != nil {
 		return err
 	}
-	open := 0
-	for i := range waves {
-		if !waves[i].Done {
-			open++
+	waves = slices.DeleteFunc(waves, func(w Wave) bool {
+		if w.Bad != "" {
+			level.Warn(r.Log).Log("event", "bad_wave", "why", w.Bad)
 		}
-	}
-	if open == 0 {
+		return w.Bad != "" || w.Done
+	})
+	if len(waves) == 0 {
 		r.Cell.Empty(nil, 0)
 		return nil
 	}
@@ -90,13 +91,8 @@
 	if err != nil {
 		return err
 	}
-	for i := range waves {
-		if w := &waves[i]; !w.Done {
-			// One wave after another: a machine may be of several.
-			return r.wave(ctx, w, index(all))
-		}
-	}
-	return nil
+	// One wave after another: a machine may be of several.
+	return r.wave(ctx, &waves[0], index(all))
 }
 
 // page is a Book with the version at which it was read.
