--- a/cell/reserve.go
+++ b/cell/reserve.go
@@ -221,10 +221,7 @@
 			continue
 		}
 		free = free.Add(r.taken)
-		r.stopping, r.stopSent = true, time.Time{}
-		r.stage.tasks[r.index].yields++
-		r.stage.job.story.Yields++
-		c.restless = true
+		c.makeYield(r)
 	}
 }
 
--- a/cell/stop.go
+++ b/cell/stop.go
@@ -22,6 +22,9 @@
 	copyAfter = 400 * time.Millisecond
 )
 
+// Restless reports whether there are runs to stop that the last decision did not see yet.
+func (c *Cell) Restless() bool { return c.restless }
+
 // stops decides which runs to stop: those that nobody wants any more, and those
 // that stand still.
 func (c *Cell) stops(a *Actions, now time.Time) {
--- a/driver/driver.go
+++ b/driver/driver.go
@@ -395,6 +395,10 @@
 		d.spawn(func() { d.ask(ask) })
 	}
 	d.archiveEnded()
+	if d.cell.Restless() {
+		// Somebody is to yield: the stops go out with the next decision.
+		notify(d.wake)
+	}
 	if d.cell.Dirty() {
 		notify(d.write)
 	}
