--- a/cell/urgent_test.go
+++ b/cell/urgent_test.go
@@ -100,7 +100,7 @@
 			c.Place(now.Add(at), now.Add(at), 0)
 			return c.Place(now.Add(at+time.Millisecond), now.Add(at+time.Millisecond), 0).Stops
 		}
-		Expect(stops(urgentAfter / 2)).To(BeEmpty(), "room may come free by itself")
+		Expect(stops(urgentAfter/2)).To(BeEmpty(), "room may come free by itself")
 		got := stops(urgentAfter)
 		Expect(got).To(HaveLen(2))
 		for _, s := range got {
--- a/cluster/fleet_test.go
+++ b/cluster/fleet_test.go
@@ -34,6 +34,6 @@
 			n.members.heard(&wire.Greeting{Instance: "far" + name, Hall: "other", Boot: "b", Addr: "far" + name}, now)
 		}
 		Expect(auditors(n.members.inHall(now))).To(Equal(3))
-		Expect(auditors(n.members.inHall(now.Add(2 * silence)))).To(Equal(1), "an instance that hears nobody reads by itself")
+		Expect(auditors(n.members.inHall(now.Add(2*silence)))).To(Equal(1), "an instance that hears nobody reads by itself")
 	})
 })
--- a/cluster/greet.go
+++ b/cluster/greet.go
@@ -34,7 +34,7 @@
 	// that the others need it only if they heard no greeting.
 	membersFew  = 30
 	membersMost = 30 * time.Second
-	membersSoon  = 300 * time.Millisecond
+	membersSoon = 300 * time.Millisecond
 )
 
 // greeting says who this instance is.
--- a/driver/foreign_test.go
+++ b/driver/foreign_test.go
@@ -118,7 +118,6 @@
 	})
 })
 
-
 // Most jobs are told to the owner by the instance that took them: reading all of them again
 // took 10 KB/s of a link that carries 250.
 var _ = ginkgo.Describe("jobs that nobody told an owner of", func() {
