--- a/cell/cell.go
+++ b/cell/cell.go
@@ -64,8 +64,6 @@
 	sendShared         bool
 	// heldBack says that the last Place left out starts for want of room to send.
 	heldBack bool
-	// stopTook is how long stops take, 0 if none was seen.
-	stopTook time.Duration
 	// turn counts the lists that were taken in.
 	turn int
 	// restless says that there may be runs to stop, and looked when all runs were
--- a/cell/ends.go
+++ b/cell/ends.go
@@ -13,7 +13,6 @@
 func (c *Cell) ended(w *worker, f Finished, now time.Time) {
 	r := w.runs[runKey{f.Task, f.Run}]
 	if r != nil {
-		c.stopped(r, f.How, now)
 		c.drop(r)
 	}
 	s := c.stage(flow.StepID{Job: f.Task.Job, Time: f.Task.Time, Step: f.Task.Step})
--- a/cell/job.go
+++ b/cell/job.go
@@ -61,8 +61,6 @@
 	doneAt    time.Time
 	// chain is the estimate of the work from this step to the end of its job.
 	chain time.Duration
-	// urged is when others were last made to yield to it.
-	urged time.Time
 	// told is when it was last told that the stage waits.
 	told time.Time
 	// rank is the stage's place in the present order.
--- a/cell/place.go
+++ b/cell/place.go
@@ -61,7 +61,7 @@
 	unsettled, most := c.unsettled(), c.mostFree()
 	c.sendLeft, c.heldBack = c.sendMost, false
 	for _, w := range c.order {
-		w.reserved, w.promised = sched.Vec{}, sched.Vec{}
+		w.reserved = sched.Vec{}
 	}
 	for _, s := range c.open {
 		q := c.queues[s.job.spec.Queue]
@@ -102,7 +102,6 @@
 		if s.waiting > 0 && why != HeldUp && why != LinkFull {
 			c.askFor(s, q, &a, asks, now)
 			c.reserve(s, q, now)
-			c.urge(s, q, now)
 		}
 		c.tell(s, why, &a, now)
 	}
--- a/cell/reserve.go
+++ b/cell/reserve.go
@@ -221,7 +221,10 @@
 			continue
 		}
 		free = free.Add(r.taken)
-		c.makeYield(r)
+		r.stopping, r.stopSent = true, time.Time{}
+		r.stage.tasks[r.index].yields++
+		r.stage.job.story.Yields++
+		c.restless = true
 	}
 }
 
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -36,8 +36,6 @@
 	free        sched.Vec
 	// reserved is what is held for steps that come first in the order, during Place.
 	reserved sched.Vec
-	// promised is what comes free for steps to which runs here yield, during Place.
-	promised sched.Vec
 	runs     map[runKey]*run
 	// held holds the same runs in the order in which they came, so that decisions
 	// repeat, and fills counts those that fill.
