--- a/cluster/fleet_test.go
+++ b/cluster/fleet_test.go
@@ -9,6 +9,8 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"dewpass.org/cell"
+	"dewpass.org/driver"
 	"dewpass.org/wire"
 )
 
@@ -37,3 +39,10 @@
 		Expect(auditors(n.members.inHall(now.Add(2*silence)))).To(Equal(1), "an instance that hears nobody reads by itself")
 	})
 })
+
+var _ = Describe("the division into cells", func() {
+	It("does not count entries that name no worker", func() {
+		all := []driver.Entry{{}, {Bad: "state"}, {Worker: cell.Worker{Gone: true}}, {}}
+		Expect(usable(all)).To(Equal(2))
+	})
+})
--- a/driver/carry_test.go
+++ b/driver/carry_test.go
@@ -280,3 +280,59 @@
 		Expect(again(d)).To(HaveLen(1))
 	})
 })
+
+// What happened: a list of 48 KB in front of them made the answers of all workers 0.2 s late, and
+// each was taken for lost after 0.1 s.
+var _ = ginkgo.Describe("the limit of an order", func() {
+	ginkgo.It("grows while the answers of several workers are late, within its bound", func(ctx context.Context) {
+		d := newDriver(ctx, newTable(), func() {})
+		defer d.Close()
+		l, now := &link{}, time.Now()
+		l.answers.Answered(4 * time.Millisecond)
+		Expect(d.orderTime(l, now)).To(Equal(orderLeast))
+		Expect(d.lookWithin(l, now)).To(Equal(d.cell.LookWithin(l.id)))
+		for _, w := range []string{"a", "b", "c"} {
+			d.lateness.Saw(w, 200*time.Millisecond, now)
+		}
+		Expect(d.orderTime(l, now)).To(Equal(orderLeast + 200*time.Millisecond))
+		Expect(d.lookWithin(l, now)).To(Equal(lookLateMost), "looks are what the link can do without")
+		for _, w := range []string{"a", "b", "c"} {
+			d.lateness.Saw(w, time.Minute, now)
+		}
+		Expect(d.orderTime(l, now)).To(Equal(orderMost))
+	})
+})
+
+// crowd are workers that note how many of them are being held at once.
+type crowd struct {
+	away
+	mu        sync.Mutex
+	now, most int
+}
+
+func (c *crowd) Hold(ctx context.Context, _ HoldOrder) (HoldAnswer, error) {
+	c.mu.Lock()
+	c.now++
+	c.most = max(c.most, c.now)
+	c.mu.Unlock()
+	select {
+	case <-time.After(20 * time.Millisecond):
+	case <-ctx.Done():
+	}
+	c.mu.Lock()
+	c.now--
+	c.mu.Unlock()
+	return HoldAnswer{}, errAway
+}
+
+var _ = ginkgo.Describe("the workers of a hall", func() {
+	ginkgo.It("are attached a few at a time", func(ctx context.Context) {
+		d := newDriver(ctx, newTable(), func() {})
+		defer d.Close()
+		c := &crowd{}
+		d.Workers, d.Directory = c, many{}
+		d.Start()
+		Eventually(func() int { c.mu.Lock(); defer c.mu.Unlock(); return c.most }, "5s").Should(Equal(attachMost))
+		Consistently(func() int { c.mu.Lock(); defer c.mu.Unlock(); return c.most }, "300ms").Should(Equal(attachMost))
+	})
+})
