link: a session on which only a late byte came is probed and replaced

Cause: a session counted as silent only if nothing had been heard since the request that failed began. A byte of the exchange before that was read after that moment, mostly the close of its stream by the peer, made it count as heard, and the next request was needed. Silence cannot be counted from the last byte alone either: a live peer acknowledges a request at once and then may work on it for long.

Change: where something was heard since, but not for 0.3 s, a ping is sent when the request fails, and the session is closed if nothing comes within 0.3 s more.

--- a/link/dialer.go
+++ b/link/dialer.go
@@ -63,9 +63,12 @@
 	defer stream.Close()
 	var reply wire.Reply
 	if err := exchange(stream, req, &reply); err != nil {
-		if session.silent(begun, time.Now()) {
+		switch now := time.Now(); {
+		case session.silent(begun, now):
 			// The next request would have no answer either. Close may wait for a write.
 			go session.Close()
+		case session.quiet(now):
+			session.probe()
 		}
 		return nil, kind.Wrap(kind.Lost, err, "peer "+addr)
 	}
--- a/link/session.go
+++ b/link/session.go
@@ -18,6 +18,8 @@
 	*yamux.Session
 	conn   *heardConn
 	opened time.Time
+	// probing says that probe is under way.
+	probing atomic.Bool
 }
 
 // silent reports whether nothing has come since a request that was begun a while ago. A
@@ -31,6 +33,28 @@
 	return last.Before(begun) && now.Sub(begun) > silentAfter
 }
 
+// quiet reports whether nothing has come for a while.
+func (s *session) quiet(now time.Time) bool {
+	last := s.conn.heard.Load()
+	return last != nil && now.Sub(*last) > silentAfter
+}
+
+// probe closes the session unless something comes on it soon. What was heard since a request
+// began may have been on its way before, and then says nothing of the session.
+func (s *session) probe() {
+	if s.probing.Swap(true) {
+		return
+	}
+	asked := time.Now()
+	go func() { _, _ = s.Ping() }()
+	time.AfterFunc(silentAfter, func() {
+		defer s.probing.Store(false)
+		if last := s.conn.heard.Load(); last.Before(asked) {
+			_ = s.Close()
+		}
+	})
+}
+
 // heardConn is a connection that notes when bytes last came.
 type heardConn struct {
 	net.Conn
