driver: the answer of a hold that was given up is still taken in

Cause: when an order's answer is lost, its worker is held anew under the next fence, and the hold that waits there was cancelled, with whatever answer was on its way. A worker lists an end at once to the hold that waits; one that leaves a moment later lists it to nobody else, and the task runs twice.

It is cancelled once the worker is attached again and has listed everything.

--- a/driver/carry.go
+++ b/driver/carry.go
@@ -255,8 +255,8 @@
 	d.cell.Started(o.Worker, o.Task, o.Run, a.Outcome, now)
 	if a.Outcome == cell.NoRoom {
 		l.attached = false
-		if l.waiting != nil {
-			l.waiting()
+		if l.anew != nil {
+			l.anew()
 		}
 		notify(l.kick)
 	}
--- a/driver/leaving_test.go
+++ b/driver/leaving_test.go
@@ -140,7 +140,7 @@
 		waits := func() bool {
 			d.mu.Lock()
 			defer d.mu.Unlock()
-			return d.links["w"].attached && d.links["w"].waiting != nil
+			return d.links["w"].attached && d.links["w"].anew != nil
 		}
 		Eventually(waits).Should(BeTrue())
 		// The hold that waits is on its way.
--- a/driver/link.go
+++ b/driver/link.go
@@ -56,11 +56,17 @@
 	// over is when the lease of all that runs there is surely over.
 	over   time.Time
 	lapsed bool
-	// waiting cancels the hold that waits at the worker.
-	waiting context.CancelFunc
-	cancel  context.CancelFunc
+	// anew says that the worker is to be held anew, without the answer of the hold that waits
+	// there.
+	anew context.CancelFunc
+	// leftover cancels such a hold: its answer may list ends that come no second time, until
+	// the worker is attached again and has listed everything.
+	leftover context.CancelFunc
+	cancel   context.CancelFunc
 	// missing is since when the worker's entry is gone.
 	missing time.Time
+	// draining says that the worker has said that it leaves.
+	draining bool
 	// answers are those of the worker to starts, and to holds that do not wait.
 	answers rtt.Estimate
 	// orders holds when each order without an answer was sent.
@@ -226,23 +232,51 @@
 	}
 	limit := d.orderTime(l, now)
 	// Where a carried hold brings no word of the worker it is sent from here as well.
-	holding, cancel := context.WithCancel(ctx)
-	l.waiting = cancel
-	carried := !attach && d.carries(now)
+	send := heldHold{HoldOrder: o, sent: now, limit: limit, carried: !attach && d.carries(now), attach: attach}
+	wanted, anew := context.WithCancel(ctx)
+	defer anew()
+	l.anew = anew
 	d.mu.Unlock()
-	a, err := d.sendHold(holding, l.hall, o, limit, carried)
-	cancel()
-	if err != nil {
+	if err := d.awaitHold(ctx, wanted, l, send); err != nil || attach {
 		return err
 	}
-	d.held(l, o, a, now, attach)
-	if attach {
-		return nil
-	}
 	d.waitKept(ctx, l)
 	return nil
 }
 
+// heldHold is a hold on its way to a worker.
+type heldHold struct {
+	HoldOrder
+	sent            time.Time
+	limit           time.Duration
+	carried, attach bool
+}
+
+// awaitHold sends a hold and takes in its answer, for which it waits until wanted ends. An
+// answer that comes later is taken in as well: a worker that leaves may not list what it
+// says again.
+func (d *Driver) awaitHold(ctx, wanted context.Context, l *link, h heldHold) error {
+	holding, cancel := context.WithCancel(ctx)
+	done := make(chan error, 1)
+	d.spawn(func() {
+		defer cancel()
+		a, err := d.sendHold(holding, l.hall, h.HoldOrder, h.limit, h.carried)
+		if err == nil {
+			d.held(l, h.HoldOrder, a, h.sent, h.attach)
+		}
+		done <- err
+	})
+	select {
+	case err := <-done:
+		return err
+	case <-wanted.Done():
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	l.leftover = cancel
+	return kind.New(kind.Lost, "the worker is held anew")
+}
+
 // lookWithin returns for how long a worker may wait before it answers a look: longer while
 // this side is late, as looks are the first that its link can do without. The lock is held.
 func (d *Driver) lookWithin(l *link, now time.Time) time.Duration {
@@ -297,6 +331,10 @@
 	case attach:
 		d.cell.Attached(l.id, a.Lists, now)
 		l.attached, l.lapsed = true, false
+		if l.leftover != nil {
+			l.leftover()
+			l.leftover = nil
+		}
 		level.Debug(d.Log).Log("event", "worker_attached", "worker", l.id, "fence", l.fence, "running", len(a.Lists.Running), "finished", len(a.Lists.Finished))
 	default:
 		d.cell.Listed(l.id, a.Lists, sent, now)
@@ -415,8 +453,8 @@
 	}
 	d.cell.Unsure(id, time.Now())
 	l.attached = false
-	if l.waiting != nil {
-		l.waiting()
+	if l.anew != nil {
+		l.anew()
 	}
 	notify(l.kick)
 }
