cell, driver: a line for each change of a task that lasts, and what workers a step waits for

Cause: nothing in the logs at info told of the start, stop, move or loss of a task that lasts by its name, and step_waits said no_worker whether the workers that may run a step were full, had not been asked about or carried as many as they may.

Change: lasting_run (ordered, began, not_begun, moving, stalled, over, missing, lease_over), worker_leaves, and counts in step_waits of workers that may run the step, whose tickets have ended, that may not, that were not asked about, with room now and with room if less urgent tasks yielded.

cell: tasks that last leave a worker before it ends. As many are moved at once as it takes for all to be elsewhere in time; what a step says that it may miss holds, up to the last 0.9 s; no more are stopped than find a place; what was at work before comes back before what never was.

cell, driver, cluster: a wide step of tasks that last, one a worker, is shared among cells. Change: such a job names further cells at its acceptance; each runs the tasks whose index is its own modulo their number, with a record of its own. The job's own cell alone writes its end; a cancel is acknowledged once all cells have kept it; a cell that was not told finds out.

--- a/cell/cell.go
+++ b/cell/cell.go
@@ -38,6 +38,10 @@
 
 // Cell holds the jobs and workers of a hall. Make one with New.
 type Cell struct {
+	// Name is the cell's, by which it knows its share of jobs that several cells run. Without
+	// one it runs whole jobs.
+	Name string
+
 	queues  map[string]*Queue
 	workers map[string]*worker
 	// order holds the workers by their id, so that decisions repeat.
@@ -58,6 +62,8 @@
 	// asks counts the questions under way, longAsks the long ones among them.
 	asks, longAsks int
 	counts         Counts
+	// changes are those of tasks that last, until Changes.
+	changes []Change
 	// sendMost is how many bytes the starts of the next decision may have, sendLeft what is
 	// left of that during Place, and sendShared says that those of a step share their text.
 	sendMost, sendLeft int
@@ -139,7 +145,7 @@
 		if j.state.Final() {
 			continue
 		}
-		if j.kept && !j.began && j.spec.Times == 0 {
+		if j.kept && !j.began && j.spec.Times == 0 && !j.share.Foreign() {
 			l.Pending[j.spec.Queue]++
 		}
 		l.Waiting += j.waitingWork()
--- a/cell/ends.go
+++ b/cell/ends.go
@@ -13,6 +13,7 @@
 func (c *Cell) ended(w *worker, f Finished, now time.Time) {
 	r := w.runs[runKey{f.Task, f.Run}]
 	if r != nil {
+		c.note(r, RunEndListed)
 		c.drop(r)
 	}
 	s := c.stage(flow.StepID{Job: f.Task.Job, Time: f.Task.Time, Step: f.Task.Step})
@@ -182,9 +183,10 @@
 		return
 	}
 	if o == Accepted {
-		r.confirm(now)
+		c.confirm(r, now)
 		return
 	}
+	c.note(r, RunNotBegun)
 	c.drop(r)
 	switch o {
 	case NoRoom:
--- a/cell/job.go
+++ b/cell/job.go
@@ -16,6 +16,8 @@
 	taskWaiting taskState = iota
 	taskActive
 	taskDone
+	// taskElsewhere is the state of a task that another cell runs.
+	taskElsewhere
 )
 
 type task struct {
@@ -76,6 +78,8 @@
 
 type job struct {
 	spec *flow.Spec
+	// share is the part of its tasks that are this cell's.
+	share flow.Share
 	// kept says that the store has the job; nothing starts before.
 	kept bool
 	// began says that a worker has had a task of it.
@@ -197,6 +201,7 @@
 // the end of a job that is over happens now, never at its arrival.
 func (c *Cell) add(spec *flow.Spec, rec *flow.Record, arrived, now time.Time) *job {
 	j := &job{spec: spec, state: flow.Pending, arrived: arrived, hall: spec.Hall}
+	j.share, _ = spec.Share(c.Name)
 	if rec != nil {
 		j.state, j.cancelled = rec.State, rec.Cancelled
 		j.began = rec.State != flow.Pending
@@ -238,7 +243,14 @@
 	s := &stage{job: j, time: k, step: step, def: def, due: j.spec.Due(k), chain: j.spec.Chain(step)}
 	j.longest = max(j.longest, s.chain)
 	s.tasks = make([]task, def.Count)
-	s.left, s.waiting = def.Count, def.Count
+	for i := range s.tasks {
+		if !j.share.Has(i) {
+			s.tasks[i].state = taskElsewhere
+			continue
+		}
+		s.left++
+		s.waiting++
+	}
 	at := k*len(j.spec.Steps) + step
 	if rec == nil || at >= len(rec.Stages) {
 		return s
--- a/cell/over.go
+++ b/cell/over.go
@@ -14,13 +14,16 @@
 type Over struct {
 	ID    string
 	State flow.State
+	// Foreign says that another cell has the job, and writes its end.
+	Foreign bool
 }
 
 // over is what is remembered of a job that is over.
 type over struct {
 	state flow.State
 	// since is when the job was retired, after its end could be shown.
-	since time.Time
+	since   time.Time
+	foreign bool
 }
 
 // Ended returns the jobs that have ended since the last call. The caller archives
@@ -28,7 +31,7 @@
 func (c *Cell) Ended() []Over {
 	var out []Over
 	for _, j := range c.finished {
-		out = append(out, Over{ID: j.spec.ID, State: j.state})
+		out = append(out, Over{ID: j.spec.ID, State: j.state, Foreign: j.share.Foreign()})
 	}
 	c.finished = c.finished[:0]
 	return out
@@ -51,10 +54,10 @@
 	var out []Over
 	for id, j := range c.jobs {
 		if j.archived && j.shown == j.state && !j.marked && now.Sub(j.ended) > after {
-			out = append(out, Over{ID: id, State: j.state})
+			out = append(out, Over{ID: id, State: j.state, Foreign: j.share.Foreign()})
 			// Clients can learn of the end only once it is archived: what an
 			// operator lets them ask for counts from then, whenever it ended.
-			c.over[id] = over{state: j.state, since: now}
+			c.over[id] = over{state: j.state, since: now, foreign: j.share.Foreign()}
 			delete(c.jobs, id)
 		}
 	}
@@ -64,8 +67,30 @@
 
 // Expired is a job that Expire forgot, and for how long it was remembered.
 type Expired struct {
-	ID  string
-	Age time.Duration
+	ID      string
+	Age     time.Duration
+	Foreign bool
+}
+
+// Cells returns the cells that run tasks of a job, its own first, nil if it is not known or over.
+func (c *Cell) Cells(id string) []string {
+	if j := c.jobs[id]; j != nil {
+		return j.spec.Cells()
+	}
+	return nil
+}
+
+// Foreign returns the jobs that another cell has and of which this one runs a part, or did so
+// until it heard of their end.
+func (c *Cell) Foreign() []string {
+	var out []string
+	for id, j := range c.jobs {
+		if j.share.Foreign() && j.kept && !j.archived {
+			out = append(out, id)
+		}
+	}
+	slices.Sort(out)
+	return out
 }
 
 // Expire forgets the jobs that are over for longer than keep and returns them.
@@ -73,7 +98,7 @@
 	var out []Expired
 	for id, o := range c.over {
 		if age := now.Sub(o.since); age > keep {
-			out = append(out, Expired{ID: id, Age: age})
+			out = append(out, Expired{ID: id, Age: age, Foreign: o.foreign})
 			delete(c.over, id)
 		}
 	}
--- a/cell/place.go
+++ b/cell/place.go
@@ -226,9 +226,18 @@
 // placeTasks starts as many of the tasks of s as find room.
 func (c *Cell) placeTasks(s *stage, q *Queue, a *Actions, now time.Time) {
 	c.chooseHall(s, q, now)
+	if s.def.Lasting {
+		// Others rely on a task that was at work before: it comes back first.
+		c.placeWhere(s, q, a, now, func(t *task) bool { return t.state == taskWaiting && t.last > 0 })
+	}
+	c.placeWhere(s, q, a, now, func(t *task) bool { return t.state == taskWaiting })
+}
+
+// placeWhere starts as many of some tasks of s as find room.
+func (c *Cell) placeWhere(s *stage, q *Queue, a *Actions, now time.Time, which func(*task) bool) {
 	for i := range s.tasks {
 		t := &s.tasks[i]
-		if t.state != taskWaiting {
+		if !which(t) {
 			continue
 		}
 		if c.sendLeft <= 0 {
@@ -320,6 +329,7 @@
 	}
 	s.job.story.Runs++
 	c.counts.Started++
+	c.note(r, RunOrdered)
 	start := Start{
 		Worker: w.ID, Addr: w.Addr, Task: r.task(), Run: r.n,
 		Text: s.job.spec.Text, Saved: t.saved, Ticket: ticket,
--- a/cell/run.go
+++ b/cell/run.go
@@ -43,9 +43,10 @@
 func (r *run) task() flow.TaskID { return r.stage.taskID(r.index) }
 
 // confirm notes that the worker has the run: its job has begun.
-func (r *run) confirm(now time.Time) {
+func (c *Cell) confirm(r *run, now time.Time) {
 	r.confirmed, r.progressed = now, now
 	r.stage.job.began = true
+	c.note(r, RunBegan)
 }
 
 // hold puts a run on the books of a worker.
--- a/cell/save.go
+++ b/cell/save.go
@@ -14,6 +14,8 @@
 	ID     string
 	Record *flow.Record
 	Story  Story
+	// Foreign says that another cell has the job.
+	Foreign bool
 }
 
 // Story is what this owner has seen of a job, for those who ask why it was late.
@@ -36,7 +38,7 @@
 	saves := make([]Save, 0, n)
 	for _, j := range c.dirty[:n] {
 		j.marked = false
-		saves = append(saves, Save{ID: j.spec.ID, Record: j.record(), Story: j.story})
+		saves = append(saves, Save{ID: j.spec.ID, Record: j.record(), Story: j.story, Foreign: j.share.Foreign()})
 	}
 	c.dirty = append(c.dirty[:0], c.dirty[n:]...)
 	if len(c.dirty) == 0 {
--- a/cell/stop.go
+++ b/cell/stop.go
@@ -17,6 +17,12 @@
 	stallMost  = 2500 * time.Millisecond
 	// gangEnds is how long the members of a gang may take to end after the first.
 	gangEnds = time.Second
+	// moveTakes is about how long it takes to move a task that lasts: a stop, a start and
+	// until it is at work.
+	moveTakes = time.Second
+	// lastMoves is how long before the end of its worker a task has to be stopped at the
+	// latest for the stop to be listed: as long as the slowest workers take for one.
+	lastMoves = 900 * time.Millisecond
 	// copyAfter is how long a worker is out of reach before a step that may
 	// have copies is started elsewhere.
 	copyAfter = 400 * time.Millisecond
@@ -68,6 +74,7 @@
 	}
 	r.stopping = true
 	r.stopSent = time.Time{}
+	c.note(r, RunStalled)
 	r.w.health.stalled(now)
 	r.stage.tasks[r.index].avoid = append(r.stage.tasks[r.index].avoid, r.w.ID)
 }
@@ -91,15 +98,14 @@
 	if !s.def.Lasting && r.remaining(now) < left {
 		return
 	}
-	if s.def.Lasting && (s.away() > 0 && s.away() >= s.def.MayMiss) {
+	if s.def.Lasting && !s.mayMove(r, left, now) {
 		return
 	}
 	q := c.queues[s.job.spec.Queue]
 	if q == nil {
 		return
 	}
-	t := &s.tasks[r.index]
-	if w, _ := c.choose(s, t, q, now); w == nil {
+	if c.places(s, q, now) <= s.toPlace() {
 		s.moving = true
 		if !slices.Contains(c.open, s) {
 			c.open = append(c.open, s)
@@ -108,6 +114,68 @@
 	}
 	r.stopping = true
 	r.stopSent = time.Time{}
+	c.note(r, RunMoving)
+}
+
+// mayMove reports whether a task of a lasting step may be stopped now to be moved from a worker
+// that stays for left. What a step says that it may miss holds for all that are away. Without
+// such a word as many move at once as it takes for all to be elsewhere in time.
+//
+// A worker that ends takes its runs with it in any case, and that they are over is known only
+// with their lease: so what is still there just before its end is moved whatever is away.
+func (s *stage) mayMove(r *run, left time.Duration, now time.Time) bool {
+	if r.w.Draining && left <= lastMoves {
+		return true
+	}
+	if s.def.MayMiss > 0 {
+		// Each cell that runs a part of the step has an equal part of that.
+		return s.away() < s.def.MayMiss/max(s.job.share.Of, 1)
+	}
+	leaving, under := 0, 0
+	for i := range s.tasks {
+		for _, r := range s.tasks[i].runs {
+			if r.w.leaving() {
+				leaving++
+			}
+			if r.stopping || (!r.atWork() && now.Sub(r.decided) < moveTakes) {
+				under++
+			}
+		}
+	}
+	return under < 1+int(time.Duration(leaving)*moveTakes/max(left, moveTakes))
+}
+
+// places counts the tasks of s that would find room now. It stops at as many as s has.
+func (c *Cell) places(s *stage, q *Queue, now time.Time) int {
+	n := 0
+	room := s.def.Room()
+	for p := range c.allowed(s, q, now) {
+		w := p.worker
+		if !w.usable() || !w.suits(s, q) || !w.health.allows(len(w.runs), now) {
+			continue
+		}
+		free := w.free.Sub(w.reserved)
+		for more := 0; free.Covers(&room) && (s.def.PerWorker == 0 || s.carried[w]+more < s.def.PerWorker); more++ {
+			free = free.Sub(room)
+			if n++; n >= len(s.tasks) {
+				return n
+			}
+		}
+	}
+	return n
+}
+
+// toPlace counts the tasks of s that look for a worker, or will once they have stopped.
+func (s *stage) toPlace() int {
+	n := s.waiting
+	for i := range s.tasks {
+		for _, r := range s.tasks[i].runs {
+			if r.stopping {
+				n++
+			}
+		}
+	}
+	return n
 }
 
 // away counts the tasks of a lasting step that are not at work.
@@ -115,7 +183,7 @@
 	n := 0
 	for i := range s.tasks {
 		t := &s.tasks[i]
-		if t.state != taskActive || !t.runs[0].atWork() {
+		if t.state != taskElsewhere && (t.state != taskActive || !t.runs[0].atWork()) {
 			n++
 		}
 	}
--- a/cell/wait.go
+++ b/cell/wait.go
@@ -40,6 +40,17 @@
 	For   time.Duration
 	// Reserved is on how many workers room is held for them.
 	Reserved int
+	// Allowed are the workers that may run it now, Expired those whose tickets have ended,
+	// Unfit those that the policy does not let run it, and Unasked those of which it was
+	// not asked.
+	Allowed, Expired, Unfit, Unasked Candidates
+}
+
+// Candidates counts workers of a step's pool that have what it needs.
+type Candidates struct {
+	// All are those that could be given something, Room those with room for one task more,
+	// and Yield those that would have it if less urgent tasks that save their work yielded.
+	All, Room, Yield int
 }
 
 // tell adds a stage to what is told if it has waited for long.
@@ -52,7 +63,51 @@
 	if why == NoWorker {
 		why = c.whyNone(s, now)
 	}
-	a.Waits = append(a.Waits, Wait{Step: s.id(), Why: why, Tasks: s.waiting, For: waited, Reserved: len(s.reserved.workers)})
+	w := Wait{Step: s.id(), Why: why, Tasks: s.waiting, For: waited, Reserved: len(s.reserved.workers)}
+	c.countCandidates(s, &w, now)
+	a.Waits = append(a.Waits, w)
+}
+
+// countCandidates counts the workers that w's step could go to.
+func (c *Cell) countCandidates(s *stage, w *Wait, now time.Time) {
+	q := c.queues[s.job.spec.Queue]
+	for _, worker := range c.order {
+		if !worker.usable() || !worker.suits(s, q) {
+			continue
+		}
+		at, good := s.advice.find(worker.ID)
+		switch {
+		case q.Advice == nil || good && now.Before(s.advice.good[at].until):
+			c.countCandidate(&w.Allowed, s, worker, q, now)
+		case good:
+			c.countCandidate(&w.Expired, s, worker, q, now)
+		case s.advice.asked[worker.ID]:
+			c.countCandidate(&w.Unfit, s, worker, q, now)
+		default:
+			c.countCandidate(&w.Unasked, s, worker, q, now)
+		}
+	}
+}
+
+func (c *Cell) countCandidate(n *Candidates, s *stage, w *worker, q *Queue, now time.Time) {
+	n.All++
+	room := s.def.Room()
+	if s.full(w) || !w.health.allows(len(w.runs), now) {
+		return
+	}
+	if w.hasRoom(&room) {
+		n.Room++
+		return
+	}
+	free := w.free.Sub(w.reserved)
+	for _, r := range w.held {
+		if r.stopping || c.mayYield(r, q) {
+			free = free.Add(r.taken)
+		}
+	}
+	if free.Covers(&room) {
+		n.Yield++
+	}
 }
 
 // whyNone tells apart why no worker was found.
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -160,6 +160,7 @@
 	for _, r := range slices.Clone(w.held) {
 		c.counts.Lapsed++
 		r.stage.job.story.Lost++
+		c.note(r, RunLeaseOver)
 		c.drop(r)
 		c.requeue(r.stage, r.index, r.saved, now)
 	}
@@ -215,6 +216,7 @@
 			r.withheld = -1
 		}
 		if r.confirmed.IsZero() && !l.Cut {
+			c.note(r, RunNotBegun)
 			c.drop(r)
 			c.requeue(r.stage, r.index, r.saved, now)
 		}
@@ -232,6 +234,7 @@
 	for _, r := range slices.Clone(w.held) {
 		if r.turn != turn && !l.Cut && !r.confirmed.IsZero() && r.confirmed.Before(sent) {
 			c.counts.Lapsed++
+			c.note(r, RunMissing)
 			c.drop(r)
 			c.requeue(r.stage, r.index, r.saved, now)
 		}
@@ -297,10 +300,11 @@
 	r := w.runs[runKey{row.Task, row.Run}]
 	if r == nil {
 		r = c.adopt(w, row, now)
+		c.note(r, RunAdopted)
 	}
 	r.turn = c.turn
 	if r.confirmed.IsZero() {
-		r.confirm(now)
+		c.confirm(r, now)
 	}
 	r.listed, r.tail = now, row.Tail
 	if row.Percent != r.percent {
@@ -316,7 +320,7 @@
 // is not wanted.
 func (c *Cell) adopt(w *worker, row *Running, now time.Time) *run {
 	s := c.stage(flow.StepID{Job: row.Task.Job, Time: row.Task.Time, Step: row.Task.Step})
-	if s == nil || row.Task.Index >= len(s.tasks) {
+	if s == nil || row.Task.Index >= len(s.tasks) || s.tasks[row.Task.Index].state == taskElsewhere {
 		s = &stage{job: &job{spec: &flow.Spec{ID: row.Task.Job}, state: flow.Canceled}, time: row.Task.Time, step: row.Task.Step, def: &flow.Step{}, stray: true}
 	}
 	r := &run{stage: s, index: row.Task.Index, n: row.Run, w: w, decided: now, taken: s.def.Room()}
--- a/cluster/accept.go
+++ b/cluster/accept.go
@@ -5,6 +5,7 @@
 import (
 	"cmp"
 	"context"
+	"sync"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -55,16 +56,17 @@
 	begun := time.Now()
 	spec.AcceptedMS = begun.UnixMilli()
 	spec.Hall = n.hallFor(cell, spec.ID)
+	spec.Shares = n.division.shares(spec, cell)
 	k, err := n.keep(ctx, cell, spec)
 	if err != nil {
 		level.Info(n.kit.Log).Log("event", "not_kept", "job", spec.ID, "cell", cell, "err", err, "last", true)
 		n.kit.Scope.Counter("jobs_not_kept_total").Inc(1)
 		return err
 	}
-	level.Info(n.kit.Log).Log("event", "accepted", "job", spec.ID, "queue", spec.Queue, "cell", k.cell, "fresh", k.fresh, "version", k.ver, "took_ms", time.Now().UnixMilli()-spec.AcceptedMS)
+	level.Info(n.kit.Log).Log("event", "accepted", "job", spec.ID, "queue", spec.Queue, "cell", k.cells[0], "cells", len(k.cells), "fresh", k.fresh, "version", k.ver, "took_ms", time.Now().UnixMilli()-spec.AcceptedMS)
 	n.kit.Scope.Counter("jobs_accepted_total").Inc(1)
 	n.kit.Scope.Histogram("accept_seconds", telemetry.Latency()).RecordDuration(time.Since(begun))
-	n.homes.set(spec.ID, k.cell)
+	n.homes.set(spec.ID, k.cells)
 	// The same write may have gone two ways, and the answer may be that of the
 	// second: the owner is told in any case.
 	go n.announce(k, spec)
@@ -88,7 +90,11 @@
 			return
 		}
 	}
-	n.tell(ctx, k, spec)
+	var told sync.WaitGroup
+	for _, cell := range k.cells {
+		told.Go(func() { n.tell(ctx, cell, k.ver, spec) })
+	}
+	told.Wait()
 }
 
 // awaitStore reports whether the store is reached, for which a caller waits for a moment.
@@ -171,11 +177,11 @@
 	return ""
 }
 
-// kept is what became of a job that was handed in: the cell that has it, the
+// kept is what became of a job that was handed in: the cells that run it, its own first, the
 // version at which the store took it, whether it was new, and whether the store has
 // it for certain as this write says.
 type kept struct {
-	cell    string
+	cells   []string
 	ver     uint64
 	fresh   bool
 	written bool
@@ -188,7 +194,7 @@
 	t := rows.Tx{
 		Expect: []rows.Check{{Key: home}},
 		Put: []rows.Row{
-			{Key: home, Value: []byte(cell)},
+			{Key: home, Value: driver.HomeValue(spec)},
 			{Key: driver.SpecKey(spec.ID), Value: flow.Encode(spec)},
 		},
 	}
@@ -197,10 +203,10 @@
 		res, err := n.sendKeep(ctx, home, t)
 		switch {
 		case err == nil && !res.Refused:
-			return kept{cell: cell, ver: res.Ver, fresh: true, written: true}, nil
+			return kept{cells: spec.Cells(), ver: res.Ver, fresh: true, written: true}, nil
 		case err == nil:
 			// Some cell has it, by this write or by an earlier one.
-			return keptBy(res, home, kept{cell: cell, fresh: uncertain}), nil
+			return keptBy(res, home, kept{cells: spec.Cells(), fresh: uncertain}), nil
 		case !kind.Is(err, kind.Unavailable):
 			uncertain = true
 			if !n.storeClient.Reachable() {
@@ -222,8 +228,8 @@
 // keptBy completes k by the home of a job that was there before.
 func keptBy(res rows.Result, home rows.Key, k kept) kept {
 	for _, row := range res.Rows {
-		if row.Key == home && len(row.Value) > 0 {
-			k.cell, k.ver = string(row.Value), row.Ver
+		if cells := driver.HomeCells(row.Value); row.Key == home && len(cells) > 0 {
+			k.cells, k.ver = cells, row.Ver
 		}
 	}
 	return k
@@ -256,29 +262,29 @@
 }
 
 // tell tells the owner of a cell of a job until it has heard, or ctx ends.
-func (n *Instance) tell(ctx context.Context, k kept, spec *flow.Spec) {
+func (n *Instance) tell(ctx context.Context, cell string, ver uint64, spec *flow.Spec) {
 	raw := flow.Encode(spec)
 	for ctx.Err() == nil {
-		if n.tellOnce(ctx, k, spec, raw) == nil {
+		if n.tellOnce(ctx, cell, ver, spec, raw) == nil {
 			return
 		}
 		sleep(ctx, tellRetry)
 	}
-	level.Warn(n.kit.Log).Log("event", "owner_not_told", "job", spec.ID, "cell", k.cell)
+	level.Warn(n.kit.Log).Log("event", "owner_not_told", "job", spec.ID, "cell", cell)
 }
 
-func (n *Instance) tellOnce(ctx context.Context, k kept, spec *flow.Spec, raw []byte) error {
-	if d := n.own(k.cell); d != nil {
-		return d.Adopt(spec, k.ver)
+func (n *Instance) tellOnce(ctx context.Context, cell string, ver uint64, spec *flow.Spec, raw []byte) error {
+	if d := n.own(cell); d != nil {
+		return d.Adopt(spec, ver)
 	}
-	o := n.members.owner(k.cell, time.Now())
+	o := n.members.owner(cell, time.Now())
 	if o == nil {
 		return kind.New(kind.Unavailable, "the cell's owner is not heard")
 	}
 	ctx, cancel := context.WithTimeout(ctx, tellOnce)
 	defer cancel()
 	_, err := n.dialer.Do(ctx, o.addr, &wire.Request{Body: &wire.Request_SubmitJob{
-		SubmitJob: &wire.JobSubmit{Cell: k.cell, Spec: raw, Ver: k.ver},
+		SubmitJob: &wire.JobSubmit{Cell: cell, Spec: raw, Ver: ver},
 	}})
 	return err
 }
--- a/cluster/accept_test.go
+++ b/cluster/accept_test.go
@@ -79,6 +79,6 @@
 	It("is told of with the cell that has it and the version at which it was taken", func() {
 		home := driver.HomeKey("j")
 		res := rows.Result{Refused: true, Rows: []rows.Row{{Key: home, Value: []byte("its"), Ver: 5}}}
-		Expect(keptBy(res, home, kept{cell: "drawn"})).To(Equal(kept{cell: "its", ver: 5}))
+		Expect(keptBy(res, home, kept{cells: []string{"drawn"}})).To(Equal(kept{cells: []string{"its"}, ver: 5}))
 	})
 })
--- a/cluster/division.go
+++ b/cluster/division.go
@@ -3,8 +3,10 @@
 package cluster
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
+	"slices"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -14,6 +16,7 @@
 
 	"dewpass.org/claim"
 	"dewpass.org/driver"
+	"dewpass.org/flow"
 	"dewpass.org/kind"
 	"dewpass.org/rows"
 )
@@ -49,7 +52,12 @@
 var divisionKey = rows.Key{Table: claim.Table, Name: divisionName}
 
 // division is what an instance knows of the division. The zero value knows nothing.
-type division struct{ names atomic.Pointer[[]string] }
+type division struct {
+	names atomic.Pointer[[]string]
+	// perCell is how many workers a cell had when the division was decided, 0 if that is
+	// not known.
+	perCell atomic.Int64
+}
 
 // cells returns the names of all cells, nil while they are not known.
 func (d *division) cells() []string {
@@ -78,6 +86,27 @@
 	return names[draw(text)%uint32(len(names))]
 }
 
+// shareFrom is how much of a cell's workers, as a divisor, a step needs for its job to be shared
+// among cells. A policy may let no more than a third of the workers run a step, and one hall of
+// four or more may be cut off: what is left for sure is about a quarter.
+const shareFrom = 4
+
+// shares returns the cells that a job of one cell is shared with: all others if a step of tasks
+// that last, of which a worker carries only so many, may not find enough workers in one. Steps
+// of tasks that end take turns there instead.
+func (d *division) shares(spec *flow.Spec, cell string) []string {
+	names := d.cells()
+	if len(names) < 2 || !spec.MayShare() {
+		return nil
+	}
+	perCell := cmp.Or(int(d.perCell.Load()), workersPerCell)
+	wide := func(s flow.Step) bool { return s.PerWorker > 0 && s.Count*shareFrom > perCell*s.PerWorker }
+	if !slices.ContainsFunc(spec.Steps, wide) {
+		return nil
+	}
+	return slices.DeleteFunc(slices.Clone(names), func(name string) bool { return name == cell })
+}
+
 // cellsFor returns how many cells so many workers are divided into.
 func cellsFor(workers int) int {
 	return max(1, (workers+workersPerCell-1)/workersPerCell)
@@ -119,6 +148,7 @@
 			level.Info(n.kit.Log).Log("event", "division_not_read", "err", err)
 		case row.Cells > 0:
 			n.division.set(row.Cells)
+			n.division.perCell.Store(int64(row.Workers / row.Cells))
 			level.Info(n.kit.Log).Log("event", "division_known", "cells", row.Cells, "workers", row.Workers)
 			return true
 		case time.Since(turn) >= countTurn*n.turn(divisionName, time.Now()):
@@ -165,14 +195,14 @@
 // decideDivision writes the division once it can be decided, and reports whether it
 // should be read again at once. Of those who decide at the same time one is first.
 func (n *Instance) decideDivision(ctx context.Context, workers *census) bool {
-	row := divisionRow{Cells: n.settings.Cluster.Cells}
+	all, err := n.Directory(n.storeClient).All(ctx)
+	count := usable(all)
+	row := divisionRow{Cells: n.settings.Cluster.Cells, Workers: count}
 	if row.Cells == 0 {
-		all, err := n.Directory(n.storeClient).All(ctx)
-		count := usable(all)
 		if err != nil || !workers.settled(count, time.Now()) {
 			return false
 		}
-		row = divisionRow{Cells: cellsFor(count), Workers: count}
+		row.Cells = cellsFor(count)
 	}
 	raw, err := json.Marshal(row)
 	if err != nil {
--- a/cluster/jobs.go
+++ b/cluster/jobs.go
@@ -27,22 +27,22 @@
 	window = 2 * time.Second
 )
 
-// homes remembers in which cell the jobs are that were seen here.
+// homes remembers which cells run the jobs that were seen here, the job's own first.
 type homes struct {
 	mu   sync.Mutex
-	now  map[string]string
-	last map[string]string
+	now  map[string][]string
+	last map[string][]string
 }
 
 const homesMost = 20_000
 
-func (h *homes) set(id, cell string) {
+func (h *homes) set(id string, cells []string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.now == nil || len(h.now) >= homesMost {
-		h.now, h.last = make(map[string]string), h.now
+		h.now, h.last = make(map[string][]string), h.now
 	}
-	h.now[id] = cell
+	h.now[id] = cells
 }
 
 func (h *homes) drop(id string) {
@@ -52,10 +52,14 @@
 	delete(h.last, id)
 }
 
-func (h *homes) get(id string) string {
+// get returns the cells of a job, nil if they are not known.
+func (h *homes) get(id string) []string {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return cmp.Or(h.now[id], h.last[id])
+	if cells := h.now[id]; len(cells) > 0 {
+		return cells
+	}
+	return h.last[id]
 }
 
 // place is a cell that may take a job.
@@ -121,28 +125,28 @@
 // State returns the state of a job. Its error is of kind NotFound if there is
 // no such job.
 func (n *Instance) State(ctx context.Context, id string) (flow.State, error) {
-	for _, c := range n.owned() {
+	for name, c := range n.owned() {
 		if s, ok := c.driver.State(id); ok {
-			return s, nil
+			return n.begun(ctx, id, s, name, c.driver.Cells(id)), nil
 		}
 	}
 	// The owner is asked first: it knows the job unless it is long over.
 	likely := n.likelyHome(id)
 	if likely != "" {
 		if s, err := n.askOwner(ctx, likely, id, false); err == nil {
-			n.homes.set(id, likely)
-			return s, nil
+			return n.begun(ctx, id, s, likely, n.homes.get(id)), nil
 		}
 	}
 	if n.ends.has(id) {
 		// Its owner has said so, and is not heard now.
 		return flow.Succeeded, nil
 	}
-	remembered := n.homes.get(id) != ""
-	cell, err := n.home(ctx, id)
+	remembered := n.homes.get(id) != nil
+	cells, err := n.home(ctx, id)
 	if err != nil {
 		return "", err
 	}
+	cell := cells[0]
 	if cell != likely && n.own(cell) == nil {
 		if s, err := n.askOwner(ctx, cell, id, false); err == nil {
 			return s, nil
@@ -157,11 +161,35 @@
 	return state, err
 }
 
+// begun returns the state of a job by that which one of its cells tells: it runs if any says so.
+func (n *Instance) begun(ctx context.Context, id string, told flow.State, by string, cells []string) flow.State {
+	for _, cell := range cells {
+		if told != flow.Pending {
+			break
+		}
+		if cell == by {
+			continue
+		}
+		if d := n.own(cell); d != nil {
+			if s, known := d.State(id); known && s == flow.Running {
+				return s
+			}
+			continue
+		}
+		if s, err := n.askOwner(ctx, cell, id, false); err == nil && s == flow.Running {
+			return s
+		}
+	}
+	return told
+}
+
 // likelyHome returns the cell of another owner that has a job if it is there at all:
 // the one that was seen to have it, or the only one. It is "" if that is not known.
 func (n *Instance) likelyHome(id string) string {
-	cell := n.homes.get(id)
-	if names := n.division.cells(); cell == "" && len(names) == 1 {
+	cell := ""
+	if cells := n.homes.get(id); len(cells) > 0 {
+		cell = cells[0]
+	} else if names := n.division.cells(); len(names) == 1 {
 		cell = names[0]
 	}
 	if n.own(cell) != nil {
@@ -170,26 +198,30 @@
 	return cell
 }
 
-// home returns the cell that has a job.
-func (n *Instance) home(ctx context.Context, id string) (string, error) {
-	if cell := n.homes.get(id); cell != "" {
-		return cell, nil
+// home returns the cells that run a job, its own first.
+func (n *Instance) home(ctx context.Context, id string) ([]string, error) {
+	if cells := n.homes.get(id); cells != nil {
+		return cells, nil
 	}
 	return n.readHome(ctx, id)
 }
 
-// readHome reads from the store which cell has a job.
-func (n *Instance) readHome(ctx context.Context, id string) (string, error) {
+// readHome reads from the store which cells run a job.
+func (n *Instance) readHome(ctx context.Context, id string) ([]string, error) {
 	row, err := n.row(ctx, driver.HomeKey(id))
 	if err != nil {
-		return "", err
+		return nil, err
 	}
-	if row.Ver == 0 {
+	cells := driver.HomeCells(row.Value)
+	switch {
+	case row.Ver == 0:
 		n.homes.drop(id)
-		return "", kind.New(kind.NotFound, "no job has this id")
+		return nil, kind.New(kind.NotFound, "no job has this id")
+	case len(cells) == 0:
+		return nil, kind.New(kind.Damaged, "the job's home names no cell")
 	}
-	n.homes.set(id, string(row.Value))
-	return string(row.Value), nil
+	n.homes.set(id, cells)
+	return cells, nil
 }
 
 // askOwner asks the owner of a cell for a job's state, or cancels the job.
@@ -276,15 +308,34 @@
 
 const retryCancel = 200 * time.Millisecond
 
+// cancelOnce cancels a job at its own cell, which keeps that, and then at those that it is shared
+// with. What a cell is not told, as whoever cancels is lost, it finds out by itself.
 func (n *Instance) cancelOnce(ctx context.Context, id string) error {
-	cell, err := n.home(ctx, id)
+	cells, err := n.home(ctx, id)
 	if err != nil {
 		return err
 	}
-	if err = n.cancelAt(ctx, cell, id); kind.Is(err, kind.NotFound) {
-		return n.tellOfCanceled(ctx, cell, id)
+	var row rows.Row
+	if len(cells) > 1 {
+		// The row goes with the job's end.
+		if row, err = n.row(ctx, driver.SpecKey(id)); err != nil {
+			return err
+		}
 	}
-	return err
+	for i, cell := range cells {
+		err := n.cancelAt(ctx, cell, id)
+		if kind.Is(err, kind.NotFound) {
+			err = n.tellOfCanceled(ctx, cell, id, row)
+		}
+		if i > 0 && kind.Is(err, kind.NotFound) {
+			// It was over there before.
+			continue
+		}
+		if err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 // cancelAt has the owner of a cell cancel a job.
@@ -301,11 +352,14 @@
 }
 
 // tellOfCanceled tells an owner of a job that it does not know and that is not over: one
-// that was accepted a moment ago. The error is of kind NotFound if the job is over.
-func (n *Instance) tellOfCanceled(ctx context.Context, cell, id string) error {
-	row, err := n.row(ctx, driver.SpecKey(id))
-	if err != nil {
-		return err
+// that was accepted a moment ago. row is the job's if it has been read. The error is of kind
+// NotFound if the job is over.
+func (n *Instance) tellOfCanceled(ctx context.Context, cell, id string, row rows.Row) error {
+	var err error
+	if row.Ver == 0 {
+		if row, err = n.row(ctx, driver.SpecKey(id)); err != nil {
+			return err
+		}
 	}
 	if row.Ver == 0 {
 		return kind.New(kind.NotFound, "the job is over")
@@ -315,7 +369,7 @@
 		return kind.Wrap(kind.Damaged, err, "the job's row")
 	}
 	level.Info(n.kit.Log).Log("event", "cancel_waits", "job", id, "cell", cell, "version", row.Ver, "why", "its owner has not been told of it")
-	if err := n.tellOnce(ctx, kept{cell: cell, ver: row.Ver}, spec, row.Value); err != nil {
+	if err := n.tellOnce(ctx, cell, row.Ver, spec, row.Value); err != nil {
 		return err
 	}
 	if err = n.cancelAt(ctx, cell, id); kind.Is(err, kind.NotFound) {
--- a/cluster/jobs_test.go
+++ b/cluster/jobs_test.go
@@ -138,7 +138,7 @@
 	It("is not known to an instance that remembers its cell either", func(ctx context.Context) {
 		n := instanceWithOwner(ownerPeer{})
 		n.storeClient.Direct = table{}
-		n.homes.set("j", "cell-0")
+		n.homes.set("j", []string{"cell-0"})
 		_, err := n.State(ctx, "j")
 		Expect(kind.Is(err, kind.NotFound)).To(BeTrue())
 	})
@@ -146,7 +146,7 @@
 	It("is pending as long as its home is kept", func(ctx context.Context) {
 		n := instanceWithOwner(ownerPeer{})
 		n.storeClient.Direct = table{driver.HomeKey("j"): []byte("cell-0")}
-		n.homes.set("j", "cell-0")
+		n.homes.set("j", []string{"cell-0"})
 		state, err := n.State(ctx, "j")
 		Expect(err).NotTo(HaveOccurred())
 		Expect(state).To(Equal(flow.Pending))
--- a/driver/commit.go
+++ b/driver/commit.go
@@ -152,6 +152,10 @@
 // logEnded logs the jobs that are over and kept: the last word on each.
 func (d *Driver) logEnded(saves []cell.Save) {
 	for _, s := range saves {
+		if s.Record.State.Final() && s.Foreign {
+			level.Info(d.Log).Log("event", "share_ended", "job", s.ID, "cell", d.Name, "epoch", d.Claim.Epoch(), "state", s.Record.State, "runs", s.Story.Runs)
+			continue
+		}
 		if s.Record.State.Final() {
 			if s.Story.Began > 0 {
 				d.Scope.Histogram("job_began_seconds", telemetry.Latency()).RecordDuration(s.Story.Began)
--- a/driver/driver.go
+++ b/driver/driver.go
@@ -131,6 +131,7 @@
 		write:     make(chan struct{}, 1),
 		began:     time.Now(),
 	}
+	d.cell.Name = c.Name
 	d.starts.Rate = d.LinkRate
 	if d.Carriers == nil {
 		d.Carriers = noCarriers{}
@@ -148,6 +149,7 @@
 			d.spawn(d.watch)
 			d.spawn(d.scan)
 			d.spawn(d.sweep)
+			d.spawn(d.followShares)
 			d.placeLoop()
 		}
 	})
@@ -386,10 +388,8 @@
 	for i := range a.Paces {
 		d.paceRun(a.Paces[i])
 	}
-	for i := range a.Waits {
-		w := &a.Waits[i]
-		level.Info(d.Log).Log("event", "step_waits", "job", w.Step.Job, "step", w.Step.Step, "why", string(w.Why), "tasks", w.Tasks, "waited_ms", w.For.Milliseconds(), "reserved", w.Reserved)
-	}
+	d.logWaits(a.Waits)
+	d.logChanges()
 	for i := range a.Asks {
 		ask := a.Asks[i]
 		d.spawn(func() { d.ask(ask) })
--- /dev/null
+++ b/driver/events.go
@@ -0,0 +1,35 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package driver
+
+import (
+	"github.com/go-kit/log/level"
+
+	"dewpass.org/cell"
+)
+
+// logWaits logs what steps that have waited for long wait for.
+func (d *Driver) logWaits(waits []cell.Wait) {
+	for i := range waits {
+		w := &waits[i]
+		level.Info(d.Log).Log("event", "step_waits", "job", w.Step.Job, "step", w.Step.Step, "why", string(w.Why),
+			"tasks", w.Tasks, "waited_ms", w.For.Milliseconds(), "reserved", w.Reserved,
+			"allowed", w.Allowed.All, "allowed_room", w.Allowed.Room, "allowed_yield", w.Allowed.Yield,
+			"expired", w.Expired.All, "expired_room", w.Expired.Room, "expired_yield", w.Expired.Yield,
+			"unasked", w.Unasked.All, "unasked_room", w.Unasked.Room, "unasked_yield", w.Unasked.Yield,
+			"unfit", w.Unfit.All, "unfit_room", w.Unfit.Room)
+	}
+}
+
+// logChanges logs what happened to the runs of tasks that last. The lock is held.
+func (d *Driver) logChanges() {
+	for _, c := range d.cell.Changes() {
+		log := level.Info(d.Log)
+		if c.Event == cell.RunAdopted {
+			// A new owner takes on all of them at once.
+			log = level.Debug(d.Log)
+		}
+		log.Log("event", "lasting_run", "job", c.Task.Job, "step", c.Task.Step, "index", c.Task.Index,
+			"run", c.Run, "worker", c.Worker, "what", string(c.Event))
+	}
+}
--- a/driver/load.go
+++ b/driver/load.go
@@ -132,7 +132,7 @@
 			level.Error(d.Log).Log("event", "bad_spec", "job", r.Name, "err", err)
 			continue
 		}
-		if spec.Cell != d.Name || unreadable[r.Name] {
+		if !d.runs(spec) || unreadable[r.Name] {
 			continue
 		}
 		rec := byID[r.Name]
--- a/driver/scan.go
+++ b/driver/scan.go
@@ -3,6 +3,7 @@
 package driver
 
 import (
+	"slices"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -93,7 +94,7 @@
 // findMissed reads the jobs of this cell among changed homes that are not known here.
 func (d *Driver) findMissed(homes []rows.Row) error {
 	for _, home := range homes {
-		if home.Gone || string(home.Value) != d.Name || !d.missed(home.Name, home.Ver) {
+		if home.Gone || !slices.Contains(HomeCells(home.Value), d.Name) || !d.missed(home.Name, home.Ver) {
 			continue
 		}
 		page, err := d.Store.Get(d.ctx, rows.Only(SpecKey(home.Name)))
@@ -144,7 +145,7 @@
 			level.Error(d.Log).Log("event", "bad_spec", "job", r.Name, "err", err)
 			continue
 		}
-		if spec.Cell != d.Name {
+		if !d.runs(spec) {
 			continue
 		}
 		level.Info(d.Log).Log("event", "job_found", "job", r.Name, "version", r.Ver)
--- /dev/null
+++ b/driver/share_test.go
@@ -0,0 +1,82 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package driver
+
+import (
+	"context"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"dewpass.org/flow"
+	"dewpass.org/rows"
+)
+
+var _ = ginkgo.Describe("a job that several cells share", func() {
+	spec := &flow.Spec{ID: "1", Cell: "home", Shares: []string{"c"}, Queue: "q", Steps: []flow.Step{{Count: 2, Lasting: true}}, AcceptedMS: time.Now().UnixMilli()}
+	put := func(t *table) {
+		_, err := t.Tx(context.Background(), rows.Tx{Put: []rows.Row{
+			{Key: SpecKey("1"), Value: flow.Encode(spec)}, {Key: HomeKey("1"), Value: HomeValue(spec)},
+		}})
+		Expect(err).NotTo(HaveOccurred())
+	}
+	remove := func(t *table, k rows.Key) {
+		_, err := t.Tx(context.Background(), rows.Tx{Remove: []rows.Key{k}})
+		Expect(err).NotTo(HaveOccurred())
+	}
+
+	ginkgo.It("is read by the owner of each, and by no other", func(ctx context.Context) {
+		t := newTable()
+		put(t)
+		d := newDriver(ctx, t, func() {})
+		Expect(d.load()).To(BeTrue())
+		Expect(d.Cells("1")).To(Equal([]string{"home", "c"}))
+
+		other := newDriver(ctx, newTable(), func() {})
+		other.Name = "other"
+		other.restore([]rows.Row{{Key: SpecKey("1"), Value: flow.Encode(spec)}}, nil, nil)
+		Expect(other.cell.Known("1")).To(BeFalse())
+	})
+
+	ginkgo.It("is found by an owner that nobody told", func(ctx context.Context) {
+		t := newTable()
+		d := newDriver(ctx, t, func() {})
+		Expect(d.load()).To(BeTrue())
+		put(t)
+		Expect(d.findMissed([]rows.Row{{Key: HomeKey("1"), Value: HomeValue(spec), Ver: t.ver}})).To(Succeed())
+		Expect(d.cell.Known("1")).To(BeTrue())
+	})
+
+	ginkgo.It("keeps the record of a part that was cancelled until the job's end is kept", func(ctx context.Context) {
+		t := newTable()
+		put(t)
+		d := newDriver(ctx, t, func() {})
+		d.Keep = 100 * time.Millisecond
+		d.Start()
+		defer d.Close()
+		Eventually(d.Ready).Should(BeTrue())
+		Expect(d.Cancel(ctx, "1")).To(Succeed())
+		// A next owner would start the tasks again if it found the job and no record.
+		Consistently(func() bool { return t.has(RecordKey("c", "1")) }, sharesEvery+retireAfter+time.Second).Should(BeTrue())
+		Expect(t.has(EndedKey("1"))).To(BeFalse(), "the end is for its home to write")
+		Expect(t.has(SpecKey("1"))).To(BeTrue())
+		remove(t, SpecKey("1"))
+		Eventually(func() bool { return t.has(RecordKey("c", "1")) }, 2*sharesEvery+retireAfter).Should(BeFalse())
+		Eventually(func() bool { d.mu.Lock(); defer d.mu.Unlock(); return d.cell.Known("1") }, "3s").Should(BeFalse())
+		Expect(t.has(HomeKey("1"))).To(BeTrue(), "whoever asks is told by its home for how long")
+	})
+
+	ginkgo.It("ends in a cell that was not told of its end", func(ctx context.Context) {
+		t := newTable()
+		put(t)
+		d := newDriver(ctx, t, func() {})
+		d.Start()
+		defer d.Close()
+		Eventually(d.Ready).Should(BeTrue())
+		state := func() flow.State { s, _ := d.State("1"); return s }
+		Consistently(state, sharesEvery+time.Second).Should(Equal(flow.Pending))
+		remove(t, SpecKey("1"))
+		Eventually(state, 2*sharesEvery).Should(Equal(flow.Canceled))
+	})
+})
--- a/driver/tidy.go
+++ b/driver/tidy.go
@@ -85,7 +85,7 @@
 // kept: an owner that is none any more may not end a job. The lock is held, and the
 // cell lease valid.
 func (d *Driver) archiveEnded() {
-	d.ended = append(d.ended, d.cell.Ended()...)
+	d.ended = append(d.ended, own(d.cell.Ended())...)
 	later := d.ended[:0]
 	for _, o := range d.ended {
 		if s, _ := d.cell.State(o.ID); o.State == flow.Succeeded || s.Final() {
@@ -137,7 +137,9 @@
 		d.stale = append(d.stale, o.ID)
 	}
 	for _, x := range d.cell.Expire(d.Keep, now) {
-		d.forgetEnd(x.ID, x.Age, "kept")
+		if !x.Foreign {
+			d.forgetEnd(x.ID, x.Age, "kept")
+		}
 	}
 	if len(d.stale) > 0 {
 		notify(d.write)
--- a/driver/watch.go
+++ b/driver/watch.go
@@ -97,6 +97,10 @@
 	}
 	if e.Ver > link.ver {
 		link.ver = e.Ver
+		if e.Draining && !link.draining {
+			level.Info(d.Log).Log("event", "worker_leaves", "worker", e.ID, "version", e.Ver, "remaining_ms", e.Remaining.Milliseconds())
+		}
+		link.draining = e.Draining
 		d.cell.Heard(e.Worker, now)
 	}
 	link.missing = time.Time{}
--- a/flow/flow.go
+++ b/flow/flow.go
@@ -3,6 +3,7 @@
 package flow
 
 import (
+	"slices"
 	"time"
 
 	"dewpass.org/kind"
@@ -73,6 +74,9 @@
 	Queue string `json:"queue"`
 	// Cell names the cell that has the job.
 	Cell string `json:"cell,omitempty"`
+	// Shares names further cells that run a part of its tasks each; see Share. Cell alone
+	// says what becomes of the job.
+	Shares []string `json:"shares,omitempty"`
 	// Hall names the hall whose workers may be given tasks of the job without
 	// anything being written first; "" is none.
 	Hall  string `json:"hall,omitempty"`
@@ -139,6 +143,35 @@
 	return time.Duration(max(s.EstimateMS, 1)) * time.Millisecond
 }
 
+// Cells returns the cells that run tasks of s, its own first.
+func (s *Spec) Cells() []string { return append([]string{s.Cell}, s.Shares...) }
+
+// Share is the part of a job's tasks that one cell runs. The zero value is all of them.
+type Share struct {
+	// At and Of say that it is those tasks of each step whose index is At modulo Of.
+	At, Of int
+}
+
+// Share returns the part of s that a cell runs, and whether it runs any.
+func (s *Spec) Share(cell string) (Share, bool) {
+	at := slices.Index(s.Cells(), cell)
+	return Share{At: at, Of: 1 + len(s.Shares)}, at >= 0
+}
+
+// Has reports whether the share has a task.
+func (s Share) Has(index int) bool { return s.Of <= 1 || index%s.Of == s.At }
+
+// Foreign reports whether another cell says what becomes of the job.
+func (s Share) Foreign() bool { return s.Of > 1 && s.At > 0 }
+
+// MayShare reports whether several cells may run s: its tasks have nothing to do with each
+// other, and no end of theirs ends it.
+func (s *Spec) MayShare() bool {
+	return s.Times == 0 && !slices.ContainsFunc(s.Steps, func(st Step) bool {
+		return !st.Lasting || st.Gang || len(st.After) > 0
+	})
+}
+
 // Lasting reports whether any step of s lasts.
 func (s *Spec) Lasting() bool {
 	for i := range s.Steps {
--- /dev/null
+++ b/flow/share_test.go
@@ -0,0 +1,54 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package flow
+
+import (
+	"testing"
+
+	. "github.com/onsi/gomega"
+)
+
+func TestShareOfAJobThatOneCellRunsIsAllOfIt(t *testing.T) {
+	g := NewWithT(t)
+	s := &Spec{Cell: "a"}
+	share, ok := s.Share("a")
+	g.Expect(ok).To(BeTrue())
+	g.Expect(share.Foreign()).To(BeFalse())
+	for i := range 5 {
+		g.Expect(share.Has(i)).To(BeTrue())
+	}
+	_, ok = s.Share("b")
+	g.Expect(ok).To(BeFalse())
+}
+
+func TestSharesHaveEachTaskOnce(t *testing.T) {
+	g := NewWithT(t)
+	s := &Spec{Cell: "b", Shares: []string{"a", "c"}}
+	for i := range 10 {
+		n := 0
+		for _, cell := range []string{"a", "b", "c", "d"} {
+			if share, ok := s.Share(cell); ok && share.Has(i) {
+				n++
+			}
+		}
+		g.Expect(n).To(Equal(1))
+	}
+	home, _ := s.Share("b")
+	other, _ := s.Share("a")
+	g.Expect(home.Foreign()).To(BeFalse())
+	g.Expect(other.Foreign()).To(BeTrue())
+}
+
+func TestOnlyJobsOfTasksThatLastAreShared(t *testing.T) {
+	g := NewWithT(t)
+	lasting := Step{Count: 2, Lasting: true}
+	g.Expect((&Spec{Steps: []Step{lasting, lasting}}).MayShare()).To(BeTrue())
+	for _, odd := range []Spec{
+		{Steps: []Step{{Count: 1}, lasting}},
+		{Steps: []Step{lasting, {Count: 2, Lasting: true, After: []int{0}}}},
+		{Steps: []Step{{Count: 2, Lasting: true, Gang: true}}},
+		{Steps: []Step{lasting}, Times: 2},
+	} {
+		g.Expect(odd.MayShare()).To(BeFalse())
+	}
+}
