cell, driver, platform: a worker that loses orders is left alone for a while; carriers keep few connections

Cause: any instance may send orders for an owner on a thin link, and each kept up to eight connections to each worker for 90 s; 18 instances are 144, and a worker bears 64. From then on it resets new ones. An owner that came after a loss of power got one, for its holds; every start was lost, the worker was held anew, which worked, and was again the best fit.

After two lost orders in a row a worker gets nothing for 0.5 s, then for twice as long each time up to 4 s.

--- a/cell/ends.go
+++ b/cell/ends.go
@@ -172,6 +172,14 @@
 	Unhealthy
 )
 
+// OrderLost says that the answer to an order was lost, as was the worker's hold on it: call Unsure
+// as well.
+func (c *Cell) OrderLost(worker string, now time.Time) {
+	if w := c.workers[worker]; w != nil {
+		w.health.orderLost(now)
+	}
+}
+
 // Started takes in the answer to an order. Where there was none, call Unsure.
 func (c *Cell) Started(worker string, task flow.TaskID, n int, o Outcome, now time.Time) {
 	w := c.workers[worker]
@@ -183,6 +191,7 @@
 		return
 	}
 	if o == Accepted {
+		w.health.lost = 0
 		c.confirm(r, now)
 		return
 	}
--- a/cell/health.go
+++ b/cell/health.go
@@ -13,6 +13,11 @@
 	probation     = 2 * time.Second
 	probationMost = 16 * time.Second
 	refusal       = 500 * time.Millisecond
+	// lostInRow is how many orders in a row have to be lost for a worker to get nothing for a
+	// while, though it answers holds: one of them may be lost anywhere on its way. The while
+	// doubles up to lostMost, in which a worker that works again is not missed for long.
+	lostInRow = 2
+	lostMost  = 4 * time.Second
 )
 
 // health follows how a worker's runs end. Its zero value is healthy.
@@ -22,6 +27,8 @@
 	length time.Duration
 	// trial says that the worker may have one run, to see how it ends.
 	trial bool
+	// lost counts the orders that were lost since it last took one.
+	lost int
 }
 
 func (h *health) good(time.Time) {
@@ -57,6 +64,18 @@
 	}
 }
 
+// orderLost takes in that an order was lost. Its task goes elsewhere if there is room: the worker
+// that answers holds and loses orders, as it bears no more connections, is still the one into
+// which the task fits best.
+func (h *health) orderLost(now time.Time) {
+	h.lost++
+	if more := h.lost - lostInRow; more >= 0 {
+		if t := now.Add(min(refusal<<min(more, 8), lostMost)); t.After(h.until) {
+			h.until = t
+		}
+	}
+}
+
 // allows reports whether a worker with some runs may be given one more.
 func (h *health) allows(runs int, now time.Time) bool {
 	if now.Before(h.until) {
--- a/cluster/carry_test.go
+++ b/cluster/carry_test.go
@@ -65,7 +65,7 @@
 
 	It("reach the workers as the owner gave them, each with its own result", func(ctx context.Context) {
 		n, w := testInstance(nil), &told{}
-		n.Workers = w
+		n.Carrier = w
 		orders := []driver.StartOrder{order("good", 3), order("full", 4), order("gone", 5)}
 		got, err := passedOn(ctx, n, orders, "text")
 		Expect(err).NotTo(HaveOccurred())
@@ -78,7 +78,7 @@
 
 	It("bear the text of a job once", func(ctx context.Context) {
 		n, w := testInstance(nil), &told{}
-		n.Workers = w
+		n.Carrier = w
 		_, err := passedOn(ctx, n, []driver.StartOrder{order("good", 0)}, "")
 		Expect(kind.Is(err, kind.Conflict)).To(BeTrue(), "it does not have the text")
 		Expect(w.starts).To(BeEmpty())
@@ -92,7 +92,7 @@
 
 	It("leave out what runs only where ends are there and nothing else is wanted", func(ctx context.Context) {
 		n, w := testInstance(nil), &told{}
-		n.Workers = w
+		n.Carrier = w
 		hold := func(worker string, brief bool) (driver.HoldAnswer, error) {
 			reply, err := n.handle(ctx, &wire.Request{Body: &wire.Request_Hold{Hold: &wire.HoldOrder{Worker: worker, Brief: brief}}})
 			Expect(err).NotTo(HaveOccurred())
--- a/cluster/instance.go
+++ b/cluster/instance.go
@@ -38,8 +38,10 @@
 // Services are the outside systems that an instance works with.
 type Services struct {
 	// Store is the store of rows as this instance reaches it itself.
-	Store     rows.Store
-	Workers   driver.Workers
+	Store   rows.Store
+	Workers driver.Workers
+	// Carrier sends orders of other owners, with few connections: any instance may.
+	Carrier   driver.Workers
 	Directory func(rows.Store) driver.Directory
 	Configs   func(rows.Store) ConfigSource
 	// Upkeep is nil where there is no list of machines.
--- a/driver/carry.go
+++ b/driver/carry.go
@@ -239,6 +239,7 @@
 		if l.fence == o.Fence {
 			level.Info(d.Log).Log("event", "start_lost", "job", o.Task.Job, "worker", o.Worker, "run", o.Run, "limit_ms", o.limit.Milliseconds(), "err", r.Err)
 			l.answers.Lost()
+			d.cell.OrderLost(o.Worker, time.Now())
 			d.unsure(o.Worker)
 		}
 		return
