cell, cluster, flow: bounds of shared jobs

A wide step that may miss fewer tasks than there are cells stays whole: a cell whose part of that is none could never empty a machine for its upkeep. A row whose shares name a cell twice is no job. Tests: cluster and flow, share_test.

--- a/cell/ends.go
+++ b/cell/ends.go
@@ -191,7 +191,6 @@
 		return
 	}
 	if o == Accepted {
-		w.health.lost = 0
 		c.confirm(r, now)
 		return
 	}
--- a/cluster/division.go
+++ b/cluster/division.go
@@ -93,7 +93,8 @@
 
 // shares returns the cells that a job of one cell is shared with: all others if a step of tasks
 // that last, of which a worker carries only so many, may not find enough workers in one. Steps
-// of tasks that end take turns there instead.
+// of tasks that end take turns there instead. A step that may miss too few of its tasks to be
+// divided stays whole: a cell that may move none could never empty a machine for its upkeep.
 func (d *division) shares(spec *flow.Spec, cell string) []string {
 	names := d.cells()
 	if len(names) < 2 || !spec.MayShare() {
@@ -101,7 +102,8 @@
 	}
 	perCell := cmp.Or(int(d.perCell.Load()), workersPerCell)
 	wide := func(s flow.Step) bool { return s.PerWorker > 0 && s.Count*shareFrom > perCell*s.PerWorker }
-	if !slices.ContainsFunc(spec.Steps, wide) {
+	whole := func(s flow.Step) bool { return s.MayMiss > 0 && s.MayMiss < len(names) }
+	if !slices.ContainsFunc(spec.Steps, wide) || slices.ContainsFunc(spec.Steps, whole) {
 		return nil
 	}
 	return slices.DeleteFunc(slices.Clone(names), func(name string) bool { return name == cell })
--- a/cluster/share_test.go
+++ b/cluster/share_test.go
@@ -81,7 +81,7 @@
 		Expect(d.shares(&flow.Spec{Steps: []flow.Step{step}}, "cell-1")).To(Equal([]string{"cell-0", "cell-2"}))
 		for _, narrow := range []flow.Step{
 			{Count: 91, Lasting: true, PerWorker: 1}, {Count: 92, Lasting: true}, {Count: 92, PerWorker: 1},
-			{Count: 92, Lasting: true, PerWorker: 2}, {Count: 92, Lasting: true, PerWorker: 1, Gang: true},
+			{Count: 92, Lasting: true, PerWorker: 1, MayMiss: 2}, {Count: 92, Lasting: true, PerWorker: 2}, {Count: 92, Lasting: true, PerWorker: 1, Gang: true},
 		} {
 			Expect(d.shares(&flow.Spec{Steps: []flow.Step{narrow}}, "cell-1")).To(BeEmpty())
 		}
--- a/flow/flow.go
+++ b/flow/flow.go
@@ -229,6 +229,10 @@
 	case s.Times < 0 || s.Times > MaxTimes:
 		return kind.At(kind.BadRequest, "/times", "must be 0 to 1000")
 	}
+	cells := slices.Sorted(slices.Values(s.Cells()))
+	if len(slices.Compact(cells)) != 1+len(s.Shares) {
+		return kind.At(kind.BadRequest, "/shares", "must name other cells, each once")
+	}
 	tasks := 0
 	for i := range s.Steps {
 		if err := s.Steps[i].check(i); err != nil {
--- a/flow/share_test.go
+++ b/flow/share_test.go
@@ -52,3 +52,12 @@
 		g.Expect(odd.MayShare()).To(BeFalse())
 	}
 }
+
+func TestSharesNameEachCellOnce(t *testing.T) {
+	g := NewWithT(t)
+	for _, odd := range [][]string{{"home"}, {"a", "a"}} {
+		s := &Spec{Cell: "home", Shares: odd, Steps: []Step{{Count: 1, Lasting: true}}}
+		_, err := DecodeSpec(Encode(s))
+		g.Expect(err).To(HaveOccurred())
+	}
+}
