--- a/driver/link.go
+++ b/driver/link.go
@@ -232,7 +232,7 @@
 	}
 	limit := d.orderTime(l, now)
 	// Where a carried hold brings no word of the worker it is sent from here as well.
-	send := heldHold{HoldOrder: o, sent: now, limit: limit, carried: !attach && d.carries(now), attach: attach}
+	send := sentHold{HoldOrder: o, sent: now, limit: limit, carried: !attach && d.carries(now), attach: attach}
 	wanted, anew := context.WithCancel(ctx)
 	defer anew()
 	l.anew = anew
@@ -244,8 +244,8 @@
 	return nil
 }
 
-// heldHold is a hold on its way to a worker.
-type heldHold struct {
+// sentHold is a hold on its way to a worker.
+type sentHold struct {
 	HoldOrder
 	sent            time.Time
 	limit           time.Duration
@@ -255,7 +255,7 @@
 // awaitHold sends a hold and takes in its answer, for which it waits until wanted ends. An
 // answer that comes later is taken in as well: a worker that leaves may not list what it
 // says again.
-func (d *Driver) awaitHold(ctx, wanted context.Context, l *link, h heldHold) error {
+func (d *Driver) awaitHold(ctx, wanted context.Context, l *link, h sentHold) error {
 	holding, cancel := context.WithCancel(ctx)
 	done := make(chan error, 1)
 	d.spawn(func() {
