driver: lines for runs that are left behind by a worker that leaves

What told nothing so far: whether a run whose worker had said that it leaves was still there by its last word, how far it was, and how long before its lease was over a hold had last had an answer. lease_over says the last; run_left_behind is a line for each such run. Nothing else changes. Test: driver, leaving_test, red without.

--- a/cell/worker.go
+++ b/cell/worker.go
@@ -188,6 +188,19 @@
 	return w != nil && w.Draining && w.attached && len(w.runs) == 0 && w.seen == w.observed
 }
 
+// Runs returns what runs on a worker, by what it last listed.
+func (c *Cell) Runs(id string) []Running {
+	w := c.workers[id]
+	if w == nil {
+		return nil
+	}
+	var out []Running
+	for _, r := range w.held {
+		out = append(out, Running{Task: r.task(), Run: r.n, Saved: r.saved, Percent: r.percent, Tail: r.tail})
+	}
+	return out
+}
+
 // Observed returns the number of the last end of a worker that is kept.
 func (c *Cell) Observed(id string) int {
 	if w := c.workers[id]; w != nil {
--- a/driver/events.go
+++ b/driver/events.go
@@ -3,6 +3,8 @@
 package driver
 
 import (
+	"time"
+
 	"github.com/go-kit/log/level"
 
 	"dewpass.org/cell"
@@ -21,6 +23,19 @@
 	}
 }
 
+// logLeaseOver logs that the leases of a worker are over, with what runs there by its last word if
+// it has said that it leaves: such a run may have ended just before its worker. The lock is held.
+func (d *Driver) logLeaseOver(l *link, now time.Time) {
+	level.Info(d.Log).Log("event", "lease_over", "worker", l.id, "left", l.draining, "heard_ms_ago", now.Sub(l.heard).Milliseconds())
+	if !l.draining {
+		return
+	}
+	for _, r := range d.cell.Runs(l.id) {
+		level.Info(d.Log).Log("event", "run_left_behind", "job", r.Task.Job, "step", r.Task.Step, "index", r.Task.Index,
+			"run", r.Run, "worker", l.id, "percent", r.Percent)
+	}
+}
+
 // logChanges logs what happened to the runs of tasks that last. The lock is held.
 func (d *Driver) logChanges() {
 	for _, c := range d.cell.Changes() {
--- a/driver/leaving_test.go
+++ b/driver/leaving_test.go
@@ -3,10 +3,12 @@
 package driver
 
 import (
+	"bytes"
 	"context"
 	"sync"
 	"time"
 
+	"github.com/go-kit/log"
 	"github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -161,6 +163,21 @@
 		Consistently(w.started, stretch(d.Lease)+time.Second).Should(Equal(1))
 	})
 
+	ginkgo.It("is told of, as a run that was left behind", func(ctx context.Context) {
+		d := newDriver(ctx, newTable(), func() {})
+		var lines bytes.Buffer
+		d.Log = log.NewLogfmtLogger(&lines)
+		d.cell.Configure([]cell.Queue{{Name: "q", Pool: "p", MaxAttempts: 1}})
+		now := time.Now()
+		all, _ := (&two{}).All(ctx)
+		d.cell.Heard(all[0].Worker, now)
+		d.cell.Attached("w", cell.Lists{Running: []cell.Running{{Task: flow.TaskID{Job: "j", Index: 3}, Run: 5, Percent: 98}}}, now)
+		l := &link{id: "w", draining: true, heard: now.Add(-6 * time.Second)}
+		d.holdFailed(l, errAway)
+		Expect(lines.String()).To(ContainSubstring("event=lease_over worker=w left=true heard_ms_ago=6"))
+		Expect(lines.String()).To(ContainSubstring("event=run_left_behind job=j step=0 index=3 run=5 worker=w percent=98"))
+	})
+
 	ginkgo.It("is not known if that answer is lost and the worker gone: the task runs again, after the lease", func(ctx context.Context) {
 		w := &leaver{ended: make(chan struct{}), loses: true}
 		d := play(ctx, w)
--- a/driver/link.go
+++ b/driver/link.go
@@ -73,8 +73,9 @@
 	orders map[uint64]time.Time
 	count  uint64
 	kick   chan struct{}
-	// listed is when the worker last listed what runs there.
-	listed time.Time
+	// listed is when the worker last listed what runs there, and heard when a hold last had
+	// an answer.
+	listed, heard time.Time
 	// attaching has room for as many as may be attached at once.
 	attaching chan struct{}
 	// ver is the version of the newest entry.
@@ -320,6 +321,7 @@
 		d.lateness.Saw(l.id, late, now)
 	}
 	l.heardClock(a.ClockMS, now)
+	l.heard = now
 	if attach && l.lapsed && l.fence == o.Fence {
 		d.listAgain(l)
 	}
@@ -410,7 +412,7 @@
 	if now.After(l.over) && !l.lapsed {
 		l.lapsed = true
 		d.Scope.Counter("leases_over_total").Inc(1)
-		level.Info(d.Log).Log("event", "lease_over", "worker", l.id)
+		d.logLeaseOver(l, now)
 		d.cell.Lapsed(l.id, now)
 		notify(d.wake)
 	}
