cell, driver: a line for each run that is lost with its worker

Logs named lost workers and, at the end of a job, how many runs it had lost: not which task a worker was lost with, whether the run had begun, nor what ran beside it. run_lost tells each with what shows that the worker is no more, and runs_lost_total counts them by that. No change of what is decided. The suites of cell and driver are green.

--- a/cell/advice_test.go
+++ b/cell/advice_test.go
@@ -75,7 +75,7 @@
 		r.add("j", flow.Step{Count: 1, Demand: demand(1000)})
 		a := r.Place(r.now, r.now, 1)
 		r.Advised(a.Asks[0], []Ticket{{Worker: "w0", Text: "t"}}, time.Hour, r.now)
-		r.Forget("w0", r.now)
+		r.Forget("w0", LossReborn, r.now)
 		r.heard("w1", func(*Worker) {})
 		r.Attached("w1", Lists{}, r.now)
 		Expect(r.place().Starts).To(BeEmpty())
--- a/cell/ask_load_test.go
+++ b/cell/ask_load_test.go
@@ -61,7 +61,7 @@
 		r.Attached("w0", Lists{}, r.now)
 		r.heard("w9", func(*Worker) {})
 		Expect(r.place().Asks).To(BeEmpty())
-		r.Lapsed("w9", r.now)
+		r.Lapsed("w9", LossSilent, r.now)
 		Expect(r.place().Asks).To(HaveLen(1))
 	})
 
--- a/cell/cell.go
+++ b/cell/cell.go
@@ -64,6 +64,8 @@
 	counts         Counts
 	// changes are those of tasks that last, until Changes.
 	changes []Change
+	// lostRuns are the runs that were lost with their workers, until LostRuns.
+	lostRuns []LostRun
 	// sendMost is how many bytes the starts of the next decision may have, sendLeft what is
 	// left of that during Place, and sendShared says that those of a step share their text.
 	sendMost, sendLeft int
--- a/cell/cell_test.go
+++ b/cell/cell_test.go
@@ -280,7 +280,7 @@
 		s := r.startAll()[0]
 		r.Unsure(s.Worker, r.now)
 		Expect(r.startAll()).To(BeEmpty())
-		r.Lapsed(s.Worker, r.now)
+		r.Lapsed(s.Worker, LossSilent, r.now)
 		again := r.startAll()
 		Expect(again).To(HaveLen(1))
 		Expect(again[0].Worker).NotTo(Equal(s.Worker))
--- /dev/null
+++ b/cell/loss.go
@@ -0,0 +1,60 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package cell
+
+import (
+	"time"
+
+	"dewpass.org/flow"
+)
+
+// Loss is what shows that nothing runs on a worker any more.
+type Loss string
+
+// How a worker is lost.
+const (
+	// LossReborn: another life answers at its address, so that this one has ended.
+	LossReborn Loss = "reborn"
+	// LossRefused: its leases are over, and its address refused connections by then.
+	LossRefused Loss = "refused"
+	// LossSilent: its leases are over, and nothing tells a worker that has ended from one
+	// that is cut off.
+	LossSilent Loss = "silent"
+	// LossPlanned: its machine was taken down on this owner's word.
+	LossPlanned Loss = "planned"
+)
+
+// LostRun is a run that was lost with its worker.
+type LostRun struct {
+	Task   flow.TaskID
+	Run    int
+	Worker string
+	Loss   Loss
+	// Began says that the worker was known to have the run, and Age how long after the
+	// decision to start it the worker was last heard.
+	Began bool
+	Age   time.Duration
+	// Beside counts the other runs that were lost with the same worker.
+	Beside int
+	// Leaving says that the worker had said that it leaves.
+	Leaving bool
+}
+
+// LostRuns returns the runs that were lost since the last call, in their order.
+func (c *Cell) LostRuns() []LostRun {
+	out := c.lostRuns
+	c.lostRuns = nil
+	return out
+}
+
+// lostWith returns what is told of a run that is lost with its worker.
+func (r *run) lostWith(how Loss, now time.Time) LostRun {
+	heard := now
+	if !r.w.attached {
+		heard = r.w.unsureSince
+	}
+	return LostRun{
+		Task: r.task(), Run: r.n, Worker: r.w.ID, Loss: how, Began: !r.confirmed.IsZero(),
+		Age: max(heard.Sub(r.decided), 0), Beside: len(r.w.held) - 1, Leaving: r.w.leaving(),
+	}
+}
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -137,12 +137,12 @@
 }
 
 // Forget removes a worker that is known to be no more: none of its runs runs.
-func (c *Cell) Forget(id string, now time.Time) {
+func (c *Cell) Forget(id string, how Loss, now time.Time) {
 	w := c.workers[id]
 	if w == nil {
 		return
 	}
-	c.Lapsed(id, now)
+	c.Lapsed(id, how, now)
 	// Those who still know of it place nothing there.
 	w.Gone = true
 	delete(c.workers, id)
@@ -151,12 +151,15 @@
 
 // Lapsed says that nothing runs on a worker any more for certain: its leases
 // are over, or it lives another life.
-func (c *Cell) Lapsed(id string, now time.Time) {
+func (c *Cell) Lapsed(id string, how Loss, now time.Time) {
 	w := c.workers[id]
 	if w == nil {
 		return
 	}
 	w.settled = true
+	for _, r := range w.held {
+		c.lostRuns = append(c.lostRuns, r.lostWith(how, now))
+	}
 	for _, r := range slices.Clone(w.held) {
 		c.counts.Lapsed++
 		r.stage.job.story.Lost++
--- a/driver/carry.go
+++ b/driver/carry.go
@@ -227,7 +227,7 @@
 		return
 	}
 	if kind.Is(r.Err, kind.NotFound) {
-		d.dead(l, "another life is at its address")
+		d.dead(l, cell.LossReborn)
 		return
 	}
 	delete(l.orders, o.number)
--- a/driver/carry_test.go
+++ b/driver/carry_test.go
@@ -241,7 +241,7 @@
 		now := time.Now()
 		d.cell.Heard(cell.Worker{ID: "v", Pool: "p", Hall: "h", Room: sched.Vec{sched.Milli: 1000, sched.MiB: 1000}}, now)
 		d.cell.Attached("v", cell.Lists{}, now)
-		d.forget(d.links["w"], now)
+		d.forget(d.links["w"], cell.LossSilent, now)
 		return d.cell.Place(now, now, 0).Starts
 	}
 
--- a/driver/driver.go
+++ b/driver/driver.go
@@ -390,6 +390,7 @@
 	}
 	d.logWaits(a.Waits)
 	d.logChanges()
+	d.logLostRuns()
 	for i := range a.Asks {
 		ask := a.Asks[i]
 		d.spawn(func() { d.ask(ask) })
--- a/driver/driver_test.go
+++ b/driver/driver_test.go
@@ -235,7 +235,7 @@
 		// A worker less, and a row less after it.
 		d.mu.Lock()
 		for _, e := range entries[workersPerRow:] {
-			d.forget(d.links[e.ID], time.Now())
+			d.forget(d.links[e.ID], cell.LossSilent, time.Now())
 		}
 		d.mu.Unlock()
 		Expect(d.commitOnce(false)).To(BeTrue())
--- a/driver/empty.go
+++ b/driver/empty.go
@@ -5,6 +5,7 @@
 import (
 	"time"
 
+	"dewpass.org/cell"
 	"dewpass.org/upkeep"
 )
 
@@ -27,4 +28,4 @@
 }
 
 // Over implements upkeep.Cell.
-func (d *Driver) Over(worker string) { d.workerDead(worker, "upkeep") }
+func (d *Driver) Over(worker string) { d.workerDead(worker, cell.LossPlanned) }
--- a/driver/events.go
+++ b/driver/events.go
@@ -36,6 +36,17 @@
 	}
 }
 
+// logLostRuns logs which runs were lost with their workers, and what tells a task that crashes
+// its worker from its neighbours. The lock is held.
+func (d *Driver) logLostRuns() {
+	for _, r := range d.cell.LostRuns() {
+		d.Scope.Tagged(map[string]string{"loss": string(r.Loss)}).Counter("runs_lost_total").Inc(1)
+		level.Info(d.Log).Log("event", "run_lost", "job", r.Task.Job, "step", r.Task.Step, "index", r.Task.Index,
+			"run", r.Run, "worker", r.Worker, "loss", string(r.Loss), "began", r.Began, "age_ms", r.Age.Milliseconds(),
+			"beside", r.Beside, "leaving", r.Leaving)
+	}
+}
+
 // logChanges logs what happened to the runs of tasks that last. The lock is held.
 func (d *Driver) logChanges() {
 	for _, c := range d.cell.Changes() {
--- a/driver/link.go
+++ b/driver/link.go
@@ -4,8 +4,10 @@
 
 import (
 	"context"
+	"syscall"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/go-kit/log/level"
 
 	"dewpass.org/cell"
@@ -389,7 +391,7 @@
 // is over.
 func (d *Driver) holdFailed(l *link, err error) bool {
 	if kind.Is(err, kind.NotFound) {
-		d.workerDead(l.id, "another life is at its address")
+		d.workerDead(l.id, cell.LossReborn)
 		return true
 	}
 	now := time.Now()
@@ -413,19 +415,19 @@
 		l.lapsed = true
 		d.Scope.Counter("leases_over_total").Inc(1)
 		d.logLeaseOver(l, now)
-		d.cell.Lapsed(l.id, now)
+		d.cell.Lapsed(l.id, lossBy(err), now)
 		notify(d.wake)
 	}
 	if l.lapsed && !l.missing.IsZero() && now.Sub(l.missing) > goneAfter {
-		d.forget(l, now)
+		d.forget(l, cell.LossSilent, now)
 		return true
 	}
 	return false
 }
 
 // forget ends a link. The lock is held.
-func (d *Driver) forget(l *link, now time.Time) {
-	d.cell.Forget(l.id, now)
+func (d *Driver) forget(l *link, how cell.Loss, now time.Time) {
+	d.cell.Forget(l.id, how, now)
 	l.cancel()
 	delete(d.links, l.id)
 	d.workerListChanged = true
@@ -433,18 +435,27 @@
 }
 
 // workerDead takes in that a life of a worker is surely over.
-func (d *Driver) workerDead(id, why string) {
+func (d *Driver) workerDead(id string, how cell.Loss) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if l := d.links[id]; l != nil {
-		d.dead(l, why)
+		d.dead(l, how)
 	}
 }
 
 // dead ends the link to a worker whose life is surely over. The lock is held.
-func (d *Driver) dead(l *link, why string) {
-	level.Info(d.Log).Log("event", "worker_dead", "worker", l.id, "why", why)
-	d.forget(l, time.Now())
+func (d *Driver) dead(l *link, how cell.Loss) {
+	level.Info(d.Log).Log("event", "worker_dead", "worker", l.id, "why", string(how))
+	d.forget(l, how, time.Now())
+}
+
+// lossBy returns what the failure of the last hold says of a worker whose leases are over. A
+// refusal comes from its machine: no process is there.
+func lossBy(err error) cell.Loss {
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return cell.LossRefused
+	}
+	return cell.LossSilent
 }
 
 // unsure makes a link attach again. The lock is held.
