test/cluster: a task that crashes its workers is started without end, a test that fails

Stand-ins of workers can be crashed by a task at its start or later, and come back at their address as another life.

--- a/internal/standin/world/book.go
+++ b/internal/standin/world/book.go
@@ -31,10 +31,16 @@
 	found   []string
 	// closed says that a task's job was cancelled, by job.
 	cancelled map[string]time.Time
+	// crashes counts the workers that each task has crashed, and afterCrashes its starts
+	// after it had crashed too many.
+	crashes, afterCrashes map[string]int
 }
 
 func newBook() *Book {
-	return &Book{failed: make(map[string]int), cancelled: make(map[string]time.Time)}
+	return &Book{
+		failed: make(map[string]int), cancelled: make(map[string]time.Time),
+		crashes: make(map[string]int), afterCrashes: make(map[string]int),
+	}
 }
 
 // started writes a start down. A task must not run twice at a time, nor again
@@ -54,6 +60,7 @@
 			b.found = append(b.found, fmt.Sprintf("TWICE: %s is started on %s after it was done on %s", o.Task, w.ID, old.Worker))
 		}
 	}
+	b.startedAfterCrashes(o.Task)
 	b.entries = append(b.entries, e)
 	return e
 }
--- a/internal/standin/world/worker.go
+++ b/internal/standin/world/worker.go
@@ -56,6 +56,11 @@
 
 	world    *World
 	cpu, mem int64
+	// place is the worker's number in its hall, listen where it listens and server what
+	// serves it there.
+	place int
+	listen  string
+	server  *http.Server
 
 	mu       sync.Mutex
 	fence    uint64
@@ -102,6 +107,8 @@
 	Reason   string  `json:"reason,omitempty"`
 	Running  [][]any `json:"running,omitempty"`
 	Finished [][]any `json:"finished,omitempty"`
+	// lost says that the answer is not given.
+	lost bool
 }
 
 // ServeHTTP implements http.Handler.
@@ -129,7 +136,7 @@
 		return
 	}
 	status, a := w.handle(r.URL.Path, &o)
-	if lose {
+	if lose || a.lost {
 		<-r.Context().Done()
 		return
 	}
@@ -219,6 +226,11 @@
 	r.entry = w.world.Book.started(w, o)
 	w.runs[o.Task] = r
 	w.checkRoom()
+	if after, crashes := spec.crashAfter(o.Task); crashes {
+		time.AfterFunc(after, func() { w.crashBy(r) })
+		// With no delay the process is gone before the answer to the order.
+		a.lost = after == 0
+	}
 	return http.StatusOK, a
 }
 
@@ -318,16 +330,21 @@
 }
 
 // job is what the text of a job says of its tasks: "ms=300 cpu=1000 mem=100
-// fails=1 saves lasts".
+// fails=1 saves lasts crashes=10 only=2".
 type job struct {
 	Length       time.Duration
 	CPU, Mem     int64
 	Fails        int
 	Saves, Lasts bool
+	// Crashes says that a task ends its worker's process CrashAfter its start; of a step it
+	// is the one with index CrashOnly alone, where that is not negative.
+	Crashes    bool
+	CrashAfter time.Duration
+	CrashOnly  int
 }
 
 func parseSpec(text string) job {
-	var j job
+	j := job{CrashOnly: -1}
 	for _, word := range strings.Fields(text) {
 		name, value, _ := strings.Cut(word, "=")
 		n, _ := strconv.ParseInt(value, 10, 64)
@@ -344,6 +361,10 @@
 			j.Saves = true
 		case "lasts":
 			j.Lasts = true
+		case "crashes":
+			j.Crashes, j.CrashAfter = true, time.Duration(n)*time.Millisecond
+		case "only":
+			j.CrashOnly = int(n)
 		}
 	}
 	return j
--- a/internal/standin/world/world.go
+++ b/internal/standin/world/world.go
@@ -88,10 +88,7 @@
 	if err != nil {
 		return "", err
 	}
-	s := &http.Server{Handler: h, ReadHeaderTimeout: time.Second}
-	w.servers = append(w.servers, s)
-	// Serve ends with the server.
-	go func() { _ = s.Serve(l) }()
+	w.serveOn(l, h)
 	if w.options.Via != nil {
 		return w.options.Via(l.Addr().String())
 	}
@@ -111,18 +108,31 @@
 func (w *World) newWorker(hall string, number int) (*Worker, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	n := &Worker{
+	n := w.makeWorker(hall, number)
+	l, err := net.Listen("tcp", net.JoinHostPort(w.options.Host, "0"))
+	if err != nil {
+		return nil, err
+	}
+	n.listen = l.Addr().String()
+	n.Addr = n.listen
+	n.server = w.serveOn(l, n)
+	if w.options.Via != nil {
+		n.Addr, err = w.options.Via(n.listen)
+	}
+	w.Workers = append(w.Workers, n)
+	w.beat(n)
+	return n, err
+}
+
+// makeWorker makes a worker that serves nothing yet. The lock is held.
+func (w *World) makeWorker(hall string, number int) *Worker {
+	return &Worker{
 		ID: fmt.Sprintf("i-%s-%d-%d", hall, number, len(w.Workers)), Hall: hall,
 		Rack: fmt.Sprintf("%s-r%d", hall, number/rackSize), world: w,
-		cpu: w.options.CPU, mem: w.options.Mem, begun: time.Now(),
+		place: number, cpu: w.options.CPU, mem: w.options.Mem, begun: time.Now(),
 		runs: make(map[string]*run), last: make(map[string]int),
 		random: rand.New(rand.NewPCG(w.options.Seed, uint64(len(w.Workers)))), changed: make(chan struct{}),
 	}
-	var err error
-	n.Addr, err = w.serve(n)
-	w.Workers = append(w.Workers, n)
-	w.beat(n)
-	return n, err
 }
 
 // Kill ends a worker's life: everything that runs there is gone, and nobody
