--- a/cell/crash_sim_test.go
+++ b/cell/crash_sim_test.go
@@ -29,8 +29,6 @@
 	crashes map[flow.TaskID]int
 	// late counts the starts of a task after it had crashed three workers.
 	late map[flow.TaskID]int
-	// lastFault is when a fault of a worker's own last struck.
-	lastFault time.Time
 }
 
 // simPlace is an address and what lives there.
@@ -40,8 +38,8 @@
 	rack string
 	runs []simRun
 	ends int
-	// down is until when nobody is there, and cut until when nobody reaches it.
-	down, cut time.Time
+	// down is until when nobody is there.
+	down time.Time
 }
 
 type simRun struct {
