driver, rows: a reading of the worker list on a silent connection is begun again after 0.5 s

Callers' tasks were given to a worker 2.16 s after it had said that it leaves, and were lost with it: a reading that began on a silent connection waited out 1.5 s, with 0.8 s before it.

A reading that brings nothing for 0.5 s is given up and begun again on another connection; the time doubles with each failure, up to 1.5 s, so that a slow store is still read. A caller of the store's client may now bound the silence of a call more closely than the client does.

--- a/driver/watch.go
+++ b/driver/watch.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/go-kit/log/level"
+
+	"dewpass.org/internal/stall"
 )
 
 const (
@@ -20,6 +22,14 @@
 	// readShare is how many times as long as a reading takes the link the pause after it is:
 	// the list takes at most a tenth of a thin link.
 	readShare = 9
+	// readSilent is how long a reading may bring nothing before another is begun, at first: with
+	// the pause before it and one after it a worker that leaves is still known in two seconds,
+	// though the connection that the reading went by is silent. It doubles with each reading
+	// that fails, up to readSilentMost, as the store may be that slow.
+	readSilent     = 500 * time.Millisecond
+	readSilentMost = 1500 * time.Millisecond
+	// readWhole bounds a reading over the thinnest link.
+	readWhole = time.Minute
 	// entrySize is about how many bytes a worker's entry takes.
 	entrySize = 420
 )
@@ -39,17 +49,27 @@
 // watch reads the directory of workers again and again. Its feed would tell of
 // every heartbeat of every worker.
 func (d *Driver) watch() {
+	silent := readSilent
 	for d.ctx.Err() == nil {
-		entries, err := d.Directory.All(d.ctx)
+		entries, err := d.readDirectory(silent)
 		if err != nil {
+			silent = min(2*silent, readSilentMost)
 			d.sleep(readRetry)
 			continue
 		}
+		silent = readSilent
 		d.readAll(entries)
 		d.sleep(readPause(len(entries), d.LinkRate))
 	}
 }
 
+// readDirectory reads the directory, and gives up once it brings nothing for a time.
+func (d *Driver) readDirectory(silent time.Duration) ([]Entry, error) {
+	ctx, cancel := stall.Context(d.ctx, stall.Limits{First: silent, Gap: readSilentMost, Whole: readWhole}, nil)
+	defer cancel()
+	return d.Directory.All(ctx)
+}
+
 func (d *Driver) sleep(t time.Duration) {
 	select {
 	case <-time.After(t):
--- a/rows/client.go
+++ b/rows/client.go
@@ -215,6 +215,7 @@
 		case o := <-answers:
 			open--
 			if o.err == nil {
+				stall.Moved(ctx)
 				o.take()
 				return nil
 			}
@@ -303,7 +304,10 @@
 	begun := c.Now()
 	var latency time.Duration
 	limits := stall.Limits{First: firstByte, Gap: directTime, Whole: wholeTime}
+	caller := ctx
 	ctx, cancel := stall.Context(ctx, limits, func() {
+		// The caller may bound the silence more closely.
+		stall.Moved(caller)
 		heard := c.heardDirect()
 		if latency == 0 {
 			latency = heard.Sub(begun)
