driver, cell: the time that a worker stays counts from when it said so

Callers' tasks ran twice: a run was done a few ms before its draining worker left, nobody was told, and it was started again when the lease was over.

Workers write how long they stay, and owners counted that from when they read it, up to 1.65 s later (123 workers of one log ended 1.6 s before their owner expected it). So runs that would be done just after that were left there. Now the time counts from the reading before, at which the entry was not there, and what is not done 0.25 s before the end is stopped, at the last moment also where no place is free: its end is then known at once, not when the lease is over.

--- a/cell/stop.go
+++ b/cell/stop.go
@@ -23,6 +23,10 @@
 	// lastMoves is how long before the end of its worker a task has to be stopped at the
 	// latest for the stop to be listed: as long as the slowest workers take for one.
 	lastMoves = 900 * time.Millisecond
+	// lastEnds is how long before the end of its worker a run has to be done: an end that
+	// comes later may not be listed to anybody, and its task would run again. The worker is not
+	// asked for up to 0.25 s while the ends that it has listed are being written.
+	lastEnds = 250 * time.Millisecond
 	// copyAfter is how long a worker is out of reach before a step that may
 	// have copies is started elsewhere.
 	copyAfter = 400 * time.Millisecond
@@ -88,15 +92,16 @@
 	return min(max(r.stage.def.Estimate()*stallShare/100, stallLeast), stallMost)
 }
 
-// checkLeaving marks a run for stopping whose worker leaves before it is done,
-// if it can go on elsewhere.
+// checkLeaving marks a run for stopping whose worker leaves before it is surely known to be done,
+// if it can go on elsewhere, or at the last moment.
 func (c *Cell) checkLeaving(r *run, now time.Time) {
 	if !r.w.leaving() || r.stopping || r.stage.def.Gang {
 		return
 	}
 	s := r.stage
 	left := r.w.leavesIn(now)
-	if !s.def.Lasting && r.remaining(now) < left {
+	last := r.w.Draining && !s.def.Lasting && left <= lastEnds
+	if !s.def.Lasting && r.remaining(now) < left-lastEnds {
 		return
 	}
 	if s.def.Lasting && !s.mayMove(r, left, now) {
@@ -106,7 +111,7 @@
 	if q == nil {
 		return
 	}
-	if c.places(s, q, now) <= s.toPlace() {
+	if !last && c.places(s, q, now) <= s.toPlace() {
 		s.moving = true
 		if !slices.Contains(c.open, s) {
 			c.open = append(c.open, s)
--- a/driver/driver.go
+++ b/driver/driver.go
@@ -87,6 +87,8 @@
 	// workerListRows is how many rows the worker list in the store may have, and
 	// workerListSize how many workers the last one lists.
 	workerListRows, workerListSize int
+	// lastRead is when the last whole reading of the directory began; only watch sets it.
+	lastRead time.Time
 	// starts bounds the starts under way by what this instance's link and processor carry.
 	starts window.Window
 	// bad holds why entries of workers could not be used, as last logged.
--- a/driver/link.go
+++ b/driver/link.go
@@ -68,8 +68,10 @@
 	cancel   context.CancelFunc
 	// missing is since when the worker's entry is gone.
 	missing time.Time
-	// draining says that the worker has said that it leaves.
+	// draining says that the worker has said that it leaves, and leaves is when it does at the
+	// earliest.
 	draining bool
+	leaves   time.Time
 	// answers are those of the worker to starts, and to holds that do not wait.
 	answers rtt.Estimate
 	// orders holds when each order without an answer was sent.
--- a/driver/watch.go
+++ b/driver/watch.go
@@ -30,6 +30,9 @@
 	readSilentMost = 1500 * time.Millisecond
 	// readWhole bounds a reading over the thinnest link.
 	readWhole = time.Minute
+	// entryAge is how old the entry of a worker that leaves may be for an owner that has not
+	// read the list before: workers write theirs every 1.5 s.
+	entryAge = 2 * time.Second
 	// entrySize is about how many bytes a worker's entry takes.
 	entrySize = 420
 )
@@ -51,6 +54,7 @@
 func (d *Driver) watch() {
 	silent := readSilent
 	for d.ctx.Err() == nil {
+		begun := time.Now()
 		entries, err := d.readDirectory(silent)
 		if err != nil {
 			silent = min(2*silent, readSilentMost)
@@ -59,6 +63,7 @@
 		}
 		silent = readSilent
 		d.readAll(entries)
+		d.lastRead = begun
 		d.sleep(readPause(len(entries), d.LinkRate))
 	}
 }
@@ -107,9 +112,10 @@
 	link := d.links[e.ID]
 	if link == nil {
 		level.Debug(d.Log).Log("event", "worker_heard", "worker", e.ID, "version", e.Ver)
-		d.cell.Heard(e.Worker, now)
 		d.connect(e.ID, e.Addr, e.Hall)
 		d.links[e.ID].ver = e.Ver
+		d.countRemaining(d.links[e.ID], &e, now)
+		d.cell.Heard(e.Worker, now)
 		return
 	}
 	if e.Ver < link.ver {
@@ -117,6 +123,7 @@
 	}
 	if e.Ver > link.ver {
 		link.ver = e.Ver
+		d.countRemaining(link, &e, now)
 		if e.Draining && !link.draining {
 			level.Info(d.Log).Log("event", "worker_leaves", "worker", e.ID, "version", e.Ver, "remaining_ms", e.Remaining.Milliseconds())
 		}
@@ -126,6 +133,25 @@
 	link.missing = time.Time{}
 }
 
+// countRemaining puts in place of the time that a worker stays what is left of it by now. It
+// counts from when the worker wrote it, which may be as early as the reading before: a run that
+// ends after its worker has left is not known to have ended, and would run again. The lock is
+// held.
+func (d *Driver) countRemaining(l *link, e *Entry, now time.Time) {
+	if !e.Draining {
+		l.leaves = time.Time{}
+		return
+	}
+	written := d.lastRead
+	if written.IsZero() {
+		written = now.Add(-entryAge)
+	}
+	if at := written.Add(e.Remaining); at.After(l.leaves) {
+		l.leaves = at
+	}
+	e.Remaining = max(l.leaves.Sub(now), 0)
+}
+
 // badLogMost bounds the entries that are remembered as logged.
 const badLogMost = 1000
 
