--- a/claim/claim.go
+++ b/claim/claim.go
@@ -24,6 +24,7 @@
 	"sync/atomic"
 	"time"
 
+	"dewpass.org/internal/clock"
 	"dewpass.org/kind"
 	"dewpass.org/rows"
 )
@@ -223,7 +224,7 @@
 
 // Read returns the lease as it stands.
 func (c *Claim) Read(ctx context.Context) (Seen, error) {
-	asked := time.Now()
+	asked := clock.Now()
 	page, err := c.Store.Get(ctx, Range(c.Cell))
 	if err != nil {
 		return Seen{}, err
@@ -281,7 +282,7 @@
 	valid := min(max(validWrites*c.took, ValidLeast), ValidMost)
 	// However often it is sent, it may be the first sending that takes effect, and
 	// others may count from there.
-	begun := time.Now()
+	begun := clock.Now()
 	lease := Lease{
 		Owner: owner, Boot: c.Boot, Addr: c.Addr, Epoch: c.epoch,
 		Mark: c.mark(), ValidMS: valid.Milliseconds(), WrittenMS: c.clock.latest(begun),
@@ -299,7 +300,7 @@
 		t.Expect[0].Ver = c.ver
 		res, err := c.attempt(ctx, t, lease.Mark)
 		if err == nil {
-			c.took = time.Since(begun)
+			c.took = clock.Since(begun)
 			c.written.Store(&Write{Begun: begun, Ver: c.ver, Valid: valid, Absent: lease.Absent})
 		}
 		if err == nil || kind.Is(err, kind.Fenced) || kind.Is(err, kind.Conflict) {
@@ -328,7 +329,7 @@
 
 // attempt sends the write once. While there is no answer it looks at the lease.
 func (c *Claim) attempt(ctx context.Context, t rows.Tx, mark string) (rows.Result, error) {
-	begun := time.Now()
+	begun := clock.Now()
 	send := rows.Attempt{
 		Store: c.Store, Tx: t, Every: checkEvery,
 		Limit: min(max(patience*c.answers, patienceLeast), patienceMost),
@@ -340,7 +341,7 @@
 	}
 	if err == nil {
 		c.clock = storeClock{ms: res.ClockMS, asked: begun}
-		c.answers += (time.Since(begun) - c.answers) / answersWeight
+		c.answers += (clock.Since(begun) - c.answers) / answersWeight
 	}
 	return c.settle(ctx, res, err, mark)
 }
--- a/cluster/accept.go
+++ b/cluster/accept.go
@@ -12,6 +12,7 @@
 
 	"dewpass.org/driver"
 	"dewpass.org/flow"
+	"dewpass.org/internal/clock"
 	"dewpass.org/kind"
 	"dewpass.org/retry"
 	"dewpass.org/rows"
@@ -53,8 +54,8 @@
 	if cell == "" {
 		return n.refuse(spec.ID, "the cells are not known yet")
 	}
-	begun := time.Now()
-	spec.AcceptedMS = begun.UnixMilli()
+	begun := clock.Now()
+	spec.AcceptedMS = clock.Wall().UnixMilli()
 	spec.Hall = n.hallFor(cell, spec.ID)
 	spec.Shares = n.division.shares(spec, cell)
 	k, err := n.keep(ctx, cell, spec)
@@ -63,9 +64,9 @@
 		n.kit.Scope.Counter("jobs_not_kept_total").Inc(1)
 		return err
 	}
-	level.Info(n.kit.Log).Log("event", "accepted", "job", spec.ID, "queue", spec.Queue, "cell", k.cells[0], "cells", len(k.cells), "fresh", k.fresh, "version", k.ver, "took_ms", time.Now().UnixMilli()-spec.AcceptedMS)
+	level.Info(n.kit.Log).Log("event", "accepted", "job", spec.ID, "queue", spec.Queue, "cell", k.cells[0], "cells", len(k.cells), "fresh", k.fresh, "version", k.ver, "took_ms", clock.Since(begun).Milliseconds())
 	n.kit.Scope.Counter("jobs_accepted_total").Inc(1)
-	n.kit.Scope.Histogram("accept_seconds", telemetry.Latency()).RecordDuration(time.Since(begun))
+	n.kit.Scope.Histogram("accept_seconds", telemetry.Latency()).RecordDuration(clock.Since(begun))
 	n.homes.set(spec.ID, k.cells)
 	// The same write may have gone two ways, and the answer may be that of the
 	// second: the owner is told in any case.
@@ -105,7 +106,7 @@
 	others := n.waiting.Add(1) - 1
 	defer n.waiting.Add(-1)
 	by, _ := ctx.Deadline()
-	ctx, cancel := context.WithTimeout(ctx, retry.Wait(time.Until(by), int(others)))
+	ctx, cancel := context.WithTimeout(ctx, retry.Wait(clock.Until(by), int(others)))
 	defer cancel()
 	for ctx.Err() == nil && !n.leaving.Load() {
 		if n.storeClient.Reachable() {
@@ -146,7 +147,7 @@
 		load := d.Load()
 		return cmp.Or(drawHall(hallRooms(load), id), n.settings.Hall)
 	}
-	now := time.Now()
+	now := clock.Now()
 	for _, o := range n.members.cells(now) {
 		if o.cell.Name == cell && now.Sub(o.heard) < hallSilence {
 			return cmp.Or(drawHall(o.cell.Halls, id), n.settings.Hall)
@@ -277,7 +278,7 @@
 	if d := n.own(cell); d != nil {
 		return d.Adopt(spec, ver)
 	}
-	o := n.members.owner(cell, time.Now())
+	o := n.members.owner(cell, clock.Now())
 	if o == nil {
 		return kind.New(kind.Unavailable, "the cell's owner is not heard")
 	}
--- a/cluster/advise.go
+++ b/cluster/advise.go
@@ -9,6 +9,7 @@
 	"dewpass.org/cell"
 	"dewpass.org/driver"
 	"dewpass.org/flow"
+	"dewpass.org/internal/clock"
 	"dewpass.org/kind"
 	"dewpass.org/wire"
 )
@@ -29,7 +30,7 @@
 
 // callers is how many questions to the policy may be under way at once.
 func (n *Instance) callers() int {
-	now := time.Now()
+	now := clock.Now()
 	return 1 + len(n.members.list(now, func(k *member) bool { return k.asks(now) }))
 }
 
@@ -48,7 +49,7 @@
 		if err == nil || try == adviseTries || ctx.Err() != nil {
 			return t, err
 		}
-		n.members.failed(by.name, time.Now())
+		n.members.failed(by.name, clock.Now())
 	}
 }
 
@@ -95,7 +96,7 @@
 	if !long && own == 0 {
 		return nil
 	}
-	now := time.Now()
+	now := clock.Now()
 	peers := n.members.list(now, func(k *member) bool { return k.asks(now) })
 	best, bestCost := (*member)(nil), cost(own, true, false, long)
 	for i := range peers {
--- a/cluster/carry.go
+++ b/cluster/carry.go
@@ -11,6 +11,7 @@
 	"dewpass.org/cell"
 	"dewpass.org/driver"
 	"dewpass.org/flow"
+	"dewpass.org/internal/clock"
 	"dewpass.org/kind"
 	"dewpass.org/wire"
 )
@@ -44,17 +45,17 @@
 		reply, err = s.n.dialer.Do(ctx, by.addr, &wire.Request{Body: &wire.Request_Starts{Starts: m}})
 	}
 	if err != nil {
-		s.n.members.failed(by.name, time.Now())
+		s.n.members.failed(by.name, clock.Now())
 		return nil, err
 	}
-	s.n.given.add(job, by.name, time.Now())
+	s.n.given.add(job, by.name, clock.Now())
 	return startResults(reply.GetStarts()), nil
 }
 
 // startCarrier chooses the instance that sends orders to start runs of a job, and says whether
 // it was given the job's text before; nil if there is none.
 func (n *Instance) startCarrier(hall, job string, orders int) (*member, bool) {
-	now := time.Now()
+	now := clock.Now()
 	holders := n.given.holders(job, now)
 	peers := n.members.list(now, func(k *member) bool {
 		return k.asks(now) && slices.Contains(holders, k.name) && k.carrying+orders <= carryingMost
@@ -72,7 +73,7 @@
 // carrier chooses the instance that sends orders to the workers of a hall, nil if there is
 // none: one of that hall, if any is heard.
 func (n *Instance) carrier(hall string) *member {
-	now := time.Now()
+	now := clock.Now()
 	peers := n.members.list(now, func(k *member) bool { return k.hall == hall && k.asks(now) })
 	if len(peers) == 0 {
 		peers = n.members.list(now, func(k *member) bool { return k.asks(now) })
@@ -131,7 +132,7 @@
 	}}})
 	if err != nil {
 		if ctx.Err() == nil || context.Cause(ctx) != context.Canceled {
-			s.n.members.failed(by.name, time.Now())
+			s.n.members.failed(by.name, clock.Now())
 		}
 		return driver.HoldAnswer{}, false, err
 	}
@@ -215,13 +216,13 @@
 func (n *Instance) sendStart(ctx context.Context, m *wire.StartOrders, o *wire.StartOrder) *wire.StartResult {
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(o.LimitUs)*time.Microsecond)
 	defer cancel()
-	sent := time.Now()
+	sent := clock.Now()
 	a, err := n.Carrier.Start(ctx, driver.StartOrder{
 		Target: driver.Target{Worker: o.Worker, Addr: o.Addr, Fence: o.Fence},
 		Task:   flow.TaskID{Job: m.Job, Time: int(m.Time), Step: int(m.Step), Index: int(o.Index)},
 		Run:    int(o.Run), Text: m.Text, Saved: o.Saved, Ticket: o.Ticket, UntilMS: o.UntilMs,
 	})
 	return &wire.StartResult{
-		Error: wire.ToError(err), Outcome: uint32(a.Outcome), ClockMs: a.ClockMS, TookUs: uint32(time.Since(sent).Microseconds()),
+		Error: wire.ToError(err), Outcome: uint32(a.Outcome), ClockMs: a.ClockMS, TookUs: uint32(clock.Since(sent).Microseconds()),
 	}
 }
--- a/cluster/configs.go
+++ b/cluster/configs.go
@@ -9,6 +9,7 @@
 	"github.com/go-kit/log/level"
 
 	"dewpass.org/config"
+	"dewpass.org/internal/clock"
 	"dewpass.org/kind"
 	"dewpass.org/telemetry"
 	"dewpass.org/wire"
@@ -62,14 +63,14 @@
 func (n *Instance) followConfig(ctx context.Context) {
 	var f feedState
 	for ctx.Err() == nil {
-		now := time.Now()
+		now := clock.Now()
 		audit := auditAfter(n.config.Now()) * time.Duration(auditors(n.members.inHall(now)))
 		whole := f.whole(now, audit)
-		begun := time.Now()
+		begun := clock.Now()
 		c, from, at, err := n.nextConfig(ctx, whole, f.position)
 		n.transferred(c, from, begun, err)
-		f.took(whole, at, err, time.Now())
-		if c == nil && time.Since(begun) < configSoon {
+		f.took(whole, at, err, clock.Now())
+		if c == nil && clock.Since(begun) < configSoon {
 			// It failed at once, or did not wait.
 			sleep(ctx, configSoon)
 		}
@@ -130,7 +131,7 @@
 
 // configArrives notes that the store's answer with the configuration brings something.
 func (n *Instance) configArrives() {
-	now := time.Now()
+	now := clock.Now()
 	n.arriving.Store(&now)
 }
 
@@ -148,12 +149,12 @@
 	}
 	defer n.fetching.Store(false)
 	time.Sleep(fetchAfter)
-	if n.config.Version() >= version || n.configComes(time.Now()) {
+	if n.config.Version() >= version || n.configComes(clock.Now()) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), fetchTime)
 	defer cancel()
-	begun := time.Now()
+	begun := clock.Now()
 	c, err := n.askConfig(ctx, addr)
 	n.transferred(c, "peer", begun, err)
 }
@@ -176,14 +177,14 @@
 // transferred takes in what came of asking for the configuration, and logs what a
 // transfer cost or why there was none.
 func (n *Instance) transferred(c *config.Config, from string, begun time.Time, err error) {
-	took := time.Since(begun)
+	took := clock.Since(begun)
 	scope := n.kit.Scope.Tagged(map[string]string{"from": from})
 	if err != nil {
 		scope.Counter("config_transfers_failed_total").Inc(1)
-		if last := n.configLogged.Load(); last != nil && time.Since(*last) < logConfigEvery {
+		if last := n.configLogged.Load(); last != nil && clock.Since(*last) < logConfigEvery {
 			return
 		}
-		now := time.Now()
+		now := clock.Now()
 		n.configLogged.Store(&now)
 		level.Info(n.kit.Log).Log("event", "config_not_read", "from", from, "has", n.config.Version(), "took_ms", took.Milliseconds(), "err", err)
 		return
--- a/cluster/counted.go
+++ b/cluster/counted.go
@@ -4,10 +4,10 @@
 
 import (
 	"context"
-	"time"
 
 	"dewpass.org/driver"
 	"dewpass.org/flow"
+	"dewpass.org/internal/clock"
 	"dewpass.org/rows"
 	"dewpass.org/telemetry"
 )
@@ -20,14 +20,14 @@
 }
 
 func (s countedStore) Tx(ctx context.Context, t rows.Tx) (rows.Result, error) {
-	begun := time.Now()
+	begun := clock.Now()
 	res, err := s.Store.Tx(ctx, t)
 	s.calls.Done("tx", begun, err)
 	return res, err
 }
 
 func (s countedStore) Get(ctx context.Context, r rows.Range) (rows.Page, error) {
-	begun := time.Now()
+	begun := clock.Now()
 	page, err := s.Store.Get(ctx, r)
 	s.calls.Done("get", begun, err)
 	s.bad.note(page.Bad)
@@ -35,7 +35,7 @@
 }
 
 func (s countedStore) Feed(ctx context.Context, f rows.Since) (rows.Page, error) {
-	begun := time.Now()
+	begun := clock.Now()
 	page, err := s.Store.Feed(ctx, f)
 	s.calls.Done("feed", begun, err)
 	s.bad.note(page.Bad)
@@ -49,28 +49,28 @@
 }
 
 func (w countedWorkers) Start(ctx context.Context, o driver.StartOrder) (driver.StartAnswer, error) {
-	begun := time.Now()
+	begun := clock.Now()
 	a, err := w.Workers.Start(ctx, o)
 	w.calls.Done("start", begun, err)
 	return a, err
 }
 
 func (w countedWorkers) Stop(ctx context.Context, o driver.StopOrder) error {
-	begun := time.Now()
+	begun := clock.Now()
 	err := w.Workers.Stop(ctx, o)
 	w.calls.Done("stop", begun, err)
 	return err
 }
 
 func (w countedWorkers) Pace(ctx context.Context, o driver.PaceOrder) error {
-	begun := time.Now()
+	begun := clock.Now()
 	err := w.Workers.Pace(ctx, o)
 	w.calls.Done("pace", begun, err)
 	return err
 }
 
 func (w countedWorkers) Hold(ctx context.Context, o driver.HoldOrder) (driver.HoldAnswer, error) {
-	begun := time.Now()
+	begun := clock.Now()
 	a, err := w.Workers.Hold(ctx, o)
 	w.calls.Done("hold", begun, err)
 	return a, err
@@ -83,7 +83,7 @@
 }
 
 func (s countedAdvisor) Advise(ctx context.Context, step flow.StepID, workers []string) (driver.Tickets, error) {
-	begun := time.Now()
+	begun := clock.Now()
 	t, err := s.Advisor.Advise(ctx, step, workers)
 	s.calls.Done("advise", begun, err)
 	return t, err
--- a/cluster/division.go
+++ b/cluster/division.go
@@ -17,6 +17,7 @@
 	"dewpass.org/claim"
 	"dewpass.org/driver"
 	"dewpass.org/flow"
+	"dewpass.org/internal/clock"
 	"dewpass.org/kind"
 	"dewpass.org/rows"
 )
@@ -143,7 +144,7 @@
 // It reports whether it is known when it returns.
 func (n *Instance) learnDivision(ctx context.Context) bool {
 	var workers census
-	turn := time.Now().Add(firstLook)
+	turn := clock.Now().Add(firstLook)
 	for ctx.Err() == nil {
 		switch row, err := n.readDivision(ctx); {
 		case err != nil:
@@ -153,7 +154,7 @@
 			n.division.perCell.Store(int64(row.Workers / row.Cells))
 			level.Info(n.kit.Log).Log("event", "division_known", "cells", row.Cells, "workers", row.Workers)
 			return true
-		case time.Since(turn) >= countTurn*n.turn(divisionName, time.Now()):
+		case clock.Since(turn) >= countTurn*n.turn(divisionName, clock.Now()):
 			if n.decideDivision(ctx, &workers) {
 				continue
 			}
@@ -201,7 +202,7 @@
 	count := usable(all)
 	row := divisionRow{Cells: n.settings.Cluster.Cells, Workers: count}
 	if row.Cells == 0 {
-		if err != nil || !workers.settled(count, time.Now()) {
+		if err != nil || !workers.settled(count, clock.Now()) {
 			return false
 		}
 		row.Cells = cellsFor(count)
--- a/cluster/elect.go
+++ b/cluster/elect.go
@@ -13,6 +13,7 @@
 	"github.com/go-kit/log/level"
 
 	"dewpass.org/claim"
+	"dewpass.org/internal/clock"
 	"dewpass.org/internal/sock"
 )
 
@@ -82,7 +83,7 @@
 	sleep(ctx, firstLook)
 	vacant := make(map[string]*vacancy)
 	for ctx.Err() == nil {
-		now := time.Now()
+		now := clock.Now()
 		if n.leaving.Load() || now.Before(n.restsUntil()) {
 			clear(vacant)
 		} else {
@@ -155,10 +156,10 @@
 	if err != nil {
 		return
 	}
-	now := time.Now()
+	now := clock.Now()
 	watched := n.unwritten(name, lease.Ver, now)
 	why := n.vacant(ctx, lease.Lease, n.goneUnwritten(lease, watched)-n.turn(name, now))
-	if why == "" || n.ownerHeard(name, time.Now(), ownerGoesOn) {
+	if why == "" || n.ownerHeard(name, clock.Now(), ownerGoesOn) {
 		return
 	}
 	if err := c.Take(ctx, lease); err != nil {
@@ -173,12 +174,12 @@
 
 // newClaim returns a claim of this instance to a cell.
 func (n *Instance) newClaim(name string) *claim.Claim {
-	begun := time.Now()
+	begun := clock.Now()
 	return &claim.Claim{
 		Store: n.storeClient, Cell: name, Owner: n.settings.Instance,
 		Boot: n.boot, Addr: n.settings.Listen.Peer,
 		Absent: func() []string {
-			now := time.Now()
+			now := clock.Now()
 			if now.Sub(begun) < absentAfter {
 				// Those that an instance hears seldom have not answered its greetings as an
 				// owner yet.
@@ -232,7 +233,7 @@
 	case unwritten > lease.SilenceFor(n.settings.Instance):
 		return whySilent
 	}
-	heard := n.members.list(time.Now(), func(k *member) bool { return k.name == lease.Owner })
+	heard := n.members.list(clock.Now(), func(k *member) bool { return k.name == lease.Owner })
 	if len(heard) > 0 && heard[0].boot != lease.Boot {
 		return "owner has started anew"
 	}
--- a/cluster/ends.go
+++ b/cluster/ends.go
@@ -5,6 +5,8 @@
 import (
 	"sync"
 	"time"
+
+	"dewpass.org/internal/clock"
 )
 
 const (
@@ -132,7 +134,7 @@
 	if len(ids) == 0 {
 		return
 	}
-	n.ends.hear(ids, source, time.Now())
+	n.ends.hear(ids, source, clock.Now())
 	for _, c := range n.owned() {
 		c.driver.Heard(ids)
 	}
--- a/cluster/greet.go
+++ b/cluster/greet.go
@@ -15,6 +15,7 @@
 	"github.com/go-kit/log/level"
 
 	"dewpass.org/cell"
+	"dewpass.org/internal/clock"
 	"dewpass.org/rows"
 	"dewpass.org/sched"
 	"dewpass.org/wire"
@@ -49,13 +50,13 @@
 		sum := &wire.CellSummary{
 			Name: name, Epoch: d.Claim.Epoch(), Ready: d.Ready(), Keeps: n.storeClient.Reachable(),
 			Room: load.Room[sched.Milli], Free: load.Free[sched.Milli], Waiting: load.Waiting,
-			LeaseVer: written.Ver, LeaseAgeUs: uint64(time.Since(written.Begun).Microseconds()),
+			LeaseVer: written.Ver, LeaseAgeUs: uint64(clock.Since(written.Begun).Microseconds()),
 		}
 		sum.Pending = pendingOf(load)
 		sum.Halls = hallRooms(load)
 		g.Cells = append(g.Cells, sum)
 	}
-	g.Succeeded = n.unkept(time.Now())
+	g.Succeeded = n.unkept(clock.Now())
 	return g
 }
 
@@ -84,7 +85,7 @@
 func (n *Instance) greetLoop(ctx context.Context) {
 	last := time.Time{}
 	for ctx.Err() == nil {
-		now := time.Now()
+		now := clock.Now()
 		if len(n.owned()) > 0 || now.Sub(last) >= restEvery-greetEvery/2 {
 			last = now
 			n.greet(ctx)
@@ -97,7 +98,7 @@
 // noticed, and those whose turn it is if it does not.
 func (n *Instance) greet(ctx context.Context) {
 	req := &wire.Request{Body: &wire.Request_Greeting{Greeting: n.greeting()}}
-	for _, addr := range n.targets(time.Now()) {
+	for _, addr := range n.targets(clock.Now()) {
 		go n.greetOne(ctx, addr, req)
 	}
 }
@@ -113,14 +114,14 @@
 func (n *Instance) greetOne(ctx context.Context, addr string, req *wire.Request) {
 	ctx, cancel := context.WithTimeout(ctx, greetTime)
 	defer cancel()
-	sent := time.Now()
+	sent := clock.Now()
 	reply, err := n.dialer.Do(ctx, addr, req)
 	if err == nil {
 		n.shared(req.GetGreeting().GetSucceeded())
 		n.greeted(reply.GetGreeting())
 		n.members.answer(reply.GetGreeting().GetInstance(), sent)
 	} else if isRefused(err) {
-		n.members.refusedAt(addr, time.Now())
+		n.members.refusedAt(addr, clock.Now())
 	}
 }
 
@@ -128,7 +129,7 @@
 func (n *Instance) greetNow(ctx context.Context) {
 	req := &wire.Request{Body: &wire.Request_Greeting{Greeting: n.greeting()}}
 	var all sync.WaitGroup
-	for _, addr := range n.members.all(time.Now()) {
+	for _, addr := range n.members.all(clock.Now()) {
 		all.Go(func() { n.greetOne(ctx, addr, req) })
 	}
 	all.Wait()
@@ -138,10 +139,10 @@
 func (n *Instance) greeted(g *wire.Greeting) {
 	for _, c := range g.GetCells() {
 		// The greeting took its time: the write was begun no later than that.
-		n.sawWrite(c.Name, c.LeaseVer, time.Now().Add(-time.Duration(c.LeaseAgeUs)*time.Microsecond))
+		n.sawWrite(c.Name, c.LeaseVer, clock.Now().Add(-time.Duration(c.LeaseAgeUs)*time.Microsecond))
 	}
 	n.heardEnds(g.GetSucceeded(), g.GetBoot())
-	if n.members.heard(g, time.Now()) {
+	if n.members.heard(g, clock.Now()) {
 		level.Info(n.kit.Log).Log("event", "peer_heard", "peer", g.Instance, "peer_hall", g.Hall, "boot", g.Boot)
 	}
 	if g.GetConfigVersion() > n.config.Version() {
@@ -178,13 +179,13 @@
 		pause := membersSoon
 		if all, ok := n.readMembers(ctx); ok {
 			at := slices.IndexFunc(all, func(r rows.Row) bool { return r.Name == n.settings.Instance })
-			if at >= 0 && time.Since(written) > membersEvery {
+			if at >= 0 && clock.Since(written) > membersEvery {
 				n.listed.Store(true)
 			}
 			if at >= 0 && bytes.Equal(all[at].Value, own) {
 				pause = membersPause(len(all))
 			} else if _, err := n.storeClient.Tx(ctx, put); err == nil {
-				written = time.Now()
+				written = clock.Now()
 			}
 		}
 		select {
@@ -218,6 +219,6 @@
 		}
 		listed = append(listed, m)
 	}
-	n.members.found(listed, time.Now())
+	n.members.found(listed, clock.Now())
 	return all, true
 }
--- a/cluster/instance.go
+++ b/cluster/instance.go
@@ -15,6 +15,7 @@
 	"dewpass.org/claim"
 	"dewpass.org/config"
 	"dewpass.org/driver"
+	"dewpass.org/internal/clock"
 	"dewpass.org/internal/drain"
 	"dewpass.org/internal/sock"
 	"dewpass.org/internal/uid"
@@ -187,15 +188,15 @@
 func newInstance(s *settings.Settings, kit *telemetry.Kit, services Services) *Instance {
 	bad := newBadRows(kit)
 	n := &Instance{
-		Services: counted(services, kit, bad), badRows: bad, settings: s, kit: kit, boot: uid.New(), began: time.Now(),
-		members:    newMembers(s.Instance, s.Hall, s.Peers, s.Listen.Peer, time.Now()),
+		Services: counted(services, kit, bad), badRows: bad, settings: s, kit: kit, boot: uid.New(), began: clock.Now(),
+		members:    newMembers(s.Instance, s.Hall, s.Peers, s.Listen.Peer, clock.Now()),
 		dialer:     &link.Dialer{},
 		cells:      make(map[string]*ownCell),
 		lastWrites: make(map[string]watched),
 		times:      timesOf(s.Cluster),
 	}
 	n.server = &link.Server{Handler: n}
-	n.storeClient = &rows.Client{Direct: n.Store, Now: time.Now, Carry: n.carry, Changed: n.storeChanged}
+	n.storeClient = &rows.Client{Direct: n.Store, Now: clock.Now, Carry: n.carry, Changed: n.storeChanged}
 	n.configs = services.Configs(n.storeClient.DirectOnly(n.configArrives))
 	return n
 }
@@ -222,8 +223,10 @@
 // the store.
 func (n *Instance) probeStore(ctx context.Context) {
 	var last time.Time
+	slept := &suspensions{total: clock.Suspended}
 	for at := 0; ctx.Err() == nil; {
-		now := time.Now()
+		now := clock.Now()
+		n.tellSuspended(slept)
 		name := ""
 		if names := n.division.cells(); len(names) > 0 {
 			name = names[at%len(names)]
@@ -265,10 +268,10 @@
 	if name != "" {
 		r = claim.Range(name)
 	}
-	asked := time.Now()
+	asked := clock.Now()
 	page, err := get(ctx, r)
 	if err == nil && name != "" {
-		n.sawWrite(name, claim.SeenIn(page, asked).Ver, time.Now())
+		n.sawWrite(name, claim.SeenIn(page, asked).Ver, clock.Now())
 	}
 }
 
@@ -344,7 +347,7 @@
 
 // stop hands the cells on, lets what is in progress end, and closes.
 func (n *Instance) stop(others []*drain.Server) {
-	grace, begun := n.timesNow().grace, time.Now()
+	grace, begun := n.timesNow().grace, clock.Now()
 	level.Info(n.kit.Log).Log("event", "stopping")
 	n.leaving.Store(true)
 	ctx, cancel := context.WithTimeout(context.Background(), handoverMax)
@@ -355,7 +358,7 @@
 	limit, cancel := context.WithDeadline(context.Background(), begun.Add(grace*cutShare/10))
 	defer cancel()
 	// The notice runs from the start: a slow handover leaves clients no less time.
-	sleep(patience, time.Until(begun.Add(notice)))
+	sleep(patience, clock.Until(begun.Add(notice)))
 	if err := n.front.Stop(patience, limit); err != nil {
 		level.Warn(n.kit.Log).Log("event", "not_drained", "err", err)
 	}
--- a/cluster/jobs.go
+++ b/cluster/jobs.go
@@ -13,6 +13,7 @@
 
 	"dewpass.org/driver"
 	"dewpass.org/flow"
+	"dewpass.org/internal/clock"
 	"dewpass.org/kind"
 	"dewpass.org/rows"
 	"dewpass.org/sched"
@@ -82,7 +83,7 @@
 		l := c.driver.Load()
 		out = append(out, place{cell: name, load: loadOf(l.Room[sched.Milli], l.Free[sched.Milli], l.Waiting) - n.near(spec, name)})
 	}
-	for _, o := range n.members.cells(time.Now()) {
+	for _, o := range n.members.cells(clock.Now()) {
 		if !o.cell.Ready || own[o.cell.Name] != nil {
 			continue
 		}
@@ -226,7 +227,7 @@
 
 // askOwner asks the owner of a cell for a job's state, or cancels the job.
 func (n *Instance) askOwner(ctx context.Context, cell, id string, cancelJob bool) (flow.State, error) {
-	o := n.members.owner(cell, time.Now())
+	o := n.members.owner(cell, clock.Now())
 	if o == nil {
 		return "", kind.New(kind.Unavailable, "the cell's owner is not heard").After(n.comeBack(id))
 	}
@@ -390,5 +391,5 @@
 		l := c.driver.Load()
 		sum += l.Pending[queue]
 	}
-	return sum + n.members.pending(queue, time.Now(), func(cell string) bool { return known[cell] })
+	return sum + n.members.pending(queue, clock.Now(), func(cell string) bool { return known[cell] })
 }
--- a/cluster/own.go
+++ b/cluster/own.go
@@ -9,6 +9,7 @@
 
 	"dewpass.org/claim"
 	"dewpass.org/driver"
+	"dewpass.org/internal/clock"
 )
 
 // ownCell is a cell that this instance owns.
@@ -68,14 +69,14 @@
 // last greetings, or may not take a cell so soon after its last write, and so will not take
 // it from this one.
 func (n *Instance) heardByAll(last claim.Write) bool {
-	now := time.Now()
+	now := clock.Now()
 	return n.members.allAnswer(now, last.Excused(now))
 }
 
 func (n *Instance) dropDriver(name string, d *driver.Driver) {
 	if d.Loaded() {
 		load := d.Load()
-		n.members.note(name, pendingOf(load), time.Now())
+		n.members.note(name, pendingOf(load), clock.Now())
 	}
 	n.mu.Lock()
 	if c := n.cells[name]; c != nil && c.driver == d {
--- a/cluster/peers.go
+++ b/cluster/peers.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"dewpass.org/flow"
+	"dewpass.org/internal/clock"
 	"dewpass.org/kind"
 	"dewpass.org/wire"
 )
@@ -53,7 +54,7 @@
 // handleGreeting answers a greeting. A sender that was not known is told of some of
 // the others.
 func (n *Instance) handleGreeting(g *wire.Greeting) *wire.Reply {
-	now := time.Now()
+	now := clock.Now()
 	own := n.greeting()
 	if !n.members.knows(g.Instance, g.Boot) {
 		for _, addr := range n.members.some(g.Addr, now) {
@@ -98,7 +99,7 @@
 
 // carry sends a call to the store by a peer that reaches it.
 func (n *Instance) carry(ctx context.Context, call []byte) ([]byte, error) {
-	peers := n.members.list(time.Now(), func(k *member) bool { return k.storeOK })
+	peers := n.members.list(clock.Now(), func(k *member) bool { return k.storeOK })
 	slices.SortStableFunc(peers, func(a, b member) int {
 		return cmp.Compare(n.farther(a), n.farther(b))
 	})
--- a/cluster/yield.go
+++ b/cluster/yield.go
@@ -12,6 +12,7 @@
 
 	"dewpass.org/claim"
 	"dewpass.org/driver"
+	"dewpass.org/internal/clock"
 )
 
 const (
@@ -46,7 +47,7 @@
 		if len(own) == 0 || n.leaving.Load() {
 			continue
 		}
-		if cells, to := n.surplus(own, time.Now()); to != "" {
+		if cells, to := n.surplus(own, clock.Now()); to != "" {
 			n.yield(ctx, cells, to)
 		}
 	}
@@ -109,7 +110,7 @@
 func (n *Instance) rest(d time.Duration) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.resting = time.Now().Add(d)
+	n.resting = clock.Now().Add(d)
 }
 
 // restsUntil returns until when this instance takes no cell.
--- a/driver/carry.go
+++ b/driver/carry.go
@@ -11,6 +11,7 @@
 
 	"dewpass.org/cell"
 	"dewpass.org/flow"
+	"dewpass.org/internal/clock"
 	"dewpass.org/kind"
 )
 
@@ -86,7 +87,7 @@
 // startRuns sends starts. The lock is held.
 func (d *Driver) startRuns(starts []cell.Start, carried bool) {
 	var sent []sentStart
-	now := time.Now()
+	now := clock.Now()
 	for i := range starts {
 		if o, ok := d.startOrder(&starts[i], now); ok {
 			sent = append(sent, o)
@@ -149,13 +150,13 @@
 func (d *Driver) sendStart(o sentStart, size int) {
 	ctx, cancel := answerWithin(d.ctx, o.limit)
 	defer cancel()
-	sent := time.Now()
+	sent := clock.Now()
 	a, err := d.Workers.Start(ctx, o.StartOrder)
-	took := time.Since(sent)
+	took := clock.Since(sent)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	queued := d.sendOver(size, took, err != nil)
-	d.lateness.Saw(o.Worker, queued, time.Now())
+	d.lateness.Saw(o.Worker, queued, clock.Now())
 	d.startAnswered(&o, StartResult{Answer: a, Err: err, Took: took})
 }
 
@@ -181,9 +182,9 @@
 	}
 	ctx, cancel := answerWithin(d.ctx, limit+carryTakes)
 	defer cancel()
-	sent := time.Now()
+	sent := clock.Now()
 	results, err := d.Carriers.Starts(ctx, group[0].hall, orders, limit)
-	took := time.Since(sent)
+	took := clock.Since(sent)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if kind.Is(err, kind.Unavailable) && d.ctx.Err() == nil {
@@ -212,7 +213,7 @@
 	if d.cell.HeldBack() {
 		notify(d.wake)
 	}
-	now := time.Now()
+	now := clock.Now()
 	if lost {
 		d.starts.Lost(size, now)
 		return 0
@@ -239,12 +240,12 @@
 		if l.fence == o.Fence {
 			level.Info(d.Log).Log("event", "start_lost", "job", o.Task.Job, "worker", o.Worker, "run", o.Run, "limit_ms", o.limit.Milliseconds(), "err", r.Err)
 			l.answers.Lost()
-			d.cell.OrderLost(o.Worker, time.Now())
+			d.cell.OrderLost(o.Worker, clock.Now())
 			d.unsure(o.Worker)
 		}
 		return
 	}
-	now, a := time.Now(), &r.Answer
+	now, a := clock.Now(), &r.Answer
 	l.answers.Answered(r.Took)
 	l.heardClock(a.ClockMS, now)
 	if a.Outcome != cell.Accepted {
--- a/driver/commit.go
+++ b/driver/commit.go
@@ -10,6 +10,7 @@
 
 	"dewpass.org/cell"
 	"dewpass.org/flow"
+	"dewpass.org/internal/clock"
 	"dewpass.org/kind"
 	"dewpass.org/rows"
 	"dewpass.org/telemetry"
@@ -120,12 +121,12 @@
 		return false
 	}
 	d.mu.Unlock()
-	begun := time.Now()
+	begun := clock.Now()
 	_, err := d.Claim.Commit(d.ctx, g.tx)
 	if kind.Is(err, kind.Fenced) {
 		d.lost("the cell's lease has another owner")
 	}
-	d.Scope.Histogram("write_seconds", telemetry.Latency()).RecordDuration(time.Since(begun))
+	d.Scope.Histogram("write_seconds", telemetry.Latency()).RecordDuration(clock.Since(begun))
 	d.Scope.Counter("write_rows_total").Inc(int64(len(g.tx.Put)))
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/driver/driver.go
+++ b/driver/driver.go
@@ -14,6 +14,7 @@
 	"dewpass.org/cell"
 	"dewpass.org/claim"
 	"dewpass.org/flow"
+	"dewpass.org/internal/clock"
 	"dewpass.org/internal/rtt"
 	"dewpass.org/internal/window"
 	"dewpass.org/kind"
@@ -131,7 +132,7 @@
 		kept:      make(chan struct{}),
 		wake:      make(chan struct{}, 1),
 		write:     make(chan struct{}, 1),
-		began:     time.Now(),
+		began:     clock.Now(),
 	}
 	d.cell.Name = c.Name
 	d.starts.Rate = d.LinkRate
@@ -252,7 +253,7 @@
 // NotFound if the hall does not have the job.
 func (d *Driver) Cancel(ctx context.Context, id string) error {
 	d.mu.Lock()
-	known := d.cell.Cancel(id, time.Now())
+	known := d.cell.Cancel(id, clock.Now())
 	d.mu.Unlock()
 	if !known {
 		return kind.New(kind.NotFound, "the cell has no such job")
@@ -291,7 +292,7 @@
 func (d *Driver) placeLoop() {
 	tick := time.NewTicker(placeEvery)
 	defer tick.Stop()
-	last := time.Now()
+	last := clock.Now()
 	tidied := last
 	for {
 		select {
@@ -301,11 +302,11 @@
 		case <-d.ctx.Done():
 			return
 		}
-		now := time.Now()
+		now := clock.Now()
 		if now.Sub(last) > pauseLimit && !d.confirm(now.Sub(last)) {
 			return
 		}
-		last = time.Now()
+		last = clock.Now()
 		if now.Sub(tidied) > tidyEvery {
 			tidied = now
 			d.tidy(now)
@@ -382,7 +383,7 @@
 	}
 	carried := d.carries(now)
 	d.cell.SendMost(d.starts.Free(), carried)
-	a := d.cell.Place(now, now, d.Callers())
+	a := d.cell.Place(now, clock.Wall(), d.Callers())
 	d.startRuns(a.Starts, carried)
 	for i := range a.Stops {
 		d.stopRun(a.Stops[i])
@@ -411,16 +412,16 @@
 func (d *Driver) ask(a cell.Ask) {
 	ctx, cancel := context.WithTimeout(d.ctx, 2*a.Takes()+time.Second)
 	defer cancel()
-	sent := time.Now()
+	sent := clock.Now()
 	t, err := d.Advise(ctx, a)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if err != nil {
 		level.Info(d.Log).Log("event", "not_advised", "job", a.Step.Job, "step", a.Step.Step, "asked", len(a.Workers), "err", err)
-		d.cell.Unadvised(a, time.Now())
+		d.cell.Unadvised(a, clock.Now())
 		return
 	}
-	level.Debug(d.Log).Log("event", "advised", "job", a.Step.Job, "step", a.Step.Step, "asked", len(a.Workers), "good", len(t.Rows), "took_ms", time.Since(sent).Milliseconds())
+	level.Debug(d.Log).Log("event", "advised", "job", a.Step.Job, "step", a.Step.Step, "asked", len(a.Workers), "good", len(t.Rows), "took_ms", clock.Since(sent).Milliseconds())
 	// The ticket counts from the answer, which took its time after sent.
 	valid := a.Advice.Valid
 	if t.Valid > 0 {
--- a/driver/empty.go
+++ b/driver/empty.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"dewpass.org/cell"
+	"dewpass.org/internal/clock"
 	"dewpass.org/upkeep"
 )
 
@@ -14,7 +15,7 @@
 // Empty implements upkeep.Cell.
 func (d *Driver) Empty(workers []string, patience time.Duration) {
 	d.mu.Lock()
-	d.cell.Empty(workers, patience, time.Now())
+	d.cell.Empty(workers, patience, clock.Now())
 	d.mu.Unlock()
 	notify(d.wake)
 }
@@ -23,7 +24,7 @@
 func (d *Driver) Emptied(worker string) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	now := time.Now()
+	now := clock.Now()
 	return d.loaded && !d.frozen && d.mayOrder(now) && d.cell.Emptied(worker, now)
 }
 
--- a/driver/link.go
+++ b/driver/link.go
@@ -13,6 +13,7 @@
 
 	"dewpass.org/cell"
 	"dewpass.org/claim"
+	"dewpass.org/internal/clock"
 	"dewpass.org/internal/rtt"
 	"dewpass.org/kind"
 )
@@ -153,10 +154,10 @@
 // for long, and the limit begins again, once.
 func answerWithin(parent context.Context, limit time.Duration) (context.Context, context.CancelFunc) {
 	ctx, stop := context.WithCancelCause(parent)
-	due := time.Now().Add(limit)
+	due := clock.Now().Add(limit)
 	end := func() { stop(context.DeadlineExceeded) }
 	timer := time.AfterFunc(limit, func() {
-		if time.Since(due) < lateTimer {
+		if clock.Since(due) < lateTimer {
 			end()
 			return
 		}
@@ -221,7 +222,7 @@
 		d.mu.Lock()
 		l.fence++
 	}
-	now := time.Now()
+	now := clock.Now()
 	unsaved := d.cell.Unsaved(l.id)
 	o := HoldOrder{
 		Target:   Target{Worker: l.id, Addr: l.addr, Fence: l.fence},
@@ -317,7 +318,7 @@
 
 // held takes in the answer to a hold.
 func (d *Driver) held(l *link, o HoldOrder, a HoldAnswer, sent time.Time, attach bool) {
-	now := time.Now()
+	now := clock.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if o.Wait == 0 {
@@ -397,7 +398,7 @@
 		d.workerDead(l.id, cell.LossReborn)
 		return true
 	}
-	now := time.Now()
+	now := clock.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if kind.Is(err, kind.Fenced) {
@@ -452,7 +453,7 @@
 // dead ends the link to a worker whose life is surely over. The lock is held.
 func (d *Driver) dead(l *link, how cell.Loss) {
 	level.Info(d.Log).Log("event", "worker_dead", "worker", l.id, "why", string(how))
-	d.forget(l, how, time.Now())
+	d.forget(l, how, clock.Now())
 }
 
 // hungUp reports whether a call failed as its connection was ended or refused by the other
@@ -477,7 +478,7 @@
 	if l == nil || !l.attached {
 		return
 	}
-	d.cell.Unsure(id, time.Now())
+	d.cell.Unsure(id, clock.Now())
 	l.attached = false
 	if l.anew != nil {
 		l.anew()
@@ -510,7 +511,7 @@
 // order sends an order whose outcome the worker's lists show. If its answer is
 // lost, the worker is attached again. The lock is held.
 func (d *Driver) order(t Target, send func(context.Context) error) {
-	limit := d.orderTime(d.links[t.Worker], time.Now())
+	limit := d.orderTime(d.links[t.Worker], clock.Now())
 	d.spawn(func() {
 		ctx, cancel := answerWithin(d.ctx, limit)
 		defer cancel()
--- a/driver/load.go
+++ b/driver/load.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"dewpass.org/flow"
+	"dewpass.org/internal/clock"
 	"dewpass.org/rows"
 )
 
@@ -82,7 +83,7 @@
 // load reads the jobs of the cell. It reports whether it did before the end.
 func (d *Driver) load() bool {
 	var r reading
-	begun := time.Now()
+	begun := clock.Now()
 	for d.ctx.Err() == nil {
 		err := d.readSpecs(d.ctx, &r)
 		if err == nil {
@@ -95,8 +96,8 @@
 			d.restoreWorkerList(r.workerList.Rows)
 			return true
 		}
-		level.Warn(d.Log).Log("event", "load_failed", "cell", d.Name, "epoch", d.Claim.Epoch(), "took_ms", time.Since(begun).Milliseconds(), "err", err)
-		if time.Since(begun) > loadMost && d.Reachable() {
+		level.Warn(d.Log).Log("event", "load_failed", "cell", d.Name, "epoch", d.Claim.Epoch(), "took_ms", clock.Since(begun).Milliseconds(), "err", err)
+		if clock.Since(begun) > loadMost && d.Reachable() {
 			go d.LoadTimedOut()
 			return false
 		}
@@ -108,7 +109,7 @@
 func (d *Driver) restore(specs, records []rows.Row, bad []rows.Bad) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	now := time.Now()
+	now := clock.Now()
 	byID := make(map[string]*flow.Record, len(records))
 	// What of a job was done is not known without its record. It is left alone, so that
 	// nothing of it runs twice, until the row is put right.
@@ -139,7 +140,7 @@
 		d.cell.Restore(spec, rec, arrivedAt(spec, now), now)
 		if rec != nil && rec.State.Final() {
 			level.Info(d.Log).Log("event", "end_inherited", "job", r.Name, "epoch", d.Claim.Epoch(), "state", rec.State,
-				"accepted_ms_ago", now.UnixMilli()-spec.AcceptedMS)
+				"accepted_ms_ago", clock.Wall().UnixMilli()-spec.AcceptedMS)
 		}
 	}
 	for id := range byID {
--- a/driver/scan.go
+++ b/driver/scan.go
@@ -9,6 +9,7 @@
 	"github.com/go-kit/log/level"
 
 	"dewpass.org/flow"
+	"dewpass.org/internal/clock"
 	"dewpass.org/kind"
 	"dewpass.org/rows"
 )
@@ -26,7 +27,7 @@
 		return kind.New(kind.Unavailable, "the cell is not read yet")
 	}
 	if d.isNew(spec.ID, ver) {
-		d.adopt(spec, time.Now())
+		d.adopt(spec, clock.Now())
 		notify(d.wake)
 	}
 	return nil
@@ -46,13 +47,13 @@
 
 // arrivedAt returns when a job was accepted, by this instance's steady clock.
 func arrivedAt(spec *flow.Spec, now time.Time) time.Time {
-	age := max(now.UnixMilli()-spec.AcceptedMS, 0)
+	age := max(clock.Wall().UnixMilli()-spec.AcceptedMS, 0)
 	return now.Add(-time.Duration(age) * time.Millisecond)
 }
 
 // scan finds jobs that the store has taken and that nobody told this owner of.
 func (d *Driver) scan() {
-	ver, heard := d.scanned, time.Now()
+	ver, heard := d.scanned, clock.Now()
 	// What was read of all jobs is kept over a failure: over a thin link the next try
 	// would fail as the last one did.
 	var all reading
@@ -63,7 +64,7 @@
 		}
 		if ver == 0 {
 			if d.outdated(all.begun) {
-				all = reading{begun: time.Now()}
+				all = reading{begun: clock.Now()}
 			}
 			if err := d.readSpecs(d.ctx, &all); err != nil {
 				d.logScan(err)
@@ -73,7 +74,7 @@
 			ver, heard, all = all.ver(), all.begun, reading{}
 			continue
 		}
-		begun := time.Now()
+		begun := clock.Now()
 		// The homes of jobs are a tenth of what the jobs are, most of which this owner has
 		// been told of.
 		page, err := d.Store.Feed(d.ctx, rows.Since{Table: TableHomes, Ver: ver})
@@ -116,7 +117,7 @@
 
 // outdated reports whether what was read of the jobs at a time may hold some that have
 // ended and been forgotten since: those would be taken for new.
-func (d *Driver) outdated(read time.Time) bool { return time.Since(read) > d.Keep/2 }
+func (d *Driver) outdated(read time.Time) bool { return clock.Since(read) > d.Keep/2 }
 
 func (d *Driver) logScan(err error) {
 	if d.ctx.Err() == nil {
@@ -135,7 +136,7 @@
 			gone[r.Name] = r.Ver
 		}
 	}
-	now := time.Now()
+	now := clock.Now()
 	for _, r := range all {
 		if r.Gone || gone[r.Name] > r.Ver || !d.isNew(r.Name, r.Ver) {
 			continue
--- a/driver/share.go
+++ b/driver/share.go
@@ -10,6 +10,7 @@
 
 	"dewpass.org/cell"
 	"dewpass.org/flow"
+	"dewpass.org/internal/clock"
 	"dewpass.org/rows"
 )
 
@@ -56,7 +57,7 @@
 	if s, _ := d.cell.State(id); !s.Final() {
 		level.Info(d.Log).Log("event", "share_orphaned", "job", id, "cell", d.Name, "epoch", d.Claim.Epoch(), "state", string(s))
 	}
-	d.cell.Cancel(id, time.Now())
+	d.cell.Cancel(id, clock.Now())
 	d.cell.Archived(id)
 	notify(d.wake)
 	notify(d.write)
--- /dev/null
+++ b/driver/suspend_test.go
@@ -0,0 +1,86 @@
+// SPDX-License-Identifier: Apache-2.0
+
+//go:build faults
+
+package driver
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"dewpass.org/cell"
+	"dewpass.org/claim"
+	"dewpass.org/flow"
+	"dewpass.org/internal/clock"
+	"dewpass.org/rows"
+	"dewpass.org/sched"
+)
+
+// An owner whose machine had been suspended for 3 s gave orders by a lease that was long over: the
+// steady clock does not count a suspension, and all times were read from that.
+
+// obeying are workers that take every order, and a directory of one.
+type obeying struct{ starts atomic.Int32 }
+
+func (w *obeying) Start(context.Context, StartOrder) (StartAnswer, error) {
+	w.starts.Add(1)
+	return StartAnswer{ClockMS: 1, Outcome: cell.Accepted}, nil
+}
+func (w *obeying) Stop(context.Context, StopOrder) error { return nil }
+func (w *obeying) Pace(context.Context, PaceOrder) error { return nil }
+func (w *obeying) Hold(ctx context.Context, o HoldOrder) (HoldAnswer, error) {
+	select {
+	case <-time.After(o.Wait):
+	case <-ctx.Done():
+	}
+	return HoldAnswer{ClockMS: 1, Brief: o.Brief}, ctx.Err()
+}
+
+func (w *obeying) All(context.Context) ([]Entry, error) {
+	room := sched.Vec{sched.Milli: 1000, sched.MiB: 1000}
+	return []Entry{{Ver: 1, Worker: cell.Worker{ID: "w", Addr: "w", Pool: "p", Hall: "h", Room: room}}}, nil
+}
+
+var _ = ginkgo.Describe("an owner whose machine was suspended", func() {
+	// asleep starts an owner with a worker, and then lets its machine sleep while another
+	// instance takes the cell or not, and a job is waiting when it wakes.
+	asleep := func(ctx context.Context, takenOver bool, d time.Duration) (*obeying, *atomic.Bool) {
+		t, w := newTable(), &obeying{}
+		lost := new(atomic.Bool)
+		o := newDriver(ctx, t, func() {})
+		o.Workers, o.Directory, o.HeardByAll = w, w, func() bool { return false }
+		o.Lost = func() { lost.Store(true) }
+		o.Configure([]cell.Queue{{Name: "q", Pool: "p", MaxAttempts: 1}})
+		o.Start()
+		ginkgo.DeferCleanup(o.Close)
+		Eventually(func() int { return o.Load().Attached }, "5s").Should(Equal(1))
+		if takenOver {
+			t.mu.Lock()
+			t.ver++
+			key := rows.Key{Table: claim.Table, Part: "c", Name: claim.Range("c").From}
+			t.rows[key] = rows.Row{Key: key, Ver: t.ver, Value: flow.Encode(claim.Lease{Owner: "other", Boot: "x", Epoch: 9})}
+			t.mu.Unlock()
+		}
+		clock.Sleep(d)
+		Expect(o.Adopt(&flow.Spec{ID: "1", Cell: "c", Queue: "q", Hall: "h", Steps: []flow.Step{{Count: 1}}}, 1<<40)).To(Succeed())
+		return w, lost
+	}
+
+	for _, d := range []time.Duration{3 * time.Second, 30 * time.Second} {
+		ginkgo.It("gives no order by a lease that another has, after "+d.String(), func(ctx context.Context) {
+			w, lost := asleep(ctx, true, d)
+			Eventually(lost.Load, "3s").Should(BeTrue())
+			Consistently(w.starts.Load, "300ms").Should(BeZero())
+		})
+
+		ginkgo.It("goes on once it has seen that it still has its lease, after "+d.String(), func(ctx context.Context) {
+			w, lost := asleep(ctx, false, d)
+			Eventually(w.starts.Load, "5s").Should(BeNumerically("==", 1))
+			Expect(lost.Load()).To(BeFalse())
+		})
+	}
+})
--- a/driver/tidy.go
+++ b/driver/tidy.go
@@ -8,6 +8,7 @@
 	"github.com/go-kit/log/level"
 
 	"dewpass.org/flow"
+	"dewpass.org/internal/clock"
 	"dewpass.org/rows"
 )
 
@@ -66,14 +67,14 @@
 }
 
 // tx returns the transaction of some archives of one part.
-func (d *Driver) tx(batch []archive, now time.Time) rows.Tx {
+func (d *Driver) tx(batch []archive, wall time.Time) rows.Tx {
 	var t rows.Tx
 	for _, x := range batch {
 		if x.forget {
 			t.Remove = append(t.Remove, EndedKey(x.id), HomeKey(x.id))
 			continue
 		}
-		e := flow.Ended{State: x.state, Cell: d.Name, AtMS: now.UnixMilli()}
+		e := flow.Ended{State: x.state, Cell: d.Name, AtMS: wall.UnixMilli()}
 		t.Put = append(t.Put, rows.Row{Key: EndedKey(x.id), Value: flow.Encode(e)})
 		t.Remove = append(t.Remove, SpecKey(x.id))
 	}
@@ -110,7 +111,7 @@
 // writeArchive writes a batch until the store has taken it.
 func (d *Driver) writeArchive(part string, batch []archive) {
 	for d.ctx.Err() == nil {
-		res, err := d.Store.Tx(d.ctx, d.tx(batch, time.Now()))
+		res, err := d.Store.Tx(d.ctx, d.tx(batch, clock.Wall()))
 		if err == nil && !res.Refused {
 			break
 		}
@@ -161,13 +162,13 @@
 		for _, part := range specParts {
 			all, _, err := rows.All(d.ctx, d.Store, rows.Range{Table: TableEnded, Part: string(part)})
 			if err == nil {
-				d.sweepAll(all, time.Now())
+				d.sweepAll(all, clock.Wall())
 			}
 		}
 	}
 }
 
-func (d *Driver) sweepAll(all []rows.Row, now time.Time) {
+func (d *Driver) sweepAll(all []rows.Row, wall time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, r := range all {
@@ -175,7 +176,7 @@
 		if err != nil || e.Cell != d.Name || d.cell.Known(r.Name) {
 			continue
 		}
-		if age := now.Sub(time.UnixMilli(e.AtMS)); age > d.Keep+sweepSlack {
+		if age := wall.Sub(time.UnixMilli(e.AtMS)); age > d.Keep+sweepSlack {
 			d.forgetEnd(r.Name, age, "swept")
 		}
 	}
--- a/driver/unkept.go
+++ b/driver/unkept.go
@@ -2,7 +2,11 @@
 
 package driver
 
-import "time"
+import (
+	"time"
+
+	"dewpass.org/internal/clock"
+)
 
 // unkeptAtOnce bounds the jobs that others are told of at once: as many as end in a second
 // at the design size are told in a few greetings.
@@ -32,7 +36,7 @@
 		return
 	}
 	d.mu.Lock()
-	d.cell.Succeeded(ids, time.Now())
+	d.cell.Succeeded(ids, clock.Now())
 	d.mu.Unlock()
 	notify(d.wake)
 	notify(d.write)
--- a/driver/watch.go
+++ b/driver/watch.go
@@ -7,6 +7,7 @@
 
 	"github.com/go-kit/log/level"
 
+	"dewpass.org/internal/clock"
 	"dewpass.org/internal/stall"
 )
 
@@ -54,7 +55,7 @@
 func (d *Driver) watch() {
 	silent := readSilent
 	for d.ctx.Err() == nil {
-		begun := time.Now()
+		begun := clock.Now()
 		entries, err := d.readDirectory(silent)
 		if err != nil {
 			silent = min(2*silent, readSilentMost)
@@ -86,7 +87,7 @@
 func (d *Driver) readAll(entries []Entry) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	now := time.Now()
+	now := clock.Now()
 	there := make(map[string]bool, len(entries))
 	for _, e := range entries {
 		if e.Bad != "" {
--- a/driver/workerlist.go
+++ b/driver/workerlist.go
@@ -7,13 +7,13 @@
 	"fmt"
 	"slices"
 	"strings"
-	"time"
 
 	"github.com/go-kit/log/level"
 
 	"dewpass.org/cell"
 	"dewpass.org/claim"
 	"dewpass.org/flow"
+	"dewpass.org/internal/clock"
 	"dewpass.org/rows"
 )
 
@@ -110,7 +110,7 @@
 
 // restoreWorkers starts links to workers of the worker list. The lock is held.
 func (d *Driver) restoreWorkers(all []workerListEntry) {
-	now := time.Now()
+	now := clock.Now()
 	for _, e := range all {
 		if d.links[e.ID] == nil {
 			d.cell.Heard(cell.Worker{ID: e.ID, Addr: e.Addr, Hall: e.Hall, Gone: true}, now)
--- a/internal/clock/off.go
+++ b/internal/clock/off.go
@@ -6,8 +6,9 @@
 
 import "time"
 
-// Now returns the time.
-func Now() time.Time { return time.Now() }
+// Now returns the time. What lies between two of them counts also what the machine was suspended
+// for in between; as a time of day use Wall.
+func Now() time.Time { return steadyNow() }
 
 // Since returns the time that has passed since t.
-func Since(t time.Time) time.Duration { return time.Since(t) }
+func Since(t time.Time) time.Duration { return Now().Sub(t) }
--- a/internal/clock/on.go
+++ b/internal/clock/on.go
@@ -6,6 +6,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -26,10 +27,11 @@
 }
 
 func now() time.Time {
+	real := steadyNow().Add(time.Duration(slept.Load()))
 	if skew.rate == 0 {
-		return time.Now()
+		return real
 	}
-	passed := float64(time.Since(skew.since)) * skew.rate
+	passed := float64(real.Sub(skew.since)) * skew.rate
 	return skew.shown.Add(time.Duration(passed))
 }
 
@@ -42,5 +44,12 @@
 	skew.mu.Lock()
 	defer skew.mu.Unlock()
 	shown := now()
-	skew.rate, skew.since, skew.shown = rate, time.Now(), shown
+	skew.rate, skew.since, skew.shown = rate, steadyNow().Add(time.Duration(slept.Load())), shown
 }
+
+// slept is for how long the machine seems to have been suspended.
+var slept atomic.Int64
+
+// Sleep lets the machine seem to have been suspended until now for a time that the steady
+// clock did not count.
+func Sleep(d time.Duration) { slept.Add(int64(d)) }
--- a/rows/attempt.go
+++ b/rows/attempt.go
@@ -6,6 +6,7 @@
 	"context"
 	"time"
 
+	"dewpass.org/internal/clock"
 	"dewpass.org/kind"
 )
 
@@ -39,7 +40,7 @@
 		res, err := a.Store.Tx(ctx, a.Tx)
 		answered <- answer{res, err}
 	}()
-	begun := time.Now()
+	begun := clock.Now()
 	tick := time.NewTicker(a.Every)
 	defer tick.Stop()
 	for {
@@ -50,7 +51,7 @@
 			if res, known, err := a.Look(ctx); known {
 				return res, false, err
 			}
-			if time.Since(begun) > a.Limit {
+			if clock.Since(begun) > a.Limit {
 				return Result{}, false, kind.New(kind.Lost, "the write is not there and has no answer")
 			}
 		}
