cell: a worker that refuses twice for want of room is left alone for a moment; room that changes, tests

A worker whose room has shrunk and that guards it was attached and given the same order again at once, 50 times a second in the test, until its entry was read.

--- a/cell/ends.go
+++ b/cell/ends.go
@@ -201,6 +201,7 @@
 	case NoRoom:
 		// What the worker has is not what is on the books.
 		c.Unsure(worker, now)
+		w.health.hasNoRoom(now)
 	case NoTicket:
 		r.stage.advice.forget(w.ID)
 	case TooOld:
--- a/cell/health.go
+++ b/cell/health.go
@@ -27,8 +27,9 @@
 	length time.Duration
 	// trial says that the worker may have one run, to see how it ends.
 	trial bool
-	// lost counts the orders that were lost since it last took one.
-	lost int
+	// lost counts the orders that were lost since it last took one, and full those that it
+	// refused for want of room.
+	lost, full int
 }
 
 func (h *health) good(time.Time) {
@@ -64,6 +65,15 @@
 	}
 }
 
+// hasNoRoom takes in that the worker had no room for what should fit. Once may be an order that
+// is not on the books any more. Twice in a row its room has shrunk, and its entry will say so:
+// asked again at once it would answer the same.
+func (h *health) hasNoRoom(now time.Time) {
+	if h.full++; h.full > 1 {
+		h.refuse(now)
+	}
+}
+
 // orderLost takes in that an order was lost. Its task goes elsewhere if there is room: the worker
 // that answers holds and loses orders, as it bears no more connections, is still the one into
 // which the task fits best.
--- /dev/null
+++ b/cell/room_test.go
@@ -0,0 +1,75 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package cell
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"dewpass.org/flow"
+)
+
+func TestWorkerWhoseRoomShrinksIsGivenNoMoreThanItHas(t *testing.T) {
+	g := NewWithT(t)
+	r := newRig(1)
+	r.add("j", flow.Step{Count: 10, Demand: demand(1000)})
+	starts := r.startAll()
+	g.Expect(starts).To(HaveLen(4))
+	r.heard("w0", func(w *Worker) { w.Room = vec(2000, 8000) })
+	g.Expect(r.startAll()).To(BeEmpty())
+	r.end(starts[0], flow.EndDone)
+	r.end(starts[1], flow.EndDone)
+	g.Expect(r.startAll()).To(BeEmpty(), "what is left fills it")
+	r.end(starts[2], flow.EndDone)
+	g.Expect(r.startAll()).To(HaveLen(1))
+	r.heard("w0", func(w *Worker) { w.Room = vec(4000, 8000) })
+	g.Expect(r.startAll()).To(HaveLen(2), "room that is back is used")
+}
+
+func TestTaskThatFillsIsNotGivenToAWorkerOverItsRoom(t *testing.T) {
+	g := NewWithT(t)
+	r := newRig(1)
+	r.add("j", flow.Step{Count: 4, Demand: demand(1000)})
+	r.startAll()
+	r.heard("w0", func(w *Worker) { w.Room = vec(2000, 8000) })
+	r.add("k", flow.Step{Count: 1, Demand: demand(1000), Fills: true})
+	g.Expect(r.startAll()).To(BeEmpty())
+}
+
+func TestRoomReservedOnAWorkerThatShrinksMovesOn(t *testing.T) {
+	g := NewWithT(t)
+	r := newRig(2)
+	r.add("small", flow.Step{Count: 8, Demand: demand(1000), EstimateMS: 1000})
+	starts := r.startAll()
+	g.Expect(starts).To(HaveLen(8))
+	r.add("large", flow.Step{Count: 1, Demand: demand(3000), EstimateMS: 1000})
+	g.Expect(r.startAll()).To(BeEmpty())
+	for w := range r.jobs["large"].stages[0].reserved.workers {
+		r.heard(w.ID, func(w *Worker) { w.Room = vec(1000, 8000) })
+	}
+	r.now = r.now.Add(reserveEvery)
+	for _, s := range starts {
+		r.end(s, flow.EndDone)
+	}
+	g.Expect(r.startAll()).To(HaveLen(1))
+}
+
+// A worker that guards its room answers that it has none, and its entry says so only later. It
+// was attached and given the same again at once, some hundred times a second.
+func TestWorkerThatHasNoRoomIsLeftAloneForAWhile(t *testing.T) {
+	g := NewWithT(t)
+	r := newRig(1)
+	r.add("j", flow.Step{Count: 1, Demand: demand(1000)})
+	refused := 0
+	for range 100 {
+		for _, s := range r.place().Starts {
+			refused++
+			r.Started(s.Worker, s.Task, s.Run, NoRoom, r.now)
+		}
+		r.now = r.now.Add(20 * time.Millisecond)
+		r.Attached("w0", Lists{}, r.now)
+	}
+	g.Expect(refused).To(BeNumerically("<=", 5), "two seconds, in which its entry is read at least once")
+}
--- a/cell/run.go
+++ b/cell/run.go
@@ -49,7 +49,7 @@
 func (c *Cell) confirm(r *run, now time.Time) {
 	r.confirmed, r.progressed = now, now
 	r.stage.job.began = true
-	r.w.health.lost = 0
+	r.w.health.lost, r.w.health.full = 0, 0
 	c.note(r, RunBegan)
 }
 
--- a/internal/standin/world/world.go
+++ b/internal/standin/world/world.go
@@ -190,14 +190,14 @@
 	if n.draining {
 		state, remaining = "draining", 2000
 	}
-	clock := n.clock()
+	clock, cpu, mem := n.clock(), n.cpu, n.mem
 	n.mu.Unlock()
 	if dead {
 		return
 	}
 	w.Store.Put("servers", n.ID, map[string]any{
 		"backend": pool, "address": n.Addr, "zone": n.Hall, "version": "v1", "slots": 8, "state": state,
-		"warmup_left_ms": 0, "capacity": map[string]any{"cpu": n.cpu, "mem_mb": n.mem, "gpu": 0},
+		"warmup_left_ms": 0, "capacity": map[string]any{"cpu": cpu, "mem_mb": mem, "gpu": 0},
 		"labels": []string{"a", n.Rack}, "clock_ms": clock, "remaining_ms": remaining, "seq": clock,
 	})
 }
