--- a/cell/crash.go
+++ b/cell/crash.go
@@ -46,12 +46,13 @@
 
 // A task is given up after so many workers. Two losses within soon of a start, each with
 // nobody else to blame, are beyond chance. Where runs had gone on for longer it takes three,
-// and where others may have done it five: a task that crashes each worker must not be
-// started three times more after the third.
+// or one beside three for which others may be to blame, and without any five: a task that
+// crashes each worker must not be started three times more after the third.
 const (
-	crashesSoon = 2
-	crashesSole = 3
-	crashesAll  = 5
+	crashesSoon  = 2
+	crashesSole  = 3
+	crashesMixed = 4
+	crashesAll   = 5
 )
 
 // loss is a worker that was lost not long ago.
@@ -311,7 +312,7 @@
 		}
 	}
 	return soleSoon >= crashesSoon || sole >= crashesSole || sole+shared >= crashesAll ||
-		(sole > 0 && len(crashes) >= crashesAll)
+		(sole > 0 && len(crashes) >= crashesMixed)
 }
 
 // judge gives a task up if its workers have crashed too often, and its job with it. A cell
@@ -341,8 +342,8 @@
 func (s *stage) onTrial(t *task) bool { return t.suspect() || s.blamed >= hungUpMost }
 
 // mayTry reports whether a task may be started now. What is held against one is kept first,
-// so that it counts for the next owner as well; the first loss alone doesn't hold it up. Tasks
-// that may crash their workers are tried one after another, of a job twice as many at a time
+// so that it counts for the next owner as well: without that, owners that followed each other
+// within seconds each began to count anew. Tasks that may crash their workers are tried one after another, of a job twice as many at a time
 // after each round that went well.
 func (c *Cell) mayTry(s *stage, index int, now time.Time) bool {
 	t := &s.tasks[index]
@@ -353,7 +354,7 @@
 	if s.job.state.Final() || t.state == taskGivenUp {
 		return false
 	}
-	if t.crashesKept < len(t.crashes) && (len(t.crashes) > 1 || t.crashes[0].Blame == flow.BlameSole) {
+	if t.crashesKept < len(t.crashes) {
 		return false
 	}
 	return now.Sub(c.lastTrial) >= trialGap && s.job.trials <= s.job.trialsPassed
--- a/cell/crash_test.go
+++ b/cell/crash_test.go
@@ -315,6 +315,20 @@
 	g.Expect(most).To(BeNumerically("<=", 3))
 }
 
+// Five owners followed each other in 12 s, each of which started a task again that had crashed
+// its worker beside others, before that was kept: the next one began to count anew.
+func TestSharedCrashIsKeptBeforeTheNextStart(t *testing.T) {
+	g := NewWithT(t)
+	r := newRig(3)
+	r.add("j", flow.Step{Count: 2, Demand: demand(1000)})
+	first := r.startAll()
+	g.Expect(first[0].Worker).To(Equal(first[1].Worker))
+	r.lose(first[0], 10*time.Millisecond)
+	g.Expect(r.Place(r.now, r.now, 0).Starts).To(BeEmpty(), "the store does not have it yet")
+	r.Saved(r.Saves(10), true)
+	g.Expect(r.Place(r.now, r.now, 0).Starts).To(HaveLen(1))
+}
+
 func TestRunThatIsLostTwiceCountsOnce(t *testing.T) {
 	g := NewWithT(t)
 	rec := &flow.Record{State: flow.Running, Stages: []flow.StageRecord{{
--- a/internal/standin/world/worker.go
+++ b/internal/standin/world/worker.go
@@ -84,11 +84,13 @@
 	draining bool
 }
 
-// Fail sets the faults.
+// Fail sets the faults of a worker that lives.
 func (w *Worker) Fail(f WorkerFaults) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.faults = f
+	if !w.dead {
+		w.faults = f
+	}
 }
 
 func (w *Worker) clock() int64 { return 1000 + time.Since(w.begun).Milliseconds() }
--- a/internal/standin/world/world.go
+++ b/internal/standin/world/world.go
@@ -183,6 +183,15 @@
 	return slices.Clone(w.Workers)
 }
 
+// Living returns the workers that live and don't leave.
+func (w *World) Living() []*Worker {
+	return slices.DeleteFunc(w.all(), func(n *Worker) bool {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		return n.dead || n.draining
+	})
+}
+
 // beat writes a worker's entry.
 func (w *World) beat(n *Worker) {
 	n.mu.Lock()
