cell, driver: trials side by side; an end that is seen late makes no run old

Trials were 0.25 s apart, so that the neighbours of five crashes, some hundred tasks, were tried one after another; and a worker whose connections had gone silent was seen to end 1.5 s late, by which the task that had crashed it seemed old and its neighbours, started later, to blame.

Trials now go on a quarter of the workers at once: what they do is told apart by the trial on each worker that is lost. Where no connection was seen to end, a run counts as gone on only up to its worker's last word of it.

--- a/cell/cell.go
+++ b/cell/cell.go
@@ -64,10 +64,10 @@
 	counts         Counts
 	// changes are those of tasks that last, until Changes.
 	changes []Change
-	// losses are the workers that were lost lately, and lastTrial is when a task that may
-	// crash its worker was last started.
-	losses    []loss
-	lastTrial time.Time
+	// losses are the workers that were lost lately.
+	losses []loss
+	// trialsNow and trialsMost are how many tasks are being tried during Place, and may be.
+	trialsNow, trialsMost int
 	// lostInherited says that a worker of a former owner was gone when this one came.
 	lostInherited bool
 	givenUps      []GivenUp
--- a/cell/crash.go
+++ b/cell/crash.go
@@ -12,8 +12,8 @@
 // A task may end the process of each worker that starts it. Nobody lists the end of such a
 // run, and what ran beside it is lost as well. So each loss of a worker is held against the
 // runs that may have caused it, and a task against which there is something is tried alone:
-// on the worker with the least to lose, with nothing started beside it at first, and apart in
-// time from other such tasks. The next loss then names one task, and takes little with it.
+// on the worker with the least to lose, with nothing started beside it at first. The next loss
+// then names one task, and takes little with it.
 // docs/design/crashes.md says what counts and what a wrong verdict costs.
 
 const (
@@ -27,8 +27,9 @@
 	// takes all of its connections at once, and an owner reads that within some tens of
 	// milliseconds.
 	together = 150 * time.Millisecond
-	// trialGap spaces trials, so that what two of them do to their workers is told apart.
-	trialGap = 250 * time.Millisecond
+	// trialShare is the part of the workers, as a divisor, on which tasks may be tried at
+	// once: each is kept from other work for a moment, and may be lost.
+	trialShare = 4
 	// A trial is watched, with nothing started beside it, for twice as long as its task
 	// has run on before, within these bounds; the upper one is left out once it was
 	// blamed alone.
@@ -57,22 +58,21 @@
 
 // loss is a worker that was lost not long ago.
 type loss struct {
-	id, rack string
-	at       time.Time
+	id string
+	at time.Time
 	// young are the steps with young runs there, and trial says that a task was tried there.
 	young []*stage
 	trial bool
 }
 
-// explains reports whether a loss has a cause of its own beside that of the worker of r: a
-// trial in another rack, or the step that both had just started.
-func (l *loss) explains(r *run) bool {
-	return slices.Contains(l.young, r.stage) || (l.trial && l.rack != r.w.Rack)
-}
+// explains reports whether a loss has a cause of its own, or that of the worker of r: a trial, or
+// the step that both had just started. A rack without power takes workers without a trial as
+// well.
+func (l *loss) explains(r *run) bool { return l.trial || slices.Contains(l.young, r.stage) }
 
 // lossOf returns the loss of w at a time.
 func lossOf(w *worker, at time.Time) loss {
-	return loss{id: w.ID, rack: w.Rack, at: at, young: w.youngStages(at), trial: at.Before(w.trialUntil)}
+	return loss{id: w.ID, at: at, young: w.youngStages(at), trial: at.Before(w.trialUntil)}
 }
 
 // GivenUp is a task that is started no more, as its workers crash.
@@ -89,10 +89,11 @@
 }
 
 // HungUp says that the connection to a worker was ended or refused by its side, as when its
-// process ends.
-func (c *Cell) HungUp(id string) {
+// process ends. just says that it was open until now, so that this is the moment of it.
+func (c *Cell) HungUp(id string, just bool) {
 	if w := c.workers[id]; w != nil && !w.attached {
 		w.hungUp = true
+		w.endSeen = w.endSeen || just
 	}
 }
 
@@ -108,8 +109,20 @@
 	return w.unsureSince
 }
 
-// age returns how long r had gone on at a time.
-func (r *run) age(at time.Time) time.Duration { return max(at.Sub(r.decided), 0) }
+// age returns how long r surely went on where its worker was lost at a time. That is when its
+// side ended a connection; where none was seen to end, as all had gone silent, the worker may
+// have been lost at any moment since it last spoke of r.
+func (r *run) age(at time.Time) time.Duration {
+	if !r.w.endSeen && !r.w.attached {
+		at = r.decided
+		for _, heard := range []time.Time{r.confirmed, r.listed} {
+			if heard.After(at) {
+				at = heard
+			}
+		}
+	}
+	return max(at.Sub(r.decided), 0)
+}
 
 // youngStages returns the steps of which runs on w were started within soon of at.
 func (w *worker) youngStages(at time.Time) []*stage {
@@ -357,7 +370,22 @@
 	if t.crashesKept < len(t.crashes) {
 		return false
 	}
-	return now.Sub(c.lastTrial) >= trialGap && s.job.trials <= s.job.trialsPassed
+	return c.trialsNow < c.trialsMost && s.job.trials <= s.job.trialsPassed
+}
+
+// countTrials counts the trials that are being watched, and how many there may be.
+func (c *Cell) countTrials(now time.Time) {
+	usable := 0
+	c.trialsNow = 0
+	for _, w := range c.order {
+		if w.usable() {
+			usable++
+		}
+		if w.attached && w.underTrial(now) {
+			c.trialsNow++
+		}
+	}
+	c.trialsMost = max(usable/trialShare, 1)
 }
 
 // mayTryGang is mayTry for all tasks of a gang.
@@ -379,7 +407,7 @@
 	r.trialUntil = now.Add(t.watch())
 	r.w.trialUntil = r.trialUntil
 	r.stage.job.trials++
-	c.lastTrial = now
+	c.trialsNow++
 }
 
 // endTrial takes in that a trial is over, and whether it went well.
--- a/cell/crash_sim_test.go
+++ b/cell/crash_sim_test.go
@@ -83,7 +83,7 @@
 		return
 	}
 	s.Unsure(p.name(), s.now)
-	s.HungUp(p.name())
+	s.HungUp(p.name(), true)
 	p.runs, p.down = nil, s.now.Add(s.downFor)
 }
 
--- a/cell/crash_test.go
+++ b/cell/crash_test.go
@@ -230,7 +230,7 @@
 func (r *rig) lose(s Start, after time.Duration) {
 	r.now = r.now.Add(after)
 	r.Unsure(s.Worker, r.now)
-	r.HungUp(s.Worker)
+	r.HungUp(s.Worker, true)
 	r.now = r.now.Add(time.Second)
 	r.Forget(s.Worker, LossReborn, r.now)
 }
@@ -285,7 +285,7 @@
 			r.Attached("old", Lists{}, r.now)
 		}
 		r.startAll()
-		r.now = r.now.Add(trialGap)
+		r.now = r.now.Add(250 * time.Millisecond)
 		g.Expect(len(r.startAll())+int(r.Counts().Started)).To(BeNumerically(">", 0), "it is started")
 		g.Expect(r.jobs["j"].stages[0].tasks[0].crashes).To(HaveLen(map[bool]int{true: 2, false: 1}[lost]))
 	}
@@ -305,7 +305,7 @@
 	g := NewWithT(t)
 	s := newCrashSim(3, 4, 2)
 	s.crashAfter = func(t flow.TaskID) time.Duration {
-		return map[string]time.Duration{"a": 10 * time.Millisecond, "b": 10*time.Millisecond + trialGap}[t.Job]
+		return map[string]time.Duration{"a": 10 * time.Millisecond, "b": 260 * time.Millisecond}[t.Job]
 	}
 	for _, id := range []string{"a", "b"} {
 		s.add(id, flow.Step{Count: 1, Demand: demand(1000)})
@@ -329,6 +329,47 @@
 	g.Expect(r.Place(r.now, r.now, 0).Starts).To(HaveLen(1))
 }
 
+// After its connections had gone silent a worker's end was seen 1.5 s late. By that a task that
+// had crashed it 16 ms after its start seemed to have gone on for long, and its neighbours,
+// started later, to be the ones to blame.
+func TestEndThatIsSeenLateMakesNoRunOld(t *testing.T) {
+	g := NewWithT(t)
+	for _, seen := range []bool{true, false} {
+		r := newRig(1)
+		r.add("j", flow.Step{Count: 1, Demand: demand(1000)})
+		s := r.startAll()[0]
+		r.now = r.now.Add(1500 * time.Millisecond)
+		r.add("k", flow.Step{Count: 1, Demand: demand(1000)})
+		r.startAll()
+		r.Unsure(s.Worker, r.now)
+		r.HungUp(s.Worker, seen)
+		r.Forget(s.Worker, LossReborn, r.now.Add(time.Second))
+		blame := r.jobs["j"].stages[0].tasks[0].crashes[0].Blame
+		g.Expect(blame).To(Equal(map[bool]flow.Blame{true: flow.BlameBeside, false: flow.BlameShared}[seen]))
+	}
+}
+
+// With a pause between any two trials, of 0.25 s, the tasks that had run beside those of five
+// crashes were tried one after another for 27 s, with all workers free.
+func TestManySuspectsAreTriedSideBySide(t *testing.T) {
+	g := NewWithT(t)
+	s := newCrashSim(1, 12, 4)
+	s.length = 400 * time.Millisecond
+	var jobs []string
+	for i := range 60 {
+		jobs = append(jobs, fmt.Sprintf("j%d", i))
+		s.add(jobs[i], flow.Step{Count: 3, Demand: demand(1000)})
+	}
+	s.run(100 * time.Millisecond)
+	for i := range 12 {
+		s.crash(s.places[4*i])
+		s.run(200 * time.Millisecond)
+	}
+	begun := s.now
+	g.Expect(s.run(time.Minute, jobs...)).To(BeTrue())
+	g.Expect(s.now.Sub(begun)).To(BeNumerically("<", 5*time.Second))
+}
+
 func TestRunThatIsLostTwiceCountsOnce(t *testing.T) {
 	g := NewWithT(t)
 	rec := &flow.Record{State: flow.Running, Stages: []flow.StageRecord{{
--- a/cell/place.go
+++ b/cell/place.go
@@ -59,6 +59,7 @@
 	c.tidy()
 	c.sort(now)
 	unsettled, most, inDoubt := c.unsettled(), c.mostFree(), c.inDoubt()
+	c.countTrials(now)
 	c.sendLeft, c.heldBack = c.sendMost, false
 	for _, w := range c.order {
 		w.reserved = sched.Vec{}
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -61,9 +61,10 @@
 	silent bool
 	// heard is when its entry was last read.
 	heard time.Time
-	// hungUp says that its side ended the connection, since it was last attached, and
-	// trialUntil until when nothing is started there beside a trial.
-	hungUp     bool
+	// hungUp says that its side ended the connection, since it was last attached, and endSeen
+	// that this was seen as it happened.
+	hungUp, endSeen bool
+	// trialUntil is until when nothing is started there beside a trial.
 	trialUntil time.Time
 	// emptyBy is by when it should be empty, zero if it is not being emptied.
 	emptyBy time.Time
@@ -251,7 +252,8 @@
 			c.requeue(r.stage, r.index, r.saved, now)
 		}
 	}
-	w.attached, w.met, w.settled, w.hungUp = true, true, true, false
+	w.attached, w.met, w.settled = true, true, true
+	w.hungUp, w.endSeen = false, false
 }
 
 // Listed takes in the lists of a worker, asked for at sent.
--- a/driver/carry.go
+++ b/driver/carry.go
@@ -5,8 +5,10 @@
 import (
 	"context"
 	"slices"
+	"syscall"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/go-kit/log/level"
 
 	"dewpass.org/cell"
@@ -242,6 +244,9 @@
 			l.answers.Lost()
 			d.cell.OrderLost(o.Worker, clock.Now())
 			d.unsure(o.Worker)
+			if hungUp(r.Err) {
+				d.cell.HungUp(o.Worker, !errors.Is(r.Err, syscall.ECONNREFUSED))
+			}
 		}
 		return
 	}
--- a/driver/link.go
+++ b/driver/link.go
@@ -415,7 +415,7 @@
 	}
 	d.cell.Unsure(l.id, now)
 	if hungUp(err) {
-		d.cell.HungUp(l.id)
+		d.cell.HungUp(l.id, l.attached && !errors.Is(err, syscall.ECONNREFUSED))
 	}
 	l.attached = false
 	if now.After(l.over) && !l.lapsed {
--- a/upkeep/runner.go
+++ b/upkeep/runner.go
@@ -16,7 +16,7 @@
 	"dewpass.org/rows"
 )
 
-// Table is the table of the books.
+// Table is the table of the records.
 const Table = "upkeep"
 
 // Answer is what the platform says to an order.
