cell: the silence of one worker alone counts against what ran there, that of several does not

A task that takes its worker down for longer than the lease, without a word, was held against nothing at first: seven workers would have gone before it was given up. A worker that falls silent with no other within 2.5 s now counts, though never as the task's own doing: five in a row. Tests of that, and of halls that are cut off six times.

--- a/cell/crash.go
+++ b/cell/crash.go
@@ -27,6 +27,9 @@
 	// takes all of its connections at once, and an owner reads that within some tens of
 	// milliseconds.
 	together = 150 * time.Millisecond
+	// togetherSilent is the same where nothing ended a connection: each call to a worker
+	// finds that out when its own time is over.
+	togetherSilent = 2500 * time.Millisecond
 	// trialShare is the part of the workers, as a divisor, on which tasks may be tried at
 	// once: each is kept from other work for a moment, and may be lost.
 	trialShare = 4
@@ -197,14 +200,14 @@
 func (c *Cell) blameOf(r *run, how Loss, at time.Time, some int) flow.Blame {
 	again := r.stage.tasks[r.index].suspect()
 	switch {
-	case how == LossSilent || c.lostWith(r, at):
+	case c.lostWith(r, how, at):
 		// A hall that is cut off, or a rack without power. A task that was blamed before
 		// is blamed again, but not alone.
 		if again || (how != LossSilent && r.age(at) <= soonWide) {
 			return flow.BlameShared
 		}
 		return flow.BlameBeside
-	case some == 1:
+	case some == 1 && how != LossSilent:
 		return flow.BlameSole
 	}
 	return flow.BlameShared
@@ -212,8 +215,12 @@
 
 // lostWith reports whether other workers were lost together with that of r, for a cause that
 // is not known.
-func (c *Cell) lostWith(r *run, at time.Time) bool {
-	near := func(other time.Time) bool { return at.Sub(other).Abs() <= together }
+func (c *Cell) lostWith(r *run, how Loss, at time.Time) bool {
+	within := together
+	if how == LossSilent {
+		within = togetherSilent
+	}
+	near := func(other time.Time) bool { return at.Sub(other).Abs() <= within }
 	for _, l := range c.losses {
 		if l.id != r.w.ID && near(l.at) && !l.explains(r) {
 			return true
--- a/cell/crash_test.go
+++ b/cell/crash_test.go
@@ -209,6 +209,53 @@
 	g.Expect(s).To(Equal(flow.Running))
 }
 
+func TestTaskWhoseWorkersFallSilentIsGivenUpInTime(t *testing.T) {
+	g := NewWithT(t)
+	r := newRig(1)
+	r.add("j", flow.Step{Count: 1, Demand: demand(1000)})
+	n := 0
+	for ; n < 10; n++ {
+		starts := r.startAll()
+		if len(starts) == 0 {
+			break
+		}
+		r.Unsure(starts[0].Worker, r.now)
+		r.now = r.now.Add(7 * time.Second)
+		r.Lapsed(starts[0].Worker, LossSilent, r.now)
+		r.save()
+		r.Attached(starts[0].Worker, Lists{}, r.now)
+	}
+	s, _ := r.State("j")
+	g.Expect(s).To(Equal(flow.Failed))
+	g.Expect(n).To(Equal(3 + startsMost))
+}
+
+func TestHallsThatAreCutOffAreNotHeldAgainstTasks(t *testing.T) {
+	g := NewWithT(t)
+	r := newRig(4)
+	r.add("j", flow.Step{Count: 1, Demand: demand(1000)})
+	r.add("k", flow.Step{Count: 1, Demand: demand(1000)})
+	for range 6 {
+		g.Expect(r.startAll()).NotTo(BeEmpty())
+		for i := range 4 {
+			r.now = r.now.Add(400 * time.Millisecond)
+			r.Unsure(fmt.Sprintf("w%d", i), r.now)
+		}
+		r.now = r.now.Add(7 * time.Second)
+		for i := range 4 {
+			r.Lapsed(fmt.Sprintf("w%d", i), LossSilent, r.now)
+		}
+		r.save()
+		for i := range 4 {
+			r.Attached(fmt.Sprintf("w%d", i), Lists{}, r.now)
+		}
+	}
+	for _, id := range []string{"j", "k"} {
+		s, _ := r.State(id)
+		g.Expect(s).To(Equal(flow.Running))
+	}
+}
+
 func TestWorkersThatLeaveAreNotHeldAgainstTasks(t *testing.T) {
 	g := NewWithT(t)
 	r := newRig(0)
