cell: a task that had only run beside a loss is not held up for a write that never comes

Where several workers had been lost to a step, a task of it against which nothing was written waited for the store to keep just that, for good. Only what is written is waited for, and it is kept when the store has that very run. How long a run went on is reckoned up to its worker's last word also where another life answered before any connection ended. Moving a task looks past workers under trial. Read from the code; the test is red on the code before.

--- a/cell/crash.go
+++ b/cell/crash.go
@@ -116,7 +116,7 @@
 // side ended a connection; where none was seen to end, as all had gone silent, the worker may
 // have been lost at any moment since it last spoke of r.
 func (r *run) age(at time.Time) time.Duration {
-	if !r.w.endSeen && !r.w.attached {
+	if !r.w.endSeen {
 		at = r.decided
 		for _, heard := range []time.Time{r.confirmed, r.listed} {
 			if heard.After(at) {
@@ -363,7 +363,7 @@
 
 // mayTry reports whether a task may be started now. What is held against one is kept first,
 // so that it counts for the next owner as well: without that, owners that followed each other
-// within seconds each began to count anew. Tasks that may crash their workers are tried one after another, of a job twice as many at a time
+// within seconds each began to count anew. Of a job one task is tried at a time, twice as many
 // after each round that went well.
 func (c *Cell) mayTry(s *stage, index int, now time.Time) bool {
 	t := &s.tasks[index]
@@ -374,7 +374,7 @@
 	if s.job.state.Final() || t.state == taskGivenUp {
 		return false
 	}
-	if t.crashesKept < len(t.crashes) {
+	if t.suspect() && t.crashesKept < len(t.crashes) {
 		return false
 	}
 	return c.trialsNow < c.trialsMost && s.job.trials <= s.job.trialsPassed
@@ -442,7 +442,7 @@
 	t := &r.stage.tasks[r.index]
 	if len(t.crashes) > 0 && now.Sub(r.confirmed) > clearedAfter {
 		kept := t.suspect()
-		t.crashes, t.lostRacks = nil, nil
+		t.crashes, t.crashesKept, t.lostRacks = nil, 0, nil
 		if kept {
 			c.mark(r.stage.job)
 		}
--- a/cell/crash_test.go
+++ b/cell/crash_test.go
@@ -417,6 +417,28 @@
 	g.Expect(s.now.Sub(begun)).To(BeNumerically("<", 5*time.Second))
 }
 
+// A task that had only run beside a loss waited for the store to keep that, which it never did:
+// nothing is written for such a loss.
+func TestTaskBesideALossIsTriedWithItsStep(t *testing.T) {
+	g := NewWithT(t)
+	r := newRig(3)
+	r.add("j", flow.Step{Count: 1, Demand: demand(1000)})
+	r.startAll()
+	s := r.jobs["j"].stages[0]
+	s.blamed = hungUpMost
+	s.tasks[0].crashes = []flow.Crash{{Run: 1, Blame: flow.BlameBeside}}
+	r.now = r.now.Add(time.Second)
+	r.Listed("w0", Lists{}, r.now, r.now)
+	g.Expect(s.waiting).To(Equal(1))
+	begun := 0
+	for range 20 {
+		begun += len(r.startAll())
+		r.now = r.now.Add(200 * time.Millisecond)
+		r.save()
+	}
+	g.Expect(begun).To(Equal(1))
+}
+
 func TestRunThatIsLostTwiceCountsOnce(t *testing.T) {
 	g := NewWithT(t)
 	rec := &flow.Record{State: flow.Running, Stages: []flow.StageRecord{{
--- a/cell/save.go
+++ b/cell/save.go
@@ -89,9 +89,15 @@
 }
 
 // crashesKept takes in what the store has of the losses held against tasks.
-func (s *stage) crashesKept(crashes map[int][]flow.Crash) {
+func (s *stage) crashesKept(kept map[int][]flow.Crash) {
 	for i := range s.tasks {
-		s.tasks[i].crashesKept = min(len(crashes[i]), len(s.tasks[i].crashes))
+		t := &s.tasks[i]
+		t.crashesKept = 0
+		for _, c := range t.crashes {
+			if slices.ContainsFunc(kept[i], func(o flow.Crash) bool { return o.Run == c.Run }) {
+				t.crashesKept++
+			}
+		}
 	}
 }
 
--- a/cell/stop.go
+++ b/cell/stop.go
@@ -157,7 +157,7 @@
 	room := s.def.Room()
 	for p := range c.allowed(s, q, now) {
 		w := p.worker
-		if !w.usable() || !w.suits(s, q) || !w.health.allows(len(w.runs), now) {
+		if !w.usable() || !w.suits(s, q) || !w.health.allows(len(w.runs), now) || w.underTrial(now) {
 			continue
 		}
 		free := w.free.Sub(w.reserved)
