cell: losses at a change of owner and on workers about to leave count

What a worker takes with it well before it leaves is not its leaving; and where a former owner's worker is gone when the next one comes, its waiting tasks may have been there. Tests of both.

--- a/cell/crash.go
+++ b/cell/crash.go
@@ -104,6 +104,12 @@
 // more may be listed for a while, and is then that of one that was never met.
 func (w *worker) lost() bool { return w.met && !w.attached }
 
+// left reports whether w was lost as it had said that it leaves, or was being emptied, and not
+// well before its time.
+func (w *worker) left(at time.Time) bool {
+	return w.leaving() && !(w.Draining && w.leavesIn(at) > lastEnds)
+}
+
 // lostAt returns since when nothing is known of w.
 func (w *worker) lostAt(now time.Time) time.Time {
 	if w.attached {
@@ -140,10 +146,10 @@
 
 // blame holds the loss of w against what ran there.
 func (c *Cell) blame(w *worker, how Loss, now time.Time) {
-	if how == LossPlanned || w.leaving() {
+	at := w.lostAt(now)
+	if how == LossPlanned || w.left(at) {
 		return
 	}
-	at := w.lostAt(now)
 	suspects := w.blamed(at)
 	var steps []*stage
 	for _, r := range w.held {
@@ -227,7 +233,7 @@
 		}
 	}
 	for _, w := range c.order {
-		if w == r.w || !w.lost() || w.leaving() || !near(w.unsureSince) {
+		if w == r.w || !w.lost() || w.left(w.unsureSince) || !near(w.unsureSince) {
 			continue
 		}
 		if l := lossOf(w, w.unsureSince); !l.explains(r) {
@@ -244,17 +250,21 @@
 	}
 }
 
-// countInherited holds a trial of a former owner against its task: nobody has it, and a
-// worker was lost while the owner changed. It counts once for each owner, by a number that no
-// run has.
+// countInherited holds a run of a former owner against its task: nobody has it, and a worker was
+// lost while the owner changed. It counts once for each owner, by a number that no run has. A
+// task that was blamed before is blamed for it, as it was tried or would have been.
 func (c *Cell) countInherited(s *stage, index int, now time.Time) {
 	t := &s.tasks[index]
-	if !c.lostInherited || !s.job.restored || t.last > 0 || !t.suspect() {
+	if !c.lostInherited || !s.job.restored || t.last > 0 {
 		return
 	}
 	if slices.ContainsFunc(t.crashes, func(o flow.Crash) bool { return o.Run >= c.firstRun }) {
 		return
 	}
+	if !t.suspect() {
+		t.crashes = append(t.crashes, flow.Crash{Run: c.firstRun, Blame: flow.BlameBeside})
+		return
+	}
 	t.crashes = append(t.crashes, flow.Crash{Run: c.firstRun, Blame: flow.BlameShared})
 	c.mark(s.job)
 	c.judge(s, index, now)
@@ -366,11 +376,11 @@
 // within seconds each began to count anew. Of a job one task is tried at a time, twice as many
 // after each round that went well.
 func (c *Cell) mayTry(s *stage, index int, now time.Time) bool {
+	c.countInherited(s, index, now)
 	t := &s.tasks[index]
 	if !s.onTrial(t) {
 		return true
 	}
-	c.countInherited(s, index, now)
 	if s.job.state.Final() || t.state == taskGivenUp {
 		return false
 	}
--- a/cell/crash_test.go
+++ b/cell/crash_test.go
@@ -273,6 +273,20 @@
 	g.Expect(s).To(Equal(flow.Running))
 }
 
+// A worker that was about to leave was crashed by a task 1.9 s before its time, which counted as its
+// leaving.
+func TestWorkerThatIsLostWellBeforeItLeavesCounts(t *testing.T) {
+	g := NewWithT(t)
+	for _, early := range []bool{true, false} {
+		r := newRig(1)
+		r.add("j", flow.Step{Count: 1, Demand: demand(1000)})
+		s := r.startAll()[0]
+		r.heard("w0", func(w *Worker) { w.Draining, w.Remaining = true, 2*time.Second })
+		r.lose(s, map[bool]time.Duration{true: 100 * time.Millisecond, false: 2 * time.Second}[early])
+		g.Expect(r.jobs["j"].stages[0].tasks[0].crashes).To(HaveLen(map[bool]int{true: 1, false: 0}[early]))
+	}
+}
+
 // lose has the worker of a run end, alone.
 func (r *rig) lose(s Start, after time.Duration) {
 	r.now = r.now.Add(after)
@@ -313,28 +327,36 @@
 	g.Expect(s).To(Equal(flow.Failed))
 }
 
-func TestTrialThatWasLostWhileTheOwnerChangedCounts(t *testing.T) {
+func TestRunThatWasLostWhileTheOwnerChangedCounts(t *testing.T) {
 	g := NewWithT(t)
-	rec := func() *flow.Record {
-		return &flow.Record{State: flow.Running, Stages: []flow.StageRecord{{
-			Crashes: map[int][]flow.Crash{0: {{Run: 77, Blame: flow.BlameSole}}},
-		}}}
-	}
-	spec := &flow.Spec{ID: "j", Queue: "q", Steps: []flow.Step{{Count: 1, Demand: demand(1000)}}}
-	for _, lost := range []bool{true, false} {
+	spec := &flow.Spec{ID: "j", Queue: "q", Hall: "h", Steps: []flow.Step{{Count: 1, Demand: demand(1000)}}}
+	sole := []flow.Crash{{Run: 77, Blame: flow.BlameSole}}
+	for _, c := range []struct {
+		before []flow.Crash
+		lost   bool
+		want   []flow.Blame
+	}{
+		{sole, true, []flow.Blame{flow.BlameSole, flow.BlameShared}},
+		{sole, false, []flow.Blame{flow.BlameSole}},
+		{nil, true, []flow.Blame{flow.BlameBeside}},
+		{nil, false, nil},
+	} {
 		r := newRig(1)
 		// A worker of the former owner that the directory has forgotten.
 		r.Heard(Worker{ID: "old", Hall: "h", Gone: true}, r.now)
-		r.Restore(spec, rec(), r.now, r.now)
-		if lost {
+		rec := &flow.Record{State: flow.Running, Stages: []flow.StageRecord{{Crashes: map[int][]flow.Crash{0: c.before}}}}
+		r.Restore(spec, rec, r.now, r.now)
+		if c.lost {
 			r.Forget("old", LossReborn, r.now)
 		} else {
 			r.Attached("old", Lists{}, r.now)
 		}
-		r.startAll()
-		r.now = r.now.Add(250 * time.Millisecond)
-		g.Expect(len(r.startAll())+int(r.Counts().Started)).To(BeNumerically(">", 0), "it is started")
-		g.Expect(r.jobs["j"].stages[0].tasks[0].crashes).To(HaveLen(map[bool]int{true: 2, false: 1}[lost]))
+		g.Expect(r.startAll()).To(HaveLen(1), "it is started")
+		var got []flow.Blame
+		for _, crash := range r.jobs["j"].stages[0].tasks[0].crashes {
+			got = append(got, crash.Blame)
+		}
+		g.Expect(got).To(Equal(c.want))
 	}
 }
 
