driver: a spec lets the store keep a loss before it looks for the next start

The control of a spec on late ends looks whether a task starts again once its worker is lost. Since losses are kept before the next start, it has to let them be kept; what it asks for is the same.

--- a/driver/carry_test.go
+++ b/driver/carry_test.go
@@ -242,6 +242,8 @@
 		d.cell.Heard(cell.Worker{ID: "v", Pool: "p", Hall: "h", Room: sched.Vec{sched.Milli: 1000, sched.MiB: 1000}}, now)
 		d.cell.Attached("v", cell.Lists{}, now)
 		d.forget(d.links["w"], cell.LossSilent, now)
+		// What is held against a task for the loss is kept before it starts again.
+		d.cell.Saved(d.cell.Saves(savesAtOnce), true)
 		return d.cell.Place(now, now, 0).Starts
 	}
 
