cell, flow: what may have been lost while the owner changed is kept for the next owner as well

What counts for a change of owner is now in the job's record, so that the next one in a row goes on from there.

--- a/cell/crash.go
+++ b/cell/crash.go
@@ -261,11 +261,11 @@
 	if slices.ContainsFunc(t.crashes, func(o flow.Crash) bool { return o.Run >= c.firstRun }) {
 		return
 	}
-	if !t.suspect() {
-		t.crashes = append(t.crashes, flow.Crash{Run: c.firstRun, Blame: flow.BlameBeside})
-		return
+	crash := flow.Crash{Run: c.firstRun, Blame: flow.BlameBeside, Inherited: true}
+	if t.suspect() {
+		crash.Blame = flow.BlameShared
 	}
-	t.crashes = append(t.crashes, flow.Crash{Run: c.firstRun, Blame: flow.BlameShared})
+	t.crashes = append(t.crashes, crash)
 	c.mark(s.job)
 	c.judge(s, index, now)
 }
@@ -290,6 +290,13 @@
 		slices.ContainsFunc(t.crashes, func(c flow.Crash) bool { return c.Blame != flow.BlameBeside })
 }
 
+// toKeep reports whether what is held against a task has to be in its job's record: not what is
+// only beside a loss, as the neighbours of many workers lost together are, unless each owner in a
+// row would have to begin with it.
+func (t *task) toKeep() bool {
+	return t.suspect() || slices.ContainsFunc(t.crashes, func(c flow.Crash) bool { return c.Inherited })
+}
+
 // longestCrash returns how long the longest run that was lost had gone on.
 func (t *task) longestCrash() time.Duration {
 	longest := int64(0)
@@ -451,7 +458,7 @@
 	}
 	t := &r.stage.tasks[r.index]
 	if len(t.crashes) > 0 && now.Sub(r.confirmed) > clearedAfter {
-		kept := t.suspect()
+		kept := t.toKeep()
 		t.crashes, t.crashesKept, t.lostRacks = nil, 0, nil
 		if kept {
 			c.mark(r.stage.job)
--- a/cell/crash_test.go
+++ b/cell/crash_test.go
@@ -352,6 +352,9 @@
 			r.Attached("old", Lists{}, r.now)
 		}
 		g.Expect(r.startAll()).To(HaveLen(1), "it is started")
+		r.save()
+		rec = r.jobs["j"].record()
+		g.Expect(rec.Stages[0].Crashes[0]).To(HaveLen(len(c.want)), "for the next owner")
 		var got []flow.Blame
 		for _, crash := range r.jobs["j"].stages[0].tasks[0].crashes {
 			got = append(got, crash.Blame)
--- a/cell/save.go
+++ b/cell/save.go
@@ -125,7 +125,7 @@
 				}
 				out.Fails[i] = t.fails
 			}
-			if t.suspect() {
+			if t.toKeep() {
 				if out.Crashes == nil {
 					out.Crashes = make(map[int][]flow.Crash)
 				}
--- a/flow/crash.go
+++ b/flow/crash.go
@@ -22,4 +22,7 @@
 	Blame Blame `json:"blame"`
 	// AgeMS is how long the run had gone on by then, in milliseconds.
 	AgeMS int64 `json:"age_ms,omitempty"`
+	// Inherited says that the number is that of no run: a worker was lost while the owner
+	// changed, and what the former owner may have started there is not known.
+	Inherited bool `json:"inherited,omitempty"`
 }
