owner, entry, front, hall: what is a time of day is read as one

The clock that counts suspensions is ahead of the time of day by all of them. Rows of the product's own interface that are kept until a time of day, deadlines and windows took theirs from it, and would have been early by as much as the machine had ever slept. They are read from Wall now. Found by reading every use of the clock; a test with the tag that turns it.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 # The two suites of which CI passes over the specs of KNOWN-RED.txt are run by ginkgo.
 PACKAGES = $$(go list ./... | grep -v -e /test/proof -e /test/cluster)
 # What a suspended machine believes when it wakes: its clock can be turned with this tag alone.
-SUSPENDED = go test -tags faults ./claim ./rows -run Suspension && go test -tags faults ./driver -ginkgo.focus suspended
+SUSPENDED = go test -tags faults ./internal/clock ./claim ./rows -run Suspension && go test -tags faults ./driver -ginkgo.focus suspended
 CLUSTER = go tool ginkgo --timeout=20m --no-color
 # Each proof starts a deployment of its own; a few run side by side.
 PROOF = go tool ginkgo --procs=4 --timeout=80m --no-color --seed=1
--- a/entry/services.go
+++ b/entry/services.go
@@ -136,7 +136,7 @@
 		row := job.Job{
 			ID:   fmt.Sprintf("%s%s", prefix, uid.New()),
 			Shop: serviceShop, Workload: w.Path, Repeat: ports.RepeatSafe,
-			Service: true, Payload: []byte(`{"service":true}`), Submitted: clock.Now().UTC(),
+			Service: true, Payload: []byte(`{"service":true}`), Submitted: clock.Wall().UTC(),
 		}
 		if _, err := e.front.Place(ctx, row, w); err != nil {
 			return err
--- a/front/calls.go
+++ b/front/calls.go
@@ -37,7 +37,7 @@
 	}
 	ctx := r.Context()
 	f.Confirm(ctx)
-	w, err := req.bind(f.Tree.Now(), clock.Now(), tree.Call)
+	w, err := req.bind(f.Tree.Now(), clock.Wall(), tree.Call)
 	if err != nil {
 		return nil, err
 	}
--- a/front/jobs.go
+++ b/front/jobs.go
@@ -41,7 +41,7 @@
 		return nil, err
 	}
 	f.Confirm(r.Context())
-	w, err := req.bind(f.Tree.Now(), clock.Now(), tree.Batch)
+	w, err := req.bind(f.Tree.Now(), clock.Wall(), tree.Batch)
 	if err != nil {
 		return nil, err
 	}
@@ -59,7 +59,7 @@
 
 // accept admits a job and has it written down.
 func (f *Front) accept(ctx context.Context, req *request, w *tree.Workload) (job.Job, error) {
-	row := f.newJob(req, w, clock.Now())
+	row := f.newJob(req, w, clock.Wall())
 	err := f.limits.allow(w, f.instances())
 	if err == nil {
 		fault.At(fault.Admitted)
--- a/front/refusal.go
+++ b/front/refusal.go
@@ -146,7 +146,7 @@
 	if w := f.Tree.Now().Workloads[req.Workload]; w != nil {
 		keep = w.Keep
 	}
-	e := job.Expiry{Hall: f.Hall, At: clock.Now().Add(keep), Shop: req.Shop, Key: req.Key}
+	e := job.Expiry{Hall: f.Hall, At: clock.Wall().Add(keep), Shop: req.Shop, Key: req.Key}
 	return commit.Change{
 		Checks: []ports.Check{{Key: key}},
 		Puts:   []ports.Put{{Key: key, Value: value}, e.Put()},
--- a/hall/keeper.go
+++ b/hall/keeper.go
@@ -218,7 +218,7 @@
 	}
 	k.beatSent = now
 	k.beat++
-	row := encodeRow(memberRow{Boot: k.Boot, Beat: k.beat, At: now.Unix()})
+	row := encodeRow(memberRow{Boot: k.Boot, Beat: k.beat, At: clock.Wall().Unix()})
 	txn := ports.Txn{Puts: []ports.Put{{Key: memberKey(k.Hall, k.Name()), Value: row}}}
 	ctx, cancel := context.WithTimeout(ctx, rowTimeout)
 	defer cancel()
--- a/internal/clock/off.go
+++ b/internal/clock/off.go
@@ -12,3 +12,6 @@
 
 // Since returns the time that has passed since t.
 func Since(t time.Time) time.Duration { return Now().Sub(t) }
+
+// Wall returns the time of day.
+func Wall() time.Time { return time.Now() }
--- a/internal/clock/on.go
+++ b/internal/clock/on.go
@@ -53,3 +53,6 @@
 // Sleep lets the machine seem to have been suspended until now for a time that the steady
 // clock did not count.
 func Sleep(d time.Duration) { slept.Add(int64(d)) }
+
+// Wall returns the time of day, as far off as the clock is.
+func Wall() time.Time { return Now().Add(-time.Duration(slept.Load()) - Suspended()) }
--- a/internal/clock/suspend.go
+++ b/internal/clock/suspend.go
@@ -99,8 +99,5 @@
 	return now.Add(suspension.by(now))
 }
 
-// Wall returns the time of day.
-func Wall() time.Time { return time.Now() }
-
 // Until returns the time from now to t.
 func Until(t time.Time) time.Duration { return t.Sub(Now()) }
--- a/owner/overflow.go
+++ b/owner/overflow.go
@@ -52,7 +52,7 @@
 
 // early reports whether a job's window is still to come.
 func (o *Owner) early(js *jobState) bool {
-	return js.row.NotBefore != nil && clock.Now().Before(*js.row.NotBefore)
+	return js.row.NotBefore != nil && clock.Wall().Before(*js.row.NotBefore)
 }
 
 // moveAway writes a job to another rack with room, if there is one.
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -291,7 +291,7 @@
 }
 
 // wall is the wall clock's time at which the cell's clock began.
-func (o *Owner) wall() time.Time { return clock.Now().Add(-o.now()) }
+func (o *Owner) wall() time.Time { return clock.Wall().Add(-o.now()) }
 
 // Job returns a job of an owned rack. Unless it is over, Job waits for its end
 // until ctx ends.
--- a/owner/report.go
+++ b/owner/report.go
@@ -21,7 +21,7 @@
 		return
 	}
 	fault.At(fault.Running)
-	now := clock.Now().UTC()
+	now := clock.Wall().UTC()
 	o.change(js, job.Running, func(j *job.Job) {
 		j.Attempt = t.spec.Attempt
 		j.Worker = t.worker.name
@@ -50,7 +50,7 @@
 	if js == nil || js.row.State.Over() || js.row.State == s {
 		return
 	}
-	now := clock.Now().UTC()
+	now := clock.Wall().UTC()
 	t := js.task
 	if !o.change(js, s, func(j *job.Job) {
 		f(j)
--- a/owner/save.go
+++ b/owner/save.go
@@ -165,7 +165,7 @@
 		ID: req.Id, Shop: req.Shop, Key: req.Key, Workload: req.Workload, Payload: req.Payload,
 		Repeat: ports.RepeatNever, Call: true, Hall: o.Hall, Rack: r.name,
 		State: job.Dispatched, Attempt: 1, Worker: t.worker.name, Incarnation: t.worker.incarnation,
-		Submitted: clock.Now().UTC(),
+		Submitted: clock.Wall().UTC(),
 	}
 	js := newJobState(row, 0, r)
 	js.task = t
