--- a/test/cluster/bed_test.go
+++ b/test/cluster/bed_test.go
@@ -186,6 +186,12 @@
 
 // write writes the settings of an instance.
 func (b *bed) write(e *entry, lease string) {
+	GinkgoHelper()
+	Expect(os.WriteFile(e.settings, b.settingsOf(e, lease), 0o600)).To(Succeed())
+}
+
+// settingsOf returns the settings of an instance.
+func (b *bed) settingsOf(e *entry, lease string) []byte {
 	GinkgoHelper()
 	hall, _, _ := strings.Cut(e.name, "-")
 	raw, err := json.Marshal(map[string]any{
@@ -199,7 +205,7 @@
 		},
 	})
 	Expect(err).NotTo(HaveOccurred())
-	Expect(os.WriteFile(e.settings, raw, 0o600)).To(Succeed())
+	return raw
 }
 
 func (e *entry) run() {
