--- a/internal/standin/world/crash.go
+++ b/internal/standin/world/crash.go
@@ -75,7 +75,7 @@
 		return
 	}
 	w.mu.Lock()
-	n := w.makeWorker(old.Hall, old.place)
+	n := w.makeWorker(old.Hall, old.slot)
 	n.Addr, n.listen = old.Addr, old.listen
 	n.server = w.serveOn(l, n)
 	w.Workers = append(w.Workers, n)
--- a/internal/standin/world/worker.go
+++ b/internal/standin/world/worker.go
@@ -59,9 +59,9 @@
 	// hadCPU and hadMem are what it had before its room shrank, which counts until hadUntil.
 	hadCPU, hadMem int64
 	hadUntil       time.Time
-	// place is the worker's number in its hall, listen where it listens and server what
+	// slot is the number of its machine in its hall, listen where it listens and server what
 	// serves it there.
-	place  int
+	slot   int
 	listen string
 	server *http.Server
 
--- a/internal/standin/world/world.go
+++ b/internal/standin/world/world.go
@@ -129,7 +129,7 @@
 	return &Worker{
 		ID: fmt.Sprintf("i-%s-%d-%d", hall, number, len(w.Workers)), Hall: hall,
 		Rack: fmt.Sprintf("%s-r%d", hall, number/rackSize), world: w,
-		place: number, cpu: w.options.CPU, mem: w.options.Mem, begun: time.Now(),
+		slot: number, cpu: w.options.CPU, mem: w.options.Mem, begun: time.Now(),
 		runs: make(map[string]*run), last: make(map[string]int),
 		random: rand.New(rand.NewPCG(w.options.Seed, uint64(len(w.Workers)))), changed: make(chan struct{}),
 	}
--- a/test/cluster/soak_test.go
+++ b/test/cluster/soak_test.go
@@ -123,7 +123,7 @@
 var soakFaults = []func(*soak, draw){
 	(*soak).kills, (*soak).stops, (*soak).pauses, (*soak).reloads,
 	(*soak).storeFails, (*soak).storeFails, (*soak).forgets,
-	(*soak).workerFails, (*soak).workerFails, (*soak).crashes1, (*soak).drains, (*soak).resizes,
+	(*soak).workerFails, (*soak).workerFails, (*soak).crashWorkers, (*soak).drains, (*soak).resizes,
 	(*soak).silences, (*soak).configures,
 }
 
@@ -213,8 +213,8 @@
 	})
 }
 
-// crashes1 ends a worker's process, or those of a whole rack.
-func (s *soak) crashes1(d draw) {
+// crashWorkers ends a worker's process, or those of a whole rack.
+func (s *soak) crashWorkers(d draw) {
 	s.worker(d, func(w *world.Worker) {
 		for _, o := range s.world.Living() {
 			if o == w || (d.which%3 == 0 && o.Rack == w.Rack) {
