cell: crashes at the same time after their starts; tasks that end their workers in step

Two tasks whose runs took about as long were lost together again and again, after their trials were over, and hid each other; innocent tasks had lost four workers at quite different times.

--- a/cell/crash.go
+++ b/cell/crash.go
@@ -48,34 +48,56 @@
 	hungUpMost = 2
 )
 
-// A task is given up after so many workers. Two losses within soon of a start, each with
-// nobody else to blame, are beyond chance. Where runs had gone on for longer it takes three,
-// or one beside three for which others may be to blame, and without any five: a task that
-// crashes each worker must not be started three times more after the third.
+// A task is given up after so many workers. Two losses at the same time after a start, within soon
+// and with nobody else to blame, are beyond chance, as are three later, or one beside three at the
+// same time for which others may be to blame. A task that crashes each worker must not be
+// started three times more after the third: so five end it in any case, if it was to blame for
+// most of them.
 const (
 	crashesSoon  = 2
 	crashesSole  = 3
-	crashesMixed = 4
+	crashesAlike = 4
 	crashesAll   = 5
+	blamedOfAll  = 3
+	// Losses are at the same time after their starts within alikeLeast, and within a part of
+	// that time, as a divisor: what a task does until it ends its worker takes about as long
+	// each time, while workers that end by themselves do so at any time.
+	alikeLeast = 100 * time.Millisecond
+	alikeShare = 8
 )
 
 // loss is a worker that was lost not long ago.
 type loss struct {
 	id string
 	at time.Time
-	// young are the steps with young runs there, and trial says that a task was tried there.
-	young []*stage
-	trial bool
+	// young are the steps with young runs there, and suspect says that a task was there that
+	// was blamed before.
+	young   []*stage
+	suspect bool
 }
 
-// explains reports whether a loss has a cause of its own, or that of the worker of r: a trial, or
-// the step that both had just started. A rack without power takes workers without a trial as
-// well.
-func (l *loss) explains(r *run) bool { return l.trial || slices.Contains(l.young, r.stage) }
+// explains reports whether a loss has a cause of its own, or that of the worker of r: a task that
+// was blamed before, or the step that both had just started. A rack without power takes other
+// workers as well.
+func (l *loss) explains(r *run) bool { return l.suspect || slices.Contains(l.young, r.stage) }
 
 // lossOf returns the loss of w at a time.
 func lossOf(w *worker, at time.Time) loss {
-	return loss{id: w.ID, at: at, young: w.youngStages(at), trial: at.Before(w.trialUntil)}
+	l := loss{id: w.ID, at: at, young: w.youngStages(at)}
+	for _, r := range w.held {
+		l.suspect = l.suspect || r.blamedBefore(at)
+	}
+	return l
+}
+
+// blamedBefore reports whether the task of r was blamed before, and r had not gone on for much
+// longer than then.
+func (r *run) blamedBefore(at time.Time) bool {
+	if r.stage.stray {
+		return false
+	}
+	t := &r.stage.tasks[r.index]
+	return t.suspect() && r.age(at) <= max(soon, 2*t.longestCrash())
 }
 
 // GivenUp is a task that is started no more, as its workers crash.
@@ -150,7 +172,7 @@
 	if how == LossPlanned || w.left(at) {
 		return
 	}
-	suspects := w.blamed(at)
+	suspects, lost := w.blamed(at), lossOf(w, at)
 	var steps []*stage
 	for _, r := range w.held {
 		if r.stage.stray || r.stage.job.state.Final() {
@@ -171,7 +193,7 @@
 	}
 	c.losses = slices.DeleteFunc(c.losses, func(l loss) bool { return now.Sub(l.at) > lossesKept })
 	if w.met {
-		c.losses = append(c.losses, lossOf(w, at))
+		c.losses = append(c.losses, lost)
 	}
 }
 
@@ -184,12 +206,10 @@
 			continue
 		}
 		some = append(some, r)
-		t := &r.stage.tasks[r.index]
-		if r.age(at) > max(soon, 2*t.longestCrash()) {
-			continue
+		if r.age(at) <= soon {
+			young = append(young, r)
 		}
-		young = append(young, r)
-		if t.suspect() {
+		if r.blamedBefore(at) {
 			before = append(before, r)
 		}
 	}
@@ -207,9 +227,9 @@
 	again := r.stage.tasks[r.index].suspect()
 	switch {
 	case c.lostWith(r, how, at):
-		// A hall that is cut off, or a rack without power. A task that was blamed before
-		// is blamed again, but not alone.
-		if again || (how != LossSilent && r.age(at) <= soonWide) {
+		// A hall that is cut off, or a rack without power, which says little of a task that
+		// was blamed before, and nothing where all is silent.
+		if how != LossSilent && (again || r.age(at) <= soonWide) {
 			return flow.BlameShared
 		}
 		return flow.BlameBeside
@@ -336,20 +356,37 @@
 
 // guilty reports whether crashes are enough to give a task up.
 func guilty(crashes []flow.Crash) bool {
-	sole, soleSoon, shared := 0, 0, 0
+	sole, blamed := 0, 0
 	for _, c := range crashes {
-		switch c.Blame {
-		case flow.BlameSole:
-			sole++
-			if c.AgeMS <= soon.Milliseconds() {
-				soleSoon++
-			}
-		case flow.BlameShared:
-			shared++
+		if c.Blame != flow.BlameBeside {
+			blamed++
+		}
+		if c.Blame != flow.BlameSole {
+			continue
+		}
+		sole++
+		all, alone := alike(crashes, c)
+		if all >= crashesAlike || (alone >= crashesSoon && c.AgeMS <= soon.Milliseconds()) {
+			return true
+		}
+	}
+	return sole >= crashesSole || (blamed >= blamedOfAll && len(crashes) >= crashesAll)
+}
+
+// alike counts the losses at the same time after their starts as c, itself among them, and those
+// for which nobody else is to blame.
+func alike(crashes []flow.Crash, c flow.Crash) (all, alone int) {
+	within := max(alikeLeast.Milliseconds(), c.AgeMS/alikeShare)
+	for _, o := range crashes {
+		if o.Inherited || o.AgeMS < c.AgeMS-within || o.AgeMS > c.AgeMS+within {
+			continue
+		}
+		all++
+		if o.Blame == flow.BlameSole {
+			alone++
 		}
 	}
-	return soleSoon >= crashesSoon || sole >= crashesSole || sole+shared >= crashesAll ||
-		(sole > 0 && len(crashes) >= crashesMixed)
+	return all, alone
 }
 
 // judge gives a task up if its workers have crashed too often, and its job with it. A cell
--- a/cell/crash_test.go
+++ b/cell/crash_test.go
@@ -510,3 +510,52 @@
 	r.now = r.now.Add(watchLeast + lookEvery)
 	g.Expect(r.startAll()).To(HaveLen(1))
 }
+
+// On days with dozens of such tasks, with ends at any time, beside workers and racks that fail by
+// themselves, two whose runs took about as long ended their workers in step, and each was taken
+// for the other's rack without power; and a task was given up that had lost four workers by chance.
+func TestDaysOfManyCrashes(t *testing.T) {
+	for seed := range uint64(20) {
+		g := NewWithT(t)
+		s := newCrashSim(seed, 6, 8)
+		ms := func(n int) time.Duration { return time.Duration(s.random.IntN(n)) * time.Millisecond }
+		s.downFor = 500*time.Millisecond + ms(5000)
+		s.length = 300*time.Millisecond + ms(4000)
+		after := make(map[string]time.Duration)
+		s.crashAfter = func(t flow.TaskID) time.Duration {
+			if t.Index == 0 {
+				return after[t.Job]
+			}
+			return 0
+		}
+		var jobs []string
+		for i := range 80 {
+			id := fmt.Sprintf("good%d", i)
+			if s.random.IntN(8) == 0 {
+				id = fmt.Sprintf("bad%d", i)
+				after[id] = 10 * time.Millisecond
+				if s.random.IntN(2) == 0 {
+					after[id] += ms(int(s.length.Milliseconds()) - 20)
+				}
+			}
+			jobs = append(jobs, id)
+			s.add(id, flow.Step{Count: 1 + s.random.IntN(6), Demand: demand(500), EstimateMS: s.length.Milliseconds()})
+			s.run(ms(200))
+			if s.random.IntN(15) == 0 {
+				rack, n := s.random.IntN(6), 1+s.random.IntN(8)
+				for k := range n {
+					s.crash(s.places[8*rack+k])
+				}
+			}
+		}
+		g.Expect(s.run(2*time.Minute, jobs...)).To(BeTrue(), "seed %d", seed)
+		for _, id := range jobs {
+			want := flow.Succeeded
+			if after[id] > 0 {
+				want = flow.Failed
+			}
+			g.Expect(state(s, id)).To(Equal(want), "%s of seed %d", id, seed)
+		}
+		g.Expect(s.latest()).To(BeNumerically("<=", startsMost), "seed %d", seed)
+	}
+}
