--- a/cell/crash.go
+++ b/cell/crash.go
@@ -30,14 +30,6 @@
 	// togetherSilent is the same where nothing ended a connection: each call to a worker
 	// finds that out when its own time is over.
 	togetherSilent = 2500 * time.Millisecond
-	// trialShare is the part of the workers, as a divisor, on which tasks may be tried at
-	// once: each is kept from other work for a moment, and may be lost.
-	trialShare = 4
-	// A trial is watched, with nothing started beside it, for twice as long as its task
-	// has run on before, within these bounds; the upper one is left out once it was
-	// blamed alone.
-	watchLeast = 500 * time.Millisecond
-	watchMost  = 1500 * time.Millisecond
 	// clearedAfter is how long a run has to go on for nothing to be held against its task
 	// any more, nor the loss of its worker from then on: workers fail by themselves as well.
 	clearedAfter = 30 * time.Second
@@ -326,15 +318,6 @@
 	return time.Duration(longest) * time.Millisecond
 }
 
-// watch returns for how long a trial of a task is watched.
-func (t *task) watch() time.Duration {
-	d := max(2*t.longestCrash(), watchLeast)
-	if slices.ContainsFunc(t.crashes, func(c flow.Crash) bool { return c.Blame == flow.BlameSole }) {
-		return d
-	}
-	return min(d, watchMost)
-}
-
 // crashesOf returns what is held against a task. The members of a gang are lost as one.
 func (s *stage) crashesOf(index int) []flow.Crash {
 	if !s.def.Gang {
@@ -411,122 +394,6 @@
 	c.finish(s.job, flow.Failed, now)
 }
 
-// onTrial reports whether a run of a task is to be a trial: it may crash its worker, or others
-// of its step have crashed several.
-func (s *stage) onTrial(t *task) bool { return t.suspect() || s.blamed >= hungUpMost }
-
-// mayTry reports whether a task may be started now. What is held against one is kept first,
-// so that it counts for the next owner as well: without that, owners that followed each other
-// within seconds each began to count anew. Of a job one task is tried at a time, twice as many
-// after each round that went well.
-func (c *Cell) mayTry(s *stage, index int, now time.Time) bool {
-	c.countInherited(s, index, now)
-	t := &s.tasks[index]
-	if !s.onTrial(t) {
-		return true
-	}
-	if s.job.state.Final() || t.state == taskGivenUp {
-		return false
-	}
-	if t.suspect() && t.crashesKept < len(t.crashes) {
-		return false
-	}
-	return c.trialsNow < c.trialsMost && s.job.trials <= s.job.trialsPassed
-}
-
-// countTrials counts the trials that are being watched, and how many there may be.
-func (c *Cell) countTrials(now time.Time) {
-	usable := 0
-	c.trialsNow = 0
-	for _, w := range c.order {
-		if w.usable() {
-			usable++
-		}
-		if w.attached && w.underTrial(now) {
-			c.trialsNow++
-		}
-	}
-	c.trialsMost = max(usable/trialShare, 1)
-}
-
-// mayTryGang is mayTry for all tasks of a gang.
-func (c *Cell) mayTryGang(s *stage, now time.Time) bool {
-	for i := range s.tasks {
-		if !c.mayTry(s, i, now) {
-			return false
-		}
-	}
-	return true
-}
-
-// try makes r a trial if its task may crash its worker.
-func (c *Cell) try(r *run, now time.Time) {
-	t := &r.stage.tasks[r.index]
-	if !r.stage.onTrial(t) {
-		return
-	}
-	r.trialUntil = now.Add(t.watch())
-	r.w.trialUntil = r.trialUntil
-	r.stage.job.trials++
-	c.trialsNow++
-}
-
-// endTrial takes in that a trial is over, and whether it went well.
-func (r *run) endTrial(well bool) {
-	if r.trialUntil.IsZero() {
-		return
-	}
-	r.trialUntil, r.w.trialUntil = time.Time{}, time.Time{}
-	r.stage.job.trials--
-	if well {
-		r.stage.job.trialsPassed++
-		r.stage.blamed = 0
-	}
-}
-
-// checkTrial ends the trial of a run that its worker has outlived, and clears its task once
-// it has gone on for long.
-func (c *Cell) checkTrial(r *run, now time.Time) {
-	if r.stage.stray || r.confirmed.IsZero() {
-		return
-	}
-	if !r.trialUntil.IsZero() && now.After(r.trialUntil) {
-		r.endTrial(true)
-	}
-	t := &r.stage.tasks[r.index]
-	if len(t.crashes) > 0 && now.Sub(r.confirmed) > clearedAfter {
-		kept := t.toKeep()
-		t.crashes, t.crashesKept, t.lostRacks = nil, 0, nil
-		if kept {
-			c.mark(r.stage.job)
-		}
-	}
-}
-
-// underTrial reports whether nothing may be started on w beside a trial.
-func (w *worker) underTrial(now time.Time) bool { return now.Before(w.trialUntil) }
-
-const (
-	// besideMalus is how much worse a worker is for a trial for each run there, above all
-	// other differences, and lostRackMalus for the rack where its task was lost before: a
-	// rack that fails says nothing of a task.
-	besideMalus   = 100.0
-	lostRackMalus = 50.0
-)
-
-// trialScore says how well a worker is for a trial of a task: the less there is to lose the
-// better.
-func (s *stage) trialScore(t *task, w *worker) float64 {
-	if !s.onTrial(t) {
-		return 0
-	}
-	score := -besideMalus * float64(len(w.held))
-	if slices.Contains(t.lostRacks, w.Rack) {
-		score -= lostRackMalus
-	}
-	return score
-}
-
 // inDoubt returns the steps of which young runs are on several workers whose connections have
 // just ended: more of them would meet the same end before it is known what they did.
 func (c *Cell) inDoubt() map[*stage]bool {
