--- a/test/cluster/bed_test.go
+++ b/test/cluster/bed_test.go
@@ -84,7 +84,9 @@
 type bed struct {
 	world *world.World
 	// cells is what the settings say of cells.
-	cells   int
+	cells int
+	// level is what the settings say of the level of logs, "" for nothing.
+	level   string
 	entries []*entry
 	http    *http.Client
 	next    int
@@ -195,7 +197,7 @@
 	GinkgoHelper()
 	hall, _, _ := strings.Cut(e.name, "-")
 	raw, err := json.Marshal(map[string]any{
-		"instance": e.name, "hall": hall,
+		"instance": e.name, "hall": hall, "log": map[string]any{"level": b.level},
 		"listen": map[string]any{"http": e.front, "peer": e.peer},
 		"peers":  []string{b.entries[0].peer},
 		"cluster": map[string]any{
@@ -210,9 +212,14 @@
 
 func (e *entry) run() {
 	GinkgoHelper()
+	e.prepare()
+	Expect(e.cmd.Start()).To(Succeed())
+}
+
+// prepare makes the command that runs the instance.
+func (e *entry) prepare() {
 	e.cmd = exec.Command(binary, "entry", "--settings", e.settings)
 	e.cmd.Stdout, e.cmd.Stderr = e.log, e.log
-	Expect(e.cmd.Start()).To(Succeed())
 }
 
 func (e *entry) signal(s syscall.Signal) { _ = e.cmd.Process.Signal(s) }
