--- a/test/cluster/bed_test.go
+++ b/test/cluster/bed_test.go
@@ -60,7 +60,6 @@
 	settings string
 	log      *syncBuffer
 	cmd      *exec.Cmd
-	started  time.Time
 }
 
 // syncBuffer keeps what a process writes.
@@ -215,13 +214,6 @@
 	GinkgoHelper()
 	e.prepare()
 	Expect(e.cmd.Start()).To(Succeed())
-	e.started = time.Now()
-}
-
-// ended reports whether the process has ended and was not waited for yet.
-func (e *entry) ended() bool {
-	raw, _ := os.ReadFile(fmt.Sprintf("/proc/%d/stat", e.cmd.Process.Pid))
-	return strings.Contains(string(raw), ") Z ")
 }
 
 // prepare makes the command that runs the instance.
--- a/test/cluster/soak_test.go
+++ b/test/cluster/soak_test.go
@@ -28,8 +28,6 @@
 	// soakGap is the longest pause between two faults, and soakFault the longest fault.
 	soakGap   = 700 * time.Millisecond
 	soakFault = 2500 * time.Millisecond
-	// soakStart is how long a process may take to its first instructions on a busy machine.
-	soakStart = 100 * time.Millisecond
 	// soakTries is how often a client hands a job in before it gives up.
 	soakTries = 4
 	// soakClients hand in jobs side by side, soakPause apart on average.
@@ -170,16 +168,7 @@
 	s.instance(d, func(e *entry) {
 		s.note("reload %s", e.name)
 		s.write(e, []string{"5s", "6s"}[d.which%2])
-		young := time.Since(e.started) < soakStart
 		e.signal(syscall.SIGHUP)
-		time.Sleep(soakStart)
-		if young && e.ended() {
-			// Before its first instructions no program catches a signal. The platform
-			// starts a process again that has ended.
-			s.note("%s has ended as it started", e.name)
-			e.kill()
-			e.run()
-		}
 	})
 }
 
