driver, cell, platform, wire: a line when a worker answers from another life, and for each run that is missing

Cause: the logs of the incident could not tell the lives of a worker apart, nor an end that has no effect from one that never came. Change: born is read from entries and lists and passed on by carriers; worker_reborn gives both lives, the numbers of ends and what was on the books; run_lost with loss=missing is logged for every task, not only for those that last. No decision changes.

--- a/cell/loss.go
+++ b/cell/loss.go
@@ -22,6 +22,8 @@
 	LossSilent Loss = "silent"
 	// LossPlanned: its machine was taken down on this owner's word.
 	LossPlanned Loss = "planned"
+	// LossMissing: the worker is there and does not list the run, nor its end.
+	LossMissing Loss = "missing"
 )
 
 // LostRun is a run that was lost with its worker.
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -12,7 +12,10 @@
 
 // Worker is what is known of a worker from its own entry.
 type Worker struct {
-	ID   string
+	ID string
+	// Born tells the lives of a worker apart: the Unix millisecond at which this one began,
+	// 0 if it does not say.
+	Born int64
 	Addr string
 	Pool string
 	Hall string
@@ -93,6 +96,8 @@
 
 // Lists are what a worker says of its runs.
 type Lists struct {
+	// Born is that of the life that speaks, 0 if it does not say.
+	Born     int64
 	Running  []Running
 	Finished []Finished
 	// Cut says that there were more ends than the worker lists at once.
@@ -265,6 +270,7 @@
 	turn := c.take(w, l, now)
 	for _, r := range slices.Clone(w.held) {
 		if r.turn != turn && !l.Cut && !r.confirmed.IsZero() && r.confirmed.Before(sent) {
+			c.lostRuns = append(c.lostRuns, r.lostWith(LossMissing, now))
 			c.counts.Lapsed++
 			c.note(r, RunMissing)
 			c.drop(r)
--- a/cluster/carry.go
+++ b/cluster/carry.go
@@ -144,7 +144,7 @@
 	if err := wire.ErrorOf(m.GetError()); err != nil {
 		return driver.HoldAnswer{}, err
 	}
-	a := driver.HoldAnswer{ClockMS: m.GetClockMs(), Lists: cell.Lists{Cut: m.GetCut()}, Brief: m.GetBrief()}
+	a := driver.HoldAnswer{ClockMS: m.GetClockMs(), Lists: cell.Lists{Born: m.GetBornMs(), Cut: m.GetCut()}, Brief: m.GetBrief()}
 	for _, r := range m.GetRunning() {
 		a.Lists.Running = append(a.Lists.Running, cell.Running{
 			Task: taskID(r.Task), Run: int(r.Run), Saved: r.Saved, Percent: int(r.Percent), Tail: r.Tail,
@@ -176,7 +176,7 @@
 		Observed: int(m.Observed), UntilMS: m.UntilMs, Wait: wait,
 	})
 	out := &wire.HoldResult{
-		Error: wire.ToError(err), ClockMs: a.ClockMS, Cut: a.Lists.Cut, Brief: m.Brief && len(a.Lists.Finished) > 0,
+		Error: wire.ToError(err), ClockMs: a.ClockMS, BornMs: a.Lists.Born, Cut: a.Lists.Cut, Brief: m.Brief && len(a.Lists.Finished) > 0,
 	}
 	for i := range a.Lists.Running {
 		if out.Brief {
--- a/driver/link.go
+++ b/driver/link.go
@@ -85,6 +85,8 @@
 	attaching chan struct{}
 	// ver is the version of the newest entry.
 	ver uint64
+	// born is that of the life that last listed what runs there, 0 if it did not say.
+	born int64
 }
 
 // connect starts the link to a worker. The lock is held.
@@ -327,6 +329,7 @@
 	}
 	l.heardClock(a.ClockMS, now)
 	l.heard = now
+	d.logReborn(l, o, &a, attach)
 	if attach && l.lapsed && l.fence == o.Fence {
 		d.listAgain(l)
 	}
