--- a/internal/standin/world/crash.go
+++ b/internal/standin/world/crash.go
@@ -31,6 +31,19 @@
 	return j.CrashAfter, err == nil && (j.CrashOnly < 0 || index == j.CrashOnly)
 }
 
+// Rebirth says how a worker comes back after a crash. The zero value is that it stays away.
+type Rebirth struct {
+	// Down is how long it is away.
+	Down time.Duration
+	// SameID has it come back under its id, knowing nothing of before; else it is another
+	// worker at the same address.
+	SameID bool
+	// OtherAddr has it come back at another address.
+	OtherAddr bool
+	// Back is by how much its machine's time of day was set back meanwhile.
+	Back time.Duration
+}
+
 // crashBy has a run that still goes on end its worker's process.
 func (w *Worker) crashBy(r *run) {
 	w.mu.Lock()
@@ -38,13 +51,21 @@
 	w.mu.Unlock()
 	if there {
 		w.world.Book.crashed(r.task)
-		w.world.Crash(w, crashDown)
+		w.world.Crash(w, w.world.next())
+	}
+}
+
+// next returns how the next worker comes back.
+func (w *World) next() Rebirth {
+	if w.options.Next == nil {
+		return Rebirth{Down: crashDown}
 	}
+	return w.options.Next()
 }
 
 // Crash ends a worker's process: connections to it end, others are refused, and its entry
-// stays for a while. After down, another life is at its address; with none it stays away.
-func (w *World) Crash(n *Worker, down time.Duration) {
+// stays for a while.
+func (w *World) Crash(n *Worker, after Rebirth) {
 	n.mu.Lock()
 	if n.dead {
 		n.mu.Unlock()
@@ -56,34 +77,84 @@
 	n.mu.Unlock()
 	w.Book.lost(n.ID)
 	_ = server.Close()
-	time.AfterFunc(entryStays, func() { w.Store.Remove("servers", n.ID) })
-	if down > 0 {
-		time.AfterFunc(down, func() { w.rebirth(n) })
+	time.AfterFunc(entryStays, func() {
+		if w.living(n) == n {
+			w.Store.Remove("servers", n.ID)
+		}
+	})
+	if after.Down > 0 {
+		time.AfterFunc(after.Down, func() { w.rebirth(n, after) })
 	}
 }
 
-// rebirth starts another life at the address of a worker that has crashed.
-func (w *World) rebirth(old *Worker) {
+// rebirth starts another life on the machine of a worker that has crashed.
+func (w *World) rebirth(old *Worker, how Rebirth) {
 	select {
 	case <-w.stop:
 		return
 	default:
 	}
-	l, err := net.Listen("tcp", old.listen)
-	if err != nil {
-		w.Book.broke("STAND-IN", "no new life at "+old.listen+": "+err.Error())
-		return
-	}
 	w.mu.Lock()
 	n := w.makeWorker(old.Hall, old.slot)
-	n.Addr, n.listen = old.Addr, old.listen
-	n.server = w.serveOn(l, n)
-	w.Workers = append(w.Workers, n)
+	n.born -= how.Back.Milliseconds()
+	if how.SameID {
+		n.ID, old.next = old.ID, n
+	}
+	var err error
+	if how.OtherAddr {
+		err = w.listenAnew(n)
+	} else {
+		err = w.listenAt(n, old)
+	}
+	if err == nil {
+		w.Workers = append(w.Workers, n)
+	}
 	w.mu.Unlock()
+	if err != nil {
+		w.Book.broke("STAND-IN", "no new life of "+old.ID+": "+err.Error())
+		return
+	}
 	w.Machines.replace(old, n)
 	w.beat(n)
 }
 
+// listenAt has a worker serve where another one did. The lock is held.
+func (w *World) listenAt(n, old *Worker) error {
+	l, err := net.Listen("tcp", old.listen)
+	if err != nil {
+		return err
+	}
+	n.Addr, n.listen = old.Addr, old.listen
+	n.server = w.serveOn(l, n)
+	return nil
+}
+
+// living returns the last life under the id of a worker.
+func (w *World) living(n *Worker) *Worker {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for n.next != nil {
+		n = n.next
+	}
+	return n
+}
+
+// lifeOf names the last life under an id: the id alone for the first one.
+func (w *World) lifeOf(id string) string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	lives := 0
+	for _, n := range w.Workers {
+		if n.ID == id {
+			lives++
+		}
+	}
+	if lives < 2 {
+		return id
+	}
+	return fmt.Sprintf("%s, life %d", id, lives)
+}
+
 // replace puts a new life of a machine in the place of the one before.
 func (m *Machines) replace(old, n *Worker) {
 	m.mu.Lock()
@@ -95,7 +166,7 @@
 	}
 }
 
-// serveOn serves h at a listener until the World is closed.
+// serveOn serves h at a listener until the World is closed. The lock is held, or nothing runs yet.
 func (w *World) serveOn(l net.Listener, h http.Handler) *http.Server {
 	s := &http.Server{Handler: h, ReadHeaderTimeout: time.Second}
 	w.servers = append(w.servers, s)
--- a/internal/standin/world/machines.go
+++ b/internal/standin/world/machines.go
@@ -216,7 +216,14 @@
 
 // back ends an upkeep: a new worker comes.
 func (m *Machines) back(one *machine) {
-	w, err := m.world.newWorker(one.worker.Hall, one.number)
+	m.mu.Lock()
+	old := one.worker
+	m.mu.Unlock()
+	w, err := m.world.newWorker(old.Hall, one.number, func(n *Worker) {
+		if m.world.options.Next != nil && m.world.options.Next().SameID {
+			n.ID, old.next = old.ID, n
+		}
+	})
 	if err != nil {
 		return
 	}
--- a/internal/standin/world/worker.go
+++ b/internal/standin/world/worker.go
@@ -21,6 +21,8 @@
 	// they take effect after that time.
 	Lose float64
 	Late time.Duration
+	// Outlives has a late order reach whoever lives under the worker's id by then.
+	Outlives bool
 	// FailAll fails every run, Hang lets none make progress.
 	FailAll, Hang bool
 }
@@ -64,6 +66,10 @@
 	slot   int
 	listen string
 	server *http.Server
+	// born is what it says of its own start.
+	born int64
+	// next is the life after this one under the same id. World.mu guards it.
+	next *Worker
 
 	mu       sync.Mutex
 	fence    uint64
@@ -109,6 +115,7 @@
 
 type workerAnswer struct {
 	Clock    int64   `json:"clock_ms"`
+	Born     int64   `json:"born,omitempty"`
 	Reason   string  `json:"reason,omitempty"`
 	Running  [][]any `json:"running,omitempty"`
 	Finished [][]any `json:"finished,omitempty"`
@@ -136,7 +143,13 @@
 		<-r.Context().Done()
 		return
 	case lose && f.Late > 0:
-		time.AfterFunc(f.Late, func() { w.handle(r.URL.Path, &o) })
+		time.AfterFunc(f.Late, func() {
+			late := w
+			if f.Outlives {
+				late = w.world.living(w)
+			}
+			late.handle(r.URL.Path, &o)
+		})
 		<-r.Context().Done()
 		return
 	}
@@ -195,6 +208,7 @@
 		return http.StatusOK, a
 	case "/dewpass/hold":
 		w.observe(o.Observed)
+		a.Born = w.born
 		w.list(&a)
 		return http.StatusOK, a
 	}
@@ -226,7 +240,7 @@
 		return refuse("old")
 	case w.begun.Add(time.Duration(o.Deadline-1000) * time.Millisecond).Before(time.Now()):
 		return refuse("late")
-	case w.world.Policy.on() && !w.world.Policy.holds(o.Ticket, w.ID):
+	case w.world.Policy.on() && !w.world.Policy.holds(o.Ticket, w):
 		return refuse("ticket")
 	}
 	spec := parseSpec(o.Spec)
--- a/internal/standin/world/world.go
+++ b/internal/standin/world/world.go
@@ -25,6 +25,9 @@
 	Host string
 	// Advice lets a policy choose: one worker of three may run a step.
 	Advice bool
+	// Next says how a worker comes back whose process a task has ended, or whose machine has
+	// had its upkeep; nil is as another worker.
+	Next func() Rebirth
 	// Via returns the address by which others reach what listens at one, if it is
 	// set.
 	Via func(addr string) (string, error)
@@ -60,7 +63,7 @@
 // Start starts a World.
 func Start(o Options) (*World, error) {
 	w := &World{Store: newStore(o.Seed), Book: newBook(), options: o, stop: make(chan struct{})}
-	w.Policy = &Policy{wanted: o.Advice}
+	w.Policy = &Policy{wanted: o.Advice, world: w}
 	var err error
 	if w.StoreAddr, err = w.serve(w.Store); err != nil {
 		return nil, err
@@ -97,21 +100,32 @@
 
 // AddWorker starts a worker in a hall, on a new machine.
 func (w *World) AddWorker(hall string, number int) (*Worker, error) {
-	n, err := w.newWorker(hall, number)
+	n, err := w.newWorker(hall, number, func(*Worker) {})
 	if err == nil {
 		w.Machines.add(n, number)
 	}
 	return n, err
 }
 
-// newWorker starts a worker in a hall.
-func (w *World) newWorker(hall string, number int) (*Worker, error) {
+// newWorker starts a worker in a hall, as which life is said before it serves.
+func (w *World) newWorker(hall string, number int, as func(*Worker)) (*Worker, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	n := w.makeWorker(hall, number)
+	as(n)
+	if err := w.listenAnew(n); err != nil {
+		return nil, err
+	}
+	w.Workers = append(w.Workers, n)
+	w.beat(n)
+	return n, nil
+}
+
+// listenAnew has a worker serve at an address of its own. The lock is held.
+func (w *World) listenAnew(n *Worker) error {
 	l, err := net.Listen("tcp", net.JoinHostPort(w.options.Host, "0"))
 	if err != nil {
-		return nil, err
+		return err
 	}
 	n.listen = l.Addr().String()
 	n.Addr = n.listen
@@ -119,9 +133,7 @@
 	if w.options.Via != nil {
 		n.Addr, err = w.options.Via(n.listen)
 	}
-	w.Workers = append(w.Workers, n)
-	w.beat(n)
-	return n, err
+	return err
 }
 
 // makeWorker makes a worker that serves nothing yet. The lock is held.
@@ -129,7 +141,7 @@
 	return &Worker{
 		ID: fmt.Sprintf("i-%s-%d-%d", hall, number, len(w.Workers)), Hall: hall,
 		Rack: fmt.Sprintf("%s-r%d", hall, number/rackSize), world: w,
-		slot: number, cpu: w.options.CPU, mem: w.options.Mem, begun: time.Now(),
+		slot: number, cpu: w.options.CPU, mem: w.options.Mem, begun: time.Now(), born: time.Now().UnixMilli(),
 		runs: make(map[string]*run), last: make(map[string]int),
 		random: rand.New(rand.NewPCG(w.options.Seed, uint64(len(w.Workers)))), changed: make(chan struct{}),
 	}
@@ -207,7 +219,7 @@
 	w.Store.Put("servers", n.ID, map[string]any{
 		"backend": pool, "address": n.Addr, "zone": n.Hall, "version": "v1", "slots": 8, "state": state,
 		"warmup_left_ms": 0, "capacity": map[string]any{"cpu": cpu, "mem_mb": mem, "gpu": 0},
-		"labels": []string{"a", n.Rack}, "clock_ms": clock, "remaining_ms": remaining, "seq": clock,
+		"labels": []string{"a", n.Rack}, "clock_ms": clock, "remaining_ms": remaining, "seq": clock, "born": n.born,
 	})
 }
 
@@ -251,6 +263,8 @@
 func (w *World) Close() {
 	close(w.stop)
 	w.wg.Wait()
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	for _, s := range w.servers {
 		_ = s.Close()
 	}
@@ -259,6 +273,7 @@
 // Policy is the stand-in of the policy service.
 type Policy struct {
 	wanted bool
+	world  *World
 	mu     sync.Mutex
 	asked  int
 }
@@ -274,11 +289,12 @@
 
 const ticketLife = 2500 * time.Millisecond
 
-// holds reports whether a ticket lets a worker run.
-func (p *Policy) holds(ticket, worker string) bool {
+// holds reports whether a ticket lets this life of a worker run.
+func (p *Policy) holds(ticket string, w *Worker) bool {
 	id, at, ok := strings.Cut(ticket, "@")
 	ms, err := strconv.ParseInt(at, 10, 64)
-	return ok && err == nil && id == worker && time.Since(time.UnixMilli(ms)) < ticketLife
+	given := time.UnixMilli(ms)
+	return ok && err == nil && id == w.ID && time.Since(given) < ticketLife && !given.Before(w.begun.Truncate(time.Millisecond))
 }
 
 // ServeHTTP implements http.Handler.
@@ -297,14 +313,14 @@
 	time.Sleep(10*time.Millisecond + time.Duration(len(in.Workers))*time.Millisecond)
 	healthy := [][]string{}
 	for _, id := range in.Workers {
-		if fits(in.Step, id) {
+		if fits(in.Step, p.world.lifeOf(id)) {
 			healthy = append(healthy, []string{id, id + "@" + strconv.FormatInt(time.Now().UnixMilli(), 10)})
 		}
 	}
 	writeJSON(w, http.StatusOK, map[string]any{"healthy": healthy, "valid_ms": ticketLife.Milliseconds()})
 }
 
-// fits draws which workers may run a step: two of three, always the same.
+// fits draws which lives of workers may run a step: two of three, always the same.
 func fits(step, worker string) bool {
 	sum := 0
 	for _, c := range step + worker {
--- a/test/cluster/crash_test.go
+++ b/test/cluster/crash_test.go
@@ -25,6 +25,9 @@
 		`{"count":%d,"cpu":500,"mem_mb":100,"estimate_ms":300}]}`, after.Milliseconds(), only, count)
 }
 
+// crashesMost is how many workers one such task may take with it.
+const crashesMost = 3
+
 // crashes returns how many workers the tasks of a job have crashed.
 func (b *bed) crashes(id string) int {
 	sum := 0
@@ -37,9 +40,6 @@
 }
 
 var _ = Describe("a task that crashes its workers", func() {
-	// crashesMost is how many workers one such task may take with it.
-	const crashesMost = 3
-
 	It("is given up, and nothing that ran beside it", func() {
 		b := start()
 		others := b.submitSome(8, 4, 600, 400*time.Millisecond)
--- a/test/cluster/soak_test.go
+++ b/test/cluster/soak_test.go
@@ -219,7 +219,7 @@
 		for _, o := range s.world.Living() {
 			if o == w || (d.which%3 == 0 && o.Rack == w.Rack) {
 				s.note("crash %s", o.ID)
-				s.world.Crash(o, time.Second)
+				s.world.Crash(o, world.Rebirth{Down: time.Second})
 			}
 		}
 		time.Sleep(time.Second)
