cell, driver: what is known of a worker ends with its life

Callers saw tasks that had ended as done run again (TWICE), next steps that did not start with most workers free (LOST), and tasks that crash their workers started for ever.

Cause: an id was taken for a life. A worker that starts again under its id numbers its ends from 1, and each end up to the highest number of before counted as taken in, while the next hold told the worker to forget it; the task was found missing and started again. No loss was counted, as the same id answered; the clock, and with it the length of leases, tickets and what the policy had said of it, were those of before.

Evidence: 21 of 21 starts after an end as done on workers that had started again; worker_reborn with observed=62 to a life that had listed nothing.

Change: a life is known by its id and born, and is an object of its own in the cell and in the link: all that belongs to it goes with it. A life is over when another one lists its runs under a newer fence, which no order of before can pass; an entry, or a list under the same fence, only has the worker held anew. What the new life lists already is kept, the rest is lost and held against what ran there. No end is observed at an attach, nor while a run is not known to be of the life that listed the ends. The list for the next owner says which life it is.

Why it works: numbers, clock and tickets are compared with those of the same life alone.

--- a/cell/advice.go
+++ b/cell/advice.go
@@ -35,8 +35,9 @@
 type stageAdvice struct {
 	// good are the workers that may run the stage, by their ids.
 	good []*ticket
-	// asked holds the workers that were asked about.
-	asked  map[string]bool
+	// asked holds the workers that were asked about. Another life is asked about anew, and no
+	// ticket holds for it.
+	asked  map[*worker]bool
 	asking bool
 	// after is when the next question may be asked.
 	after time.Time
@@ -50,13 +51,19 @@
 }
 
 // find returns where the ticket of a worker is among the good ones, or belongs.
-func (a *stageAdvice) find(worker string) (int, bool) {
-	return slices.BinarySearchFunc(a.good, worker, func(t *ticket, id string) int { return cmp.Compare(t.worker.ID, id) })
+func (a *stageAdvice) find(w *worker) (int, bool) {
+	at, there := a.at(w)
+	return at, there && a.good[at].worker == w
 }
 
-// set keeps a ticket.
+// at returns where the ticket of any life of a worker is among the good ones, or belongs.
+func (a *stageAdvice) at(w *worker) (int, bool) {
+	return slices.BinarySearchFunc(a.good, w.ID, func(t *ticket, id string) int { return cmp.Compare(t.worker.ID, id) })
+}
+
+// set keeps a ticket, in the place of one of an earlier life.
 func (a *stageAdvice) set(t *ticket) {
-	at, known := a.find(t.worker.ID)
+	at, known := a.at(t.worker)
 	if known {
 		a.good[at] = t
 		return
@@ -69,8 +76,8 @@
 	return slices.ContainsFunc(a.good, func(t *ticket) bool { return until.Before(t.until) })
 }
 
-func (a *stageAdvice) forget(worker string) {
-	if at, known := a.find(worker); known {
+func (a *stageAdvice) forget(w *worker) {
+	if at, known := a.find(w); known {
 		a.good[at].until = time.Time{}
 	}
 }
@@ -82,6 +89,8 @@
 	Advice  Advice
 	// Priority is that of the queue.
 	Priority int
+	// lives are the workers that are asked about, in the order of Workers.
+	lives []*worker
 }
 
 // Takes returns how long the policy takes for the answer.
@@ -155,13 +164,13 @@
 	}
 	s.advice.asking = false
 	if s.advice.asked == nil {
-		s.advice.asked = make(map[string]bool)
+		s.advice.asked = make(map[*worker]bool)
 	}
-	for _, id := range a.Workers {
-		s.advice.asked[id] = true
+	for _, w := range a.lives {
+		s.advice.asked[w] = true
 	}
 	for _, t := range tickets {
-		if w := c.workers[t.Worker]; w != nil {
+		if w := c.workers[t.Worker]; w != nil && slices.Contains(a.lives, w) {
 			s.advice.set(&ticket{worker: w, text: t.Text, until: sent.Add(valid - ticketMargin)})
 		}
 	}
@@ -213,7 +222,8 @@
 	if len(candidates) == 0 {
 		s.advice.after = now.Add(lookAgain)
 	}
-	for _, w := range candidates[:min(len(candidates), askMost)] {
+	a.lives = candidates[:min(len(candidates), askMost)]
+	for _, w := range a.lives {
 		a.Workers = append(a.Workers, w.ID)
 	}
 	return a
@@ -230,12 +240,12 @@
 		if !w.usable() || !w.suits(s, q) {
 			continue
 		}
-		at, good := s.advice.find(w.ID)
+		at, good := s.advice.find(w)
 		switch {
 		case first:
 		case !w.hasRoom(&room) && !c.soonFree(s, w, q, now) || !w.health.allows(len(w.runs), now) || s.full(w):
 			continue
-		case s.advice.asked[w.ID] && (!good || now.Before(s.advice.good[at].until)):
+		case s.advice.asked[w] && (!good || now.Before(s.advice.good[at].until)):
 			continue
 		}
 		out = append(out, w)
--- a/cell/cell.go
+++ b/cell/cell.go
@@ -137,7 +137,7 @@
 	l := Load{Pending: make(map[string]int), Halls: make(map[string]int64)}
 	for _, w := range c.order {
 		l.Workers++
-		if !w.attached || w.leaving() || w.Gone {
+		if !w.attached || w.leaving() || w.Gone || !w.described() {
 			continue
 		}
 		l.Attached++
--- a/cell/crash_sim_test.go
+++ b/cell/crash_sim_test.go
@@ -143,7 +143,7 @@
 func (s *crashSim) ended(p *simPlace, r simRun, how flow.End) {
 	p.runs = slices.DeleteFunc(p.runs, func(o simRun) bool { return o.Task == r.Task })
 	p.ends++
-	s.EndsListed(p.name(), []Finished{{Number: p.ends, Task: r.Task, Run: r.Run, How: how}}, s.now)
+	s.EndsListed(p.name(), Lists{Finished: []Finished{{Number: p.ends, Task: r.Task, Run: r.Run, How: how}}}, s.now)
 }
 
 func (s *crashSim) place(worker string) *simPlace {
--- a/cell/ends.go
+++ b/cell/ends.go
@@ -203,7 +203,7 @@
 		c.Unsure(worker, now)
 		w.health.hasNoRoom(now)
 	case NoTicket:
-		r.stage.advice.forget(w.ID)
+		r.stage.advice.forget(w)
 	case TooOld:
 		r.stage.tasks[r.index].last += runSkip
 	case Unhealthy:
--- a/cell/wait.go
+++ b/cell/wait.go
@@ -77,13 +77,13 @@
 		if !worker.usable() || !worker.suits(s, q) {
 			continue
 		}
-		at, good := s.advice.find(worker.ID)
+		at, good := s.advice.find(worker)
 		switch {
 		case q.Advice == nil || good && now.Before(s.advice.good[at].until):
 			c.countCandidate(&w.Allowed, s, worker, q, now)
 		case good:
 			c.countCandidate(&w.Expired, s, worker, q, now)
-		case s.advice.asked[worker.ID]:
+		case s.advice.asked[worker]:
 			c.countCandidate(&w.Unfit, s, worker, q, now)
 		default:
 			c.countCandidate(&w.Unasked, s, worker, q, now)
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -13,8 +13,7 @@
 // Worker is what is known of a worker from its own entry.
 type Worker struct {
 	ID string
-	// Born tells the lives of a worker apart: the Unix millisecond at which this one began,
-	// 0 if it does not say.
+	// Born is that of the life that wrote the entry, 0 if it does not say.
 	Born int64
 	Addr string
 	Pool string
@@ -30,9 +29,13 @@
 	Gone bool
 }
 
-// worker is a Worker with what the cell knows of it.
+// worker is one life of a worker, with what the cell knows of it. All of that ends with the life:
+// a worker that starts again under its id is another worker here.
 type worker struct {
 	Worker
+	// life is when this life began, by what it lists or what a former owner knew; 0 if it is
+	// not known, or not said.
+	life     int64
 	attached bool
 	// met says that it was attached at some time, and inherited that a former owner had it.
 	met, inherited bool
@@ -96,7 +99,8 @@
 
 // Lists are what a worker says of its runs.
 type Lists struct {
-	// Born is that of the life that speaks, 0 if it does not say.
+	// Born tells the lives of a worker apart: the Unix millisecond at which the one that lists
+	// began, 0 if it does not say.
 	Born     int64
 	Running  []Running
 	Finished []Finished
@@ -108,7 +112,10 @@
 func (c *Cell) Heard(info Worker, now time.Time) {
 	w := c.workers[info.ID]
 	if w == nil {
-		w = &worker{runs: make(map[runKey]*run), free: info.Room, unsureSince: now, inherited: info.Gone}
+		w = newWorker(info, now)
+		if w.inherited = info.Gone; w.inherited {
+			w.life = info.Born
+		}
 		c.workers[info.ID] = w
 		at, _ := slices.BinarySearchFunc(c.order, info.ID, byID)
 		c.order = slices.Insert(c.order, at, w)
@@ -119,6 +126,10 @@
 	w.Worker, w.heard = info, now
 }
 
+func newWorker(info Worker, now time.Time) *worker {
+	return &worker{Worker: info, runs: make(map[runKey]*run), free: info.Room, unsureSince: now}
+}
+
 // leavesIn returns how long a worker that is leaving surely stays.
 func (w *worker) leavesIn(now time.Time) time.Duration {
 	if !w.Draining {
@@ -137,7 +148,7 @@
 
 // usable reports whether w may be given anything now.
 func (w *worker) usable() bool {
-	return w.attached && !w.silent && !w.leaving() && !w.Gone && w.strays == 0
+	return w.attached && !w.silent && !w.leaving() && !w.Gone && w.strays == 0 && w.described()
 }
 
 // Missing says that a worker's entry has been missing for too long to place
@@ -164,10 +175,13 @@
 // Lapsed says that nothing runs on a worker any more for certain: its leases
 // are over, or it lives another life.
 func (c *Cell) Lapsed(id string, how Loss, now time.Time) {
-	w := c.workers[id]
-	if w == nil {
-		return
+	if w := c.workers[id]; w != nil {
+		c.lapse(w, how, now)
 	}
+}
+
+// lapse has all that was on w lost.
+func (c *Cell) lapse(w *worker, how Loss, now time.Time) {
 	w.settled = true
 	c.lostBefore(w, how)
 	c.blame(w, how, now)
@@ -224,12 +238,14 @@
 	return out
 }
 
-// Observed returns the number of the last end of a worker that is kept.
+// Observed returns the number of the last end of a worker that is kept. It is 0 while there is a
+// run that may have been given to another life: that one would forget ends of its own by it.
 func (c *Cell) Observed(id string) int {
-	if w := c.workers[id]; w != nil {
-		return w.observed
+	w := c.workers[id]
+	if w == nil || slices.ContainsFunc(w.held, func(r *run) bool { return r.confirmed.IsZero() }) {
+		return 0
 	}
-	return 0
+	return w.observed
 }
 
 // Unsaved reports whether a worker has listed ends that are not kept yet.
@@ -245,6 +261,7 @@
 	if w == nil {
 		return
 	}
+	w = c.lifeThatLists(w, &l, now)
 	c.take(w, l, now)
 	for _, r := range slices.Clone(w.held) {
 		if r.withheld != w.withheld || r.withheld != 0 {
@@ -261,10 +278,11 @@
 	w.hungUp, w.endSeen = false, false
 }
 
-// Listed takes in the lists of a worker, asked for at sent.
+// Listed takes in the lists of a worker, asked for at sent. Those of another life say nothing
+// before it is attached: orders that are under way may still reach it.
 func (c *Cell) Listed(id string, l Lists, sent, now time.Time) {
 	w := c.workers[id]
-	if w == nil {
+	if w == nil || w.isAnother(l.Born) {
 		return
 	}
 	turn := c.take(w, l, now)
@@ -281,10 +299,11 @@
 
 // EndsListed takes in the ends that a worker listed, from an answer that says nothing of what
 // runs there now: one under an earlier fence, or one from which that was left out. An end is
-// a fact under every fence.
-func (c *Cell) EndsListed(id string, ends []Finished, now time.Time) {
-	if w := c.workers[id]; w != nil {
-		c.takeEnds(w, ends, now)
+// a fact under every fence. Those of another life bear other numbers: what it listed before was
+// lost with it, and what it lists after comes again when it is attached.
+func (c *Cell) EndsListed(id string, l Lists, now time.Time) {
+	if w := c.workers[id]; w != nil && !w.isAnother(l.Born) {
+		c.takeEnds(w, l.Finished, now)
 	}
 }
 
--- a/cluster/own.go
+++ b/cluster/own.go
@@ -41,7 +41,7 @@
 	var d *driver.Driver
 	d = driver.New(driver.Config{
 		Name: name, Mine: func(rack string) bool { return n.division.draw(rack) == name },
-		Lease: t.lease, Keep: t.keep, Former: former,
+		Lease: t.lease, LeaseMost: time.Duration(n.settings.Cluster.LeaseMost), Keep: t.keep, Former: former,
 		LinkRate: n.settings.Cluster.LinkRate(),
 		Claim:    c, Store: n.storeClient, Reachable: n.storeClient.Reachable,
 		Workers: n.Workers, Carriers: carriers{n}, Directory: n.Directory(n.storeClient),
--- a/driver/carry.go
+++ b/driver/carry.go
@@ -79,6 +79,8 @@
 	// waited for.
 	number uint64
 	limit  time.Duration
+	// after is a time that the worker's clock was past when the order was sent.
+	after int64
 }
 
 // carries reports whether orders are carried now. The lock is held.
@@ -130,7 +132,7 @@
 		UntilMS: d.until(l, now),
 	}
 	level.Debug(d.Log).Log("event", "start", "job", s.Task.Job, "step", s.Task.Step, "index", s.Task.Index, "run", s.Run, "worker", s.Worker, "fence", o.Fence)
-	return sentStart{StartOrder: o, hall: l.hall, number: l.sentOrder(now), limit: d.orderTime(l, now)}, true
+	return sentStart{StartOrder: o, hall: l.hall, number: l.sentOrder(now), limit: d.orderTime(l, now), after: l.clockMS}, true
 }
 
 // sendEach sends orders from here. The lock is held.
@@ -252,7 +254,14 @@
 	}
 	now, a := clock.Now(), &r.Answer
 	l.answers.Answered(r.Took)
-	l.heardClock(a.ClockMS, now)
+	if l.fence == o.Fence && !l.fits(a.ClockMS, o.after, now) {
+		level.Info(d.Log).Log("event", "clock_of_another_life", "worker", o.Worker, "job", o.Task.Job, "run", o.Run, "clock_ms", a.ClockMS, "known_ms", l.clockMS, "known_ms_ago", now.Sub(l.clockAt).Milliseconds())
+		d.unsure(o.Worker)
+		return
+	}
+	if l.fence == o.Fence {
+		l.heardClock(a.ClockMS, now)
+	}
 	if a.Outcome != cell.Accepted {
 		level.Info(d.Log).Log("event", "start_refused", "job", o.Task.Job, "step", o.Task.Step, "index", o.Task.Index, "worker", o.Worker, "run", o.Run, "outcome", int(a.Outcome))
 	}
--- a/driver/driver.go
+++ b/driver/driver.go
@@ -28,8 +28,9 @@
 	Name string
 	// Mine reports whether the workers of a rack are of this cell.
 	Mine func(rack string) bool
-	// Lease is how long the runs of a worker go on without being renewed.
-	Lease time.Duration
+	// Lease is how long the runs of a worker go on without being renewed, and LeaseMost the
+	// longest that a worker grants, whatever it is told; 0 is Lease.
+	Lease, LeaseMost time.Duration
 	// Former is for how long after the cell lease was taken a former owner may go on.
 	Former time.Duration
 	// Keep is how long a job that is over can be asked for.
--- a/driver/events.go
+++ b/driver/events.go
@@ -56,17 +56,12 @@
 // logReborn logs that a worker answers from another life than before: what the owner knew of its
 // ends, and what the new life lists. The lock is held.
 func (d *Driver) logReborn(l *link, o HoldOrder, a *HoldAnswer, attach bool) {
-	before := l.born
-	l.born = a.Lists.Born
-	if before == 0 || before == l.born {
-		return
-	}
 	d.Scope.Counter("workers_reborn_total").Inc(1)
 	first, last := 0, 0
 	if ends := a.Lists.Finished; len(ends) > 0 {
 		first, last = ends[0].Number, ends[len(ends)-1].Number
 	}
-	level.Info(d.Log).Log("event", "worker_reborn", "worker", l.id, "before", before, "born", l.born, "fence", o.Fence, "attach", attach,
+	level.Info(d.Log).Log("event", "worker_reborn", "worker", l.id, "before", l.born, "born", a.Lists.Born, "fence", o.Fence, "attach", attach,
 		"observed", o.Observed, "first_end", first, "last_end", last, "lists", len(a.Lists.Running), "had", len(d.cell.Runs(l.id)))
 }
 
--- a/driver/watch.go
+++ b/driver/watch.go
@@ -114,7 +114,7 @@
 	if link == nil {
 		level.Debug(d.Log).Log("event", "worker_heard", "worker", e.ID, "version", e.Ver)
 		d.connect(e.ID, e.Addr, e.Hall)
-		d.links[e.ID].ver = e.Ver
+		d.links[e.ID].ver, d.links[e.ID].by = e.Ver, e.Born
 		d.countRemaining(d.links[e.ID], &e, now)
 		d.cell.Heard(e.Worker, now)
 		return
@@ -124,6 +124,7 @@
 	}
 	if e.Ver > link.ver {
 		link.ver = e.Ver
+		d.heardLife(link, &e)
 		d.countRemaining(link, &e, now)
 		if e.Draining && !link.draining {
 			level.Info(d.Log).Log("event", "worker_leaves", "worker", e.ID, "version", e.Ver, "remaining_ms", e.Remaining.Milliseconds())
@@ -134,6 +135,19 @@
 	link.missing = time.Time{}
 }
 
+// heardLife takes in which life wrote an entry. It may be of before, so that it alone ends no
+// life: the worker is held anew, and its lists tell. The lock is held.
+func (d *Driver) heardLife(l *link, e *Entry) {
+	other := l.by != e.Born
+	if other {
+		l.entryWord = entryWord{by: e.Born}
+	}
+	if other && e.Born != 0 && l.isAnother(e.Born) {
+		level.Info(d.Log).Log("event", "entry_of_another_life", "worker", l.id, "version", e.Ver, "known", l.born, "born", e.Born)
+		d.unsure(l.id)
+	}
+}
+
 // countRemaining puts in place of the time that a worker stays what is left of it by now. It
 // counts from when the worker wrote it, which may be as early as the reading before: a run that
 // ends after its worker has left is not known to have ended, and would run again. The lock is
--- a/driver/workerlist.go
+++ b/driver/workerlist.go
@@ -23,6 +23,8 @@
 	ID   string `json:"id"`
 	Addr string `json:"addr"`
 	Hall string `json:"hall,omitempty"`
+	// Born tells the life that may run what was started there.
+	Born int64 `json:"born,omitempty"`
 }
 
 const (
@@ -55,13 +57,22 @@
 	out := make([]workerListEntry, 0, len(d.links))
 	for _, l := range d.links {
 		if d.mayRun(l) {
-			out = append(out, workerListEntry{ID: l.id, Addr: l.addr, Hall: l.hall})
+			out = append(out, workerListEntry{ID: l.id, Addr: l.addr, Hall: l.hall, Born: l.supposedBorn()})
 		}
 	}
 	slices.SortFunc(out, func(a, b workerListEntry) int { return strings.Compare(a.ID, b.ID) })
 	return out
 }
 
+// supposedBorn returns which life may run something: the one that has listed what it runs, or
+// that of the worker's entry while none has.
+func (l *link) supposedBorn() int64 {
+	if l.born != 0 {
+		return l.born
+	}
+	return l.by
+}
+
 // putWorkerList adds the worker list to a transaction, and the removal of rows that it does
 // not take any more. The lock is held.
 func (d *Driver) putWorkerList(t *rows.Tx) {
@@ -113,9 +124,9 @@
 	now := clock.Now()
 	for _, e := range all {
 		if d.links[e.ID] == nil {
-			d.cell.Heard(cell.Worker{ID: e.ID, Addr: e.Addr, Hall: e.Hall, Gone: true}, now)
+			d.cell.Heard(cell.Worker{ID: e.ID, Born: e.Born, Addr: e.Addr, Hall: e.Hall, Gone: true}, now)
 			d.connect(e.ID, e.Addr, e.Hall)
-			d.links[e.ID].missing = now
+			d.links[e.ID].born, d.links[e.ID].missing = e.Born, now
 		}
 	}
 }
