driver: a worker that starts again at another address is held there

Callers saw jobs pending for ever while all workers were free: a link kept the address with which it was made, and as the worker's entry was there it was never given up. Change: the address and the hall of the newest entry are the link's; an answer from an address that is not the worker's any more says nothing of it; an entry in a rack of another cell is none for this one. Red before (test/cluster, 40 s), green now, with one in driver.

--- a/driver/carry.go
+++ b/driver/carry.go
@@ -231,7 +231,7 @@
 	if l == nil || d.ctx.Err() != nil {
 		return
 	}
-	if kind.Is(r.Err, kind.NotFound) {
+	if kind.Is(r.Err, kind.NotFound) && o.Addr == l.addr {
 		d.dead(l, cell.LossReborn)
 		return
 	}
--- a/driver/hold.go
+++ b/driver/hold.go
@@ -59,7 +59,7 @@
 	l.anew = anew
 	d.mu.Unlock()
 	if err := d.awaitHold(ctx, wanted, l, send); err != nil || attach {
-		return err
+		return d.ofAddress(l, o.Addr, err)
 	}
 	d.waitKept(ctx, l)
 	return nil
@@ -75,6 +75,20 @@
 	born int64
 }
 
+// ofAddress returns what an error says of a worker that was called at an address: if it is known
+// at another one by now, nothing of who is at that one.
+func (d *Driver) ofAddress(l *link, addr string, err error) error {
+	if !kind.Is(err, kind.NotFound) {
+		return err
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if l.addr == addr {
+		return err
+	}
+	return kind.New(kind.Unavailable, "the worker is not at "+addr+" any more")
+}
+
 // awaitHold sends a hold and takes in its answer, for which it waits until wanted ends. An
 // answer that comes later is taken in as well: a worker that leaves may not list what it
 // says again.
--- a/driver/life_test.go
+++ b/driver/life_test.go
@@ -141,6 +141,15 @@
 		Expect(w.forgot).To(BeFalse())
 	})
 
+	ginkgo.It("at another address is held there", func(ctx context.Context) {
+		w := newLives()
+		d := run(ctx, w)
+		do(d, "1")
+		w.restart("b")
+		do(d, "2")
+		Expect(w.begins()).To(Equal(2))
+	})
+
 	// known is a driver whose link to a worker is attached to a life, and runs nothing by itself.
 	known := func(ctx context.Context) (*Driver, *link) {
 		d := newDriver(ctx, newTable(), func() {})
@@ -187,17 +196,18 @@
 		Expect(kind.Is(err, kind.Damaged)).To(BeTrue())
 	})
 
-	ginkgo.It("is held anew once where an entry is of another life", func(ctx context.Context) {
+	ginkgo.It("is held anew once where an entry is of another life, and at the address that it says", func(ctx context.Context) {
 		d, l := known(ctx)
 		d.mu.Lock()
 		defer d.mu.Unlock()
 		hear := func(ver uint64, born int64, addr string) {
 			d.heard(Entry{Ver: ver, Worker: cell.Worker{ID: "w", Born: born, Addr: addr, Pool: "p", Hall: "h"}}, time.Now())
 		}
-		hear(2, bornAfter, "a")
+		hear(2, bornAfter, "b")
 		Expect(l.attached).To(BeFalse())
+		Expect(l.addr).To(Equal("b"))
 		l.attached = true
-		hear(3, bornAfter, "a")
+		hear(3, bornAfter, "b")
 		Expect(l.attached).To(BeTrue())
 	})
 
--- a/driver/watch.go
+++ b/driver/watch.go
@@ -94,7 +94,8 @@
 			d.heardBad(&e, now)
 			continue
 		}
-		there[e.ID] = true
+		// An id may come back in a rack of another cell.
+		there[e.ID] = d.Mine(e.Rack)
 		d.heard(e, now)
 	}
 	for id, link := range d.links {
@@ -135,15 +136,20 @@
 	link.missing = time.Time{}
 }
 
-// heardLife takes in which life wrote an entry. It may be of before, so that it alone ends no
-// life: the worker is held anew, and its lists tell. The lock is held.
+// heardLife takes in which life wrote an entry, and where it is. An entry may be of before, so
+// that it alone ends no life: the worker is held anew, and its lists tell. The lock is held.
 func (d *Driver) heardLife(l *link, e *Entry) {
+	moved := l.addr != e.Addr
+	l.addr = e.Addr
+	if l.hall != e.Hall {
+		l.hall, l.attaching = e.Hall, d.attachingIn(e.Hall)
+	}
 	other := l.by != e.Born
 	if other {
 		l.entryWord = entryWord{by: e.Born}
 	}
-	if other && e.Born != 0 && l.isAnother(e.Born) {
-		level.Info(d.Log).Log("event", "entry_of_another_life", "worker", l.id, "version", e.Ver, "known", l.born, "born", e.Born)
+	if moved || (other && e.Born != 0 && l.isAnother(e.Born)) {
+		level.Info(d.Log).Log("event", "entry_of_another_life", "worker", l.id, "version", e.Ver, "known", l.born, "born", e.Born, "moved", moved)
 		d.unsure(l.id)
 	}
 }
