upkeep, driver: a machine that is back under its worker's id frees its slot in the wave

Operators would have seen a wave that never ends: a machine counted as back only where its worker has another id. Change: a slot says which life was to end, and the cell that has the machine notes when another life is attached under the id. A worker that started again by itself between two orders is not taken for the life that the upkeep ended, nor declared over. The list of machines alone cannot tell, as it may be of before. Red before (test/cluster, the wave running after 40 s), green now, with two in upkeep.

--- a/driver/empty.go
+++ b/driver/empty.go
@@ -28,5 +28,21 @@
 	return d.loaded && !d.frozen && d.mayOrder(now) && d.cell.Emptied(worker, now)
 }
 
+// Life implements upkeep.Cell.
+func (d *Driver) Life(worker string) int64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if l := d.links[worker]; l != nil && l.attached {
+		return l.born
+	}
+	return 0
+}
+
 // Over implements upkeep.Cell.
-func (d *Driver) Over(worker string) { d.workerDead(worker, cell.LossPlanned) }
+func (d *Driver) Over(worker string, born int64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if l := d.links[worker]; l != nil && l.born == born {
+		d.dead(l, cell.LossPlanned)
+	}
+}
--- a/test/cluster/reborn_test.go
+++ b/test/cluster/reborn_test.go
@@ -102,4 +102,14 @@
 		}
 		b.wantWhole(others)
 	})
+
+	It("frees its slot in a wave of upkeep", func() {
+		b := start(comesBack(again))
+		names := b.world.Machines.Names()
+		b.world.Wave(1, 2, 20*time.Second, names)
+		ids := b.submitSome(6, 2, 300, 2*time.Second)
+		Eventually(func() string { return b.world.WaveState(1) }).Should(Equal("succeeded"))
+		Expect(b.world.Machines.Begun()).To(Equal(len(names)))
+		b.wantWhole(ids)
+	})
 })
--- a/upkeep/record.go
+++ b/upkeep/record.go
@@ -33,8 +33,11 @@
 
 // Slot is what a machine holds of a wave, or held.
 type Slot struct {
-	// Worker is the life that was to end.
+	// Worker and Born name the life that was to end. Born is 0 if the worker did not say it.
 	Worker string `json:"worker"`
+	Born   int64  `json:"born,omitempty"`
+	// Back says that another life has been seen under the same id since the upkeep began.
+	Back bool `json:"back,omitempty"`
 	// Begun says that the platform has begun the upkeep, or will not.
 	Begun bool `json:"begun,omitempty"`
 	// Unsure says that the order was given again to another life, so that the upkeep
@@ -87,12 +90,30 @@
 	return out
 }
 
+// returned returns the machines whose worker is back under the id that it had. The list of machines
+// may be of before the upkeep; life returns the life that a worker is known to have now, 0 if
+// none is.
+func (b Record) returned(all list, life func(worker string) int64) []string {
+	var out []string
+	for name, e := range b {
+		m := all[name]
+		if !e.Begun || e.Back || !m.Up || m.Worker != e.Worker || e.Born == 0 {
+			continue
+		}
+		if now := life(m.Worker); now != 0 && now != e.Born {
+			out = append(out, name)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
 // slots returns how many more machines may go down.
 func (b Record) slots(w *Wave, all list) int {
 	free := w.Most
 	for name, e := range b {
 		m, stays := all[name]
-		back := m.Up && m.Worker != e.Worker
+		back := m.Up && (m.Worker != e.Worker || e.Back)
 		if !e.Begun || (stays && !back) {
 			free--
 		}
--- a/upkeep/runner.go
+++ b/upkeep/runner.go
@@ -54,8 +54,10 @@
 	Empty(workers []string, patience time.Duration)
 	// Emptied reports whether a worker may go.
 	Emptied(worker string) bool
-	// Over says that a worker's life has ended.
-	Over(worker string)
+	// Life returns when the life of a worker that is attached began, 0 if it is not, or not said.
+	Life(worker string) int64
+	// Over says that a life of a worker has ended.
+	Over(worker string, born int64)
 }
 
 // Runner carries out the waves for one cell. All fields must be set.
@@ -121,6 +123,13 @@
 			return err
 		}
 	}
+	for _, name := range p.returned(all, r.Cell.Life) {
+		e := p.Record[name]
+		e.Back = true
+		if err := r.write(ctx, w.Number, &p, name, &e); err != nil {
+			return err
+		}
+	}
 	next := p.next(w, all, r.Mine)
 	r.Cell.Empty(workers(next), w.patience())
 	for _, m := range next {
@@ -145,8 +154,9 @@
 // begin takes a slot for a machine and asks for its upkeep.
 func (r *Runner) begin(ctx context.Context, w *Wave, p *page, m Machine) error {
 	before, again := p.Record[m.Name]
-	sameLife := !again || before.Worker == m.Worker
-	if err := r.write(ctx, w.Number, p, m.Name, &Slot{Worker: m.Worker}); err != nil {
+	born := r.Cell.Life(m.Worker)
+	sameLife := !again || (before.Worker == m.Worker && before.Born == born)
+	if err := r.write(ctx, w.Number, p, m.Name, &Slot{Worker: m.Worker, Born: born}); err != nil {
 		return err
 	}
 	a, err := r.Platform.Begin(ctx, Order{Machine: m.Name, Wave: w.Number, Holder: r.Holder, Fence: r.Fence})
@@ -158,9 +168,9 @@
 	case a == Busy:
 		return r.write(ctx, w.Number, p, m.Name, nil)
 	case a == Begun && sameLife:
-		r.Cell.Over(m.Worker)
+		r.Cell.Over(m.Worker, born)
 	}
-	return r.write(ctx, w.Number, p, m.Name, &Slot{Worker: m.Worker, Begun: true, Unsure: !sameLife})
+	return r.write(ctx, w.Number, p, m.Name, &Slot{Worker: m.Worker, Born: born, Begun: true, Unsure: !sameLife})
 }
 
 func key(wave int) rows.Key { return rows.Key{Table: Table, Name: strconv.Itoa(wave)} }
--- a/upkeep/upkeep_test.go
+++ b/upkeep/upkeep_test.go
@@ -54,11 +54,14 @@
 	emptied []string
 	busy    map[string]bool
 	over    []string
+	// lives are the present lives of workers that say when they began.
+	lives map[string]int64
 }
 
 func (c *cell) Empty(workers []string, _ time.Duration) { c.emptied = workers }
 func (c *cell) Emptied(w string) bool                   { return !c.busy[w] }
-func (c *cell) Over(w string)                           { c.over = append(c.over, w) }
+func (c *cell) Over(w string, _ int64)                  { c.over = append(c.over, w) }
+func (c *cell) Life(w string) int64                     { return c.lives[w] }
 
 // shelf is a store of one row.
 type shelf struct {
@@ -98,7 +101,7 @@
 				{Name: "m0", Worker: "w0", Up: true}, {Name: "m1", Worker: "w1", Up: true}, {Name: "m2", Worker: "w2", Up: true},
 			},
 		}
-		c = &cell{busy: make(map[string]bool)}
+		c = &cell{busy: make(map[string]bool), lives: make(map[string]int64)}
 		r = &Runner{
 			Platform: s, Store: &shelf{}, Cell: c, Holder: "me", Fence: 3,
 			Mine: func(string) bool { return true }, Log: log.NewNopLogger(),
@@ -127,6 +130,34 @@
 		Expect(c.emptied).To(BeEmpty())
 	})
 
+	It("goes on where a machine is back under the worker's id, and not before", func() {
+		c.lives = map[string]int64{"w0": 10, "w1": 11, "w2": 12}
+		Expect(step()).To(Succeed())
+		Expect(s.orders).To(HaveLen(1))
+		Expect(step()).To(Succeed())
+		Expect(s.orders).To(HaveLen(1), "the list still shows the life that has ended")
+		c.lives["w0"] = 0
+		Expect(step()).To(Succeed())
+		Expect(s.orders).To(HaveLen(1), "nobody is there")
+		c.lives["w0"] = 20
+		Expect(step()).To(Succeed())
+		Expect(s.orders).To(HaveLen(2))
+		c.lives["w1"] = 21
+		Expect(step()).To(Succeed())
+		Expect(step()).To(Succeed())
+		Expect(s.reported).To(Equal([]bool{false, true}))
+	})
+
+	It("takes a worker that has started again under its id by itself for no upkeep, and for no life that it ended", func() {
+		c.lives["w0"] = 10
+		s.err = kind.New(kind.Lost, "no answer")
+		Expect(step()).NotTo(Succeed())
+		c.lives["w0"], s.err = 20, nil
+		Expect(step()).To(Succeed())
+		Expect(s.orders).To(HaveLen(2), "it is ordered again")
+		Expect(c.over).To(BeEmpty(), "the upkeep may be over, and the new life goes on")
+	})
+
 	It("waits for a worker to be empty", func() {
 		c.busy["w0"] = true
 		Expect(step()).To(Succeed())
