test/cluster: the soak's workers come back under their id

Two in three, within 30 ms to 2.5 s, at their address or another one, some with their time of day set back by an hour; so do those that a task has crashed, and machines after their upkeep.

--- a/test/cluster/soak_test.go
+++ b/test/cluster/soak_test.go
@@ -218,14 +218,30 @@
 	s.worker(d, func(w *world.Worker) {
 		for _, o := range s.world.Living() {
 			if o == w || (d.which%3 == 0 && o.Rack == w.Rack) {
-				s.note("crash %s", o.ID)
-				s.world.Crash(o, world.Rebirth{Down: time.Second})
+				next := s.rebirth(d.which)
+				s.note("crash %s, back %+v", o.ID, next)
+				s.world.Crash(o, next)
 			}
 		}
 		time.Sleep(time.Second)
 	})
 }
 
+// rebirths is how many ways rebirth draws from.
+const rebirths = 24
+
+// rebirth returns how a worker comes back: two in three under its id, within a beat or later, at
+// its address or another one, with its time of day set back or not.
+func (s *soak) rebirth(which int) world.Rebirth {
+	r := world.Rebirth{Down: []time.Duration{30 * time.Millisecond, 200 * time.Millisecond, time.Second, 2500 * time.Millisecond}[which%4]}
+	r.SameID = which%3 != 0
+	r.OtherAddr = which%8 >= 6
+	if which/4%2 == 0 {
+		r.Back = time.Hour
+	}
+	return r
+}
+
 // drains has a worker leave; another comes.
 func (s *soak) drains(d draw) {
 	if len(s.world.Living()) <= 2*len(halls) {
@@ -452,7 +468,16 @@
 				clients *= 2
 				large = func(o *world.Options) { o.PerHall = largeHall }
 			}
-			s.bed = start(s.proxies.via, large)
+			ways := rand.New(rand.NewPCG(seed, 8))
+			var mu sync.Mutex
+			next := func(o *world.Options) {
+				o.Next = func() world.Rebirth {
+					mu.Lock()
+					defer mu.Unlock()
+					return s.rebirth(ways.IntN(rebirths))
+				}
+			}
+			s.bed = start(s.proxies.via, large, next)
 			DeferCleanup(func() {
 				if CurrentSpecReport().Failed() {
 					fmt.Fprintln(GinkgoWriter, strings.Join(s.log, "\n"))
