driver: a worker that was given up and is back is held under a higher fence than before

A worker that is cut off for longer than its leases and whose entry is gone is forgotten, and its fence with it. When the cut heals the same life is back, and the first hold bore a fence below one that it had seen: its refusal reads as the sign of a newer owner, and the owner gives its cell up. Change: links begin above every fence that this owner has used. Red before (driver, fence_test), green now.

--- a/driver/driver.go
+++ b/driver/driver.go
@@ -74,6 +74,8 @@
 	mu    sync.Mutex
 	cell  *cell.Cell
 	links map[string]*link
+	// topFence is the highest fence that any worker was held under.
+	topFence uint64
 	// stale names the jobs whose records are to be removed.
 	stale    []string
 	archives archives
--- /dev/null
+++ b/driver/fence_test.go
@@ -0,0 +1,34 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package driver
+
+import (
+	"context"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"dewpass.org/cell"
+)
+
+var _ = ginkgo.Describe("a worker that was given up and is back", func() {
+	ginkgo.It("is held under a fence above all that it has seen of this owner", func(ctx context.Context) {
+		d := newDriver(ctx, newTable(), func() {})
+		// The links order nothing by themselves.
+		d.cancel()
+		defer d.Close()
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		entry := Entry{Ver: 1, Worker: cell.Worker{ID: "w", Addr: "127.0.0.1:1"}}
+		d.heard(entry, time.Now())
+		for range 3 {
+			d.nextFence(d.links["w"])
+		}
+		seen := d.links["w"].fence
+		d.forget(d.links["w"], cell.LossSilent, time.Now())
+		entry.Ver++
+		d.heard(entry, time.Now())
+		Expect(d.nextFence(d.links["w"])).To(BeNumerically(">", seen))
+	})
+})
--- a/driver/hold.go
+++ b/driver/hold.go
@@ -33,7 +33,7 @@
 			return ctx.Err()
 		}
 		d.mu.Lock()
-		l.fence++
+		d.nextFence(l)
 	}
 	now := clock.Now()
 	unsaved := d.cell.Unsaved(l.id)
--- a/driver/link.go
+++ b/driver/link.go
@@ -71,7 +71,8 @@
 	ctx, cancel := context.WithCancel(d.ctx)
 	l := &link{
 		id: id, addr: addr, hall: hall, cancel: cancel, kick: make(chan struct{}, 1),
-		fence: d.Claim.Epoch() * fencesPerEpoch,
+		// It may be back after it was given up, and then has seen fences of this owner.
+		fence: max(d.Claim.Epoch()*fencesPerEpoch, d.topFence),
 	}
 	// A former owner that still lives gives its last orders before its cell lease is no longer
 	// valid.
@@ -82,6 +83,13 @@
 	d.spawn(func() { d.runLink(ctx, l) })
 }
 
+// nextFence raises the fence of a worker, and returns it. The lock is held.
+func (d *Driver) nextFence(l *link) uint64 {
+	l.fence++
+	d.topFence = max(d.topFence, l.fence)
+	return l.fence
+}
+
 // attachingIn returns the places of the workers of a hall that are being attached. The lock is
 // held.
 func (d *Driver) attachingIn(hall string) chan struct{} {
