--- a/cell/cell.go
+++ b/cell/cell.go
@@ -59,8 +59,9 @@
 	// that a former owner gave.
 	firstRun int
 	dirty    []*job
-	// asks counts the questions under way, longAsks the long ones among them.
-	asks, longAsks int
+	// asks counts the questions under way, longAsks the long ones among them, and asksMost is
+	// how many there may be by the last decision.
+	asks, longAsks, asksMost int
 	counts         Counts
 	// changes are those of tasks that last, until Changes.
 	changes []Change
--- a/cell/place.go
+++ b/cell/place.go
@@ -60,7 +60,7 @@
 	c.sort(now)
 	unsettled, most, inDoubt := c.unsettled(), c.mostFree(), c.inDoubt()
 	c.countTrials(now)
-	c.sendLeft, c.heldBack = c.sendMost, false
+	c.sendLeft, c.heldBack, c.asksMost = c.sendMost, false, asks
 	for _, w := range c.order {
 		w.reserved = sched.Vec{}
 	}
--- a/cell/wait.go
+++ b/cell/wait.go
@@ -42,6 +42,10 @@
 	For   time.Duration
 	// Reserved is on how many workers room is held for them.
 	Reserved int
+	// Asks counts the questions to the policy that are under way, LongAsks the long ones among
+	// them, AsksMost is how many there may be, and Asking says that one is about this step.
+	Asks, LongAsks, AsksMost int
+	Asking                   bool
 	// Allowed are the workers that may run it now, Expired those whose tickets have ended,
 	// Unfit those that the policy does not let run it, and Unasked those of which it was
 	// not asked.
@@ -65,7 +69,8 @@
 	if why == NoWorker {
 		why = c.whyNone(s, now)
 	}
-	w := Wait{Step: s.id(), Why: why, Tasks: s.waiting, For: waited, Reserved: len(s.reserved.workers)}
+	w := Wait{Step: s.id(), Why: why, Tasks: s.waiting, For: waited, Reserved: len(s.reserved.workers),
+		Asks: c.asks, LongAsks: c.longAsks, AsksMost: c.asksMost, Asking: s.advice.asking}
 	c.countCandidates(s, &w, now)
 	a.Waits = append(a.Waits, w)
 }
--- a/driver/events.go
+++ b/driver/events.go
@@ -17,6 +17,7 @@
 		w := &waits[i]
 		level.Info(d.Log).Log("event", "step_waits", "job", w.Step.Job, "step", w.Step.Step, "why", string(w.Why),
 			"tasks", w.Tasks, "waited_ms", w.For.Milliseconds(), "reserved", w.Reserved,
+			"asking", w.Asking, "asks", w.Asks, "asks_long", w.LongAsks, "asks_most", w.AsksMost,
 			"allowed", w.Allowed.All, "allowed_room", w.Allowed.Room, "allowed_yield", w.Allowed.Yield,
 			"expired", w.Expired.All, "expired_room", w.Expired.Room, "expired_yield", w.Expired.Yield,
 			"unasked", w.Unasked.All, "unasked_room", w.Unasked.Room, "unasked_yield", w.Unasked.Yield,
