cell: a quarter of the long questions to the policy goes to the steps that have waited longest

Cause: questions were given out by the order of the steps alone.

Change: three quarters go by the order as before, the rest to the steps that have waited longest since their last question. Why it works: each step that waits gets its turn, however many come before it. Red before (cell, ask_share_test: not asked in 3 s), green now.

--- a/cell/advice.go
+++ b/cell/advice.go
@@ -19,6 +19,11 @@
 	ticketMargin = 80 * time.Millisecond
 	// longAsk is from when on a question counts as long.
 	longAsk = 150 * time.Millisecond
+	// oldestShare is the part of the long questions under way, as a divisor, that is kept for the
+	// steps that have waited longest for one. In the order of the steps alone those that come
+	// last were never asked about while others, for which there was no room, asked again and
+	// again.
+	oldestShare = 4
 	// shortShare is the part of the questions under way, as a divisor, that is kept
 	// for short ones, however many callers there still are: a long one would hold up many
 	// calls that somebody waits for, as after a loss of power to all, when each step has to
@@ -39,8 +44,8 @@
 	// ticket holds for it.
 	asked  map[*worker]bool
 	asking bool
-	// after is when the next question may be asked.
-	after time.Time
+	// after is when the next question may be asked, and last when the last one was.
+	after, last time.Time
 }
 
 // ticket lets worker run a stage until a time.
@@ -102,12 +107,16 @@
 func (a *Ask) Long() bool { return a.Takes() > longAsk }
 
 // maySend reports whether a question may be asked where about asks may be under way at
-// once.
-func (c *Cell) maySend(a *Ask, asks int) bool {
-	if a.Long() {
-		return c.asks < asks && c.longAsks < max(asks-max(asks/shortShare, 1), 1)
+// once, for the sake of its step's place in the order or of how long it has waited.
+func (c *Cell) maySend(a *Ask, asks int, oldest bool) bool {
+	if !a.Long() {
+		return c.maySendShort(asks)
+	}
+	most := max(asks-max(asks/shortShare, 1), 1)
+	if !oldest {
+		most = max(most-most/oldestShare, 1)
 	}
-	return c.maySendShort(asks)
+	return c.asks < asks && c.longAsks < most
 }
 
 func (c *Cell) maySendShort(asks int) bool {
@@ -134,12 +143,47 @@
 		return
 	}
 	ask := c.ask(s, q, now)
-	if len(ask.Workers) == 0 || !c.maySend(&ask, asks) {
-		return
+	switch {
+	case len(ask.Workers) == 0:
+	case c.maySend(&ask, asks, false):
+		c.send(s, &ask, a, now)
+	default:
+		c.unasked = append(c.unasked, unasked{s, ask})
+	}
+}
+
+// unasked is a step about which a question would be asked if fewer were under way.
+type unasked struct {
+	stage *stage
+	ask   Ask
+}
+
+// askOldest asks about the steps that have waited longest for a question, of those that were
+// left out for their place in the order.
+func (c *Cell) askOldest(a *Actions, asks int, now time.Time) {
+	slices.SortStableFunc(c.unasked, func(x, y unasked) int { return x.stage.askedSince().Compare(y.stage.askedSince()) })
+	for i := range c.unasked {
+		u := &c.unasked[i]
+		if !u.stage.advice.asking && c.maySend(&u.ask, asks, true) {
+			c.send(u.stage, &u.ask, a, now)
+		}
 	}
-	s.advice.asking = true
-	c.sent(&ask, 1)
-	a.Asks = append(a.Asks, ask)
+	c.unasked = c.unasked[:0]
+}
+
+// askedSince returns since when s has waited for a question about it.
+func (s *stage) askedSince() time.Time {
+	if s.advice.last.After(s.waitSince) {
+		return s.advice.last
+	}
+	return s.waitSince
+}
+
+// send asks a question about s.
+func (c *Cell) send(s *stage, ask *Ask, a *Actions, now time.Time) {
+	s.advice.asking, s.advice.last = true, now
+	c.sent(ask, 1)
+	a.Asks = append(a.Asks, *ask)
 }
 
 // sent counts a question that is under way, by is 1, or is not any more, by is -1.
--- a/cell/cell.go
+++ b/cell/cell.go
@@ -62,7 +62,9 @@
 	// asks counts the questions under way, longAsks the long ones among them, and asksMost is
 	// how many there may be by the last decision.
 	asks, longAsks, asksMost int
-	counts         Counts
+	// unasked are the steps that were left without a question during Place.
+	unasked []unasked
+	counts  Counts
 	// changes are those of tasks that last, until Changes.
 	changes []Change
 	// losses are the workers that were lost lately.
--- a/cell/place.go
+++ b/cell/place.go
@@ -108,6 +108,7 @@
 		}
 		c.tell(s, why, &a, now)
 	}
+	c.askOldest(&a, asks, now)
 	return a
 }
 
