cmd, hangup: SIGHUP is caught before the libraries of a process are initialised

Now it has: a process that is sent SIGHUP 0 to 15 ms after its start ends with 'signal: hangup', 8 of 8 at each of ten moments, and 3 of 8 at 20 ms: all packages are initialised before main, where it was caught. Change: a package that needs nothing but signals catches it, the first after os/signal to be initialised (test by the runtime's own trace). What is left is the time before the runtime itself takes signals.

--- a/cmd/dewpass/main.go
+++ b/cmd/dewpass/main.go
@@ -14,6 +14,7 @@
 
 	"github.com/urfave/cli/v3"
 
+	_ "dewpass.org/internal/hangup"
 	"dewpass.org/kind"
 )
 
@@ -21,9 +22,6 @@
 var version = "dev"
 
 func main() {
-	// A hangup ends a process that catches none. One that comes while the settings are still
-	// being read, or during a planned stop, when nobody waits for it any more, must not.
-	signal.Notify(make(chan os.Signal, 1), syscall.SIGHUP)
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	os.Exit(run(ctx, os.Args, os.Stdout, os.Stderr))
