--- a/test/cluster/reborn_test.go
+++ b/test/cluster/reborn_test.go
@@ -112,4 +112,51 @@
 		Expect(b.world.Machines.Begun()).To(Equal(len(names)))
 		b.wantWhole(ids)
 	})
+
+	It("is asked about anew by a policy, and its old tickets are not used", func() {
+		b := start(func(o *world.Options) { o.Advice = true })
+		b.wantWhole(b.submitSome(4, 3, 100, 200*time.Millisecond))
+		b.crashAll(again)
+		ids := b.submitSome(8, 3, 100, 400*time.Millisecond)
+		b.wantWhole(ids)
+		Expect(b.longestIdle(ids)).To(BeNumerically("<", idleMost))
+	})
+
+	It("is told from the life before though its time of day was set back, or it is back at once", func() {
+		b := start()
+		for _, next := range []world.Rebirth{
+			{Down: 200 * time.Millisecond, SameID: true, Back: time.Hour},
+			{Down: 5 * time.Millisecond, SameID: true},
+			{Down: 5 * time.Millisecond, SameID: true, Back: time.Hour},
+		} {
+			ids := b.submitSome(6, 3, 100, 200*time.Millisecond)
+			b.crashAll(next)
+			b.wantWhole(append(ids, b.submitSome(6, 3, 100, 200*time.Millisecond)...))
+		}
+	})
+
+	It("is told from the life before by the next owner as well", func() {
+		b := start()
+		for range 3 {
+			ids := b.submitSome(6, 3, 300, 300*time.Millisecond)
+			owner := b.owner()
+			owner.kill()
+			b.crashAll(again)
+			owner.run()
+			b.wantWhole(append(ids, b.submitSome(4, 3, 100, 200*time.Millisecond)...))
+		}
+	})
+
+	It("has run nothing twice where orders of before reach it late", func() {
+		b := start()
+		for range 3 {
+			all := b.world.Living()
+			for _, w := range all {
+				w.Fail(world.WorkerFaults{Lose: 0.3, Late: 50 * time.Millisecond, Outlives: true})
+			}
+			ids := b.submitSome(6, 3, 200, 100*time.Millisecond)
+			b.crashAll(world.Rebirth{Down: 5 * time.Millisecond, SameID: true})
+			b.wantWhole(append(ids, b.submitSome(4, 3, 100, 200*time.Millisecond)...))
+		}
+	})
 })
