--- a/cell/life_test.go
+++ b/cell/life_test.go
@@ -175,6 +175,18 @@
 		Expect(starts[0].Ticket).To(Equal("new"))
 	})
 
+	It("is not asked about again where the policy does not let it run what the life before might", func() {
+		r := lived()
+		r.Configure([]Queue{{Name: "q", Pool: "p", MaxAttempts: 2, Stretch: 1.5, Advice: &Advice{Decide: 10 * time.Millisecond, Valid: time.Second}}})
+		r.add("a", one)
+		r.Advised(r.place().Asks[0], []Ticket{{Worker: "w0", Text: "old"}}, time.Second, r.now)
+		reborn(r, Lists{})
+		hear(r, after)
+		r.Advised(r.place().Asks[0], nil, time.Second, r.now)
+		r.now = r.now.Add(2 * time.Second)
+		Expect(r.place().Asks).To(BeEmpty())
+	})
+
 	It("was lost while the owner changed if the former owner knew another life", func() {
 		spec := &flow.Spec{ID: "j", Queue: "q", Steps: []flow.Step{{Count: 1, Demand: demand(1000)}}}
 		for _, known := range []int64{before, after} {
--- a/driver/life_test.go
+++ b/driver/life_test.go
@@ -150,6 +150,28 @@
 		Expect(w.begins()).To(Equal(2))
 	})
 
+	ginkgo.It("is told to forget nothing when it is attached", func(ctx context.Context) {
+		w := newLives()
+		d := run(ctx, w)
+		do(d, "1")
+		w.mu.Lock()
+		w.addr = "nowhere"
+		close(w.changed)
+		w.changed = make(chan struct{})
+		w.mu.Unlock()
+		Eventually(func() bool { d.mu.Lock(); defer d.mu.Unlock(); return d.links["w"].attached }, "5s").Should(BeFalse())
+		w.restart("nowhere")
+		// An order of before reaches it late.
+		_, _ = w.Start(ctx, StartOrder{Task: flow.TaskID{Job: "1"}, Run: 1})
+		w.mu.Lock()
+		w.addr = "a"
+		w.mu.Unlock()
+		Eventually(func() int64 { d.mu.Lock(); defer d.mu.Unlock(); return d.links["w"].born }, "5s").Should(Equal(int64(bornAfter)))
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		Expect(w.forgot).To(BeFalse())
+	})
+
 	// known is a driver whose link to a worker is attached to a life, and runs nothing by itself.
 	known := func(ctx context.Context) (*Driver, *link) {
 		d := newDriver(ctx, newTable(), func() {})
@@ -178,7 +200,9 @@
 		Expect(answer(d, l, bornAfter, false)).To(Succeed())
 		Expect(l.attached).To(BeFalse())
 		Expect(l.born).To(Equal(int64(bornBefore)))
+		d.workerListChanged = false
 		Expect(answer(d, l, bornAfter, true)).To(Succeed())
+		Expect(d.workerListChanged).To(BeTrue(), "the next owner has to know")
 		Expect(l.born).To(Equal(int64(bornAfter)))
 		Expect(l.clockMS).To(Equal(int64(1)))
 	})
@@ -203,12 +227,56 @@
 		hear := func(ver uint64, born int64, addr string) {
 			d.heard(Entry{Ver: ver, Worker: cell.Worker{ID: "w", Born: born, Addr: addr, Pool: "p", Hall: "h"}}, time.Now())
 		}
-		hear(2, bornAfter, "b")
+		hear(2, bornAfter, "a")
 		Expect(l.attached).To(BeFalse())
-		Expect(l.addr).To(Equal("b"))
 		l.attached = true
-		hear(3, bornAfter, "b")
+		hear(3, bornAfter, "a")
 		Expect(l.attached).To(BeTrue())
+		hear(4, bornAfter, "b")
+		Expect(l.attached).To(BeFalse())
+		Expect(l.addr).To(Equal("b"))
+	})
+
+	ginkgo.It("is not over because another worker is at the address of before", func(ctx context.Context) {
+		d, l := known(ctx)
+		d.mu.Lock()
+		o, _ := d.startOrder(&cell.Start{Worker: "w", Task: flow.TaskID{Job: "0"}, Run: 1}, time.Now())
+		d.heard(Entry{Ver: 2, Worker: cell.Worker{ID: "w", Born: bornBefore, Addr: "b"}}, time.Now())
+		other := kind.New(kind.NotFound, "another life is at a")
+		d.ctx = ctx
+		d.startAnswered(&o, StartResult{Err: other})
+		Expect(d.links).To(HaveKey("w"))
+		d.mu.Unlock()
+		Expect(kind.Is(d.ofAddress(l, "a", other), kind.NotFound)).To(BeFalse())
+		Expect(kind.Is(d.ofAddress(l, "b", other), kind.NotFound)).To(BeTrue())
+	})
+
+	ginkgo.It("is missing here once its entry is in a rack of another cell", func(ctx context.Context) {
+		d, l := known(ctx)
+		d.Mine = func(rack string) bool { return rack != "theirs" }
+		d.readAll([]Entry{{Ver: 2, Worker: cell.Worker{ID: "w", Born: bornAfter, Addr: "b", Rack: "theirs"}}})
+		Expect(l.missing).NotTo(BeZero())
+	})
+
+	ginkgo.It("keeps its clock though an answer to the life before is read late", func(ctx context.Context) {
+		d, l := known(ctx)
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		o, _ := d.startOrder(&cell.Start{Worker: "w", Task: flow.TaskID{Job: "0"}, Run: 1}, time.Now())
+		l.fence++
+		l.life = life{born: bornAfter, clockMS: 1, clockAt: time.Now()}
+		d.ctx = ctx
+		d.startAnswered(&o, StartResult{Answer: StartAnswer{ClockMS: 5_000_001}})
+		Expect(l.clockMS).To(Equal(int64(1)))
+	})
+
+	ginkgo.It("is not ended by the upkeep that ended the life before", func(ctx context.Context) {
+		d, _ := known(ctx)
+		d.Over("w", bornBefore-1)
+		Expect(d.links).To(HaveKey("w"))
+		Expect(d.Life("w")).To(Equal(int64(bornBefore)))
+		d.Over("w", bornBefore)
+		Expect(d.links).NotTo(HaveKey("w"))
 	})
 
 	ginkgo.It("does not leave, by an entry of its own, because the life before did", func(ctx context.Context) {
