driver, upkeep, cmd: a hall that may change is read under the lock; a life is only followed where it is there

A hold read its worker's hall beside the lock, which a newer entry changes now. A wave took what a former owner knew of a worker for the life that followed the upkeep, while nobody was attached; its test is red without the check. explain tells of worker_reborn beside the lines of a request.

--- a/cmd/dewpass/explain.go
+++ b/cmd/dewpass/explain.go
@@ -92,7 +92,7 @@
 var beliefs = []string{
 	"cell_lease_taken", "cell_lease_lost", "cell_lease_not_released", "store", "paused", "suspended", "loaded",
 	"stopping", "started",
-	"worker_unreachable", "worker_dead", "lease_over",
+	"worker_unreachable", "worker_dead", "worker_reborn", "lease_over",
 }
 
 // explain prints the story of a request.
--- a/driver/carry_test.go
+++ b/driver/carry_test.go
@@ -202,7 +202,7 @@
 		d := newDriver(ctx, newTable(), func() {})
 		defer d.Close()
 		d.Workers, d.Carriers = t, carriers{t}
-		a, err := d.sendHold(ctx, "h", sentHold{HoldOrder: HoldOrder{Target: Target{Worker: "a"}}, limit: time.Second, carried: true})
+		a, err := d.sendHold(ctx, sentHold{HoldOrder: HoldOrder{Target: Target{Worker: "a"}}, hall: "h", limit: time.Second, carried: true})
 		Expect(err).NotTo(HaveOccurred())
 		Expect(a.ClockMS).To(Equal(int64(1)))
 	})
--- a/driver/empty.go
+++ b/driver/empty.go
@@ -29,13 +29,13 @@
 }
 
 // Life implements upkeep.Cell.
-func (d *Driver) Life(worker string) int64 {
+func (d *Driver) Life(worker string) (born int64, sure bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if l := d.links[worker]; l != nil && l.attached {
-		return l.born
+	if l := d.links[worker]; l != nil {
+		return l.born, l.attached
 	}
-	return 0
+	return 0, false
 }
 
 // Over implements upkeep.Cell.
--- a/driver/hold.go
+++ b/driver/hold.go
@@ -53,7 +53,7 @@
 	}
 	limit := d.orderTime(l, now)
 	// Where a carried hold brings no word of the worker it is sent from here as well.
-	send := sentHold{HoldOrder: o, sent: now, limit: limit, carried: !attach && d.carries(now), attach: attach, born: l.born}
+	send := sentHold{HoldOrder: o, sent: now, limit: limit, carried: !attach && d.carries(now), attach: attach, hall: l.hall, born: l.born}
 	wanted, anew := context.WithCancel(ctx)
 	defer anew()
 	l.anew = anew
@@ -71,6 +71,8 @@
 	sent            time.Time
 	limit           time.Duration
 	carried, attach bool
+	// hall is the worker's, as its link may learn of another one meanwhile.
+	hall string
 	// born is that of the life that is known, 0 if it is not, or does not say.
 	born int64
 }
@@ -97,7 +99,7 @@
 	done := make(chan error, 1)
 	d.spawn(func() {
 		defer cancel()
-		a, err := d.sendHold(holding, l.hall, h)
+		a, err := d.sendHold(holding, h)
 		if err == nil {
 			err = d.held(l, h.HoldOrder, a, h.sent, h.attach)
 		}
@@ -131,11 +133,11 @@
 
 // sendHold sends a hold, by another instance if carried is set. A hold that is renewed may be
 // sent twice: it orders nothing.
-func (d *Driver) sendHold(ctx context.Context, hall string, h sentHold) (HoldAnswer, error) {
+func (d *Driver) sendHold(ctx context.Context, h sentHold) (HoldAnswer, error) {
 	o := h.HoldOrder
 	if h.carried {
 		within, cancel := answerWithin(ctx, o.Wait+h.limit+carryTakes)
-		a, done, err := d.Carriers.Hold(within, hall, o, h.limit)
+		a, done, err := d.Carriers.Hold(within, h.hall, o, h.limit)
 		cancel()
 		// A carrier of an earlier build leaves out which life has answered.
 		done = done && (err != nil || a.Lists.Born != 0 || h.born == 0)
--- a/upkeep/record.go
+++ b/upkeep/record.go
@@ -91,16 +91,16 @@
 }
 
 // returned returns the machines whose worker is back under the id that it had. The list of machines
-// may be of before the upkeep; life returns the life that a worker is known to have now, 0 if
-// none is.
-func (b Record) returned(all list, life func(worker string) int64) []string {
+// may be of before the upkeep; life returns the life that a worker is known to have, and whether
+// that is sure.
+func (b Record) returned(all list, life func(worker string) (int64, bool)) []string {
 	var out []string
 	for name, e := range b {
 		m := all[name]
 		if !e.Begun || e.Back || !m.Up || m.Worker != e.Worker || e.Born == 0 {
 			continue
 		}
-		if now := life(m.Worker); now != 0 && now != e.Born {
+		if now, sure := life(m.Worker); sure && now != 0 && now != e.Born {
 			out = append(out, name)
 		}
 	}
--- a/upkeep/runner.go
+++ b/upkeep/runner.go
@@ -54,8 +54,9 @@
 	Empty(workers []string, patience time.Duration)
 	// Emptied reports whether a worker may go.
 	Emptied(worker string) bool
-	// Life returns when the life of a worker that is attached began, 0 if it is not, or not said.
-	Life(worker string) int64
+	// Life returns when the last life that is known of a worker began, 0 if it does not say, and
+	// whether that one is surely there now.
+	Life(worker string) (born int64, sure bool)
 	// Over says that a life of a worker has ended.
 	Over(worker string, born int64)
 }
@@ -154,7 +155,7 @@
 // begin takes a slot for a machine and asks for its upkeep.
 func (r *Runner) begin(ctx context.Context, w *Wave, p *page, m Machine) error {
 	before, again := p.Record[m.Name]
-	born := r.Cell.Life(m.Worker)
+	born, _ := r.Cell.Life(m.Worker)
 	sameLife := !again || (before.Worker == m.Worker && before.Born == born)
 	if err := r.write(ctx, w.Number, p, m.Name, &Slot{Worker: m.Worker, Born: born}); err != nil {
 		return err
--- a/upkeep/upkeep_test.go
+++ b/upkeep/upkeep_test.go
@@ -56,12 +56,14 @@
 	over    []string
 	// lives are the present lives of workers that say when they began.
 	lives map[string]int64
+	// away are workers that are not there now.
+	away map[string]bool
 }
 
 func (c *cell) Empty(workers []string, _ time.Duration) { c.emptied = workers }
 func (c *cell) Emptied(w string) bool                   { return !c.busy[w] }
 func (c *cell) Over(w string, _ int64)                  { c.over = append(c.over, w) }
-func (c *cell) Life(w string) int64                     { return c.lives[w] }
+func (c *cell) Life(w string) (int64, bool)             { return c.lives[w], !c.away[w] }
 
 // shelf is a store of one row.
 type shelf struct {
@@ -139,7 +141,10 @@
 		c.lives["w0"] = 0
 		Expect(step()).To(Succeed())
 		Expect(s.orders).To(HaveLen(1), "nobody is there")
-		c.lives["w0"] = 20
+		c.lives["w0"], c.away = 5, map[string]bool{"w0": true}
+		Expect(step()).To(Succeed())
+		Expect(s.orders).To(HaveLen(1), "what a former owner knew may be of before")
+		c.lives["w0"], c.away = 20, nil
 		Expect(step()).To(Succeed())
 		Expect(s.orders).To(HaveLen(2))
 		c.lives["w1"] = 21
