--- a/test/cluster/soak_test.go
+++ b/test/cluster/soak_test.go
@@ -371,11 +371,11 @@
 		case j.cancelled:
 			Eventually(func() string { return s.state(j.id) }).Should(BeElementOf("canceled", "succeeded", "failed"), j.id)
 		case j.crashes:
-			s.wantState(j.id, "failed")
+			s.wantEnd(j.id, "failed")
 		case s.failedTwice(j.id):
-			s.wantState(j.id, "failed")
+			s.wantEnd(j.id, "failed")
 		default:
-			s.wantState(j.id, "succeeded")
+			s.wantEnd(j.id, "succeeded")
 		}
 	}
 	Eventually(s.running, "10s").Should(BeZero(), "nothing of a job that is over goes on")
@@ -396,6 +396,22 @@
 	}
 }
 
+// wantEnd is wantState, which tells on failure what the workers saw of the job.
+func (s *soak) wantEnd(id, state string) {
+	GinkgoHelper()
+	Eventually(func() string { return s.state(id) }).Should(Equal(state), func() string {
+		var out strings.Builder
+		fmt.Fprintln(&out, id)
+		for _, e := range s.world.Book.Starts() {
+			if strings.HasPrefix(e.Task, id) {
+				fmt.Fprintf(&out, "%6.2f to %6.2f %s run %d on %s: %s, observed %v, lapsed %v\n",
+					e.Begun.Sub(s.begun).Seconds(), e.Ended.Sub(s.begun).Seconds(), e.Task, e.Run, e.Worker, e.How, e.Observed, e.Lapsed)
+			}
+		}
+		return out.String()
+	})
+}
+
 // attempts is how many failures of a task the configuration allows before its job has failed.
 const attempts = 2
 
