cell: what workers list of a job before it is known is kept until it is

Cause: an owner that did not know yet that it is none could be told of a job and start it after the next owner had read the jobs.

Change: ends of unknown jobs are kept for 30 s, at most 4,096, and taken in with the job; a stray run is given to its task when its job becomes known.

--- a/cell/cell.go
+++ b/cell/cell.go
@@ -53,6 +53,8 @@
 	unkept map[string]*job
 	// over holds the jobs that were retired.
 	over map[string]over
+	// early holds the ends that workers listed of jobs that are not known yet.
+	early []earlyEnd
 	// open holds the stages that have tasks waiting or soon will have.
 	open []*stage
 	// firstRun is added to the number of every run, so that it is above all
--- /dev/null
+++ b/cell/early.go
@@ -0,0 +1,75 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package cell
+
+import (
+	"slices"
+	"time"
+
+	"dewpass.org/flow"
+)
+
+// A former owner that did not know yet that it is none may have been told of a job and started
+// tasks of it, after the present owner read its jobs. The workers then list runs and ends of a job
+// that is not known here. They are kept until the job is: an end that were only acknowledged would
+// be lost, and its task would run again.
+
+const (
+	// earlyKept is for how long ends of unknown jobs are kept: several times as long as it
+	// takes an owner to find a job that nobody told it of.
+	earlyKept = 30 * time.Second
+	// earlyMost bounds them.
+	earlyMost = 4096
+)
+
+// earlyEnd is an end that a worker listed of a job that was not known.
+type earlyEnd struct {
+	Finished
+	worker *worker
+	at     time.Time
+}
+
+// keepEarly keeps the end of a run of a job that is not known.
+func (c *Cell) keepEarly(w *worker, f Finished, now time.Time) {
+	c.early = slices.DeleteFunc(c.early, func(e earlyEnd) bool { return now.Sub(e.at) > earlyKept })
+	if over := len(c.early) + 1 - earlyMost; over > 0 {
+		c.early = slices.Delete(c.early, 0, over)
+	}
+	c.early = append(c.early, earlyEnd{f, w, now})
+}
+
+// takeEarly takes in what was listed of a job before it was known.
+func (c *Cell) takeEarly(j *job, now time.Time) {
+	for _, e := range c.early {
+		if e.Task.Job == j.spec.ID {
+			c.endOfTask(e.worker, e.Finished, now)
+		}
+	}
+	c.early = slices.DeleteFunc(c.early, func(e earlyEnd) bool { return e.Task.Job == j.spec.ID })
+	for _, w := range c.order {
+		if w.strays == 0 {
+			continue
+		}
+		for _, r := range w.held {
+			if r.stage.stray && r.stage.job.spec.ID == j.spec.ID {
+				c.claimStray(r, now)
+			}
+		}
+	}
+}
+
+// claimStray gives a run to the step of its job, which is known by now.
+func (c *Cell) claimStray(r *run, now time.Time) {
+	s := c.stage(flow.StepID{Job: r.stage.job.spec.ID, Time: r.stage.time, Step: r.stage.step})
+	if s == nil || r.index >= len(s.tasks) || s.tasks[r.index].state == taskElsewhere {
+		return
+	}
+	r.w.strays--
+	r.stage, r.taken = s, s.def.Room()
+	r.w.free = r.w.free.Sub(r.taken)
+	if s.def.Fills {
+		r.w.fills++
+	}
+	s.job.began = true
+	c.bind(r, now)
+}
--- a/cell/ends.go
+++ b/cell/ends.go
@@ -17,6 +17,15 @@
 		c.note(r, RunEndListed)
 		c.drop(r)
 	}
+	if !c.Known(f.Task.Job) {
+		c.keepEarly(w, f, now)
+		return
+	}
+	c.endOfTask(w, f, now)
+}
+
+// endOfTask takes in the end of a run of a job that is known.
+func (c *Cell) endOfTask(w *worker, f Finished, now time.Time) {
 	s := c.stage(flow.StepID{Job: f.Task.Job, Time: f.Task.Time, Step: f.Task.Step})
 	if s == nil || f.Task.Index >= len(s.tasks) {
 		return
--- a/cell/job.go
+++ b/cell/job.go
@@ -247,6 +247,7 @@
 	if j.left == 0 {
 		c.finish(j, flow.Succeeded, now)
 	}
+	c.takeEarly(j, now)
 	return j
 }
 
--- a/cell/unknown_test.go
+++ b/cell/unknown_test.go
@@ -22,3 +22,21 @@
 	r.add("j", flow.Step{Count: 1, Demand: demand(1000)})
 	g.Expect(r.startAll()).To(BeEmpty())
 }
+
+func TestWhatRanBeforeItsJobWasKnownIsNotStartedBesideItself(t *testing.T) {
+	g := NewWithT(t)
+	r := newRig(0)
+	r.heard("w0", func(*Worker) {})
+	r.heard("w1", func(*Worker) {})
+	task := flow.TaskID{Job: "j"}
+	r.Attached("w0", Lists{Running: []Running{{Task: task, Run: 8193}}}, r.now)
+	r.Attached("w1", Lists{}, r.now)
+	r.add("j", flow.Step{Count: 1, Demand: demand(1000)})
+	g.Expect(r.startAll()).To(BeEmpty())
+	state, _ := r.State("j")
+	g.Expect(state).To(Equal(flow.Running))
+	r.Listed("w0", Lists{Finished: []Finished{{Number: 1, Task: task, Run: 8193, How: flow.EndDone}}}, r.now, r.now)
+	r.save()
+	state, _ = r.State("j")
+	g.Expect(state).To(Equal(flow.Succeeded))
+}
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -383,17 +383,22 @@
 	r := &run{stage: s, index: row.Task.Index, n: row.Run, w: w, decided: now, taken: s.def.Room()}
 	w.hold(r)
 	c.restless = true
-	if s.stray {
-		return r
+	if !s.stray {
+		c.bind(r, now)
 	}
-	t := &s.tasks[row.Task.Index]
+	return r
+}
+
+// bind gives a run that is held to its task.
+func (c *Cell) bind(r *run, now time.Time) {
+	s := r.stage
+	t := &s.tasks[r.index]
 	if t.state == taskWaiting {
 		s.setWaiting(t, false)
 		t.state = taskActive
 	}
 	t.runs = append(t.runs, r)
-	t.last = max(t.last, row.Run-c.firstRun)
-	s.onWorker(w, 1)
+	t.last = max(t.last, r.n-c.firstRun)
+	s.onWorker(r.w, 1)
 	c.try(r, now)
-	return r
 }
