cell: a task on trial gets no copies while its worker is out of reach

Losses that count as several together only made it later, they were not the cause.

Change: no copy of a task that is on trial.

Result: the new test has 6 crashes of one task on the code before (three starts after the third crash), 5 at most with the change.

--- a/cell/crash_test.go
+++ b/cell/crash_test.go
@@ -128,6 +128,27 @@
 	g.Expect(most).To(BeNumerically("<=", 3))
 }
 
+func TestCopiesAreNotStartedWhileLossesOfTheirTaskAreNotKnown(t *testing.T) {
+	const tasks = 4
+	for seed := range uint64(10) {
+		g := NewWithT(t)
+		s := newCrashSim(seed, 16, 8)
+		// Another life is there seconds after a copy would be started elsewhere.
+		s.downFor, s.length = 3300*time.Millisecond, 600*time.Millisecond
+		s.crashAfter = func(t flow.TaskID) time.Duration {
+			return map[int]time.Duration{tasks - 1: 10 * time.Millisecond}[t.Index]
+		}
+		var jobs []string
+		for i := range 40 {
+			jobs = append(jobs, fmt.Sprintf("bad%d", i))
+			s.add(jobs[i], flow.Step{Count: tasks, Demand: demand(1000), Copies: true})
+			s.run(150 * time.Millisecond)
+		}
+		g.Expect(s.run(2*time.Minute, jobs...)).To(BeTrue(), "seed %d", seed)
+		g.Expect(s.latest()).To(BeNumerically("<=", startsMost), "seed %d", seed)
+	}
+}
+
 func TestTaskThatLastsAndCrashesItsWorkersIsGivenUp(t *testing.T) {
 	g := NewWithT(t)
 	s := newCrashSim(1, 4, 2)
--- a/cell/stop.go
+++ b/cell/stop.go
@@ -209,7 +209,8 @@
 			continue
 		}
 		t := &r.stage.tasks[r.index]
-		if t.state != taskActive || len(t.runs) > 1 {
+		if t.state != taskActive || len(t.runs) > 1 || r.stage.onTrial(t) {
+			// A trial has to show what it did before the next one.
 			continue
 		}
 		r.stage.setWaiting(t, true)
