config, platform, cell: client accounts with keys, limits and shares

Change: the configuration's accounts are read once; keys are kept and compared as hashes. A call without a known key to a queue that is not open is answered 401 at once, or 503 by an instance that has not heard the store for 2 s and may have missed the key. Every run is charged to its account from the decision to start it until it is surely over; what a former owner may have started counts until it is known. Jobs beyond an account's weight a second come after all others as urgent. A configuration without accounts needs no keys, as before.

--- /dev/null
+++ b/cell/account_test.go
@@ -0,0 +1,151 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package cell
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"dewpass.org/flow"
+	"dewpass.org/sched"
+)
+
+// accounts configures client accounts beside the queue of a rig.
+func (r *rig) accounts(accounts ...Account) {
+	r.Configure([]Queue{
+		{Name: "q", Pool: "p", MaxAttempts: 2, Stretch: 1.5, Target: time.Second},
+		{Name: "batch", Pool: "p", Priority: 2, MaxAttempts: 2, Stretch: 1.5, Target: time.Second},
+	}, accounts...)
+}
+
+// addFor submits a job of an account and has it kept.
+func (r *rig) addFor(account, id string, steps ...flow.Step) {
+	r.Submit(&flow.Spec{ID: id, Queue: "q", Account: account, Steps: steps}, r.now, r.now)
+	r.Keep(id)
+}
+
+func limit(cpu, mem int64) sched.Vec { return sched.Vec{sched.Milli: cpu, sched.MiB: mem} }
+
+func TestAccountRunsNoMoreThanItsLimit(t *testing.T) {
+	g := NewWithT(t)
+	r := newRig(4)
+	r.accounts(Account{Name: "a", Limit: limit(3000, 0)}, Account{Name: "b"})
+	r.addFor("a", "ja", flow.Step{Count: 8, Demand: demand(1000)})
+	r.addFor("b", "jb", flow.Step{Count: 4, Demand: demand(1000)})
+	starts := r.startAll()
+	g.Expect(starts).To(HaveLen(3 + 4))
+	for _, s := range starts {
+		if s.Task.Job == "ja" {
+			r.end(s, flow.EndDone)
+			break
+		}
+	}
+	g.Expect(r.startAll()).To(HaveLen(1), "one has ended")
+}
+
+func TestRunThatIsBeingStoppedOrMayHaveBegunCountsForTheLimit(t *testing.T) {
+	g := NewWithT(t)
+	r := newRig(2)
+	r.accounts(Account{Name: "a", Limit: limit(1000, 0)})
+	r.addFor("a", "j1", flow.Step{Count: 1, Demand: demand(1000)})
+	first := r.startAll()
+	r.Unsure(first[0].Worker, r.now)
+	r.addFor("a", "j2", flow.Step{Count: 1, Demand: demand(1000)})
+	g.Expect(r.startAll()).To(BeEmpty(), "the first may run")
+	r.Attached(first[0].Worker, Lists{Running: []Running{{Task: first[0].Task, Run: first[0].Run}}}, r.now)
+	r.Cancel("j1", r.now)
+	g.Expect(r.startAll()).To(BeEmpty(), "the first is being stopped")
+	r.end(first[0], flow.EndStopped)
+	g.Expect(r.startAll()).To(HaveLen(1))
+}
+
+func TestWhatAFormerOwnerMayHaveStartedCountsForTheLimit(t *testing.T) {
+	g := NewWithT(t)
+	r := newRig(0)
+	r.accounts(Account{Name: "a", Limit: limit(2000, 0)}, Account{Name: "b", Limit: limit(2000, 0)})
+	r.heard("w0", func(*Worker) {})
+	r.heard("w1", func(w *Worker) { w.Hall = "far" })
+	r.Attached("w0", Lists{}, r.now)
+	r.Restore(&flow.Spec{ID: "old", Queue: "q", Account: "a", Hall: "far", Steps: []flow.Step{{Count: 2, Demand: demand(1000)}}}, nil, r.now, r.now)
+	r.addFor("a", "new", flow.Step{Count: 1, Demand: demand(1000)})
+	r.addFor("b", "other", flow.Step{Count: 1, Demand: demand(1000)})
+	starts := r.startAll()
+	g.Expect(starts).To(HaveLen(1))
+	g.Expect(starts[0].Task.Job).To(Equal("other"))
+	r.Attached("w1", Lists{}, r.now)
+	g.Expect(r.startAll()).To(HaveLen(2), "nothing of it ran")
+}
+
+func TestGangDoesNotStartBeyondTheLimitOfItsAccount(t *testing.T) {
+	g := NewWithT(t)
+	r := newRig(4)
+	r.accounts(Account{Name: "a", Limit: limit(3000, 0)})
+	r.addFor("a", "one", flow.Step{Count: 1, Demand: demand(1000)})
+	first := r.startAll()
+	r.addFor("a", "gang", flow.Step{Count: 3, Demand: demand(1000), Gang: true})
+	g.Expect(r.startAll()).To(BeEmpty())
+	r.end(first[0], flow.EndDone)
+	g.Expect(r.startAll()).To(HaveLen(3))
+}
+
+func TestTaskLargerThanTheLimitOfItsAccountStartsAlone(t *testing.T) {
+	g := NewWithT(t)
+	r := newRig(4)
+	r.accounts(Account{Name: "a", Limit: limit(500, 0)})
+	r.addFor("a", "j", flow.Step{Count: 2, Demand: demand(1000)})
+	g.Expect(r.startAll()).To(HaveLen(1))
+}
+
+func TestLimitThatFallsEndsNothing(t *testing.T) {
+	g := NewWithT(t)
+	r := newRig(4)
+	r.accounts(Account{Name: "a", Limit: limit(3000, 0)})
+	r.addFor("a", "j", flow.Step{Count: 8, Demand: demand(1000)})
+	g.Expect(r.startAll()).To(HaveLen(3))
+	r.accounts(Account{Name: "a", Limit: limit(1000, 0)})
+	a := r.place()
+	g.Expect(a.Starts).To(BeEmpty())
+	g.Expect(a.Stops).To(BeEmpty())
+	r.accounts()
+	g.Expect(r.startAll()).To(BeEmpty(), "an account that is gone keeps its limit")
+}
+
+func TestAccountThatSendsManyTimesItsShareDelaysNoOther(t *testing.T) {
+	g := NewWithT(t)
+	r := newRig(2)
+	r.accounts(Account{Name: "hot", Weight: 2}, Account{Name: "calm", Weight: 2})
+	r.addFor("calm", "filler", flow.Step{Count: 8, Demand: demand(1000)})
+	running := r.startAll()
+	for i := range 10 {
+		r.now = r.now.Add(100 * time.Millisecond)
+		r.addFor("hot", fmt.Sprintf("hot%d", i), flow.Step{Count: 1, Demand: demand(1000)})
+	}
+	r.addFor("calm", "calm", flow.Step{Count: 1, Demand: demand(1000)})
+	order := make(map[string]int)
+	for i, s := range running {
+		r.end(s, flow.EndDone)
+		for _, next := range r.startAll() {
+			order[next.Task.Job] = i
+		}
+	}
+	// Two at once and one more within the second are hot's own.
+	g.Expect(order["calm"]).To(Equal(3))
+	g.Expect(order).To(HaveLen(8), "all room is used")
+}
+
+func TestBucketFollowsItsRate(t *testing.T) {
+	g := NewWithT(t)
+	var b bucket
+	now := time.Unix(1_000, 0)
+	taken := 0
+	for range 1000 {
+		now = now.Add(10 * time.Millisecond)
+		if b.take(5, now) {
+			taken++
+		}
+	}
+	g.Expect(taken).To(BeNumerically("~", 55, 1))
+}
--- a/cell/cell.go
+++ b/cell/cell.go
@@ -23,6 +23,8 @@
 	// A job is in time within Stretch times its longest chain plus Target.
 	Stretch float64
 	Target  time.Duration
+	// Open says that calls need no key of a client account.
+	Open bool
 	// Advice is nil unless a policy says which workers may run a step.
 	Advice *Advice
 }
@@ -44,6 +46,10 @@
 
 	queues  map[string]*Queue
 	workers map[string]*worker
+	// configured holds the client accounts of the configuration, accounts those that have or
+	// had jobs here.
+	configured map[string]Account
+	accounts   map[string]*account
 	// order holds the workers by their id, so that decisions repeat.
 	order []*worker
 	jobs  map[string]*job
@@ -103,6 +109,7 @@
 		queues:   make(map[string]*Queue),
 		workers:  make(map[string]*worker),
 		jobs:     make(map[string]*job),
+		accounts: make(map[string]*account),
 		over:     make(map[string]over),
 		unkept:   make(map[string]*job),
 		firstRun: firstRun,
@@ -110,8 +117,10 @@
 	}
 }
 
-// Configure sets the queues. A queue that is left out starts nothing any more.
-func (c *Cell) Configure(queues []Queue) {
+// Configure sets the queues and the client accounts. A queue that is left out starts nothing
+// any more.
+func (c *Cell) Configure(queues []Queue, accounts ...Account) {
+	c.setAccounts(accounts)
 	c.queues = make(map[string]*Queue, len(queues))
 	for i := range queues {
 		c.queues[queues[i].Name] = &queues[i]
--- a/cell/job.go
+++ b/cell/job.go
@@ -88,6 +88,10 @@
 
 type job struct {
 	spec *flow.Spec
+	// account is the client account that handed it in, nil if none is known, and beyond says
+	// that it came beyond its account's share.
+	account *account
+	beyond  bool
 	// share is the part of its tasks that are this cell's.
 	share flow.Share
 	// kept says that the store has the job; nothing starts before.
@@ -214,6 +218,8 @@
 func (c *Cell) add(spec *flow.Spec, rec *flow.Record, arrived, now time.Time) *job {
 	j := &job{spec: spec, state: flow.Pending, arrived: arrived, hall: spec.Hall}
 	j.share, _ = spec.Share(c.Name)
+	j.account = c.accountOf(spec.Account)
+	j.beyond = j.account.takeShare(arrived)
 	if rec != nil {
 		j.state, j.cancelled = rec.State, rec.Cancelled
 		j.began = rec.State != flow.Pending
--- a/cell/place.go
+++ b/cell/place.go
@@ -59,6 +59,7 @@
 	c.tidy()
 	c.sort(now)
 	unsettled, most, inDoubt := c.unsettled(), c.mostFree(), c.inDoubt()
+	c.countMaybe(&unsettled)
 	c.countTrials(now)
 	c.sendLeft, c.heldBack, c.asksMost = c.sendMost, false, asks
 	for _, w := range c.order {
@@ -91,6 +92,8 @@
 			why = HeldUp
 		case inDoubt[s]:
 			why = InDoubt
+		case s.limited():
+			why = LimitReached
 		case s.def.Gang:
 			c.placeGang(s, q, &a, now)
 		case !most.Covers(&room):
@@ -102,7 +105,10 @@
 			c.heldBack = true
 			why = LinkFull
 		}
-		if s.waiting > 0 && why != HeldUp && why != LinkFull {
+		if s.waiting > 0 && s.limited() {
+			why = LimitReached
+		}
+		if s.waiting > 0 && why != HeldUp && why != LinkFull && why != LimitReached {
 			c.askFor(s, q, &a, asks, now)
 			c.reserve(s, q, now)
 		}
@@ -176,11 +182,12 @@
 	return max(whole-ran, 0)
 }
 
-// rank orders stages, smaller first: by priority, then by whether they can still
-// be in time (0), count as late (1) or for nothing (2), then by the time that is
+// rank orders stages, smaller first: by priority, then those within the share of their client
+// account before those beyond it, then by whether they can still be in time (0), count as late (1) or for nothing (2), then by the time that is
 // left beyond the work still to do.
 type rank struct {
 	priority int
+	beyond   bool
 	late     int
 	slack    time.Duration
 }
@@ -190,7 +197,7 @@
 	if q == nil {
 		return rank{priority: lastPriority}
 	}
-	r := rank{priority: q.Priority}
+	r := rank{priority: q.Priority, beyond: s.job.beyond}
 	if s.def.Lasting {
 		r.slack = s.waitSince.Sub(now)
 		return r
@@ -220,6 +227,7 @@
 func compare(x, y *stage) int {
 	return cmp.Or(
 		cmp.Compare(x.rank.priority, y.rank.priority),
+		compareBools(x.rank.beyond, y.rank.beyond),
 		cmp.Compare(x.rank.late, y.rank.late),
 		cmp.Compare(x.rank.slack, y.rank.slack),
 		cmp.Compare(x.job.spec.ID, y.job.spec.ID),
@@ -227,6 +235,17 @@
 	)
 }
 
+// compareBools orders false before true.
+func compareBools(x, y bool) int {
+	switch {
+	case x == y:
+		return 0
+	case y:
+		return -1
+	}
+	return 1
+}
+
 // placeTasks starts as many of the tasks of s as find room.
 func (c *Cell) placeTasks(s *stage, q *Queue, a *Actions, now time.Time) {
 	c.chooseHall(s, q, now)
@@ -244,7 +263,7 @@
 		if !which(t) || !c.mayTry(s, i, now) {
 			continue
 		}
-		if c.sendLeft <= 0 {
+		if c.sendLeft <= 0 || s.limited() {
 			return
 		}
 		w, ticket := c.choose(s, t, q, now)
--- a/cell/wait.go
+++ b/cell/wait.go
@@ -29,6 +29,8 @@
 	NoAdvice Why = "no_advice"
 	// LinkFull: as many orders are under way as this instance's link carries in time.
 	LinkFull Why = "link_full"
+	// LimitReached: the client account has as much running as it may.
+	LimitReached Why = "limit_reached"
 	// NotWritten: the store has not been told of the hall.
 	NotWritten Why = "not_written"
 )
@@ -50,6 +52,10 @@
 	// Unfit those that the policy does not let run it, and Unasked those of which it was
 	// not asked.
 	Allowed, Expired, Unfit, Unasked Candidates
+	// Account is what the job's client account has running, and Beyond says that the job came
+	// beyond its share.
+	Account AccountUse
+	Beyond  bool
 }
 
 // Candidates counts workers of a step's pool that have what it needs.
@@ -70,7 +76,8 @@
 		why = c.whyNone(s, now)
 	}
 	w := Wait{Step: s.id(), Why: why, Tasks: s.waiting, For: waited, Reserved: len(s.reserved.workers),
-		Asks: c.asks, LongAsks: c.longAsks, AsksMost: c.asksMost, Asking: s.advice.asking}
+		Asks: c.asks, LongAsks: c.longAsks, AsksMost: c.asksMost, Asking: s.advice.asking,
+		Account: s.job.account.use(), Beyond: s.job.beyond}
 	c.countCandidates(s, &w, now)
 	a.Waits = append(a.Waits, w)
 }
--- a/cluster/accept.go
+++ b/cluster/accept.go
@@ -64,7 +64,7 @@
 		n.kit.Scope.Counter("jobs_not_kept_total").Inc(1)
 		return err
 	}
-	level.Info(n.kit.Log).Log("event", "accepted", "job", spec.ID, "queue", spec.Queue, "cell", k.cells[0], "cells", len(k.cells), "fresh", k.fresh, "version", k.ver, "took_ms", clock.Since(begun).Milliseconds())
+	level.Info(n.kit.Log).Log("event", "accepted", "job", spec.ID, "queue", spec.Queue, "account", spec.Account, "config", n.config.Version(), "cell", k.cells[0], "cells", len(k.cells), "fresh", k.fresh, "version", k.ver, "took_ms", clock.Since(begun).Milliseconds())
 	n.kit.Scope.Counter("jobs_accepted_total").Inc(1)
 	n.kit.Scope.Histogram("accept_seconds", telemetry.Latency()).RecordDuration(clock.Since(begun))
 	n.homes.set(spec.ID, k.cells)
--- a/cluster/configs.go
+++ b/cluster/configs.go
@@ -11,6 +11,7 @@
 	"dewpass.org/config"
 	"dewpass.org/internal/clock"
 	"dewpass.org/kind"
+	"dewpass.org/retry"
 	"dewpass.org/telemetry"
 	"dewpass.org/wire"
 )
@@ -53,12 +54,33 @@
 	if c == nil || !n.config.Install(c) {
 		return
 	}
-	level.Info(n.kit.Log).Log("event", "config", "version", c.Version, "queues", len(c.Queues), "bytes", len(c.Raw), "from", from)
+	level.Info(n.kit.Log).Log("event", "config", "version", c.Version, "queues", len(c.Queues), "accounts", len(c.Accounts), "bytes", len(c.Raw), "from", from)
 	for _, own := range n.owned() {
-		own.driver.Configure(c.CellQueues())
+		n.configure(own.driver)
 	}
 }
 
+// configTrusted is for how long after the store's feed was last heard this instance may tell a
+// caller that its key is not known, rather than that it cannot know.
+const configTrusted = 2 * time.Second
+
+// Unauthorized returns the error for a call to a queue with a key that is not known, or none. An
+// instance that may have missed a change of the configuration does not say that a key is wrong:
+// the key may be newer than what it has.
+func (n *Instance) Unauthorized(queue string) error {
+	heard := n.configHeard.Load()
+	age := clock.Since(n.began)
+	if heard != nil {
+		age = clock.Since(*heard)
+	}
+	n.kit.Scope.Counter("calls_unauthorized_total").Inc(1)
+	level.Info(n.kit.Log).Log("event", "unauthorized", "queue", queue, "config", n.config.Version(), "age_ms", age.Milliseconds())
+	if heard == nil || age > configTrusted {
+		return kind.New(kind.Unavailable, "the configuration may be older than the key").After(retry.Least)
+	}
+	return kind.New(kind.Unauthorized, "the queue needs a valid key of a client account")
+}
+
 // followConfig takes in the changes as the store tells them.
 func (n *Instance) followConfig(ctx context.Context) {
 	var f feedState
@@ -70,6 +92,10 @@
 		c, from, at, err := n.nextConfig(ctx, whole, f.position)
 		n.transferred(c, from, begun, err)
 		f.took(whole, at, err, clock.Now())
+		if err == nil {
+			now := clock.Now()
+			n.configHeard.Store(&now)
+		}
 		if c == nil && clock.Since(begun) < configSoon {
 			// It failed at once, or did not wait.
 			sleep(ctx, configSoon)
--- a/cluster/instance.go
+++ b/cluster/instance.go
@@ -72,6 +72,9 @@
 	fetching atomic.Bool
 	// arriving is when the store's answer with the configuration last brought something.
 	arriving atomic.Pointer[time.Time]
+	// configHeard is when the store last said what the configuration is, or that it has not
+	// changed.
+	configHeard atomic.Pointer[time.Time]
 	// configLogged is when a line was last logged on a configuration that was not read.
 	configLogged atomic.Pointer[time.Time]
 	badRows      *badRows
--- a/cluster/own.go
+++ b/cluster/own.go
@@ -50,21 +50,26 @@
 		LoadTimedOut: func() { n.giveUp(name, d, c) },
 		Log:          n.kit.Log, Scope: n.kit.Scope,
 	})
-	if conf := n.config.Now(); conf != nil {
-		d.Configure(conf.CellQueues())
-	}
+	n.configure(d)
 	n.mu.Lock()
 	n.cells[name] = &ownCell{driver: d, claim: c}
 	n.mu.Unlock()
 	// A version that came in between is set again.
-	if conf := n.config.Now(); conf != nil {
-		d.Configure(conf.CellQueues())
-	}
+	n.configure(d)
 	d.Start()
 	// Those that answer can ask the policy for this owner at once.
 	go n.greet(context.Background())
 }
 
+// configure gives a cell the newest configuration. Each cell has an equal part of the limits of
+// client accounts: no owner has to ask another one before a start, nor for how long one that
+// is cut off goes on.
+func (n *Instance) configure(d *driver.Driver) {
+	if conf := n.config.Now(); conf != nil {
+		d.Configure(conf.CellQueues(), conf.CellAccounts(len(n.division.cells()))...)
+	}
+}
+
 // heardByAll reports whether every other instance that was heard lately has answered the
 // last greetings, or may not take a cell so soon after its last write, and so will not take
 // it from this one.
--- a/config/config.go
+++ b/config/config.go
@@ -34,9 +34,14 @@
 	Version uint64
 	Queues  []Queue
 	Limits  Limits
+	// Accounts are the client accounts, and Keyed says that queues which are not open need one.
+	Accounts []cell.Account
+	Keyed    bool
 	// Raw is the document that it was read from.
 	Raw []byte
 
+	// keys holds the name of the account of each key.
+	keys   map[KeyHash]string
 	hosts  map[string][]*Queue
 	once   sync.Once
 	packed []byte
--- a/driver/driver.go
+++ b/driver/driver.go
@@ -214,10 +214,10 @@
 	return d.kept
 }
 
-// Configure sets the queues.
-func (d *Driver) Configure(queues []cell.Queue) {
+// Configure sets the queues and the client accounts.
+func (d *Driver) Configure(queues []cell.Queue, accounts ...cell.Account) {
 	d.mu.Lock()
-	d.cell.Configure(queues)
+	d.cell.Configure(queues, accounts...)
 	d.mu.Unlock()
 	notify(d.wake)
 }
--- a/driver/events.go
+++ b/driver/events.go
@@ -9,6 +9,7 @@
 
 	"dewpass.org/cell"
 	"dewpass.org/flow"
+	"dewpass.org/sched"
 )
 
 // logWaits logs what steps that have waited for long wait for.
@@ -21,7 +22,10 @@
 			"allowed", w.Allowed.All, "allowed_room", w.Allowed.Room, "allowed_yield", w.Allowed.Yield,
 			"expired", w.Expired.All, "expired_room", w.Expired.Room, "expired_yield", w.Expired.Yield,
 			"unasked", w.Unasked.All, "unasked_room", w.Unasked.Room, "unasked_yield", w.Unasked.Yield,
-			"unfit", w.Unfit.All, "unfit_room", w.Unfit.Room)
+			"unfit", w.Unfit.All, "unfit_room", w.Unfit.Room,
+			"account", w.Account.Name, "beyond_share", w.Beyond,
+			"account_cpu", w.Account.Used[sched.Milli], "maybe_cpu", w.Account.Maybe[sched.Milli], "limit_cpu", w.Account.Limit[sched.Milli],
+			"account_mem", w.Account.Used[sched.MiB], "maybe_mem", w.Account.Maybe[sched.MiB], "limit_mem", w.Account.Limit[sched.MiB])
 	}
 }
 
--- a/driver/load.go
+++ b/driver/load.go
@@ -3,6 +3,7 @@
 package driver
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -127,19 +128,24 @@
 		}
 		byID[r.Name] = rec
 	}
+	var jobs []*flow.Spec
 	for _, r := range specs {
 		spec, err := flow.DecodeSpec(r.Value)
 		if err != nil {
 			level.Error(d.Log).Log("event", "bad_spec", "job", r.Name, "err", err)
 			continue
 		}
-		if !d.runs(spec) || unreadable[r.Name] {
-			continue
+		if d.runs(spec) && !unreadable[r.Name] {
+			jobs = append(jobs, spec)
 		}
-		rec := byID[r.Name]
+	}
+	// Which jobs are within the share of their client account goes by their order.
+	slices.SortStableFunc(jobs, func(a, b *flow.Spec) int { return cmp.Compare(a.AcceptedMS, b.AcceptedMS) })
+	for _, spec := range jobs {
+		rec := byID[spec.ID]
 		d.cell.Restore(spec, rec, arrivedAt(spec, now), now)
 		if rec != nil && rec.State.Final() {
-			level.Info(d.Log).Log("event", "end_inherited", "job", r.Name, "epoch", d.Claim.Epoch(), "state", rec.State,
+			level.Info(d.Log).Log("event", "end_inherited", "job", spec.ID, "epoch", d.Claim.Epoch(), "state", rec.State,
 				"accepted_ms_ago", clock.Wall().UnixMilli()-spec.AcceptedMS)
 		}
 	}
--- a/flow/flow.go
+++ b/flow/flow.go
@@ -72,6 +72,8 @@
 type Spec struct {
 	ID    string `json:"id"`
 	Queue string `json:"queue"`
+	// Account names the client account that handed it in, "" if none is known.
+	Account string `json:"account,omitempty"`
 	// Cell names the cell that has the job.
 	Cell string `json:"cell,omitempty"`
 	// Shares names further cells that run a part of its tasks each; see Share. Cell alone
