cell, driver: what steps that start late have waited for

The half of the calls that came late on the shifted deployment wait for less than the 5 s after which step_waits tells of a step. Each step now sums up what it waits for at each decision; a counter by cause and priority has all that start 0.25 s late or more, a line those of 1 s.

--- a/cell/job.go
+++ b/cell/job.go
@@ -70,6 +70,8 @@
 	doneAt    time.Time
 	// chain is the estimate of the work from this step to the end of its job.
 	chain time.Duration
+	// waits is what it has waited for.
+	waits waits
 	// told is when it was last told that the stage waits.
 	told time.Time
 	// rank is the stage's place in the present order.
--- a/cell/place.go
+++ b/cell/place.go
@@ -45,6 +45,8 @@
 	Paces  []Pace
 	// Waits are steps that have waited for long and wait on.
 	Waits []Wait
+	// Late are steps of which the last task starts now, late.
+	Late []LateStart
 }
 
 // Place decides what to do now. At most asks questions are under way at once.
@@ -112,6 +114,11 @@
 			c.askFor(s, q, &a, asks, now)
 			c.reserve(s, q, now)
 		}
+		if s.waiting == 0 {
+			c.allStarted(s, q, &a, now)
+		} else {
+			s.waitsFor(c.whyWaits(s, why, now), now)
+		}
 		c.tell(s, why, &a, now)
 	}
 	c.askOldest(&a, asks, now)
--- a/driver/driver.go
+++ b/driver/driver.go
@@ -395,6 +395,7 @@
 		d.paceRun(a.Paces[i])
 	}
 	d.logWaits(a.Waits)
+	d.logLate(a.Late)
 	d.logChanges()
 	d.logLostRuns()
 	for i := range a.Asks {
--- a/driver/events.go
+++ b/driver/events.go
@@ -3,6 +3,7 @@
 package driver
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -29,6 +30,26 @@
 	}
 }
 
+// lateLogged is how long a step has waited for a line on it; the metrics have all.
+const lateLogged = time.Second
+
+// logLate counts what steps that started late have waited for, and logs the latest of them.
+func (d *Driver) logLate(late []cell.LateStart) {
+	for i := range late {
+		l := &late[i]
+		priority := strconv.Itoa(l.Priority)
+		fields := []any{"event", "started_late", "job", l.Step.Job, "step", l.Step.Step, "queue", l.Queue, "account", l.Account,
+			"priority", l.Priority, "tasks", l.Tasks, "waited_ms", l.Waited.Milliseconds()}
+		for why, waited := range l.For {
+			d.Scope.Tagged(map[string]string{"why": string(why), "priority": priority}).Counter("late_start_ms_total").Inc(waited.Milliseconds())
+			fields = append(fields, string(why)+"_ms", waited.Milliseconds())
+		}
+		if l.Waited >= lateLogged {
+			level.Info(d.Log).Log(fields...)
+		}
+	}
+}
+
 // logLeaseOver logs that the leases of a worker are over, with what runs there by its last word if
 // it has said that it leaves: such a run may have ended just before its worker. The lock is held.
 func (d *Driver) logLeaseOver(l *link, now time.Time) {
