cell: a question to the policy names as many workers as its step needs

Cause: on the shifted deployment the policy answers 1,444 s of questions in 55 s of 29 callers: nearly all that there is. Steps of batch, of 21 tasks, were asked about thirty workers at a time, of which a third may run them, at 0.5 s for the question and 7 ms for each worker; those known to be let run a step whose tickets had ended came in no order.

Change: a question names the workers that are likely to have room for twice the tasks that wait, 30 to 100, by the share of workers that the queue's policy was seen to let run a step; known ones come first.

--- a/cell/advice.go
+++ b/cell/advice.go
@@ -13,8 +13,13 @@
 )
 
 const (
-	// askMost bounds how many workers one question names.
-	askMost = 30
+	// askLeast is how many workers a question names at least, if it may name so many: fewer
+	// would shorten the answer by little. askMost bounds them.
+	askLeast = 30
+	askMost  = 100
+	// askSpare is how many times the tasks that wait a question looks for room: some of it
+	// is taken before the answer is there.
+	askSpare = 2
 	// ticketMargin is how long before its end a ticket is not used any more.
 	ticketMargin = 80 * time.Millisecond
 	// longAsk is from when on a question counts as long.
@@ -207,6 +212,7 @@
 		return
 	}
 	s.advice.asking = false
+	c.learn(s, &a, tickets)
 	if s.advice.asked == nil {
 		s.advice.asked = make(map[*worker]bool)
 	}
@@ -220,6 +226,26 @@
 	}
 }
 
+// learn takes in what an answer says of the policy of a queue.
+func (c *Cell) learn(s *stage, a *Ask, tickets []Ticket) {
+	p := c.policies[s.job.spec.Queue]
+	if p == nil {
+		p = new(policy)
+		c.policies[s.job.spec.Queue] = p
+	}
+	asked, good := 0, 0
+	for _, w := range a.lives {
+		if s.advice.asked[w] {
+			continue
+		}
+		asked++
+		if slices.ContainsFunc(tickets, func(t Ticket) bool { return t.Worker == w.ID }) {
+			good++
+		}
+	}
+	p.answered(asked, good)
+}
+
 // Unadvised says that a question had no answer.
 func (c *Cell) Unadvised(a Ask, now time.Time) {
 	c.sent(&a, -1)
@@ -266,15 +292,81 @@
 	if len(candidates) == 0 {
 		s.advice.after = now.Add(lookAgain)
 	}
-	a.lives = candidates[:min(len(candidates), askMost)]
+	a.lives = candidates[:c.askCount(s, candidates)]
 	for _, w := range a.lives {
 		a.Workers = append(a.Workers, w.ID)
 	}
 	return a
 }
 
-// askable returns the workers about which it is worth asking, those with the
-// most room first: any at first, then those that have room now, and no ticket
+// askCount returns how many of the candidates a question about s names: as many as are likely to
+// have room for its tasks. Of a long answer most is there however many are named, so that where
+// batch waits for the policy a second question about a step costs more than a wide one.
+func (c *Cell) askCount(s *stage, candidates []*worker) int {
+	share := c.policies[s.job.spec.Queue].share()
+	need := askSpare * float64(s.waiting)
+	for i, w := range candidates {
+		if i >= askMost || need <= 0 && i >= askLeast {
+			return i
+		}
+		fits := float64(s.fits(w))
+		if _, good := s.advice.find(w); !good {
+			fits *= share
+		}
+		need -= fits
+	}
+	return len(candidates)
+}
+
+// fits returns how many of the tasks of s that wait w has room for.
+func (s *stage) fits(w *worker) int {
+	room := s.def.Room()
+	most := s.waiting
+	if s.def.PerWorker > 0 {
+		most = min(most, s.def.PerWorker-s.carried[w])
+	}
+	free := w.free.Sub(w.reserved)
+	n := 0
+	for ; n < most && free.Covers(&room); n++ {
+		free = free.Sub(room)
+	}
+	return n
+}
+
+// policy is what answers of a queue's policy were like.
+type policy struct {
+	asked, good float64
+}
+
+const (
+	// policyKept is how many workers asked about a policy is known by: what it says shifts
+	// with the jobs that come.
+	policyKept = 1000
+	// policyPrior is the share of the workers that a policy is taken to let run a step before
+	// it has said much, and policyWeight the number of workers that this counts as.
+	policyPrior  = 0.5
+	policyWeight = 10
+)
+
+// answered takes in an answer about some workers that were not asked about before.
+func (p *policy) answered(asked, good int) {
+	if p.asked > policyKept {
+		p.asked, p.good = p.asked/2, p.good/2
+	}
+	p.asked += float64(asked)
+	p.good += float64(good)
+}
+
+// share returns which part of the workers the policy lets run a step.
+func (p *policy) share() float64 {
+	if p == nil {
+		return policyPrior
+	}
+	return (p.good + policyPrior*policyWeight) / (p.asked + policyWeight)
+}
+
+// askable returns the workers about which it is worth asking, those that are known to be let run s
+// first, then those with the most room: any at first, then those that have room now, and no ticket
 // that still holds, and were not found unfit.
 func (c *Cell) askable(s *stage, q *Queue, now time.Time) []*worker {
 	first := s.advice.asked == nil
@@ -295,7 +387,9 @@
 		out = append(out, w)
 	}
 	slices.SortStableFunc(out, func(x, y *worker) int {
-		return cmp.Compare(y.free[sched.Milli], x.free[sched.Milli])
+		_, knownX := s.advice.find(x)
+		_, knownY := s.advice.find(y)
+		return cmp.Or(compareBools(knownY, knownX), cmp.Compare(y.free[sched.Milli], x.free[sched.Milli]))
 	})
 	return out
 }
--- a/cell/cell.go
+++ b/cell/cell.go
@@ -70,6 +70,8 @@
 	// asks counts the questions under way, longAsks the long ones among them, and asksMost is
 	// how many there may be by the last decision.
 	asks, longAsks, asksMost int
+	// policies is what is known of the policies of queues, by queue.
+	policies map[string]*policy
 	// unasked are the steps that were left without a question during Place.
 	unasked []unasked
 	counts  Counts
@@ -110,6 +112,7 @@
 		workers:  make(map[string]*worker),
 		jobs:     make(map[string]*job),
 		accounts: make(map[string]*account),
+		policies: make(map[string]*policy),
 		over:     make(map[string]over),
 		unkept:   make(map[string]*job),
 		firstRun: firstRun,
--- a/cell/place.go
+++ b/cell/place.go
@@ -150,7 +150,7 @@
 	if q.Advice == nil {
 		return 0
 	}
-	return q.Advice.Decide + time.Duration(min(len(c.order), askMost))*q.Advice.Each + foresight
+	return q.Advice.Decide + time.Duration(min(len(c.order), askLeast))*q.Advice.Each + foresight
 }
 
 // opensWithin guesses whether the steps before s are done within d.
--- a/cell/replay_test.go
+++ b/cell/replay_test.go
@@ -34,6 +34,10 @@
 	fit map[string]float64
 	// thrown is the work that was stopped and not saved, in processor seconds.
 	thrown float64
+	// callers is how many questions to the policy there may be at once, 0 for replayCallers.
+	callers int
+	// asking is for how long the policy has worked.
+	asking time.Duration
 	// stops and asked count the orders to stop and the questions to the policy.
 	stops, asked int
 }
@@ -89,6 +93,8 @@
 	replayRestore = 600 * time.Millisecond
 	// replayKeep is how long it takes until an accepted job is known to be kept.
 	replayKeep = 12 * time.Millisecond
+	// replayCallers is how many instances ask the policy.
+	replayCallers = 9
 )
 
 func newReplay(seed uint64, queues []Queue, fit map[string]float64) *replay {
@@ -177,7 +183,7 @@
 
 func (r *replay) decide() {
 	r.Saved(r.Saves(100), true)
-	a := r.Place(r.now, r.now, 9)
+	a := r.Place(r.now, r.now, cmp.Or(r.callers, replayCallers))
 	for _, s := range a.Starts {
 		r.after(replayOrder, func() { r.begin(s) })
 	}
@@ -187,6 +193,7 @@
 	r.asked += len(a.Asks)
 	for _, ask := range a.Asks {
 		sent := r.now
+		r.asking += ask.Takes()
 		r.after(ask.Takes(), func() { r.answer(ask, sent) })
 	}
 	for _, o := range r.Ended() {
@@ -235,6 +242,9 @@
 		r.join(run)
 		return
 	}
+	if step.Lasting {
+		return
+	}
 	r.after(length+replayEnd, func() { r.end(run, flow.EndDone, "") })
 }
 
@@ -349,7 +359,7 @@
 func (j *replayJob) objective() time.Duration {
 	d := j.queue.Target + time.Duration(j.queue.Stretch*float64(len(j.spec.Steps))*float64(j.work))
 	if a := j.queue.Advice; a != nil {
-		d += a.Decide + askMost*a.Each
+		d += a.Decide + askLeast*a.Each
 	}
 	return d
 }
