cell: a question is worked out when it can be sent; the longest waiting get their part, no more

Change: a long question is worked out only if it may be sent; the questions for the longest waiting are counted apart.

The new spec is red before.

--- a/cell/advice.go
+++ b/cell/advice.go
@@ -99,6 +99,8 @@
 	Advice  Advice
 	// Priority is that of the queue.
 	Priority int
+	// oldest says that it was asked for how long its step had waited.
+	oldest bool
 	// lives are the workers that are asked about, in the order of Workers.
 	lives []*worker
 }
@@ -111,17 +113,25 @@
 // Long reports whether the answer takes long.
 func (a *Ask) Long() bool { return a.Takes() > longAsk }
 
+// alwaysLong reports whether the answer to any question takes long.
+func (a *Advice) alwaysLong() bool { return a.Decide+a.Each > longAsk }
+
 // maySend reports whether a question may be asked where about asks may be under way at
 // once, for the sake of its step's place in the order or of how long it has waited.
 func (c *Cell) maySend(a *Ask, asks int, oldest bool) bool {
 	if !a.Long() {
 		return c.maySendShort(asks)
 	}
+	return c.maySendLong(asks, oldest)
+}
+
+func (c *Cell) maySendLong(asks int, oldest bool) bool {
 	most := max(asks-max(asks/shortShare, 1), 1)
-	if !oldest {
-		most = max(most-most/oldestShare, 1)
+	forOldest := most / oldestShare
+	if oldest {
+		return c.asks < asks && c.longAsks < most && c.oldestAsks < max(forOldest, 1)
 	}
-	return c.asks < asks && c.longAsks < most
+	return c.asks < asks && c.longAsks < most && c.longAsks-c.oldestAsks < max(most-forOldest, 1)
 }
 
 func (c *Cell) maySendShort(asks int) bool {
@@ -147,30 +157,39 @@
 	if !c.maySendShort(asks) || !s.mayAsk(q, now) || len(s.opening) > 0 {
 		return
 	}
+	if q.Advice.alwaysLong() && !c.maySendLong(asks, false) {
+		// Whom to ask about is not worth finding out before the question can be sent.
+		c.unasked = append(c.unasked, unasked{s, q})
+		return
+	}
 	ask := c.ask(s, q, now)
 	switch {
 	case len(ask.Workers) == 0:
 	case c.maySend(&ask, asks, false):
 		c.send(s, &ask, a, now)
 	default:
-		c.unasked = append(c.unasked, unasked{s, ask})
+		c.unasked = append(c.unasked, unasked{s, q})
 	}
 }
 
-// unasked is a step about which a question would be asked if fewer were under way.
+// unasked is a step about which a question might be asked if fewer were under way.
 type unasked struct {
 	stage *stage
-	ask   Ask
+	queue *Queue
 }
 
 // askOldest asks about the steps that have waited longest for a question, of those that were
 // left out for their place in the order.
 func (c *Cell) askOldest(a *Actions, asks int, now time.Time) {
 	slices.SortStableFunc(c.unasked, func(x, y unasked) int { return x.stage.askedSince().Compare(y.stage.askedSince()) })
-	for i := range c.unasked {
-		u := &c.unasked[i]
-		if !u.stage.advice.asking && c.maySend(&u.ask, asks, true) {
-			c.send(u.stage, &u.ask, a, now)
+	for _, u := range c.unasked {
+		if u.stage.advice.asking || u.queue.Advice.alwaysLong() && !c.maySendLong(asks, true) {
+			continue
+		}
+		ask := c.ask(u.stage, u.queue, now)
+		if len(ask.Workers) > 0 && c.maySend(&ask, asks, true) {
+			ask.oldest = true
+			c.send(u.stage, &ask, a, now)
 		}
 	}
 	c.unasked = c.unasked[:0]
@@ -197,6 +216,9 @@
 	if a.Long() {
 		c.longAsks += by
 	}
+	if a.Long() && a.oldest {
+		c.oldestAsks += by
+	}
 }
 
 // Ticket lets a worker run a step.
@@ -292,8 +314,8 @@
 	if len(candidates) == 0 {
 		s.advice.after = now.Add(lookAgain)
 	}
-	a.lives = candidates[:c.askCount(s, candidates)]
-	for _, w := range a.lives {
+	for _, w := range candidates[:c.askCount(s, candidates)] {
+		a.lives = append(a.lives, w.worker)
 		a.Workers = append(a.Workers, w.ID)
 	}
 	return a
@@ -302,15 +324,15 @@
 // askCount returns how many of the candidates a question about s names: as many as are likely to
 // have room for its tasks. Of a long answer most is there however many are named, so that where
 // batch waits for the policy a second question about a step costs more than a wide one.
-func (c *Cell) askCount(s *stage, candidates []*worker) int {
+func (c *Cell) askCount(s *stage, candidates []askable) int {
 	share := c.policies[s.job.spec.Queue].share()
 	need := askSpare * float64(s.waiting)
 	for i, w := range candidates {
 		if i >= askMost || need <= 0 && i >= askLeast {
 			return i
 		}
-		fits := float64(s.fits(w))
-		if _, good := s.advice.find(w); !good {
+		fits := float64(s.fits(w.worker))
+		if !w.known {
 			fits *= share
 		}
 		need -= fits
@@ -368,32 +390,40 @@
 // askable returns the workers about which it is worth asking, those that are known to be let run s
 // first, then those with the most room: any at first, then those that have room now, and no ticket
 // that still holds, and were not found unfit.
-func (c *Cell) askable(s *stage, q *Queue, now time.Time) []*worker {
+func (c *Cell) askable(s *stage, q *Queue, now time.Time) []askable {
 	first := s.advice.asked == nil
 	room := s.def.Room()
-	var out []*worker
+	var out []askable
 	for _, w := range c.order {
 		if !w.usable() || !w.suits(s, q) {
 			continue
 		}
-		at, good := s.advice.find(w)
-		switch {
-		case first:
-		case !w.hasRoom(&room) && !c.soonFree(s, w, q, now) || !w.health.allows(len(w.runs), now) || s.full(w):
+		if first {
+			out = append(out, askable{worker: w})
 			continue
-		case s.advice.asked[w] && (!good || now.Before(s.advice.good[at].until)):
+		}
+		if !w.hasRoom(&room) && !c.soonFree(s, w, q, now) || !w.health.allows(len(w.runs), now) || s.full(w) {
 			continue
 		}
-		out = append(out, w)
+		at, known := s.advice.find(w)
+		if s.advice.asked[w] && (!known || now.Before(s.advice.good[at].until)) {
+			continue
+		}
+		out = append(out, askable{worker: w, known: known})
 	}
-	slices.SortStableFunc(out, func(x, y *worker) int {
-		_, knownX := s.advice.find(x)
-		_, knownY := s.advice.find(y)
-		return cmp.Or(compareBools(knownY, knownX), cmp.Compare(y.free[sched.Milli], x.free[sched.Milli]))
+	slices.SortStableFunc(out, func(x, y askable) int {
+		return cmp.Or(compareBools(y.known, x.known), cmp.Compare(y.free[sched.Milli], x.free[sched.Milli]))
 	})
 	return out
 }
 
+// askable is a worker about which it is worth asking, and whether it is known to be let run the
+// step.
+type askable struct {
+	*worker
+	known bool
+}
+
 // soonFree reports whether w, which is reserved for s, will have room by the time the answer
 // to a question is there.
 func (c *Cell) soonFree(s *stage, w *worker, q *Queue, now time.Time) bool {
--- a/cell/ask_share_test.go
+++ b/cell/ask_share_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
 
 	"dewpass.org/flow"
 )
@@ -14,11 +15,60 @@
 // unaskedMost is for how long a step may wait for its first question while workers have room.
 const unaskedMost = 3 * time.Second
 
+// Questions to the policy under which steps wait for theirs.
+const (
+	callers = 34
+	steps   = 80
+	// spreadStep is by how much each answer is later than the one before.
+	spreadStep = 37 * time.Millisecond
+)
+
+// askedRig is a rig whose policy answers in time, with tickets that are over by then.
+type askedRig struct {
+	*rig
+	advice *Advice
+	under  []askedQuestion
+	sent   int
+	// spread is over how long answers to questions of one moment come.
+	spread time.Duration
+}
+
+type askedQuestion struct {
+	Ask
+	answered time.Time
+}
+
+// askedWithin lets time pass, and reports whether the policy was asked about a job.
+func (r *askedRig) askedWithin(most time.Duration, job string) bool {
+	for end := r.now.Add(most); r.now.Before(end); r.now = r.now.Add(10 * time.Millisecond) {
+		var rest []askedQuestion
+		for _, q := range r.under {
+			if r.now.Before(q.answered) {
+				rest = append(rest, q)
+				continue
+			}
+			r.Advised(q.Ask, []Ticket{{Worker: q.Workers[0], Text: "t"}}, r.advice.Valid, q.answered.Add(-q.Takes()))
+		}
+		r.under = rest
+		for _, a := range r.Place(r.now, r.now, callers).Asks {
+			if a.Step.Job == job {
+				return true
+			}
+			r.sent++
+			late := time.Duration(0)
+			if r.spread > 0 {
+				late = time.Duration(r.sent) * spreadStep % r.spread
+			}
+			r.under = append(r.under, askedQuestion{a, r.now.Add(a.Takes() + late)})
+		}
+	}
+	return false
+}
+
 var _ = Describe("a step that comes last in the order", func() {
 	It("is asked about in time, though those before it ask without end", func() {
-		const callers, steps = 34, 80
-		r := newRig(0)
 		advice := &Advice{Decide: 150 * time.Millisecond, Each: 2 * time.Millisecond, Valid: 100 * time.Millisecond}
+		r := &askedRig{rig: newRig(0), advice: advice}
 		r.Configure([]Queue{
 			{Name: "busy", Pool: "full", Advice: advice},
 			{Name: "late", Pool: "free", Priority: 1, Advice: advice},
@@ -35,29 +85,29 @@
 			submit(fmt.Sprintf("b%02d", i), "busy")
 		}
 		submit("last", "late")
-		type question struct {
-			Ask
-			answered time.Time
-		}
-		var under []question
-		for end := r.now.Add(unaskedMost); r.now.Before(end); r.now = r.now.Add(10 * time.Millisecond) {
-			var rest []question
-			for _, q := range under {
-				if r.now.Before(q.answered) {
-					rest = append(rest, q)
-					continue
-				}
-				// A ticket is over by the time that it comes.
-				r.Advised(q.Ask, []Ticket{{Worker: q.Workers[0], Text: "t"}}, advice.Valid, q.answered.Add(-q.Takes()))
-			}
-			under = rest
-			for _, a := range r.Place(r.now, r.now, callers).Asks {
-				if a.Step.Job == "last" {
-					return
-				}
-				under = append(under, question{a, r.now.Add(a.Takes())})
-			}
+		Expect(r.askedWithin(unaskedMost, "last")).To(BeTrue())
+	})
+
+	It("does not take the questions of a more urgent one that has just come", func() {
+		advice := &Advice{Decide: 500 * time.Millisecond, Each: 7 * time.Millisecond, Valid: 100 * time.Millisecond}
+		r := &askedRig{rig: newRig(0), advice: advice, spread: 300 * time.Millisecond}
+		r.Configure([]Queue{
+			{Name: "batch", Pool: "full", Priority: 2, Advice: advice},
+			{Name: "service", Pool: "free", Priority: 1, Advice: advice},
+		})
+		for _, pool := range []string{"full", "free"} {
+			r.heard(pool, func(w *Worker) { w.Pool = pool })
+			r.Attached(pool, Lists{}, r.now)
+		}
+		submit := func(id, queue string) {
+			r.Submit(&flow.Spec{ID: id, Queue: queue, Steps: []flow.Step{{Count: 1, Demand: demand(1000), Lasting: queue == "service"}}}, r.now, r.now)
+			r.Keep(id)
+		}
+		for i := range steps {
+			submit(fmt.Sprintf("b%02d", i), "batch")
 		}
-		Fail("it was not asked about")
+		Expect(r.askedWithin(5*time.Second, "nobody")).To(BeFalse())
+		submit("urgent", "service")
+		Expect(r.askedWithin(1200*time.Millisecond, "urgent")).To(BeTrue())
 	})
 })
--- a/cell/cell.go
+++ b/cell/cell.go
@@ -67,9 +67,10 @@
 	// that a former owner gave.
 	firstRun int
 	dirty    []*job
-	// asks counts the questions under way, longAsks the long ones among them, and asksMost is
-	// how many there may be by the last decision.
-	asks, longAsks, asksMost int
+	// asks counts the questions under way, longAsks the long ones among them and oldestAsks those
+	// of these that were asked for how long their steps had waited. asksMost is how many there
+	// may be by the last decision.
+	asks, longAsks, oldestAsks, asksMost int
 	// policies is what is known of the policies of queues, by queue.
 	policies map[string]*policy
 	// unasked are the steps that were left without a question during Place.
