cell: what a former owner may have started is bounded by the room of the workers not settled

What a former owner might have started counted all waiting tasks of its jobs: 23 million thousandths for an account with a limit of 5.1, in a pool of 12.6, while a few workers were not settled.

Change: it is no more than those workers have room for.

--- a/cell/account.go
+++ b/cell/account.go
@@ -170,7 +170,8 @@
 func (a *account) idle() bool { return a.used.IsZero() && a.maybe.IsZero() }
 
 // countMaybe counts for each account what a former owner may have started of its jobs on workers
-// that are not settled: tasks that wait here, of steps that are held up.
+// that are not settled: tasks that wait here, of steps that are held up, as far as those workers
+// have room. Tasks that fill take processor time beyond the room and are few beside it.
 func (c *Cell) countMaybe(u *unsettled, now time.Time) {
 	for _, a := range c.accounts {
 		a.maybe = sched.Vec{}
@@ -184,6 +185,9 @@
 			a.maybe = a.maybe.Add(s.def.Demand.Scale(int64(s.waiting)))
 		}
 	}
+	for _, a := range c.accounts {
+		a.maybe = a.maybe.Min(u.room)
+	}
 }
 
 // limited reports whether the limit of its account lets no task of s start, or not all of a gang.
--- a/cell/account_test.go
+++ b/cell/account_test.go
@@ -178,3 +178,13 @@
 	}
 	g.Expect(given).To(Equal(2), "it is given back when no more come")
 }
+
+func TestFewUnsettledWorkersDoNotHoldUpAnAccount(t *testing.T) {
+	g := NewWithT(t)
+	r := newRig(4)
+	r.accounts(Account{Name: "a", Limit: limit(12_000, 0)})
+	r.heard("gone", func(w *Worker) { w.Hall = "far" })
+	r.Restore(&flow.Spec{ID: "old", Queue: "q", Account: "a", Hall: "far", Steps: []flow.Step{{Count: 100, Demand: demand(1000)}}}, nil, r.now, r.now)
+	r.addFor("a", "new", flow.Step{Count: 16, Demand: demand(1000)})
+	g.Expect(r.startAll()).To(HaveLen(8), "all but what the worker that is gone may run")
+}
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -313,6 +313,8 @@
 	// any says that there may be such workers in any hall.
 	any   bool
 	halls map[string]bool
+	// room is what all of them have.
+	room sched.Vec
 }
 
 func (c *Cell) unsettled() unsettled {
@@ -325,6 +327,7 @@
 			u.halls = make(map[string]bool)
 		}
 		u.halls[w.Hall] = true
+		u.room = u.room.Add(w.Room)
 		u.any = u.any || w.Hall == ""
 	}
 	return u
--- a/sched/vec.go
+++ b/sched/vec.go
@@ -70,6 +70,14 @@
 	return v
 }
 
+// Min returns the smaller of v and o in every dimension.
+func (v Vec) Min(o Vec) Vec {
+	for d := range v {
+		v[d] = min(v[d], o[d])
+	}
+	return v
+}
+
 // IsZero reports whether v is zero in every dimension.
 func (v Vec) IsZero() bool { return v == Vec{} }
 
