--- a/cell/account_test.go
+++ b/cell/account_test.go
@@ -188,3 +188,32 @@
 	r.addFor("a", "new", flow.Step{Count: 16, Demand: demand(1000)})
 	g.Expect(r.startAll()).To(HaveLen(8), "all but what the worker that is gone may run")
 }
+
+// BenchmarkAccounts is what limits and shares add to a decision: 1,000 accounts with a step that
+// waits each, and 6,000 workers. Accounts that ask for nothing add nothing.
+func BenchmarkAccounts(b *testing.B) {
+	for _, idle := range []int{0, 10_000} {
+		b.Run(fmt.Sprintf("idle=%d", idle), func(b *testing.B) {
+			r := newRig(0)
+			var accounts []Account
+			for i := range 1000 + idle {
+				accounts = append(accounts, Account{Name: fmt.Sprint(i), Weight: 10, Limit: limit(100_000, 100_000)})
+			}
+			r.accounts(accounts...)
+			for i := range 6000 {
+				r.heard(fmt.Sprintf("w%d", i), func(*Worker) {})
+			}
+			for i := range 1000 {
+				r.addFor(fmt.Sprint(i), fmt.Sprintf("j%d", i), flow.Step{Count: 10, Demand: demand(1000)})
+			}
+			u := r.unsettled()
+			b.ResetTimer()
+			for range b.N {
+				r.countMaybe(&u, r.now)
+				for _, s := range r.open {
+					s.limited()
+				}
+			}
+		})
+	}
+}
