cell: no copy of a run that may just have ended its worker

The next owner counts one loss for what it cannot know, started the task and a copy again, and a sixth start came before the verdict.

Change: a run whose worker hung up within a second of its start gets no copy until its loss is known. A worker that is cut off, or lost power, does not hang up: its tasks get their copies as before. Cost: copies of young runs on a worker that crashed by itself come when its next life answers, seconds later, as tasks without copies do.

--- a/cell/crash_test.go
+++ b/cell/crash_test.go
@@ -149,6 +149,27 @@
 	}
 }
 
+func TestCopyIsNotStartedOfARunThatMayJustHaveEndedItsWorker(t *testing.T) {
+	for _, hungUp := range []bool{false, true} {
+		g := NewWithT(t)
+		r := newRig(2)
+		r.add("j", flow.Step{Count: 1, Demand: demand(1000), Copies: true})
+		first := r.startAll()
+		g.Expect(first).To(HaveLen(1))
+		r.now = r.now.Add(10 * time.Millisecond)
+		r.Unsure(first[0].Worker, r.now)
+		if hungUp {
+			r.HungUp(first[0].Worker, true)
+		}
+		r.now = r.now.Add(copyAfter + lookEvery)
+		want := 1
+		if hungUp {
+			want = 0
+		}
+		g.Expect(r.startAll()).To(HaveLen(want), "the worker has hung up: %v", hungUp)
+	}
+}
+
 func TestTaskThatLastsAndCrashesItsWorkersIsGivenUp(t *testing.T) {
 	g := NewWithT(t)
 	s := newCrashSim(1, 4, 2)
--- a/cell/stop.go
+++ b/cell/stop.go
@@ -198,6 +198,14 @@
 
 func (r *run) atWork() bool { return !r.confirmed.IsZero() && !r.stopping && r.percent >= 100 }
 
+// mayHaveCrashed reports whether r, on a worker that is out of reach, may be what ended it: it is on
+// trial, or the worker hung up soon after its start. A copy would be the next loss before this
+// one is known, and a next owner would learn of one of them alone.
+func (r *run) mayHaveCrashed() bool {
+	w := r.w
+	return r.stage.onTrial(&r.stage.tasks[r.index]) || w.hungUp && w.endSeen && r.age(w.unsureSince) <= soon
+}
+
 // copies lets the tasks that may run more than once wait again when their
 // worker is out of reach.
 func (c *Cell) copies(w *worker, now time.Time) {
@@ -209,8 +217,7 @@
 			continue
 		}
 		t := &r.stage.tasks[r.index]
-		if t.state != taskActive || len(t.runs) > 1 || r.stage.onTrial(t) {
-			// A trial has to show what it did before the next one.
+		if t.state != taskActive || len(t.runs) > 1 || r.mayHaveCrashed() {
 			continue
 		}
 		r.stage.setWaiting(t, true)
