cell, platform: tests for two guards of the round that none had held

Cause: guards of this round were removed one by one on a scratch copy, 17 in all. Two stayed green: that a trial gets no copy where its worker hung up later than a second after the start, since the younger ones are held by the second guard, and that a key is taken under the scheme Bearer alone, since the other scheme of the test was a letter shorter.

FuzzKeyOf is part of make fuzz.

--- a/Makefile
+++ b/Makefile
@@ -64,6 +64,7 @@
 	go test -run '^$$' -fuzz FuzzRequest -fuzztime 20s ./front
 	go test -run '^$$' -fuzz FuzzFrame -fuzztime 20s ./link
 	go test -run '^$$' -fuzz FuzzDecode -fuzztime 20s ./job
+	go test -run '^$$' -fuzz FuzzKeyOf -fuzztime 20s ./platform
 	go test -run '^$$' -fuzz FuzzRows -fuzztime 20s ./platform
 	go test -run '^$$' -fuzz FuzzEntry -fuzztime 20s ./platform
 
--- a/cell/crash_test.go
+++ b/cell/crash_test.go
@@ -149,6 +149,28 @@
 	}
 }
 
+func TestTrialThatEndsItsWorkerLateGetsNoCopy(t *testing.T) {
+	g := NewWithT(t)
+	r := newRig(3)
+	r.add("j", flow.Step{Count: 2, Demand: demand(1000), Copies: true})
+	first := r.startAll()
+	r.now = r.now.Add(10 * time.Millisecond)
+	r.Unsure(first[0].Worker, r.now)
+	r.HungUp(first[0].Worker, true)
+	r.Forget(first[0].Worker, LossReborn, r.now)
+	// Where another trial of the job went well, one that is under way does not hold up the next.
+	passed := r.startAll()
+	g.Expect(passed).To(HaveLen(1))
+	r.end(passed[0], flow.EndDone)
+	trial := r.startAll()
+	g.Expect(trial).To(HaveLen(1))
+	r.now = r.now.Add(soon + 100*time.Millisecond)
+	r.Unsure(trial[0].Worker, r.now)
+	r.HungUp(trial[0].Worker, true)
+	r.now = r.now.Add(copyAfter + lookEvery)
+	g.Expect(r.startAll()).To(BeEmpty())
+}
+
 func TestCopyIsNotStartedOfARunThatMayJustHaveEndedItsWorker(t *testing.T) {
 	for _, hungUp := range []bool{false, true} {
 		g := NewWithT(t)
