--- a/Makefile
+++ b/Makefile
@@ -72,8 +72,8 @@
 hunt:
 	FLEETBENCH="$(FLEETBENCH)" SITES="$(SITES)" DAYS="$(DAYS)" PAIRS="$(PAIRS)" SEED="$(SEED)" test/hunt/hunt.sh
 
-# Needs protoc; its plugin comes with the protobuf library. The result is
-# committed, so that nothing else needs either.
+# The result is committed, so that nothing else needs the generator.
 generate:
 	go build -o bin/protoc-gen-go google.golang.org/protobuf/cmd/protoc-gen-go
-	cd wire && PATH="$(CURDIR)/bin:$$PATH" protoc --go_out=. --go_opt=paths=source_relative wire.proto
+	go build -o bin/genwire ./internal/genwire
+	cd wire && $(CURDIR)/bin/genwire $(CURDIR)/bin/protoc-gen-go wire.proto
--- a/cell/account.go
+++ b/cell/account.go
@@ -212,3 +212,23 @@
 	}
 	return AccountUse{Account: a.Account, Used: a.used, Maybe: a.maybe}
 }
+
+// MayUse reports whether an account may ask for and cancel a job: its own, one of a queue that is
+// open, or one of which no account is known.
+func (c *Cell) MayUse(id, account string) bool {
+	owner := ""
+	if j := c.jobs[id]; j != nil {
+		owner = c.ownerOf(j)
+	} else if o, ok := c.over[id]; ok {
+		owner = o.account
+	}
+	return owner == "" || owner == account
+}
+
+// ownerOf returns the account that alone may use a job, "" if all may.
+func (c *Cell) ownerOf(j *job) string {
+	if q := c.queues[j.spec.Queue]; q != nil && q.Open {
+		return ""
+	}
+	return j.spec.Account
+}
--- a/cell/over.go
+++ b/cell/over.go
@@ -24,6 +24,8 @@
 	// since is when the job was retired, after its end could be shown.
 	since   time.Time
 	foreign bool
+	// account alone may use the job, "" if all may.
+	account string
 }
 
 // Ended returns the jobs that have ended since the last call. The caller archives
@@ -57,7 +59,7 @@
 			out = append(out, Over{ID: id, State: j.state, Foreign: j.share.Foreign()})
 			// Clients can learn of the end only once it is archived: what an
 			// operator lets them ask for counts from then, whenever it ended.
-			c.over[id] = over{state: j.state, since: now, foreign: j.share.Foreign()}
+			c.over[id] = over{state: j.state, since: now, foreign: j.share.Foreign(), account: c.ownerOf(j)}
 			delete(c.jobs, id)
 		}
 	}
--- a/cluster/accept.go
+++ b/cluster/accept.go
@@ -64,6 +64,10 @@
 		n.kit.Scope.Counter("jobs_not_kept_total").Inc(1)
 		return err
 	}
+	if !k.written && n.isForeign(ctx, spec) {
+		level.Info(n.kit.Log).Log("event", "refused", "job", spec.ID, "account", spec.Account, "why", "the id is another account's", "last", true)
+		return kind.New(kind.KeyReused, "the id belongs to a job of another client account")
+	}
 	level.Info(n.kit.Log).Log("event", "accepted", "job", spec.ID, "queue", spec.Queue, "account", spec.Account, "config", n.config.Version(), "cell", k.cells[0], "cells", len(k.cells), "fresh", k.fresh, "version", k.ver, "took_ms", clock.Since(begun).Milliseconds())
 	n.kit.Scope.Counter("jobs_accepted_total").Inc(1)
 	n.kit.Scope.Histogram("accept_seconds", telemetry.Latency()).RecordDuration(clock.Since(begun))
@@ -74,6 +78,17 @@
 	return nil
 }
 
+// isForeign reports whether the job that the store has under the id of spec is known to be another
+// account's.
+func (n *Instance) isForeign(ctx context.Context, spec *flow.Spec) bool {
+	row, err := n.row(ctx, driver.SpecKey(spec.ID))
+	if err != nil || row.Ver == 0 {
+		return false
+	}
+	kept, err := flow.DecodeSpec(row.Value)
+	return err == nil && kept.Account != "" && kept.Account != spec.Account
+}
+
 // announce tells the owner of a cell of a job as the store has it. Another write may
 // have been first, with another hall: were the owner told of this one, it would start
 // tasks where the next owner does not look for them.
--- a/cluster/jobs.go
+++ b/cluster/jobs.go
@@ -11,6 +11,7 @@
 
 	"github.com/go-kit/log/level"
 
+	"dewpass.org/config"
 	"dewpass.org/driver"
 	"dewpass.org/flow"
 	"dewpass.org/internal/clock"
@@ -128,6 +129,9 @@
 func (n *Instance) State(ctx context.Context, id string) (flow.State, error) {
 	for name, c := range n.owned() {
 		if s, ok := c.driver.State(id); ok {
+			if !mayUse(ctx, c.driver, id) {
+				return "", kind.New(kind.NotFound, "no job has this id")
+			}
 			return n.begun(ctx, id, s, name, c.driver.Cells(id)), nil
 		}
 	}
@@ -136,6 +140,8 @@
 	if likely != "" {
 		if s, err := n.askOwner(ctx, likely, id, false); err == nil {
 			return n.begun(ctx, id, s, likely, n.homes.get(id)), nil
+		} else if kind.Is(err, kind.Unauthorized) {
+			return "", kind.New(kind.NotFound, "no job has this id")
 		}
 	}
 	if n.ends.has(id) {
@@ -151,6 +157,8 @@
 	if cell != likely && n.own(cell) == nil {
 		if s, err := n.askOwner(ctx, cell, id, false); err == nil {
 			return s, nil
+		} else if kind.Is(err, kind.Unauthorized) {
+			return "", kind.New(kind.NotFound, "no job has this id")
 		}
 	}
 	state, err := n.stored(ctx, cell, id)
@@ -235,10 +243,11 @@
 	if cancelJob {
 		limit = cancelTime
 	}
+	account, checked := config.Caller(ctx)
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	reply, err := n.dialer.Do(ctx, o.addr, &wire.Request{Body: &wire.Request_AskJob{
-		AskJob: &wire.JobAsk{Cell: cell, Id: id, Cancel: cancelJob},
+		AskJob: &wire.JobAsk{Cell: cell, Id: id, Cancel: cancelJob, Account: account, Checked: checked},
 	}})
 	if err != nil {
 		return "", err
@@ -297,6 +306,9 @@
 	defer cancel()
 	for {
 		err := n.cancelOnce(ctx, id)
+		if kind.Is(err, kind.Unauthorized) {
+			return kind.New(kind.NotFound, "no job has this id")
+		}
 		if err == nil || kind.Is(err, kind.NotFound) || ctx.Err() != nil {
 			return err
 		}
@@ -349,9 +361,22 @@
 	if !d.Ready() {
 		return kind.New(kind.Unavailable, "the cell is being read").After(n.comeBack(id))
 	}
+	if !mayUse(ctx, d, id) {
+		return errForeign()
+	}
 	return d.Cancel(ctx, id)
 }
 
+// mayUse reports whether the client account whose call ctx is of may use a job of a cell.
+func mayUse(ctx context.Context, d *driver.Driver, id string) bool {
+	account, checked := config.Caller(ctx)
+	return !checked || d.MayUse(id, account)
+}
+
+// errForeign is the error for a job of another client account, between instances: its caller is
+// told what it would be told if there were no such job.
+func errForeign() error { return kind.New(kind.Unauthorized, "the job is another account's") }
+
 // tellOfCanceled tells an owner of a job that it does not know and that is not over: one
 // that was accepted a moment ago. row is the job's if it has been read. The error is of kind
 // NotFound if the job is over.
--- a/cluster/peers.go
+++ b/cluster/peers.go
@@ -85,6 +85,9 @@
 	if d == nil || !d.Ready() {
 		return nil, kind.New(kind.Unavailable, "the cell is not here")
 	}
+	if a.Checked && !d.MayUse(a.Id, a.Account) {
+		return nil, errForeign()
+	}
 	if a.Cancel {
 		ctx, cancel := context.WithTimeout(ctx, cancelTime)
 		defer cancel()
--- a/config/account.go
+++ b/config/account.go
@@ -3,6 +3,7 @@
 package config
 
 import (
+	"context"
 	"crypto/sha256"
 
 	"dewpass.org/cell"
@@ -87,3 +88,17 @@
 	}
 	return nil
 }
+
+type callerKey struct{}
+
+// WithCaller returns a context of a call by a client account, "" for one without a known key.
+func WithCaller(ctx context.Context, account string) context.Context {
+	return context.WithValue(ctx, callerKey{}, account)
+}
+
+// Caller returns the client account whose call ctx is of. ok is false if it is nobody's, as where
+// an instance asks for itself.
+func Caller(ctx context.Context) (account string, ok bool) {
+	account, ok = ctx.Value(callerKey{}).(string)
+	return account, ok
+}
--- a/driver/driver.go
+++ b/driver/driver.go
@@ -252,6 +252,13 @@
 	return d.cell.State(id)
 }
 
+// MayUse reports whether an account may ask for and cancel a job.
+func (d *Driver) MayUse(id, account string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.cell.MayUse(id, account)
+}
+
 // Cancel cancels a job and returns once that is kept. Its error is of kind
 // NotFound if the hall does not have the job.
 func (d *Driver) Cancel(ctx context.Context, id string) error {
--- a/test/cluster/accounts_test.go
+++ b/test/cluster/accounts_test.go
@@ -109,6 +109,26 @@
 		}
 	})
 
+	It("see and cancel their own jobs alone, at any instance", func() {
+		b := startWithAccounts(1, world.Account{Name: "a", Keys: []string{keyOfA}}, world.Account{Name: "b", Keys: []string{keyOfB}})
+		id := b.submit(wideJob(2, 3000))
+		other := &bed{http: b.http, key: keyOfB}
+		b.wantState(id, "running")
+		for _, e := range b.entries {
+			for _, path := range []string{id, b.id()} {
+				for _, method := range []string{http.MethodGet, http.MethodDelete} {
+					status, _, _ := other.call(e, method, prefix+path, "")
+					Expect(status).To(Equal(http.StatusGone), "the same whether there is such a job")
+				}
+			}
+			status, _, _ := other.call(e, http.MethodPost, prefix+id, wideJob(1, 50))
+			Expect(status).To(Equal(http.StatusConflict), "the id is taken")
+			status, _, _ = b.call(e, http.MethodGet, prefix+id, "")
+			Expect(status).To(Equal(http.StatusOK))
+		}
+		b.wantWhole([]string{id})
+	})
+
 	for _, cells := range []int{1, 3} {
 		It(fmt.Sprintf("stay within their limits while owners are killed and paused (%d cells)", cells), func() {
 			const tasks = 12
