cell, driver: workers keep the ends of a job until its owner knows it

Callers could see: a task that was done runs again. An owner that listed the end of a job that it did not know yet (a former owner had started it) kept that end in memory and had the worker forget it with the next save. If it was lost before it had found the job and saved its record, nobody knew of the end.

Cause: one number a worker says how far its ends are kept, and it was set to all that had been read, whatever became of each. It now stops before the first end, done or failed, of a job that may still become known; a reading of the changed jobs that began after the end was listed settles that.

Evidence: three tests of cell fail on the code before, as does the changed line of TestWhatHadEndedBeforeItsJobWasKnownIsNotStartedAgain. That line said that the worker may forget the end at once, which was the fault; it now wants that it may not before the job is known, and that it may once the record is kept.

So that it would be seen: the stand-in of a worker goes red (OBSERVED) when an owner has it forget an end that no answer to that owner has listed, in every spec and in the soak; "held" lines at debug say what each hold had a worker forget, what it listed, and what may be forgotten.

--- a/cell/place.go
+++ b/cell/place.go
@@ -59,6 +59,7 @@
 		c.paces(&a, now)
 	}
 	c.tidy()
+	c.forgetEarly(now)
 	c.sort(now)
 	unsettled, most, inDoubt := c.unsettled(), c.mostFree(), c.inDoubt()
 	c.countMaybe(&unsettled, now)
--- a/cell/save.go
+++ b/cell/save.go
@@ -42,9 +42,7 @@
 	}
 	c.dirty = append(c.dirty[:0], c.dirty[n:]...)
 	if len(c.dirty) == 0 {
-		for _, w := range c.order {
-			w.saving = w.seen
-		}
+		c.mayForget()
 	}
 	return saves
 }
--- a/cell/unknown_test.go
+++ b/cell/unknown_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
@@ -18,9 +19,10 @@
 	// A former owner, which no longer is one, was told of a job and started it at once.
 	r.Attached("w0", Lists{Finished: []Finished{{Number: 1, Task: task, Run: 8193, How: flow.EndDone}}}, r.now)
 	r.save()
-	g.Expect(r.Observed("w0")).To(Equal(1), "the worker may forget it")
+	g.Expect(r.Observed("w0")).To(BeZero(), "the next owner has to hear of it as well")
 	r.add("j", flow.Step{Count: 1, Demand: demand(1000)})
 	g.Expect(r.startAll()).To(BeEmpty())
+	g.Expect(r.Observed("w0")).To(Equal(1), "the worker may forget it")
 }
 
 func TestWhatRanBeforeItsJobWasKnownIsNotStartedBesideItself(t *testing.T) {
@@ -40,3 +42,53 @@
 	state, _ = r.State("j")
 	g.Expect(state).To(Equal(flow.Succeeded))
 }
+
+func TestEndOfAJobThatIsNotKnownYetIsNotForgottenBeforeItsRecordIsKept(t *testing.T) {
+	g := NewWithT(t)
+	r := newRig(0)
+	r.heard("w0", func(*Worker) {})
+	other := flow.TaskID{Job: "other"}
+	task := flow.TaskID{Job: "j"}
+	r.Attached("w0", Lists{Finished: []Finished{
+		{Number: 1, Task: other, Run: 8193, How: flow.EndStopped},
+		{Number: 2, Task: task, Run: 8193, How: flow.EndDone},
+		{Number: 3, Task: other, Run: 8194, How: flow.EndStopped},
+	}}, r.now)
+	r.save()
+	g.Expect(r.Observed("w0")).To(Equal(1), "the next owner has to hear of it as well")
+	g.Expect(r.Unsaved("w0")).To(BeTrue())
+	r.add("j", flow.Step{Count: 1, Demand: demand(1000)})
+	saves := r.Saves(100)
+	g.Expect(r.Observed("w0")).To(Equal(1))
+	r.Saved(saves, false)
+	g.Expect(r.Observed("w0")).To(Equal(1), "the store has not taken it")
+	r.save()
+	g.Expect(r.Observed("w0")).To(Equal(3))
+}
+
+func TestEndOfAJobThatIsOverIsForgottenOnceTheJobsWereReadAgain(t *testing.T) {
+	g := NewWithT(t)
+	r := newRig(0)
+	r.heard("w0", func(*Worker) {})
+	listed := r.now
+	r.Attached("w0", Lists{Finished: []Finished{{Number: 1, Task: flow.TaskID{Job: "j"}, Run: 8193, How: flow.EndDone}}}, listed)
+	for _, read := range []time.Time{listed.Add(-time.Second), listed} {
+		r.JobsRead(read)
+		r.save()
+		g.Expect(r.Observed("w0")).To(BeZero(), "a reading that may be older than the end")
+	}
+	r.JobsRead(listed.Add(time.Millisecond))
+	r.save()
+	g.Expect(r.Observed("w0")).To(Equal(1))
+}
+
+func TestEndOfAJobThatNeverBecomesKnownIsForgottenAtLast(t *testing.T) {
+	g := NewWithT(t)
+	r := newRig(0)
+	r.heard("w0", func(*Worker) {})
+	r.Attached("w0", Lists{Finished: []Finished{{Number: 1, Task: flow.TaskID{Job: "j"}, Run: 8193, How: flow.EndDone}}}, r.now)
+	r.now = r.now.Add(earlyKept + time.Second)
+	r.place()
+	r.save()
+	g.Expect(r.Observed("w0")).To(Equal(1))
+}
--- a/driver/events.go
+++ b/driver/events.go
@@ -79,6 +79,18 @@
 	}
 }
 
+// logHeld logs what the answer to a hold lists, what the worker was told to forget with it and what
+// it may be told to forget by now. The lock is held.
+func (d *Driver) logHeld(l *link, o HoldOrder, a *HoldAnswer, took time.Duration) {
+	last := 0
+	if n := len(a.Lists.Finished); n > 0 {
+		last = a.Lists.Finished[n-1].Number
+	}
+	level.Debug(d.Log).Log("event", "held", "worker", l.id, "born", a.Lists.Born, "fence", o.Fence, "newest_fence", l.fence,
+		"observed", o.Observed, "last_end", last, "kept", d.cell.Observed(l.id), "running", len(a.Lists.Running),
+		"wait_ms", o.Wait.Milliseconds(), "took_ms", took.Milliseconds())
+}
+
 // logReborn logs that a worker answers from another life than before: what the owner knew of its
 // ends, and what the new life lists. The lock is held.
 func (d *Driver) logReborn(l *link, o HoldOrder, a *HoldAnswer, attach bool) {
--- a/driver/hold.go
+++ b/driver/hold.go
@@ -189,6 +189,7 @@
 		l.heardClock(a.ClockMS, now)
 	}
 	l.heard = now
+	d.logHeld(l, o, &a, now.Sub(sent))
 	for i := range a.Lists.Finished {
 		f := &a.Lists.Finished[i]
 		level.Debug(d.Log).Log("event", "end", "job", f.Task.Job, "step", f.Task.Step, "index", f.Task.Index, "run", f.Run, "how", f.How, "worker", l.id, "born", a.Lists.Born, "number", f.Number)
--- a/driver/scan.go
+++ b/driver/scan.go
@@ -17,6 +17,9 @@
 // scanEvery spaces the looks for jobs that nobody told this owner of.
 const scanEvery = 1200 * time.Millisecond
 
+// feedMost is how many changes the store tells at once: where there are as many there may be more.
+const feedMost = 500
+
 // Adopt takes in a job that the store took at version ver. One that the store had
 // when this owner read its jobs, and that is not here, is over. The error is of
 // kind Unavailable if the cell is not read yet.
@@ -71,6 +74,7 @@
 				continue
 			}
 			d.found(all.jobs())
+			d.jobsRead(all.begun)
 			ver, heard, all = all.ver(), all.begun, reading{}
 			continue
 		}
@@ -88,10 +92,21 @@
 			ver = 0
 		default:
 			ver, heard = max(ver, page.Ver), begun
+			if len(page.Rows) < feedMost {
+				d.jobsRead(begun)
+			}
 		}
 	}
 }
 
+// jobsRead takes in that all jobs are known that the store had at a time.
+func (d *Driver) jobsRead(at time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.cell.JobsRead(at)
+	notify(d.write)
+}
+
 // findMissed reads the jobs of this cell among changed homes that are not known here.
 func (d *Driver) findMissed(homes []rows.Row) error {
 	for _, home := range homes {
--- a/internal/standin/world/worker.go
+++ b/internal/standin/world/worker.go
@@ -4,6 +4,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -77,6 +78,8 @@
 	ends     []end
 	number   int
 	observed int
+	// told is the number of the last end that each owner was told of, by the owners' epochs.
+	told map[uint64]int
 	// last holds the highest run of each task that stopped or ended here.
 	last  map[string]int
 	until time.Time
@@ -166,9 +169,27 @@
 		<-r.Context().Done()
 		return
 	}
+	w.tell(&o, &a)
 	writeJSON(out, status, a)
 }
 
+// ownerOf returns the epoch of the owner that has given a fence.
+func ownerOf(fence uint64) uint64 { return fence / fencesPerOwner }
+
+// fencesPerOwner is how many fences an owner has: those of the next one are all above them.
+const fencesPerOwner = 1 << 20
+
+// tell notes which ends the sender of an order is told of by the answer.
+func (w *Worker) tell(o *order, a *workerAnswer) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, row := range a.Finished {
+		if number, ok := row[0].(int); ok {
+			w.told[ownerOf(o.Fence)] = max(w.told[ownerOf(o.Fence)], number)
+		}
+	}
+}
+
 // wait waits for an end.
 func (w *Worker) wait(r *http.Request, most time.Duration) {
 	w.mu.Lock()
@@ -207,7 +228,7 @@
 	case "/dewpass/pace":
 		return http.StatusOK, a
 	case "/dewpass/hold":
-		w.observe(o.Observed)
+		w.observe(o.Observed, ownerOf(o.Fence))
 		a.Born = w.born
 		w.list(&a)
 		return http.StatusOK, a
@@ -281,7 +302,8 @@
 	}
 }
 
-func (w *Worker) observe(n int) {
+// observe forgets the ends up to n on the word of an owner, which must have been told of them.
+func (w *Worker) observe(n int, owner uint64) {
 	if n <= w.observed {
 		return
 	}
@@ -290,9 +312,13 @@
 	for _, e := range w.ends {
 		if e.number > n {
 			kept = append(kept, e)
-		} else {
-			w.world.Book.observed(e.entry)
+			continue
+		}
+		if e.number > w.told[owner] {
+			w.world.Book.broke("OBSERVED", fmt.Sprintf("%s is to forget end %d, of %s, by owner %d, which was told up to %d",
+				w.ID, e.number, e.task, owner, w.told[owner]))
 		}
+		w.world.Book.observed(e.entry)
 	}
 	w.ends = kept
 }
--- a/internal/standin/world/world.go
+++ b/internal/standin/world/world.go
@@ -144,7 +144,7 @@
 		ID: fmt.Sprintf("i-%s-%d-%d", hall, number, len(w.Workers)), Hall: hall,
 		Rack: fmt.Sprintf("%s-r%d", hall, number/rackSize), world: w,
 		slot: number, cpu: w.options.CPU, mem: w.options.Mem, begun: time.Now(), born: time.Now().UnixMilli(),
-		runs: make(map[string]*run), last: make(map[string]int),
+		runs: make(map[string]*run), last: make(map[string]int), told: make(map[uint64]int),
 		random: rand.New(rand.NewPCG(w.options.Seed, uint64(len(w.Workers)))), changed: make(chan struct{}),
 	}
 }
