--- a/cell/leave_test.go
+++ b/cell/leave_test.go
@@ -18,6 +18,30 @@
 // ("lasting_run" of what "lease_over" against 48 of what "moving"). That they were over was known
 // 5 to 6 s later, with their lease, and their users went without them for 11 s and more.
 
+// A run that ends within the last moments of its worker may be listed in an answer that never
+// comes, and its task would run again.
+var _ = Describe("a gang of which a worker leaves before it is done", func() {
+	It("is stopped in time for that to be known", func() {
+		r := newRig(2)
+		r.add("j", flow.Step{Count: 2, Demand: demand(3000), Gang: true, EstimateMS: 1000})
+		gang := r.startAll()
+		Expect(gang).To(HaveLen(2))
+		notice := 2 * time.Second
+		r.heard(gang[0].Worker, func(w *Worker) { w.Draining, w.Remaining = true, notice })
+		stops := func(left time.Duration) []Stop {
+			r.now = r.now.Add(r.workers[gang[0].Worker].leavesIn(r.now) - left)
+			for _, s := range gang {
+				r.Listed(s.Worker, Lists{Running: []Running{{Task: s.Task, Run: s.Run, Percent: 95}}}, r.now, r.now)
+			}
+			return r.place().Stops
+		}
+		Expect(stops(lastEnds + 50*time.Millisecond)).To(BeEmpty())
+		last := stops(lastEnds)
+		Expect(last).To(HaveLen(1))
+		Expect(last[0].Worker).To(Equal(gang[0].Worker))
+	})
+})
+
 // moves plays the workers of one lasting step: stops take stopFor, starts are at work after
 // warmUp, and workers that leave end.
 type moves struct {
--- a/cell/stop.go
+++ b/cell/stop.go
@@ -24,8 +24,9 @@
 	// latest for the stop to be listed: as long as the slowest workers take for one.
 	lastMoves = 900 * time.Millisecond
 	// lastEnds is how long before the end of its worker a run has to be done: an end that
-	// comes later may not be listed to anybody, and its task would run again. The worker is not
-	// asked for up to 0.25 s while the ends that it has listed are being written.
+	// comes later may be listed in an answer that never arrives, as the connection ends with the
+	// worker, and its task would run again. The worker is not asked for up to 0.25 s while the
+	// ends that it has listed are being written.
 	lastEnds = 250 * time.Millisecond
 	// copyAfter is how long a worker is out of reach before a step that may
 	// have copies is started elsewhere.
@@ -95,12 +96,16 @@
 // checkLeaving marks a run for stopping whose worker leaves before it is surely known to be done,
 // if it can go on elsewhere, or at the last moment.
 func (c *Cell) checkLeaving(r *run, now time.Time) {
-	if !r.w.leaving() || r.stopping || r.stage.def.Gang {
+	if !r.w.leaving() || r.stopping {
 		return
 	}
 	s := r.stage
 	left := r.w.leavesIn(now)
 	last := r.w.Draining && !s.def.Lasting && left <= lastEnds
+	// A gang cannot be moved one by one; with the worker of a member it ends in any case.
+	if s.def.Gang && !last {
+		return
+	}
 	if !s.def.Lasting && r.remaining(now) < left-lastEnds {
 		return
 	}
--- a/driver/hold.go
+++ b/driver/hold.go
@@ -19,6 +19,13 @@
 // it renews the lease without observing them.
 const unsavedPause = 250 * time.Millisecond
 
+// A worker that leaves within leavingSoon is asked again after leavingPause, as what it lists later
+// may never be heard of.
+const (
+	leavingSoon  = time.Second
+	leavingPause = 50 * time.Millisecond
+)
+
 // hold attaches the worker, or renews its lease.
 func (d *Driver) hold(ctx context.Context, l *link) error {
 	d.mu.Lock()
@@ -234,7 +241,13 @@
 
 // waitKept waits until the ends that were listed are kept, for a while.
 func (d *Driver) waitKept(ctx context.Context, l *link) {
-	timer := time.NewTimer(unsavedPause)
+	d.mu.Lock()
+	pause := unsavedPause
+	if l.draining && l.leaves.Sub(clock.Now()) < leavingSoon {
+		pause = leavingPause
+	}
+	d.mu.Unlock()
+	timer := time.NewTimer(pause)
 	defer timer.Stop()
 	for {
 		d.mu.Lock()
