cell: a loss inherited from an owner that could not write counts as two

Cause: one loss among several silent workers is no reason to wait for the store, so an owner that cannot write starts the task again; if that run is lost as well and the owner with it, the next owner counted one loss.

Three losses for which the task is blamed are still needed, so that an inherited one alone gives nothing up.

--- a/cell/crash.go
+++ b/cell/crash.go
@@ -339,8 +339,9 @@
 
 // guilty reports whether crashes are enough to give a task up.
 func guilty(crashes []flow.Crash) bool {
-	sole, blamed := 0, 0
+	sole, blamed, lost := 0, 0, 0
 	for _, c := range crashes {
+		lost += lossesIn(c)
 		if c.Blame != flow.BlameBeside {
 			blamed++
 		}
@@ -353,7 +354,17 @@
 			return true
 		}
 	}
-	return sole >= crashesSole || (blamed >= blamedOfAll && len(crashes) >= crashesAll)
+	return sole >= crashesSole || (blamed >= blamedOfAll && lost >= crashesAll)
+}
+
+// lossesIn returns how many losses c may stand for. An owner starts a task again that was beside one
+// loss before the store has that: if it cannot write, it may have lost two runs that the next owner
+// does not know of.
+func lossesIn(c flow.Crash) int {
+	if c.Inherited && c.Blame == flow.BlameBeside {
+		return 2
+	}
+	return 1
 }
 
 // alike counts the losses at the same time after their starts as c, itself among them, and those
