internal/hangup, test/cluster: SIGHUP is ignored before the runtime begins

Cause: the dynamic linker and the runtime come before the first package, and the runtime ends the process by a SIGHUP that nobody asked for.

Change: a constructor in C has it ignored; the runtime keeps what it finds ignored until it is asked for the signal.

The new spec fails without the constructor ("start 10: signal: hangup").

--- a/internal/hangup/hangup.go
+++ b/internal/hangup/hangup.go
@@ -3,8 +3,8 @@
 // Package hangup keeps SIGHUP from ending a process that has not come as far as catching it.
 //
 // All packages are initialised before main runs, which takes a while, and longer on a busy machine.
-// This one needs nothing but signals, so that it comes before nearly all others. Import it for its
-// effect from main.
+// This one needs nothing but signals, so that it comes before nearly all others. Where there is a C
+// compiler the signal is ignored from before the runtime begins. Import it for its effect from main.
 package hangup
 
 import (
--- a/test/cluster/hangup_test.go
+++ b/test/cluster/hangup_test.go
@@ -17,6 +17,35 @@
 // run of the soak (seed 7) had an instance without a line after its restart, which SIGHUP had
 // followed at once, and which never came back.
 var _ = Describe("an instance that is told of changed settings", func() {
+	It("goes on when that comes at any time after its first instructions", func() {
+		const starts, latest = 80, 8 * time.Millisecond
+		b := newBed(1)
+		e := b.entries[0]
+		Expect(syscall.Mkfifo(e.settings, 0o600)).To(Succeed())
+		guarded := 0
+		for i := range starts {
+			e.run()
+			time.Sleep(latest * time.Duration(i) / starts)
+			if !e.hangUp().guarded {
+				e.kill()
+				continue
+			}
+			guarded++
+			// It has come to its settings, or to its end.
+			Eventually(func() bool {
+				f, err := os.OpenFile(e.settings, os.O_WRONLY|syscall.O_NONBLOCK, 0)
+				if err == nil {
+					defer f.Close()
+				}
+				return err == nil || hangupOf(e.cmd.Process.Pid).over
+			}, "10s", time.Millisecond).Should(BeTrue())
+			over := hangupOf(e.cmd.Process.Pid).over
+			e.kill()
+			Expect(over).To(BeFalse(), "start %d: %v", i, e.cmd.ProcessState)
+		}
+		Expect(guarded).To(BeNumerically(">", 0))
+	})
+
 	It("goes on when that comes before its settings are read", func() {
 		b := newBed(1)
 		e := b.entries[0]
