test/cluster, standin: workers of a bed listen at ports that the system gives to nobody

Cause: workers listened at ports that the system chose, from the range out of which it gives every connection its port; the soak's proxies alone open hundreds. They now take theirs from the bed's lane, below that range, as the instances do. The new spec is red on the code before ("45873 is one of 32768 to 60999"). A worker that does not come back for another reason stays a failure.

--- a/internal/standin/world/world.go
+++ b/internal/standin/world/world.go
@@ -23,6 +23,9 @@
 	Seed     uint64
 	// Host is the loopback address that everything listens on.
 	Host string
+	// WorkerAddr returns an address at which a worker is to listen, also when it comes back;
+	// nil lets the system choose, which may give the port away while the worker is down.
+	WorkerAddr func() (string, error)
 	// Advice lets a policy choose: one worker of three may run a step.
 	Advice bool
 	// Next says how a worker comes back whose process a task has ended, or whose machine has
@@ -125,7 +128,14 @@
 
 // listenAnew has a worker serve at an address of its own. The lock is held.
 func (w *World) listenAnew(n *Worker) error {
-	l, err := net.Listen("tcp", net.JoinHostPort(w.options.Host, "0"))
+	addr, err := net.JoinHostPort(w.options.Host, "0"), error(nil)
+	if w.options.WorkerAddr != nil {
+		addr, err = w.options.WorkerAddr()
+	}
+	if err != nil {
+		return err
+	}
+	l, err := net.Listen("tcp", addr)
 	if err != nil {
 		return err
 	}
--- a/test/cluster/bed_test.go
+++ b/test/cluster/bed_test.go
@@ -132,7 +132,9 @@
 // newBed makes a bed whose instances do not run yet.
 func newBed(cells int, more ...func(*world.Options)) *bed {
 	GinkgoHelper()
-	o := world.Options{Halls: halls, PerHall: 4, CPU: 8000, Mem: 16000, Seed: 7, Host: local}
+	lane, err := port.Take()
+	Expect(err).NotTo(HaveOccurred())
+	o := world.Options{Halls: halls, PerHall: 4, CPU: 8000, Mem: 16000, Seed: 7, Host: local, WorkerAddr: oneOf(lane)}
 	for _, f := range more {
 		f(&o)
 	}
@@ -142,8 +144,6 @@
 	b := &bed{world: w, cells: cells, level: "info", http: &http.Client{Timeout: 5 * time.Second}}
 	dir, err := os.MkdirTemp("", "dewpass-bed")
 	Expect(err).NotTo(HaveOccurred())
-	lane, err := port.Take()
-	Expect(err).NotTo(HaveOccurred())
 	for i := range 2 * len(halls) {
 		e := newEntry(i, dir, lane)
 		e.store = w.StoreAddr
@@ -177,8 +177,24 @@
 	b.waitReady()
 }
 
+// oneOf returns a function that takes one more address of a lane each time, which nobody else is
+// given while the lane is held.
+func oneOf(lane *port.Lane) func() (string, error) {
+	var mu sync.Mutex
+	return func() (string, error) {
+		mu.Lock()
+		defer mu.Unlock()
+		addrs, err := lane.Free(1)
+		if err != nil {
+			return "", err
+		}
+		return addrs[0], nil
+	}
+}
+
 func newEntry(i int, dir string, lane *port.Lane) *entry {
 	GinkgoHelper()
+	// The World has its workers by now, and takes no more while entries are made.
 	addrs, err := lane.Free(4)
 	Expect(err).NotTo(HaveOccurred())
 	name := fmt.Sprintf("%s-%d", halls[i%len(halls)], i/len(halls)+1)
--- /dev/null
+++ b/test/cluster/ports_test.go
@@ -0,0 +1,31 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package cluster
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"strconv"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+// Soak seed 26: the port of a worker that was down was given to another process meanwhile.
+var _ = Describe("a worker of a bed", func() {
+	It("listens at a port that the system gives to nobody while it is down", func() {
+		raw, err := os.ReadFile("/proc/sys/net/ipv4/ip_local_port_range")
+		Expect(err).NotTo(HaveOccurred())
+		var first, last int
+		_, err = fmt.Sscan(string(raw), &first, &last)
+		Expect(err).NotTo(HaveOccurred())
+		for _, w := range newBed(1).world.Living() {
+			_, port, err := net.SplitHostPort(w.Addr)
+			Expect(err).NotTo(HaveOccurred())
+			n, err := strconv.Atoi(port)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(n < first || n > last).To(BeTrue(), "%d is one of %d to %d", n, first, last)
+		}
+	})
+})
