--- a/test/cluster/soak_promises_test.go
+++ b/test/cluster/soak_promises_test.go
@@ -40,6 +40,7 @@
 		byJob[id] = append(byJob[id], e)
 	}
 	s.checkLimits()
+	s.checkLost(byJob)
 	for _, j := range s.jobs {
 		if j.refused || j.key == strangerKey {
 			Expect(byJob[j.id]).To(BeEmpty(), "REFUSED: %s was refused at each try, or has no valid key", j.id)
--- a/test/cluster/soak_test.go
+++ b/test/cluster/soak_test.go
@@ -77,7 +77,8 @@
 	version int
 	jobs    []*soakJob
 	log     []string
-	begun   time.Time
+	// begun is when clients and faults began, and calm when the last fault was over.
+	begun, calm time.Time
 }
 
 // soakJob is a job of a client, with what it was told.
@@ -203,6 +204,7 @@
 	}
 	all.Wait()
 	s.faults.Wait()
+	s.calm = time.Now()
 	s.note("calm")
 }
 
