standin: a run whose crash is due does not end as done before it

Cause: the crash comes by a timer and the end by the next tick. Where the stand-in's process does not run for 0.15 s both are due when it wakes, and whichever comes first counts. The new test has the tick come first: done on the code before. What the product did was right: it was told that the task was done.

--- /dev/null
+++ b/internal/standin/world/crash_test.go
@@ -0,0 +1,29 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package world
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// Soak seed 47: the process of the stand-in was not running when a crash was due, and the run ended
+// as done before it.
+func TestRunThatCrashesItsWorkerDoesNotEndAsDoneBeforeOnABusyMachine(t *testing.T) {
+	g := NewWithT(t)
+	w := &World{Book: newBook(), Policy: &Policy{}, stop: make(chan struct{})}
+	w.Policy.world = w
+	n := w.makeWorker("north", 0)
+	n.cpu, n.mem = 1000, 1000
+	o := &order{Task: "a.0.0.0", Run: 1, Spec: "ms=300 cpu=1 mem=1 crashes=3600000 only=0", Deadline: n.clock() + 10_000, Fence: 1}
+	status, _ := n.handle("/dewpass/run-start", o)
+	g.Expect(status).To(Equal(http.StatusOK))
+	r := n.runs[o.Task]
+	r.crashAt = r.begun.Add(150 * time.Millisecond)
+	n.tick(r.begun.Add(100 * time.Millisecond))
+	n.tick(r.begun.Add(310 * time.Millisecond))
+	g.Expect(w.Book.Starts()[0].How).NotTo(Equal("done"))
+}
--- a/internal/standin/world/worker.go
+++ b/internal/standin/world/worker.go
@@ -38,7 +38,9 @@
 	lastTick time.Time
 	saved    string
 	cpu, mem int64
-	entry    *Entry
+	// crashAt is when it ends its worker's process, zero if it does not.
+	crashAt time.Time
+	entry   *Entry
 }
 
 type end struct {
@@ -276,6 +278,7 @@
 	w.runs[o.Task] = r
 	w.checkRoom()
 	if after, crashes := spec.crashAfter(o.Task); crashes {
+		r.crashAt = r.begun.Add(after)
 		time.AfterFunc(after, func() { w.crashBy(r) })
 		// With no delay the process is gone before the answer to the order.
 		a.lost = after == 0
@@ -372,7 +375,7 @@
 		if r.spec.Saves {
 			r.saved = strconv.FormatInt(r.worked.Milliseconds(), 10)
 		}
-		if r.spec.Lasts || r.worked < r.spec.Length {
+		if r.spec.Lasts || r.worked < r.spec.Length || r.crashes(now) {
 			continue
 		}
 		if w.faults.FailAll || w.world.Book.fails(r.task, r.spec.Fails) {
@@ -383,6 +386,10 @@
 	}
 }
 
+// crashes reports whether a run has ended its worker's process by now: a machine that was busy may
+// bring the crash later than the end.
+func (r *run) crashes(now time.Time) bool { return !r.crashAt.IsZero() && !now.Before(r.crashAt) }
+
 // job is what the text of a job says of its tasks: "ms=300 cpu=1000 mem=100
 // fails=1 saves lasts crashes=10 only=2".
 type job struct {
