test/cluster: the soak knows of failures that were lost with their workers

Cause: the check counted every failed end on the workers. The stand-in's own record has that (Lapsed); such a job may be shown as failed or as succeeded, any other with two failures has to be failed, as before.

The run that shows it: the new spec has a job's second failure go with its worker while all instances are killed.

--- /dev/null
+++ b/test/cluster/soak_ends_test.go
@@ -0,0 +1,61 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package cluster
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"dewpass.org/internal/standin/world"
+)
+
+// Soak seed 2: a task's second failure was lost with its worker while the owner changed.
+var _ = Describe("a job of which a failure was lost with its worker", func() {
+	It("may go on, as nobody has taken note of that failure", func() {
+		s := &soak{bed: start(), begun: time.Now()}
+		fail := func(all bool) {
+			for _, w := range s.world.Living() {
+				w.Fail(world.WorkerFaults{FailAll: all})
+			}
+		}
+		nth := func(n int) *world.Entry {
+			starts := s.world.Book.Starts()
+			if len(starts) < n {
+				return &world.Entry{}
+			}
+			return &starts[n-1]
+		}
+		fail(true)
+		id := s.submit(wide(1, 600))
+		s.jobs = []*soakJob{{id: id}}
+		Eventually(func() bool { return nth(1).Observed }).Should(BeTrue())
+		fail(false)
+		Eventually(func() string { return nth(2).Worker }).ShouldNot(BeEmpty())
+		for _, w := range s.world.Living() {
+			if w.ID == nth(2).Worker {
+				w.Fail(world.WorkerFaults{FailAll: true})
+			}
+		}
+		for _, e := range s.entries {
+			e.kill()
+		}
+		Eventually(func() string { return nth(2).How }).Should(Equal("failed"))
+		for _, w := range s.world.Living() {
+			if w.ID == nth(2).Worker {
+				s.world.Crash(w, world.Rebirth{Down: time.Second})
+			}
+		}
+		for _, e := range s.entries {
+			e.run()
+		}
+		s.waitReady()
+		s.wantEnd(id, "succeeded")
+		Expect(nth(2).Lapsed).To(BeTrue())
+		s.wantKept()
+		must, may := s.failedTwice(id)
+		Expect(must).To(BeFalse())
+		Expect(may).To(BeTrue())
+	})
+})
