cell, driver: tests for two guards of early ends that none had held

Nine guards of the change were removed one by one on a scratch copy; two stayed green: that failed ends are held back as well, and that a reading of all jobs counts where the store has forgotten its history. Each has a test now that is red without it.

--- a/cell/unknown_test.go
+++ b/cell/unknown_test.go
@@ -44,6 +44,12 @@
 }
 
 func TestEndOfAJobThatIsNotKnownYetIsNotForgottenBeforeItsRecordIsKept(t *testing.T) {
+	for _, how := range []flow.End{flow.EndDone, flow.EndFailed} {
+		t.Run(string(how), func(t *testing.T) { notForgottenEarly(t, how) })
+	}
+}
+
+func notForgottenEarly(t *testing.T, how flow.End) {
 	g := NewWithT(t)
 	r := newRig(0)
 	r.heard("w0", func(*Worker) {})
@@ -51,7 +57,7 @@
 	task := flow.TaskID{Job: "j"}
 	r.Attached("w0", Lists{Finished: []Finished{
 		{Number: 1, Task: other, Run: 8193, How: flow.EndStopped},
-		{Number: 2, Task: task, Run: 8193, How: flow.EndDone},
+		{Number: 2, Task: task, Run: 8193, How: how},
 		{Number: 3, Task: other, Run: 8194, How: flow.EndStopped},
 	}}, r.now)
 	r.save()
--- a/driver/early_test.go
+++ b/driver/early_test.go
@@ -24,16 +24,13 @@
 
 // An owner told a worker to forget the end of a job that it did not know yet, and was lost.
 var _ = ginkgo.Describe("the end of a run of a job that is not known", func() {
-	run := func(ctx context.Context, t *table, page *rows.Page) *lives {
+	run := func(ctx context.Context, t *table, store rows.Store) *lives {
 		// A store that was never written has no changes to tell.
 		t.putSpec("0")
 		w := newLives()
 		w.ends = []cell.Finished{{Number: 1, Task: flow.TaskID{Job: "x"}, Run: 1, How: flow.EndDone}}
 		d := newDriver(ctx, t, func() {})
-		d.Workers, d.Directory = w, w
-		if page != nil {
-			d.Store = feeds{t, *page}
-		}
+		d.Workers, d.Directory, d.Store = w, w, store
 		d.Start()
 		ginkgo.DeferCleanup(d.Close)
 		return w
@@ -47,18 +44,27 @@
 	}
 
 	ginkgo.It("is not forgotten while the job may still be found", func(ctx context.Context) {
-		Consistently(forgotten(run(ctx, newTable(), nil)), 3*scanEvery).Should(BeFalse(), "changed jobs cannot be read")
+		t := newTable()
+		Consistently(forgotten(run(ctx, t, t)), 3*scanEvery).Should(BeFalse(), "changed jobs cannot be read")
 	})
 
 	ginkgo.It("is not forgotten while there may be more changed jobs than were read", func(ctx context.Context) {
+		t := newTable()
 		page := rows.Page{Rows: make([]rows.Row, feedMost)}
 		for i := range page.Rows {
 			page.Rows[i].Gone = true
 		}
-		Consistently(forgotten(run(ctx, newTable(), &page)), 3*scanEvery).Should(BeFalse())
+		Consistently(forgotten(run(ctx, t, feeds{t, page})), 3*scanEvery).Should(BeFalse())
 	})
 
 	ginkgo.It("is forgotten once all jobs of its time were read", func(ctx context.Context) {
-		Eventually(forgotten(run(ctx, newTable(), &rows.Page{})), 3*scanEvery+time.Second).Should(BeTrue())
+		t := newTable()
+		Eventually(forgotten(run(ctx, t, feeds{t, rows.Page{}})), 3*scanEvery+time.Second).Should(BeTrue())
+	})
+
+	ginkgo.It("is forgotten once all jobs were read as the store has no history", func(ctx context.Context) {
+		t := newTable()
+		store := feeds{t, rows.Page{Forgotten: true}}
+		Eventually(forgotten(run(ctx, t, store)), 5*scanEvery+time.Second).Should(BeTrue())
 	})
 })
