--- a/cell/job.go
+++ b/cell/job.go
@@ -76,7 +76,8 @@
 	told time.Time
 	// rank is the stage's place in the present order.
 	rank rank
-	// moving says that a task has to leave its worker and finds no place yet.
+	// moving says that a task has to leave its worker, or is about to be lost with it, and finds
+	// no place yet.
 	moving bool
 	// halls are those, beside the job's own, of which the store knows that tasks
 	// may have been started there, and opening those that it has to be told of.
--- a/cell/stop.go
+++ b/cell/stop.go
@@ -57,6 +57,7 @@
 			a.Stops = append(a.Stops, Stop{Worker: w.ID, Addr: w.Addr, Task: r.task(), Run: r.n})
 		}
 	}
+	c.seekPlaces(now)
 }
 
 // unwanted reports whether r should be stopped.
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -41,7 +41,9 @@
 	met, inherited bool
 	// unsureSince is when the worker was last attached, while it is not.
 	unsureSince time.Time
-	free        sched.Vec
+	// leaseOver is when its leases are over, while it is not attached; zero if it has none.
+	leaseOver time.Time
+	free      sched.Vec
 	// reserved is what is held for steps that come first in the order, during Place.
 	reserved sched.Vec
 	runs     map[runKey]*run
--- a/driver/driver.go
+++ b/driver/driver.go
@@ -387,6 +387,9 @@
 	}
 	for id, l := range d.links {
 		d.cell.Silent(id, l.silent(now))
+		if !l.attached {
+			d.cell.LeaseEnds(id, l.over)
+		}
 	}
 	if d.cell.HeldBack() {
 		d.heldBack = now
--- /dev/null
+++ b/driver/seek_test.go
@@ -0,0 +1,69 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package driver
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"dewpass.org/cell"
+	"dewpass.org/flow"
+	"dewpass.org/internal/clock"
+)
+
+// lostLater is a worker that is cut off when it is told so, and runs what it is given until then.
+type lostLater struct {
+	*lives
+	cut atomic.Bool
+}
+
+func (w *lostLater) Start(context.Context, StartOrder) (StartAnswer, error) {
+	return StartAnswer{ClockMS: w.clock(), Outcome: cell.Accepted}, nil
+}
+
+func (w *lostLater) Hold(ctx context.Context, o HoldOrder) (HoldAnswer, error) {
+	if w.cut.Load() {
+		return HoldAnswer{}, errAway
+	}
+	o.Wait = min(o.Wait, 20*time.Millisecond)
+	a, err := w.lives.Hold(ctx, o)
+	a.Lists.Cut = true
+	return a, err
+}
+
+var _ = ginkgo.Describe("a task that lasts on a worker that is cut off", func() {
+	ginkgo.It("has the policy asked before the leases there are over", func(ctx context.Context) {
+		w := &lostLater{lives: newLives()}
+		d := newDriver(ctx, newTable(), func() {})
+		d.Lease = 4 * time.Second
+		d.Workers, d.Directory = w, w
+		var asked atomic.Int64
+		d.Advise = func(_ context.Context, a cell.Ask) (Tickets, error) {
+			asked.Add(1)
+			return Tickets{Rows: []cell.Ticket{{Worker: a.Workers[0], Text: "t"}}}, nil
+		}
+		d.Configure([]cell.Queue{{Name: "q", Pool: "p", MaxAttempts: 1, Advice: &cell.Advice{Valid: 100 * time.Millisecond}}})
+		d.Start()
+		ginkgo.DeferCleanup(d.Close)
+		Eventually(func() int { return d.Load().Attached }, "3s").Should(Equal(1))
+		step := flow.Step{Count: 1, Lasting: true}
+		Expect(d.Adopt(&flow.Spec{ID: "1", Cell: "c", Queue: "q", Hall: "h", Steps: []flow.Step{step}}, 1<<30)).To(Succeed())
+		Eventually(func() bool { d.mu.Lock(); defer d.mu.Unlock(); return d.cell.Busy("w") }, "3s").Should(BeTrue())
+		w.cut.Store(true)
+		Eventually(func() bool { return d.Load().Attached == 0 }, "3s").Should(BeTrue())
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		over := d.links["w"].over
+		d.cell.Heard(cell.Worker{ID: "x", Addr: "x", Pool: "p", Hall: "h"}, clock.Now())
+		d.cell.Attached("x", cell.Lists{}, clock.Now())
+		before := asked.Load()
+		d.mu.Unlock()
+		Eventually(asked.Load, time.Until(over)).Should(BeNumerically(">", before))
+		d.mu.Lock()
+		Expect(clock.Now()).To(BeTemporally("<", over))
+	})
+})
