--- a/cell/leave_test.go
+++ b/cell/leave_test.go
@@ -12,8 +12,6 @@
 	"dewpass.org/flow"
 )
 
-// Tasks that last were left on workers that leave, and away until the leases there were over.
-
 // A run that ends within the last moments of its worker may be listed in an answer that never
 // comes, and its task would run again.
 var _ = Describe("a gang of which a worker leaves before it is done", func() {
@@ -116,6 +114,7 @@
 	return n
 }
 
+// Tasks that last were left on workers that leave, and away until the leases there were over.
 var _ = Describe("a step of a hundred tasks that last, one a worker", func() {
 	const (
 		notice  = 8 * time.Second
