test/cluster: the spec of SIGHUP at a start keeps the settings open until it has looked

The spec opened the settings for writing to see that the instance waits for them, and closed them again: the instance read an empty file and ended, as it should, before the spec looked. It keeps them open now.

--- a/test/cluster/hangup_test.go
+++ b/test/cluster/hangup_test.go
@@ -31,16 +31,17 @@
 				continue
 			}
 			guarded++
-			// It has come to its settings, or to its end.
+			// It has come to its settings, for which it waits as long as they are open, or to
+			// its end.
+			var settings *os.File
 			Eventually(func() bool {
-				f, err := os.OpenFile(e.settings, os.O_WRONLY|syscall.O_NONBLOCK, 0)
-				if err == nil {
-					defer f.Close()
-				}
+				var err error
+				settings, err = os.OpenFile(e.settings, os.O_WRONLY|syscall.O_NONBLOCK, 0)
 				return err == nil || hangupOf(e.cmd.Process.Pid).over
 			}, "10s", time.Millisecond).Should(BeTrue())
 			over := hangupOf(e.cmd.Process.Pid).over
 			e.kill()
+			_ = settings.Close()
 			Expect(over).To(BeFalse(), "start %d: %v", i, e.cmd.ProcessState)
 		}
 		Expect(guarded).To(BeNumerically(">", 0))
