cell: an inherited loss counts as two only beside three that were seen

Callers would see: a job shown as failed that could be done.

It counts the inherited loss that is beside others as two, and two further inherited ones, blamed shared, made up the three for which a task has to be blamed. They now have to be losses that an owner saw.

--- a/cell/crash.go
+++ b/cell/crash.go
@@ -339,11 +339,14 @@
 
 // guilty reports whether crashes are enough to give a task up.
 func guilty(crashes []flow.Crash) bool {
-	sole, blamed, lost := 0, 0, 0
+	sole, blamed, seen, lost := 0, 0, 0, 0
 	for _, c := range crashes {
 		lost += lossesIn(c)
 		if c.Blame != flow.BlameBeside {
 			blamed++
+			if !c.Inherited {
+				seen++
+			}
 		}
 		if c.Blame != flow.BlameSole {
 			continue
@@ -354,7 +357,9 @@
 			return true
 		}
 	}
-	return sole >= crashesSole || (blamed >= blamedOfAll && lost >= crashesAll)
+	// What may be two losses, and may be none, gives a task up only beside losses that were seen.
+	return sole >= crashesSole || (blamed >= blamedOfAll && len(crashes) >= crashesAll) ||
+		(seen >= blamedOfAll && lost >= crashesAll)
 }
 
 // lossesIn returns how many losses c may stand for. An owner starts a task again that was beside one
--- a/cell/crash_owner_test.go
+++ b/cell/crash_owner_test.go
@@ -160,3 +160,15 @@
 	s, _ := r.State("j")
 	g.Expect(s).To(Equal(flow.Running))
 }
+
+// Soak seed 7: a task that was lost once, and waited while the owner changed three times, was given up.
+func TestLossesThatNobodySawGiveNoTaskUp(t *testing.T) {
+	g := NewWithT(t)
+	inherited := func(run int, blame flow.Blame) flow.Crash { return flow.Crash{Run: run, Blame: blame, Inherited: true} }
+	seen := func(run int) flow.Crash { return flow.Crash{Run: run, Blame: flow.BlameShared, AgeMS: 143} }
+	once := []flow.Crash{
+		inherited(8192, flow.BlameBeside), seen(8193), inherited(12288, flow.BlameShared), inherited(16384, flow.BlameShared),
+	}
+	g.Expect(guilty(once)).To(BeFalse())
+	g.Expect(guilty([]flow.Crash{once[0], seen(8193), seen(12289), seen(16385)})).To(BeTrue())
+}
