cell, driver: the line of an answered question tells what the question before it was good for

The logs could not tell which steps hold the questions in flight while others wait for their first one. The line now has the number of the question among those of its step, how many of its workers the policy had permitted before, how many tasks waited and for how long, and how many have started since the question before.

A log line more fields at level debug; no decision changes. go test ./cell ./driver passes.

--- a/cell/advice.go
+++ b/cell/advice.go
@@ -52,6 +52,8 @@
 	asking bool
 	// notBefore is the earliest time of the next question, and lastAsked the time of the last one.
 	notBefore, lastAsked time.Time
+	// questions counts the questions sent, and started the tasks started since the last one.
+	questions, started int
 }
 
 // ticket permits a worker to run a stage until a time.
@@ -102,6 +104,14 @@
 	Advice  Advice
 	// Priority is that of the step's queue.
 	Priority int
+	// Nth is the number of the question among those about its step. Started is how many tasks of the
+	// step have started since the question before it.
+	Nth, Started int
+	// Known is how many of the workers the policy has permitted before.
+	Known int
+	// Waiting is the number of the step's waiting tasks, and Waited how long they have waited.
+	Waiting int
+	Waited  time.Duration
 	// oldest means that the question was asked because its step had waited longest.
 	oldest bool
 	// candidates are the workers asked about, in the order of Workers.
@@ -113,6 +123,9 @@
 	return a.Advice.Decide + time.Duration(len(a.Workers))*a.Advice.Each
 }
 
+// Oldest reports whether the question was asked because its step had waited longest.
+func (a *Ask) Oldest() bool { return a.oldest }
+
 // Long reports whether the answer is expected to take long.
 func (a *Ask) Long() bool { return a.Takes() > longAskThreshold }
 
@@ -210,6 +223,10 @@
 // sendAsk adds a question about s to the actions.
 func (c *Cell) sendAsk(s *stage, ask *Ask, a *Actions, now time.Time) {
 	s.advice.asking, s.advice.lastAsked = true, now
+	s.advice.questions++
+	ask.Nth, ask.Started = s.advice.questions, s.advice.started
+	ask.Waiting, ask.Waited = s.waiting, now.Sub(s.waitingSince)
+	s.advice.started = 0
 	c.countAsk(ask, 1)
 	a.Asks = append(a.Asks, *ask)
 }
@@ -321,6 +338,9 @@
 	for _, w := range candidates[:c.askCount(s, candidates)] {
 		a.candidates = append(a.candidates, w.worker)
 		a.Workers = append(a.Workers, w.ID)
+		if w.known {
+			a.Known++
+		}
 	}
 	return a
 }
--- a/cell/place.go
+++ b/cell/place.go
@@ -355,6 +355,7 @@
 	t.runs = append(t.runs, r)
 	w.addRun(r)
 	s.countRunOn(w, 1)
+	s.advice.started++
 	c.startTrialIfNeeded(r, now)
 	if s.job.history.Runs == 0 {
 		s.job.history.Began = now.Sub(s.job.arrived)
--- a/driver/driver.go
+++ b/driver/driver.go
@@ -435,7 +435,7 @@
 		d.cell.Unadvised(a, clock.Now())
 		return
 	}
-	level.Debug(d.Log).Log("event", "advised", "job", a.Step.Job, "step", a.Step.Step, "asked", len(a.Workers), "good", len(t.Rows), "took_ms", clock.Since(sent).Milliseconds())
+	d.logAdvised(&a, len(t.Rows), clock.Since(sent))
 	// The validity of a ticket counts from the policy's answer, which was given some time after
 	// sent.
 	valid := a.Advice.Valid
--- a/driver/events.go
+++ b/driver/events.go
@@ -30,6 +30,14 @@
 	}
 }
 
+// logAdvised logs an answer of the policy. started counts the tasks of the step that started since
+// the question before, so that it tells what the last answer was good for.
+func (d *Driver) logAdvised(a *cell.Ask, permitted int, took time.Duration) {
+	level.Debug(d.Log).Log("event", "advised", "job", a.Step.Job, "step", a.Step.Step, "priority", a.Priority, "nth", a.Nth,
+		"long", a.Long(), "oldest", a.Oldest(), "asked", len(a.Workers), "known", a.Known, "good", permitted, "started", a.Started,
+		"tasks", a.Waiting, "waited_ms", a.Waited.Milliseconds(), "expected_ms", a.Takes().Milliseconds(), "took_ms", took.Milliseconds())
+}
+
 // lateLogThreshold is the waiting time from which a late start is logged. The metrics include all
 // late starts.
 const lateLogThreshold = time.Second
