cell: short questions to the policy leave long ones their part

What callers saw: after a loss of power or a change of owner, batch jobs waited up to 46 s though most of their workers were free, as the policy was not asked about them.

Cause: short questions could take the whole limit, and long ones were sent only below it; a third was kept for short ones, nothing for long ones. Also, a step was passed over at once when the short ones were at their limit, even a step with a long question, so that the part for the steps that have waited longest was closed too. After a change of owner every call is asked about anew, and short questions hold their places longer while the owner lags.

Change: each kind leaves the other a third. The part can't be used up by what comes first, so a long question waits for long ones alone.

--- a/cell/ask.go
+++ b/cell/ask.go
@@ -26,11 +26,11 @@
 	// steps were never asked about, while others for which there was no room were asked about again
 	// and again.
 	oldestAskDivisor = 4
-	// shortAskDivisor sets the part of the questions in flight, 1 in shortAskDivisor, that is
-	// reserved for short questions whatever the limit. After a total power loss, for example, every
-	// step has to be asked about again, and a long question would hold up many calls that users
-	// wait for.
-	shortAskDivisor = 3
+	// askPartDivisor sets the part of the questions in flight, 1 in askPartDivisor, that long
+	// questions leave to short ones and short ones to long ones. After a total power loss, for
+	// example, every step has to be asked about again: long questions would hold up many calls that
+	// users wait for, and short ones would leave the workers of the batch jobs idle.
+	askPartDivisor = 3
 	// askRetryDelay is the pause after a question that was not answered.
 	askRetryDelay = 100 * time.Millisecond
 	// candidateRetryDelay is the pause after a search that found no worker to ask about.
@@ -72,6 +72,9 @@
 // alwaysLong reports whether the answer to any question is expected to take long.
 func (a *Advice) alwaysLong() bool { return a.Decide+a.Each > longAskThreshold }
 
+// mayBeLong reports whether the answer to the widest question is expected to take long.
+func (a *Advice) mayBeLong() bool { return a.Decide+maxAskWorkers*a.Each > longAskThreshold }
+
 // maySend reports whether a question may be sent, with about asks questions allowed in flight.
 // oldest tells whether it is sent because its step has waited longest, rather than for the step's
 // rank.
@@ -82,17 +85,33 @@
 	return c.maySendLong(asks, oldest)
 }
 
+// maySendAny reports whether some question to a policy may be sent.
+func (c *Cell) maySendAny(advice *Advice, asks int, oldest bool) bool {
+	return !advice.alwaysLong() && c.maySendShort(asks) || advice.mayBeLong() && c.maySendLong(asks, oldest)
+}
+
 func (c *Cell) maySendLong(asks int, oldest bool) bool {
-	maxLong := max(asks-max(asks/shortAskDivisor, 1), 1)
-	forOldest := maxLong / oldestAskDivisor
-	if oldest {
-		return c.asks < asks && c.longAsks < maxLong && c.oldestAsks < max(forOldest, 1)
+	limit := c.longLimit(asks)
+	forOldest := limit / oldestAskDivisor
+	switch {
+	case c.longAsks >= limit:
+		return false
+	case oldest:
+		return c.oldestAsks < max(forOldest, 1)
 	}
-	return c.asks < asks && c.longAsks < maxLong && c.longAsks-c.oldestAsks < max(maxLong-forOldest, 1)
+	return c.longAsks-c.oldestAsks < max(limit-forOldest, 1)
+}
+
+// longLimit returns how many long questions may be in flight: what the short ones leave, but at
+// least their part and at most all but the part of the short ones.
+func (c *Cell) longLimit(asks int) int {
+	part := asks / askPartDivisor
+	return max(min(asks-(c.asks-c.longAsks), asks-part), part, 1)
 }
 
 func (c *Cell) maySendShort(asks int) bool {
-	return asks > 0 && c.asks-c.longAsks < max(asks-c.longAsks, asks/shortAskDivisor, 1)
+	part := asks / askPartDivisor
+	return asks > 0 && c.asks-c.longAsks < max(min(asks-c.longAsks, asks-part), part, 1)
 }
 
 // askAhead asks the policy about a step that is about to open, or whose tasks have to move, unless
@@ -111,10 +130,10 @@
 // askFor asks the policy about a step whose tasks find no worker, unless the step only waits for
 // the store to record a hall.
 func (c *Cell) askFor(s *stage, q *Queue, a *Actions, asks int, now time.Time) {
-	if !c.maySendShort(asks) || !s.mayAsk(q, now) || len(s.hallsToStore) > 0 {
+	if !s.mayAsk(q, now) || len(s.hallsToStore) > 0 {
 		return
 	}
-	if q.Advice.alwaysLong() && !c.maySendLong(asks, false) {
+	if !c.maySendAny(q.Advice, asks, false) {
 		// Choosing the workers to ask about is costly, and pointless before the question can be
 		// sent.
 		c.unasked = append(c.unasked, unasked{s, q})
@@ -140,7 +159,7 @@
 func (c *Cell) askOldest(a *Actions, asks int, now time.Time) {
 	slices.SortStableFunc(c.unasked, func(x, y unasked) int { return x.stage.waitingToAskSince().Compare(y.stage.waitingToAskSince()) })
 	for _, u := range c.unasked {
-		if u.stage.advice.asking || u.queue.Advice.alwaysLong() && !c.maySendLong(asks, true) {
+		if u.stage.advice.asking || !c.maySendAny(u.queue.Advice, asks, true) {
 			continue
 		}
 		ask := c.ask(u.stage, u.queue, now)
--- a/cell/replay_test.go
+++ b/cell/replay_test.go
@@ -35,6 +35,8 @@
 	discardedWork float64
 	// callers is the limit on questions in flight, 0 for replayCallers.
 	callers int
+	// onAsk is called for each question to the policy if it is set.
+	onAsk func(Ask)
 	// policyTime is how long the policy has worked.
 	policyTime time.Duration
 	// stops counts the orders to stop, and asked the questions to the policy.
@@ -107,9 +109,15 @@
 }
 
 func (r *replay) worker(id, hall, rack string, room sched.Vec, speed float64) {
-	r.workers[id] = &replayWorker{id: id, room: room, speed: speed, runs: make(map[runKey]*replayRun)}
-	r.Heard(Worker{ID: id, Addr: id, Pool: "p", Hall: hall, Rack: rack, Room: room}, r.now)
-	r.Attached(id, Lists{}, r.now)
+	r.attach(Worker{ID: id, Pool: "p", Hall: hall, Rack: rack, Room: room}, speed)
+}
+
+// attach adds a worker with the runs that a former owner started there.
+func (r *replay) attach(w Worker, speed float64, running ...Running) {
+	w.Addr = w.ID
+	r.workers[w.ID] = &replayWorker{id: w.ID, room: w.Room, speed: speed, runs: make(map[runKey]*replayRun)}
+	r.Heard(w, r.now)
+	r.Attached(w.ID, Lists{Running: running}, r.now)
 }
 
 func (r *replay) after(d time.Duration, do func()) {
@@ -192,6 +200,9 @@
 	for _, ask := range a.Asks {
 		sent := r.now
 		r.policyTime += ask.Takes()
+		if r.onAsk != nil {
+			r.onAsk(ask)
+		}
 		r.after(ask.Takes(), func() { r.answer(ask, sent) })
 	}
 	for _, o := range r.Ended() {
