cell: the policy is asked where its answer can let a task start

Cause: questions were sent by rank, whether or not the answer could let a task start. A first question named up to 100 workers even where no worker had room; a gang was asked about again every time the tickets of some reserved workers had run out, though not all of its tasks could start; many steps asked about the same free room at once. Such questions never get on, so they come again. The quarter for the steps that have waited longest went to the same steps.

Change: a question in flight claims the room that it is likely to use, with the share of workers that its policy permits; a step is asked about by rank only if room is left beside the claims of the steps before it (for a gang: for all of its tasks). The reserved part for the longest waiting looks at room alone. What is left over, at most half, asks for the first time about steps without room, so that they know their workers when room comes free. The sort and the search per step are done only for questions that can be sent.

--- a/cell/advice.go
+++ b/cell/advice.go
@@ -22,6 +22,8 @@
 	// again, and no ticket of an earlier one is valid for it.
 	asked  map[*worker]bool
 	asking bool
+	// claims is the room that the question in flight is about.
+	claims []claim
 	// notBefore is the earliest time of the next question, and lastAsked the time of the last one.
 	notBefore, lastAsked time.Time
 	// questions counts the questions sent, and started the tasks started since the last one.
--- a/cell/ask.go
+++ b/cell/ask.go
@@ -29,8 +29,11 @@
 	// askPartDivisor sets the part of the questions in flight, 1 in askPartDivisor, that long
 	// questions leave to short ones and short ones to long ones. After a total power loss, for
 	// example, every step has to be asked about again: long questions would hold up many calls that
-	// users wait for, and short ones would leave the workers of the batch jobs idle.
+	// users wait for, and the calls would keep the workers of the batch jobs idle.
 	askPartDivisor = 3
+	// earlyAskDivisor sets the part of the long questions in flight, 1 in earlyAskDivisor, that may
+	// be about steps for which there is no room yet.
+	earlyAskDivisor = 2
 	// askRetryDelay is the pause after a question that was not answered.
 	askRetryDelay = 100 * time.Millisecond
 	// candidateRetryDelay is the pause after a search that found no worker to ask about.
@@ -56,6 +59,8 @@
 	oldest bool
 	// candidates are the workers asked about, in the order of Workers.
 	candidates []*worker
+	// claims are the tasks that are likely to start on each of the candidates.
+	claims []claim
 }
 
 // Takes returns how long the policy is expected to take for the answer.
@@ -75,29 +80,42 @@
 // mayBeLong reports whether the answer to the widest question is expected to take long.
 func (a *Advice) mayBeLong() bool { return a.Decide+maxAskWorkers*a.Each > longAskThreshold }
 
+// askReason is why a question may be sent before others.
+type askReason uint8
+
+const (
+	// byRank: the step comes first by rank, and there is room for it that no step before it is
+	// likely to use.
+	byRank askReason = iota
+	// byAge: the step has waited longest for a question.
+	byAge
+	// early: there is no room for the step yet, and no other question to send.
+	early
+)
+
 // maySend reports whether a question may be sent, with about asks questions allowed in flight.
-// oldest tells whether it is sent because its step has waited longest, rather than for the step's
-// rank.
-func (c *Cell) maySend(a *Ask, asks int, oldest bool) bool {
+func (c *Cell) maySend(a *Ask, asks int, why askReason) bool {
 	if !a.Long() {
 		return c.maySendShort(asks)
 	}
-	return c.maySendLong(asks, oldest)
+	return c.maySendLong(asks, why)
 }
 
 // maySendAny reports whether some question to a policy may be sent.
-func (c *Cell) maySendAny(advice *Advice, asks int, oldest bool) bool {
-	return !advice.alwaysLong() && c.maySendShort(asks) || advice.mayBeLong() && c.maySendLong(asks, oldest)
+func (c *Cell) maySendAny(advice *Advice, asks int, why askReason) bool {
+	return !advice.alwaysLong() && c.maySendShort(asks) || advice.mayBeLong() && c.maySendLong(asks, why)
 }
 
-func (c *Cell) maySendLong(asks int, oldest bool) bool {
+func (c *Cell) maySendLong(asks int, why askReason) bool {
 	limit := c.longLimit(asks)
 	forOldest := limit / oldestAskDivisor
 	switch {
 	case c.longAsks >= limit:
 		return false
-	case oldest:
+	case why == byAge:
 		return c.oldestAsks < max(forOldest, 1)
+	case why == early:
+		return c.longAsks < max(limit/earlyAskDivisor, 1)
 	}
 	return c.longAsks-c.oldestAsks < max(limit-forOldest, 1)
 }
@@ -133,44 +151,132 @@
 	if !s.mayAsk(q, now) || len(s.hallsToStore) > 0 {
 		return
 	}
-	if !c.maySendAny(q.Advice, asks, false) {
+	if !c.maySendAny(q.Advice, asks, byRank) {
 		// Choosing the workers to ask about is costly, and pointless before the question can be
 		// sent.
 		c.unasked = append(c.unasked, unasked{s, q})
 		return
 	}
-	ask := c.ask(s, q, now)
-	switch {
-	case len(ask.Workers) == 0:
-	case c.maySend(&ask, asks, false):
-		c.sendAsk(s, &ask, a, now)
-	default:
+	candidates := c.startCandidates(s, q, now)
+	if len(candidates) == 0 {
+		c.tooEarly = append(c.tooEarly, unasked{s, q})
+		return
+	}
+	ask := c.ask(s, q, candidates)
+	if !c.maySend(&ask, asks, byRank) {
 		c.unasked = append(c.unasked, unasked{s, q})
+		return
 	}
+	c.sendAsk(s, &ask, a, now)
 }
 
-// unasked is a step about which no question was sent for want of free questions in flight.
+// unasked is a step about which no question was sent, for want of free questions in flight or of
+// room.
 type unasked struct {
 	stage *stage
 	queue *Queue
 }
 
-// askOldest asks about those of the unasked steps that have waited longest for a question.
+// askOldest asks about those of the unasked steps that have waited longest for a question, whether
+// or not a step before them is likely to use the room.
 func (c *Cell) askOldest(a *Actions, asks int, now time.Time) {
+	for _, w := range c.sortedWorkers {
+		w.claimed = sched.Vec{}
+	}
+	c.noRoomFor = c.noRoomFor[:0]
+	c.unasked = append(c.unasked, c.tooEarly...)
 	slices.SortStableFunc(c.unasked, func(x, y unasked) int { return x.stage.waitingToAskSince().Compare(y.stage.waitingToAskSince()) })
 	for _, u := range c.unasked {
-		if u.stage.advice.asking || !c.maySendAny(u.queue.Advice, asks, true) {
+		if !c.maySendAny(u.queue.Advice, asks, byAge) {
 			continue
 		}
-		ask := c.ask(u.stage, u.queue, now)
-		if len(ask.Workers) > 0 && c.maySend(&ask, asks, true) {
-			ask.oldest = true
-			c.sendAsk(u.stage, &ask, a, now)
+		candidates := c.startCandidates(u.stage, u.queue, now)
+		if len(candidates) == 0 {
+			u.stage.advice.notBefore = now.Add(candidateRetryDelay)
+			continue
 		}
+		c.askLater(u, candidates, a, asks, byAge, now)
 	}
 	c.unasked = c.unasked[:0]
 }
 
+// askEarly asks for the first time about steps for which there is no room yet, by rank, so that
+// their tasks can start soon after room comes free.
+func (c *Cell) askEarly(a *Actions, asks int, now time.Time) {
+	for _, u := range c.tooEarly {
+		adv := &u.stage.advice
+		if adv.asked == nil && !adv.asking && c.maySendAny(u.queue.Advice, asks, early) {
+			c.askLater(u, c.askCandidates(u.stage, u.queue, now), a, asks, early, now)
+		}
+		adv.notBefore = now.Add(candidateRetryDelay)
+	}
+	c.tooEarly = c.tooEarly[:0]
+}
+
+// askLater sends a question about a step that was passed over, if it may be sent for the reason
+// given.
+func (c *Cell) askLater(u unasked, candidates []askCandidate, a *Actions, asks int, why askReason, now time.Time) {
+	ask := c.ask(u.stage, u.queue, candidates)
+	if len(candidates) > 0 && c.maySend(&ask, asks, why) {
+		ask.oldest = why == byAge
+		c.sendAsk(u.stage, &ask, a, now)
+	}
+}
+
+// startCandidates returns the workers worth asking about s if tasks of s can start after the
+// answer, otherwise none.
+func (c *Cell) startCandidates(s *stage, q *Queue, now time.Time) []askCandidate {
+	if len(s.reservation.workers) == 0 && !c.hasUnclaimedRoom(s, q) {
+		return nil
+	}
+	candidates := c.askCandidates(s, q, now)
+	if !s.canStartOn(candidates, now) {
+		return nil
+	}
+	return candidates
+}
+
+// sortCandidates sorts the workers known to be permitted first, then those with the most unclaimed
+// room.
+func sortCandidates(candidates []askCandidate) {
+	for i := range candidates {
+		w := &candidates[i]
+		w.cpu = w.free[sched.MilliCPU] - w.reserved[sched.MilliCPU] - w.claimed[sched.MilliCPU]
+	}
+	slices.SortStableFunc(candidates, func(x, y askCandidate) int {
+		return cmp.Or(compareBools(y.known, x.known), cmp.Compare(y.cpu, x.cpu))
+	})
+}
+
+// hasUnclaimedRoom reports whether a worker has room for a task of s beside what earlier steps are
+// likely to use.
+func (c *Cell) hasUnclaimedRoom(s *stage, q *Queue) bool {
+	room := s.def.Reservation()
+	for i := range c.noRoomFor {
+		if n := &c.noRoomFor[i]; n.pool == q.Pool && n.label == s.def.RequiredLabel && room.Covers(&n.room) {
+			return false
+		}
+	}
+	for _, w := range c.sortedWorkers {
+		if w.usable() && w.suits(s, q) {
+			if free := w.unclaimed(); free.Covers(&room) {
+				return true
+			}
+		}
+	}
+	c.noRoomFor = append(c.noRoomFor, noRoom{q.Pool, s.def.RequiredLabel, room})
+	return false
+}
+
+// noRoom is the result of a search for a worker with room: none in the pool with that label.
+type noRoom struct {
+	pool, label string
+	room        sched.Vec
+}
+
+// unclaimed returns the room of w that no step before is likely to use.
+func (w *worker) unclaimed() sched.Vec { return w.free.Sub(w.reserved).Sub(w.claimed) }
+
 // waitingToAskSince returns when s began to wait for its next question.
 func (s *stage) waitingToAskSince() time.Time {
 	if s.advice.lastAsked.After(s.waitingSince) {
@@ -182,6 +288,8 @@
 // sendAsk adds a question about s to the actions.
 func (c *Cell) sendAsk(s *stage, ask *Ask, a *Actions, now time.Time) {
 	s.advice.asking, s.advice.lastAsked = true, now
+	s.advice.claims = ask.claims
+	s.addClaims()
 	s.advice.questions++
 	ask.Nth, ask.Started = s.advice.questions, s.advice.started
 	ask.Waiting, ask.Waited = s.waiting, now.Sub(s.waitingSince)
@@ -206,51 +314,97 @@
 	return q.Advice != nil && !s.advice.asking && !now.Before(s.advice.notBefore) && (s.waiting > 0 || s.needsMove)
 }
 
-// ask returns the question about s to send now, without workers if there is none to ask about.
-func (c *Cell) ask(s *stage, q *Queue, now time.Time) Ask {
-	a := Ask{Step: s.id(), Priority: q.Priority, Advice: *q.Advice}
-	candidates := c.askCandidates(s, q, now)
-	if len(candidates) == 0 {
-		s.advice.notBefore = now.Add(candidateRetryDelay)
-	}
-	for _, w := range candidates[:c.askCount(s, candidates)] {
-		a.candidates = append(a.candidates, w.worker)
-		a.Workers = append(a.Workers, w.ID)
-		if w.known {
-			a.Known++
-		}
-	}
-	return a
-}
-
-// askCount returns how many of the candidates a question about s names: as many as are likely to
+// ask returns the question about s to send now. It names as many of the candidates as are likely to
 // have room for its tasks. Most of the time of a long answer is independent of the number of
 // workers, so where batch jobs wait for the policy a second question about a step costs more than a
 // wide one.
-func (c *Cell) askCount(s *stage, candidates []askCandidate) int {
+func (c *Cell) ask(s *stage, q *Queue, candidates []askCandidate) Ask {
+	a := Ask{Step: s.id(), Priority: q.Priority, Advice: *q.Advice}
 	share := c.policyStats[s.job.spec.Queue].share()
+	sortCandidates(candidates)
 	need := askRoomFactor * float64(s.waiting)
+	likely := 0.0
 	for i, w := range candidates {
 		if i >= maxAskWorkers || need <= 0 && i >= minAskWorkers {
-			return i
+			break
 		}
 		fits := float64(s.fits(w.worker))
 		if !w.known {
 			fits *= share
 		}
 		need -= fits
+		likely += fits
+		a.candidates = append(a.candidates, w.worker)
+		a.Workers = append(a.Workers, w.ID)
+		if w.known {
+			a.Known++
+		}
+		if n := int(likely); n > 0 {
+			a.claims = append(a.claims, claim{w.worker, n})
+			likely -= float64(n)
+		}
 	}
-	return len(candidates)
+	return a
+}
+
+// claim is the number of tasks that are likely to start on a worker once the policy has answered.
+type claim struct {
+	worker *worker
+	tasks  int
+}
+
+// addClaims sets aside, for the rest of the decision, the room that the tasks of s are likely to
+// use once the question in flight is answered: later steps are asked about only if there is room
+// beside it. Any step may start tasks in that room meanwhile.
+func (s *stage) addClaims() {
+	room := s.def.Reservation()
+	left := s.waiting
+	for _, p := range s.advice.claims {
+		n := min(p.tasks, left)
+		p.worker.claimed = p.worker.claimed.Add(room.Scale(int64(n)))
+		if left -= n; left == 0 {
+			return
+		}
+	}
+}
+
+// canStartOn reports whether tasks of s can start once the policy has answered about the
+// candidates: one of them has room for a task or, for a gang, they and the workers with a ticket
+// have room for all of its tasks.
+func (s *stage) canStartOn(candidates []askCandidate, now time.Time) bool {
+	need := 1
+	if s.def.Gang {
+		need = max(s.waiting, 1)
+	}
+	for _, w := range candidates {
+		need -= s.fits(w.worker)
+		if w.soon {
+			need -= s.reservation.workers[w.worker]
+		}
+		if need <= 0 {
+			return true
+		}
+	}
+	if len(candidates) == 0 {
+		return false
+	}
+	for _, t := range s.advice.tickets {
+		if now.Before(t.until) && t.worker.usable() {
+			need -= s.fits(t.worker)
+		}
+	}
+	return need <= 0
 }
 
 // fits returns how many of the waiting tasks of s fit on w.
 func (s *stage) fits(w *worker) int {
 	room := s.def.Reservation()
-	most := s.waiting
+	// A step whose tasks have to move may have none that waits yet.
+	most := max(s.waiting, 1)
 	if s.def.MaxPerWorker > 0 {
 		most = min(most, s.def.MaxPerWorker-s.runsByWorker[w])
 	}
-	free := w.free.Sub(w.reserved)
+	free := w.unclaimed()
 	n := 0
 	for ; n < most && free.Covers(&room); n++ {
 		free = free.Sub(room)
@@ -258,8 +412,7 @@
 	return n
 }
 
-// askCandidates returns the workers worth asking about, those known to be permitted first, then
-// those with the most free room. The first question may name any suitable worker; later ones name
+// askCandidates returns the workers worth asking about. The first question may name any suitable worker; later ones name
 // workers that have room now, hold no valid ticket and were not found unfit.
 func (c *Cell) askCandidates(s *stage, q *Queue, now time.Time) []askCandidate {
 	first := s.advice.asked == nil
@@ -273,26 +426,26 @@
 			out = append(out, askCandidate{worker: w})
 			continue
 		}
-		if !w.hasRoom(&room) && !c.soonFree(s, w, q, now) || !w.health.allows(len(w.runs), now) || s.atPerWorkerLimit(w) {
+		soon := !w.hasRoom(&room) && c.soonFree(s, w, q, now)
+		if !w.hasRoom(&room) && !soon || !w.health.allows(len(w.runs), now) || s.atPerWorkerLimit(w) {
 			continue
 		}
 		at, known := s.advice.findTicket(w)
 		if s.advice.asked[w] && (!known || now.Before(s.advice.tickets[at].until)) {
 			continue
 		}
-		out = append(out, askCandidate{worker: w, known: known})
+		out = append(out, askCandidate{worker: w, known: known, soon: soon})
 	}
-	slices.SortStableFunc(out, func(x, y askCandidate) int {
-		return cmp.Or(compareBools(y.known, x.known), cmp.Compare(y.free[sched.MilliCPU], x.free[sched.MilliCPU]))
-	})
 	return out
 }
 
 // askCandidate is a worker worth asking about. known means that the policy has permitted it to run
-// the step before.
+// the step before, and soon that it has no room yet but will have by the time of the answer.
 type askCandidate struct {
 	*worker
-	known bool
+	known, soon bool
+	// cpu is the worker's unclaimed processor room while candidates are sorted.
+	cpu int64
 }
 
 // soonFree reports whether w, which is reserved for s, will have room by the time the policy has
--- a/cell/ask_bound_test.go
+++ b/cell/ask_bound_test.go
@@ -74,8 +74,13 @@
 	time      time.Duration
 }
 
-// fewestCallers is the limit on questions in flight where most instances stay away.
-var fewestCallers = []int{5}
+// callersReturn are the limits on questions in flight in successive seconds while instances come
+// back; fewCallers and fewestCallers are the limits where most instances stay away.
+var (
+	callersReturn = []int{5, 21, 34}
+	fewCallers    = []int{9}
+	fewestCallers = []int{5}
+)
 
 func newTakeover(seed uint64, limits []int) *takeover {
 	const valid = 2 * time.Second
@@ -325,6 +330,18 @@
 	return time.Duration(mean*min(math.Exp(t.rng.NormFloat64()*0.47-0.11), 2.5)) * time.Millisecond
 }
 
+// gang returns a step of a gang whose tasks take all accelerators of a worker.
+func gang(count int) flow.Step {
+	return flow.Step{Count: count, Gang: true, Demand: sched.Vec{sched.MilliCPU: 31_000, sched.MemoryMiB: 45_000, sched.Accelerators: 8}}
+}
+
+// mixedGang returns the nth of a mix of gangs of 2 to 8 tasks, each with 2, 4 or 8 accelerators.
+func mixedGang(n int) flow.Step {
+	g := gang(2 + n%7)
+	g.Demand[sched.Accelerators] = []int64{2, 4, 8, 8}[n%4]
+	return g
+}
+
 func build(count int) flow.Step {
 	return flow.Step{Count: count, Demand: sched.Vec{sched.MilliCPU: 5_600, sched.MemoryMiB: 11_000, sched.Accelerators: 1}}
 }
@@ -333,6 +350,10 @@
 	return flow.Step{Count: count, Demand: sched.Vec{sched.MilliCPU: 5_300, sched.MemoryMiB: 15_000}}
 }
 
+func batch(count int) flow.Step {
+	return flow.Step{Count: count, Demand: sched.Vec{sched.MilliCPU: 9_000, sched.MemoryMiB: 25_000}}
+}
+
 // expectAskedInTime plays a load without and with others, the steps that compete with the watched
 // ones, and expects that the watched steps are asked about in time. Without the others they must
 // be, too: the callers suffice.
@@ -359,6 +380,15 @@
 	Expect(worst).To(BeNumerically("<=", maxAskDelay))
 }
 
+// restoreGangs restores gangs of a size.
+func restoreGangs(n, size int) func(t *takeover) {
+	return func(t *takeover) {
+		for i := range n {
+			t.restore(fmt.Sprintf("g%03d", i), gangQueue, t.duration(3600), gang(size))
+		}
+	}
+}
+
 var _ = Describe("a step whose workers are free, after a change of owner", func() {
 	// Guards against short questions that fill the limit, so that no long question is sent.
 	It("is asked about in time, though there are more short questions than the limit allows", func() {
@@ -378,4 +408,59 @@
 			})
 		})
 	})
+
+	// Guards against first questions about steps for which no worker has room that go before those
+	// about steps whose workers are free.
+	It("is asked about in time, though many steps of a full pool come first by rank", func() {
+		expectAskedInTime(callersReturn, 8*time.Second, func(t *takeover) {
+			t.generalWorkers(0)
+			t.acceleratorWorkers(98)
+			for i := range 8 {
+				t.watch(t.restore(fmt.Sprintf("b%d", i), batchQueue, t.duration(3600), batch(20)))
+			}
+		}, restoreGangs(80, 5))
+	})
+
+	// Guards against repeated questions that start nothing, about gangs that cannot start with the
+	// room there is.
+	for _, c := range []struct {
+		limits []int
+		gangs  int
+	}{{callersReturn, 140}, {fewCallers, 40}} {
+		It(fmt.Sprintf("is asked about in time, though %d gangs that cannot start are asked about again and again (limits %v)", c.gangs, c.limits), func() {
+			expectAskedInTime(c.limits, 16*time.Second, func(t *takeover) {
+				t.generalWorkers(0)
+				t.acceleratorWorkers(91)
+				for i := range 8 {
+					t.after(11*time.Second+time.Duration(i)*100*time.Millisecond, func() {
+						t.watch(t.submit(fmt.Sprintf("b%d", i), batchQueue, t.duration(3600), batch(20)))
+					})
+				}
+			}, restoreGangs(c.gangs, 8))
+		})
+	}
+
+	// Guards against the wide questions about gangs and small tasks of a pool that fills up, which go
+	// before those about steps whose workers are free.
+	It("is asked about in time, though another pool fills up with gangs and small tasks", func() {
+		const length = 8 * time.Second
+		expectAskedInTime(callersReturn, length, func(t *takeover) {
+			t.generalWorkers(0)
+			t.acceleratorWorkers(60)
+			for i := range 8 {
+				t.watch(t.restore(fmt.Sprintf("b%d", i), batchQueue, t.duration(3600), batch(20)))
+			}
+		}, func(t *takeover) {
+			for i := range 30 {
+				t.restore(fmt.Sprintf("g%03d", i), gangQueue, t.duration(3600), mixedGang(i))
+				t.restore(fmt.Sprintf("s%03d", i), buildQueue, t.duration(3800), build(13))
+			}
+			t.arrivalsAt(length, func(time.Duration) float64 { return 4 }, func(at time.Duration, n int) {
+				t.after(at, func() { t.submit(fmt.Sprintf("h%03d", n), gangQueue, t.duration(3600), mixedGang(n)) })
+			})
+			t.arrivalsAt(length, func(time.Duration) float64 { return 4.6 }, func(at time.Duration, n int) {
+				t.after(at, func() { t.submit(fmt.Sprintf("d%03d", n), buildQueue, t.duration(3800), build(13)) })
+			})
+		})
+	})
 })
--- a/cell/cell.go
+++ b/cell/cell.go
@@ -72,9 +72,12 @@
 	asks, longAsks, oldestAsks, maxAsks int
 	// policyStats holds statistics of the policies' answers, by queue.
 	policyStats map[string]*policyStats
-	// unasked collects, during Place, the steps that were left without a question.
-	unasked []unasked
-	counts  Counts
+	// unasked collects, during Place, the steps that were left without a question, and tooEarly those
+	// for which there is no room that a question before them is not about.
+	unasked, tooEarly []unasked
+	// noRoomFor collects, during Place, the searches for unclaimed room that found none.
+	noRoomFor []noRoom
+	counts    Counts
 	// changes collects the events of runs of long-running tasks until Changes returns them.
 	changes []RunChange
 	// recentLosses holds the workers lost within lossRetention.
--- a/cell/place.go
+++ b/cell/place.go
@@ -66,8 +66,9 @@
 	c.countTrials(now)
 	c.sendBudgetLeft, c.sendLimited, c.maxAsks = c.sendBudget, false, asks
 	for _, w := range c.sortedWorkers {
-		w.reserved = sched.Vec{}
+		w.reserved, w.claimed = sched.Vec{}, sched.Vec{}
 	}
+	c.noRoomFor = c.noRoomFor[:0]
 	for _, s := range c.openStages {
 		q := c.queues[s.job.spec.Queue]
 		if q == nil || s.job.state.Final() {
@@ -76,6 +77,9 @@
 		if !s.due.IsZero() && s.due.After(wall) {
 			continue
 		}
+		if s.advice.asking {
+			s.addClaims()
+		}
 		if s.waiting == 0 || s.pendingDeps > 0 || !s.job.stored {
 			c.askAhead(s, q, &a, asks, now)
 			s.needsMove = false
@@ -123,6 +127,7 @@
 		c.reportWait(s, why, &a, now)
 	}
 	c.askOldest(&a, asks, now)
+	c.askEarly(&a, asks, now)
 	return a
 }
 
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -47,7 +47,10 @@
 	free     sched.Vec
 	// reserved is the room held, during Place, for steps that come first in the order.
 	reserved sched.Vec
-	runs     map[runKey]*run
+	// claimed is the room that, during Place, is likely to be used by steps that come first in the
+	// order, once the policy has answered.
+	claimed sched.Vec
+	runs    map[runKey]*run
 	// runList holds the same runs as runs in their order of arrival, so that decisions are
 	// deterministic. fillerRuns counts those that fill spare processor time.
 	runList    []*run
