internal/standin/world: a policy that can be slow, one call at a time for each caller

Cause: the stand-in's policy answers within some 20 ms, so no test sees steps wait for each other's questions, as they do on the platform; and it served all callers one after another, where the platform's serves each in turn.

Now: options say how long an answer takes, by default 10 ms and 1 ms for each worker as before. NewPolicyAddr gives another caller an address of its own. The policy has a file of its own.

Existing specs use the shared address and the default times.

--- a/internal/standin/world/world.go
+++ b/internal/standin/world/world.go
@@ -3,14 +3,11 @@
 package world
 
 import (
-	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"slices"
-	"strconv"
-	"strings"
 	"sync"
 	"time"
 )
@@ -26,8 +23,10 @@
 	// WorkerAddr returns the address on which a worker listens, also after a restart. If it is nil,
 	// the system chooses a port, which it may give to another process while the worker is down.
 	WorkerAddr func() (string, error)
-	// Advice has the policy service decide which workers may run a step: two of three.
-	Advice bool
+	// Advice has the policy service decide which workers may run a step: two of three. An answer
+	// takes PolicyTime and PolicyTimePerWorker for each worker asked about, by default 10 ms and 1 ms.
+	Advice                          bool
+	PolicyTime, PolicyTimePerWorker time.Duration
 	// NextRestart says how a worker restarts after a task has crashed it, and after an upkeep of its
 	// machine; if it is nil, a new worker takes its place.
 	NextRestart func() Restart
@@ -45,7 +44,8 @@
 	// Machines has a machine for each worker.
 	Machines *Machines
 
-	StoreAddr    string
+	StoreAddr string
+	// PolicyAddr is that of the policy service for all callers together; see NewPolicyAddr.
 	PolicyAddr   string
 	MachinesAddr string
 
@@ -68,12 +68,12 @@
 // Start starts a World.
 func Start(o Options) (*World, error) {
 	w := &World{Store: newStore(o.Seed), Book: newBook(), options: o, stop: make(chan struct{})}
-	w.Policy = &Policy{advice: o.Advice, world: w}
+	w.Policy = newPolicy(w, o)
 	var err error
 	if w.StoreAddr, err = w.serve(w.Store); err != nil {
 		return nil, err
 	}
-	if w.PolicyAddr, err = w.serve(w.Policy); err != nil {
+	if w.PolicyAddr, err = w.serve(&policyCaller{policy: w.Policy}); err != nil {
 		return nil, err
 	}
 	w.Machines = newMachines(w)
@@ -297,7 +297,9 @@
 		"target_latency_ms": 250, "priority": 0, "backend": pool, "max_attempts": 2, "stretch": 1.5,
 	}
 	if w.options.Advice {
-		route["advice"] = map[string]any{"decide_ms": 10, "each_ms": 1, "valid_ms": 2500}
+		route["advice"] = map[string]any{
+			"decide_ms": w.Policy.decide.Milliseconds(), "each_ms": w.Policy.each.Milliseconds(), "valid_ms": ticketLife.Milliseconds(),
+		}
 	}
 	return route
 }
@@ -312,63 +314,3 @@
 		_ = s.Close()
 	}
 }
-
-// Policy is the test double of the policy service, which decides which workers may run a step.
-type Policy struct {
-	advice   bool
-	world    *World
-	mu       sync.Mutex
-	requests int
-}
-
-func (p *Policy) enabled() bool { return p.advice }
-
-// Requests returns the number of requests so far.
-func (p *Policy) Requests() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.requests
-}
-
-const ticketLife = 2500 * time.Millisecond
-
-// ticketValid reports whether a ticket is valid for a worker: issued for its id, not before its
-// process started, and not expired.
-func (p *Policy) ticketValid(ticket string, w *Worker) bool {
-	id, at, ok := strings.Cut(ticket, "@")
-	ms, err := strconv.ParseInt(at, 10, 64)
-	given := time.UnixMilli(ms)
-	return ok && err == nil && id == w.ID && time.Since(given) < ticketLife && !given.Before(w.started.Truncate(time.Millisecond))
-}
-
-// ServeHTTP implements http.Handler.
-func (p *Policy) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	var in struct {
-		Step    string   `json:"step"`
-		Workers []string `json:"workers"`
-	}
-	if err := json.NewDecoder(r.Body).Decode(&in); err != nil {
-		w.WriteHeader(http.StatusBadRequest)
-		return
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.requests++
-	time.Sleep(10*time.Millisecond + time.Duration(len(in.Workers))*time.Millisecond)
-	healthy := [][]string{}
-	for _, id := range in.Workers {
-		if mayRun(in.Step, p.world.processName(id)) {
-			healthy = append(healthy, []string{id, id + "@" + strconv.FormatInt(time.Now().UnixMilli(), 10)})
-		}
-	}
-	writeJSON(w, http.StatusOK, map[string]any{"healthy": healthy, "valid_ms": ticketLife.Milliseconds()})
-}
-
-// mayRun reports whether a worker may run a step: a hash of both, true for two of three.
-func mayRun(step, worker string) bool {
-	sum := 0
-	for _, c := range step + worker {
-		sum = sum*31 + int(c)
-	}
-	return sum%3 != 0
-}
