test/cluster: the soak looks for jobs that stand still while faults go on

Cause: the soak looked for LOST only from 4 s after the last fault on. Its policy was not asked at all. So it could not see steps that wait for the policy while workers are free, after a change of owner.

Now: the check covers each time of the play without a fault or a lost worker, from 4 s after the ones before, and each part of it in which the account is below its limit; before, one moment at the limit excused the whole wait. Every eighth seed, unless it is large, has a slow policy (250 ms and 20 ms a worker, one call at a time for each instance), a sixth of the jobs, and 9.5 s of calm between two halves of the faults, with no jobs that crash workers before that. On the other seeds the faults and jobs are as before, so that the listed seeds can still be played. Verbose output shows the faults and the times looked at on green seeds too.

Normal seeds still have hardly any calm time to look at.

--- a/test/cluster/bed_test.go
+++ b/test/cluster/bed_test.go
@@ -56,6 +56,8 @@
 	name, front, peer, ready, metrics string
 	// store is the address at which the instance reaches the store.
 	store string
+	// policy is the address at which it reaches the policy service.
+	policy string
 
 	settings string
 	log      *syncBuffer
@@ -146,7 +148,7 @@
 	Expect(err).NotTo(HaveOccurred())
 	for i := range 2 * len(halls) {
 		e := newInstance(i, dir, lane)
-		e.store = w.StoreAddr
+		e.store, e.policy = w.StoreAddr, w.PolicyAddr
 		b.instances = append(b.instances, e)
 	}
 	DeferCleanup(func() {
@@ -178,6 +180,17 @@
 	b.waitReady()
 }
 
+// separatePolicyCallers has the policy serve each instance independently of the others. It is to
+// be called before the instances are started.
+func (b *testbed) separatePolicyCallers() {
+	GinkgoHelper()
+	for _, e := range b.instances {
+		var err error
+		e.policy, err = b.world.NewPolicyAddr()
+		Expect(err).NotTo(HaveOccurred())
+	}
+}
+
 // addressSource returns a function that reserves one more address of the lane at each call.
 // No other process gets these addresses while the lane is held.
 func addressSource(lane *port.Range) func() (string, error) {
@@ -219,7 +232,7 @@
 		"listen": map[string]any{"http": e.front, "peer": e.peer},
 		"peers":  []string{b.instances[0].peer},
 		"cluster": map[string]any{
-			"store": e.store, "policy": b.world.PolicyAddr, "machines": b.world.MachinesAddr,
+			"store": e.store, "policy": e.policy, "machines": b.world.MachinesAddr,
 			"ready": e.ready, "metrics": e.metrics, "cells": b.cells,
 			"lease": lease, "lease-most": "10s", "keep": "120s", "grace": "4s",
 		},
--- a/test/cluster/soak_lost_test.go
+++ b/test/cluster/soak_lost_test.go
@@ -14,37 +14,23 @@
 )
 
 const (
-	// maxStall is the maximum time for which nothing of a job may run although its account has
-	// room. It is checked from settleTimeAfterFault after the last fault.
-	maxStall, settleTimeAfterFault = 3 * time.Second, 4 * time.Second
-	// maxRebirthDelay is how long after the end of a fault a worker may still be down because of it.
-	maxRebirthDelay = 1500 * time.Millisecond
+	// maxStall is the maximum time for which nothing of a job may run in a calm interval although
+	// its account has room.
+	maxStall = 3 * time.Second
+	// limitCheckInterval is the step in which the check looks at what an account has running.
+	limitCheckInterval = 100 * time.Millisecond
 )
 
-// lastFault returns the end of the last fault, which may be a worker crashed by a task after
-// the injected faults have ended.
-func (s *soak) lastFault(starts []world.Entry) time.Time {
-	last := s.faultsEnded.Add(maxRebirthDelay)
-	for _, e := range starts {
-		if e.Outcome == "lost" && e.Ended.After(last) {
-			last = e.Ended
-		}
-	}
-	return last
-}
-
-// idleGap is an interval in which nothing of a job ran.
-type idleGap struct{ from, to time.Time }
-
-// idleGaps returns the intervals between the runs of a job, from the given time to the start of its
-// last run.
-func idleGaps(starts []world.Entry, from time.Time) []idleGap {
+// idleIntervals returns the intervals from the acceptance of a job to the start of its last run in
+// which nothing of it ran.
+func idleIntervals(starts []world.Entry, accepted time.Time) []interval {
 	starts = slices.Clone(starts)
 	slices.SortFunc(starts, func(a, b world.Entry) int { return a.Begun.Compare(b.Begun) })
-	var out []idleGap
+	var out []interval
+	from := accepted
 	for _, e := range starts {
 		if e.Begun.After(from) {
-			out = append(out, idleGap{from, e.Begun})
+			out = append(out, interval{from, e.Begun})
 		}
 		if e.Ended.After(from) {
 			from = e.Ended
@@ -53,44 +39,79 @@
 	return out
 }
 
-// checkLost checks that no accepted job stood still for maxStall while its account was below its
-// limit, except for jobs that were cancelled or crash workers. Capacity is never the reason: the
-// limits of all accounts together fill less than half of the workers.
+// stall is an interval in which nothing of a job ran for too long.
+type stall struct {
+	job string
+	interval
+}
+
+// checkLost checks that no accepted job stood still for maxStall in a calm interval while its
+// account was below its limit, except for jobs that were cancelled or crash workers. Capacity is
+// never the reason: the limits of all accounts together fill less than half of the workers.
 func (s *soak) checkLost(byJob map[string][]world.Entry) {
 	GinkgoHelper()
+	var lost []string
+	for _, l := range s.stalls(byJob) {
+		lost = append(lost, fmt.Sprintf("%s from %.2f to %.2f s", l.job, l.from.Sub(s.started).Seconds(), l.to.Sub(s.started).Seconds()))
+	}
+	Expect(lost).To(BeEmpty(), "LOST: nothing of a job runs while its account has room")
+}
+
+func (s *soak) stalls(byJob map[string][]world.Entry) []stall {
 	var all []world.Entry
 	account := make(map[string][]world.Entry)
 	for _, j := range s.jobs {
 		all = append(all, byJob[j.id]...)
 		account[j.key] = append(account[j.key], byJob[j.id]...)
 	}
-	from := s.lastFault(all).Add(settleTimeAfterFault)
-	var lost []string
+	calm := s.calmIntervals(all, time.Now())
+	for _, c := range calm {
+		s.logf("jobs must not stand still from %.2f to %.2f s", c.from.Sub(s.started).Seconds(), c.to.Sub(s.started).Seconds())
+	}
+	var out []stall
 	for _, j := range s.jobs {
 		if !j.accepted || j.cancelled || j.crashes {
 			continue
 		}
-		for _, p := range idleGaps(byJob[j.id], from) {
-			if p.to.Sub(p.from) >= maxStall && belowLimit(account[j.key], p) {
-				lost = append(lost, fmt.Sprintf("%s from %.2f to %.2f s", j.id, p.from.Sub(s.started).Seconds(), p.to.Sub(s.started).Seconds()))
-			}
+		for _, p := range stallsOf(idleIntervals(byJob[j.id], j.acceptedAt), calm, account[j.key]) {
+			out = append(out, stall{j.id, p})
 		}
 	}
-	Expect(lost).To(BeEmpty(), "LOST: nothing of a job runs while its account has room")
+	return out
+}
+
+// stallsOf returns the parts of a job's idle intervals that are calm, in which its account was below
+// its limit, and that are too long.
+func stallsOf(idle, calm []interval, account []world.Entry) []interval {
+	var out []interval
+	for _, i := range idle {
+		for _, c := range calm {
+			out = append(out, belowLimit(account, i.intersect(c))...)
+		}
+	}
+	return slices.DeleteFunc(out, func(p interval) bool { return p.duration() < maxStall })
 }
 
-// belowLimit reports whether an account ran fewer tasks than its limit throughout an interval.
-func belowLimit(starts []world.Entry, p idleGap) bool {
-	for at := p.from; at.Before(p.to); at = at.Add(maxStall / 30) {
-		n := 0
-		for _, e := range starts {
-			if !e.Begun.After(at) && e.Ended.After(at) {
-				n++
-			}
+// belowLimit returns the parts of an interval in which an account ran fewer tasks than its limit.
+func belowLimit(starts []world.Entry, p interval) []interval {
+	var out []interval
+	from := p.from
+	for at := p.from; at.Before(p.to); at = at.Add(limitCheckInterval) {
+		if running(starts, at) >= accountTaskLimit {
+			out = append(out, interval{from, at})
+			from = at.Add(limitCheckInterval)
 		}
-		if n >= accountTaskLimit {
-			return false
+	}
+	return append(out, interval{from, p.to})
+}
+
+// running returns the number of runs at a time.
+func running(starts []world.Entry, at time.Time) int {
+	n := 0
+	for _, e := range starts {
+		if !e.Begun.After(at) && e.Ended.After(at) {
+			n++
 		}
 	}
-	return true
+	return n
 }
--- a/test/cluster/soak_test.go
+++ b/test/cluster/soak_test.go
@@ -3,12 +3,14 @@
 package cluster
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -22,7 +24,11 @@
 // clients were told with what the workers recorded. docs/SOAK.md describes what that covers.
 
 const (
+	// Faults are injected for soakDuration. On seeds with a slow policy they pause for calmDuration
+	// halfway, while clients go on: what a job may have to wait for after a fault
+	// (settleTimeAfterFault), a stall of maxStall, and a second in which it may begin.
 	soakDuration = 12 * time.Second
+	calmDuration = maxRebirthDelay + settleTimeAfterFault + maxStall + time.Second
 	// maxFaultInterval is the longest time between the starts of two faults. maxFaultDuration is
 	// the range of the random part of a fault's duration, on top of 200 ms.
 	maxFaultInterval = 700 * time.Millisecond
@@ -33,6 +39,13 @@
 	// two jobs.
 	soakClients        = 4
 	meanSubmitInterval = 250 * time.Millisecond
+	// On each seed that is a multiple of slowPolicyEvery, and not large, a slow policy decides which
+	// workers may run a step. Clients submit fewer jobs then, about two thirds of what the policy
+	// can answer.
+	slowPolicyEvery         = 8
+	slowPolicyTime          = 250 * time.Millisecond
+	slowPolicyTimePerWorker = 20 * time.Millisecond
+	slowPolicySubmitFactor  = 6
 	// Each seed that is a multiple of largeEvery runs as large a testbed as the machine bears,
 	// with largeHallWorkers workers per hall and twice the clients.
 	largeEvery       = 10
@@ -63,8 +76,20 @@
 	version     int
 	jobs        []*soakJob
 	log         []string
-	// started is when clients and faults started, and faultsEnded when the last fault was over.
-	started, faultsEnded time.Time
+	// started is when clients and faults started.
+	started time.Time
+	// slowPolicy is true if a slow policy decides which workers may run a step.
+	slowPolicy bool
+	// clients is the number of clients with a valid key.
+	clients int
+	// submitInterval is the mean pause of a client between two jobs.
+	submitInterval time.Duration
+	// bouts are the durations of the bouts of faults. It is calm between two of them.
+	bouts []time.Duration
+	// bout is the index of the latest bout.
+	bout atomic.Int32
+	// disturbed are the intervals in which faults may disturb jobs.
+	disturbed []interval
 }
 
 // soakJob is a job that a client submitted, with what the client was told of it.
@@ -75,6 +100,8 @@
 	body     string
 	crashes  bool
 	accepted bool
+	// acceptedAt is when a client was told that the job is accepted.
+	acceptedAt time.Time
 	// refused is true if every attempt was answered with a refusal.
 	refused   bool
 	cancelled bool
@@ -116,14 +143,14 @@
 	return as.state(id)
 }
 
-// runClient submits, queries and cancels jobs with a key until the given time, over its own
-// persistent connections.
-func (s *soak) runClient(random *rand.Rand, key string, until time.Time) []*soakJob {
+// runClient submits, queries and cancels jobs with a key until ctx is done, over its own persistent
+// connections.
+func (s *soak) runClient(ctx context.Context, random *rand.Rand, key string) []*soakJob {
 	c := &testbed{world: s.world, instances: s.instances, http: &http.Client{Timeout: 3 * time.Second, Transport: &http.Transport{}}, key: key}
 	var jobs []*soakJob
-	for time.Now().Before(until) {
+	for ctx.Err() == nil {
 		j := &soakJob{key: key, id: fmt.Sprintf("%016x", random.Uint64()), body: chainJob(1+random.IntN(4), 50+random.IntN(400))}
-		if random.IntN(12) == 0 {
+		if random.IntN(12) == 0 && s.inLastBout() {
 			j.crashes, j.body = true, crashingJob(2, time.Duration(random.IntN(150))*time.Millisecond, random.IntN(2))
 		}
 		c.trySubmit(j, random)
@@ -138,7 +165,7 @@
 			c.call(c.instances[random.IntN(len(c.instances))], http.MethodGet, prefix+jobs[random.IntN(len(jobs))].id, "")
 		}
 		jobs = append(jobs, j)
-		time.Sleep(time.Duration(random.Int64N(int64(2 * meanSubmitInterval))))
+		time.Sleep(time.Duration(random.Int64N(int64(2 * s.submitInterval))))
 	}
 	return jobs
 }
@@ -150,7 +177,7 @@
 		status, _, _ := b.call(b.instances[random.IntN(len(b.instances))], http.MethodPost, prefix+j.id, j.body)
 		switch status {
 		case http.StatusOK:
-			j.accepted, j.refused = true, false
+			j.accepted, j.refused, j.acceptedAt = true, false, time.Now()
 			return
 		case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusNotFound, http.StatusUnauthorized:
 		default:
@@ -160,72 +187,115 @@
 	}
 }
 
-// run runs clients and faults for soakDuration and waits until all of them have ended.
-func (s *soak) run(clients int) {
+// inLastBout reports whether the last bout has begun. Only then do clients submit jobs that crash
+// workers, as these would disturb the calm before it.
+func (s *soak) inLastBout() bool { return int(s.bout.Load()) == len(s.bouts)-1 }
+
+// run runs clients and the bouts of faults, and waits until all of them have ended.
+func (s *soak) run() {
 	s.started = time.Now()
-	until := s.started.Add(soakDuration)
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	wait := s.startClients(ctx)
+	for i, duration := range s.bouts {
+		if i > 0 {
+			s.calmDown()
+		}
+		s.bout.Store(int32(i))
+		s.injectFaults(duration)
+	}
+	stop()
+	wait()
+	s.faults.Wait()
+	s.logf("all faults have ended")
+}
+
+// startClients starts the clients, which go on until ctx is done. It returns a function that waits
+// until they have ended.
+func (s *soak) startClients(ctx context.Context) (wait func()) {
 	var all sync.WaitGroup
-	var mu sync.Mutex
 	client := func(random *rand.Rand, key string) {
 		all.Go(func() {
 			defer GinkgoRecover()
-			jobs := s.runClient(random, key, until)
-			mu.Lock()
-			defer mu.Unlock()
+			jobs := s.runClient(ctx, random, key)
+			s.mu.Lock()
+			defer s.mu.Unlock()
 			s.jobs = append(s.jobs, jobs...)
 		})
 	}
-	for i := range clients {
+	for i := range s.clients {
 		client(rand.New(rand.NewPCG(s.random.Uint64(), 1)), soakAccounts[i%len(soakAccounts)].Keys[0])
 	}
-	client(rand.New(rand.NewPCG(uint64(clients), 2)), unknownKey)
-	for time.Now().Before(until) {
+	client(rand.New(rand.NewPCG(uint64(s.clients), 2)), unknownKey)
+	return all.Wait
+}
+
+// injectFaults starts faults for the given time. They may last longer.
+func (s *soak) injectFaults(duration time.Duration) {
+	for until := time.Now().Add(duration); time.Now().Before(until); {
 		d := s.drawFault()
 		s.faults.Go(func() {
 			defer GinkgoRecover()
 			for range d.repeats {
-				faultKinds[d.kind](s, d)
+				s.disturb(func() { faultKinds[d.kind](s, d) })
 			}
 		})
 		time.Sleep(time.Duration(s.random.Int64N(int64(maxFaultInterval))))
 	}
-	all.Wait()
-	s.faults.Wait()
-	s.faultsEnded = time.Now()
-	s.logf("all faults have ended")
+}
+
+// newSoak starts a testbed for a seed, with limits for the client accounts.
+func newSoak(seed uint64) *soak {
+	GinkgoHelper()
+	s := &soak{
+		random: rand.New(rand.NewPCG(seed, 7)), busyTargets: make(map[any]bool), version: 1,
+		clients: soakClients, submitInterval: meanSubmitInterval, bouts: []time.Duration{soakDuration}, started: time.Now(),
+	}
+	variant := func(*world.Options) {}
+	switch {
+	case seed%largeEvery == 0:
+		s.clients *= 2
+		variant = func(o *world.Options) { o.WorkersPerHall = largeHallWorkers }
+	case seed%slowPolicyEvery == 0:
+		s.slowPolicy = true
+		s.submitInterval *= slowPolicySubmitFactor
+		s.bouts = []time.Duration{soakDuration / 2, soakDuration / 2}
+		variant = func(o *world.Options) {
+			o.Advice, o.PolicyTime, o.PolicyTimePerWorker = true, slowPolicyTime, slowPolicyTimePerWorker
+		}
+	}
+	s.testbed = newTestbed(1, s.proxies.interceptAll, variant, s.drawRestarts(seed))
+	if s.slowPolicy {
+		s.separatePolicyCallers()
+	}
+	s.startInstances()
+	s.world.SetAccounts(soakAccounts...)
+	s.writeConfiguration(faultParams{})
+	for _, e := range s.instances {
+		Eventually(func() int { return s.statusWithKey(e, "") }, keyChangeTimeout).Should(Equal(http.StatusUnauthorized))
+	}
+	return s
+}
+
+// drawRestarts has workers that tasks crash restart as drawn by the seed.
+func (s *soak) drawRestarts(seed uint64) func(*world.Options) {
+	ways := rand.New(rand.NewPCG(seed, 8))
+	var mu sync.Mutex
+	return func(o *world.Options) {
+		o.NextRestart = func() world.Restart {
+			mu.Lock()
+			defer mu.Unlock()
+			return s.rebirthVariant(ways.IntN(rebirthVariants))
+		}
+	}
 }
 
 var _ = Describe("a soak", Label("soak"), func() {
 	for _, seed := range soakSeeds() {
 		It(soakName(seed), func() {
-			s := &soak{random: rand.New(rand.NewPCG(seed, 7)), busyTargets: make(map[any]bool), version: 1, started: time.Now()}
-			clients := soakClients
-			large := func(*world.Options) {}
-			if seed%largeEvery == 0 {
-				clients *= 2
-				large = func(o *world.Options) { o.WorkersPerHall = largeHallWorkers }
-			}
-			ways := rand.New(rand.NewPCG(seed, 8))
-			var mu sync.Mutex
-			next := func(o *world.Options) {
-				o.NextRestart = func() world.Restart {
-					mu.Lock()
-					defer mu.Unlock()
-					return s.rebirthVariant(ways.IntN(rebirthVariants))
-				}
-			}
-			s.testbed = start(s.proxies.interceptAll, large, next)
-			DeferCleanup(func() {
-				if CurrentSpecReport().Failed() {
-					fmt.Fprintln(GinkgoWriter, strings.Join(s.log, "\n"))
-				}
-			})
-			s.world.SetAccounts(soakAccounts...)
-			s.writeConfiguration(faultParams{})
-			for _, e := range s.instances {
-				Eventually(func() int { return s.statusWithKey(e, "") }, keyChangeTimeout).Should(Equal(http.StatusUnauthorized))
-			}
-			s.run(clients)
+			s := newSoak(seed)
+			DeferCleanup(func() { fmt.Fprintln(GinkgoWriter, strings.Join(s.log, "\n")) })
+			s.run()
 			s.check()
 		})
 	}
