test/cluster: the soak changes the owner before the calm, in a spec of its own

Cause: the soak's calm stretch never followed a change of owner, after which steps with free workers once were not asked about for long.

Change: each seed with a slow policy has a second spec that kills the owner just before the calm.

--- a/test/cluster/soak_calm_test.go
+++ b/test/cluster/soak_calm_test.go
@@ -6,6 +6,9 @@
 	"slices"
 	"time"
 
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
 	"dewpass.org/internal/standin/world"
 )
 
@@ -42,9 +45,15 @@
 	s.disturbed = append(s.disturbed, interval{begun, time.Now().Add(maxRebirthDelay)})
 }
 
-// calmDown waits until all faults have ended, and then for calmDuration.
+// calmDown waits until all faults have ended, and then for calmDuration. What a new owner does late
+// is seen best if nothing else happens.
 func (s *soak) calmDown() {
+	GinkgoHelper()
 	s.faults.Wait()
+	if s.ownerChange {
+		Eventually(s.owner).ShouldNot(BeNil())
+		s.disturb(func() { s.killInstance(faultParams{choice: slices.Index(s.instances, s.owner())}) })
+	}
 	s.logf("calm")
 	time.Sleep(calmDuration)
 }
--- a/test/cluster/soak_test.go
+++ b/test/cluster/soak_test.go
@@ -78,8 +78,9 @@
 	log         []string
 	// started is when clients and faults started.
 	started time.Time
-	// slowPolicy is true if a slow policy decides which workers may run a step.
-	slowPolicy bool
+	// slowPolicy is true if a slow policy decides which workers may run a step, and ownerChange if
+	// the owner is killed just before the calm.
+	slowPolicy, ownerChange bool
 	// clients is the number of clients with a valid key.
 	clients int
 	// submitInterval is the mean pause of a client between two jobs.
@@ -244,6 +245,9 @@
 	}
 }
 
+// hasSlowPolicy reports whether a seed is played with a slow policy.
+func hasSlowPolicy(seed uint64) bool { return seed%slowPolicyEvery == 0 && seed%largeEvery != 0 }
+
 // newSoak starts a testbed for a seed, with limits for the client accounts.
 func newSoak(seed uint64) *soak {
 	GinkgoHelper()
@@ -256,7 +260,7 @@
 	case seed%largeEvery == 0:
 		s.clients *= 2
 		variant = func(o *world.Options) { o.WorkersPerHall = largeHallWorkers }
-	case seed%slowPolicyEvery == 0:
+	case hasSlowPolicy(seed):
 		s.slowPolicy = true
 		s.submitInterval *= slowPolicySubmitFactor
 		s.bouts = []time.Duration{soakDuration / 2, soakDuration / 2}
@@ -291,12 +295,17 @@
 }
 
 var _ = Describe("a soak", Label("soak"), func() {
+	play := func(seed uint64, ownerChange bool) {
+		s := newSoak(seed)
+		s.ownerChange = ownerChange
+		DeferCleanup(func() { fmt.Fprintln(GinkgoWriter, strings.Join(s.log, "\n")) })
+		s.run()
+		s.check()
+	}
 	for _, seed := range soakSeeds() {
-		It(soakName(seed), func() {
-			s := newSoak(seed)
-			DeferCleanup(func() { fmt.Fprintln(GinkgoWriter, strings.Join(s.log, "\n")) })
-			s.run()
-			s.check()
-		})
+		It(soakName(seed), func() { play(seed, false) })
+		if hasSlowPolicy(seed) {
+			It(soakName(seed)+", after a change of owner", func() { play(seed, true) })
+		}
 	}
 })
