link: streams of a session that is being closed no longer use up the processor

Cause: yamux first marks a session as shut down, which wakes the readers of its streams, and closes the streams only once the connection is closed and its reader has stopped. A reader that was woken found neither data nor an end of its stream and tried again at once; a writer that waits for its window did the same.

Evidence: in the stack traces of such an instance one reader ran, and two readers, two writers that had been told to end and a goroutine in Session.Close could run and did not.

Why the fix works: yamux closes its connection right after it has marked the session. The connection that it is given sets the deadlines of the streams in use to now before anything that may block, and yamux looks at the deadline whenever it tries again. Requests that end so are reported as lost as before, with "session shutdown" in place of "EOF".

--- a/link/dialer.go
+++ b/link/dialer.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
 	"io"
 	"net"
 	"sync"
@@ -58,11 +59,17 @@
 	if err != nil {
 		return nil, kind.Wrap(kind.Unavailable, err, "peer "+addr)
 	}
-	stop := context.AfterFunc(ctx, func() { _ = stream.SetDeadline(time.Now()) })
+	session.streams.add(stream)
+	defer session.streams.remove(stream)
+	stop := context.AfterFunc(ctx, func() { expire(stream) })
 	defer stop()
 	defer stream.Close()
 	var reply wire.Reply
 	if err := exchange(stream, req, &reply); err != nil {
+		if errors.Is(err, yamux.ErrTimeout) && ctx.Err() == nil {
+			// Only the end of the session made the deadline of the stream pass.
+			err = yamux.ErrSessionShutdown
+		}
 		switch now := time.Now(); {
 		case session.noDataSince(begun, now):
 			// The next request would get no answer either. Close may block on a pending write.
@@ -176,8 +183,7 @@
 		}
 		c = t
 	}
-	y, err := yamux.Client(c, sessionConfig())
-	return &session{Session: y, conn: tracked, openedAt: time.Now()}, err
+	return newSession(c, tracked)
 }
 
 func (p *peer) closeSession() {
--- a/link/server.go
+++ b/link/server.go
@@ -77,7 +77,8 @@
 	if s.TLS != nil {
 		c = tls.Server(c, s.TLS)
 	}
-	session, err := yamux.Server(c, serverConfig())
+	streams := newStreamConn(c)
+	session, err := yamux.Server(streams, serverConfig())
 	if err != nil {
 		_ = c.Close()
 		return
@@ -91,7 +92,7 @@
 			break
 		}
 		s.inflight.Add(1)
-		go s.serveStream(stream)
+		go s.serveStream(stream, streams)
 	}
 	s.mu.Lock()
 	delete(s.sessions, session)
@@ -99,11 +100,13 @@
 	_ = session.Close()
 }
 
-func (s *Server) serveStream(st *yamux.Stream) {
+func (s *Server) serveStream(st *yamux.Stream, streams *streamConn) {
 	defer s.inflight.Done()
 	defer st.Close()
 	var req wire.Request
 	_ = st.SetReadDeadline(time.Now().Add(requestTimeout))
+	streams.add(st)
+	defer streams.remove(st)
 	if err := readFrame(st, &req); err != nil {
 		return
 	}
--- a/link/session.go
+++ b/link/session.go
@@ -18,11 +18,19 @@
 type session struct {
 	*yamux.Session
 	conn     *activityConn
+	streams  *streamConn
 	openedAt time.Time
 	// probing is set while a probe is in progress.
 	probing atomic.Bool
 }
 
+// newSession returns a session on c, which is tracked or a TLS connection on it.
+func newSession(c net.Conn, tracked *activityConn) (*session, error) {
+	streams := newStreamConn(c)
+	y, err := yamux.Client(streams, sessionConfig())
+	return &session{Session: y, conn: tracked, streams: streams, openedAt: time.Now()}, err
+}
+
 // noDataSince reports whether a request began more than silenceTimeout ago and nothing was
 // received since. A session that never received anything is given openTimeout instead: its
 // peer is probably paused, and a new session would fare no better.
