cell: searches for room that find too little are shared by the steps of a decision

What callers saw: nothing yet; found by a review.

Cause: such steps no longer fill the limit on questions, so that each of them searched all workers twice in each decision; only searches that found nothing were shared.

Change: a search remembers how many tasks at most find unclaimed room, so that it also answers for gangs that need more and for larger tasks; and the largest free room is kept for each pool, so that a full pool is not searched and its tasks are not tried.

--- a/cell/ask.go
+++ b/cell/ask.go
@@ -185,7 +185,7 @@
 	for _, w := range c.sortedWorkers {
 		w.claimed = sched.Vec{}
 	}
-	c.noRoomFor, c.oldestNext = c.noRoomFor[:0], false
+	c.shortages, c.oldestNext = c.shortages[:0], false
 	c.unasked = append(c.unasked, c.tooEarly...)
 	slices.SortStableFunc(c.unasked, func(x, y unasked) int { return x.stage.waitingToAskSince().Compare(y.stage.waitingToAskSince()) })
 	for _, u := range c.unasked {
@@ -230,7 +230,7 @@
 // startCandidates returns the workers worth asking about s if tasks of s can start after the
 // answer, otherwise none.
 func (c *Cell) startCandidates(s *stage, q *Queue, now time.Time) []askCandidate {
-	if len(s.reservation.workers) == 0 && !c.hasUnclaimedRoom(s, q) {
+	if len(s.reservation.workers) == 0 && c.unclaimedFits(s, q) < s.startsTogether() {
 		return nil
 	}
 	candidates := c.askCandidates(s, q, now)
@@ -240,6 +240,14 @@
 	return candidates
 }
 
+// startsTogether returns how many tasks of s have to find room for one to start.
+func (s *stage) startsTogether() int {
+	if s.def.Gang {
+		return max(s.waiting, 1)
+	}
+	return 1
+}
+
 // sortCandidates sorts the workers known to be permitted first, then those with the most unclaimed
 // room.
 func sortCandidates(candidates []askCandidate) {
@@ -252,30 +260,41 @@
 	})
 }
 
-// hasUnclaimedRoom reports whether a worker has room for a task of s beside what earlier steps are
-// likely to use.
-func (c *Cell) hasUnclaimedRoom(s *stage, q *Queue) bool {
-	room := s.def.Reservation()
-	for i := range c.noRoomFor {
-		if n := &c.noRoomFor[i]; n.pool == q.Pool && n.label == s.def.RequiredLabel && room.Covers(&n.room) {
-			return false
+// unclaimedFits returns at most how many of the tasks of s that have to start together find room
+// beside what earlier steps are likely to use.
+func (c *Cell) unclaimedFits(s *stage, q *Queue) int {
+	room, need := s.def.Reservation(), s.startsTogether()
+	if most := c.mostFree[q.Pool]; !most.Covers(&room) {
+		return 0
+	}
+	for i := range c.shortages {
+		k := &c.shortages[i]
+		if k.pool == q.Pool && k.label == s.def.RequiredLabel && k.fits < need && room.Covers(&k.room) {
+			return k.fits
 		}
 	}
+	n := 0
 	for _, w := range c.sortedWorkers {
-		if w.usable() && w.suits(s, q) {
-			if free := w.unclaimed(); free.Covers(&room) {
-				return true
-			}
+		if !w.usable() || !w.suits(s, q) {
+			continue
+		}
+		for free := w.unclaimed(); n < need && free.Covers(&room); free = free.Sub(room) {
+			n++
+		}
+		if n == need {
+			return n
 		}
 	}
-	c.noRoomFor = append(c.noRoomFor, noRoom{q.Pool, s.def.RequiredLabel, room})
-	return false
+	c.shortages = append(c.shortages, shortage{q.Pool, s.def.RequiredLabel, room, n})
+	return n
 }
 
-// noRoom is the result of a search for a worker with room: none in the pool with that label.
-type noRoom struct {
+// shortage is the result of a search for unclaimed room: no more than fits tasks find it on the
+// workers of the pool that have the label.
+type shortage struct {
 	pool, label string
 	room        sched.Vec
+	fits        int
 }
 
 // unclaimed returns the room of w that no step before is likely to use.
@@ -379,10 +398,7 @@
 // candidates: one of them has room for a task or, for a gang, they and the workers with a ticket
 // have room for all of its tasks.
 func (s *stage) canStartOn(candidates []askCandidate, now time.Time) bool {
-	need := 1
-	if s.def.Gang {
-		need = max(s.waiting, 1)
-	}
+	need := s.startsTogether()
 	for _, w := range candidates {
 		need -= s.fits(w.worker)
 		if w.soon {
--- a/cell/cell.go
+++ b/cell/cell.go
@@ -78,9 +78,12 @@
 	// unasked collects, during Place, the steps that were left without a question, and tooEarly those
 	// for which there is no room that a question before them is not about.
 	unasked, tooEarly []unasked
-	// noRoomFor collects, during Place, the searches for unclaimed room that found none.
-	noRoomFor []noRoom
-	counts    Counts
+	// shortages collects, during Place, the searches for unclaimed room that found too little.
+	shortages []shortage
+	// mostFree is, for each pool and dimension, the largest amount free on any usable worker at the
+	// beginning of Place.
+	mostFree map[string]sched.Vec
+	counts   Counts
 	// changes collects the events of runs of long-running tasks until Changes returns them.
 	changes []RunChange
 	// recentLosses holds the workers lost within lossRetention.
--- a/cell/place.go
+++ b/cell/place.go
@@ -61,14 +61,15 @@
 	c.pruneOpenStages()
 	c.expireUnmatchedEnds(now)
 	c.sortOpenStages(now)
-	unsettled, mostFree, inDoubt := c.unsettled(), c.mostFree(), c.stagesInDoubt()
+	unsettled, inDoubt := c.unsettled(), c.stagesInDoubt()
+	c.updateMostFree()
 	c.countPossiblyUsed(&unsettled, now)
 	c.countTrials(now)
 	c.sendBudgetLeft, c.sendLimited, c.maxAsks = c.sendBudget, false, asks
 	for _, w := range c.sortedWorkers {
 		w.reserved, w.claimed = sched.Vec{}, sched.Vec{}
 	}
-	c.noRoomFor = c.noRoomFor[:0]
+	c.shortages = c.shortages[:0]
 	for _, s := range c.openStages {
 		s.reservation.held = false
 	}
@@ -95,7 +96,7 @@
 			c.reportWait(s, LinkFull, &a, now)
 			continue
 		}
-		room := s.def.Reservation()
+		room, mostFree := s.def.Reservation(), c.mostFree[q.Pool]
 		why := NoWorker
 		switch {
 		case c.heldUp(s, &unsettled):
@@ -134,18 +135,14 @@
 	return a
 }
 
-// mostFree returns, for each dimension, the largest amount free on any usable worker.
-func (c *Cell) mostFree() sched.Vec {
-	var most sched.Vec
+// updateMostFree sets mostFree.
+func (c *Cell) updateMostFree() {
+	c.mostFree = make(map[string]sched.Vec)
 	for _, w := range c.sortedWorkers {
-		if !w.usable() {
-			continue
-		}
-		for i := range most {
-			most[i] = max(most[i], w.free[i])
+		if w.usable() {
+			c.mostFree[w.Pool] = c.mostFree[w.Pool].Max(w.free)
 		}
 	}
-	return most
 }
 
 // pruneOpenStages removes the stages that have nothing left to place.
