--- a/cell/cell.go
+++ b/cell/cell.go
@@ -90,11 +90,14 @@
 	recentLosses []workerLoss
 	// activeTrials is the number of trials under watch, and maxTrials the limit, both set by Place.
 	activeTrials, maxTrials int
-	// inheritedWorkerLost means that a worker of a former owner had gone when this owner took over.
-	inheritedWorkerLost bool
-	givenUps            []GivenUpTask
-	// lostRuns collects the runs that were lost with their workers until LostRuns returns them.
-	lostRuns []LostRun
+	// inheritedWorkersLost are the workers of a former owner that had gone when this owner took over.
+	inheritedWorkersLost []string
+	givenUps             []GivenUpTask
+	// lostRuns, startedCopies and inheritedLosses collect what LostRuns, StartedCopies and
+	// InheritedLosses return.
+	lostRuns        []LostRun
+	startedCopies   []StartedCopy
+	inheritedLosses []InheritedLoss
 	// sendBudget is the number of bytes that the starts of the next decision may take,
 	// sendBudgetLeft what is left of it during Place. textShared means that the starts of a step
 	// share their text on the link.
--- a/cell/crash.go
+++ b/cell/crash.go
@@ -263,7 +263,7 @@
 // noteInheritedLoss records that a worker of a former owner had gone when this owner took over.
 func (c *Cell) noteInheritedLoss(w *worker, how Loss) {
 	if w.inherited && !w.everAttached && how != LossPlanned {
-		c.inheritedWorkerLost = true
+		c.inheritedWorkersLost = append(c.inheritedWorkersLost, w.ID)
 	}
 }
 
@@ -273,7 +273,7 @@
 // loss too, as it was on trial or about to be.
 func (c *Cell) countInheritedLoss(s *stage, index int, now time.Time) {
 	t := &s.tasks[index]
-	if !c.inheritedWorkerLost || !s.job.restored || t.lastRun > 0 {
+	if len(c.inheritedWorkersLost) == 0 || !s.job.restored || t.lastRun > 0 {
 		return
 	}
 	if slices.ContainsFunc(t.crashes, func(o flow.Crash) bool { return o.Run >= c.runBase }) {
@@ -284,6 +284,9 @@
 		crash.Blame = flow.BlameShared
 	}
 	t.crashes = append(t.crashes, crash)
+	c.inheritedLosses = append(c.inheritedLosses, InheritedLoss{
+		Task: s.taskID(index), Blame: crash.Blame, Crashes: len(t.crashes), Workers: c.inheritedWorkersLost,
+	})
 	c.markDirty(s.job)
 	c.giveUpIfCrashing(s, index, now)
 }
--- a/cell/loss.go
+++ b/cell/loss.go
@@ -70,3 +70,60 @@
 	}
 	return l
 }
+
+// StartedCopy is a copy of a task, started because the worker of an earlier run is unreachable.
+type StartedCopy struct {
+	Task   flow.TaskID
+	Run    int
+	Worker string
+	// First is the earlier run, on FirstWorker, and FirstBegan means that the worker was known to
+	// have it. FirstAge is the time from the decision to start it until the worker was last heard
+	// from.
+	First       int
+	FirstWorker string
+	FirstBegan  bool
+	FirstAge    time.Duration
+	// Unreachable is for how long the worker of the earlier run has been unreachable. HungUp means
+	// that its side closed or refused the connection, and DisconnectSeen that the moment of the
+	// disconnect was observed.
+	Unreachable            time.Duration
+	HungUp, DisconnectSeen bool
+}
+
+// StartedCopies returns the copies started since the last call, in order.
+func (c *Cell) StartedCopies() []StartedCopy {
+	out := c.startedCopies
+	c.startedCopies = nil
+	return out
+}
+
+// noteCopy records that r was started while another run of its task is on an unreachable worker.
+func (c *Cell) noteCopy(r *run, now time.Time) {
+	first := r.stage.tasks[r.index].runs[0]
+	if first == r || first.worker.attached {
+		return
+	}
+	w := first.worker
+	c.startedCopies = append(c.startedCopies, StartedCopy{
+		Task: r.task(), Run: r.number, Worker: r.worker.ID,
+		First: first.number, FirstWorker: w.ID, FirstBegan: !first.confirmedAt.IsZero(), FirstAge: first.age(w.detachedSince),
+		Unreachable: now.Sub(w.detachedSince), HungUp: w.hungUp, DisconnectSeen: w.disconnectSeen,
+	})
+}
+
+// InheritedLoss is a loss counted against a task because a worker was lost while the owner changed.
+type InheritedLoss struct {
+	Task  flow.TaskID
+	Blame flow.Blame
+	// Crashes counts the losses that now count against the task.
+	Crashes int
+	// Workers are the workers that were lost while the owner changed.
+	Workers []string
+}
+
+// InheritedLosses returns the losses counted since the last call, in order.
+func (c *Cell) InheritedLosses() []InheritedLoss {
+	out := c.inheritedLosses
+	c.inheritedLosses = nil
+	return out
+}
--- a/cell/place.go
+++ b/cell/place.go
@@ -362,6 +362,7 @@
 	s.countRunOn(w, 1)
 	s.advice.started++
 	c.startTrialIfNeeded(r, now)
+	c.noteCopy(r, now)
 	if s.job.history.Runs == 0 {
 		s.job.history.Began = now.Sub(s.job.arrived)
 	}
--- a/driver/driver.go
+++ b/driver/driver.go
@@ -408,6 +408,7 @@
 	d.logLateStarts(a.Late)
 	d.logChanges()
 	d.logLostRuns()
+	d.logCopies()
 	for i := range a.Asks {
 		ask := a.Asks[i]
 		d.spawn(func() { d.askPolicy(ask) })
--- a/driver/events.go
+++ b/driver/events.go
@@ -4,6 +4,7 @@
 
 import (
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -82,6 +83,12 @@
 			"run", r.Run, "worker", r.Worker, "loss", string(r.Loss), "began", r.Began, "age_ms", r.Age.Milliseconds(),
 			"beside", r.Beside, "leaving", r.Leaving, "blame", string(r.Blame), "crashes", r.Crashes)
 	}
+	for _, r := range d.cell.InheritedLosses() {
+		d.Scope.Counter("losses_inherited_total").Inc(1)
+		level.Info(d.Log).Log("event", "loss_inherited", "job", r.Task.Job, "step", r.Task.Step, "index", r.Task.Index,
+			"epoch", d.Claim.Epoch(), "blame", string(r.Blame), "crashes", r.Crashes,
+			"workers", strings.Join(r.Workers[:min(len(r.Workers), maxLoggedWorkers)], " "), "workers_lost", len(r.Workers))
+	}
 	for _, g := range d.cell.GivenUpTasks() {
 		d.Scope.Counter("tasks_given_up_total").Inc(1)
 		level.Warn(d.Log).Log("event", "task_given_up", "job", g.Task.Job, "step", g.Task.Step, "index", g.Task.Index,
@@ -89,6 +96,21 @@
 	}
 }
 
+// maxLoggedWorkers limits the workers named in a log line.
+const maxLoggedWorkers = 8
+
+// logCopies logs the copies of tasks that were started, and what was known of the worker with the
+// earlier run. The lock is held.
+func (d *Driver) logCopies() {
+	for _, r := range d.cell.StartedCopies() {
+		d.Scope.Counter("copies_started_total").Inc(1)
+		level.Info(d.Log).Log("event", "copy_started", "job", r.Task.Job, "step", r.Task.Step, "index", r.Task.Index,
+			"run", r.Run, "worker", r.Worker, "epoch", d.Claim.Epoch(),
+			"first_run", r.First, "first_worker", r.FirstWorker, "first_began", r.FirstBegan, "first_age_ms", r.FirstAge.Milliseconds(),
+			"unreachable_ms", r.Unreachable.Milliseconds(), "hung_up", r.HungUp, "disconnect_seen", r.DisconnectSeen)
+	}
+}
+
 // logHeld logs the lists in the answer to a hold, the last end that the worker was told to forget
 // and the last one persisted by now. The lock is held.
 func (d *Driver) logHeld(l *link, o HoldOrder, a *HoldAnswer, took time.Duration) {
