cell, driver: no task starts a second time before the store has its earlier starts

Cause: what an owner held against a task was written only once the task was blamed; a first loss without blame, a run under way and a copy were in memory alone. The next owner guessed one entry for each task that waited if any worker was lost meanwhile: too few where two runs were lost under one owner, too many where the task had failed or had never been started. Five mends of that guess had weights and special counts; they go.

Now the first start of a task is free, and each other one is sent only once the job's record names it with its worker, beside all earlier starts that may be running and all losses. A next owner restores these runs on their workers, where they end like its own: by the worker's lists or by its loss. It does not know of one start of a task at the most; that one counts once, never as blamed, and only where a worker was lost in a hall in which the task may have been started. A worker leaves the worker list no earlier than the records of what was lost with it are written.

--- a/cell/cell.go
+++ b/cell/cell.go
@@ -86,12 +86,15 @@
 	counts   Counts
 	// changes collects the events of runs of long-running tasks until Changes returns them.
 	changes []RunChange
+	// unsent holds the runs whose orders wait for the store.
+	unsent []*run
 	// recentLosses holds the workers lost within lossRetention.
 	recentLosses []workerLoss
 	// activeTrials is the number of trials under watch, and maxTrials the limit, both set by Place.
 	activeTrials, maxTrials int
-	// inheritedWorkersLost are the workers of a former owner that had gone when this owner took over.
-	inheritedWorkersLost []string
+	// inheritedWorkersLost are the workers of a former owner that had gone when this owner took over,
+	// by hall.
+	inheritedWorkersLost map[string][]string
 	givenUps             []GivenUpTask
 	// lostRuns, startedCopies and inheritedLosses collect what LostRuns, StartedCopies and
 	// InheritedLosses return.
--- a/cell/crash.go
+++ b/cell/crash.go
@@ -88,7 +88,7 @@
 // blamedBefore reports whether the task of r was blamed for an earlier loss and r had not run for
 // much longer than the runs that were lost then.
 func (r *run) blamedBefore(at time.Time) bool {
-	if r.stage.unknown {
+	if r.stage.unknown || r.unsent {
 		return false
 	}
 	t := &r.stage.tasks[r.index]
@@ -156,7 +156,7 @@
 func (w *worker) youngStages(at time.Time) []*stage {
 	var out []*stage
 	for _, r := range w.runList {
-		if r.age(at) <= youngRunAge && !slices.Contains(out, r.stage) {
+		if !r.unsent && r.age(at) <= youngRunAge && !slices.Contains(out, r.stage) {
 			out = append(out, r.stage)
 		}
 	}
@@ -186,7 +186,7 @@
 			r.stage.blamedLosses++
 			steps = append(steps, r.stage)
 		}
-		c.addCrash(r, flow.Crash{Run: r.number, Blame: b, AgeMS: r.age(at).Milliseconds()})
+		c.addCrash(r, flow.Crash{Run: r.number, Blame: b, AgeMS: r.age(at).Milliseconds(), Inherited: r.inherited})
 	}
 	c.recentLosses = slices.DeleteFunc(c.recentLosses, func(l workerLoss) bool { return now.Sub(l.at) > lossRetention })
 	if w.everAttached {
@@ -223,6 +223,12 @@
 func (c *Cell) blameOf(r *run, how Loss, at time.Time, suspects int) flow.Blame {
 	again := r.stage.tasks[r.index].suspect()
 	switch {
+	case r.inherited:
+		// What else ran there is not known.
+		if again && !(how == LossSilent && c.lostTogether(r, how, at)) {
+			return flow.BlameShared
+		}
+		return flow.BlameUnlikely
 	case c.lostTogether(r, how, at):
 		// A hall that is cut off, or a rack without power. This says little about a task that was
 		// blamed before, and nothing where all workers are silent.
@@ -263,29 +269,47 @@
 // noteInheritedLoss records that a worker of a former owner had gone when this owner took over.
 func (c *Cell) noteInheritedLoss(w *worker, how Loss) {
 	if w.inherited && !w.everAttached && how != LossPlanned {
-		c.inheritedWorkersLost = append(c.inheritedWorkersLost, w.ID)
+		if c.inheritedWorkersLost == nil {
+			c.inheritedWorkersLost = make(map[string][]string)
+		}
+		c.inheritedWorkersLost[w.Hall] = append(c.inheritedWorkersLost[w.Hall], w.ID)
 	}
 }
 
-// countInheritedLoss counts a presumed loss against a task that a former owner may have run: no
-// worker has the run, and a worker was lost during the change of owner. Each owner counts this at
-// most once, under a run number that no run has. A task that was blamed before is blamed for this
-// loss too, as it was on trial or about to be.
+// countInheritedLoss counts a presumed loss against a task whose first run, which no record names, a
+// former owner may have started on a worker that was lost while the owner changed.
 func (c *Cell) countInheritedLoss(s *stage, index int, now time.Time) {
 	t := &s.tasks[index]
-	if len(c.inheritedWorkersLost) == 0 || !s.job.restored || t.lastRun > 0 {
+	if !s.job.restored || t.lastRun > 0 || t.inStore || len(t.crashes) > 0 {
 		return
 	}
-	if slices.ContainsFunc(t.crashes, func(o flow.Crash) bool { return o.Run >= c.runBase }) {
-		return
+	var lost []string
+	for _, hall := range s.startHalls() {
+		lost = append(lost, c.inheritedWorkersLost[hall]...)
 	}
-	crash := flow.Crash{Run: c.runBase, Blame: flow.BlameUnlikely, Inherited: true}
-	if t.suspect() {
-		crash.Blame = flow.BlameShared
+	if len(lost) > 0 {
+		c.addInheritedCrash(s, index, flow.Crash{Run: c.runBase, Blame: flow.BlameUnlikely, Inherited: true}, lost, now)
+	}
+}
+
+// startHalls returns the halls in which a former owner may have started tasks of s, and the empty
+// name of workers whose hall is not known.
+func (s *stage) startHalls() []string {
+	halls := append([]string{"", s.job.spec.Hall}, s.inheritedHalls...)
+	slices.Sort(halls)
+	return slices.Compact(halls)
+}
+
+// addInheritedCrash counts a loss of a former owner against a task. workers are those with which the
+// run may have been lost.
+func (c *Cell) addInheritedCrash(s *stage, index int, crash flow.Crash, workers []string, now time.Time) {
+	t := &s.tasks[index]
+	if slices.ContainsFunc(t.crashes, func(o flow.Crash) bool { return o.Run == crash.Run }) {
+		return
 	}
 	t.crashes = append(t.crashes, crash)
 	c.inheritedLosses = append(c.inheritedLosses, InheritedLoss{
-		Task: s.taskID(index), Blame: crash.Blame, Crashes: len(t.crashes), Workers: c.inheritedWorkersLost,
+		Task: s.taskID(index), Run: crash.Run, Blame: crash.Blame, Crashes: len(t.crashes), Workers: workers,
 	})
 	c.markDirty(s.job)
 	c.giveUpIfCrashing(s, index, now)
@@ -300,9 +324,7 @@
 	}
 	t.crashes = append(t.crashes, crash)
 	t.lostRacks = append(t.lostRacks, r.worker.Rack)
-	if t.suspect() {
-		c.markDirty(r.stage.job)
-	}
+	c.markDirty(r.stage.job)
 }
 
 // suspect reports whether a task may be crashing its workers.
@@ -311,13 +333,6 @@
 		slices.ContainsFunc(t.crashes, func(c flow.Crash) bool { return c.Blame != flow.BlameUnlikely })
 }
 
-// crashesMustBeStored reports whether the losses counted against a task belong in its job's record.
-// A single loss without blame does not, as the many neighbors of workers lost together have one
-// each; an inherited loss does, or each owner in a row would count from the start.
-func (t *task) crashesMustBeStored() bool {
-	return t.suspect() || slices.ContainsFunc(t.crashes, func(c flow.Crash) bool { return c.Inherited })
-}
-
 // longestCrashAge returns the age of the oldest run of the task that was lost.
 func (t *task) longestCrashAge() time.Duration {
 	longest := int64(0)
@@ -349,14 +364,10 @@
 
 // mustGiveUp reports whether the losses are enough to give a task up.
 func mustGiveUp(crashes []flow.Crash) bool {
-	sole, blamed, observed, total := 0, 0, 0, 0
+	sole, blamed := 0, 0
 	for _, c := range crashes {
-		total += lossWeight(c)
 		if c.Blame != flow.BlameUnlikely {
 			blamed++
-			if !c.Inherited {
-				observed++
-			}
 		}
 		if c.Blame != flow.BlameSole {
 			continue
@@ -367,20 +378,7 @@
 			return true
 		}
 	}
-	// An inherited loss may stand for two losses or for none, so it only adds to losses that were
-	// observed.
-	return sole >= soleLimit || (blamed >= blamedLimit && len(crashes) >= totalLimit) ||
-		(observed >= blamedLimit && total >= totalLimit)
-}
-
-// lossWeight returns the number of losses that c may stand for. After a single loss without blame,
-// an owner restarts the task before the store has the loss. An owner that cannot write may
-// therefore have lost two runs of which the next owner knows nothing.
-func lossWeight(c flow.Crash) int {
-	if c.Inherited && c.Blame == flow.BlameUnlikely {
-		return 2
-	}
-	return 1
+	return sole >= soleLimit || (blamed >= blamedLimit && len(crashes) >= totalLimit)
 }
 
 // countAlike counts the losses at about the same age as c, c included, and those among them for
--- a/cell/job.go
+++ b/cell/job.go
@@ -35,11 +35,12 @@
 	yieldCount int
 	// avoidWorkers lists the workers on which the task failed or stalled.
 	avoidWorkers []string
-	// crashes are the runs that were lost with their workers since the last run that went well. The
-	// store has the first storedCrashes of them. lostRacks are the racks of those workers.
-	crashes       []flow.Crash
-	storedCrashes int
-	lostRacks     []string
+	// crashes are the runs that were lost with their workers since the last run that went well.
+	// lostRacks are the racks of those workers.
+	crashes   []flow.Crash
+	lostRacks []string
+	// inStore means that the job's stored record names starts or losses of the task.
+	inStore bool
 }
 
 // stage is one step of one repetition of a job.
@@ -215,6 +216,7 @@
 	j.storedState = flow.Pending
 	if rec != nil {
 		j.storedState = rec.State
+		c.restoreStarts(j, rec, now)
 	}
 }
 
@@ -289,7 +291,7 @@
 		t := &s.tasks[i]
 		t.checkpoint, t.failedRuns = old.Checkpoints[i], old.FailedRuns[i]
 		t.crashes = old.Crashes[i]
-		t.storedCrashes = len(t.crashes)
+		t.inStore = old.Names(i)
 		s.blamedLosses = max(s.blamedLosses, len(t.crashes))
 		if old.Done.Has(i) {
 			t.state = taskDone
--- a/cell/loss.go
+++ b/cell/loss.go
@@ -111,13 +111,16 @@
 	})
 }
 
-// InheritedLoss is a loss counted against a task because a worker was lost while the owner changed.
+// InheritedLoss is a loss counted against a task for a run of a former owner.
 type InheritedLoss struct {
-	Task  flow.TaskID
+	Task flow.TaskID
+	// Run is the run that the former owner recorded, or a number that no run has if it may have
+	// started the task for the first time.
+	Run   int
 	Blame flow.Blame
 	// Crashes counts the losses that now count against the task.
 	Crashes int
-	// Workers are the workers that were lost while the owner changed.
+	// Workers are the workers with which the run may have been lost.
 	Workers []string
 }
 
--- a/cell/owners_sim_test.go
+++ b/cell/owners_sim_test.go
@@ -41,6 +41,10 @@
 	storeDownUntil time.Time
 
 	starts, crashes, lateStarts map[flow.TaskID]int
+	// crashedRuns are the runs of each task that crashed their workers. maxUnknown is the largest
+	// number of them, of one task, that a next owner did not find in the store.
+	crashedRuns map[flow.TaskID][]int
+	maxUnknown  int
 }
 
 // ownedHost is an address and the incarnations of the worker there.
@@ -73,6 +77,7 @@
 		crashAfter: func(flow.TaskID) time.Duration { return 0 },
 		records:    make(map[string][]byte),
 		starts:     make(map[flow.TaskID]int), crashes: make(map[flow.TaskID]int), lateStarts: make(map[flow.TaskID]int),
+		crashedRuns: make(map[flow.TaskID][]int),
 	}
 	for r := range racks {
 		for w := range perRack {
@@ -130,6 +135,9 @@
 // takeOver makes a new owner that knows only what the store has.
 func (s *ownersSim) takeOver() {
 	s.epoch++
+	for task, runs := range s.crashedRuns {
+		s.maxUnknown = max(s.maxUnknown, s.unknownRuns(task, runs))
+	}
 	s.cell = New(s.epoch << 12)
 	s.cell.Configure([]Queue{{Name: "q", Pool: "p", MaxAttempts: 3, Stretch: 1.5, Target: time.Second}})
 	for _, name := range s.listed {
@@ -147,6 +155,27 @@
 	}
 }
 
+// unknownRuns counts the runs of a task that the job's stored record does not name.
+func (s *ownersSim) unknownRuns(task flow.TaskID, runs []int) int {
+	rec := s.stored(task.Job)
+	if rec != nil && rec.State.Final() {
+		return 0
+	}
+	n := 0
+	for _, run := range runs {
+		named := false
+		if rec != nil {
+			st := &rec.Stages[task.Step]
+			named = slices.ContainsFunc(st.Crashes[task.Index], func(c flow.Crash) bool { return c.Run == run }) ||
+				slices.ContainsFunc(st.Starts[task.Index], func(o flow.RunStart) bool { return o.Run == run })
+		}
+		if !named {
+			n++
+		}
+	}
+	return n
+}
+
 // kill ends the owner. A write in progress takes effect or not.
 func (s *ownersSim) kill() {
 	if s.cell == nil {
@@ -239,6 +268,7 @@
 	for _, r := range slices.Clone(h.runs) {
 		if after := s.crashAfter(r.Task); after > 0 && s.now.Sub(r.begun) >= after {
 			s.crashes[r.Task]++
+			s.crashedRuns[r.Task] = append(s.crashedRuns[r.Task], r.Run)
 			s.crash(h)
 			return
 		}
@@ -304,6 +334,8 @@
 		return
 	}
 	s.starts[st.Task]++
+	if st.Task.Job[0] == 'g' {
+	}
 	if s.crashes[st.Task] >= 3 {
 		s.lateStarts[st.Task]++
 	}
--- a/cell/place.go
+++ b/cell/place.go
@@ -28,6 +28,9 @@
 	Text         string
 	Checkpoint   string
 	Ticket       string
+	// Recorded means that the store had to have the start before, and Waited is how long that took.
+	Recorded bool
+	Waited   time.Duration
 }
 
 // Stop is an order to stop a run.
@@ -53,6 +56,8 @@
 // day, with which due times are compared.
 func (c *Cell) Place(now, wall time.Time, asks int) Actions {
 	var a Actions
+	c.sendBudgetLeft, c.sendLimited, c.maxAsks = c.sendBudget, false, asks
+	c.sendRecorded(&a, now)
 	if c.runsNeedCheck || now.Sub(c.runsCheckedAt) >= runCheckInterval {
 		c.runsNeedCheck, c.runsCheckedAt = false, now
 		c.decideStops(&a, now)
@@ -65,7 +70,6 @@
 	c.updateMostFree()
 	c.countPossiblyUsed(&unsettled, now)
 	c.countTrials(now)
-	c.sendBudgetLeft, c.sendLimited, c.maxAsks = c.sendBudget, false, asks
 	for _, w := range c.sortedWorkers {
 		w.reserved, w.claimed = sched.Vec{}, sched.Vec{}
 	}
@@ -291,11 +295,11 @@
 			return
 		}
 		t.lastRun++
-		a.Starts = append(a.Starts, c.startRun(s, i, w, t.lastRun, ticket, now))
+		c.startRun(a, s, i, pick{w, ticket}, t.lastRun, t.startNeedsRecord(), now)
 	}
 }
 
-// pick is the worker chosen for one member of a gang.
+// pick is the worker chosen for a task.
 type pick struct {
 	worker *worker
 	ticket string
@@ -320,10 +324,11 @@
 		}
 	}
 	n++
+	record := s.gangStartNeedsRecord()
 	for i, p := range picks {
 		t := &s.tasks[i]
 		t.checkpoint, t.lastRun = checkpoint, n
-		a.Starts = append(a.Starts, c.startRun(s, i, p.worker, n, p.ticket, now))
+		c.startRun(a, s, i, p, n, record, now)
 	}
 	s.gangLastRun = n
 }
@@ -351,17 +356,28 @@
 	return picks, true
 }
 
-// startRun records a new run of a task on w and returns the order to start it.
-func (c *Cell) startRun(s *stage, index int, w *worker, n int, ticket string, now time.Time) Start {
+// startRun adds a new run of a task on the chosen worker. The order to start it is sent now or, if
+// record is set, once the store has it.
+func (c *Cell) startRun(a *Actions, s *stage, index int, p pick, n int, record bool, now time.Time) {
 	t := &s.tasks[index]
 	s.setWaiting(t, false)
 	t.state = taskActive
-	r := &run{stage: s, index: index, number: n + c.runBase, worker: w, decidedAt: now, room: s.def.Reservation(), checkpoint: t.checkpoint}
+	r := &run{stage: s, index: index, number: n + c.runBase, worker: p.worker, decidedAt: now, room: s.def.Reservation(), checkpoint: t.checkpoint}
 	t.runs = append(t.runs, r)
-	w.addRun(r)
-	s.countRunOn(w, 1)
-	s.advice.started++
+	p.worker.addRun(r)
+	s.countRunOn(p.worker, 1)
 	c.startTrialIfNeeded(r, now)
+	if record {
+		c.recordStart(r)
+		return
+	}
+	a.Starts = append(a.Starts, c.order(r, p.ticket, now))
+}
+
+// order returns the order to start r.
+func (c *Cell) order(r *run, ticket string, now time.Time) Start {
+	s, w := r.stage, r.worker
+	s.advice.started++
 	c.noteCopy(r, now)
 	if s.job.history.Runs == 0 {
 		s.job.history.Began = now.Sub(s.job.arrived)
@@ -371,7 +387,7 @@
 	c.noteChange(r, RunOrdered)
 	start := Start{
 		Worker: w.ID, Addr: w.Addr, Task: r.task(), Run: r.number,
-		Text: s.job.spec.Text, Checkpoint: t.checkpoint, Ticket: ticket,
+		Text: s.job.spec.Text, Checkpoint: r.checkpoint, Ticket: ticket, Recorded: r.recorded, Waited: now.Sub(r.decidedAt),
 	}
 	c.sendBudgetLeft -= c.sendSize(&start)
 	return start
--- a/cell/run.go
+++ b/cell/run.go
@@ -37,6 +37,12 @@
 	// that the worker was last told, in percent; -1 if that is not known.
 	tail            int64
 	throttlePercent int
+	// recorded means that the run is named in its job's record until it has ended, stored that the
+	// store has that record, and unsent that the order to start the run waits for it.
+	recorded, stored, unsent bool
+	// inherited means that a former owner recorded the run and that its worker has not listed
+	// anything to this owner.
+	inherited bool
 	// listSeq is the cell's listSeq when the run was last listed.
 	listSeq int
 	// trialUntil is the end of the period in which the run is watched because it may crash its
@@ -48,7 +54,7 @@
 
 // confirm records that the worker has the run, and so that its job has begun.
 func (c *Cell) confirm(r *run, now time.Time) {
-	r.confirmedAt, r.lastProgress = now, now
+	r.confirmedAt, r.lastProgress, r.inherited = now, now, false
 	r.stage.job.began = true
 	r.worker.health.lostOrders, r.worker.health.noRoomRefusals = 0, 0
 	c.noteChange(r, RunBegan)
@@ -71,6 +77,10 @@
 // removeRun removes a run from its worker and its task and releases its room.
 func (c *Cell) removeRun(r *run) {
 	r.endTrial(false)
+	r.unsent = false
+	if r.recorded && !r.stage.job.state.Final() {
+		c.markDirty(r.stage.job)
+	}
 	delete(r.worker.runs, runKey{r.task(), r.number})
 	r.worker.runList = slices.DeleteFunc(r.worker.runList, func(o *run) bool { return o == r })
 	r.worker.free = r.worker.free.Add(r.room)
--- a/cell/save.go
+++ b/cell/save.go
@@ -75,27 +75,25 @@
 	}
 }
 
-// applyStored updates what the store is known to have: the halls of each stage and the losses
-// counted against tasks.
+// applyStored updates what the store is known to have: the halls of each stage, the starts of its
+// tasks and the losses counted against them.
 func (j *job) applyStored(rec *flow.Record) {
 	for at, s := range j.stages {
 		if at < len(rec.Stages) {
-			s.countStoredCrashes(rec.Stages[at].Crashes)
+			s.setStored(&rec.Stages[at])
 			s.storedHalls = rec.Stages[at].Halls
 			s.hallsToStore = slices.DeleteFunc(s.hallsToStore, func(h string) bool { return slices.Contains(s.storedHalls, h) })
 		}
 	}
 }
 
-// countStoredCrashes counts, for each task, the losses that the store has.
-func (s *stage) countStoredCrashes(stored map[int][]flow.Crash) {
+// setStored notes which tasks and runs of s the stored record names.
+func (s *stage) setStored(rec *flow.StageRecord) {
 	for i := range s.tasks {
 		t := &s.tasks[i]
-		t.storedCrashes = 0
-		for _, c := range t.crashes {
-			if slices.ContainsFunc(stored[i], func(o flow.Crash) bool { return o.Run == c.Run }) {
-				t.storedCrashes++
-			}
+		t.inStore = rec.Names(i)
+		for _, r := range t.runs {
+			r.stored = slices.ContainsFunc(rec.Starts[i], func(o flow.RunStart) bool { return o.Run == r.number })
 		}
 	}
 }
@@ -124,13 +122,20 @@
 				}
 				out.FailedRuns[i] = t.failedRuns
 			}
-			if t.crashesMustBeStored() {
+			if len(t.crashes) > 0 {
 				if out.Crashes == nil {
 					out.Crashes = make(map[int][]flow.Crash)
 				}
 				out.Crashes[i] = slices.Clone(t.crashes)
 			}
-			if t.state == taskWaiting && t.checkpoint != "" {
+			starts := t.startsToRecord()
+			if len(starts) > 0 {
+				if out.Starts == nil {
+					out.Starts = make(map[int][]flow.RunStart)
+				}
+				out.Starts[i] = starts
+			}
+			if (t.state == taskWaiting || len(starts) > 0) && t.checkpoint != "" {
 				if out.Checkpoints == nil {
 					out.Checkpoints = make(map[int]string)
 				}
--- a/cell/stop.go
+++ b/cell/stop.go
@@ -45,6 +45,9 @@
 			continue
 		}
 		for _, r := range w.runList {
+			if r.unsent {
+				continue
+			}
 			c.checkTrial(r, now)
 			if !r.unwanted(now) {
 				c.checkStall(r, now)
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -188,6 +188,11 @@
 func (c *Cell) loseRuns(w *worker, how Loss, now time.Time) {
 	w.settled = true
 	c.noteInheritedLoss(w, how)
+	for _, r := range slices.Clone(w.runList) {
+		if r.unsent {
+			c.withdraw(r, now)
+		}
+	}
 	c.blame(w, how, now)
 	lost := slices.Clone(w.runList)
 	for _, r := range lost {
@@ -247,7 +252,7 @@
 // incarnation would discard ends of its own if it were told this number.
 func (c *Cell) Observed(id string) int {
 	w := c.workers[id]
-	if w == nil || slices.ContainsFunc(w.runList, func(r *run) bool { return r.confirmedAt.IsZero() }) {
+	if w == nil || slices.ContainsFunc(w.runList, func(r *run) bool { return r.confirmedAt.IsZero() && !r.unsent }) {
 		return 0
 	}
 	return w.observedEnd
--- a/driver/commit.go
+++ b/driver/commit.go
@@ -91,7 +91,10 @@
 
 // collectGroup collects the pending changes, and reports whether there are any. The lock is held.
 func (d *Driver) collectGroup() (commitGroup, bool) {
-	g := commitGroup{saves: d.cell.Saves(maxSavesPerCommit), workerList: d.workerListChanged}
+	g := commitGroup{saves: d.cell.Saves(maxSavesPerCommit)}
+	// A worker leaves the list only with or after the records of the runs that were lost with it: by
+	// the list, a next owner tells whether a run may still be there.
+	g.workerList = d.workerListChanged && !d.cell.Dirty()
 	if g.workerList {
 		d.putWorkerList(&g.tx)
 		d.workerListChanged = false
--- a/driver/events.go
+++ b/driver/events.go
@@ -86,7 +86,7 @@
 	for _, r := range d.cell.InheritedLosses() {
 		d.Scope.Counter("losses_inherited_total").Inc(1)
 		level.Info(d.Log).Log("event", "loss_inherited", "job", r.Task.Job, "step", r.Task.Step, "index", r.Task.Index,
-			"epoch", d.Claim.Epoch(), "blame", string(r.Blame), "crashes", r.Crashes,
+			"run", r.Run, "epoch", d.Claim.Epoch(), "blame", string(r.Blame), "crashes", r.Crashes,
 			"workers", strings.Join(r.Workers[:min(len(r.Workers), maxLoggedWorkers)], " "), "workers_lost", len(r.Workers))
 	}
 	for _, g := range d.cell.GivenUpTasks() {
--- a/driver/load.go
+++ b/driver/load.go
@@ -92,9 +92,8 @@
 		}
 		if err == nil {
 			d.scannedVer = r.minVer()
-			d.restore(r.jobs(), r.records.Rows, r.records.BadRows)
+			d.restore(&r)
 			d.ApplySuccesses(d.ReportedSuccesses())
-			d.restoreWorkerList(r.workerList.Rows)
 			return true
 		}
 		level.Warn(d.Log).Log("event", "load_failed", "cell", d.Name, "epoch", d.Claim.Epoch(), "took_ms", clock.Since(begun).Milliseconds(), "err", err)
@@ -107,9 +106,17 @@
 	return false
 }
 
-func (d *Driver) restore(specs, records []rows.Row, bad []rows.BadRow) {
+// restore applies what was read. The records name runs on the workers of the worker list, so that
+// comes first.
+func (d *Driver) restore(r *loadProgress) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.restoreWorkerList(r.workerList.Rows)
+	d.restoreJobs(r.jobs(), r.records.Rows, r.records.BadRows)
+}
+
+// restoreJobs restores the jobs of the cell. The lock is held.
+func (d *Driver) restoreJobs(specs, records []rows.Row, bad []rows.BadRow) {
 	now := clock.Now()
 	byID := make(map[string]*flow.Record, len(records))
 	// Without its record, what a job has done is unknown. Such a job is not run, so that nothing
--- a/driver/relay.go
+++ b/driver/relay.go
@@ -15,6 +15,7 @@
 	"dewpass.org/flow"
 	"dewpass.org/internal/clock"
 	"dewpass.org/kind"
+	"dewpass.org/telemetry"
 )
 
 // The instance that decides need not be the one that sends. A start order contains the
@@ -132,7 +133,10 @@
 		Task:   s.Task, Run: s.Run, Text: s.Text, Saved: s.Checkpoint, Ticket: s.Ticket,
 		LeaseUntilMS: d.newLeaseEnd(l, now),
 	}
-	level.Debug(d.Log).Log("event", "start", "job", s.Task.Job, "step", s.Task.Step, "index", s.Task.Index, "run", s.Run, "worker", s.Worker, "fence", o.Fence)
+	level.Debug(d.Log).Log("event", "start", "job", s.Task.Job, "step", s.Task.Step, "index", s.Task.Index, "run", s.Run, "worker", s.Worker, "fence", o.Fence, "recorded", s.Recorded, "waited_ms", s.Waited.Milliseconds())
+	if s.Recorded {
+		d.Scope.Histogram("start_recorded_seconds", telemetry.LatencyBuckets()).RecordDuration(s.Waited)
+	}
 	return pendingStart{StartOrder: o, hall: l.hall, orderNumber: l.addOrder(now), limit: d.orderTimeout(l, now), minClockMS: l.clockMS}, true
 }
 
--- a/driver/workerlist.go
+++ b/driver/workerlist.go
@@ -104,10 +104,8 @@
 	}
 }
 
-// restoreWorkerList applies the worker list that the former owner wrote.
+// restoreWorkerList applies the worker list that the former owner wrote. The lock is held.
 func (d *Driver) restoreWorkerList(all []rows.Row) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
 	d.workerListRows = len(all)
 	for _, row := range all {
 		var entries []workerListEntry
--- a/flow/crash.go
+++ b/flow/crash.go
@@ -22,7 +22,15 @@
 	Blame Blame `json:"blame"`
 	// AgeMS is how long the run had been running, in milliseconds.
 	AgeMS int64 `json:"age_ms,omitempty"`
-	// Inherited says that Run is not the number of a run that was observed: the worker was lost
-	// during a change of owner, and it is unknown what the former owner had started there.
+	// Inherited says that the worker was lost during a change of owner, so that the age of the run is
+	// not known.
 	Inherited bool `json:"inherited,omitempty"`
 }
+
+// RunStart is a run of a task and the worker that was to start it.
+type RunStart struct {
+	Run    int    `json:"run"`
+	Worker string `json:"worker"`
+	// Born identifies the incarnation of the worker, 0 if it was not known.
+	Born int64 `json:"born,omitempty"`
+}
--- a/flow/record.go
+++ b/flow/record.go
@@ -31,10 +31,17 @@
 	// Crashes holds the runs that were lost with their workers and may have caused the loss, by
 	// the index of the task.
 	Crashes map[int][]Crash `json:"crashes,omitempty"`
-	// Checkpoints holds the newest checkpoint of each waiting task, by its index.
+	// Starts holds the runs that may have been started and are not known to have ended, by the index
+	// of the task. The first start of a task is not recorded: it is made without waiting for the
+	// store.
+	Starts map[int][]RunStart `json:"starts,omitempty"`
+	// Checkpoints holds the newest checkpoint of each task that waits or has Starts, by its index.
 	Checkpoints map[int]string `json:"saved,omitempty"`
 }
 
+// Names reports whether s has starts or losses of the task with an index.
+func (s *StageRecord) Names(index int) bool { return len(s.Starts[index])+len(s.Crashes[index]) > 0 }
+
 // FinalRecord is the record of a job that has ended, kept until the job is forgotten.
 type FinalRecord struct {
 	State State `json:"state"`
