cell, driver: a worker is used only once the stored worker list names it

A worker that appears, or that comes back after its leases were over, is given nothing until the worker list that names it is stored; that write is asked for at once.

--- a/cell/incarnation.go
+++ b/cell/incarnation.go
@@ -42,7 +42,7 @@
 	}
 	c.loseRuns(w, LossReborn, now)
 	next := newWorker(w.Worker, now)
-	next.incarnation, next.lastHeard = l.Born, w.lastHeard
+	next.incarnation, next.lastHeard, next.unlisted = l.Born, w.lastHeard, w.unlisted
 	if !next.described() {
 		next.Draining, next.Remaining = false, 0
 	}
--- a/cell/owners_sim_test.go
+++ b/cell/owners_sim_test.go
@@ -194,6 +194,7 @@
 		s.cell.Forget(fmt.Sprintf("%s/%d", h.id, i), LossReborn, s.now)
 	}
 	s.cell.Heard(Worker{ID: h.name(), Addr: h.id, Pool: "p", Hall: "h", Rack: h.rack, Room: vec(4000, 8000)}, s.now)
+	s.cell.SetListed(h.name(), slices.Contains(s.listed, h.name()))
 	s.cell.Attached(h.name(), h.lists(s.now, s.length), s.now)
 }
 
@@ -303,6 +304,9 @@
 	}
 	s.apply(s.commit)
 	s.cell.Saved(s.commit.saves, true)
+	for _, name := range s.commit.workers {
+		s.cell.SetListed(name, true)
+	}
 	s.commit = nil
 }
 
--- a/cell/owners_test.go
+++ b/cell/owners_test.go
@@ -81,6 +81,27 @@
 	g.Expect(st.Final()).To(BeFalse())
 }
 
+// Guards against a run on a worker that a next owner does not know of: each owner started the task on
+// workers that the stored list did not name yet, and none of these losses was counted.
+func TestWorkersAreListedBeforeTheyAreUsed(t *testing.T) {
+	g := NewWithT(t)
+	s := newOwnersSim(1, 12, 1)
+	s.crashAfter = crashJobsAfter(400*time.Millisecond, "j")
+	task := flow.TaskID{Job: "j"}
+	s.submit("j", flow.Step{Count: 1, Demand: demand(1000)})
+	for range 6 {
+		before := s.starts[task]
+		s.runUntil(func() bool { return s.starts[task] > before || s.final("j") != "" })
+		// The write in progress is lost.
+		s.storeDownUntil = s.now.Add(simStep)
+		s.kill()
+		s.runFor(simTakeover - 100*time.Millisecond)
+	}
+	g.Expect(s.run(time.Minute)).To(BeTrue())
+	g.Expect(s.final("j")).To(Equal(flow.Failed))
+	g.Expect(s.maxLateStarts()).To(BeNumerically("<=", allowedLateStarts))
+}
+
 const (
 	// drawnDays is the number of days that TestDrawnChangesOfOwner plays.
 	drawnDays = 300
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -67,6 +67,9 @@
 	// pacedAt when it last changed.
 	throttlePercent int
 	pacedAt         time.Time
+	// unlisted means that the stored worker list does not name the worker, so that a next owner might
+	// not know that there was one.
+	unlisted bool
 	// silent means that an order has been unanswered for longer than answers take.
 	silent bool
 	// lastHeard is when the worker's entry was last read.
@@ -152,7 +155,14 @@
 
 // usable reports whether tasks may be placed on w now.
 func (w *worker) usable() bool {
-	return w.attached && !w.silent && !w.leaving() && !w.Gone && w.unknownRuns == 0 && w.described()
+	return w.attached && !w.unlisted && !w.silent && !w.leaving() && !w.Gone && w.unknownRuns == 0 && w.described()
+}
+
+// SetListed sets whether the stored worker list names a worker. Nothing is placed there otherwise.
+func (c *Cell) SetListed(id string, listed bool) {
+	if w := c.workers[id]; w != nil {
+		w.unlisted = !listed
+	}
 }
 
 // EntryMissing reports to the cell that a worker's entry has been missing for too long to place
--- a/driver/commit.go
+++ b/driver/commit.go
@@ -86,7 +86,9 @@
 	// stale holds the ids of jobs whose records are removed.
 	stale      []string
 	workerList bool
-	tx         rows.Tx
+	// listed holds the workers of the worker list, if it is written.
+	listed []workerListEntry
+	tx     rows.Tx
 }
 
 // collectGroup collects the pending changes, and reports whether there are any. The lock is held.
@@ -96,7 +98,7 @@
 	// the list, a next owner tells whether a run may still be there.
 	g.workerList = d.workerListChanged && !d.cell.Dirty()
 	if g.workerList {
-		d.putWorkerList(&g.tx)
+		g.listed = d.putWorkerList(&g.tx)
 		d.workerListChanged = false
 	} else {
 		// The worker list's rows use up the entries reserved for these.
@@ -146,6 +148,9 @@
 		d.workerListChanged = d.workerListChanged || g.workerList
 		return
 	}
+	for i := range g.listed {
+		d.cell.SetListed(g.listed[i].ID, true)
+	}
 	d.signalPersisted()
 	d.logEnded(g.saves)
 	if d.cell.Dirty() {
--- a/driver/foreign_test.go
+++ b/driver/foreign_test.go
@@ -35,6 +35,7 @@
 	driverWithWorker := func(ctx context.Context) *Driver {
 		d := newDriver(ctx, newMemStore(), func() {})
 		d.applyDirectory([]Entry{good(1)})
+		Expect(d.commitOnce(true)).To(BeTrue(), "the worker list is stored")
 		d.mu.Lock()
 		defer d.mu.Unlock()
 		now := time.Now()
--- a/driver/hold.go
+++ b/driver/hold.go
@@ -234,7 +234,8 @@
 // while its directory entry is missing as well, because a next owner might not know of the worker.
 // The lock is held.
 func (d *Driver) relist(l *link) {
-	d.workerListChanged = true
+	d.listChanged()
+	d.cell.SetListed(l.id, false)
 	if !l.missingSince.IsZero() {
 		d.cell.EntryMissing(l.id)
 	}
--- a/driver/link.go
+++ b/driver/link.go
@@ -79,7 +79,7 @@
 	l.leasesEnd = d.startedAt.Add(d.FormerGrace + claim.TakeoverMargin + slowClockDuration(d.WorkerLease))
 	d.links[id] = l
 	l.attachSlots = d.attachSlotsOf(hall)
-	d.workerListChanged = true
+	d.listChanged()
 	d.spawn(func() { d.runLink(ctx, l) })
 }
 
--- a/driver/watch.go
+++ b/driver/watch.go
@@ -119,6 +119,7 @@
 		d.links[e.ID].entryVer, d.links[e.ID].writerBorn = e.Ver, e.Born
 		d.adjustRemaining(d.links[e.ID], &e, now)
 		d.cell.Heard(e.Worker, now)
+		d.cell.SetListed(e.ID, false)
 		return
 	}
 	if e.Ver < link.entryVer {
--- a/driver/workerlist.go
+++ b/driver/workerlist.go
@@ -73,9 +73,15 @@
 	return l.writerBorn
 }
 
+// listChanged schedules a write of the worker list. The lock is held.
+func (d *Driver) listChanged() {
+	d.workerListChanged = true
+	notify(d.commitNow)
+}
+
 // putWorkerList adds the worker list to a transaction, and removes rows that are no longer needed.
-// The lock is held.
-func (d *Driver) putWorkerList(t *rows.Tx) {
+// It returns the list. The lock is held.
+func (d *Driver) putWorkerList(t *rows.Tx) []workerListEntry {
 	n, all := 0, d.workerList()
 	d.workerListSize = len(all)
 	for chunk := range slices.Chunk(all, workersPerRow) {
@@ -87,6 +93,7 @@
 	}
 	// Until the store has accepted the transaction, the previous number of rows may remain.
 	d.workerListRows = max(d.workerListRows, n)
+	return all
 }
 
 // checkWorkerList schedules a write of the worker list if a listed worker can no longer have runs.
--- /dev/null
+++ b/driver/workerlist_test.go
@@ -0,0 +1,70 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package driver
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"dewpass.org/cell"
+	"dewpass.org/flow"
+	"dewpass.org/sched"
+)
+
+var _ = ginkgo.Describe("the stored worker list", func() {
+	room := sched.Vec{sched.MilliCPU: 100_000, sched.MemoryMiB: 100_000}
+	withJobs := func(ctx context.Context, jobs int) *Driver {
+		d := newDriver(ctx, newMemStore(), func() {})
+		d.applyDirectory([]Entry{{Worker: cell.Worker{ID: "w", Addr: "w", Pool: "p", Hall: "h", Room: room}, Ver: 1}})
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		now := time.Now()
+		d.cell.Configure([]cell.Queue{{Name: "q", Pool: "p", MaxAttempts: 1}})
+		d.cell.Attached("w", cell.Lists{}, now)
+		for i := range jobs {
+			id := fmt.Sprintf("%x", i)
+			d.cell.Submit(&flow.Spec{ID: id, Cell: "c", Queue: "q", Hall: "h", Steps: []flow.Step{{Count: 1, Demand: sched.Vec{sched.MilliCPU: 100}}}}, now, now)
+			d.cell.JobStored(id)
+		}
+		return d
+	}
+	starts := func(d *Driver) []cell.Start {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		now := time.Now()
+		return d.cell.Place(now, now, 0).Starts
+	}
+
+	// Guards against a run on a worker that ends, with the owner, before a next owner knows of it.
+	ginkgo.It("names a worker before anything is started there", func(ctx context.Context) {
+		d := withJobs(ctx, 1)
+		defer d.Close()
+		Expect(starts(d)).To(BeEmpty())
+		Expect(d.commitOnce(false)).To(BeTrue())
+		Expect(starts(d)).To(HaveLen(1))
+	})
+
+	// Guards against losses that a next owner takes for starts that never happened: the list went
+	// without the worker while the last records of what was lost with it were still to be written.
+	ginkgo.It("names a lost worker until all records of its runs are written", func(ctx context.Context) {
+		const jobs = maxSavesPerCommit + 1
+		d := withJobs(ctx, jobs)
+		defer d.Close()
+		Expect(d.commitOnce(false)).To(BeTrue())
+		Expect(starts(d)).To(HaveLen(jobs))
+		d.mu.Lock()
+		d.dropLink(d.links["w"], cell.LossReborn, time.Now())
+		first, _ := d.collectGroup()
+		d.committed(first, true)
+		second, _ := d.collectGroup()
+		d.mu.Unlock()
+		Expect(first.saves).To(HaveLen(maxSavesPerCommit))
+		Expect(first.workerList).To(BeFalse())
+		Expect(second.saves).To(HaveLen(1))
+		Expect(second.workerList).To(BeTrue())
+	})
+})
