--- a/cell/owners_sim_test.go
+++ b/cell/owners_sim_test.go
@@ -214,7 +214,11 @@
 	if !h.up() {
 		return
 	}
+	lost := h.runs
 	h.runs, h.ends, h.endCount = nil, nil, 0
+	for _, r := range lost {
+		s.breakGang(r)
+	}
 	h.downUntil = s.now.Add(s.downFor)
 	if s.cell != nil {
 		s.cell.Detached(h.name(), s.now)
@@ -222,6 +226,21 @@
 	}
 }
 
+// breakGang ends the other members of the gang of a run that was lost.
+func (s *ownersSim) breakGang(lost simRun) {
+	at := slices.IndexFunc(s.specs, func(j *flow.Spec) bool { return j.ID == lost.Task.Job })
+	if !s.specs[at].Steps[lost.Task.Step].Gang {
+		return
+	}
+	for _, h := range s.hosts {
+		for _, r := range slices.Clone(h.runs) {
+			if r.Task.Job == lost.Task.Job && r.Task.Step == lost.Task.Step && r.Run == lost.Run {
+				h.end(r.Start, flow.EndGangBroken)
+			}
+		}
+	}
+}
+
 // crashRack ends all workers of a rack.
 func (s *ownersSim) crashRack(rack string) {
 	for _, h := range s.hosts {
--- a/cell/owners_test.go
+++ b/cell/owners_test.go
@@ -126,7 +126,14 @@
 			id = fmt.Sprintf("guilty-%d", i)
 			guilty = append(guilty, id)
 		}
-		s.submit(id, flow.Step{Count: 1 + s.random.IntN(4), Demand: demand(500), Speculative: s.random.IntN(2) == 0})
+		step := flow.Step{Count: 1 + s.random.IntN(4), Demand: demand(500)}
+		switch s.random.IntN(5) {
+		case 0:
+			step.Gang = true
+		case 1, 2:
+			step.Speculative = true
+		}
+		s.submit(id, step)
 	}
 	s.crashAfter = crashJobsAfter(after, guilty...)
 	for until := s.now.Add(drawnFaultsFor); s.now.Before(until); {
--- a/cell/stop.go
+++ b/cell/stop.go
@@ -210,7 +210,7 @@
 
 // mayHaveCrashed reports whether r, on an unreachable worker, may have crashed that worker: r is on
 // trial, or the worker disconnected soon after r was started. A copy could crash a second worker
-// before the first loss is established, and the next owner would learn of only one of the two.
+// before the first loss is established.
 func (r *run) mayHaveCrashed() bool {
 	w := r.worker
 	return r.stage.needsTrial(&r.stage.tasks[r.index]) || w.hungUp && w.disconnectSeen && r.age(w.detachedSince) <= youngRunAge
