cell, driver: a lost first start outlives an owner that starts nothing; retries of failed tasks are recorded

The workers that were lost while the owner changed now stay in a row beside the worker list, by hall, until each task that may have been lost with them is on record. The retry of a failed task is recorded like the start after a loss, so that a next owner that hears of the failure, or of a run that goes on, knows all starts of the task and counts no loss for it: that had given up an innocent job. A recorded start whose worker lists too much to list all of its runs is resolved by the next whole list.

The driver's specs that commit use workers that answer nothing, as a failed hold raced with them.

--- a/cell/crash.go
+++ b/cell/crash.go
@@ -269,10 +269,7 @@
 // noteInheritedLoss records that a worker of a former owner had gone when this owner took over.
 func (c *Cell) noteInheritedLoss(w *worker, how Loss) {
 	if w.inherited && !w.everAttached && how != LossPlanned {
-		if c.inheritedWorkersLost == nil {
-			c.inheritedWorkersLost = make(map[string][]string)
-		}
-		c.inheritedWorkersLost[w.Hall] = append(c.inheritedWorkersLost[w.Hall], w.ID)
+		c.InheritLost(w.Hall, []string{w.ID})
 	}
 }
 
@@ -280,7 +277,7 @@
 // former owner may have started on a worker that was lost while the owner changed.
 func (c *Cell) countInheritedLoss(s *stage, index int, now time.Time) {
 	t := &s.tasks[index]
-	if !s.job.restored || t.lastRun > 0 || t.inStore || len(t.crashes) > 0 {
+	if !s.job.restored || t.accounted {
 		return
 	}
 	var lost []string
@@ -288,10 +285,46 @@
 		lost = append(lost, c.inheritedWorkersLost[hall]...)
 	}
 	if len(lost) > 0 {
+		t.accounted = true
 		c.addInheritedCrash(s, index, flow.Crash{Run: c.runBase, Blame: flow.BlameUnlikely, Inherited: true}, lost, now)
 	}
 }
 
+// InheritLost tells the cell of workers in a hall that were lost while the owner changed before.
+func (c *Cell) InheritLost(hall string, ids []string) {
+	if c.inheritedWorkersLost == nil {
+		c.inheritedWorkersLost = make(map[string][]string)
+	}
+	c.inheritedWorkersLost[hall] = append(c.inheritedWorkersLost[hall], ids...)
+}
+
+// InheritedLost returns, by hall, the workers that were lost while the owner changed, as long as
+// there is a task that may have been lost with one of them and whose record does not say so yet. The
+// next owner must know of them.
+func (c *Cell) InheritedLost() map[string][]string {
+	out := make(map[string][]string)
+	for _, s := range c.openStages {
+		if len(out) == len(c.inheritedWorkersLost) {
+			break
+		}
+		if !s.job.restored || s.job.state.Final() || !slices.ContainsFunc(s.tasks, task.mayHaveUnrecordedLoss) {
+			continue
+		}
+		for _, hall := range s.startHalls() {
+			if ids := c.inheritedWorkersLost[hall]; len(ids) > 0 {
+				out[hall] = ids
+			}
+		}
+	}
+	return out
+}
+
+// mayHaveUnrecordedLoss reports whether a run of t by a former owner may have been lost without the
+// stored record saying so.
+func (t task) mayHaveUnrecordedLoss() bool {
+	return t.state == taskWaiting && !t.inStore && (!t.accounted || len(t.crashes) > 0)
+}
+
 // startHalls returns the halls in which a former owner may have started tasks of s, and the empty
 // name of workers whose hall is not known.
 func (s *stage) startHalls() []string {
--- a/cell/ends.go
+++ b/cell/ends.go
@@ -144,7 +144,7 @@
 	if s.def.LongRunning {
 		return
 	}
-	t.failedRuns = append(t.failedRuns, f.Run)
+	t.failedRuns, t.accounted = append(t.failedRuns, f.Run), true
 	c.markDirty(s.job)
 	attempts := len(t.failedRuns)
 	if s.def.Gang {
@@ -205,8 +205,7 @@
 		c.confirm(r, now)
 		return
 	}
-	c.noteChange(r, RunNotBegun)
-	c.removeRun(r)
+	c.notBegun(r, now)
 	switch o {
 	case NoRoom:
 		// The worker's free room is not what this cell has recorded.
@@ -219,7 +218,6 @@
 	case Unhealthy:
 		w.health.pause(now)
 	}
-	c.requeue(r.stage, r.index, r.checkpoint, now)
 }
 
 // runNumberSkip is how many run numbers are skipped when a worker has seen a higher number than the
--- a/cell/job.go
+++ b/cell/job.go
@@ -39,8 +39,9 @@
 	// lostRacks are the racks of those workers.
 	crashes   []flow.Crash
 	lostRacks []string
-	// inStore means that the job's stored record names starts or losses of the task.
-	inStore bool
+	// inStore means that the job's stored record has starts, losses or failures of the task, and
+	// accounted that this owner knows what became of all starts by former owners.
+	inStore, accounted bool
 }
 
 // stage is one step of one repetition of a job.
@@ -292,6 +293,7 @@
 		t.checkpoint, t.failedRuns = old.Checkpoints[i], old.FailedRuns[i]
 		t.crashes = old.Crashes[i]
 		t.inStore = old.Names(i)
+		t.accounted = t.inStore
 		s.blamedLosses = max(s.blamedLosses, len(t.crashes))
 		if old.Done.Has(i) {
 			t.state = taskDone
--- a/cell/owners_sim_test.go
+++ b/cell/owners_sim_test.go
@@ -36,6 +36,8 @@
 	records map[string][]byte
 	// listed are the workers in the stored worker list.
 	listed []string
+	// lost are the workers, by hall, that the store has as lost while the owner changed.
+	lost   map[string][]string
 	commit *simCommit
 	// storeDownUntil is until when no write is taken.
 	storeDownUntil time.Time
@@ -45,6 +47,8 @@
 	// number of them, of one task, that a next owner did not find in the store.
 	crashedRuns map[flow.TaskID][]int
 	maxUnknown  int
+	// lastCrashed is the worker that a task crashed last.
+	lastCrashed string
 }
 
 // ownedHost is an address and the incarnations of the worker there.
@@ -62,6 +66,7 @@
 	saves []Save
 	// workers is the worker list, nil if it is not written.
 	workers []string
+	lost    map[string][]string
 	done    time.Time
 }
 
@@ -143,6 +148,9 @@
 	for _, name := range s.listed {
 		s.cell.Heard(Worker{ID: name, Hall: "h", Gone: true}, s.now)
 	}
+	for hall, ids := range s.lost {
+		s.cell.InheritLost(hall, ids)
+	}
 	for _, spec := range s.specs {
 		if s.final(spec.ID) == "" {
 			s.cell.Restore(spec, s.stored(spec.ID), s.now, s.now)
@@ -289,6 +297,7 @@
 		if after := s.crashAfter(r.Task); after > 0 && s.now.Sub(r.begun) >= after {
 			s.crashes[r.Task]++
 			s.crashedRuns[r.Task] = append(s.crashedRuns[r.Task], r.Run)
+			s.lastCrashed = h.name()
 			s.crash(h)
 			return
 		}
@@ -314,11 +323,18 @@
 	if s.commit == nil {
 		c := &simCommit{saves: s.cell.Saves(64), done: s.now.Add(simWriteTime)}
 		if !s.cell.Dirty() {
-			c.workers = s.workers()
+			c.workers, c.lost = s.workers(), s.cell.InheritedLost()
 		}
 		s.commit = c
 	}
-	if s.now.Before(s.commit.done) || s.now.Before(s.storeDownUntil) {
+	if !s.now.Before(s.commit.done) && !s.now.Before(s.storeDownUntil) {
+		s.finishWrite()
+	}
+}
+
+// finishWrite has the write in progress, if any, take effect now.
+func (s *ownersSim) finishWrite() {
+	if s.commit == nil {
 		return
 	}
 	s.apply(s.commit)
@@ -343,7 +359,7 @@
 		s.records[save.ID] = flow.Encode(save.Record)
 	}
 	if c.workers != nil {
-		s.listed = c.workers
+		s.listed, s.lost = c.workers, c.lost
 	}
 }
 
--- a/cell/owners_test.go
+++ b/cell/owners_test.go
@@ -102,6 +102,34 @@
 	g.Expect(s.maxLateStarts()).To(BeNumerically("<=", allowedLateStarts))
 }
 
+// Guards against an owner that drops a lost worker from the worker list and ends before it has
+// written which tasks may have been lost with it: the next owner knew of neither.
+func TestLossOfAFirstStartOutlivesAnOwnerThatStartedNothing(t *testing.T) {
+	g := NewWithT(t)
+	s := newOwnersSim(1, 6, 2)
+	s.crashAfter = crashJobsAfter(100*time.Millisecond, "j")
+	task := flow.TaskID{Job: "j"}
+	s.runFor(time.Second)
+	s.submit("j", flow.Step{Count: 1, Demand: demand(1000)})
+	for s.starts[task] < 7 && s.final("j") == "" {
+		before := s.crashes[task]
+		s.runUntil(func() bool { return s.crashes[task] > before || s.final("j") != "" })
+		s.kill()
+		s.runFor(simTakeover)
+		host := s.hostOf(s.lastCrashed)
+		s.runUntil(func() bool { return !s.now.Add(simStep).Before(host.downUntil) })
+		s.finishWrite()
+		s.step()
+		g.Expect(s.commit.workers).NotTo(ContainElement(s.lastCrashed))
+		s.finishWrite()
+		s.kill()
+		s.runFor(simTakeover)
+	}
+	g.Expect(s.run(time.Minute)).To(BeTrue())
+	g.Expect(s.final("j")).To(Equal(flow.Failed))
+	g.Expect(s.maxLateStarts()).To(BeNumerically("<=", allowedLateStarts))
+}
+
 const (
 	// drawnDays is the number of days that TestDrawnChangesOfOwner plays.
 	drawnDays = 300
--- a/cell/place.go
+++ b/cell/place.go
@@ -361,7 +361,7 @@
 func (c *Cell) startRun(a *Actions, s *stage, index int, p pick, n int, record bool, now time.Time) {
 	t := &s.tasks[index]
 	s.setWaiting(t, false)
-	t.state = taskActive
+	t.state, t.accounted = taskActive, true
 	r := &run{stage: s, index: index, number: n + c.runBase, worker: p.worker, decidedAt: now, room: s.def.Reservation(), checkpoint: t.checkpoint}
 	t.runs = append(t.runs, r)
 	p.worker.addRun(r)
--- a/cell/recorded.go
+++ b/cell/recorded.go
@@ -17,9 +17,10 @@
 // own: by the lists of its worker, or by the loss of that worker.
 
 // startNeedsRecord reports whether the next start of t must be in the store before it is sent: t was
-// lost with a worker before, has another run, or is named in the stored record.
+// lost with a worker or failed before, has another run, or is named in the stored record. A start
+// after one that was stopped counts as the first: nothing was lost with it.
 func (t *task) startNeedsRecord() bool {
-	return len(t.crashes) > 0 || len(t.runs) > 0 || t.inStore
+	return len(t.crashes) > 0 || len(t.failedRuns) > 0 || len(t.runs) > 0 || t.inStore
 }
 
 // gangStartNeedsRecord reports the same of a gang, which starts as a whole.
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -289,15 +289,20 @@
 			r.throttlePercent = -1
 		}
 		if r.confirmedAt.IsZero() && !l.Truncated {
-			c.noteChange(r, RunNotBegun)
-			c.removeRun(r)
-			c.requeue(r.stage, r.index, r.checkpoint, now)
+			c.notBegun(r, now)
 		}
 	}
 	w.attached, w.everAttached, w.settled = true, true, true
 	w.hungUp, w.disconnectSeen = false, false
 }
 
+// notBegun removes a run of which it is certain that the order to start it had no effect.
+func (c *Cell) notBegun(r *run, now time.Time) {
+	c.noteChange(r, RunNotBegun)
+	c.removeRun(r)
+	c.requeue(r.stage, r.index, r.checkpoint, now)
+}
+
 // Listed updates the cell from the lists of a worker that were requested at sent. Lists of another
 // incarnation are ignored until it is attached, as orders in flight may still reach it.
 func (c *Cell) Listed(id string, l Lists, sent, now time.Time) {
@@ -307,6 +312,11 @@
 	}
 	turn := c.takeLists(w, l, now)
 	for _, r := range slices.Clone(w.runList) {
+		if r.inherited && !l.Truncated {
+			// The lists at the time of the attach were truncated.
+			c.notBegun(r, now)
+			continue
+		}
 		if r.listSeq != turn && !l.Truncated && !r.confirmedAt.IsZero() && r.confirmedAt.Before(sent) {
 			c.lostRuns = append(c.lostRuns, r.lostRun(LossMissing, now))
 			c.counts.Lapsed++
@@ -420,7 +430,7 @@
 		s.setWaiting(t, false)
 		t.state = taskActive
 	}
-	t.runs = append(t.runs, r)
+	t.runs, t.accounted = append(t.runs, r), true
 	t.lastRun = max(t.lastRun, r.number-c.runBase)
 	s.countRunOn(r.worker, 1)
 	c.startTrialIfNeeded(r, now)
--- a/driver/commit.go
+++ b/driver/commit.go
@@ -148,8 +148,8 @@
 		d.workerListChanged = d.workerListChanged || g.workerList
 		return
 	}
-	for i := range g.listed {
-		d.cell.SetListed(g.listed[i].ID, true)
+	if g.workerList {
+		d.workersListed(&g)
 	}
 	d.signalPersisted()
 	d.logEnded(g.saves)
--- a/driver/driver_test.go
+++ b/driver/driver_test.go
@@ -116,6 +116,29 @@
 	return HoldAnswer{}, errUnreachable
 }
 
+// stuckWorkers answer no hold until they are released, so that what a test has set is not changed.
+type stuckWorkers struct {
+	unreachable
+	released chan struct{}
+}
+
+func (w stuckWorkers) Hold(context.Context, HoldOrder) (HoldAnswer, error) {
+	<-w.released
+	return HoldAnswer{}, kind.New(kind.Unavailable, "released")
+}
+
+// newStuckDriver returns a driver of which no worker answers before the test is over.
+func newStuckDriver(ctx context.Context, t *memStore) *Driver {
+	d := newDriver(ctx, t, func() {})
+	workers := stuckWorkers{released: make(chan struct{})}
+	d.Workers = workers
+	ginkgo.DeferCleanup(func() {
+		close(workers.released)
+		d.Close()
+	})
+	return d
+}
+
 // emptyDirectory is a directory without workers.
 type emptyDirectory struct{}
 
--- a/driver/foreign_test.go
+++ b/driver/foreign_test.go
@@ -33,7 +33,7 @@
 	}
 	// driverWithWorker returns a driver with a worker that has room for one of two tasks.
 	driverWithWorker := func(ctx context.Context) *Driver {
-		d := newDriver(ctx, newMemStore(), func() {})
+		d := newStuckDriver(ctx, newMemStore())
 		d.applyDirectory([]Entry{good(1)})
 		Expect(d.commitOnce(true)).To(BeTrue(), "the worker list is stored")
 		d.mu.Lock()
@@ -56,7 +56,6 @@
 
 	ginkgo.It("of a known worker keeps the runs there and stops new ones", func(ctx context.Context) {
 		d := driverWithWorker(ctx)
-		defer d.Close()
 		Expect(place(d)).To(HaveLen(1))
 		d.applyDirectory([]Entry{bad("w", 2)})
 		Expect(d.links).To(HaveKey("w"), "its runs go on")
@@ -71,7 +70,6 @@
 
 	ginkgo.It("that is older than the worker's valid one changes nothing", func(ctx context.Context) {
 		d := driverWithWorker(ctx)
-		defer d.Close()
 		d.applyDirectory([]Entry{good(5)})
 		d.applyDirectory([]Entry{bad("w", 2)})
 		Expect(place(d)).To(HaveLen(1))
--- a/driver/load.go
+++ b/driver/load.go
@@ -36,6 +36,7 @@
 	specs      [len(specParts)]rows.RangeReader
 	records    rows.RangeReader
 	workerList rows.RangeReader
+	lost       rows.RangeReader
 }
 
 // jobs returns the specifications of all parts.
@@ -77,6 +78,7 @@
 		return r.records.Read(ctx, d.Store, rows.Range{Table: TableRecords, Part: d.Name, Limit: rowsPerPage})
 	})
 	reads.Go(func() error { return r.workerList.Read(ctx, d.Store, d.workerListRange()) })
+	reads.Go(func() error { return r.lost.Read(ctx, d.Store, rows.KeyRange(d.lostWorkersKey())) })
 	return reads.Wait()
 }
 
@@ -112,6 +114,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.restoreWorkerList(r.workerList.Rows)
+	d.restoreLostWorkers(r.lost.Rows)
 	d.restoreJobs(r.jobs(), r.records.Rows, r.records.BadRows)
 }
 
--- a/driver/workerlist.go
+++ b/driver/workerlist.go
@@ -34,12 +34,20 @@
 	// workersPerRow is the number of workers per row. It keeps rows far below the store's size
 	// limit.
 	workersPerRow = 400
+	// lostWorkersName is the name of the row with the workers that were lost while the owner changed,
+	// by hall, and maxLostWorkers the number of them that it names in each hall.
+	lostWorkersName = "lost-workers"
+	maxLostWorkers  = 16
 )
 
 func (d *Driver) workerListKey(row int) rows.Key {
 	return rows.Key{Table: claim.Table, Part: d.Name, Name: fmt.Sprintf("%s%03d", workerListName, row)}
 }
 
+func (d *Driver) lostWorkersKey() rows.Key {
+	return rows.Key{Table: claim.Table, Part: d.Name, Name: lostWorkersName}
+}
+
 // workerListRange returns the range of all rows of the worker list.
 func (d *Driver) workerListRange() rows.Range {
 	return rows.Range{Table: claim.Table, Part: d.Name, From: workerListName, To: workerListName + "~"}
@@ -91,13 +99,55 @@
 	for row := n; row < d.workerListRows; row++ {
 		t.Remove = append(t.Remove, d.workerListKey(row))
 	}
+	d.putLostWorkers(t)
 	// Until the store has accepted the transaction, the previous number of rows may remain.
 	d.workerListRows = max(d.workerListRows, n)
 	return all
 }
 
-// checkWorkerList schedules a write of the worker list if a listed worker can no longer have runs.
-// The lock is held.
+// workersListed applies that the store has the worker list of a commit. The lock is held.
+func (d *Driver) workersListed(g *commitGroup) {
+	for i := range g.listed {
+		d.cell.SetListed(g.listed[i].ID, true)
+	}
+	if slices.Contains(g.tx.Remove, d.lostWorkersKey()) {
+		d.lostWorkersStored = false
+	}
+}
+
+// putLostWorkers adds to a transaction which workers were lost while the owner changed. A worker
+// that is lost leaves the worker list, but a next owner has to know of it until all tasks that may
+// have been lost with it are on record. The lock is held.
+func (d *Driver) putLostWorkers(t *rows.Tx) {
+	lost := d.cell.InheritedLost()
+	for hall, ids := range lost {
+		lost[hall] = ids[:min(len(ids), maxLostWorkers)]
+	}
+	switch {
+	case len(lost) > 0:
+		t.Put = append(t.Put, rows.Row{Key: d.lostWorkersKey(), Value: flow.Encode(lost)})
+		d.lostWorkersStored = true
+	case d.lostWorkersStored:
+		t.Remove = append(t.Remove, d.lostWorkersKey())
+	}
+}
+
+// restoreLostWorkers applies the row of lost workers that the former owner wrote. The lock is held.
+func (d *Driver) restoreLostWorkers(all []rows.Row) {
+	for _, row := range all {
+		lost := make(map[string][]string)
+		if err := json.Unmarshal(row.Value, &lost); err != nil {
+			level.Error(d.Log).Log("event", "bad_worker_list", "row", row.Name, "err", err)
+		}
+		for hall, ids := range lost {
+			d.cell.InheritLost(hall, ids)
+		}
+		d.lostWorkersStored = true
+	}
+}
+
+// checkWorkerList schedules a write of the worker list if a listed worker can no longer have runs, or
+// if the lost workers do not matter any more. The lock is held.
 func (d *Driver) checkWorkerList() {
 	n := 0
 	for _, l := range d.links {
@@ -105,7 +155,7 @@
 			n++
 		}
 	}
-	if n < d.workerListSize {
+	if n < d.workerListSize || d.lostWorkersStored && len(d.cell.InheritedLost()) == 0 {
 		d.workerListChanged = true
 		notify(d.commitNow)
 	}
--- a/driver/workerlist_test.go
+++ b/driver/workerlist_test.go
@@ -18,7 +18,7 @@
 var _ = ginkgo.Describe("the stored worker list", func() {
 	room := sched.Vec{sched.MilliCPU: 100_000, sched.MemoryMiB: 100_000}
 	withJobs := func(ctx context.Context, jobs int) *Driver {
-		d := newDriver(ctx, newMemStore(), func() {})
+		d := newStuckDriver(ctx, newMemStore())
 		d.applyDirectory([]Entry{{Worker: cell.Worker{ID: "w", Addr: "w", Pool: "p", Hall: "h", Room: room}, Ver: 1}})
 		d.mu.Lock()
 		defer d.mu.Unlock()
@@ -42,7 +42,6 @@
 	// Guards against a run on a worker that ends, with the owner, before a next owner knows of it.
 	ginkgo.It("names a worker before anything is started there", func(ctx context.Context) {
 		d := withJobs(ctx, 1)
-		defer d.Close()
 		Expect(starts(d)).To(BeEmpty())
 		Expect(d.commitOnce(false)).To(BeTrue())
 		Expect(starts(d)).To(HaveLen(1))
@@ -53,7 +52,6 @@
 	ginkgo.It("names a lost worker until all records of its runs are written", func(ctx context.Context) {
 		const jobs = maxSavesPerCommit + 1
 		d := withJobs(ctx, jobs)
-		defer d.Close()
 		Expect(d.commitOnce(false)).To(BeTrue())
 		Expect(starts(d)).To(HaveLen(jobs))
 		d.mu.Lock()
@@ -67,4 +65,33 @@
 		Expect(second.saves).To(HaveLen(1))
 		Expect(second.workerList).To(BeTrue())
 	})
+
+	// Guards against a lost first start that is forgotten with the owner that found its worker gone.
+	ginkgo.It("comes with the workers that were lost, until their tasks are on record", func(ctx context.Context) {
+		t := newMemStore()
+		t.putSpec("1")
+		first := newStuckDriver(ctx, t)
+		first.applyDirectory([]Entry{{Worker: cell.Worker{ID: "w", Addr: "w", Pool: "p", Room: room}, Ver: 1}})
+		Expect(first.commitOnce(false)).To(BeTrue())
+
+		second := newStuckDriver(ctx, t)
+		Expect(second.load()).To(BeTrue())
+		second.mu.Lock()
+		second.dropLink(second.links["w"], cell.LossReborn, time.Now())
+		second.mu.Unlock()
+		Expect(second.commitOnce(false)).To(BeTrue())
+
+		third := newStuckDriver(ctx, t)
+		Expect(third.load()).To(BeTrue())
+		third.mu.Lock()
+		defer third.mu.Unlock()
+		Expect(third.cell.InheritedLost()).To(Equal(map[string][]string{"": {"w"}}))
+		now := time.Now()
+		third.cell.Cancel("1", now)
+		third.checkWorkerList()
+		third.listChanged()
+		group, _ := third.collectGroup()
+		third.committed(group, true)
+		Expect(third.lostWorkersStored).To(BeFalse())
+	})
 })
--- a/flow/record.go
+++ b/flow/record.go
@@ -39,8 +39,10 @@
 	Checkpoints map[int]string `json:"saved,omitempty"`
 }
 
-// Names reports whether s has starts or losses of the task with an index.
-func (s *StageRecord) Names(index int) bool { return len(s.Starts[index])+len(s.Crashes[index]) > 0 }
+// Names reports whether s has starts, losses or failures of the task with an index.
+func (s *StageRecord) Names(index int) bool {
+	return len(s.Starts[index])+len(s.Crashes[index])+len(s.FailedRuns[index]) > 0
+}
 
 // FinalRecord is the record of a job that has ended, kept until the job is forgotten.
 type FinalRecord struct {
