cell: the record of a wide job stays below the limit of a row

With each lost task and each start after it on record, a job of some 500 tasks that are lost with a hall would have had a record of more than 64 KB; the store refuses that, and the group commit with it for good. Found by reading. Of one job 300 tasks are named besides those that were blamed; starts of others do not wait. A save names at most 3,000. Test: TestRecordOfAWideJobStaysBelowTheLimitOfARow.

--- a/cell/recorded.go
+++ b/cell/recorded.go
@@ -47,6 +47,31 @@
 	return out
 }
 
+// nameIn puts the starts and losses of t, a task with an index, into its step's record. It returns 1
+// if there are any.
+func (t *task) nameIn(rec *flow.StageRecord, index int) int {
+	if len(t.crashes) > 0 {
+		if rec.Crashes == nil {
+			rec.Crashes = make(map[int][]flow.Crash)
+		}
+		rec.Crashes[index] = slices.Clone(t.crashes)
+	}
+	if starts := t.startsToRecord(); len(starts) > 0 {
+		if rec.Starts == nil {
+			rec.Starts = make(map[int][]flow.RunStart)
+		}
+		rec.Starts[index] = starts
+	}
+	return min(1, len(rec.Crashes[index])+len(rec.Starts[index]))
+}
+
+// leaveOut notes that the job's record has no room for the starts of t. They do not wait for it.
+func (t *task) leaveOut() {
+	for _, r := range t.runs {
+		r.leftOut = r.unsent
+	}
+}
+
 // recordStart has the order to start r wait until the store has it.
 func (c *Cell) recordStart(r *run) {
 	r.recorded, r.unsent = true, true
@@ -67,7 +92,7 @@
 		switch {
 		case !ok:
 			c.withdraw(r, now)
-		case !r.stored:
+		case !r.stored && !r.leftOut:
 			c.unsent = append(c.unsent, r)
 		case c.sendBudgetLeft <= 0:
 			c.sendLimited = true
--- a/cell/recorded_test.go
+++ b/cell/recorded_test.go
@@ -64,7 +64,7 @@
 	g := NewWithT(t)
 	r := restoredWithStart(oneTask, startOnOld)
 	r.Forget("old", LossReborn, r.now)
-	rec := r.jobs["j"].record()
+	rec, _ := r.jobs["j"].record()
 	next := newRig(0)
 	next.Restore(r.jobs["j"].spec, rec, next.now, next.now)
 	next.Heard(Worker{ID: "other", Hall: "h", Gone: true}, next.now)
@@ -120,3 +120,59 @@
 	r.save()
 	g.Expect(r.place().Starts).To(BeEmpty(), "there is room for one member only")
 }
+
+// Guards against a record that the store refuses as too long: all tasks of a wide job were lost with a
+// hall and started again.
+func TestRecordOfAWideJobStaysBelowTheLimitOfARow(t *testing.T) {
+	const (
+		tasks       = 2000
+		maxRowBytes = 65536
+	)
+	g := NewWithT(t)
+	r := newRig(0)
+	for _, id := range []string{"a", "b", "c", "d"} {
+		r.heard(id, func(w *Worker) { w.Room = vec(1_000_000, 1_000_000) })
+		r.Attached(id, Lists{}, r.now)
+	}
+	r.add("j", flow.Step{Count: tasks, Demand: demand(900)})
+	running := make(map[string][]Running)
+	for _, s := range r.startAll() {
+		running[s.Worker] = append(running[s.Worker], Running{Task: s.Task, Run: s.Run})
+	}
+	r.now = r.now.Add(2 * time.Second)
+	for id, rows := range running {
+		r.Listed(id, Lists{Running: rows}, r.now, r.now)
+	}
+	for _, id := range []string{"a", "b"} {
+		r.Detached(id, r.now)
+	}
+	r.now = r.now.Add(6 * time.Second)
+	for _, id := range []string{"a", "b"} {
+		r.Forget(id, LossSilent, r.now)
+	}
+	for _, id := range []string{"c", "d"} {
+		r.heard(id, func(w *Worker) { w.Room = vec(4_000_000, 4_000_000) })
+	}
+	g.Expect(r.Place(r.now, r.now, 0).Starts).To(BeEmpty())
+	lost := len(r.unsent)
+	g.Expect(lost).To(BeNumerically(">", 900))
+	for _, s := range r.Saves(100) {
+		g.Expect(len(flow.Encode(s.Record))).To(BeNumerically("<", maxRowBytes))
+		r.Saved([]Save{s}, true)
+	}
+	g.Expect(r.Place(r.now, r.now, 0).Starts).To(HaveLen(lost))
+}
+
+// Guards against a loss held against a task whose first run has failed: the former owner wrote nothing
+// of either, and a worker was lost while the owner changed.
+func TestFailedFirstStartIsNotCountedAsLost(t *testing.T) {
+	g := NewWithT(t)
+	r := newRig(2)
+	r.Heard(Worker{ID: "old", Hall: "h", Gone: true}, r.now)
+	r.Restore(&flow.Spec{ID: "j", Queue: "q", Hall: "h", Steps: []flow.Step{oneTask}}, nil, r.now, r.now)
+	r.Forget("old", LossReborn, r.now)
+	failed := Finished{Number: 1, Task: firstOfJobJ, Run: 77, How: flow.EndFailed}
+	r.Listed("w0", Lists{Finished: []Finished{failed}}, r.now, r.now)
+	g.Expect(r.startAll()).To(HaveLen(1))
+	g.Expect(r.jobs["j"].stages[0].tasks[0].crashes).To(BeEmpty())
+}
--- a/cell/run.go
+++ b/cell/run.go
@@ -38,8 +38,9 @@
 	tail            int64
 	throttlePercent int
 	// recorded means that the run is named in its job's record until it has ended, stored that the
-	// store has that record, and unsent that the order to start the run waits for it.
-	recorded, stored, unsent bool
+	// store has that record, and unsent that the order to start the run waits for it. leftOut means
+	// that the record has no room for it.
+	recorded, stored, unsent, leftOut bool
 	// inherited means that a former owner recorded the run and that its worker has not listed
 	// anything to this owner.
 	inherited bool
@@ -78,7 +79,7 @@
 func (c *Cell) removeRun(r *run) {
 	r.endTrial(false)
 	r.unsent = false
-	if r.recorded && !r.stage.job.state.Final() {
+	if (r.recorded || r.stored) && !r.stage.job.state.Final() {
 		c.markDirty(r.stage.job)
 	}
 	delete(r.worker.runs, runKey{r.task(), r.number})
--- a/cell/save.go
+++ b/cell/save.go
@@ -16,8 +16,19 @@
 	History JobHistory
 	// Foreign means that the job belongs to another cell.
 	Foreign bool
+	// named is the number of tasks of which the record names starts or losses.
+	named int
 }
 
+const (
+	// maxNamedTasks limits the tasks of which a record names starts or losses, apart from those that
+	// were blamed, so that a record stays below the store's limit for a row: each takes about 130
+	// bytes.
+	maxNamedTasks = 300
+	// maxNamedPerSave limits them over all records that are saved together.
+	maxNamedPerSave = 3000
+)
+
 // JobHistory is what this owner has seen of a job, for finding out why it was late.
 type JobHistory struct {
 	// Began is the time from the job's acceptance until its first task was started here.
@@ -34,13 +45,19 @@
 // Saves returns the records that have changed since the last call, at most limit. The caller
 // reports the result with Saved; only one save may be in progress.
 func (c *Cell) Saves(limit int) []Save {
-	n := min(limit, len(c.dirty))
-	saves := make([]Save, 0, n)
-	for _, j := range c.dirty[:n] {
+	var saves []Save
+	named := 0
+	for _, j := range c.dirty[:min(limit, len(c.dirty))] {
+		if named >= maxNamedPerSave {
+			break
+		}
 		j.dirty = false
-		saves = append(saves, Save{ID: j.spec.ID, Record: j.record(), History: j.history, Foreign: j.share.OwnedElsewhere()})
+		s := Save{ID: j.spec.ID, History: j.history, Foreign: j.share.OwnedElsewhere()}
+		s.Record, s.named = j.record()
+		named += s.named
+		saves = append(saves, s)
 	}
-	c.dirty = append(c.dirty[:0], c.dirty[n:]...)
+	c.dirty = append(c.dirty[:0], c.dirty[len(saves):]...)
 	if len(c.dirty) == 0 {
 		c.setSavingEnds()
 	}
@@ -98,14 +115,16 @@
 	}
 }
 
-func (j *job) record() *flow.Record {
+// record returns the record of j and the number of tasks of which it names starts or losses.
+func (j *job) record() (*flow.Record, int) {
 	r := &flow.Record{State: j.state, Canceled: j.cancelled}
 	if !j.state.Final() && j.began {
 		r.State = flow.Running
 	}
 	if j.state.Final() {
-		return r
+		return r, 0
 	}
+	named := 0
 	r.Stages = make([]flow.StageRecord, len(j.stages))
 	for at, s := range j.stages {
 		out := &r.Stages[at]
@@ -122,20 +141,12 @@
 				}
 				out.FailedRuns[i] = t.failedRuns
 			}
-			if len(t.crashes) > 0 {
-				if out.Crashes == nil {
-					out.Crashes = make(map[int][]flow.Crash)
-				}
-				out.Crashes[i] = slices.Clone(t.crashes)
-			}
-			starts := t.startsToRecord()
-			if len(starts) > 0 {
-				if out.Starts == nil {
-					out.Starts = make(map[int][]flow.RunStart)
-				}
-				out.Starts[i] = starts
+			if named < maxNamedTasks || t.suspect() {
+				named += t.nameIn(out, i)
+			} else {
+				t.leaveOut()
 			}
-			if (t.state == taskWaiting || len(starts) > 0) && t.checkpoint != "" {
+			if (t.state == taskWaiting || len(out.Starts[i]) > 0) && t.checkpoint != "" {
 				if out.Checkpoints == nil {
 					out.Checkpoints = make(map[int]string)
 				}
@@ -143,5 +154,5 @@
 			}
 		}
 	}
-	return r
+	return r, named
 }
