cell: a gang that waits for the store is sent whole

Found by reading: of a gang wider than a record names, or at the limit of what the link takes at once, a part of the members would have been ordered first, and ended for want of the others. Test: TestGangOnRecordIsSentWhole. The runs that start or are withdrawn together are found in one place.

--- a/cell/crash.go
+++ b/cell/crash.go
@@ -307,7 +307,7 @@
 		if len(out) == len(c.inheritedWorkersLost) {
 			break
 		}
-		if !s.job.restored || s.job.state.Final() || !slices.ContainsFunc(s.tasks, task.mayHaveUnrecordedLoss) {
+		if !s.job.restored || s.job.state.Final() || !s.mayHaveUnrecordedLoss() {
 			continue
 		}
 		for _, hall := range s.startHalls() {
@@ -319,10 +319,16 @@
 	return out
 }
 
-// mayHaveUnrecordedLoss reports whether a run of t by a former owner may have been lost without the
-// stored record saying so.
-func (t task) mayHaveUnrecordedLoss() bool {
-	return t.state == taskWaiting && !t.inStore && (!t.accounted || len(t.crashes) > 0)
+// mayHaveUnrecordedLoss reports whether a run of a task of s by a former owner may have been lost
+// without the stored record saying so.
+func (s *stage) mayHaveUnrecordedLoss() bool {
+	for i := range s.tasks {
+		t := &s.tasks[i]
+		if t.state == taskWaiting && !t.inStore && (!t.accounted || len(t.crashes) > 0) {
+			return true
+		}
+	}
+	return false
 }
 
 // startHalls returns the halls in which a former owner may have started tasks of s, and the empty
--- a/cell/recorded.go
+++ b/cell/recorded.go
@@ -88,38 +88,51 @@
 		if !r.unsent {
 			continue
 		}
-		ticket, ok := c.mayStillStart(r, now)
 		switch {
-		case !ok:
+		case !c.mayStillStart(r, now):
 			c.withdraw(r, now)
-		case !r.stored && !r.leftOut:
+		case !r.onRecord():
 			c.unsent = append(c.unsent, r)
-		case c.sendBudgetLeft <= 0:
+		case c.sendBudgetLeft <= 0 && !r.stage.def.Gang:
 			c.sendLimited = true
 			c.unsent = append(c.unsent, r)
 		default:
-			a.Starts = append(a.Starts, c.order(r, ticket, now))
+			a.Starts = append(a.Starts, c.order(r, c.ticketOf(r, now), now))
 			r.unsent, r.decidedAt = false, now
 			c.restartTrialWatch(r, now)
 		}
 	}
 }
 
-// mayStillStart reports whether r, which waits for the store, may start where it was placed, and
-// returns its ticket. A gang may start only as a whole.
-func (c *Cell) mayStillStart(r *run, now time.Time) (ticket string, ok bool) {
-	if r.stage.def.Gang {
-		for i := range r.stage.tasks {
-			for _, o := range r.stage.tasks[i].runs {
-				if o.unsent && !c.mayStartThere(o, now) {
-					return "", false
-				}
+// mayStillStart reports whether r, which waits for the store, may start where it was placed. A gang
+// may start only as a whole.
+func (c *Cell) mayStillStart(r *run, now time.Time) bool {
+	return !slices.ContainsFunc(r.unsentTogether(), func(o *run) bool { return !c.mayStartThere(o, now) })
+}
+
+// onRecord reports whether the store has r and all runs that start with it, as far as the record has
+// room for them.
+func (r *run) onRecord() bool {
+	return !slices.ContainsFunc(r.unsentTogether(), func(o *run) bool { return !o.stored && !o.leftOut })
+}
+
+// unsentTogether returns the runs that start or are withdrawn with r, r included.
+func (r *run) unsentTogether() []*run {
+	if !r.stage.def.Gang {
+		return []*run{r}
+	}
+	var out []*run
+	for i := range r.stage.tasks {
+		for _, o := range r.stage.tasks[i].runs {
+			if o.unsent {
+				out = append(out, o)
 			}
 		}
 	}
-	return c.ticketOf(r, now), c.mayStartThere(r, now)
+	return out
 }
 
+// mayStartThere reports whether r may start on its worker.
 func (c *Cell) mayStartThere(r *run, now time.Time) bool {
 	s, t := r.stage, &r.stage.tasks[r.index]
 	switch {
@@ -151,18 +164,7 @@
 
 // withdraw removes a run whose order was not sent. All members of a gang are withdrawn together.
 func (c *Cell) withdraw(r *run, now time.Time) {
-	together := []*run{r}
-	if r.stage.def.Gang {
-		together = together[:0]
-		for i := range r.stage.tasks {
-			for _, o := range r.stage.tasks[i].runs {
-				if o.unsent {
-					together = append(together, o)
-				}
-			}
-		}
-	}
-	for _, o := range together {
+	for _, o := range r.unsentTogether() {
 		c.removeRun(o)
 		c.requeue(o.stage, o.index, "", now)
 	}
--- a/cell/recorded_test.go
+++ b/cell/recorded_test.go
@@ -163,6 +163,31 @@
 	g.Expect(r.Place(r.now, r.now, 0).Starts).To(HaveLen(lost))
 }
 
+// Guards against a gang that is started in parts: only some of its members were on record, or fitted
+// the link.
+func TestGangOnRecordIsSentWhole(t *testing.T) {
+	g := NewWithT(t)
+	const members = maxNamedTasks + 10
+	r := newRig(0)
+	for _, id := range []string{"a", "b", "c"} {
+		r.heard(id, func(w *Worker) { w.Room = vec(1_000_000, 1_000_000) })
+		r.Attached(id, Lists{}, r.now)
+	}
+	r.add("j", flow.Step{Count: members, Demand: demand(2000), Gang: true})
+	first := r.startAll()
+	g.Expect(first).To(HaveLen(members))
+	for _, s := range first[1:] {
+		r.end(s, flow.EndGangBroken)
+	}
+	r.loseWorkerOf(first[0], 10*time.Millisecond)
+	g.Expect(r.Place(r.now, r.now, 0).Starts).To(BeEmpty())
+	saves := r.Saves(10)
+	g.Expect(r.Place(r.now, r.now, 0).Starts).To(BeEmpty(), "no member before all are on record")
+	r.Saved(saves, true)
+	r.SetSendBudget(1, false)
+	g.Expect(r.Place(r.now, r.now, 0).Starts).To(HaveLen(members))
+}
+
 // Guards against a loss held against a task whose first run has failed: the former owner wrote nothing
 // of either, and a worker was lost while the owner changed.
 func TestFailedFirstStartIsNotCountedAsLost(t *testing.T) {
