--- a/cell/owners_sim_test.go
+++ b/cell/owners_sim_test.go
@@ -373,8 +373,6 @@
 		return
 	}
 	s.starts[st.Task]++
-	if st.Task.Job[0] == 'g' {
-	}
 	if s.crashes[st.Task] >= 3 {
 		s.lateStarts[st.Task]++
 	}
