driver: the worker list is written at once, with the workers whose losses are not on record beside it

While more jobs wait to be written than one commit takes, as on a slow store, the worker list was held back so as not to drop a lost worker before the records of its runs. A worker that appears is used only once the list names it, so that it would have waited as well.

The list goes with each commit that needs it. A lost worker stays in the row of lost workers, by hall, until the last of those records is written; a failed write puts it back. Driver spec for both.

--- a/driver/commit.go
+++ b/driver/commit.go
@@ -88,15 +88,17 @@
 	workerList bool
 	// listed holds the workers of the worker list, if it is written.
 	listed []workerListEntry
-	tx     rows.Tx
+	// lost holds, by hall, the workers of whose runs the last records are written.
+	lost map[string][]string
+	tx   rows.Tx
 }
 
 // collectGroup collects the pending changes, and reports whether there are any. The lock is held.
 func (d *Driver) collectGroup() (commitGroup, bool) {
-	g := commitGroup{saves: d.cell.Saves(maxSavesPerCommit)}
-	// A worker leaves the list only with or after the records of the runs that were lost with it: by
-	// the list, a next owner tells whether a run may still be there.
-	g.workerList = d.workerListChanged && !d.cell.Dirty()
+	g := commitGroup{saves: d.cell.Saves(maxSavesPerCommit), workerList: d.workerListChanged}
+	if !d.cell.Dirty() {
+		g.lost, d.lostWorkers = d.lostWorkers, nil
+	}
 	if g.workerList {
 		g.listed = d.putWorkerList(&g.tx)
 		d.workerListChanged = false
@@ -146,6 +148,7 @@
 	if !ok {
 		d.staleRecords = slices.Concat(g.stale, d.staleRecords)
 		d.workerListChanged = d.workerListChanged || g.workerList
+		d.lostWorkers = mergeLost(g.lost, d.lostWorkers)
 		return
 	}
 	if g.workerList {
--- a/driver/driver.go
+++ b/driver/driver.go
@@ -93,7 +93,9 @@
 	// workerListRows is the largest number of rows that the worker list in the store may have, and
 	// workerListSize the number of workers in the last one written.
 	workerListRows, workerListSize int
-	// lostWorkersStored says that the store may have a row of lost workers.
+	// lostWorkers holds, by hall, the lost workers of whose runs some records may still have to be
+	// written. lostWorkersStored says that the store may have a row of lost workers.
+	lostWorkers       map[string][]string
 	lostWorkersStored bool
 	// directoryReadAt is when the last complete read of the directory began. Only watchDirectory
 	// sets it.
--- a/driver/hold.go
+++ b/driver/hold.go
@@ -302,6 +302,7 @@
 		d.Scope.Counter("leases_over_total").Inc(1)
 		d.logLeaseOver(l, now)
 		d.cell.WorkerLost(l.id, lossCause(err), now)
+		d.noteLost(l)
 		notify(d.placeNow)
 	}
 	if l.lapsed && !l.missingSince.IsZero() && now.Sub(l.missingSince) > missingGrace {
--- a/driver/incarnation.go
+++ b/driver/incarnation.go
@@ -54,6 +54,7 @@
 // accepted the newest fence. The lock is held.
 func (d *Driver) replaceIncarnation(l *link, o HoldOrder, a *HoldAnswer, now time.Time) {
 	d.logReborn(l, o, a, true)
+	d.noteLost(l)
 	// A lease that was given by the previous incarnation's clock may last as long as the longest
 	// lease that a worker grants.
 	l.incarnation = incarnation{leasesEnd: now.Add(slowClockDuration(max(d.MaxWorkerLease, d.WorkerLease)))}
--- a/driver/loss.go
+++ b/driver/loss.go
@@ -17,6 +17,7 @@
 // dropLink ends a link and removes its worker from the cell. The lock is held.
 func (d *Driver) dropLink(l *link, how cell.Loss, now time.Time) {
 	d.cell.Forget(l.id, how, now)
+	d.noteLost(l)
 	l.cancel()
 	delete(d.links, l.id)
 	d.workerListChanged = true
--- a/driver/workerlist.go
+++ b/driver/workerlist.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 
@@ -115,11 +116,28 @@
 	}
 }
 
-// putLostWorkers adds to a transaction which workers were lost while the owner changed. A worker
-// that is lost leaves the worker list, but a next owner has to know of it until all tasks that may
-// have been lost with it are on record. The lock is held.
+// noteLost records that a worker, or the incarnation of it that was known, is lost. The lock is held.
+func (d *Driver) noteLost(l *link) {
+	d.lostWorkers = mergeLost(d.lostWorkers, map[string][]string{l.hall: {l.id}})
+}
+
+// mergeLost returns the workers of both, by hall.
+func mergeLost(a, b map[string][]string) map[string][]string {
+	out := maps.Clone(a)
+	for hall, ids := range b {
+		if out == nil {
+			out = make(map[string][]string)
+		}
+		out[hall] = slices.Concat(out[hall], ids)
+	}
+	return out
+}
+
+// putLostWorkers adds to a transaction which workers were lost, now or while the owner changed. They
+// leave the worker list, but a next owner has to know of them until all tasks that may have been lost
+// with them are on record. The lock is held.
 func (d *Driver) putLostWorkers(t *rows.Tx) {
-	lost := d.cell.InheritedLost()
+	lost := mergeLost(d.cell.InheritedLost(), d.lostWorkers)
 	for hall, ids := range lost {
 		lost[hall] = ids[:min(len(ids), maxLostWorkers)]
 	}
@@ -155,7 +173,7 @@
 			n++
 		}
 	}
-	if n < d.workerListSize || d.lostWorkersStored && len(d.cell.InheritedLost()) == 0 {
+	if n < d.workerListSize || d.lostWorkersStored && len(d.lostWorkers) == 0 && len(d.cell.InheritedLost()) == 0 {
 		d.workerListChanged = true
 		notify(d.commitNow)
 	}
--- a/driver/workerlist_test.go
+++ b/driver/workerlist_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"time"
 
@@ -32,6 +33,15 @@
 		}
 		return d
 	}
+	lostWorkersIn := func(g *commitGroup) map[string][]string {
+		var lost map[string][]string
+		for _, row := range g.tx.Put {
+			if row.Name == lostWorkersName {
+				Expect(json.Unmarshal(row.Value, &lost)).To(Succeed())
+			}
+		}
+		return lost
+	}
 	starts := func(d *Driver) []cell.Start {
 		d.mu.Lock()
 		defer d.mu.Unlock()
@@ -49,7 +59,7 @@
 
 	// Guards against losses that a next owner takes for starts that never happened: the list went
 	// without the worker while the last records of what was lost with it were still to be written.
-	ginkgo.It("names a lost worker until all records of its runs are written", func(ctx context.Context) {
+	ginkgo.It("comes with a lost worker until all records of its runs are written", func(ctx context.Context) {
 		const jobs = maxSavesPerCommit + 1
 		d := withJobs(ctx, jobs)
 		Expect(d.commitOnce(false)).To(BeTrue())
@@ -59,11 +69,17 @@
 		first, _ := d.collectGroup()
 		d.committed(first, true)
 		second, _ := d.collectGroup()
+		d.committed(second, false)
+		again, _ := d.collectGroup()
+		d.committed(again, true)
+		d.checkWorkerList()
+		last, _ := d.collectGroup()
 		d.mu.Unlock()
 		Expect(first.saves).To(HaveLen(maxSavesPerCommit))
-		Expect(first.workerList).To(BeFalse())
+		Expect(lostWorkersIn(&first)).To(Equal(map[string][]string{"h": {"w"}}))
 		Expect(second.saves).To(HaveLen(1))
-		Expect(second.workerList).To(BeTrue())
+		Expect(again.lost).To(Equal(map[string][]string{"h": {"w"}}), "the write has failed")
+		Expect(last.tx.Remove).To(ContainElement(d.lostWorkersKey()))
 	})
 
 	// Guards against a lost first start that is forgotten with the owner that found its worker gone.
