--- a/cell/cell.go
+++ b/cell/cell.go
@@ -92,8 +92,8 @@
 	recentLosses []workerLoss
 	// activeTrials is the number of trials under watch, and maxTrials the limit, both set by Place.
 	activeTrials, maxTrials int
-	// inheritedWorkersLost are the workers of a former owner that had gone when this owner took over,
-	// by hall.
+	// inheritedWorkersLost are, by hall, the workers of former owners that were lost with runs that may
+	// not be on record.
 	inheritedWorkersLost map[string][]string
 	givenUps             []GivenUpTask
 	// lostRuns, startedCopies and inheritedLosses collect what LostRuns, StartedCopies and
--- a/cell/crash.go
+++ b/cell/crash.go
@@ -290,7 +290,8 @@
 	}
 }
 
-// InheritLost tells the cell of workers in a hall that were lost while the owner changed before.
+// InheritLost tells the cell of workers in a hall that were lost under former owners with runs that
+// may not be on record.
 func (c *Cell) InheritLost(hall string, ids []string) {
 	if c.inheritedWorkersLost == nil {
 		c.inheritedWorkersLost = make(map[string][]string)
@@ -298,9 +299,9 @@
 	c.inheritedWorkersLost[hall] = append(c.inheritedWorkersLost[hall], ids...)
 }
 
-// InheritedLost returns, by hall, the workers that were lost while the owner changed, as long as
-// there is a task that may have been lost with one of them and whose record does not say so yet. The
-// next owner must know of them.
+// InheritedLost returns, by hall, the lost workers of former owners, as long as there is a task that
+// may have been lost with one of them and whose record does not say so yet. The next owner must know
+// of them.
 func (c *Cell) InheritedLost() map[string][]string {
 	out := make(map[string][]string)
 	for _, s := range c.openStages {
