driver: the line on a worker out of reach says how long it was believed to stay

A worker that left earlier than its owner believed could not be told from one that left as announced, nor an end that was listed from one that was not: two hypotheses on a task that ran twice as its worker left. worker_unreachable now has the time that the worker was believed to stay, the last end that it was told to forget and the last that it had listed. One line a worker that is lost, as before.

--- a/driver/events.go
+++ b/driver/events.go
@@ -60,6 +60,18 @@
 	}
 }
 
+// logUnreachable logs that a hold of an attached worker failed: the last ends that the worker was
+// told to forget and has listed, and for a worker that leaves how long it should have stayed. The
+// lock is held.
+func (d *Driver) logUnreachable(l *link, err error, now time.Time) {
+	fields := []any{"event", "worker_unreachable", "worker", l.id, "err", err, "heard_ms_ago", now.Sub(l.answeredAt).Milliseconds(),
+		"observed", l.lastObserved, "last_end", l.lastEnd}
+	if l.draining {
+		fields = append(fields, "remaining_ms", l.leavesAt.Sub(now).Milliseconds())
+	}
+	level.Info(d.Log).Log(fields...)
+}
+
 // logLeaseOver logs that the leases of a worker have expired. If the worker announced that it
 // leaves, it also logs the runs that it last listed: such a run may have ended just before the
 // worker did. The lock is held.
--- a/driver/hold.go
+++ b/driver/hold.go
@@ -197,6 +197,10 @@
 		l.updateClock(a.ClockMS, now)
 	}
 	l.answeredAt = now
+	l.lastObserved = o.Observed
+	if n := len(a.Lists.Finished); n > 0 {
+		l.lastEnd = a.Lists.Finished[n-1].Number
+	}
 	d.logHeld(l, o, &a, now.Sub(sent))
 	for i := range a.Lists.Finished {
 		f := &a.Lists.Finished[i]
@@ -290,7 +294,7 @@
 		l.answerTimes.Lost()
 	}
 	if l.attached {
-		level.Info(d.Log).Log("event", "worker_unreachable", "worker", l.id, "err", err)
+		d.logUnreachable(l, err, now)
 	}
 	d.cell.Detached(l.id, now)
 	if closedByPeer(err) {
--- a/driver/incarnation.go
+++ b/driver/incarnation.go
@@ -31,6 +31,9 @@
 	// listedAt is when the worker last listed its running runs, and answeredAt when it last
 	// answered a hold.
 	listedAt, answeredAt time.Time
+	// lastObserved is the last end that the worker was told to forget, and lastEnd the last that it
+	// has listed.
+	lastObserved, lastEnd int
 }
 
 // entryInfo is the content of the newest entry of a worker, which may be that of another
