driver: the time that a leaving worker stays is never raised by a later entry

A caller's task that was done as its worker left ran again: its owner believed that the worker stays longer than it did, left the run there, and its end was listed in an answer that ended with the worker.

One way to that belief was open. The owner counted the time in an entry from the read before the entry appeared, and kept the latest of the results. But a worker computes the time before it writes, and a slow store, or one that loses answers, applies a write up to seconds later; the result is then too late by that much.

The time now counts from the last read in which the worker had announced nothing. The announcement is later than that read, and so is every time that a worker computes after it, however late the entry appears: a bound that holds without any assumption on the store. Later entries don't raise it. Where there is no such read (a new owner, a worker known anew, an entry that had been missing) the entry counts as 4.5 s old, as it can be before it lapses, in place of 2 s, from the begin of the read and not from its end; later entries lower that guess. An announcement isn't taken back by an entry that was written before it and applied after it, and a worker that is first heard of as it leaves is polled as one that leaves.

Cost: a worker is left up to one interval between reads earlier, or by as long as the list could not be read.

--- a/driver/driver.go
+++ b/driver/driver.go
@@ -97,8 +97,7 @@
 	// written. lostWorkersStored says that the store may have a row of lost workers.
 	lostWorkers       map[string][]string
 	lostWorkersStored bool
-	// directoryReadAt is when the last complete read of the directory began. Only watchDirectory
-	// sets it.
+	// directoryReadAt is when the last complete read of the directory that was applied began.
 	directoryReadAt time.Time
 	// startWindow limits the start orders in flight to what this instance's link and CPU can
 	// handle.
--- a/driver/driver_test.go
+++ b/driver/driver_test.go
@@ -306,7 +306,7 @@
 		}
 		now := time.Now()
 		for _, id := range []string{"runs", "lapsed", "leaves"} {
-			d.applyEntry(Entry{Ver: 1, Worker: cell.Worker{ID: id, Addr: "127.0.0.1:1", Draining: id == "leaves"}}, now)
+			d.applyEntry(Entry{Ver: 1, Worker: cell.Worker{ID: id, Addr: "127.0.0.1:1", Draining: id == "leaves"}}, now, now)
 			d.cell.Attached(id, cell.Lists{}, now)
 			d.links[id].attached = true
 		}
--- a/driver/fence_test.go
+++ b/driver/fence_test.go
@@ -21,14 +21,14 @@
 		d.mu.Lock()
 		defer d.mu.Unlock()
 		entry := Entry{Ver: 1, Worker: cell.Worker{ID: "w", Addr: "127.0.0.1:1"}}
-		d.applyEntry(entry, time.Now())
+		d.applyEntry(entry, time.Now(), time.Now())
 		for range 3 {
 			d.nextFence(d.links["w"])
 		}
 		seen := d.links["w"].fence
 		d.dropLink(d.links["w"], cell.LossSilent, time.Now())
 		entry.Ver++
-		d.applyEntry(entry, time.Now())
+		d.applyEntry(entry, time.Now(), time.Now())
 		Expect(d.nextFence(d.links["w"])).To(BeNumerically(">", seen))
 	})
 })
--- a/driver/foreign_test.go
+++ b/driver/foreign_test.go
@@ -34,7 +34,7 @@
 	// driverWithWorker returns a driver with a worker that has room for one of two tasks.
 	driverWithWorker := func(ctx context.Context) *Driver {
 		d := newStuckDriver(ctx, newMemStore())
-		d.applyDirectory([]Entry{good(1)})
+		d.applyDirectory([]Entry{good(1)}, time.Now())
 		Expect(d.commitOnce(true)).To(BeTrue(), "the worker list is stored")
 		d.mu.Lock()
 		defer d.mu.Unlock()
@@ -50,28 +50,28 @@
 	ginkgo.It("adds no worker", func(ctx context.Context) {
 		d := newDriver(ctx, newMemStore(), func() {})
 		defer d.Close()
-		d.applyDirectory([]Entry{bad("x", 1), good(1)})
+		d.applyDirectory([]Entry{bad("x", 1), good(1)}, time.Now())
 		Expect(d.links).To(HaveLen(1))
 	})
 
 	ginkgo.It("of a known worker keeps the runs there and stops new ones", func(ctx context.Context) {
 		d := driverWithWorker(ctx)
 		Expect(place(d)).To(HaveLen(1))
-		d.applyDirectory([]Entry{bad("w", 2)})
+		d.applyDirectory([]Entry{bad("w", 2)}, time.Now())
 		Expect(d.links).To(HaveKey("w"), "its runs go on")
 		d.mu.Lock()
 		Expect(d.cell.Busy("w")).To(BeTrue())
 		d.cell.Listed("w", cell.Lists{Finished: []cell.Finished{{Number: 1, Task: flow.TaskID{Job: "0"}, Run: 1 + int(d.Claim.Epoch())*runsPerEpoch, How: flow.EndDone}}}, time.Now(), time.Now())
 		d.mu.Unlock()
 		Expect(place(d)).To(BeEmpty(), "there is room, but the entry is invalid")
-		d.applyDirectory([]Entry{good(3)})
+		d.applyDirectory([]Entry{good(3)}, time.Now())
 		Expect(place(d)).To(HaveLen(1), "it is used again once its entry is valid")
 	})
 
 	ginkgo.It("that is older than the worker's valid one changes nothing", func(ctx context.Context) {
 		d := driverWithWorker(ctx)
-		d.applyDirectory([]Entry{good(5)})
-		d.applyDirectory([]Entry{bad("w", 2)})
+		d.applyDirectory([]Entry{good(5)}, time.Now())
+		d.applyDirectory([]Entry{bad("w", 2)}, time.Now())
 		Expect(place(d)).To(HaveLen(1))
 	})
 
@@ -79,7 +79,7 @@
 		d := newDriver(ctx, newMemStore(), func() {})
 		defer d.Close()
 		for i := range 3 * maxLoggedInvalid {
-			d.applyDirectory([]Entry{bad(string(rune('a'+i%26))+time.Duration(i).String(), 1)})
+			d.applyDirectory([]Entry{bad(string(rune('a'+i%26))+time.Duration(i).String(), 1)}, time.Now())
 		}
 		Expect(len(d.loggedInvalid)).To(BeNumerically("<=", maxLoggedInvalid))
 	})
--- a/driver/incarnation.go
+++ b/driver/incarnation.go
@@ -42,9 +42,11 @@
 	// writerBorn is the start time of the incarnation that wrote the entry, 0 if the entry does not
 	// say.
 	writerBorn int64
-	// draining says that the worker leaves, and leavesAt is the earliest time at which it does.
-	draining bool
-	leavesAt time.Time
+	// draining says that the worker leaves, and leavesAt is the earliest time at which it does. The
+	// time is a guess unless leavesAtCertain is set.
+	draining        bool
+	leavesAt        time.Time
+	leavesAtCertain bool
 }
 
 // isOtherIncarnation reports whether an answer with the given start time comes from another
--- a/driver/incarnation_test.go
+++ b/driver/incarnation_test.go
@@ -183,7 +183,7 @@
 		d.cell.Configure([]cell.Queue{{Name: "q", Pool: "p", MaxAttempts: 1}})
 		now := time.Now()
 		room := sched.Vec{sched.MilliCPU: 1000, sched.MemoryMiB: 1000}
-		d.applyEntry(Entry{Ver: 1, Worker: cell.Worker{ID: "w", Born: bornBefore, Addr: "a", Pool: "p", Hall: "h", Room: room}}, now)
+		d.applyEntry(Entry{Ver: 1, Worker: cell.Worker{ID: "w", Born: bornBefore, Addr: "a", Pool: "p", Hall: "h", Room: room}}, now, now)
 		l := d.links["w"]
 		d.mu.Unlock()
 		err := d.holdAnswered(l, HoldOrder{Target: Target{Fence: l.fence}}, HoldAnswer{ClockMS: 5_000_000, Lists: cell.Lists{Born: bornBefore}}, now, true)
@@ -226,7 +226,7 @@
 		d.mu.Lock()
 		defer d.mu.Unlock()
 		applyEntry := func(ver uint64, born int64, addr string) {
-			d.applyEntry(Entry{Ver: ver, Worker: cell.Worker{ID: "w", Born: born, Addr: addr, Pool: "p", Hall: "h"}}, time.Now())
+			d.applyEntry(Entry{Ver: ver, Worker: cell.Worker{ID: "w", Born: born, Addr: addr, Pool: "p", Hall: "h"}}, time.Now(), time.Now())
 		}
 		applyEntry(2, bornAfter, "a")
 		Expect(l.attached).To(BeFalse())
@@ -242,7 +242,7 @@
 		d, l := attachedDriver(ctx)
 		d.mu.Lock()
 		o, _ := d.newStartOrder(&cell.Start{Worker: "w", Task: flow.TaskID{Job: "0"}, Run: 1}, time.Now())
-		d.applyEntry(Entry{Ver: 2, Worker: cell.Worker{ID: "w", Born: bornBefore, Addr: "b"}}, time.Now())
+		d.applyEntry(Entry{Ver: 2, Worker: cell.Worker{ID: "w", Born: bornBefore, Addr: "b"}}, time.Now(), time.Now())
 		other := kind.New(kind.NotFound, "another incarnation is at a")
 		d.ctx = ctx
 		d.startAnswered(&o, StartResult{Err: other})
@@ -255,7 +255,7 @@
 	ginkgo.It("is missing in this cell once its entry is in a rack of another cell", func(ctx context.Context) {
 		d, l := attachedDriver(ctx)
 		d.OwnsRack = func(rack string) bool { return rack != "theirs" }
-		d.applyDirectory([]Entry{{Ver: 2, Worker: cell.Worker{ID: "w", Born: bornAfter, Addr: "b", Rack: "theirs"}}})
+		d.applyDirectory([]Entry{{Ver: 2, Worker: cell.Worker{ID: "w", Born: bornAfter, Addr: "b", Rack: "theirs"}}}, time.Now())
 		Expect(l.missingSince).NotTo(BeZero())
 	})
 
@@ -286,9 +286,9 @@
 		d, l := attachedDriver(ctx)
 		d.mu.Lock()
 		defer d.mu.Unlock()
-		d.applyEntry(Entry{Ver: 2, Worker: cell.Worker{ID: "w", Born: bornBefore, Addr: "a", Draining: true, Remaining: time.Hour}}, time.Now())
+		d.applyEntry(Entry{Ver: 2, Worker: cell.Worker{ID: "w", Born: bornBefore, Addr: "a", Draining: true, Remaining: time.Hour}}, time.Now(), time.Now())
 		Expect(l.draining).To(BeTrue())
-		d.applyEntry(Entry{Ver: 3, Worker: cell.Worker{ID: "w", Born: bornAfter, Addr: "a", Draining: true, Remaining: time.Second}}, time.Now())
+		d.applyEntry(Entry{Ver: 3, Worker: cell.Worker{ID: "w", Born: bornAfter, Addr: "a", Draining: true, Remaining: time.Second}}, time.Now(), time.Now())
 		Expect(time.Until(l.leavesAt)).To(BeNumerically("<", 2*time.Second))
 	})
 
--- a/driver/watch.go
+++ b/driver/watch.go
@@ -31,9 +31,6 @@
 	maxReadStall = 1500 * time.Millisecond
 	// maxReadTime limits a whole read, also over the slowest link.
 	maxReadTime = time.Minute
-	// assumedEntryAge is the assumed age of a leaving worker's entry if this owner has not read the
-	// directory before. Workers write their entries every 1.5 s.
-	assumedEntryAge = 2 * time.Second
 	// entrySize is the approximate size of a worker's entry in bytes.
 	entrySize = 420
 )
@@ -63,8 +60,7 @@
 			continue
 		}
 		stallLimit = minReadStall
-		d.applyDirectory(entries)
-		d.directoryReadAt = begun
+		d.applyDirectory(entries, begun)
 		d.sleep(readPause(len(entries), d.LinkRate))
 	}
 }
@@ -83,9 +79,9 @@
 	}
 }
 
-// applyDirectory applies a complete read of the directory: workers that it does not contain are
-// missing.
-func (d *Driver) applyDirectory(entries []Entry) {
+// applyDirectory applies a complete read of the directory that began at begun: workers that it does
+// not contain are missing.
+func (d *Driver) applyDirectory(entries []Entry, begun time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := clock.Now()
@@ -97,18 +93,19 @@
 		}
 		// A worker id may reappear in a rack of another cell.
 		present[e.ID] = d.OwnsRack(e.Rack)
-		d.applyEntry(e, now)
+		d.applyEntry(e, begun, now)
 	}
 	for id, link := range d.links {
 		if !present[id] {
 			d.entryMissing(link, now)
 		}
 	}
+	d.directoryReadAt = begun
 	notify(d.placeNow)
 }
 
-// applyEntry applies the entry of a worker. The lock is held.
-func (d *Driver) applyEntry(e Entry, now time.Time) {
+// applyEntry applies the entry of a worker from a read that began at begun. The lock is held.
+func (d *Driver) applyEntry(e Entry, begun, now time.Time) {
 	if e.Gone || !d.OwnsRack(e.Rack) {
 		return
 	}
@@ -116,8 +113,9 @@
 	if link == nil {
 		level.Debug(d.Log).Log("event", "worker_heard", "worker", e.ID, "version", e.Ver)
 		d.connect(e.ID, e.Addr, e.Hall)
-		d.links[e.ID].entryVer, d.links[e.ID].writerBorn = e.Ver, e.Born
-		d.adjustRemaining(d.links[e.ID], &e, now)
+		link = d.links[e.ID]
+		link.entryVer, link.writerBorn = e.Ver, e.Born
+		d.applyDeparture(link, &e, announcement{after: begun.Add(-maxEntryAge)}, now)
 		d.cell.Heard(e.Worker, now)
 		d.cell.SetListed(e.ID, false)
 		return
@@ -126,13 +124,10 @@
 		return
 	}
 	if e.Ver > link.entryVer {
+		announced := d.announcementOf(link, begun)
 		link.entryVer = e.Ver
 		d.applyIncarnation(link, &e)
-		d.adjustRemaining(link, &e, now)
-		if e.Draining && !link.draining {
-			level.Info(d.Log).Log("event", "worker_leaves", "worker", e.ID, "version", e.Ver, "remaining_ms", e.Remaining.Milliseconds())
-		}
-		link.draining = e.Draining
+		d.applyDeparture(link, &e, announced, now)
 		d.cell.Heard(e.Worker, now)
 	}
 	link.missingSince = time.Time{}
@@ -157,25 +152,6 @@
 	}
 }
 
-// adjustRemaining reduces the remaining time in a leaving worker's entry by the entry's age. The
-// entry may have been written just after the previous read. If the time were overestimated, a run
-// could end after its worker has left, its end would not be known, and it would run again. The lock
-// is held.
-func (d *Driver) adjustRemaining(l *link, e *Entry, now time.Time) {
-	if !e.Draining {
-		l.leavesAt = time.Time{}
-		return
-	}
-	written := d.directoryReadAt
-	if written.IsZero() {
-		written = now.Add(-assumedEntryAge)
-	}
-	if at := written.Add(e.Remaining); at.After(l.leavesAt) {
-		l.leavesAt = at
-	}
-	e.Remaining = max(l.leavesAt.Sub(now), 0)
-}
-
 // maxLoggedInvalid limits the number of workers remembered in loggedInvalid.
 const maxLoggedInvalid = 1000
 
--- a/driver/workerlist_test.go
+++ b/driver/workerlist_test.go
@@ -20,7 +20,7 @@
 	room := sched.Vec{sched.MilliCPU: 100_000, sched.MemoryMiB: 100_000}
 	withJobs := func(ctx context.Context, jobs int) *Driver {
 		d := newStuckDriver(ctx, newMemStore())
-		d.applyDirectory([]Entry{{Worker: cell.Worker{ID: "w", Addr: "w", Pool: "p", Hall: "h", Room: room}, Ver: 1}})
+		d.applyDirectory([]Entry{{Worker: cell.Worker{ID: "w", Addr: "w", Pool: "p", Hall: "h", Room: room}, Ver: 1}}, time.Now())
 		d.mu.Lock()
 		defer d.mu.Unlock()
 		now := time.Now()
@@ -87,7 +87,7 @@
 		t := newMemStore()
 		t.putSpec("1")
 		first := newStuckDriver(ctx, t)
-		first.applyDirectory([]Entry{{Worker: cell.Worker{ID: "w", Addr: "w", Pool: "p", Room: room}, Ver: 1}})
+		first.applyDirectory([]Entry{{Worker: cell.Worker{ID: "w", Addr: "w", Pool: "p", Room: room}, Ver: 1}}, time.Now())
 		Expect(first.commitOnce(false)).To(BeTrue())
 
 		second := newStuckDriver(ctx, t)
