cell: what runs on a leaving worker is stopped early enough to have ended before it leaves

A caller's task that was done as its worker left ran again. What wasn't done 0.25 s before its worker leaves was stopped then; but a stop takes up to 0.9 s, and a run may be done before it has stopped: in the worker's last moments, with its end listed in an answer that ends with the worker.

So 0.25 s left the end of a run to chance.

What isn't done is now stopped 1.15 s before its worker leaves, whatever is expected of it, as an estimate may be wrong: the longest stop and, as before, 0.25 s in which the end is listed. What is expected to be done earlier still goes on until then. Gangs likewise.

The spec on gangs checks the new time in place of the old one, as exactly: nothing 50 ms before it, one stop at it.

--- a/cell/leave_test.go
+++ b/cell/leave_test.go
@@ -29,13 +29,62 @@
 			}
 			return r.place().Stops
 		}
-		Expect(stops(endListingMargin + 50*time.Millisecond)).To(BeEmpty())
-		last := stops(endListingMargin)
+		Expect(stops(finalStopLead + 50*time.Millisecond)).To(BeEmpty())
+		last := stops(finalStopLead)
 		Expect(last).To(HaveLen(1))
 		Expect(last[0].Worker).To(Equal(gang[0].Worker))
 	})
 })
 
+// A run that is being stopped may be done before it has stopped, and the estimate of when it will be
+// done may be wrong.
+var _ = Describe("a run on a worker that leaves, without room elsewhere", func() {
+	const (
+		notice = 3 * time.Second
+		step   = 10 * time.Millisecond
+	)
+	// leave simulates a run that would be done doneBefore its worker leaves, lists a percentage of
+	// its work, and takes stopTime to stop. It reports whether the run was done.
+	leave := func(doneBefore, stopTime time.Duration, percent func(left time.Duration) int) bool {
+		r := newRig(1)
+		r.add("j", flow.Step{Count: 1, Demand: demand(3000), EstimateMS: 10_000})
+		run := r.startAll()[0]
+		r.heard(run.Worker, func(w *Worker) { w.Draining, w.Remaining = true, notice })
+		leaves := r.now.Add(notice)
+		for ; r.now.Before(leaves.Add(-doneBefore)); r.now = r.now.Add(step) {
+			r.Listed(run.Worker, Lists{Running: []Running{{Task: run.Task, Run: run.Run, Percent: percent(leaves.Sub(r.now))}}}, r.now, r.now)
+			if len(r.place().Stops) > 0 {
+				return r.now.Add(stopTime).After(leaves.Add(-doneBefore))
+			}
+		}
+		return true
+	}
+
+	It("is not done in the worker's last moments, however long its stop takes and whatever is expected of it", func() {
+		percents := map[string]func(time.Duration) int{
+			"no progress is known":  func(time.Duration) int { return 0 },
+			"its progress is known": func(left time.Duration) int { return int(100 * (notice - left) / notice) },
+			"it seems to be about to be done": func(left time.Duration) int {
+				return 100 - int(10*left/notice)
+			},
+			"it seems to be done already": func(time.Duration) int { return 100 },
+		}
+		for name, percent := range percents {
+			for _, stopTime := range []time.Duration{0, 200 * time.Millisecond, 500 * time.Millisecond, maxStopTime} {
+				for doneBefore := time.Duration(0); doneBefore < endListingMargin; doneBefore += time.Millisecond {
+					Expect(leave(doneBefore, stopTime, percent)).To(BeFalse(), "%s, done %v before, stopped in %v", name, doneBefore, stopTime)
+				}
+			}
+		}
+	})
+
+	It("goes on if it is expected to be done early enough", func() {
+		early := finalStopLead + 500*time.Millisecond
+		progress := func(left time.Duration) int { return int(100 * (notice - left) / (notice - early)) }
+		Expect(leave(early, maxStopTime, progress)).To(BeTrue())
+	})
+})
+
 // moveSim simulates the workers of one long-running step: stops take stopFor, starts are at work
 // after warmUp, and leaving workers end.
 type moveSim struct {
--- a/cell/stop.go
+++ b/cell/stop.go
@@ -20,14 +20,20 @@
 	// moveDuration is the approximate time it takes to move a long-running task: to stop it, start
 	// it elsewhere and have it at work.
 	moveDuration = time.Second
-	// finalMoveLead is the latest time before its worker leaves at which a task can be stopped with
-	// the stop still being listed: the time that the slowest workers take to stop a task.
-	finalMoveLead = 900 * time.Millisecond
+	// maxStopTime is how long the slowest workers take to stop a task, which may still be done
+	// meanwhile.
+	maxStopTime = 900 * time.Millisecond
+	// finalMoveLead is the latest time before its worker leaves at which a long-running task can be
+	// stopped with the stop still being listed.
+	finalMoveLead = maxStopTime
 	// endListingMargin is how long before its worker leaves a run has to be done. A later end may
 	// be listed in an answer that never arrives, as the connection closes with the worker, and the
 	// task would run again. The worker is not polled for up to 0.25 s while the ends that it has
 	// listed are being written.
 	endListingMargin = 250 * time.Millisecond
+	// finalStopLead is how long before its worker leaves a run that is not done is stopped, so that
+	// it has ended endListingMargin before the worker leaves.
+	finalStopLead = maxStopTime + endListingMargin
 	// copyDelay is how long a worker is unreachable before a step that allows copies is started
 	// elsewhere.
 	copyDelay = 400 * time.Millisecond
@@ -105,12 +111,12 @@
 	}
 	s := r.stage
 	left := r.worker.timeUntilLeave(now)
-	last := r.worker.Draining && !s.def.LongRunning && left <= endListingMargin
+	last := r.worker.Draining && !s.def.LongRunning && left <= finalStopLead
 	// A gang cannot be moved member by member; it ends with the worker of any member.
 	if s.def.Gang && !last {
 		return
 	}
-	if !s.def.LongRunning && r.remaining(now) < left-endListingMargin {
+	if !s.def.LongRunning && !last && r.remaining(now) < left-endListingMargin {
 		return
 	}
 	if s.def.LongRunning && !s.mayMove(r, left, now) {
