cell: what runs on a leaving worker is stopped although its queue is gone

A run whose queue the configuration no longer has was left on its leaving worker to the end, where it can be done without its owner knowing, as the search for a place to move it to came before its last moment was looked at. Where nothing is to be moved, no place is needed. Found by reading, while each way was tried by which a run can end in its worker's last moments; not seen in a play.

Test: leave_test, red before (the run is done as its worker leaves), green now.

--- a/cell/leave_test.go
+++ b/cell/leave_test.go
@@ -45,10 +45,13 @@
 	)
 	// leave simulates a run that would be done doneBefore its worker leaves, lists a percentage of
 	// its work, and takes stopTime to stop. It reports whether the run was done.
-	leave := func(doneBefore, stopTime time.Duration, percent func(left time.Duration) int) bool {
+	leave := func(doneBefore, stopTime time.Duration, percent func(left time.Duration) int, started ...func(*rig)) bool {
 		r := newRig(1)
 		r.add("j", flow.Step{Count: 1, Demand: demand(3000), EstimateMS: 10_000})
 		run := r.startAll()[0]
+		for _, change := range started {
+			change(r)
+		}
 		r.heard(run.Worker, func(w *Worker) { w.Draining, w.Remaining = true, notice })
 		leaves := r.now.Add(notice)
 		for ; r.now.Before(leaves.Add(-doneBefore)); r.now = r.now.Add(step) {
@@ -78,6 +81,11 @@
 		}
 	})
 
+	It("is stopped as well if its queue is no longer configured", func() {
+		unconfigured := func(r *rig) { r.Configure(nil) }
+		Expect(leave(0, maxStopTime, func(time.Duration) int { return 50 }, unconfigured)).To(BeFalse())
+	})
+
 	It("goes on if it is expected to be done early enough", func() {
 		early := finalStopLead + 500*time.Millisecond
 		progress := func(left time.Duration) int { return int(100 * (notice - left) / (notice - early)) }
--- a/cell/stop.go
+++ b/cell/stop.go
@@ -122,15 +122,7 @@
 	if s.def.LongRunning && !s.mayMove(r, left, now) {
 		return
 	}
-	q := c.queues[s.job.spec.Queue]
-	if q == nil {
-		return
-	}
-	if !last && c.countPlaces(s, q, now) <= s.tasksToPlace() {
-		s.needsMove = true
-		if !slices.Contains(c.openStages, s) {
-			c.openStages = append(c.openStages, s)
-		}
+	if !last && !c.hasPlaceToMove(s, now) {
 		return
 	}
 	r.stopping = true
@@ -138,6 +130,23 @@
 	c.noteChange(r, RunMoving)
 }
 
+// hasPlaceToMove reports whether another worker has room for a task of s that is still running, and
+// if none has, lets s wait for one.
+func (c *Cell) hasPlaceToMove(s *stage, now time.Time) bool {
+	q := c.queues[s.job.spec.Queue]
+	if q == nil {
+		return false
+	}
+	if c.countPlaces(s, q, now) > s.tasksToPlace() {
+		return true
+	}
+	s.needsMove = true
+	if !slices.Contains(c.openStages, s) {
+		c.openStages = append(c.openStages, s)
+	}
+	return false
+}
+
 // mayMove reports whether a task of a long-running step may be stopped now to be moved from a
 // worker that stays for left. If the step says how many of its tasks may be missing, that limit
 // includes all tasks that are away. Otherwise as many tasks move at a time as are needed to move
