driver: the spec on the leaving time of another life holds its guard again

Since a later entry never raises the time, so that the spec stayed green with the time of the life before kept: the shorter time of the new life was taken in any case. It now has a third life that stays longer as well. With the entry of the life before kept on a scratch copy: red at that line, where it was green; the check before it stands as it was. Test only; the suite of driver is green.

--- a/driver/incarnation_test.go
+++ b/driver/incarnation_test.go
@@ -290,6 +290,8 @@
 		Expect(l.draining).To(BeTrue())
 		d.applyEntry(Entry{Ver: 3, Worker: cell.Worker{ID: "w", Born: bornAfter, Addr: "a", Draining: true, Remaining: time.Second}}, time.Now(), time.Now())
 		Expect(time.Until(l.leavesAt)).To(BeNumerically("<", 2*time.Second))
+		d.applyEntry(Entry{Ver: 4, Worker: cell.Worker{ID: "w", Born: bornAfter + 1, Addr: "a", Draining: true, Remaining: time.Hour}}, time.Now(), time.Now())
+		Expect(time.Until(l.leavesAt)).To(BeNumerically(">", time.Hour-maxEntryAge-2*time.Second))
 	})
 
 	ginkgo.It("is attached again if the answer to a start has the clock of another incarnation", func(ctx context.Context) {
