cell: a worker is scored once for all tasks of a step

Cause: each task of a step looked at and scored all permitted workers anew; with 2,000 waiting steps an owner spent 0.6 s of each second deciding. A gang searched its first members also where the permitted workers had no room for all. Change: a placement keeps the candidates of a step with their scores; a start changes only that of its own worker. A gang is given up early when its candidates cannot hold it, and the preferred hall is chosen only where something can start.

--- a/cell/cell.go
+++ b/cell/cell.go
@@ -101,6 +101,10 @@
 	lostRuns        []LostRun
 	startedCopies   []StartedCopy
 	inheritedLosses []InheritedLoss
+	// examined counts the workers that were examined in the present Place.
+	examined int
+	// candidateBuffer is reused by newPlacement.
+	candidateBuffer []candidate
 	// sendBudget is the number of bytes that the starts of the next decision may take,
 	// sendBudgetLeft what is left of it during Place. textShared means that the starts of a step
 	// share their text on the link.
--- a/cell/choose.go
+++ b/cell/choose.go
@@ -22,23 +22,87 @@
 	return w.Room.Covers(&room)
 }
 
-// choose returns the best worker for a task with its ticket, or nil if there is none.
-func (c *Cell) choose(s *stage, t *task, q *Queue, now time.Time) (*worker, string) {
-	var best *worker
-	var bestTicket string
-	bestScore := 0.0
-	room := s.def.Reservation()
-	for p := range c.permits(s, q, now) {
-		w := p.worker
-		if !w.usable() || !w.hasRoom(&room) || s.atPerWorkerLimit(w) || !w.suits(s, q) || !w.health.allows(len(w.runs), now) || w.underTrial(now) {
-			continue
+// candidate is a worker on which a task of a step can start now, with its ticket and its score.
+type candidate struct {
+	permit
+	score float64
+}
+
+// placement chooses workers for the tasks of one step. Scoring every worker anew for every task made
+// up most of the cost of a wide step, so scores are kept: starting a task changes only the score of
+// its own worker.
+type placement struct {
+	cell *Cell
+	step *stage
+	now  time.Time
+	room sched.Vec
+	// candidates are ordered by worker id, so that decisions are deterministic.
+	candidates []candidate
+}
+
+// newPlacement returns a placement for s. It has no candidates if nothing can start.
+func (c *Cell) newPlacement(s *stage, q *Queue, now time.Time) placement {
+	p := placement{cell: c, step: s, now: now, room: s.def.Reservation(), candidates: c.candidateBuffer[:0]}
+	for permit := range c.permits(s, q, now) {
+		c.examined++
+		if w := permit.worker; p.canStartOn(w) && w.usable() && w.suits(s, q) {
+			p.candidates = append(p.candidates, candidate{permit: permit})
+		}
+	}
+	c.candidateBuffer = p.candidates
+	return p
+}
+
+// canStartOn reports whether w has room for one more task of the step.
+func (p *placement) canStartOn(w *worker) bool {
+	return w.hasRoom(&p.room) && !p.step.atPerWorkerLimit(w) && w.health.allows(len(w.runs), p.now) && !w.underTrial(p.now)
+}
+
+// scoreAll sets the scores of all candidates. The job's preferred hall has been chosen before.
+func (p *placement) scoreAll() {
+	for i := range p.candidates {
+		p.setScore(i)
+	}
+}
+
+func (p *placement) setScore(i int) {
+	k := &p.candidates[i]
+	k.score = p.cell.score(p.step, k.worker, &p.room)
+}
+
+// best returns the index of the best worker for a task, -1 if there is none.
+func (p *placement) best(t *task) int {
+	best, bestScore := -1, 0.0
+	special := len(t.avoidWorkers) > 0 || p.step.needsTrial(t)
+	p.cell.examined += len(p.candidates)
+	for i := range p.candidates {
+		k := &p.candidates[i]
+		score := k.score
+		if special {
+			score += p.step.taskScore(t, k.worker)
 		}
-		score := c.score(s, t, w, &room) + s.trialScore(t, w)
-		if best == nil || score > bestScore {
-			best, bestScore, bestTicket = w, score, p.ticket
+		if best < 0 || score > bestScore {
+			best, bestScore = i, score
+		}
+	}
+	return best
+}
+
+// taken updates the placement after a task was given to a candidate.
+func (p *placement) taken(i int) {
+	w := p.candidates[i].worker
+	switch {
+	case !p.canStartOn(w):
+		p.candidates = slices.Delete(p.candidates, i, i+1)
+		if p.step.def.SameRack {
+			p.scoreAll()
 		}
+	case p.step.def.SameRack:
+		// The racks in use count for all workers.
+		p.scoreAll()
+	default:
+		p.setScore(i)
 	}
-	return best, bestTicket
 }
 
 // hasRoom reports whether w has unreserved room.
@@ -59,9 +123,8 @@
 	sameRackBonus  = 5.0
 )
 
-// score rates w for a task that fits there: best fit first, but near the task's data and away from
-// workers where it failed.
-func (c *Cell) score(s *stage, t *task, w *worker, room *sched.Vec) float64 {
+// score rates w for a task of s that fits there: best fit first, but near the step's data.
+func (c *Cell) score(s *stage, w *worker, room *sched.Vec) float64 {
 	left := w.free.Sub(*room)
 	score := -left.Share(w.Room)
 	if s.def.IdleCPUOnly {
@@ -70,9 +133,6 @@
 	if s.def.PreferredRack != "" && slices.Contains(w.Labels, s.def.PreferredRack) {
 		score += nearBonus
 	}
-	if slices.Contains(t.avoidWorkers, w.ID) {
-		score -= avoidPenalty
-	}
 	if w.health.failuresInRow > 0 {
 		score -= failurePenalty
 	}
@@ -90,6 +150,16 @@
 	return score
 }
 
+// taskScore returns the part of a worker's score that differs between the tasks of s: away from
+// workers where the task failed, and what its trial needs.
+func (s *stage) taskScore(t *task, w *worker) float64 {
+	score := s.trialScore(t, w)
+	if slices.Contains(t.avoidWorkers, w.ID) {
+		score -= avoidPenalty
+	}
+	return score
+}
+
 // jobAffinity returns the bonus for keeping the tasks of a job in one hall and on few workers: a
 // job fails as a whole, so a failure should affect few jobs.
 func (s *stage) jobAffinity(w *worker) float64 {
--- a/cell/place.go
+++ b/cell/place.go
@@ -266,52 +266,46 @@
 
 // placeTasks starts as many of the waiting tasks of s as find room.
 func (c *Cell) placeTasks(s *stage, q *Queue, a *Actions, now time.Time) {
+	p := c.newPlacement(s, q, now)
+	if len(p.candidates) == 0 {
+		return
+	}
 	c.chooseHall(s, q, now)
+	p.scoreAll()
 	if s.def.LongRunning {
 		// Other systems depend on a task that was already running, so it restarts first.
-		c.placeWhere(s, q, a, now, func(t *task) bool { return t.state == taskWaiting && t.lastRun > 0 })
+		c.placeWhere(&p, a, func(t *task) bool { return t.state == taskWaiting && t.lastRun > 0 })
 	}
-	c.placeWhere(s, q, a, now, func(t *task) bool { return t.state == taskWaiting })
+	c.placeWhere(&p, a, func(t *task) bool { return t.state == taskWaiting })
 }
 
-// placeWhere starts as many of the matching tasks of s as find room.
-func (c *Cell) placeWhere(s *stage, q *Queue, a *Actions, now time.Time, which func(*task) bool) {
+// placeWhere starts as many of the matching tasks of a step as find room.
+func (c *Cell) placeWhere(p *placement, a *Actions, which func(*task) bool) {
+	s := p.step
 	for i := range s.tasks {
 		t := &s.tasks[i]
-		if !which(t) || !c.mayTry(s, i, now) {
+		if !which(t) || !c.mayTry(s, i, p.now) {
 			continue
 		}
 		if c.sendBudgetLeft <= 0 || s.accountAtLimit() {
 			return
 		}
-		w, ticket := c.choose(s, t, q, now)
-		if w == nil {
-			if len(t.avoidWorkers) == 0 && !s.needsTrial(t) {
-				return
-			}
-			continue
-		}
-		if !c.mayStartIn(s, w.Hall) {
+		at := p.best(t)
+		if at < 0 || !c.mayStartIn(s, p.candidates[at].worker.Hall) {
 			return
 		}
 		t.lastRun++
-		c.startRun(a, s, i, pick{w, ticket}, t.lastRun, t.startNeedsRecord(), now)
+		c.startRun(a, s, i, p.candidates[at].permit, t.lastRun, t.startNeedsRecord(), p.now)
+		p.taken(at)
 	}
 }
 
-// pick is the worker chosen for a task.
-type pick struct {
-	worker *worker
-	ticket string
-}
-
 // placeGang starts all tasks of s or none. A failed attempt leaves no trace and uses up no run
 // number: a gang may wait for long, and an owner has few run numbers.
 func (c *Cell) placeGang(s *stage, q *Queue, a *Actions, now time.Time) {
 	if s.waiting < len(s.tasks) || !c.mayTryGang(s, now) {
 		return
 	}
-	c.chooseHall(s, q, now)
 	picks, ok := c.pickGang(s, q, now)
 	if !ok {
 		return
@@ -335,30 +329,57 @@
 
 // pickGang chooses the workers for all tasks of s. It reports whether there is one for each task on
 // which it may start.
-func (c *Cell) pickGang(s *stage, q *Queue, now time.Time) ([]pick, bool) {
-	var picks []pick
-	room := s.def.Reservation()
+func (c *Cell) pickGang(s *stage, q *Queue, now time.Time) ([]permit, bool) {
+	p := c.newPlacement(s, q, now)
+	if !p.holds(len(s.tasks)) {
+		return nil, false
+	}
+	c.chooseHall(s, q, now)
+	p.scoreAll()
+	picks := make([]permit, 0, len(s.tasks))
 	defer func() {
-		for _, p := range picks {
-			p.worker.free = p.worker.free.Add(room)
-			s.countRunOn(p.worker, -1)
+		for _, k := range picks {
+			k.worker.free = k.worker.free.Add(p.room)
+			s.countRunOn(k.worker, -1)
 		}
 	}()
 	for i := range s.tasks {
-		w, ticket := c.choose(s, &s.tasks[i], q, now)
-		if w == nil || !c.mayStartIn(s, w.Hall) {
+		at := p.best(&s.tasks[i])
+		if at < 0 || !c.mayStartIn(s, p.candidates[at].worker.Hall) {
 			return nil, false
 		}
-		w.free = w.free.Sub(room)
-		s.countRunOn(w, 1)
-		picks = append(picks, pick{w, ticket})
+		k := p.candidates[at].permit
+		k.worker.free = k.worker.free.Sub(p.room)
+		s.countRunOn(k.worker, 1)
+		picks = append(picks, k)
+		p.taken(at)
 	}
 	return picks, true
 }
 
+// holds reports whether the candidates have room for a number of tasks together, so that the search
+// for a gang's workers ends early where it cannot succeed.
+func (p *placement) holds(tasks int) bool {
+	for i := range p.candidates {
+		w := p.candidates[i].worker
+		most := tasks
+		if limit := p.step.def.MaxPerWorker; limit > 0 {
+			most = min(most, limit-p.step.runsByWorker[w])
+		}
+		for free := w.free.Sub(w.reserved); most > 0 && free.Covers(&p.room); most-- {
+			free = free.Sub(p.room)
+			tasks--
+		}
+		if tasks <= 0 {
+			return true
+		}
+	}
+	return tasks <= 0
+}
+
 // startRun adds a new run of a task on the chosen worker. The order to start it is sent now or, if
 // record is set, once the store has it.
-func (c *Cell) startRun(a *Actions, s *stage, index int, p pick, n int, record bool, now time.Time) {
+func (c *Cell) startRun(a *Actions, s *stage, index int, p permit, n int, record bool, now time.Time) {
 	t := &s.tasks[index]
 	s.setWaiting(t, false)
 	t.state, t.accounted = taskActive, true
