driver: the home row of a job says which client account may use it

Cause: the home row is the only row of a job that remains in full after its end, and it named the cells alone, so that an instance without the job's owner could not tell whose job it was. Change: the row says after the cells whether all accounts or one may use the job, the one by a fingerprint of 8 bytes; a row is 1 or 33 bytes longer. An earlier build takes each word of the row for a cell, and a cancellation waits for the owners of all of them, so the account is written in white space, which it skips. A row without it reads as "not known".

--- a/driver/share.go
+++ b/driver/share.go
@@ -3,7 +3,6 @@
 package driver
 
 import (
-	"strings"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -23,12 +22,6 @@
 // lost.
 const sharesInterval = 3 * time.Second
 
-// HomeValue returns the content of the row at HomeKey: the cells of a job, the home cell first.
-func HomeValue(spec *flow.Spec) []byte { return []byte(strings.Join(spec.Cells(), " ")) }
-
-// HomeCells returns the cells in the value of a home row.
-func HomeCells(value []byte) []string { return strings.Fields(string(value)) }
-
 // runsTasksOf reports whether this cell runs tasks of a job.
 func (d *Driver) runsTasksOf(spec *flow.Spec) bool {
 	_, ok := spec.Share(d.Name)
