cluster: every path compares the account of a job with that of the caller

Cause: only the owner of a cell compared the accounts. An instance that did not hear it, or to which it did not know the job, showed any account the state in the store, and a success that an owner had reported. An owner that adopted the job between its comparison and its answer, or of a build without accounts, answered and cancelled for any account. A job handed in under the id of another account's ended job was accepted. A cancel under another account was answered 503 in place of 410 while no owner was heard. Change: without the owner the rows decide: the home row, or the specification for a row of an earlier build. They are remembered beside the cells of the job. An owner names the account in its answer (JobState.account); an answer without it is compared with the rows, a cancellation before it is sent. If a row cannot be read the answer is the store's error. An ended job of an earlier build, whose account nothing names, is answered to calls that need no key, and 503 to others. MayUse became ExclusiveAccount, with the same rule: the owner looks the job up and compares in one step.

--- a/cell/account.go
+++ b/cell/account.go
@@ -225,16 +225,14 @@
 	return AccountUse{Account: a.Account, Used: a.used, PossiblyUsed: a.possiblyUsed}
 }
 
-// MayUse reports whether an account may query and cancel a job: its own, one of an open queue, or
-// one whose account is not known.
-func (c *Cell) MayUse(id, account string) bool {
-	owner := ""
+// ExclusiveAccount returns the only account that may query and cancel a job, "" if all may: the
+// job's queue is open, or its account is not known. known is false if the cell does not have the job.
+func (c *Cell) ExclusiveAccount(id string) (account string, known bool) {
 	if j := c.jobs[id]; j != nil {
-		owner = c.exclusiveAccount(j)
-	} else if o, ok := c.retired[id]; ok {
-		owner = o.account
+		return c.exclusiveAccount(j), true
 	}
-	return owner == "" || owner == account
+	o, known := c.retired[id]
+	return o.account, known
 }
 
 // exclusiveAccount returns the only account that may use a job, "" if all may.
--- a/cluster/accept.go
+++ b/cluster/accept.go
@@ -64,29 +64,51 @@
 		n.kit.Scope.Counter("jobs_not_kept_total").Inc(1)
 		return err
 	}
-	if !k.written && n.belongsToOtherAccount(ctx, spec) {
-		level.Info(n.kit.Log).Log("event", "refused", "job", spec.ID, "account", spec.Account, "why", "the id belongs to another client account", "last", true)
-		return kind.New(kind.KeyReused, "the id belongs to a job of another client account")
+	if err := n.checkSameAccount(ctx, spec, k); err != nil {
+		return err
 	}
 	level.Info(n.kit.Log).Log("event", "accepted", "job", spec.ID, "queue", spec.Queue, "account", spec.Account, "config", n.config.Version(), "cell", k.cells[0], "cells", len(k.cells), "fresh", k.fresh, "version", k.ver, "took_ms", clock.Since(begun).Milliseconds())
 	n.kit.Scope.Counter("jobs_accepted_total").Inc(1)
 	n.kit.Scope.Histogram("accept_seconds", telemetry.LatencyBuckets()).RecordDuration(clock.Since(begun))
-	n.jobCells.set(spec.ID, k.cells)
+	n.jobCells.setStored(spec.ID, k)
 	// The same write may have been sent twice, and this answer may be that of the second one:
 	// the owner is notified in any case.
 	go n.notifyOwners(k, spec)
 	return nil
 }
 
-// belongsToOtherAccount reports whether the job that the store has under the id of spec is known to
-// belong to another client account.
-func (n *Instance) belongsToOtherAccount(ctx context.Context, spec *flow.Spec) bool {
+// checkSameAccount returns an error, of kind KeyReused, if the job that the store has under the id of
+// spec is known to belong to another client account. If that cannot be read where keys are needed,
+// the error is of kind Lost: an acceptance would confirm the job to another account.
+func (n *Instance) checkSameAccount(ctx context.Context, spec *flow.Spec, k storedJob) error {
+	if k.written {
+		return nil
+	}
+	other, err := n.belongsToOtherAccount(ctx, spec, k.access)
+	switch {
+	case other:
+		level.Info(n.kit.Log).Log("event", "refused", "job", spec.ID, "account", spec.Account, "why", "the id belongs to another client account", "last", true)
+		return kind.New(kind.KeyReused, "the id belongs to a job of another client account")
+	case err != nil && !k.access.Known() && n.keyNeeded(spec.Account):
+		level.Info(n.kit.Log).Log("event", "not_kept", "job", spec.ID, "account", spec.Account, "err", err, "last", true)
+		return kind.Wrap(kind.Lost, err, "the account of the job with this id").WithUnknownOutcome(spec.ID)
+	}
+	return nil
+}
+
+// belongsToOtherAccount reports whether a job that is stored under the id of spec is known to belong
+// to another client account. Its home row names the account also after its end. The specification
+// is read if the home row does not say, or says that all accounts may use the job.
+func (n *Instance) belongsToOtherAccount(ctx context.Context, spec *flow.Spec, access driver.Access) (bool, error) {
+	if access.Exclusive() {
+		return !access.Permits(spec.Account), nil
+	}
 	row, err := n.readJobRow(ctx, driver.SpecKey(spec.ID))
 	if err != nil || row.Ver == 0 {
-		return false
+		return false, err
 	}
 	kept, err := flow.DecodeSpec(row.Value)
-	return err == nil && kept.Account != "" && kept.Account != spec.Account
+	return err == nil && kept.Account != "" && kept.Account != spec.Account, nil
 }
 
 // notifyOwners sends a job, as the store has it, to the owners of its cells. Another write of the
@@ -193,11 +215,12 @@
 	return ""
 }
 
-// storedJob is the result of storing a job: the cells that run it, its home cell first; the version
-// at which the store took it; whether it may be new; and whether this write is known to have stored
-// it.
+// storedJob is the result of storing a job: the cells that run it, its home cell first; who may use
+// it, if its home row says; the version at which the store took it; whether it may be new; and
+// whether this write is known to have stored it.
 type storedJob struct {
 	cells   []string
+	access  driver.Access
 	ver     uint64
 	fresh   bool
 	written bool
@@ -206,11 +229,11 @@
 // storeJob writes a job on the condition that no cell has it.
 func (n *Instance) storeJob(ctx context.Context, cell string, spec *flow.Spec) (storedJob, error) {
 	spec.Cell = cell
-	home := driver.HomeKey(spec.ID)
+	home, value := driver.HomeKey(spec.ID), n.homeValue(spec)
 	t := rows.Tx{
 		Expect: []rows.Check{{Key: home}},
 		Put: []rows.Row{
-			{Key: home, Value: driver.HomeValue(spec)},
+			{Key: home, Value: value},
 			{Key: driver.SpecKey(spec.ID), Value: flow.Encode(spec)},
 		},
 	}
@@ -219,7 +242,7 @@
 		res, err := n.sendJobTx(ctx, home, t)
 		switch {
 		case err == nil && !res.Refused:
-			return storedJob{cells: spec.Cells(), ver: res.Ver, fresh: true, written: true}, nil
+			return storedJob{cells: spec.Cells(), access: driver.HomeAccess(value), ver: res.Ver, fresh: true, written: true}, nil
 		case err == nil:
 			// Some cell has the job, by this write or by an earlier one.
 			return withStoredCells(res, home, storedJob{cells: spec.Cells(), fresh: uncertain}), nil
@@ -245,7 +268,7 @@
 func withStoredCells(res rows.Result, home rows.Key, k storedJob) storedJob {
 	for _, row := range res.Rows {
 		if cells := driver.HomeCells(row.Value); row.Key == home && len(cells) > 0 {
-			k.cells, k.ver = cells, row.Ver
+			k.cells, k.access, k.ver = cells, driver.HomeAccess(row.Value), row.Ver
 		}
 	}
 	return k
--- a/cluster/jobs.go
+++ b/cluster/jobs.go
@@ -29,23 +29,64 @@
 	loadWindow = 2 * time.Second
 )
 
-// jobCells is a bounded cache of the cells that run a job, its home cell first. When current is
-// full it becomes previous, and the previous half is dropped.
+// jobCells is a bounded cache of the cells that run a job, its home cell first, and of who may use
+// it. When current is full it becomes previous, and the previous half is dropped.
 type jobCells struct {
 	mu       sync.Mutex
-	current  map[string][]string
-	previous map[string][]string
+	current  map[string]knownJob
+	previous map[string]knownJob
+}
+
+// knownJob is what is remembered of a job.
+type knownJob struct {
+	// cells is nil if they are not known.
+	cells  []string
+	access driver.Access
+	// rowRead says that the job's home row has been read, which does not name the account if access
+	// is not known.
+	rowRead bool
 }
 
 const maxJobCells = 20_000
 
 func (h *jobCells) set(id string, cells []string) {
+	h.update(id, func(j *knownJob) { j.cells = cells })
+}
+
+// setAccess records who may use a job.
+func (h *jobCells) setAccess(id string, a driver.Access) {
+	h.update(id, func(j *knownJob) { j.access = a })
+}
+
+// setRow records the content of a job's home row. A row that does not name the account does not
+// replace what is known of it.
+func (h *jobCells) setRow(id string, cells []string, a driver.Access) {
+	h.update(id, func(j *knownJob) {
+		j.cells, j.rowRead = cells, true
+		if a.Known() {
+			j.access = a
+		}
+	})
+}
+
+// setStored records a job that was just stored.
+func (h *jobCells) setStored(id string, k storedJob) {
+	if !k.access.Known() {
+		h.set(id, k.cells)
+		return
+	}
+	h.setRow(id, k.cells, k.access)
+}
+
+func (h *jobCells) update(id string, change func(*knownJob)) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	j := h.lookup(id)
+	change(&j)
 	if h.current == nil || len(h.current) >= maxJobCells {
-		h.current, h.previous = make(map[string][]string), h.current
+		h.current, h.previous = make(map[string]knownJob), h.current
 	}
-	h.current[id] = cells
+	h.current[id] = j
 }
 
 func (h *jobCells) drop(id string) {
@@ -55,14 +96,27 @@
 	delete(h.previous, id)
 }
 
+// lookup returns what is remembered of a job. The caller must hold h.mu.
+func (h *jobCells) lookup(id string) knownJob {
+	if j, ok := h.current[id]; ok {
+		return j
+	}
+	return h.previous[id]
+}
+
 // get returns the cells of a job, nil if they are not known.
 func (h *jobCells) get(id string) []string {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if cells := h.current[id]; len(cells) > 0 {
-		return cells
-	}
-	return h.previous[id]
+	return h.lookup(id).cells
+}
+
+// access returns who may use a job, and whether the job's home row has been read.
+func (h *jobCells) access(id string) (a driver.Access, rowRead bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	j := h.lookup(id)
+	return j.access, j.rowRead
 }
 
 // candidate is a cell that may take a job.
@@ -126,12 +180,23 @@
 
 const unusableLoad = 1e9
 
-// State returns the state of a job. Its error is of kind NotFound if there is no such job.
+// State returns the state of a job. Its error is of kind NotFound if there is no such job, or only
+// one of another client account.
 func (n *Instance) State(ctx context.Context, id string) (flow.State, error) {
+	s, err := n.jobState(ctx, id)
+	if err != nil {
+		return "", hideOtherAccount(err)
+	}
+	return s, nil
+}
+
+// jobState is State; its error is of kind Unauthorized for a job of another client account.
+func (n *Instance) jobState(ctx context.Context, id string) (flow.State, error) {
 	for name, c := range n.ownCells() {
 		if s, ok := c.driver.State(id); ok {
-			if !mayUse(ctx, c.driver, id) {
-				return "", kind.New(kind.NotFound, "no job has this id")
+			account, checked := config.Caller(ctx)
+			if _, err := authorizeInCell(c.driver, id, account, checked); err != nil {
+				return "", err
 			}
 			return n.combinedState(ctx, id, s, name, c.driver.Cells(id)), nil
 		}
@@ -142,12 +207,12 @@
 		if s, err := n.askOwner(ctx, likely, id, false); err == nil {
 			return n.combinedState(ctx, id, s, likely, n.jobCells.get(id)), nil
 		} else if kind.Is(err, kind.Unauthorized) {
-			return "", kind.New(kind.NotFound, "no job has this id")
+			return "", err
 		}
 	}
 	if n.successes.has(id) {
 		// Its owner has reported this, and is not heard at present.
-		return flow.Succeeded, nil
+		return flow.Succeeded, n.authorize(ctx, id)
 	}
 	remembered := n.jobCells.get(id) != nil
 	cells, err := n.cellsOf(ctx, id)
@@ -156,12 +221,13 @@
 	}
 	cell := cells[0]
 	if cell != likely && n.ownDriver(cell) == nil {
-		if s, err := n.askOwner(ctx, cell, id, false); err == nil {
-			return s, nil
-		} else if kind.Is(err, kind.Unauthorized) {
-			return "", kind.New(kind.NotFound, "no job has this id")
+		if s, err := n.askOwner(ctx, cell, id, false); err == nil || kind.Is(err, kind.Unauthorized) {
+			return s, err
 		}
 	}
+	if err := n.authorize(ctx, id); err != nil {
+		return "", err
+	}
 	state, err := n.storedState(ctx, cell, id)
 	if err == nil && state == flow.Pending && remembered {
 		// A job that was deleted after its retention time has neither a record nor an end, like one
@@ -231,7 +297,7 @@
 	case len(cells) == 0:
 		return nil, kind.New(kind.Damaged, "the job's home row names no cell")
 	}
-	n.jobCells.set(id, cells)
+	n.jobCells.setRow(id, cells, driver.HomeAccess(row.Value))
 	return cells, nil
 }
 
@@ -251,6 +317,9 @@
 	reply, err := n.dialer.Do(ctx, o.addr, &wire.Request{Body: &wire.Request_AskJob{
 		AskJob: &wire.JobAsk{Cell: cell, Id: id, Cancel: cancelJob, Account: account, Checked: checked},
 	}})
+	if err == nil && !cancelJob {
+		err = n.authorizeAnswer(ctx, id, reply.GetJobState())
+	}
 	if err != nil {
 		return "", err
 	}
@@ -302,15 +371,13 @@
 	return page.First(), nil
 }
 
-// Cancel cancels a job. Its error is of kind NotFound if there is no such job.
+// Cancel cancels a job. Its error is of kind NotFound if there is no such job, or only one of another
+// client account.
 func (n *Instance) Cancel(ctx context.Context, id string) error {
 	ctx, cancel := context.WithTimeout(ctx, cancelTimeout)
 	defer cancel()
 	for {
-		err := n.cancelOnce(ctx, id)
-		if kind.Is(err, kind.Unauthorized) {
-			return kind.New(kind.NotFound, "no job has this id")
-		}
+		err := hideOtherAccount(n.cancelOnce(ctx, id))
 		if err == nil || kind.Is(err, kind.NotFound) || ctx.Err() != nil {
 			return err
 		}
@@ -330,6 +397,10 @@
 	if err != nil {
 		return err
 	}
+	// An owner of an earlier build may cancel a job for any account, so the rows are compared first.
+	if _, err := n.authorizeByRows(ctx, id); err != nil {
+		return err
+	}
 	var row rows.Row
 	if len(cells) > 1 {
 		// The row is deleted at the job's end, so it is read before the cancellation.
@@ -363,18 +434,13 @@
 	if !d.Ready() {
 		return kind.New(kind.Unavailable, "the cell's jobs are still being loaded").WithRetryAfter(n.retryAfter(id))
 	}
-	if !mayUse(ctx, d, id) {
-		return errOtherAccount()
+	account, checked := config.Caller(ctx)
+	if _, err := authorizeInCell(d, id, account, checked); err != nil {
+		return err
 	}
 	return d.Cancel(ctx, id)
 }
 
-// mayUse reports whether the client account that makes the call of ctx may use a job of a cell.
-func mayUse(ctx context.Context, d *driver.Driver, id string) bool {
-	account, checked := config.Caller(ctx)
-	return !checked || d.MayUse(id, account)
-}
-
 // errOtherAccount is the error between instances for a job of another client account. The caller
 // gets the same answer as if there were no such job.
 func errOtherAccount() error {
--- a/cluster/peers.go
+++ b/cluster/peers.go
@@ -85,8 +85,9 @@
 	if d == nil || !d.Ready() {
 		return nil, kind.New(kind.Unavailable, "this instance does not own the cell or has not loaded its jobs")
 	}
-	if a.Checked && !d.MayUse(a.Id, a.Account) {
-		return nil, errOtherAccount()
+	exclusive, err := authorizeInCell(d, a.Id, a.Account, a.Checked)
+	if err != nil {
+		return nil, err
 	}
 	if a.Cancel {
 		ctx, cancel := context.WithTimeout(ctx, cancelTimeout)
@@ -97,7 +98,7 @@
 	if !ok {
 		return nil, kind.New(kind.NotFound, "the cell has no such job")
 	}
-	return &wire.Reply{Body: &wire.Reply_JobState{JobState: &wire.JobState{State: string(s)}}}, nil
+	return &wire.Reply{Body: &wire.Reply_JobState{JobState: &wire.JobState{State: string(s), Account: &exclusive}}}, nil
 }
 
 // relayStoreCall sends a call to the store through a peer that reaches it.
--- a/driver/driver.go
+++ b/driver/driver.go
@@ -255,11 +255,12 @@
 	return d.cell.State(id)
 }
 
-// MayUse reports whether an account may query and cancel a job.
-func (d *Driver) MayUse(id, account string) bool {
+// ExclusiveAccount returns the only account that may query and cancel a job, "" if all may, and
+// whether the cell has the job.
+func (d *Driver) ExclusiveAccount(id string) (account string, known bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.cell.MayUse(id, account)
+	return d.cell.ExclusiveAccount(id)
 }
 
 // Cancel cancels a job and returns once the cancellation is persisted. It returns an error of kind
