cell: full pools are shared fairly between client accounts

Cause: in a full pool the steps of one priority are ordered by slack alone. The account that sent most has the oldest steps and so the least slack, and the jobs of all others become late with its own. Change: with FairSharing, the level of the account comes before slack among steps of the same priority, share and lateness, while the pool is full. The level of a step counts the steps of its account that come before it, so that one account does not get everything that comes free in one decision. Use is kept by account and pool. Jobs without an account share as one account of weight 1.

--- a/cell/account.go
+++ b/cell/account.go
@@ -138,8 +138,9 @@
 	return a != nil && a.Weight > 0 && !a.share.take(a.Weight, arrived)
 }
 
-// charge adds the demand of a run to the job's account; refund subtracts it.
+// charge adds the demand of a run to the use of the job's account; refund subtracts it.
 func (j *job) charge(demand sched.Vec) {
+	j.sharer.charge(demand)
 	a := j.account
 	if a == nil {
 		return
--- a/cell/cell.go
+++ b/cell/cell.go
@@ -42,6 +42,8 @@
 	// Name identifies the cell; it selects the cell's share of jobs that are split between cells. A
 	// cell without a name runs whole jobs.
 	Name string
+	// FairSharing divides full pools fairly between client accounts.
+	FairSharing bool
 
 	queues  map[string]*Queue
 	workers map[string]*worker
@@ -49,6 +51,11 @@
 	// jobs here.
 	configured map[string]Account
 	accounts   map[string]*account
+	// sharers holds the accounts by pool, openSharers, during Place, those with open stages, and
+	// sharedPools the pools by name.
+	sharers     map[sharerKey]*sharer
+	openSharers []*sharer
+	sharedPools map[string]*sharedPool
 	// sortedWorkers holds the workers ordered by id, so that decisions are deterministic.
 	sortedWorkers []*worker
 	jobs          map[string]*job
@@ -132,6 +139,8 @@
 		workers:           make(map[string]*worker),
 		jobs:              make(map[string]*job),
 		accounts:          make(map[string]*account),
+		sharers:           make(map[sharerKey]*sharer),
+		sharedPools:       make(map[string]*sharedPool),
 		policyStats:       make(map[string]*policyStats),
 		retired:           make(map[string]retiredJob),
 		unstoredSuccesses: make(map[string]*job),
@@ -173,7 +182,7 @@
 	l := Load{Pending: make(map[string]int), Halls: make(map[string]int64)}
 	for _, w := range c.sortedWorkers {
 		l.Workers++
-		if !w.attached || w.leaving() || w.Gone || !w.described() {
+		if !w.inService() {
 			continue
 		}
 		l.Attached++
--- a/cell/doc.go
+++ b/cell/doc.go
@@ -18,5 +18,6 @@
 // # Order
 //
 // Waiting stages are ordered by the priority of their queue, then by whether they can still meet
-// their objective, then by slack: the time left to them beyond the work still to do.
+// their objective, then by slack: the time left to them beyond the work still to do. With fair
+// sharing, how much of a full pool their accounts use is compared before slack.
 package cell
--- a/cell/job.go
+++ b/cell/job.go
@@ -99,6 +99,8 @@
 	// that the job exceeded its account's share on arrival.
 	account     *account
 	beyondShare bool
+	// sharer is the account in the pool of the job's queue on arrival, nil if the job is unknown.
+	sharer *sharer
 	// priority is that of the job's queue on arrival.
 	priority int
 	// share selects the tasks of the job that this cell runs.
@@ -228,9 +230,11 @@
 	j := &job{spec: spec, state: flow.Pending, arrived: arrived, hall: spec.Hall}
 	j.share, _ = spec.Share(c.Name)
 	j.account = c.accountOf(spec.Account)
+	pool := ""
 	if q := c.queues[spec.Queue]; q != nil {
-		j.priority = q.Priority
+		j.priority, pool = q.Priority, q.Pool
 	}
+	j.sharer = c.sharerOf(spec.Account, pool)
 	j.beyondShare = j.account.takeShare(arrived)
 	if rec != nil {
 		j.state, j.cancelled = rec.State, rec.Canceled
--- a/cell/place.go
+++ b/cell/place.go
@@ -66,6 +66,7 @@
 	c.pruneOpenStages()
 	c.expireUnmatchedEnds(now)
 	c.sortOpenStages(now)
+	c.shareFairly(now, wall)
 	unsettled, inDoubt := c.unsettled(), c.stagesInDoubt()
 	c.updateMostFree()
 	c.countPossiblyUsed(&unsettled, now)
@@ -202,11 +203,13 @@
 // rank orders stages, smaller first: by priority; then jobs within the share of their client
 // account before those beyond it; then by late, which is 0 for a stage that can still meet its
 // objective, 1 for one that is late and 2 for one that is so late that it counts for nothing; then
-// by slack, the time left beyond the work still to do.
+// by level, how much of a full pool the account uses (see shareFairly); then by slack, the time left
+// beyond the work still to do.
 type rank struct {
 	priority    int
 	beyondShare bool
 	late        int
+	level       int
 	slack       time.Duration
 }
 
@@ -242,6 +245,7 @@
 	slices.SortStableFunc(c.openStages, compareStages)
 }
 
+// compareStages compares by rank apart from the level, which shareFairly applies.
 func compareStages(x, y *stage) int {
 	return cmp.Or(
 		cmp.Compare(x.rank.priority, y.rank.priority),
--- a/cell/wait.go
+++ b/cell/wait.go
@@ -55,6 +55,8 @@
 	// job exceeded the account's share on arrival.
 	Account     AccountUse
 	BeyondShare bool
+	// ShareLevel is the level of the account in the pool, 0 if fair sharing does not apply.
+	ShareLevel int
 }
 
 // Candidates counts workers of a step's pool that have what the step needs.
@@ -76,7 +78,7 @@
 	}
 	w := Wait{Step: s.id(), Why: why, Tasks: s.waiting, For: waited, Reserved: len(s.reservation.workers),
 		Asks: c.asks, LongAsks: c.longAsks, MaxAsks: c.maxAsks, Asking: s.advice.asking,
-		Account: s.job.account.usage(), BeyondShare: s.job.beyondShare}
+		Account: s.job.account.usage(), BeyondShare: s.job.beyondShare, ShareLevel: s.job.sharer.level}
 	c.countCandidates(s, &w, now)
 	a.Waits = append(a.Waits, w)
 }
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -158,6 +158,11 @@
 	return w.attached && !w.unlisted && !w.silent && !w.leaving() && !w.Gone && w.unknownRuns == 0 && w.described()
 }
 
+// inService reports whether w counts for the capacity of its pool.
+func (w *worker) inService() bool {
+	return w.attached && !w.leaving() && !w.Gone && w.described()
+}
+
 // SetListed sets whether the stored worker list names a worker. Nothing is placed there otherwise.
 func (c *Cell) SetListed(id string, listed bool) {
 	if w := c.workers[id]; w != nil {
