--- a/driver/driver.go
+++ b/driver/driver.go
@@ -37,6 +37,8 @@
 	FormerGrace time.Duration
 	// Retention is how long clients can query a job after its end.
 	Retention time.Duration
+	// FairSharing divides full pools fairly between client accounts.
+	FairSharing bool
 	// Claim holds the cell lease. The Driver is its only user.
 	Claim          *claim.Claim
 	Store          rows.Store
@@ -143,7 +145,7 @@
 		commitNow:   make(chan struct{}, 1),
 		startedAt:   clock.Now(),
 	}
-	d.cell.Name = c.Name
+	d.cell.Name, d.cell.FairSharing = c.Name, c.FairSharing
 	d.startWindow.Rate = d.LinkRate
 	if d.Relays == nil {
 		d.Relays = noRelays{}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -71,6 +71,8 @@
 	// racks, when the deployment starts for the first time. If it is 0, the number
 	// is derived from the number of workers at that time. It does not change later.
 	Cells int `json:"cells"`
+	// FairSharing divides full pools of workers fairly between client accounts.
+	FairSharing bool `json:"fair-sharing"`
 	// Grace is how long the platform waits for a planned stop.
 	Grace Duration `json:"grace"`
 }
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -33,12 +33,21 @@
 		Expect(err.Error()).To(And(ContainSubstring("/instance"), ContainSubstring("/listen/http"), ContainSubstring("/task-lease")))
 	})
 
+	It("share pools fairly only if they say so", func() {
+		for raw, want := range map[string]bool{"": false, `,"fair-sharing":true`: true, `,"fair-sharing":false`: false} {
+			s, err := settings.Parse([]byte(`{"instance":"a","hall":"a","listen":{"http":"127.0.0.1:1","peer":"127.0.0.1:2"},"cluster":{"store":"127.0.0.1:3","ready":"127.0.0.1:4"` + raw + `}}`))
+			Expect(err).NotTo(HaveOccurred())
+			Expect(s.Cluster.FairSharing).To(Equal(want), raw)
+		}
+	})
+
 	DescribeTable("are refused with", func(raw, path string) {
 		_, err := settings.Parse([]byte(raw))
 		Expect(err).To(MatchError(ContainSubstring(path)))
 	},
 		Entry("an unknown field", `{"instance":"a","hall":"a","listen":{"http":"127.0.0.1:1","peer":"127.0.0.1:2"},"platform":{"url":"http://p"},"colour":1}`, "colour"),
 		Entry("the same address for HTTP and peers", `{"instance":"a","hall":"a","listen":{"http":"127.0.0.1:1","peer":"127.0.0.1:1"},"platform":{"url":"http://p"}}`, "/listen/peer"),
+		Entry("fair sharing that is not a boolean", `{"instance":"a","hall":"a","listen":{"http":"127.0.0.1:1","peer":"127.0.0.1:2"},"cluster":{"store":"127.0.0.1:3","ready":"127.0.0.1:4","fair-sharing":"yes"}}`, "/cluster/fair-sharing"),
 		Entry("an invalid IP address", `{"instance":"a","hall":"a","listen":{"http":"127.0.0.900:1","peer":"127.0.0.1:1"},"platform":{"url":"http://p"}}`, "/listen/http"),
 		Entry("peer TLS files without certificate authorities", `{"instance":"a","hall":"a","listen":{"http":"127.0.0.1:1","peer":"127.0.0.1:2"},"platform":{"url":"http://p"},"tls":{"peer":{"cert":"c","key":"k"}}}`, "/tls/peer/ca"),
 	)
