--- a/cell/place.go
+++ b/cell/place.go
@@ -68,6 +68,7 @@
 	c.pruneOpenStages()
 	c.expireUnmatchedEnds(now)
 	c.sortOpenStages(now)
+	c.shareFairly(now, wall)
 	d := decision{a: &a, now: now, wall: wall, asks: asks, unsettled: c.unsettled(), inDoubt: c.stagesInDoubt()}
 	c.updateMostFree()
 	c.countPossiblyUsed(&d.unsettled, now)
@@ -245,12 +246,14 @@
 // then by priority; then jobs within the share of their client
 // account before those beyond it; then by late, which is 0 for a stage that can still meet its
 // objective, 1 for one that is late and 2 for one that is so late that it counts for nothing; then
-// by slack, the time left beyond the work still to do.
+// by level, how much of a full pool the account uses (see shareFairly); then by slack, the time left
+// beyond the work still to do.
 type rank struct {
 	expired     bool
 	priority    int
 	beyondShare bool
 	late        int
+	level       int
 	slack       time.Duration
 }
 
@@ -295,6 +298,7 @@
 	}
 }
 
+// compareStages compares by rank apart from the level, which shareFairly applies.
 func compareStages(x, y *stage) int {
 	return cmp.Or(
 		compareBools(x.rank.expired, y.rank.expired),
