cell: room is kept free for the most urgent queue of a pool

Cause: batch tasks of 1.7 processors fill workers of 16; calls wait until enough of one worker comes free at once. Change: Place observes the urgent tasks and counts the units of a pool when it first considers a less urgent step. Tasks and gangs of less urgent queues start where headroom permits, first where they cost no unit; the policy is not asked about steps that are held back, and tasks on leaving workers are moved only where they may start. Long-running tasks and those in idle processor time are exempt. Off unless Cell.Headroom is set.

--- a/cell/ask.go
+++ b/cell/ask.go
@@ -230,7 +230,7 @@
 // startCandidates returns the workers worth asking about s if tasks of s can start after the
 // answer, otherwise none.
 func (c *Cell) startCandidates(s *stage, q *Queue, now time.Time) []askCandidate {
-	if len(s.reservation.workers) == 0 && c.unclaimedFits(s, q) < s.startsTogether() {
+	if c.heldBack(s) || len(s.reservation.workers) == 0 && c.unclaimedFits(s, q) < s.startsTogether() {
 		return nil
 	}
 	candidates := c.askCandidates(s, q, now)
@@ -450,7 +450,7 @@
 			continue
 		}
 		soon := !w.hasRoom(&room) && c.soonFree(s, w, q, now)
-		if !w.hasRoom(&room) && !soon || !w.health.allows(len(w.runs), now) || s.atPerWorkerLimit(w) {
+		if !w.hasRoom(&room) && !soon || !w.health.allows(len(w.runs), now) || s.atPerWorkerLimit(w) || c.heldBackOn(s, w) {
 			continue
 		}
 		at, known := s.advice.findTicket(w)
--- a/cell/cell.go
+++ b/cell/cell.go
@@ -42,6 +42,8 @@
 	// Name identifies the cell; it selects the cell's share of jobs that are split between cells. A
 	// cell without a name runs whole jobs.
 	Name string
+	// Headroom means that pools keep room for their most urgent queues. It is set before Configure.
+	Headroom bool
 
 	queues  map[string]*Queue
 	workers map[string]*worker
@@ -49,6 +51,8 @@
 	// jobs here.
 	configured map[string]Account
 	accounts   map[string]*account
+	// headrooms holds the pools that keep room for urgent tasks.
+	headrooms map[string]*poolHeadroom
 	// sortedWorkers holds the workers ordered by id, so that decisions are deterministic.
 	sortedWorkers []*worker
 	jobs          map[string]*job
@@ -148,6 +152,7 @@
 	for i := range queues {
 		c.queues[queues[i].Name] = &queues[i]
 	}
+	c.configureHeadroom()
 }
 
 func (c *Cell) Counts() Counts { return c.counts }
--- a/cell/choose.go
+++ b/cell/choose.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"dewpass.org/headroom"
 	"dewpass.org/sched"
 )
 
@@ -38,11 +39,14 @@
 	room sched.Vec
 	// candidates are ordered by worker id, so that decisions are deterministic.
 	candidates []candidate
+	// headroom is the room of which the step has to leave a part to more urgent tasks, nil if it may
+	// take all.
+	headroom *headroom.Room
 }
 
 // newPlacement returns a placement for s. It has no candidates if nothing can start.
 func (c *Cell) newPlacement(s *stage, q *Queue, now time.Time) placement {
-	p := placement{cell: c, step: s, now: now, room: s.def.Reservation(), candidates: c.candidateBuffer[:0]}
+	p := placement{cell: c, step: s, now: now, room: s.def.Reservation(), candidates: c.candidateBuffer[:0], headroom: c.headroomFrom(s)}
 	for permit := range c.permits(s, q, now) {
 		c.examined++
 		if w := permit.worker; p.canStartOn(w) && w.usable() && w.suits(s, q) {
@@ -55,7 +59,8 @@
 
 // canStartOn reports whether w has room for one more task of the step.
 func (p *placement) canStartOn(w *worker) bool {
-	return w.hasRoom(&p.room) && !p.step.atPerWorkerLimit(w) && w.health.allows(len(w.runs), p.now) && !w.underTrial(p.now)
+	return w.hasRoom(&p.room) && !p.step.atPerWorkerLimit(w) && w.health.allows(len(w.runs), p.now) && !w.underTrial(p.now) &&
+		p.leavesHeadroom(w)
 }
 
 // scoreAll sets the scores of all candidates. The job's preferred hall has been chosen before.
@@ -67,7 +72,7 @@
 
 func (p *placement) setScore(i int) {
 	k := &p.candidates[i]
-	k.score = p.cell.score(p.step, k.worker, &p.room)
+	k.score = p.cell.score(p.step, k.worker, &p.room) + p.unitScore(k.worker)
 }
 
 // best returns the index of the best worker for a task, -1 if there is none.
@@ -81,7 +86,8 @@
 		if special {
 			score += p.step.taskScore(t, k.worker)
 		}
-		if best < 0 || score > bestScore {
+		// What the step may take shrinks with each of its tasks.
+		if (best < 0 || score > bestScore) && p.leavesHeadroom(k.worker) {
 			best, bestScore = i, score
 		}
 	}
--- a/cell/job.go
+++ b/cell/job.go
@@ -99,6 +99,10 @@
 	// that the job exceeded its account's share on arrival.
 	account     *account
 	beyondShare bool
+	// headroom is that of the job's pool, nil if the pool keeps none. urgent means that it is kept for
+	// the job's queue.
+	headroom *poolHeadroom
+	urgent   bool
 	// priority is that of the job's queue on arrival.
 	priority int
 	// share selects the tasks of the job that this cell runs.
@@ -232,6 +236,7 @@
 		j.priority = q.Priority
 	}
 	j.beyondShare = j.account.takeShare(arrived)
+	c.joinHeadroom(j)
 	if rec != nil {
 		j.state, j.cancelled = rec.State, rec.Canceled
 		j.began = rec.State != flow.Pending
--- a/cell/place.go
+++ b/cell/place.go
@@ -57,6 +57,7 @@
 func (c *Cell) Place(now, wall time.Time, asks int) Actions {
 	var a Actions
 	c.sendBudgetLeft, c.sendLimited, c.maxAsks = c.sendBudget, false, asks
+	c.observeUrgent(now, wall)
 	c.sendRecorded(&a, now)
 	if c.runsNeedCheck || now.Sub(c.runsCheckedAt) >= runCheckInterval {
 		c.runsNeedCheck, c.runsCheckedAt = false, now
@@ -109,6 +110,8 @@
 			why = InDoubt
 		case s.accountAtLimit():
 			why = LimitReached
+		case c.heldBack(s):
+			why = Full
 		case s.def.Gang:
 			c.placeGang(s, q, &a, now)
 		case !mostFree.Covers(&room):
@@ -340,6 +343,7 @@
 	defer func() {
 		for _, k := range picks {
 			k.worker.free = k.worker.free.Add(p.room)
+			c.updateUnits(k.worker)
 			s.countRunOn(k.worker, -1)
 		}
 	}()
@@ -350,6 +354,7 @@
 		}
 		k := p.candidates[at].permit
 		k.worker.free = k.worker.free.Sub(p.room)
+		c.updateUnits(k.worker)
 		s.countRunOn(k.worker, 1)
 		picks = append(picks, k)
 		p.taken(at)
@@ -386,6 +391,7 @@
 	r := &run{stage: s, index: index, number: n + c.runBase, worker: p.worker, decidedAt: now, room: s.def.Reservation(), checkpoint: t.checkpoint}
 	t.runs = append(t.runs, r)
 	p.worker.addRun(r)
+	c.updateUnits(p.worker)
 	s.countRunOn(p.worker, 1)
 	c.startTrialIfNeeded(r, now)
 	if record {
--- a/cell/run.go
+++ b/cell/run.go
@@ -49,6 +49,8 @@
 	// trialUntil is the end of the period in which the run is watched because it may crash its
 	// worker, zero if it is not on trial.
 	trialUntil time.Time
+	// urgentIn is the pool whose urgent runs include this one, nil if none do.
+	urgentIn *poolHeadroom
 }
 
 func (r *run) task() flow.TaskID { return r.stage.taskID(r.index) }
@@ -66,6 +68,7 @@
 	w.runs[runKey{r.task(), r.number}] = r
 	w.runList = append(w.runList, r)
 	w.free = w.free.Sub(r.room)
+	r.countUrgent()
 	r.stage.job.charge(r.stage.def.Demand)
 	if r.stage.def.IdleCPUOnly {
 		w.fillerRuns++
@@ -85,6 +88,7 @@
 	delete(r.worker.runs, runKey{r.task(), r.number})
 	r.worker.runList = slices.DeleteFunc(r.worker.runList, func(o *run) bool { return o == r })
 	r.worker.free = r.worker.free.Add(r.room)
+	r.uncountUrgent()
 	r.stage.job.refund(r.stage.def.Demand)
 	if r.stage.def.IdleCPUOnly {
 		r.worker.fillerRuns--
--- a/cell/stop.go
+++ b/cell/stop.go
@@ -180,13 +180,14 @@
 func (c *Cell) countPlaces(s *stage, q *Queue, now time.Time) int {
 	n := 0
 	room := s.def.Reservation()
+	taking := c.newTaking(s)
 	for p := range c.permits(s, q, now) {
 		w := p.worker
 		if !w.usable() || !w.suits(s, q) || !w.health.allows(len(w.runs), now) || w.underTrial(now) {
 			continue
 		}
 		free := w.free.Sub(w.reserved)
-		for more := 0; free.Covers(&room) && (s.def.MaxPerWorker == 0 || s.runsByWorker[w]+more < s.def.MaxPerWorker); more++ {
+		for more := 0; free.Covers(&room) && (s.def.MaxPerWorker == 0 || s.runsByWorker[w]+more < s.def.MaxPerWorker) && taking.take(w, more); more++ {
 			free = free.Sub(room)
 			if n++; n >= len(s.tasks) {
 				return n
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"dewpass.org/flow"
+	"dewpass.org/headroom"
 	"dewpass.org/sched"
 )
 
@@ -50,7 +51,10 @@
 	// claimed is the room that, during Place, is likely to be used by steps that come first in the
 	// order, once the policy has answered.
 	claimed sched.Vec
-	runs    map[runKey]*run
+	// units is, during Place, the free room in units of an urgent task, once the units of the pool
+	// are counted.
+	units headroom.Parts
+	runs  map[runKey]*run
 	// runList holds the same runs as runs in their order of arrival, so that decisions are
 	// deterministic. fillerRuns counts those that fill spare processor time.
 	runList    []*run
