settings: cluster.headroom, off by default

Cause: headroom is enabled by the settings of a deployment. A change of it needs a restart, and the event reloaded says so. Gauges headroom_units_kept and headroom_units_free of each cell.

--- a/cluster/instance.go
+++ b/cluster/instance.go
@@ -170,7 +170,7 @@
 	}
 	old := n.reloadable
 	n.reloadable = reloadableOf(s.Cluster)
-	restart := s.Listen != n.settings.Listen || s.Cluster.Store != n.settings.Cluster.Store
+	restart := s.Listen != n.settings.Listen || s.Cluster.Store != n.settings.Cluster.Store || s.Cluster.Headroom != n.settings.Cluster.Headroom
 	level.Info(n.kit.Log).Log("event", "reloaded", "changed", n.reloadable != old, "needs_restart", restart)
 }
 
--- a/driver/driver.go
+++ b/driver/driver.go
@@ -48,6 +48,8 @@
 	Directory Directory
 	// LinkRate is the capacity of this instance's network link in bytes per second, 0 if unknown.
 	LinkRate int
+	// Headroom means that the cell keeps room for its most urgent queues.
+	Headroom bool
 	// Advise asks the policy, and AskLimit returns how many such requests may be in flight at once.
 	Advise   func(ctx context.Context, a cell.Ask) (Tickets, error)
 	AskLimit func() int
@@ -143,7 +145,7 @@
 		commitNow:   make(chan struct{}, 1),
 		startedAt:   clock.Now(),
 	}
-	d.cell.Name = c.Name
+	d.cell.Name, d.cell.Headroom = c.Name, c.Headroom
 	d.startWindow.Rate = d.LinkRate
 	if d.Relays == nil {
 		d.Relays = noRelays{}
@@ -371,11 +373,13 @@
 // updateGauges sets the cell's gauges. The lock is held.
 func (d *Driver) updateGauges() {
 	counts, load := d.cell.Counts(), d.cell.Load()
+	unitsKept, unitsFree := d.cell.HeadroomUnits()
 	for name, v := range map[string]float64{
 		"runs_started": float64(counts.Started), "runs_done": float64(counts.Done), "runs_failed": float64(counts.Failed),
 		"runs_stopped": float64(counts.Stopped), "runs_lapsed": float64(counts.Lapsed),
 		"workers": float64(load.Workers), "workers_attached": float64(load.Attached), "stages_waiting": float64(load.Stages),
 		"room_millicores": float64(load.Room[sched.MilliCPU]), "free_millicores": float64(load.Free[sched.MilliCPU]),
+		"headroom_units_kept": float64(unitsKept), "headroom_units_free": float64(unitsFree),
 	} {
 		d.Scope.Gauge(name).Update(v)
 	}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -71,6 +71,9 @@
 	// racks, when the deployment starts for the first time. If it is 0, the number
 	// is derived from the number of workers at that time. It does not change later.
 	Cells int `json:"cells"`
+	// Headroom keeps a part of each pool free for the tasks of its most urgent
+	// queues.
+	Headroom bool `json:"headroom"`
 	// Grace is how long the platform waits for a planned stop.
 	Grace Duration `json:"grace"`
 }
