--- a/cell/cell.go
+++ b/cell/cell.go
@@ -44,6 +44,8 @@
 	Name string
 	// FairSharing divides full pools fairly between client accounts.
 	FairSharing bool
+	// Headroom means that pools keep room for their most urgent queues. It is set before Configure.
+	Headroom bool
 
 	queues map[string]*Queue
 	// firstPriority is the priority of the most urgent queue.
@@ -58,6 +60,8 @@
 	sharers     map[sharerKey]*sharer
 	openSharers []*sharer
 	sharedPools map[string]*sharedPool
+	// headrooms holds the pools that keep room for urgent tasks.
+	headrooms map[string]*poolHeadroom
 	// sortedWorkers holds the workers ordered by id, so that decisions are deterministic.
 	sortedWorkers []*worker
 	jobs          map[string]*job
@@ -166,6 +170,7 @@
 		c.queues[queues[i].Name] = &queues[i]
 	}
 	c.firstPriority = c.mostUrgent()
+	c.configureHeadroom()
 }
 
 func (c *Cell) Counts() Counts { return c.counts }
--- a/cell/job.go
+++ b/cell/job.go
@@ -106,6 +106,10 @@
 	beyondShare bool
 	// sharer is the account in the pool of the job's queue on arrival, nil if the job is unknown.
 	sharer *sharer
+	// headroom is that of the job's pool, nil if the pool keeps none. urgent means that it is kept for
+	// the job's queue.
+	headroom *poolHeadroom
+	urgent   bool
 	// priority is that of the job's queue on arrival.
 	priority int
 	// share selects the tasks of the job that this cell runs.
@@ -244,6 +248,7 @@
 	}
 	j.sharer = c.sharerOf(spec.Account, pool)
 	j.beyondShare = j.account.takeShare(arrived)
+	c.joinHeadroom(j)
 	if rec != nil {
 		j.state, j.cancelled = rec.State, rec.Canceled
 		j.began = rec.State != flow.Pending
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -73,6 +73,9 @@
 	Cells int `json:"cells"`
 	// FairSharing divides full pools of workers fairly between client accounts.
 	FairSharing bool `json:"fair-sharing"`
+	// Headroom keeps a part of each pool free for the tasks of its most urgent
+	// queues.
+	Headroom bool `json:"headroom"`
 	// Grace is how long the platform waits for a planned stop.
 	Grace Duration `json:"grace"`
 }
