--- a/retry/retry.go
+++ b/retry/retry.go
@@ -46,8 +46,12 @@
 // age. key identifies the caller; the same age and key give the same delay.
 func Delay(age time.Duration, key string) time.Duration {
 	half := age / 2
-	spread := half * time.Duration(jitterOf(key)) / jitterSteps
-	return min(max(half+spread, MinDelay), MaxDelay)
+	return min(max(half+Jitter(half, key), MinDelay), MaxDelay)
+}
+
+// Jitter returns a pseudo-random time from 0 to below d that depends only on d and key.
+func Jitter(d time.Duration, key string) time.Duration {
+	return d * time.Duration(jitterOf(key)) / jitterSteps
 }
 
 // maxWaitDivisor is the divisor of the remaining time that gives the longest wait. The rest is
