cell: reports the work that waits in each queue and its rate

Cause: admission control needs to know how long a new job of a queue will wait. Change: QueueLoads sums the waiting work by pool and priority, and the rate of completions over 3 s, at most five times a second. Jobs that are too late to be of use, long-running tasks, repeated jobs and steps held up after a change of owner are left out. At most 16 queues are reported, and none whose wait is below half of its target.

--- a/cell/cell.go
+++ b/cell/cell.go
@@ -118,6 +118,9 @@
 	// checked.
 	runsNeedCheck bool
 	runsCheckedAt time.Time
+	// completed is the work completed lately, and queueLoads the last result of QueueLoads.
+	completed  completedWork
+	queueLoads QueueLoads
 }
 
 // Counts are totals of runs since the cell was made.
@@ -173,7 +176,7 @@
 	l := Load{Pending: make(map[string]int), Halls: make(map[string]int64)}
 	for _, w := range c.sortedWorkers {
 		l.Workers++
-		if !w.attached || w.leaving() || w.Gone || !w.described() {
+		if !w.inCapacity() {
 			continue
 		}
 		l.Attached++
--- a/cell/ends.go
+++ b/cell/ends.go
@@ -79,6 +79,7 @@
 	if s.def.LongRunning || s.tasksLeft == 0 {
 		return
 	}
+	before := s.tasksLeft
 	if s.def.Gang {
 		for i := range s.tasks {
 			c.markTaskDone(s, i)
@@ -86,6 +87,7 @@
 	} else {
 		c.markTaskDone(s, index)
 	}
+	c.countCompleted(s, before-s.tasksLeft, now)
 	c.markDirty(s.job)
 	// Copies and other members of a gang may still be running.
 	c.runsNeedCheck = c.runsNeedCheck || s.def.Speculative || s.def.Gang
