cluster: refuses jobs that cannot end in time

Cause: whether a job can be served in time was not decided before it was stored. Work is counted as sent to a cell only for jobs that are not refused.

--- a/cluster/accept.go
+++ b/cluster/accept.go
@@ -41,19 +41,24 @@
 )
 
 // Submit stores a job and notifies the owner of its cell. It also returns nil if the job was stored
-// before. Errors are of kind Unavailable (the job was not accepted and never runs), KeyReused (the
-// id belongs to another client account) or Lost (not known whether it was accepted). Submit needs
+// before. Errors are of kind Unavailable (the job was not accepted and never runs), QueueFull (the
+// same, because of the work that waits before it; see admit), KeyReused (the id belongs to another
+// client account) or Lost (not known whether it was accepted). Submit needs
 // the store but no owner: a job that is submitted while its cell changes owners waits in the store.
 func (n *Instance) Submit(ctx context.Context, spec *flow.Spec) error {
 	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
 	defer cancel()
 	if !n.awaitStore(ctx) {
-		return n.refuse(spec.ID, "the store is not reached")
+		return n.refuse(spec, "store", "the store is not reached")
 	}
-	cell := n.chooseCell(spec)
+	cell, owner := n.chooseCell(spec)
 	if cell == "" {
-		return n.refuse(spec.ID, "the cells are not known yet")
+		return n.refuse(spec, "division", "the cells are not known yet")
 	}
+	if err := n.admit(ctx, cell, spec); err != nil {
+		return err
+	}
+	n.members.addSentWork(owner, spec.EstimatedWork().Milliseconds())
 	begun := clock.Now()
 	spec.AcceptedMS = clock.Wall().UnixMilli()
 	spec.Hall = n.startHall(cell, spec.ID)
@@ -133,10 +138,15 @@
 }
 
 // refuse logs and counts a job that is not accepted, and returns the error for its caller.
-func (n *Instance) refuse(id, why string) error {
-	level.Info(n.kit.Log).Log("event", "refused", "job", id, "why", why, "last", true)
-	n.kit.Scope.Counter("jobs_refused_total").Inc(1)
-	return kind.New(kind.Unavailable, why).WithRetryAfter(n.retryAfter(id))
+func (n *Instance) refuse(spec *flow.Spec, reason, why string) error {
+	level.Info(n.kit.Log).Log("event", "refused", "job", spec.ID, "queue", spec.Queue, "why", why, "last", true)
+	n.countRefused(spec.Queue, reason)
+	return kind.New(kind.Unavailable, why).WithRetryAfter(n.retryAfter(spec.ID))
+}
+
+// countRefused counts a job that is not accepted.
+func (n *Instance) countRefused(queue, reason string) {
+	n.kit.Scope.Tagged(map[string]string{"queue": queue, "reason": reason}).Counter("jobs_refused_total").Inc(1)
 }
 
 // retryAfter returns after what time a caller that is refused now should retry. id spreads the
@@ -145,14 +155,14 @@
 	return retry.Delay(n.storeClient.Silence(), id)
 }
 
-// chooseCell returns the least loaded cell for a job, or one chosen by hash while no owner is
-// heard. It returns "" while the cells are not known.
-func (n *Instance) chooseCell(spec *flow.Spec) string {
+// chooseCell returns the least loaded cell for a job and the name of its owner, or a cell chosen by
+// hash while no owner is heard. The owner is "" if it is this instance or not known. The cell is ""
+// while the cells are not known.
+func (n *Instance) chooseCell(spec *flow.Spec) (cell, owner string) {
 	if p := n.candidates(spec); len(p) > 0 {
-		n.members.addSentWork(p[0].name, spec.EstimatedWork().Milliseconds())
-		return p[0].cell
+		return p[0].cell, p[0].name
 	}
-	return n.division.hashCell(spec.ID)
+	return n.division.hashCell(spec.ID), ""
 }
 
 // startHall returns the hall in which a job may start at once, without further checks. It is drawn
--- a/cluster/greet.go
+++ b/cluster/greet.go
@@ -55,6 +55,7 @@
 		}
 		sum.Pending = pendingOf(load)
 		sum.Halls = hallRooms(load)
+		sum.Queues = queueLoads(d.QueueLoads())
 		g.Cells = append(g.Cells, sum)
 	}
 	g.Succeeded = n.unstoredSuccesses(clock.Now())
--- a/cluster/instance.go
+++ b/cluster/instance.go
@@ -81,6 +81,7 @@
 	members             *members
 	jobCells            jobCells
 	successes           reportedSuccesses
+	sentWork            sentWork
 	// texts are the texts of jobs whose orders this instance relays; textHolders records which
 	// instances have the texts of the jobs that this instance owns.
 	texts       jobTexts
@@ -160,7 +161,7 @@
 }
 
 // reload applies the settings that may change at run time: the duration of leases, how long
-// ended jobs are kept, and the shutdown grace. A new lease duration holds for cells that are
+// ended jobs are kept, the shutdown grace, and whether jobs are refused for a long wait. A new lease duration holds for cells that are
 // taken from then on.
 func (n *Instance) reload(s *settings.Settings) {
 	n.mu.Lock()
@@ -177,10 +178,11 @@
 // reloadable are the settings that may change at run time.
 type reloadable struct {
 	lease, keep, grace time.Duration
+	admission          bool
 }
 
 func reloadableOf(c *settings.Cluster) reloadable {
-	return reloadable{lease: time.Duration(c.Lease), keep: time.Duration(c.Keep), grace: time.Duration(c.Grace)}
+	return reloadable{lease: time.Duration(c.Lease), keep: time.Duration(c.Keep), grace: time.Duration(c.Grace), admission: c.Admission}
 }
 
 func (n *Instance) currentReloadable() reloadable {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -73,6 +73,9 @@
 	Cells int `json:"cells"`
 	// Grace is how long the platform waits for a planned stop.
 	Grace Duration `json:"grace"`
+	// Admission enables the refusal of jobs that cannot meet their objective because of the work
+	// that waits before them.
+	Admission bool `json:"admission"`
 }
 
 // Listen holds the addresses on which an instance listens, by IP address.
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -27,6 +27,14 @@
 		Expect(time.Duration(s.TaskLease)).To(Equal(20 * time.Second))
 	})
 
+	It("refuse no jobs for a long wait unless that is enabled", func() {
+		for raw, want := range map[string]bool{`{"store":"127.0.0.1:1","ready":"127.0.0.1:2"}`: false, `{"store":"127.0.0.1:1","ready":"127.0.0.1:2","admission":true}`: true} {
+			s, err := settings.Parse([]byte(`{"instance":"a","hall":"a","listen":{"http":"127.0.0.1:3","peer":"127.0.0.1:4"},"cluster":` + raw + `}`))
+			Expect(err).NotTo(HaveOccurred())
+			Expect(s.Cluster.Admission).To(Equal(want))
+		}
+	})
+
 	It("are refused with an error that names all of three faults", func() {
 		_, err := settings.Parse([]byte(`{"instance":"A 1","hall":"a","listen":{"http":"localhost:1","peer":"127.0.0.1:2"},"platform":{"url":"http://p"},"task-lease":"1s"}`))
 		Expect(kind.Is(err, kind.BadSettings)).To(BeTrue())
@@ -40,6 +48,7 @@
 		Entry("an unknown field", `{"instance":"a","hall":"a","listen":{"http":"127.0.0.1:1","peer":"127.0.0.1:2"},"platform":{"url":"http://p"},"colour":1}`, "colour"),
 		Entry("the same address for HTTP and peers", `{"instance":"a","hall":"a","listen":{"http":"127.0.0.1:1","peer":"127.0.0.1:1"},"platform":{"url":"http://p"}}`, "/listen/peer"),
 		Entry("an invalid IP address", `{"instance":"a","hall":"a","listen":{"http":"127.0.0.900:1","peer":"127.0.0.1:1"},"platform":{"url":"http://p"}}`, "/listen/http"),
+		Entry("an admission setting that is no boolean", `{"instance":"a","hall":"a","listen":{"http":"127.0.0.1:1","peer":"127.0.0.1:2"},"cluster":{"store":"127.0.0.1:3","ready":"127.0.0.1:4","admission":"yes"}}`, "/cluster/admission"),
 		Entry("peer TLS files without certificate authorities", `{"instance":"a","hall":"a","listen":{"http":"127.0.0.1:1","peer":"127.0.0.1:2"},"platform":{"url":"http://p"},"tls":{"peer":{"cert":"c","key":"k"}}}`, "/tls/peer/ca"),
 	)
 })
