--- a/cell/cell.go
+++ b/cell/cell.go
@@ -137,6 +137,9 @@
 	// checked.
 	runsNeedCheck bool
 	runsCheckedAt time.Time
+	// completed is the work completed lately, and queueLoads the last result of QueueLoads.
+	completed  completedWork
+	queueLoads QueueLoads
 }
 
 // Counts are totals of runs since the cell was made.
