cell, driver, settings: workers are chosen by their speed

Cause: calls ran on workers on which they take longer than their objective while fast ones had room. What a run without a progress figure still takes is divided by its worker's speed. Gauges workers_slow and workers_fast; event worker_speed at level debug.

--- a/cell/cell.go
+++ b/cell/cell.go
@@ -84,6 +84,8 @@
 	// beginning of Place.
 	mostFree map[string]sched.Vec
 	counts   Counts
+	// speeds holds what is learned of the speeds of the workers.
+	speeds speeds
 	// changes collects the events of runs of long-running tasks until Changes returns them.
 	changes []RunChange
 	// unsent holds the runs whose orders wait for the store.
--- a/cell/choose.go
+++ b/cell/choose.go
@@ -50,6 +50,7 @@
 		}
 	}
 	c.candidateBuffer = p.candidates
+	s.speedWeight = p.speedWeight()
 	return p
 }
 
@@ -133,6 +134,7 @@
 	if s.def.PreferredRack != "" && slices.Contains(w.Labels, s.def.PreferredRack) {
 		score += nearBonus
 	}
+	score += s.speedWeight * w.speed.bonus
 	if w.health.failuresInRow > 0 {
 		score -= failurePenalty
 	}
--- a/cell/ends.go
+++ b/cell/ends.go
@@ -14,6 +14,7 @@
 	r := w.runs[runKey{f.Task, f.Run}]
 	if r != nil {
 		r.endTrial(f.How == flow.EndDone)
+		c.learnSpeed(r, f.How, now)
 		c.noteChange(r, RunEndListed)
 		c.removeRun(r)
 	}
@@ -202,6 +203,7 @@
 		return
 	}
 	if o == Accepted {
+		r.timed = r.checkpoint == ""
 		c.confirm(r, now)
 		return
 	}
--- a/cell/job.go
+++ b/cell/job.go
@@ -8,6 +8,7 @@
 
 	"dewpass.org/flow"
 	"dewpass.org/sched"
+	"dewpass.org/speed"
 )
 
 type taskState uint8
@@ -62,6 +63,10 @@
 
 	runsByWorker map[*worker]int
 	advice       stageAdvice
+	// speeds compares the durations of the stage's runs, and speedWeight is what the bonus for a
+	// worker's speed counts for its tasks.
+	speeds      speed.Step
+	speedWeight float64
 	// gangFailedRuns holds the numbers of a gang's runs that failed, and gangLastRun the number of
 	// its last run.
 	gangFailedRuns map[int]bool
--- a/cell/place.go
+++ b/cell/place.go
@@ -68,6 +68,7 @@
 	c.sortOpenStages(now)
 	unsettled, inDoubt := c.unsettled(), c.stagesInDoubt()
 	c.updateMostFree()
+	c.refreshSpeeds(now)
 	c.countPossiblyUsed(&unsettled, now)
 	c.countTrials(now)
 	for _, w := range c.sortedWorkers {
@@ -188,11 +189,11 @@
 // remaining estimates how much longer r will run.
 func (r *run) remaining(now time.Time) time.Duration {
 	if r.confirmedAt.IsZero() {
-		return r.stage.def.Estimate()
+		return r.expected()
 	}
 	ran := now.Sub(r.confirmedAt)
 	if r.percent <= 0 || r.percent > 100 {
-		return max(r.stage.def.Estimate()-ran, 0)
+		return max(r.expected()-ran, 0)
 	}
 	until := r.lastProgress.Sub(r.confirmedAt)
 	whole := until * 100 / time.Duration(r.percent)
--- a/cell/replay_test.go
+++ b/cell/replay_test.go
@@ -43,6 +43,10 @@
 	policyTime time.Duration
 	// stops counts the orders to stop, and asked the questions to the policy.
 	stops, asked int
+	// A task takes tailFactor times as long as the others of its step with probability tail.
+	tail, tailFactor float64
+	// estimateError holds the bounds between which the largest error of a job's estimate is drawn.
+	estimateError [2]float64
 }
 
 // replayEvent is a function to call at a time.
@@ -153,7 +157,11 @@
 // that may be off by a fifth.
 func (r *replay) job(at time.Duration, id, queue string, count int, step flow.Step, mean time.Duration) {
 	work := time.Duration(float64(mean) * min(math.Exp(r.rng.NormFloat64()*0.47-0.11), 2.5))
-	step.EstimateMS = int64(float64(work.Milliseconds()) * (0.8 + 0.4*r.rng.Float64()))
+	estimateError := 0.2
+	if bounds := r.estimateError; bounds[1] > 0 {
+		estimateError = bounds[0] + (bounds[1]-bounds[0])*r.rng.Float64()
+	}
+	step.EstimateMS = int64(float64(work.Milliseconds()) * (1 - estimateError + 2*estimateError*r.rng.Float64()))
 	steps := slices.Repeat([]flow.Step{step}, count)
 	for i := 1; i < count; i++ {
 		steps[i].DependsOn = []int{i - 1}
@@ -243,6 +251,9 @@
 	step := &j.spec.Steps[s.Task.Step]
 	w := r.workers[s.Worker]
 	length := time.Duration(float64(j.work) / w.speed)
+	if r.tail > 0 && r.rng.Float64() < r.tail {
+		length = time.Duration(float64(length) * r.tailFactor)
+	}
 	if s.Checkpoint != "" {
 		length = savedLeft(s.Checkpoint) + replayRestore
 	}
--- a/cell/run.go
+++ b/cell/run.go
@@ -24,10 +24,13 @@
 	// confirmedAt is when the worker was first known to have the run, zero if it is not known to
 	// have it.
 	confirmedAt time.Time
-	decidedAt   time.Time
-	stopping    bool
-	stopSent    time.Time
-	percent     int
+	// timed means that the run began without a checkpoint and that confirmedAt is when its worker
+	// answered the order to start it, so that its duration can be measured.
+	timed     bool
+	decidedAt time.Time
+	stopping  bool
+	stopSent  time.Time
+	percent   int
 	// lastProgress is when percent last changed, and lastListed when the worker last listed the
 	// run.
 	lastProgress, lastListed time.Time
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -61,6 +61,7 @@
 	// progress, and observedEnd the last one that the store has.
 	seenEnd, savingEnd, observedEnd int
 	health                          health
+	speed                           workerSpeed
 	// settled means that whatever a former owner left running here is known.
 	settled bool
 	// throttlePercent is the reduction of the speed of the filler runs here, in percent, and
--- a/cluster/own.go
+++ b/cluster/own.go
@@ -43,8 +43,8 @@
 	d = driver.New(driver.Config{
 		Name: name, OwnsRack: func(rack string) bool { return n.division.hashCell(rack) == name },
 		WorkerLease: t.lease, MaxWorkerLease: time.Duration(n.settings.Cluster.LeaseMost), Retention: t.keep, FormerGrace: former,
-		LinkRate: n.settings.Cluster.LinkRate(),
-		Claim:    c, Store: n.storeClient, StoreReachable: n.storeClient.Reachable,
+		LinkRate: n.settings.Cluster.LinkRate(), WorkerSpeed: n.settings.Cluster.WorkerSpeed,
+		Claim: c, Store: n.storeClient, StoreReachable: n.storeClient.Reachable,
 		Workers: n.Workers, Relays: relays{n}, Directory: n.Directory(n.storeClient),
 		Advise: n.advise, AskLimit: n.adviceConcurrency, HeardByAll: func() bool { return n.answeredByAll(c.LastWrite()) }, ReportedSuccesses: n.successes.all,
 		OnLeaseLost:   func() { n.dropDriver(name, d) },
--- a/driver/driver.go
+++ b/driver/driver.go
@@ -48,6 +48,8 @@
 	Directory Directory
 	// LinkRate is the capacity of this instance's network link in bytes per second, 0 if unknown.
 	LinkRate int
+	// WorkerSpeed enables learning the speeds of workers and choosing workers by them.
+	WorkerSpeed bool
 	// Advise asks the policy, and AskLimit returns how many such requests may be in flight at once.
 	Advise   func(ctx context.Context, a cell.Ask) (Tickets, error)
 	AskLimit func() int
@@ -144,6 +146,7 @@
 		startedAt:   clock.Now(),
 	}
 	d.cell.Name = c.Name
+	d.cell.UseSpeeds(c.WorkerSpeed)
 	d.startWindow.Rate = d.LinkRate
 	if d.Relays == nil {
 		d.Relays = noRelays{}
@@ -371,10 +374,11 @@
 // updateGauges sets the cell's gauges. The lock is held.
 func (d *Driver) updateGauges() {
 	counts, load := d.cell.Counts(), d.cell.Load()
+	slow, fast := d.cell.SpeedClasses()
 	for name, v := range map[string]float64{
 		"runs_started": float64(counts.Started), "runs_done": float64(counts.Done), "runs_failed": float64(counts.Failed),
 		"runs_stopped": float64(counts.Stopped), "runs_lapsed": float64(counts.Lapsed),
-		"workers": float64(load.Workers), "workers_attached": float64(load.Attached), "stages_waiting": float64(load.Stages),
+		"workers": float64(load.Workers), "workers_attached": float64(load.Attached), "workers_slow": float64(slow), "workers_fast": float64(fast), "stages_waiting": float64(load.Stages),
 		"room_millicores": float64(load.Room[sched.MilliCPU]), "free_millicores": float64(load.Free[sched.MilliCPU]),
 	} {
 		d.Scope.Gauge(name).Update(v)
@@ -412,6 +416,7 @@
 	d.logChanges()
 	d.logLostRuns()
 	d.logCopies()
+	d.logSpeeds()
 	for i := range a.Asks {
 		ask := a.Asks[i]
 		d.spawn(func() { d.askPolicy(ask) })
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -73,6 +73,8 @@
 	Cells int `json:"cells"`
 	// Grace is how long the platform waits for a planned stop.
 	Grace Duration `json:"grace"`
+	// WorkerSpeed enables learning the speeds of workers and choosing workers by them.
+	WorkerSpeed bool `json:"worker-speed"`
 }
 
 // Listen holds the addresses on which an instance listens, by IP address.
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -33,6 +33,15 @@
 		Expect(err.Error()).To(And(ContainSubstring("/instance"), ContainSubstring("/listen/http"), ContainSubstring("/task-lease")))
 	})
 
+	DescribeTable("say whether the speeds of workers are used", func(cluster string, used bool) {
+		s, err := settings.Parse([]byte(`{"instance":"a","hall":"a","listen":{"http":"127.0.0.1:1","peer":"127.0.0.1:2"},"cluster":{"store":"127.0.0.1:3","ready":"127.0.0.1:4"` + cluster + `}}`))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(s.Cluster.WorkerSpeed).To(Equal(used))
+	},
+		Entry("by default", ``, false),
+		Entry("true", `,"worker-speed":true`, true),
+	)
+
 	DescribeTable("are refused with", func(raw, path string) {
 		_, err := settings.Parse([]byte(raw))
 		Expect(err).To(MatchError(ContainSubstring(path)))
@@ -41,6 +50,7 @@
 		Entry("the same address for HTTP and peers", `{"instance":"a","hall":"a","listen":{"http":"127.0.0.1:1","peer":"127.0.0.1:1"},"platform":{"url":"http://p"}}`, "/listen/peer"),
 		Entry("an invalid IP address", `{"instance":"a","hall":"a","listen":{"http":"127.0.0.900:1","peer":"127.0.0.1:1"},"platform":{"url":"http://p"}}`, "/listen/http"),
 		Entry("peer TLS files without certificate authorities", `{"instance":"a","hall":"a","listen":{"http":"127.0.0.1:1","peer":"127.0.0.1:2"},"platform":{"url":"http://p"},"tls":{"peer":{"cert":"c","key":"k"}}}`, "/tls/peer/ca"),
+		Entry("a worker speed that is not a boolean", `{"instance":"a","hall":"a","listen":{"http":"127.0.0.1:1","peer":"127.0.0.1:2"},"cluster":{"store":"127.0.0.1:3","ready":"127.0.0.1:4","worker-speed":1.2}}`, "/cluster/worker-speed"),
 	)
 })
 
