--- a/settings/settings.go
+++ b/settings/settings.go
@@ -81,6 +81,8 @@
 	// Admission enables the refusal of jobs that cannot meet their objective because of the work
 	// that waits before them.
 	Admission bool `json:"admission"`
+	// WorkerSpeed enables learning the speeds of workers and choosing workers by them.
+	WorkerSpeed bool `json:"worker-speed"`
 }
 
 // Listen holds the addresses on which an instance listens, by IP address.
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -27,34 +27,25 @@
 		Expect(time.Duration(s.TaskLease)).To(Equal(20 * time.Second))
 	})
 
-	It("refuse no jobs for a long wait unless that is enabled", func() {
-		for raw, want := range map[string]bool{`{"store":"127.0.0.1:1","ready":"127.0.0.1:2"}`: false, `{"store":"127.0.0.1:1","ready":"127.0.0.1:2","admission":true}`: true} {
-			s, err := settings.Parse([]byte(`{"instance":"a","hall":"a","listen":{"http":"127.0.0.1:3","peer":"127.0.0.1:4"},"cluster":` + raw + `}`))
-			Expect(err).NotTo(HaveOccurred())
-			Expect(s.Cluster.Admission).To(Equal(want))
-		}
-	})
-
 	It("are refused with an error that names all of three faults", func() {
 		_, err := settings.Parse([]byte(`{"instance":"A 1","hall":"a","listen":{"http":"localhost:1","peer":"127.0.0.1:2"},"platform":{"url":"http://p"},"task-lease":"1s"}`))
 		Expect(kind.Is(err, kind.BadSettings)).To(BeTrue())
 		Expect(err.Error()).To(And(ContainSubstring("/instance"), ContainSubstring("/listen/http"), ContainSubstring("/task-lease")))
 	})
 
-	It("share pools fairly only if they say so", func() {
-		for raw, want := range map[string]bool{"": false, `,"fair-sharing":true`: true, `,"fair-sharing":false`: false} {
-			s, err := settings.Parse([]byte(`{"instance":"a","hall":"a","listen":{"http":"127.0.0.1:1","peer":"127.0.0.1:2"},"cluster":{"store":"127.0.0.1:3","ready":"127.0.0.1:4"` + raw + `}}`))
+	DescribeTable("leave a feature off unless it is set", func(name string, get func(*settings.Cluster) bool) {
+		for setting, want := range map[string]bool{"": false, `,"` + name + `":false`: false, `,"` + name + `":true`: true} {
+			s, err := settings.Parse([]byte(clusterSettings(setting)))
 			Expect(err).NotTo(HaveOccurred())
-			Expect(s.Cluster.FairSharing).To(Equal(want), raw)
+			Expect(get(s.Cluster)).To(Equal(want), setting)
 		}
-	})
-	DescribeTable("headroom is", func(setting string, want bool) {
-		s, err := settings.Parse([]byte(`{"instance":"a","hall":"a","listen":{"http":"127.0.0.1:1","peer":"127.0.0.1:2"},"cluster":{"store":"127.0.0.1:3","ready":"127.0.0.1:4"` + setting + `}}`))
-		Expect(err).NotTo(HaveOccurred())
-		Expect(s.Cluster.Headroom).To(Equal(want))
+		_, err := settings.Parse([]byte(clusterSettings(`,"` + name + `":"on"`)))
+		Expect(err).To(MatchError(ContainSubstring("/cluster/" + name)))
 	},
-		Entry("off by default", "", false),
-		Entry("on if it is set", `,"headroom":true`, true),
+		Entry("admission", "admission", func(c *settings.Cluster) bool { return c.Admission }),
+		Entry("fair sharing", "fair-sharing", func(c *settings.Cluster) bool { return c.FairSharing }),
+		Entry("headroom", "headroom", func(c *settings.Cluster) bool { return c.Headroom }),
+		Entry("worker speed", "worker-speed", func(c *settings.Cluster) bool { return c.WorkerSpeed }),
 	)
 
 	DescribeTable("are refused with", func(raw, path string) {
@@ -63,14 +54,16 @@
 	},
 		Entry("an unknown field", `{"instance":"a","hall":"a","listen":{"http":"127.0.0.1:1","peer":"127.0.0.1:2"},"platform":{"url":"http://p"},"colour":1}`, "colour"),
 		Entry("the same address for HTTP and peers", `{"instance":"a","hall":"a","listen":{"http":"127.0.0.1:1","peer":"127.0.0.1:1"},"platform":{"url":"http://p"}}`, "/listen/peer"),
-		Entry("fair sharing that is not a boolean", `{"instance":"a","hall":"a","listen":{"http":"127.0.0.1:1","peer":"127.0.0.1:2"},"cluster":{"store":"127.0.0.1:3","ready":"127.0.0.1:4","fair-sharing":"yes"}}`, "/cluster/fair-sharing"),
 		Entry("an invalid IP address", `{"instance":"a","hall":"a","listen":{"http":"127.0.0.900:1","peer":"127.0.0.1:1"},"platform":{"url":"http://p"}}`, "/listen/http"),
-		Entry("headroom that is not a boolean", `{"instance":"a","hall":"a","listen":{"http":"127.0.0.1:1","peer":"127.0.0.1:2"},"cluster":{"store":"127.0.0.1:3","ready":"127.0.0.1:4","headroom":"on"}}`, "/cluster/headroom"),
-		Entry("an admission setting that is no boolean", `{"instance":"a","hall":"a","listen":{"http":"127.0.0.1:1","peer":"127.0.0.1:2"},"cluster":{"store":"127.0.0.1:3","ready":"127.0.0.1:4","admission":"yes"}}`, "/cluster/admission"),
 		Entry("peer TLS files without certificate authorities", `{"instance":"a","hall":"a","listen":{"http":"127.0.0.1:1","peer":"127.0.0.1:2"},"platform":{"url":"http://p"},"tls":{"peer":{"cert":"c","key":"k"}}}`, "/tls/peer/ca"),
 	)
 })
 
+// clusterSettings returns settings of an instance on a cluster with some more fields of it.
+func clusterSettings(more string) string {
+	return `{"instance":"a","hall":"a","listen":{"http":"127.0.0.1:1","peer":"127.0.0.1:2"},"cluster":{"store":"127.0.0.1:3","ready":"127.0.0.1:4"` + more + `}}`
+}
+
 func FuzzParse(f *testing.F) {
 	f.Add([]byte(validSettings))
 	f.Fuzz(func(_ *testing.T, raw []byte) { _, _ = settings.Parse(raw) })
