--- a/cell/cell.go
+++ b/cell/cell.go
@@ -93,6 +93,8 @@
 	unasked, tooEarly []unasked
 	// shortages collects, during Place, the searches for unclaimed room that found too little.
 	shortages []shortage
+	// noRooms collects, during Place, the demands for which no worker has room.
+	noRooms []noRoom
 	// mostFree is, for each pool and dimension, the largest amount free on any usable worker at the
 	// beginning of Place.
 	mostFree map[string]sched.Vec
--- a/cell/place.go
+++ b/cell/place.go
@@ -78,7 +78,7 @@
 	for _, w := range c.sortedWorkers {
 		w.reserved, w.claimed = sched.Vec{}, sched.Vec{}
 	}
-	c.shortages = c.shortages[:0]
+	c.shortages, c.noRooms = c.shortages[:0], c.noRooms[:0]
 	for _, s := range c.openStages {
 		s.reservation.held = false
 	}
@@ -110,17 +110,17 @@
 	if s.advice.asking {
 		s.addClaims()
 	}
-	if c.postponed(s, d.now) {
-		if len(s.reservation.workers) > 0 {
-			s.holdReservation()
-		}
+	if c.leftOut(s, d.now) {
+		s.keepReservation()
 		c.reportWait(s, s.waitTimes.why, d.a, d.now)
 		return
 	}
 	s.examinedAt = d.now
 	if s.waiting == 0 || s.pendingDeps > 0 || !s.job.stored {
-		c.askAhead(s, q, d.a, d.asks, d.now)
-		s.backoff.attempted(false, c.maxBackoff(q), d.now)
+		if !c.backingOff(s, d.now) {
+			c.askAhead(s, q, d.a, d.asks, d.now)
+			s.backoff.attempted(false, c.maxBackoff(q), d.now)
+		}
 		s.needsMove = false
 		return
 	}
@@ -134,9 +134,7 @@
 	before := s.waiting
 	why := c.placeStage(s, q, d)
 	if s.waiting > 0 && why != HeldUp && why != LinkFull && why != LimitReached {
-		c.askFor(s, q, d.a, d.asks, d.now)
-		c.reserve(s, q, d.now)
-		s.backoff.attempted(s.waiting < before, c.maxBackoff(q), d.now)
+		c.seekRoom(s, q, s.waiting < before, d)
 	}
 	if s.waiting == 0 {
 		c.allStarted(s, q, d.a, d.now)
@@ -146,6 +144,45 @@
 	c.reportWait(s, why, d.a, d.now)
 }
 
+// noRoom is a demand for which no worker of a pool that has the label has room in the present
+// decision. Room is only taken during a decision, so that it holds until its end.
+type noRoom struct {
+	pool, label string
+	room        sched.Vec
+}
+
+// foundNoRoom reports whether a step before s found no worker although it needs no more than s. It
+// saves the search where no policy chooses among the workers.
+func (c *Cell) foundNoRoom(s *stage, q *Queue) bool {
+	room := s.def.Reservation()
+	return q.Advice == nil && slices.ContainsFunc(c.noRooms, func(k noRoom) bool {
+		return k.pool == q.Pool && k.label == s.def.RequiredLabel && room.Covers(&k.room)
+	})
+}
+
+// noteNoRoom records that no worker has room for the rest of s, unless only some workers were
+// searched.
+func (c *Cell) noteNoRoom(s *stage, q *Queue) {
+	if s.waiting == 0 || q.Advice != nil || s.def.MaxPerWorker > 0 || len(s.hallsToStore) > 0 || c.sendBudgetLeft <= 0 || s.accountAtLimit() {
+		return
+	}
+	room := s.def.Reservation()
+	if !slices.ContainsFunc(c.sortedWorkers, func(w *worker) bool { return w.Pool == q.Pool && w.usable() && w.suits(s, q) && w.hasRoom(&room) }) {
+		c.noRooms = append(c.noRooms, noRoom{q.Pool, s.def.RequiredLabel, room})
+	}
+}
+
+// seekRoom asks the policy about s and reserves room for it, after some of its tasks found none.
+func (c *Cell) seekRoom(s *stage, q *Queue, started bool, d *decision) {
+	if !started && c.backingOff(s, d.now) {
+		s.keepReservation()
+		return
+	}
+	c.askFor(s, q, d.a, d.asks, d.now)
+	c.reserve(s, q, d.now)
+	s.backoff.attempted(started, c.maxBackoff(q), d.now)
+}
+
 // placeStage starts the tasks of s that find room, and returns why others still wait.
 func (c *Cell) placeStage(s *stage, q *Queue, d *decision) WaitReason {
 	room, mostFree := s.def.Reservation(), c.mostFree[q.Pool]
@@ -163,8 +200,10 @@
 		c.placeGang(s, q, d.a, d.now)
 	case !mostFree.Covers(&room):
 		why = Full
+	case c.foundNoRoom(s, q):
 	default:
 		c.placeTasks(s, q, d.a, d.now)
+		c.noteNoRoom(s, q)
 	}
 	if s.waiting > 0 && c.sendBudgetLeft <= 0 {
 		c.sendLimited = true
--- a/cell/reserve.go
+++ b/cell/reserve.go
@@ -66,6 +66,13 @@
 	s.holdReservation()
 }
 
+// keepReservation holds the reservation of s, if it has one, without choosing its workers again.
+func (s *stage) keepReservation() {
+	if len(s.reservation.workers) > 0 {
+		s.holdReservation()
+	}
+}
+
 // holdReservation sets aside the reserved room of s for the rest of the present Place.
 func (s *stage) holdReservation() {
 	s.reservation.held = true
