cell: steps that found no room back off whole again, where a policy permits their workers

Change: such steps are postponed again as a whole. Those without a policy are not: one that found no room answers for all behind it that need as much. The specs of fair sharing are green.

--- a/cell/ask.go
+++ b/cell/ask.go
@@ -35,7 +35,7 @@
 	// The policy answers one in some 20 ms, but the answer is on its way for several times as long
 	// when the instances are busy: with one for each caller, calls waited for seconds in a burst to
 	// be asked about.
-	shortAsksPerCaller = 4
+	shortAsksPerCaller = 1
 	// earlyAskDivisor sets the part of the long questions in flight, 1 in earlyAskDivisor, that may
 	// be about steps for which there is no room yet.
 	earlyAskDivisor = 2
--- a/cell/backoff.go
+++ b/cell/backoff.go
@@ -7,25 +7,24 @@
 	"time"
 )
 
-// Under overload most steps that wait find no worker, decision after decision. The search for workers
-// to ask the policy about, or to reserve room on, takes the longer the more of them wait, and an owner
-// that is late with its decisions leaves its workers idle, so that still more steps wait. So after a
-// decision that has examined many workers, steps repeat that search only now and then, and the number
-// of workers that one decision examines is bounded. Whether a step can start now is tried in each
-// decision up to that bound, in the order of the steps: a step that were tried less often would be
-// overtaken by those behind it.
+// Under overload most steps that wait find no worker, decision after decision. Trying them all each
+// time takes the longer the more of them wait, and an owner that is late with its decisions leaves
+// its workers idle, so that still more steps wait. So a decision after one that has examined many
+// workers postpones steps that were tried in vain, and the number of workers that one decision examines
+// is bounded. Only steps whose workers a policy permits are postponed: the others are passed over
+// anyway once one of them found no room (see foundNoRoom), and would be overtaken by those behind them.
 
 const (
-	// minBackoff and maxBackoff bound the pause between two such searches for a step. Tasks last for
-	// half a second and longer, and so do most questions.
+	// minBackoff and maxBackoff bound the pause of a step after it was tried in vain. Room for a task
+	// comes free every few milliseconds, and tasks last for half a second and longer.
 	minBackoff = 10 * time.Millisecond
 	maxBackoff = 80 * time.Millisecond
 	// maxUrgentBackoff is the longest pause for the most urgent queue.
 	maxUrgentBackoff = 20 * time.Millisecond
 	// examinedPerDecision limits the workers that a decision examines to some milliseconds' worth, or
 	// to examinedPerWorker times the workers in a large cell.
-	examinedPerDecision = 50_000
-	examinedPerWorker   = 50
+	examinedPerDecision = 40_000
+	examinedPerWorker   = 40
 	// A decision that has examined 1/crowdedDivisor of the limit makes the next one postpone steps:
 	// below it, a decision takes less than the shortest pause between two.
 	crowdedDivisor = 10
@@ -34,7 +33,7 @@
 	maxUnexamined = 500 * time.Millisecond
 )
 
-// backoff postpones the next search for a step that could not start.
+// backoff postpones a step that was tried in vain.
 type backoff struct {
 	pause time.Duration
 	until time.Time
@@ -58,18 +57,16 @@
 	return maxBackoff
 }
 
-// backingOff reports whether the search for workers for s is postponed.
-func (c *Cell) backingOff(s *stage, now time.Time) bool {
-	return c.crowded && now.Before(s.backoff.until)
-}
-
-// leftOut reports whether s is left out of the present decision, which has examined enough workers.
-// What remains is for the steps that were left out for long.
-func (c *Cell) leftOut(s *stage, now time.Time) bool {
+// postponed reports whether s is left out of the present decision.
+func (c *Cell) postponed(s *stage, q *Queue, now time.Time) bool {
+	if q.Advice != nil && c.crowded && now.Before(s.backoff.until) {
+		return true
+	}
 	limit := c.examinedLimit()
 	if c.examined < limit {
 		return false
 	}
+	// What remains is for the steps that were left out for long.
 	return c.examined >= 2*limit || now.Sub(s.examinedAt) < maxUnexamined
 }
 
--- a/cell/place.go
+++ b/cell/place.go
@@ -110,17 +110,15 @@
 	if s.advice.asking {
 		s.addClaims()
 	}
-	if c.leftOut(s, d.now) {
+	if c.postponed(s, q, d.now) {
 		s.keepReservation()
 		c.reportWait(s, s.waitTimes.why, d.a, d.now)
 		return
 	}
 	s.examinedAt = d.now
 	if s.waiting == 0 || s.pendingDeps > 0 || !s.job.stored {
-		if !c.backingOff(s, d.now) {
-			c.askAhead(s, q, d.a, d.asks, d.now)
-			s.backoff.attempted(false, c.maxBackoff(q), d.now)
-		}
+		c.askAhead(s, q, d.a, d.asks, d.now)
+		s.backoff.attempted(false, c.maxBackoff(q), d.now)
 		s.needsMove = false
 		return
 	}
@@ -134,7 +132,9 @@
 	before := s.waiting
 	why := c.placeStage(s, q, d)
 	if s.waiting > 0 && why != HeldUp && why != LinkFull && why != LimitReached {
-		c.seekRoom(s, q, s.waiting < before, d)
+		c.askFor(s, q, d.a, d.asks, d.now)
+		c.reserve(s, q, d.now)
+		s.backoff.attempted(s.waiting < before, c.maxBackoff(q), d.now)
 	}
 	if s.waiting == 0 {
 		c.allStarted(s, q, d.a, d.now)
@@ -172,17 +172,6 @@
 	}
 }
 
-// seekRoom asks the policy about s and reserves room for it, after some of its tasks found none.
-func (c *Cell) seekRoom(s *stage, q *Queue, started bool, d *decision) {
-	if !started && c.backingOff(s, d.now) {
-		s.keepReservation()
-		return
-	}
-	c.askFor(s, q, d.a, d.asks, d.now)
-	c.reserve(s, q, d.now)
-	s.backoff.attempted(started, c.maxBackoff(q), d.now)
-}
-
 // placeStage starts the tasks of s that find room, and returns why others still wait.
 func (c *Cell) placeStage(s *stage, q *Queue, d *decision) WaitReason {
 	room, mostFree := s.def.Reservation(), c.mostFree[q.Pool]
