--- a/cell/ask.go
+++ b/cell/ask.go
@@ -31,11 +31,6 @@
 	// example, every step has to be asked about again: long questions would hold up many calls that
 	// users wait for, and the calls would keep the workers of the batch jobs idle.
 	askPartDivisor = 3
-	// shortAsksPerCaller is how many short questions may be in flight for each caller that asks them.
-	// The policy answers one in some 20 ms, but the answer is on its way for several times as long
-	// when the instances are busy: with one for each caller, calls waited for seconds in a burst to
-	// be asked about.
-	shortAsksPerCaller = 1
 	// earlyAskDivisor sets the part of the long questions in flight, 1 in earlyAskDivisor, that may
 	// be about steps for which there is no room yet.
 	earlyAskDivisor = 2
@@ -131,13 +126,12 @@
 // least their part and at most all but the part of the short ones.
 func (c *Cell) longLimit(asks int) int {
 	part := asks / askPartDivisor
-	short := (c.asks - c.longAsks + shortAsksPerCaller - 1) / shortAsksPerCaller
-	return max(min(asks-short, asks-part), part, 1)
+	return max(min(asks-(c.asks-c.longAsks), asks-part), part, 1)
 }
 
 func (c *Cell) maySendShort(asks int) bool {
 	part := asks / askPartDivisor
-	return asks > 0 && c.asks-c.longAsks < shortAsksPerCaller*max(min(asks-c.longAsks, asks-part), part, 1)
+	return asks > 0 && c.asks-c.longAsks < max(min(asks-c.longAsks, asks-part), part, 1)
 }
 
 // askAhead asks the policy about a step that is about to open, or whose tasks have to move, unless
