cluster: an instance tells what it asks of the store

Change: calls, failures and bytes by operation and table, as counters and in one log line every 10 s however many calls there are.

--- a/cluster/counted.go
+++ b/cluster/counted.go
@@ -15,14 +15,16 @@
 // countedStore counts the calls to a store and their latency.
 type countedStore struct {
 	rows.Store
-	calls *telemetry.CallMetrics
-	bad   *badRows
+	calls   *telemetry.CallMetrics
+	traffic *storeTraffic
+	bad     *badRows
 }
 
 func (s countedStore) Tx(ctx context.Context, t rows.Tx) (rows.Result, error) {
 	begun := clock.Now()
 	res, err := s.Store.Tx(ctx, t)
 	s.calls.Record("tx", begun, err)
+	s.traffic.note(storeUse{"tx", tableOf(&t)}, res.Bytes, err)
 	return res, err
 }
 
@@ -30,6 +32,7 @@
 	begun := clock.Now()
 	page, err := s.Store.Get(ctx, r)
 	s.calls.Record("get", begun, err)
+	s.traffic.note(storeUse{"get", r.Table}, page.Bytes, err)
 	s.bad.note(page.BadRows)
 	return page, err
 }
@@ -38,6 +41,7 @@
 	begun := clock.Now()
 	page, err := s.Store.Feed(ctx, f)
 	s.calls.Record("feed", begun, err)
+	s.traffic.note(storeUse{"feed", f.Table}, page.Bytes, err)
 	s.bad.note(page.BadRows)
 	return page, err
 }
@@ -90,8 +94,8 @@
 }
 
 // counted returns the services with their calls counted.
-func counted(s Services, kit *telemetry.Kit, bad *badRows) Services {
-	s.Store = countedStore{s.Store, telemetry.NewCallMetrics(kit.Scope, "store"), bad}
+func counted(s Services, kit *telemetry.Kit, traffic *storeTraffic, bad *badRows) Services {
+	s.Store = countedStore{s.Store, telemetry.NewCallMetrics(kit.Scope, "store"), traffic, bad}
 	s.Workers = countedWorkers{s.Workers, telemetry.NewCallMetrics(kit.Scope, "worker")}
 	if s.Advisor != nil {
 		s.Advisor = countedAdvisor{s.Advisor, telemetry.NewCallMetrics(kit.Scope, "policy")}
--- a/cluster/instance.go
+++ b/cluster/instance.go
@@ -78,6 +78,7 @@
 	// configErrorLoggedAt is when a failed read of the configuration was last logged.
 	configErrorLoggedAt atomic.Pointer[time.Time]
 	badRows             *badRows
+	storeTraffic        *storeTraffic
 	members             *members
 	jobCells            jobCells
 	successes           reportedSuccesses
@@ -130,6 +131,7 @@
 	go n.yieldLoop(work)
 	go n.runCells(work)
 	go n.upkeepLoop(work)
+	go n.storeTraffic.logLoop(work)
 	n.applyChanges(ctx, changes)
 	n.stop(others)
 	level.Info(kit.Log).Log("event", "stopped")
@@ -209,9 +211,9 @@
 }
 
 func newInstance(s *settings.Settings, kit *telemetry.Kit, services Services) *Instance {
-	bad := newBadRows(kit)
+	bad, traffic := newBadRows(kit), newStoreTraffic(kit.Log, kit.Scope)
 	n := &Instance{
-		Services: counted(services, kit, bad), badRows: bad, settings: s, kit: kit, boot: uid.New(), startedAt: clock.Now(),
+		Services: counted(services, kit, traffic, bad), badRows: bad, storeTraffic: traffic, settings: s, kit: kit, boot: uid.New(), startedAt: clock.Now(),
 		members:    newMembers(s.Instance, s.Hall, s.Peers, s.Listen.Peer, clock.Now()),
 		dialer:     &link.Dialer{},
 		cells:      make(map[string]*ownCell),
--- a/rows/rows.go
+++ b/rows/rows.go
@@ -61,6 +61,8 @@
 	// ClockMS is the store's monotonic clock when it responded, in milliseconds; 0 if it
 	// was not reported.
 	ClockMS int64 `json:"clock,omitempty"`
+	// Bytes is the size of the request and of the response, for accounting; 0 if unknown.
+	Bytes int `json:"-"`
 }
 
 // Range selects rows of one part of a table by name.
@@ -95,6 +97,8 @@
 	// Last is the last name of the page, including rows that could not be decoded. If it is "",
 	// the last name is that of the last row in Rows.
 	Last string `json:"last,omitempty"`
+	// Bytes is the size of the response, for accounting; 0 if unknown.
+	Bytes int `json:"-"`
 }
 
 // BadRow is a row that could not be decoded, because it is damaged or was written by another
