cluster: one owner reads the directory of workers for all

Cause: every owner of a cell read all entries of the directory every 2 s and kept its own. With a cell for each 400 workers, what was read grew with the square of the workers. Change: the owner of the first cell that is heard reads the directory; the others ask it for the entries of their cell, with the age of the read, and read themselves if they get no answer in the time that a read may stall, if the reader is of an earlier build, or if its last read is old. A listing that began before the last one applied is passed over.

--- a/cluster/instance.go
+++ b/cluster/instance.go
@@ -99,6 +99,7 @@
 	listed atomic.Bool
 
 	division division
+	listings *listings
 
 	mu    sync.Mutex
 	cells map[string]*ownCell
@@ -219,6 +220,7 @@
 		cells:      make(map[string]*ownCell),
 		lastWrites: make(map[string]leaseWrite),
 		reloadable: reloadableOf(s.Cluster),
+		listings:   newListings(),
 	}
 	n.server = &link.Server{Handler: n}
 	n.storeClient = &rows.Client{Direct: n.Store, Now: clock.Now, Relay: n.relayStoreCall, OnChange: n.logStoreState}
--- a/cluster/own.go
+++ b/cluster/own.go
@@ -39,6 +39,8 @@
 // orders.
 func (n *Instance) startDriver(name string, c *claim.Claim, former time.Duration) {
 	t := n.currentReloadable()
+	directory := n.Directory(n.storeClient)
+	lister := &cellLister{n: n, cell: name, directory: directory}
 	var d *driver.Driver
 	d = driver.New(driver.Config{
 		Name: name, OwnsRack: func(rack string) bool { return n.division.hashCell(rack) == name },
@@ -46,7 +48,7 @@
 		LinkRate: n.settings.Cluster.LinkRate(), FairSharing: n.settings.Cluster.FairSharing, Headroom: n.settings.Cluster.Headroom,
 		WorkerSpeed: n.settings.Cluster.WorkerSpeed,
 		Claim:       c, Store: n.storeClient, StoreReachable: n.storeClient.Reachable,
-		Workers: n.Workers, Relays: relays{n}, Directory: n.Directory(n.storeClient),
+		Workers: n.Workers, Relays: relays{n}, Directory: directory, List: lister.list,
 		Advise: n.advise, AskLimit: n.adviceConcurrency, HeardByAll: func() bool { return n.answeredByAll(c.LastWrite()) }, ReportedSuccesses: n.successes.all,
 		OnLeaseLost:   func() { n.dropDriver(name, d) },
 		OnLoadTimeout: func() { n.giveUpCell(name, d, c) },
--- a/cluster/peers.go
+++ b/cluster/peers.go
@@ -38,6 +38,8 @@
 		return n.handleStarts(ctx, b.Starts)
 	case *wire.Request_Hold:
 		return n.handleHold(ctx, b.Hold), nil
+	case *wire.Request_Workers:
+		return n.handleWorkers(ctx, b.Workers)
 	case *wire.Request_Store:
 		answer, err := n.storeClient.ServeRelayed(ctx, b.Store.Call)
 		return &wire.Reply{Body: &wire.Reply_Store{Store: &wire.StoreAnswer{Answer: answer}}}, err
--- a/driver/driver.go
+++ b/driver/driver.go
@@ -48,6 +48,9 @@
 	// nil.
 	Relays    Relays
 	Directory Directory
+	// List returns a listing that this instance, or the owner of another cell, has just read. If it
+	// is nil, the Directory is read.
+	List func(ctx context.Context) (Listing, error)
 	// LinkRate is the capacity of this instance's network link in bytes per second, 0 if unknown.
 	LinkRate int
 	// Headroom means that the cell keeps room for its most urgent queues.
--- a/driver/ports.go
+++ b/driver/ports.go
@@ -8,6 +8,7 @@
 
 	"dewpass.org/cell"
 	"dewpass.org/flow"
+	"dewpass.org/internal/clock"
 )
 
 // Target identifies the incarnation of a worker that an order is for, and the fence of the order.
@@ -103,6 +104,22 @@
 	All(ctx context.Context) ([]Entry, error)
 }
 
+// Listing is the result of a complete read of the directory.
+type Listing struct {
+	Entries []Entry
+	// Workers is how many workers the directory has. Entries may leave out workers of other cells.
+	Workers int
+	// Begun is when the read began, or an earlier time.
+	Begun time.Time
+}
+
+// ReadListing reads the directory.
+func ReadListing(ctx context.Context, d Directory) (Listing, error) {
+	begun := clock.Now()
+	all, err := d.All(ctx)
+	return Listing{Entries: all, Workers: len(all), Begun: begun}, err
+}
+
 // Tickets is the policy's answer.
 type Tickets struct {
 	Rows  []cell.Ticket
--- a/driver/watch.go
+++ b/driver/watch.go
@@ -15,8 +15,8 @@
 	// readInterval is the interval between reads of the directory. That a worker leaves must be
 	// known within two seconds.
 	readInterval = 800 * time.Millisecond
-	// Long lists are read less often, down to once in maxReadInterval: every owner of a cell reads
-	// the whole list, and a deployment has about one owner for each workersPerInterval workers.
+	// Long lists are read less often, down to once in maxReadInterval, since a read takes the longer
+	// the more workers there are.
 	maxReadInterval    = 2 * time.Second
 	workersPerInterval = 400
 	readRetryDelay     = 200 * time.Millisecond
@@ -52,24 +52,36 @@
 func (d *Driver) watchDirectory() {
 	stallLimit := minReadStall
 	for d.ctx.Err() == nil {
-		begun := clock.Now()
-		entries, err := d.readDirectory(stallLimit)
+		listing, err := d.readDirectory(stallLimit)
 		if err != nil {
 			stallLimit = min(2*stallLimit, maxReadStall)
 			d.sleep(readRetryDelay)
 			continue
 		}
 		stallLimit = minReadStall
-		d.applyDirectory(entries, begun)
-		d.sleep(readPause(len(entries), d.LinkRate))
+		// Another owner's listing may have begun before the last one that was read here.
+		if listing.Begun.After(d.lastListingBegun()) {
+			d.applyDirectory(listing.Entries, listing.Begun)
+		}
+		d.sleep(readPause(listing.Workers, d.LinkRate))
 	}
 }
 
+// lastListingBegun returns when the last listing that was applied was begun.
+func (d *Driver) lastListingBegun() time.Time {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.directoryReadAt
+}
+
 // readDirectory reads the directory, and gives up if it makes no progress for the given time.
-func (d *Driver) readDirectory(stallLimit time.Duration) ([]Entry, error) {
+func (d *Driver) readDirectory(stallLimit time.Duration) (Listing, error) {
 	ctx, cancel := stall.Context(d.ctx, stall.Limits{FirstByte: stallLimit, Gap: maxReadStall, Total: maxReadTime}, nil)
 	defer cancel()
-	return d.Directory.All(ctx)
+	if d.List != nil {
+		return d.List(ctx)
+	}
+	return ReadListing(ctx, d.Directory)
 }
 
 func (d *Driver) sleep(t time.Duration) {
