cluster: instances read a part of the list of instances

Cause: each instance read the whole list at its start, once more when it had written itself, and then every 30 s. That is the square of the instances, at once when all start together. Change: an instance is also listed by its processor share. Who owns no cell reads the 64 strongest, which it has to know in elections, and the 16 that follow it by name, which it greets. Owners read the whole list, also when they become owners, since they greet everybody. Rows of earlier builds are rewritten once by the new one. The list's code has left greet.go for a file of its own.

--- a/cluster/greet.go
+++ b/cluster/greet.go
@@ -3,11 +3,8 @@
 package cluster
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
 	"maps"
-	"net/netip"
 	"slices"
 	"sync"
 	"time"
@@ -16,7 +13,6 @@
 
 	"dewpass.org/cell"
 	"dewpass.org/internal/clock"
-	"dewpass.org/rows"
 	"dewpass.org/sched"
 	"dewpass.org/wire"
 )
@@ -26,17 +22,6 @@
 	ownerGreetInterval = 250 * time.Millisecond
 	idleGreetInterval  = 2 * ownerGreetInterval
 	greetTimeout       = 600 * time.Millisecond
-	// membersTable is the table with the list of instances and their addresses.
-	membersTable        = "members"
-	membersReadInterval = 5 * time.Second
-	// Up to smallFleet instances each read the list every membersReadInterval, more of them
-	// accordingly less often: what is read grows with the square of their number. 147 instances
-	// that read it every 5 s read 0.6 MB/s, a third of all reads of the store. An instance that
-	// starts writes itself into the list, reads it and greets, so that the others need the list
-	// only if they heard no greeting.
-	smallFleet             = 30
-	maxMembersReadInterval = 30 * time.Second
-	membersRetryPause      = 300 * time.Millisecond
 )
 
 // greeting returns this instance's greeting.
@@ -151,77 +136,3 @@
 		go n.fetchFromPeer(g.Addr, g.GetConfigVersion())
 	}
 }
-
-// memberRow is the stored form of an entry of the list of instances.
-type memberRow struct {
-	Addr string `json:"addr"`
-	Hall string `json:"hall"`
-	// Processor is the share of a processor, in thousandths.
-	Processor uint32 `json:"processor,omitempty"`
-}
-
-func decodeMember(raw []byte) (memberRow, error) {
-	var m memberRow
-	if err := json.Unmarshal(raw, &m); err != nil {
-		return m, err
-	}
-	_, err := netip.ParseAddrPort(m.Addr)
-	return m, err
-}
-
-// register reads the store's list of instances periodically, and writes this instance's entry if it
-// is missing or differs, until ctx ends.
-func (n *Instance) register(ctx context.Context) {
-	own, err := json.Marshal(memberRow{Addr: n.settings.Listen.Peer, Hall: n.settings.Hall, Processor: n.processor()})
-	if err != nil {
-		return
-	}
-	put := rows.Tx{Put: []rows.Row{{Key: rows.Key{Table: membersTable, Name: n.settings.Instance}, Value: own}}}
-	written := time.Time{}
-	for ctx.Err() == nil {
-		pause := membersRetryPause
-		if all, ok := n.readMembers(ctx); ok {
-			at := slices.IndexFunc(all, func(r rows.Row) bool { return r.Name == n.settings.Instance })
-			if at >= 0 && clock.Since(written) > membersReadInterval {
-				n.listed.Store(true)
-			}
-			if at >= 0 && bytes.Equal(all[at].Value, own) {
-				pause = membersReadPause(len(all))
-			} else if _, err := n.storeClient.Tx(ctx, put); err == nil {
-				written = clock.Now()
-			}
-		}
-		select {
-		case <-time.After(pause):
-		case <-ctx.Done():
-		}
-	}
-}
-
-// membersReadPause returns when a list of so many instances is read again: soon while the others
-// may still be starting, and less often the more there are, as all of them read it.
-func membersReadPause(listed int) time.Duration {
-	if listed <= 1 {
-		return membersRetryPause
-	}
-	return min(max(membersReadInterval*time.Duration(listed)/smallFleet, membersReadInterval), maxMembersReadInterval)
-}
-
-// readMembers reads the store's list of instances, and reports whether that succeeded.
-func (n *Instance) readMembers(ctx context.Context) ([]rows.Row, bool) {
-	all, _, err := rows.ReadAll(ctx, n.storeClient, rows.Range{Table: membersTable})
-	if err != nil {
-		return nil, false
-	}
-	var listed []memberRow
-	for _, r := range all {
-		m, err := decodeMember(r.Value)
-		if err != nil {
-			n.badRows.note([]rows.BadRow{{Key: r.Key, Ver: r.Ver, Reason: err.Error()}})
-			continue
-		}
-		listed = append(listed, m)
-	}
-	n.members.addListed(listed, clock.Now())
-	return all, true
-}
--- a/cluster/greet_test.go
+++ b/cluster/greet_test.go
@@ -33,8 +33,7 @@
 var _ = Describe("the store's list of instances", func() {
 	registered := func(ctx context.Context, rowOf func(own memberRow) []rows.Row) (*Instance, *memberStore) {
 		n := testInstance(&fakePolicy{})
-		own := memberRow{Addr: n.settings.Listen.Peer, Hall: n.settings.Hall, Processor: n.processor()}
-		s := &memberStore{listed: rowOf(own)}
+		s := &memberStore{listed: rowOf(n.memberRow())}
 		n.storeClient.Direct = s
 		go n.register(ctx)
 		return n, s
--- a/cluster/own.go
+++ b/cluster/own.go
@@ -62,8 +62,18 @@
 	// A configuration that was installed between the two calls has not reached this driver.
 	n.configure(d)
 	d.Start()
-	// Instances that answer can ask the policy for this owner at once.
-	go n.greet(context.Background())
+	go n.greetNewly()
+}
+
+// greetNewly greets everybody after this instance has become an owner. Instances that answer can ask
+// the policy for this owner at once.
+func (n *Instance) greetNewly() {
+	n.greet(context.Background())
+	ctx, cancel := context.WithTimeout(context.Background(), handoverTimeout)
+	defer cancel()
+	if _, ok := n.readAllMembers(ctx); ok {
+		n.greet(context.Background())
+	}
 }
 
 // configure applies the newest configuration to a cell. Each cell has an equal part of the limits
--- /dev/null
+++ b/cluster/register_test.go
@@ -0,0 +1,87 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package cluster
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"dewpass.org/flow"
+	"dewpass.org/rows"
+)
+
+// listFleet writes rows of instances into a store: every fourth one is strong.
+func listFleet(s *fleetStore, size int) {
+	for i := range size {
+		m := memberRow{Addr: fmt.Sprintf("10.0.0.1:%d", i+1), Hall: "h", Processor: 200, Ranked: true}
+		if i%4 == 0 {
+			m.Processor = 800
+		}
+		name := fmt.Sprintf("i%04d", i)
+		_, _ = s.Tx(context.Background(), rows.Tx{Put: []rows.Row{
+			{Key: rows.Key{Table: membersTable, Name: name}, Value: flow.Encode(m)},
+			{Key: rows.Key{Table: candidatesTable, Name: candidateName(m.Processor, name)}, Value: flow.Encode(m)},
+		}})
+	}
+}
+
+// Guards against a list that each instance reads in full: 584 instances read 584 rows each at every
+// start of all, and again every 30 s.
+var _ = Describe("the list of a large fleet", func() {
+	It("is read to the same extent by each instance however long it is, and whole by an owner", func(ctx context.Context) {
+		for _, size := range []int{100, 200, 400} {
+			s := newFleetStore()
+			listFleet(s, size)
+			n := testInstance(&fakePolicy{})
+			n.settings.Instance = fmt.Sprintf("i%04d", size-3)
+			n.storeClient.Direct = s
+			s.rowsReturned()
+			listed, fleet, ok := n.readMembers(ctx)
+			Expect(ok).To(BeTrue())
+			Expect(s.rowsReturned()).To(BeNumerically("<=", maxCandidates+2*maxNeighbors), "of %d", size)
+			Expect(membersReadPause(fleet)).To(Equal(maxMembersReadInterval))
+			Expect(listed[0].Name).To(Equal(n.settings.Instance))
+			Expect(n.members.listedAbove(700)).To(BeTrue(), "the strongest are known")
+			Expect(n.members.addrs).To(HaveKey("10.0.0.1:2"), "after the last instance comes the first one")
+			n.cells["c"] = &ownCell{}
+			_, fleet, _ = n.readMembers(ctx)
+			Expect(fleet).To(Equal(size))
+			Expect(n.members.addrs).To(HaveLen(size))
+		}
+	})
+
+	It("is completely known in a small fleet, and read as often as before", func(ctx context.Context) {
+		s := newFleetStore()
+		listFleet(s, 20)
+		n := testInstance(&fakePolicy{})
+		n.settings.Instance = "i0007"
+		n.storeClient.Direct = s
+		_, fleet, ok := n.readMembers(ctx)
+		Expect(ok).To(BeTrue())
+		Expect(n.members.addrs).To(HaveLen(20))
+		Expect(membersReadPause(fleet)).To(Equal(membersReadInterval))
+	})
+
+	It("gets the row of an instance that an earlier build has listed by name alone", func(ctx context.Context) {
+		s := newFleetStore()
+		n := testInstance(&fakePolicy{})
+		n.settings.Listen.Peer = "10.0.0.1:1"
+		n.storeClient.Direct = s
+		own := n.memberRow()
+		own.Ranked = false
+		_, _ = s.Tx(ctx, rows.Tx{Put: []rows.Row{{Key: rows.Key{Table: membersTable, Name: "me"}, Value: flow.Encode(own)}}})
+		ctx, cancel := context.WithCancel(ctx)
+		defer cancel()
+		go n.register(ctx)
+		key := rows.Key{Table: candidatesTable, Name: candidateName(own.Processor, "me")}
+		Eventually(func() []rows.Row {
+			page, _ := s.Get(ctx, rows.KeyRange(key))
+			return page.Rows
+		}, time.Second).Should(HaveLen(1))
+		Expect(instanceOf(key.Name)).To(Equal("me"))
+	})
+})
