cluster: one instance counts the workers, until their number has stopped growing

Cause: the delay by rank that should leave the count to one instance is cut at a maximum, so that in a large fleet dozens counted, each reading all workers several times. The count was given up after 4 s, while workers were still arriving, and the division then had too few cells for good. Change: an instance writes into the division row that it counts, and its progress; the others wait unless that row is unchanged for 2 s. A number counts as stable while it grows by less than a fiftieth in 0.9 s, and a growing one is waited for up to 10 s. What is left: a fleet whose workers take more than 10 s to arrive is still divided by those there.

--- a/cluster/division.go
+++ b/cluster/division.go
@@ -33,18 +33,30 @@
 	// of the workers, and gangs, need large cells.
 	maxWorkersPerCell = 400
 	// As all workers start together, they are counted until their number has been stable for
-	// countStableTime, or for countTimeout.
+	// countStableTime, or for countTimeout. A large fleet takes longer to start and always has some
+	// workers that come and go: its number is stable while it grows by less than 1/growthDivisor,
+	// and as long as it grows faster it is counted for up to growthTimeout.
 	countInterval   = 300 * time.Millisecond
 	countStableTime = 900 * time.Millisecond
 	countTimeout    = 4 * time.Second
-	// countDelayFactor multiplies the election delays, so that usually only one instance counts.
+	growthTimeout   = 10 * time.Second
+	growthDivisor   = 50
+	// countDelayFactor multiplies the election delays, so that few instances try to be the one that
+	// counts.
 	countDelayFactor = 4
+	// counterTimeout is how long the instance that counts may write no progress before another one
+	// counts in its place.
+	counterTimeout = 2 * time.Second
 )
 
-// divisionRow is the stored form of the division.
+// divisionRow is the stored form of the division. It has no cells while an instance counts the
+// workers. Only that one reads them: a list of all workers read by each instance grows with the
+// product of both numbers.
 type divisionRow struct {
 	Cells   int `json:"cells"`
 	Workers int `json:"workers,omitempty"`
+	// Counter is the instance that counts, which updates Workers as it does.
+	Counter string `json:"counter,omitempty"`
 }
 
 var divisionKey = rows.Key{Table: claim.Table, Name: divisionRowName}
@@ -116,6 +128,11 @@
 type workerCount struct {
 	begun, changed time.Time
 	count          int
+	// counting is true while this instance is the one that counts. ver is the version of the
+	// division row, and seen when it was first read or written.
+	counting bool
+	ver      uint64
+	seen     time.Time
 }
 
 // stable records a count and reports whether it may be used.
@@ -123,10 +140,21 @@
 	if c.begun.IsZero() {
 		c.begun = now
 	}
-	if count != c.count || c.changed.IsZero() {
+	if growth := count - c.count; growth*growthDivisor > c.count || -growth*growthDivisor > c.count || c.changed.IsZero() {
 		c.count, c.changed = count, now
 	}
-	return now.Sub(c.begun) >= countTimeout || (count > 0 && now.Sub(c.changed) >= countStableTime)
+	if now.Sub(c.changed) >= countStableTime {
+		return count > 0 || now.Sub(c.begun) >= countTimeout
+	}
+	return now.Sub(c.begun) >= growthTimeout
+}
+
+// observe records the version of the division row, and returns for how long it has been the same.
+func (c *workerCount) observe(ver uint64, now time.Time) time.Duration {
+	if ver != c.ver || c.seen.IsZero() {
+		c.ver, c.seen = ver, now
+	}
+	return now.Sub(c.seen)
 }
 
 // runCells reads or decides the division, and then claims cells that have no owner, until ctx ends.
@@ -142,7 +170,9 @@
 	var count workerCount
 	countFrom := clock.Now().Add(startupListenTime)
 	for ctx.Err() == nil {
-		switch row, err := n.readDivision(ctx); {
+		row, ver, err := n.readDivision(ctx)
+		unchanged := count.observe(ver, clock.Now())
+		switch {
 		case err != nil:
 			level.Info(n.kit.Log).Log("event", "division_not_read", "err", err)
 		case row.Cells > 0:
@@ -150,6 +180,9 @@
 			n.division.workersPerCell.Store(int64(row.Workers / row.Cells))
 			level.Info(n.kit.Log).Log("event", "division_known", "cells", row.Cells, "workers", row.Workers)
 			return true
+		case row.Counter != "" && row.Counter != n.settings.Instance && unchanged < counterTimeout:
+			// Another instance counts.
+			count.counting = false
 		case clock.Since(countFrom) >= countDelayFactor*n.electionDelay(divisionRowName, clock.Now()):
 			if n.decideDivision(ctx, &count) {
 				continue
@@ -160,24 +193,25 @@
 	return false
 }
 
-// readDivision reads the division. The result has 0 cells if it is not decided yet.
-func (n *Instance) readDivision(ctx context.Context) (divisionRow, error) {
+// readDivision reads the division and the version of its row. The result has 0 cells if it is not
+// decided yet.
+func (n *Instance) readDivision(ctx context.Context) (divisionRow, uint64, error) {
 	page, err := n.storeClient.Get(ctx, rows.KeyRange(divisionKey))
 	if err != nil {
-		return divisionRow{}, err
+		return divisionRow{}, 0, err
 	}
 	row := page.First()
 	if row.Ver == 0 {
-		return divisionRow{}, nil
+		return divisionRow{}, 0, nil
 	}
 	var d divisionRow
 	if err := json.Unmarshal(row.Value, &d); err != nil {
-		return divisionRow{}, kind.Wrap(kind.Damaged, err, "the division row")
+		return divisionRow{}, row.Ver, kind.Wrap(kind.Damaged, err, "the division row")
 	}
-	if d.Cells < 1 {
-		return divisionRow{}, kind.New(kind.Damaged, "the division row has no cells")
+	if d.Cells < 1 && d.Counter == "" {
+		return divisionRow{}, row.Ver, kind.New(kind.Damaged, "the division row has no cells")
 	}
-	return d, nil
+	return d, row.Ver, nil
 }
 
 // countUsable counts the entries that describe a usable worker.
@@ -192,25 +226,41 @@
 }
 
 // decideDivision writes the division once it can be decided, and reports whether it should be read
-// again at once. If several instances decide at the same time, the first write wins.
-func (n *Instance) decideDivision(ctx context.Context, stability *workerCount) bool {
+// again at once. If several instances decide at the same time, the first write wins. Unless the
+// number of cells is a setting, an instance writes first that it counts.
+func (n *Instance) decideDivision(ctx context.Context, c *workerCount) bool {
+	row := divisionRow{Cells: n.settings.Cluster.Cells, Counter: n.settings.Instance}
+	if row.Cells == 0 && !c.counting {
+		c.counting = n.writeDivision(ctx, row, c) == nil
+		return false
+	}
 	all, err := n.Directory(n.storeClient).All(ctx)
-	count := countUsable(all)
-	row := divisionRow{Cells: n.settings.Cluster.Cells, Workers: count}
+	row.Workers = countUsable(all)
 	if row.Cells == 0 {
-		if err != nil || !stability.stable(count, clock.Now()) {
+		if err != nil || !c.stable(row.Workers, clock.Now()) {
+			c.counting = n.writeDivision(ctx, row, c) == nil
 			return false
 		}
-		row.Cells = cellCount(count)
+		row.Cells = cellCount(row.Workers)
 	}
+	err = n.writeDivision(ctx, row, c)
+	level.Info(n.kit.Log).Log("event", "division_decided", "cells", row.Cells, "workers", row.Workers, "err", err)
+	return true
+}
+
+// writeDivision writes the division row if it still has the version that c has observed.
+func (n *Instance) writeDivision(ctx context.Context, row divisionRow, c *workerCount) error {
 	raw, err := json.Marshal(row)
 	if err != nil {
-		return false
+		return err
 	}
-	res, err := n.storeClient.Tx(ctx, rows.Tx{Expect: []rows.Check{{Key: divisionKey}}, Put: []rows.Row{{Key: divisionKey, Value: raw}}})
-	if err == nil && res.Refused {
-		err = errors.New("another instance has written the division first")
+	res, err := n.storeClient.Tx(ctx, rows.Tx{Expect: []rows.Check{{Key: divisionKey, Ver: c.ver}}, Put: []rows.Row{{Key: divisionKey, Value: raw}}})
+	switch {
+	case err != nil:
+		return err
+	case res.Refused:
+		return errors.New("another instance has written the division first")
 	}
-	level.Info(n.kit.Log).Log("event", "division_decided", "cells", row.Cells, "workers", row.Workers, "err", err)
-	return true
+	c.observe(res.Ver, clock.Now())
+	return nil
 }
--- a/cluster/division_test.go
+++ b/cluster/division_test.go
@@ -4,12 +4,14 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
 	"dewpass.org/config"
+	"dewpass.org/driver"
 	"dewpass.org/flow"
 	"dewpass.org/rows"
 	"dewpass.org/wire"
@@ -35,6 +37,25 @@
 		Expect(none.stable(0, now.Add(countTimeout))).To(BeTrue())
 	})
 
+	It("uses a count that still grows, as in a large fleet that starts, only after a longer time", func() {
+		var c workerCount
+		now := time.Now()
+		count := 3600
+		for t := time.Duration(0); t < growthTimeout; t += countInterval {
+			Expect(c.stable(count, now.Add(t))).To(BeFalse(), "after %s", t)
+			count += 105
+		}
+		Expect(c.stable(count, now.Add(growthTimeout))).To(BeTrue())
+	})
+
+	It("uses a count of a large fleet of which some workers come and go", func() {
+		var c workerCount
+		now := time.Now()
+		Expect(c.stable(6000, now)).To(BeFalse())
+		Expect(c.stable(5990, now.Add(countInterval))).To(BeFalse())
+		Expect(c.stable(6020, now.Add(countStableTime))).To(BeTrue())
+	})
+
 	It("assigns each rack to one cell, and to none while the division is not known", func() {
 		var d division
 		Expect(d.hashCell("r1")).To(BeEmpty())
@@ -48,6 +69,48 @@
 	})
 })
 
+// Guards against reads of all workers by each instance that starts: when 45 of 584 instances counted,
+// each read thousands of rows several times.
+var _ = Describe("the division of a fleet that starts", func() {
+	// start has instances decide the division of a store at once, and returns them.
+	start := func(ctx context.Context, s *fleetStore, d driver.Directory, instances int) []*Instance {
+		ctx, cancel := context.WithCancel(ctx)
+		DeferCleanup(cancel)
+		out := make([]*Instance, instances)
+		for i := range out {
+			n := testInstance(&fakePolicy{})
+			n.settings.Cluster.Cells = 0
+			n.settings.Instance = fmt.Sprint("i", i)
+			n.storeClient.Direct = s
+			n.Directory = func(rows.Store) driver.Directory { return d }
+			out[i] = n
+			go n.learnDivision(ctx)
+		}
+		return out
+	}
+
+	It("is counted by one instance however many there are", func(ctx context.Context) {
+		for _, instances := range []int{10, 20, 40} {
+			d := &countedDirectory{racks: 100}
+			all := start(ctx, newFleetStore(), d, instances)
+			for _, n := range all {
+				Eventually(n.division.cells, 4*time.Second).Should(HaveLen(1))
+			}
+			Expect(d.returned.Load()).To(BeNumerically("<=", 8*(d.racks+1)), "with %d instances", instances)
+		}
+	})
+
+	It("is counted by another instance if the one that counts is gone", func(ctx context.Context) {
+		s := newFleetStore()
+		gone := flow.Encode(divisionRow{Counter: "gone", Workers: 3})
+		_, _ = s.Tx(ctx, rows.Tx{Put: []rows.Row{{Key: divisionKey, Value: gone}}})
+		begun := time.Now()
+		n := start(ctx, s, &countedDirectory{racks: 100}, 1)[0]
+		Eventually(n.division.cells, 2*counterTimeout+4*time.Second).Should(HaveLen(1))
+		Expect(time.Since(begun)).To(BeNumerically(">", counterTimeout))
+	})
+})
+
 var _ = Describe("an instance", func() {
 	It("is not ready before it knows the division, as it could accept no job", func(ctx context.Context) {
 		n := testInstance(&fakePolicy{})
