cluster: an instance takes one vacant cell at a time

Cause: after a power loss of all instances the first one back checked all cells at once. The delay for each cell that it owns already was 0 for all of them, as none was taken yet: it took seven of ten, loaded each, and handed six over one by one.

--- a/cluster/access_rows_test.go
+++ b/cluster/access_rows_test.go
@@ -138,7 +138,7 @@
 		n, s := instanceOnOwnedStore()
 		withQueues(n, true)
 		s.staticStore[rows.Key{Table: driver.TableSpecs, Part: "1", Name: "1"}] = flow.Encode(&flow.Spec{ID: "1", Cell: "cell-0", Queue: "q", Account: "a", Steps: []flow.Step{{Count: 1}}})
-		n.tryTakeLease(ctx, "cell-0")
+		n.takeLease(ctx, "cell-0", 0)
 		d := n.ownDriver("cell-0")
 		Expect(d).NotTo(BeNil())
 		defer n.dropDriver("cell-0", d)
--- a/cluster/elect.go
+++ b/cluster/elect.go
@@ -97,7 +97,7 @@
 
 // elect checks every cell once.
 func (n *Instance) elect(ctx context.Context, vacant map[string]*vacancy, now time.Time) {
-	newest := n.members.cellsByName(now)
+	newest, owned := n.members.cellsByName(now), len(n.ownCells())
 	for _, name := range n.division.cells() {
 		if o, ok := newest[name]; n.ownDriver(name) != nil || (ok && o.activeWithin(now, ownerTimeout)) {
 			delete(vacant, name)
@@ -113,7 +113,7 @@
 		}
 		go func() {
 			defer v.claiming.Store(false)
-			n.tryTakeLease(ctx, name)
+			n.takeLease(ctx, name, owned)
 		}()
 	}
 }
@@ -149,8 +149,9 @@
 	return now.Sub(n.startedAt) < startupDelay && n.members.listedAbove(n.strongerThreshold())
 }
 
-// tryTakeLease takes the cell lease if its owner is gone.
-func (n *Instance) tryTakeLease(ctx context.Context, name string) {
+// takeLease takes the cell lease if its owner is gone. owned is the number of own cells for which the
+// election delay has passed: with more of them, the cell is left to others for longer.
+func (n *Instance) takeLease(ctx context.Context, name string, owned int) {
 	ctx, cancel := context.WithTimeout(ctx, electTimeout)
 	defer cancel()
 	c := n.newClaim(name)
@@ -164,6 +165,13 @@
 	if why == "" || n.ownerHeard(name, clock.Now(), ownerActiveTime) {
 		return
 	}
+	if !n.taking.CompareAndSwap(false, true) {
+		return
+	}
+	defer n.taking.Store(false)
+	if len(n.ownCells()) > owned {
+		return
+	}
 	if err := c.Take(ctx, lease); err != nil {
 		level.Info(n.kit.Log).Log("event", "cell_lease_not_taken", "cell", name, "err", err)
 		return
--- a/cluster/elect_test.go
+++ b/cluster/elect_test.go
@@ -43,6 +43,32 @@
 	})
 })
 
+// Guards against one instance that takes many cells at once after a power loss of all: it hands them
+// over one by one, and each is loaded twice.
+var _ = Describe("an instance that finds many vacant cells", func() {
+	It("takes one, and leaves each further one to others for longer", func(ctx context.Context) {
+		for _, cells := range []int{2, 4, 8} {
+			n, s := instanceOnOwnedStore()
+			s.lease = claim.Lease{}
+			n.division.set(cells)
+			vacant := make(map[string]*vacancy)
+			begun := time.Now()
+			for time.Since(begun) < ownedCellDelay/2 {
+				n.elect(ctx, vacant, time.Now())
+				time.Sleep(electInterval / 4)
+			}
+			Expect(n.ownCells()).To(HaveLen(1), "of %d", cells)
+			Eventually(func() int {
+				n.elect(ctx, vacant, time.Now())
+				return len(n.ownCells())
+			}, 3*ownedCellDelay).Should(Equal(2), "nobody else takes it")
+			for _, c := range n.ownCells() {
+				c.driver.Close()
+			}
+		}
+	})
+})
+
 var _ = Describe("an owner", func() {
 	It("yields to an instance with a much larger processor once that has been heard for a while", func() {
 		n := testInstance(&fakePolicy{})
--- a/cluster/ends_test.go
+++ b/cluster/ends_test.go
@@ -135,7 +135,7 @@
 	}
 	s.staticStore[driver.SpecKey("a1")] = flow.Encode(&flow.Spec{ID: "a1", Cell: "cell-0", Steps: []flow.Step{{Count: 1}}})
 	s.staticStore[driver.RecordKey("cell-0", "a1")] = flow.Encode(rec)
-	n.tryTakeLease(ctx, "cell-0")
+	n.takeLease(ctx, "cell-0", 0)
 	d := n.ownDriver("cell-0")
 	Expect(d).NotTo(BeNil())
 	DeferCleanup(func() { n.dropDriver("cell-0", d) })
@@ -211,10 +211,10 @@
 		s.clock = 60_000
 		g := &wire.Greeting{Instance: "other", Hall: "h", Boot: "b", Addr: l.Addr().String(), Cells: []*wire.CellSummary{{Name: "cell-0"}}}
 		n.members.applyGreeting(g, time.Now().Add(-ownerActiveTime/2))
-		n.tryTakeLease(ctx, "cell-0")
+		n.takeLease(ctx, "cell-0", 0)
 		Expect(n.ownDriver("cell-0")).To(BeNil(), "the store may be unavailable to the owner alone")
 		n.members.applyGreeting(g, time.Now().Add(-ownerActiveTime))
-		n.tryTakeLease(ctx, "cell-0")
+		n.takeLease(ctx, "cell-0", 0)
 		Expect(n.ownDriver("cell-0")).NotTo(BeNil())
 		n.dropDriver("cell-0", n.ownDriver("cell-0"))
 	})
--- a/cluster/instance.go
+++ b/cluster/instance.go
@@ -98,6 +98,9 @@
 	// enough that owners have read the list and know it.
 	listed atomic.Bool
 
+	// taking is true while this instance writes a cell lease to take it. It takes one at a time,
+	// because the second one is left to others for a while.
+	taking   atomic.Bool
 	division division
 	listings *listings
 
--- a/cluster/own_test.go
+++ b/cluster/own_test.go
@@ -120,14 +120,14 @@
 		defer l.Close()
 		s.lease = claim.Lease{Owner: "other", Boot: "b", Addr: l.Addr().String(), ValidMS: 400, WrittenMS: 7000}
 		s.clock = 7000 + s.lease.Expiry().Milliseconds()
-		n.tryTakeLease(ctx, "cell-0")
+		n.takeLease(ctx, "cell-0", 0)
 		Expect(n.ownDriver("cell-0")).To(BeNil(), "its owner may still give orders")
 		s.clock++
 		n.listed.Store(false)
-		n.tryTakeLease(ctx, "cell-0")
+		n.takeLease(ctx, "cell-0", 0)
 		Expect(n.ownDriver("cell-0")).To(BeNil(), "its owner may still be active, and does not know this instance")
 		n.listed.Store(true)
-		n.tryTakeLease(ctx, "cell-0")
+		n.takeLease(ctx, "cell-0", 0)
 		Expect(n.ownDriver("cell-0")).NotTo(BeNil())
 		Expect(n.ownDriver("cell-0").FormerGrace).To(Equal(claim.TakeoverMargin))
 	})
@@ -144,7 +144,7 @@
 
 	It("is taken with allowance for the last orders of an owner that refuses connections, and its counts are kept after it is dropped", func(ctx context.Context) {
 		n, _ := instanceOnOwnedStore()
-		n.tryTakeLease(ctx, "cell-0")
+		n.takeLease(ctx, "cell-0", 0)
 		d := n.ownDriver("cell-0")
 		Expect(d).NotTo(BeNil())
 		Expect(d.FormerGrace).To(Equal(900*time.Millisecond + claim.TakeoverMargin))
