cluster: instances without a cell ask owners instead of the store

Cause: each instance read each change of the configuration from the store, waited for changes with a call every 0.9 s, and checked in between whether the store answers. Transfers grew with instances times changes, and a store that turns a third away was asked again five times a second by each of them. Change: greetings state how long ago the store confirmed the sender's version of the configuration and answered it. While that is recent, an instance that owns no cell is passive: it reads no feed, checks the store every 3 s, and gets a new version from the peer that announced it, at once. Ages add up when they are passed on.

--- a/cluster/configs.go
+++ b/cluster/configs.go
@@ -16,9 +16,9 @@
 	"dewpass.org/wire"
 )
 
-// The configuration arrives in one way at a time: the store's feed brings each change once. Only if
-// a peer has had a newer version for a while and the store delivers nothing is a peer asked as
-// well, and only one at a time. So the amount that an instance reads does not grow with the number
+// The configuration arrives in one way at a time: the store's feed brings each change once, or, at a
+// passive instance, a peer. Only if a peer has had a newer version for a while and the store delivers
+// nothing is a peer asked as well, and only one at a time. So the amount that an instance reads does not grow with the number
 // of its peers, and a change occupies its link for one transfer.
 const (
 	// configRetryPause is the pause between attempts while there is no configuration, the feed
@@ -87,6 +87,10 @@
 	var f feedState
 	for ctx.Err() == nil {
 		now := clock.Now()
+		if n.passive(now) {
+			sleep(ctx, passiveCheckInterval)
+			continue
+		}
 		interval := fullReadInterval(n.config.Load()) * time.Duration(fullReadDivisor(n.members.liveInHall(now)))
 		full := f.needsFullRead(now, interval)
 		begun := clock.Now()
@@ -94,8 +98,7 @@
 		n.finishTransfer(c, from, begun, err)
 		f.update(full, at, err, clock.Now())
 		if err == nil {
-			now := clock.Now()
-			n.configConfirmedAt.Store(&now)
+			n.confirmConfig()
 		}
 		if c == nil && clock.Since(begun) < configRetryPause {
 			// The call failed at once, or did not wait.
@@ -171,13 +174,15 @@
 }
 
 // fetchFromPeer requests a newer configuration from a peer, unless the store's feed delivers it
-// within fetchDelay.
+// within fetchDelay. A passive instance does not wait, as it reads no feed.
 func (n *Instance) fetchFromPeer(addr string, version uint64) {
 	if !n.fetchingConfig.CompareAndSwap(false, true) {
 		return
 	}
 	defer n.fetchingConfig.Store(false)
-	time.Sleep(fetchDelay)
+	if !n.passive(clock.Now()) {
+		time.Sleep(fetchDelay)
+	}
 	if n.config.Version() >= version || n.configArriving(clock.Now()) {
 		return
 	}
--- a/cluster/greet.go
+++ b/cluster/greet.go
@@ -28,8 +28,9 @@
 func (n *Instance) greeting() *wire.Greeting {
 	g := &wire.Greeting{
 		Instance: n.settings.Instance, Hall: n.settings.Hall, Boot: n.boot, Addr: n.settings.Listen.Peer,
-		Processor: n.processor(), Leaving: n.leaving.Load(), ConfigVersion: n.config.Version(), StoreOk: n.storeClient.DirectlyReachable(),
+		Processor: n.processor(), Leaving: n.leaving.Load(), ConfigVersion: n.config.Version(), StoreOk: n.reachesStore(clock.Now()),
 	}
+	n.vouch(g, clock.Now())
 	for name, c := range n.ownCells() {
 		d, written := c.driver, c.claim.LastWrite()
 		load := d.Load()
@@ -137,6 +138,7 @@
 		}
 		log.Log("event", "peer_heard", "peer", g.Instance, "peer_hall", g.Hall, "boot", g.Boot)
 	}
+	n.applyVouch(g, clock.Now())
 	if g.GetConfigVersion() > n.config.Version() {
 		go n.fetchFromPeer(g.Addr, g.GetConfigVersion())
 	}
--- a/cluster/instance.go
+++ b/cluster/instance.go
@@ -73,8 +73,9 @@
 	// configDataAt is when data of the store's answer with the configuration last arrived.
 	configDataAt atomic.Pointer[time.Time]
 	// configConfirmedAt is when the store last returned the configuration or confirmed that it
-	// has not changed.
-	configConfirmedAt atomic.Pointer[time.Time]
+	// has not changed, to this instance or to another one that told it, and configVouchedAt only
+	// the latter.
+	configConfirmedAt, configVouchedAt atomic.Pointer[time.Time]
 	// configErrorLoggedAt is when a failed read of the configuration was last logged.
 	configErrorLoggedAt atomic.Pointer[time.Time]
 	badRows             *badRows
@@ -260,7 +261,7 @@
 		if names := n.division.cells(); len(names) > 0 {
 			name = names[next%len(names)]
 		}
-		if now.Sub(lastProbe) >= probeInterval && !n.probeRedundant(name, now) {
+		if now.Sub(lastProbe) >= n.probeInterval(now) && !n.probeRedundant(name, now) {
 			lastProbe = now
 			next++
 			go n.probeLease(ctx, name)
@@ -272,6 +273,14 @@
 	}
 }
 
+// probeInterval returns the time between probes.
+func (n *Instance) probeInterval(now time.Time) time.Duration {
+	if n.passive(now) {
+		return passiveProbeInterval
+	}
+	return probeInterval
+}
+
 // probeByPeer checks whether the store can still be reached through a peer. Otherwise only
 // relayed calls show that, and there are none while jobs are refused.
 func (n *Instance) probeByPeer(ctx context.Context, name string) {
--- a/cluster/members.go
+++ b/cluster/members.go
@@ -160,6 +160,13 @@
 	}
 }
 
+// addrCount returns the number of known addresses of other instances.
+func (m *members) addrCount() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.addrs)
+}
+
 // addListed adds the instances that the store lists.
 func (m *members) addListed(listed []memberRow, now time.Time) {
 	m.mu.Lock()
--- /dev/null
+++ b/cluster/passive.go
@@ -0,0 +1,78 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package cluster
+
+import (
+	"sync/atomic"
+	"time"
+
+	"dewpass.org/internal/clock"
+	"dewpass.org/wire"
+)
+
+// Instances that own no cell do not have to ask the store by themselves for what owners tell them.
+// Owners follow the configuration and call the store all the time, and greet everybody. A greeting
+// states which version of the configuration the store had, and that it answers, with the age of both.
+// As long as an instance hears that, it is passive: it reads no configuration and seldom checks
+// whether the store answers. What passive instances ask of the store does not grow with the number of
+// changes, and hardly with their own number.
+const (
+	// passiveWindow is the age of the last confirmation of the configuration from which an instance
+	// asks the store itself: the owners' wait for a change, a few greetings, and some allowance.
+	passiveWindow = 1800 * time.Millisecond
+	// passiveProbeInterval is how often a passive instance checks whether the store answers it.
+	passiveProbeInterval = 3 * time.Second
+	// passiveCheckInterval is how often a passive instance checks that it may remain passive.
+	passiveCheckInterval = 200 * time.Millisecond
+)
+
+// passive reports whether this instance relies on what others have heard from the store. In a small
+// fleet all instances ask the store, so that a change reaches each of them directly.
+func (n *Instance) passive(now time.Time) bool {
+	confirmed := n.configVouchedAt.Load()
+	return confirmed != nil && now.Sub(*confirmed) < passiveWindow && len(n.ownCells()) == 0 && n.members.addrCount() > smallFleet
+}
+
+// reachesStore reports whether the store answers this instance directly, as far as it is known. A
+// passive instance makes few calls.
+func (n *Instance) reachesStore(now time.Time) bool {
+	if n.passive(now) {
+		return !n.storeClient.DirectFailed() && n.storeClient.AnsweredDirectly(2*passiveProbeInterval)
+	}
+	return n.storeClient.DirectlyReachable()
+}
+
+// vouch adds to a greeting what this instance knows of the configuration and the store.
+func (n *Instance) vouch(g *wire.Greeting, now time.Time) {
+	if at := n.configConfirmedAt.Load(); at != nil && g.ConfigVersion > 0 && now.Sub(*at) < passiveWindow {
+		g.ConfigAgeUs = 1 + uint64(now.Sub(*at).Microseconds())
+	}
+	if n.storeClient.DirectlyReachable() {
+		g.StoreAgeUs = 1 + uint64(now.Sub(n.storeClient.LastDirectAnswer()).Microseconds())
+	}
+}
+
+// applyVouch applies what the sender of a greeting knows of the configuration and the store.
+func (n *Instance) applyVouch(g *wire.Greeting, now time.Time) {
+	if g.GetConfigAgeUs() > 0 && g.GetConfigVersion() == n.config.Version() {
+		at := now.Add(-time.Duration(g.GetConfigAgeUs()) * time.Microsecond)
+		raise(&n.configVouchedAt, at)
+		raise(&n.configConfirmedAt, at)
+	}
+	if g.GetStoreAgeUs() > 0 {
+		n.storeClient.NotePeerAnswer(now.Add(-time.Duration(g.GetStoreAgeUs()) * time.Microsecond))
+	}
+}
+
+// confirmConfig records that the store has just confirmed the configuration.
+func (n *Instance) confirmConfig() { raise(&n.configConfirmedAt, clock.Now()) }
+
+// raise sets t to at unless it is later already.
+func raise(t *atomic.Pointer[time.Time], at time.Time) {
+	for {
+		old := t.Load()
+		if (old != nil && !old.Before(at)) || t.CompareAndSwap(old, &at) {
+			return
+		}
+	}
+}
--- a/rows/client.go
+++ b/rows/client.go
@@ -85,6 +85,27 @@
 	return c.Now().Sub(c.lastDirect) < within
 }
 
+// LastDirectAnswer returns when data was last received from the store directly, zero if never.
+func (c *Client) LastDirectAnswer() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.lastDirect
+}
+
+// NotePeerAnswer records that the store answered a peer at the given time, through which calls can
+// be relayed.
+func (c *Client) NotePeerAnswer(at time.Time) {
+	c.mu.Lock()
+	if at.After(c.lastRelayed) {
+		c.lastRelayed = at
+	}
+	c.mu.Unlock()
+	c.reportChange()
+}
+
+// DirectFailed reports whether the last direct call that showed anything had no answer.
+func (c *Client) DirectFailed() bool { return c.isDirectDown() }
+
 // Reachable reports whether the store currently answers, directly or through a peer.
 func (c *Client) Reachable() bool {
 	c.mu.Lock()
