cluster: a job goes to the better of two cells, not to the emptiest

Cause: a job went to the cell that the owners' last reports show as the least loaded. The reports are 0.25 s and more old and the same at all instances, so that all of them chose the same cell for that time. With more instances, more jobs go there while other cells have room. Change: with three cells or more, the better of two that are drawn by the job's id. Jobs with data in a rack go there as before.

--- a/cluster/accept.go
+++ b/cluster/accept.go
@@ -177,12 +177,13 @@
 	return retry.Delay(n.storeClient.Silence(), id)
 }
 
-// chooseCell returns the least loaded cell for a job and the name of its owner, or a cell chosen by
+// chooseCell returns a cell with little load for a job and the name of its owner, or a cell chosen by
 // hash while no owner is heard. The owner is "" if it is this instance or not known. The cell is ""
 // while the cells are not known.
 func (n *Instance) chooseCell(spec *flow.Spec) (cell, owner string) {
 	if p := n.candidates(spec); len(p) > 0 {
-		return p[0].cell, p[0].name
+		c := drawCandidate(p, spec.ID)
+		return c.cell, c.name
 	}
 	return n.division.hashCell(spec.ID), ""
 }
--- a/cluster/jobs.go
+++ b/cluster/jobs.go
@@ -126,26 +126,33 @@
 	addr string
 	name string
 	load float64
+	// local says that the cell contains a rack with the job's data.
+	local bool
 }
 
 // candidates returns the cells that may take a job, the best first.
 func (n *Instance) candidates(spec *flow.Spec) []candidate {
 	var out []candidate
+	add := func(c candidate) {
+		gain := n.localityGain(spec, c.cell)
+		c.load, c.local = c.load-gain, gain > 0
+		out = append(out, c)
+	}
 	own := n.ownCells()
 	for name, c := range own {
 		if !c.driver.Ready() {
 			continue
 		}
 		l := c.driver.Load()
-		out = append(out, candidate{cell: name, load: relativeLoad(l.Room[sched.MilliCPU], l.Free[sched.MilliCPU], l.Waiting) - n.localityGain(spec, name)})
+		add(candidate{cell: name, load: relativeLoad(l.Room[sched.MilliCPU], l.Free[sched.MilliCPU], l.Waiting)})
 	}
 	for _, o := range n.members.cells(clock.Now()) {
 		if !o.cell.Ready || own[o.cell.Name] != nil {
 			continue
 		}
-		out = append(out, candidate{
+		add(candidate{
 			cell: o.cell.Name, addr: o.addr, name: o.name,
-			load: relativeLoad(o.cell.Room, o.cell.Free, o.cell.Waiting+o.sentWork) - n.localityGain(spec, o.cell.Name),
+			load: relativeLoad(o.cell.Room, o.cell.Free, o.cell.Waiting+o.sentWork),
 		})
 	}
 	slices.SortStableFunc(out, func(a, b candidate) int {
