--- a/cluster/division.go
+++ b/cluster/division.go
@@ -44,6 +44,8 @@
 	// countDelayFactor multiplies the election delays, so that few instances try to be the one that
 	// counts.
 	countDelayFactor = 4
+	// countWaitInterval is how often the others read whether the division is decided.
+	countWaitInterval = 900 * time.Millisecond
 	// counterTimeout is how long the instance that counts may write no progress before another one
 	// counts in its place.
 	counterTimeout = 2 * time.Second
@@ -181,8 +183,9 @@
 			level.Info(n.kit.Log).Log("event", "division_known", "cells", row.Cells, "workers", row.Workers)
 			return true
 		case row.Counter != "" && row.Counter != n.settings.Instance && unchanged < counterTimeout:
-			// Another instance counts.
+			// Another instance counts, which takes several intervals.
 			count.counting = false
+			sleep(ctx, countWaitInterval-countInterval)
 		case clock.Since(countFrom) >= countDelayFactor*n.electionDelay(divisionRowName, clock.Now()):
 			if n.decideDivision(ctx, &count) {
 				continue
