cluster, rows: lines on peers at debug, and none on a store that was not called

Change: what is told of the direct way to the store is the result of the last call; lines on peers that are heard are debug lines.

--- a/cluster/greet.go
+++ b/cluster/greet.go
@@ -131,12 +131,8 @@
 	}
 	n.applySuccesses(g.GetSucceeded(), g.GetBoot())
 	if n.members.applyGreeting(g, clock.Now()) {
-		log := level.Debug(n.kit.Log)
-		if len(g.Cells) > 0 {
-			// Of the others, lines would grow with the square of the number of instances.
-			log = level.Info(n.kit.Log)
-		}
-		log.Log("event", "peer_heard", "peer", g.Instance, "peer_hall", g.Hall, "boot", g.Boot)
+		// A line for each pair of instances: too many for a large fleet's ordinary log.
+		level.Debug(n.kit.Log).Log("event", "peer_heard", "peer", g.Instance, "peer_hall", g.Hall, "boot", g.Boot)
 	}
 	n.applyVouch(g, clock.Now())
 	if g.GetConfigVersion() > n.config.Version() {
--- a/rows/client.go
+++ b/rows/client.go
@@ -406,10 +406,12 @@
 	return &a, nil
 }
 
-// reportChange calls OnChange if the reachability has changed since the last call.
+// reportChange calls OnChange if the reachability has changed since the last call. A store that was
+// not called for a while counts as it did at the last call.
 func (c *Client) reportChange() {
-	now := [2]bool{c.DirectlyReachable(), c.Reachable()}
+	reachable := c.Reachable()
 	c.mu.Lock()
+	now := [2]bool{!c.directDown && !c.lastDirect.IsZero(), reachable}
 	changed := now != c.lastReported
 	c.lastReported = now
 	c.mu.Unlock()
