cluster: passive instances get a new configuration from different owners

Cause: all instances hear of a new version from the owner that greets first after it has it, and all passive ones asked that owner: its load grew with their number. Change: each asks an owner that it draws by name first, and the one from which it heard if that has no newer version yet. Measured (spec, 40 instances an owner): with 5, 10 and 20 owners none is asked by 80 or more.

--- a/cluster/configs.go
+++ b/cluster/configs.go
@@ -173,19 +173,40 @@
 	return last != nil && now.Sub(*last) < fetchDelay
 }
 
-// fetchFromPeer requests a newer configuration from a peer, unless the store's feed delivers it
-// within fetchDelay. A passive instance does not wait, as it reads no feed.
+// fetchFromPeer requests a newer configuration from a peer that has it, unless the store's feed
+// delivers it within fetchDelay. A passive instance reads no feed: it does not wait, and asks an owner
+// of its own choice first, because all hear of a new version from the same owner.
 func (n *Instance) fetchFromPeer(addr string, version uint64) {
 	if !n.fetchingConfig.CompareAndSwap(false, true) {
 		return
 	}
 	defer n.fetchingConfig.Store(false)
-	if !n.passive(clock.Now()) {
+	if now := clock.Now(); n.passive(now) {
+		if owner := n.drawnOwner(now); owner != "" && owner != addr {
+			n.fetchOnce(owner)
+		}
+	} else {
 		time.Sleep(fetchDelay)
 	}
-	if n.config.Version() >= version || n.configArriving(clock.Now()) {
-		return
+	if n.config.Version() < version && !n.configArriving(clock.Now()) {
+		n.fetchOnce(addr)
+	}
+}
+
+// drawnOwner returns the address of an owner of a cell, another one for each instance; "" if none is
+// heard.
+func (n *Instance) drawnOwner(now time.Time) string {
+	addr, lowest := "", uint32(0)
+	for _, o := range n.members.list(now, func(k *member) bool { return len(k.cells) > 0 && k.responsive(now) }) {
+		if draw := n.tieBreak(o.name); addr == "" || draw < lowest {
+			addr, lowest = o.addr, draw
+		}
 	}
+	return addr
+}
+
+// fetchOnce requests a newer configuration from a peer.
+func (n *Instance) fetchOnce(addr string) {
 	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
 	defer cancel()
 	begun := clock.Now()
--- a/cluster/passive_test.go
+++ b/cluster/passive_test.go
@@ -70,6 +70,28 @@
 		Expect((<-installed).Sub(begun)).To(BeNumerically("<", fetchDelay/2))
 	})
 
+	It("asks an owner that few others ask, as all hear of a new version from the same one", func() {
+		for _, owners := range []int{5, 10, 20} {
+			const perOwner = 40
+			asked := make(map[string]int)
+			now := time.Now()
+			for i := range owners * perOwner {
+				n := testInstance(&fakePolicy{})
+				n.settings.Instance = fmt.Sprint("i", i)
+				for o := range owners {
+					n.members.applyGreeting(&wire.Greeting{Instance: fmt.Sprint("o", o), Hall: "h", Addr: fmt.Sprint("o", o), Cells: []*wire.CellSummary{{}}}, now)
+				}
+				n.members.applyGreeting(&wire.Greeting{Instance: "idle", Hall: "h", Addr: "idle"}, now)
+				asked[n.drawnOwner(now)]++
+			}
+			Expect(asked).To(HaveLen(owners))
+			for owner, count := range asked {
+				Expect(count).To(BeNumerically("<", 2*perOwner), owner)
+			}
+		}
+		Expect(testInstance(&fakePolicy{}).drawnOwner(time.Now())).To(BeEmpty())
+	})
+
 	DescribeTable("asks the store itself", func(change func(*Instance, *wire.Greeting)) {
 		n := inFleet(testInstance(&fakePolicy{}))
 		n.config.Install(&config.Config{Version: 3})
