cluster: an owner that the store turns away does not read the directory for all

Cause: the owner of the first cell was the reader also when the store did not answer it, and then read all workers through a peer while the other owners had chosen another reader. Change: it asks that reader as the others do. Measured: by the spec on who reads.

--- a/cluster/listing.go
+++ b/cluster/listing.go
@@ -200,11 +200,12 @@
 }
 
 // directoryReader returns the instance that reads the directory for all owners, nil if this instance
-// does or none is known.
+// does or none is known. An owner that the store does not answer is passed over, also by itself: it
+// would have to read the directory through a peer.
 func (n *Instance) directoryReader(now time.Time) *member {
 	own, heard := n.ownCells(), n.members.cellsByName(now)
 	for _, name := range n.division.cells() {
-		if own[name] != nil {
+		if own[name] != nil && n.storeClient.DirectlyReachable() {
 			return nil
 		}
 		if o, ok := heard[name]; ok && o.cell.Ready && o.storeOK && o.responsive(now) {
--- a/cluster/listing_test.go
+++ b/cluster/listing_test.go
@@ -17,6 +17,7 @@
 	"dewpass.org/driver"
 	"dewpass.org/kind"
 	"dewpass.org/link"
+	"dewpass.org/rows"
 	"dewpass.org/sched"
 	"dewpass.org/wire"
 )
@@ -162,7 +163,7 @@
 		})),
 	)
 
-	It("is read by the owner of the first cell that is heard, ready and reaches the store", func() {
+	It("is read by the owner of the first cell that is heard, ready and reaches the store", func(ctx context.Context) {
 		f := newDirectoryFleet(3, nil)
 		o := f.owner("cell-2")
 		Expect(o.n.directoryReader(time.Now()).name).To(Equal("reader"))
@@ -179,6 +180,12 @@
 		f.greeting.Cells[0].Ready = true
 		o.n.members.applyGreeting(f.greeting, time.Now())
 		o.n.cells["cell-0"] = o.n.cells["cell-2"]
-		Expect(o.n.directoryReader(time.Now())).To(BeNil(), "it owns the first cell")
+		f.greeting.Cells = nil
+		o.n.members.applyGreeting(f.greeting, time.Now())
+		Expect(o.n.directoryReader(time.Now()).name).To(Equal("second"), "the store does not answer the owner of the first cell")
+		o.n.storeClient.Direct = staticStore{}
+		_, err := o.n.storeClient.Get(ctx, rows.Range{Table: "t"})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(o.n.directoryReader(time.Now())).To(BeNil(), "it owns the first cell itself")
 	})
 })
