outage, driver: nothing is started in a hall of which several workers have failed

Cause: that a hall is cut off was found out for each worker at its next poll, up to 2 s later. With more workers a cell keeps more of them that are not found out. A hall is suspect once three of its workers have failed and none has answered since, while workers of other halls have; nothing is started there meanwhile, and no job is drawn for it. One answer ends it.

--- a/cell/cell.go
+++ b/cell/cell.go
@@ -186,7 +186,8 @@
 type Load struct {
 	// Room is the capacity of the attached workers, Free the part of it that is unused.
 	Room, Free sched.Vec
-	// Halls is the free processor capacity of each hall, in thousandths of a processor.
+	// Halls is the free processor capacity of each hall, in thousandths of a processor, without
+	// workers of which it is uncertain whether they answer.
 	Halls map[string]int64
 	// Waiting is the estimated work of waiting tasks, in milliseconds of one processor.
 	Waiting int64
@@ -209,7 +210,9 @@
 		l.Attached++
 		l.Room = l.Room.Add(w.Room)
 		l.Free = l.Free.Add(w.free)
-		l.Halls[w.Hall] += max(w.free[sched.MilliCPU], 0)
+		if !w.silent {
+			l.Halls[w.Hall] += max(w.free[sched.MilliCPU], 0)
+		}
 	}
 	for _, s := range c.openStages {
 		if s.waiting > 0 && s.ready() {
--- a/driver/driver.go
+++ b/driver/driver.go
@@ -18,6 +18,7 @@
 	"dewpass.org/internal/rtt"
 	"dewpass.org/internal/window"
 	"dewpass.org/kind"
+	"dewpass.org/outage"
 	"dewpass.org/rows"
 	"dewpass.org/sched"
 )
@@ -117,6 +118,8 @@
 	lateness rtt.SharedDelay
 	// throttledAt is when orders were last held back because the link was full.
 	throttledAt time.Time
+	// outages tells which halls may be cut off. Nothing is started there.
+	outages outage.Detector
 	// attachSlots limits, by hall, how many workers are attached at once.
 	attachSlots map[string]chan struct{}
 	// persisted is closed and replaced whenever the store has accepted a write.
@@ -419,7 +422,7 @@
 		return
 	}
 	for id, l := range d.links {
-		d.cell.Silent(id, l.hasOverdueOrder(now))
+		d.cell.Silent(id, l.hasOverdueOrder(now) || d.outages.Suspect(l.hall))
 		if !l.attached {
 			d.cell.LeaseEnds(id, l.leasesEnd)
 		}
--- a/driver/hold.go
+++ b/driver/hold.go
@@ -197,6 +197,7 @@
 		l.updateClock(a.ClockMS, now)
 	}
 	l.answeredAt = now
+	d.outages.Answered(l.hall, now)
 	l.lastObserved = o.Observed
 	if n := len(a.Lists.Finished); n > 0 {
 		l.lastEnd = a.Lists.Finished[n-1].Number
@@ -295,6 +296,7 @@
 	}
 	if l.attached {
 		d.logUnreachable(l, err, now)
+		d.outages.Failed(l.hall, l.id, now)
 	}
 	d.cell.Detached(l.id, now)
 	if closedByPeer(err) {
--- a/driver/relay.go
+++ b/driver/relay.go
@@ -251,6 +251,7 @@
 			level.Info(d.Log).Log("event", "start_lost", "job", o.Task.Job, "worker", o.Worker, "run", o.Run, "limit_ms", o.limit.Milliseconds(), "err", r.Err)
 			l.answerTimes.Lost()
 			d.cell.OrderLost(o.Worker, clock.Now())
+			d.outages.Failed(l.hall, o.Worker, clock.Now())
 			d.reattach(o.Worker)
 			if closedByPeer(r.Err) {
 				d.cell.HungUp(o.Worker, !errors.Is(r.Err, syscall.ECONNREFUSED))
@@ -259,6 +260,7 @@
 		return
 	}
 	now, a := clock.Now(), &r.Answer
+	d.outages.Answered(l.hall, now)
 	l.answerTimes.Answered(r.Took)
 	if l.fence == o.Fence && !l.plausibleClock(a.ClockMS, o.minClockMS, now) {
 		level.Info(d.Log).Log("event", "clock_of_another_life", "worker", o.Worker, "job", o.Task.Job, "run", o.Run, "clock_ms", a.ClockMS, "known_ms", l.clockMS, "known_ms_ago", now.Sub(l.clockAt).Milliseconds())
