cluster, outage: plainer names, and a confirmation belongs to its version

Cause: a greeting read its version of the configuration before the time of its last confirmation. A version installed in between would have confirmed the one before it. Found by reading. Change: the time is read first. Names that said vouch, counter and silent say what they hold.

--- a/cluster/configs.go
+++ b/cluster/configs.go
@@ -18,8 +18,8 @@
 
 // The configuration arrives in one way at a time: the store's feed brings each change once, or, at a
 // passive instance, a peer. Only if a peer has had a newer version for a while and the store delivers
-// nothing is a peer asked as well, and only one at a time. So the amount that an instance reads does not grow with the number
-// of its peers, and a change occupies its link for one transfer.
+// nothing is a peer asked as well, and only one at a time. So the amount that an instance reads does
+// not grow with the number of its peers, and a change occupies its link for one transfer.
 const (
 	// configRetryPause is the pause between attempts while there is no configuration, the feed
 	// fails, or it answers without waiting.
--- a/cluster/division.go
+++ b/cluster/division.go
@@ -46,9 +46,9 @@
 	countDelayFactor = 4
 	// countWaitInterval is how often the others read whether the division is decided.
 	countWaitInterval = 900 * time.Millisecond
-	// counterTimeout is how long the instance that counts may write no progress before another one
+	// progressTimeout is how long the instance that counts may write no progress before another one
 	// counts in its place.
-	counterTimeout = 2 * time.Second
+	progressTimeout = 2 * time.Second
 )
 
 // divisionRow is the stored form of the division. It has no cells while an instance counts the
@@ -57,8 +57,8 @@
 type divisionRow struct {
 	Cells   int `json:"cells"`
 	Workers int `json:"workers,omitempty"`
-	// Counter is the instance that counts, which updates Workers as it does.
-	Counter string `json:"counter,omitempty"`
+	// CountedBy is the instance that counts, which updates Workers as it does.
+	CountedBy string `json:"counted_by,omitempty"`
 }
 
 var divisionKey = rows.Key{Table: claim.Table, Name: divisionRowName}
@@ -142,7 +142,7 @@
 	if c.begun.IsZero() {
 		c.begun = now
 	}
-	if growth := count - c.count; growth*growthDivisor > c.count || -growth*growthDivisor > c.count || c.changed.IsZero() {
+	if change := max(count-c.count, c.count-count); change*growthDivisor > c.count || c.changed.IsZero() {
 		c.count, c.changed = count, now
 	}
 	if now.Sub(c.changed) >= countStableTime {
@@ -182,7 +182,7 @@
 			n.division.workersPerCell.Store(int64(row.Workers / row.Cells))
 			level.Info(n.kit.Log).Log("event", "division_known", "cells", row.Cells, "workers", row.Workers)
 			return true
-		case row.Counter != "" && row.Counter != n.settings.Instance && unchanged < counterTimeout:
+		case row.CountedBy != "" && row.CountedBy != n.settings.Instance && unchanged < progressTimeout:
 			// Another instance counts, which takes several intervals.
 			count.counting = false
 			sleep(ctx, countWaitInterval-countInterval)
@@ -211,7 +211,7 @@
 	if err := json.Unmarshal(row.Value, &d); err != nil {
 		return divisionRow{}, row.Ver, kind.Wrap(kind.Damaged, err, "the division row")
 	}
-	if d.Cells < 1 && d.Counter == "" {
+	if d.Cells < 1 && d.CountedBy == "" {
 		return divisionRow{}, row.Ver, kind.New(kind.Damaged, "the division row has no cells")
 	}
 	return d, row.Ver, nil
@@ -232,7 +232,7 @@
 // again at once. If several instances decide at the same time, the first write wins. Unless the
 // number of cells is a setting, an instance writes first that it counts.
 func (n *Instance) decideDivision(ctx context.Context, c *workerCount) bool {
-	row := divisionRow{Cells: n.settings.Cluster.Cells, Counter: n.settings.Instance}
+	row := divisionRow{Cells: n.settings.Cluster.Cells, CountedBy: n.settings.Instance}
 	if row.Cells == 0 && !c.counting {
 		c.counting = n.writeDivision(ctx, row, c) == nil
 		return false
--- a/cluster/division_test.go
+++ b/cluster/division_test.go
@@ -102,12 +102,12 @@
 
 	It("is counted by another instance if the one that counts is gone", func(ctx context.Context) {
 		s := newFleetStore()
-		gone := flow.Encode(divisionRow{Counter: "gone", Workers: 3})
+		gone := flow.Encode(divisionRow{CountedBy: "gone", Workers: 3})
 		_, _ = s.Tx(ctx, rows.Tx{Put: []rows.Row{{Key: divisionKey, Value: gone}}})
 		begun := time.Now()
 		n := start(ctx, s, &countedDirectory{racks: 100}, 1)[0]
-		Eventually(n.division.cells, 2*counterTimeout+4*time.Second).Should(HaveLen(1))
-		Expect(time.Since(begun)).To(BeNumerically(">", counterTimeout))
+		Eventually(n.division.cells, 2*progressTimeout+4*time.Second).Should(HaveLen(1))
+		Expect(time.Since(begun)).To(BeNumerically(">", progressTimeout))
 	})
 })
 
--- a/cluster/greet.go
+++ b/cluster/greet.go
@@ -28,9 +28,9 @@
 func (n *Instance) greeting() *wire.Greeting {
 	g := &wire.Greeting{
 		Instance: n.settings.Instance, Hall: n.settings.Hall, Boot: n.boot, Addr: n.settings.Listen.Peer,
-		Processor: n.processor(), Leaving: n.leaving.Load(), ConfigVersion: n.config.Version(), StoreOk: n.reachesStore(clock.Now()),
+		Processor: n.processor(), Leaving: n.leaving.Load(),
 	}
-	n.vouch(g, clock.Now())
+	n.addStoreState(g, clock.Now())
 	for name, c := range n.ownCells() {
 		d, written := c.driver, c.claim.LastWrite()
 		load := d.Load()
@@ -134,7 +134,7 @@
 		// A line for each pair of instances: too many for a large fleet's ordinary log.
 		level.Debug(n.kit.Log).Log("event", "peer_heard", "peer", g.Instance, "peer_hall", g.Hall, "boot", g.Boot)
 	}
-	n.applyVouch(g, clock.Now())
+	n.applyStoreState(g, clock.Now())
 	if g.GetConfigVersion() > n.config.Version() {
 		go n.fetchFromPeer(g.Addr, g.GetConfigVersion())
 	}
--- a/cluster/instance.go
+++ b/cluster/instance.go
@@ -73,9 +73,9 @@
 	// configDataAt is when data of the store's answer with the configuration last arrived.
 	configDataAt atomic.Pointer[time.Time]
 	// configConfirmedAt is when the store last returned the configuration or confirmed that it
-	// has not changed, to this instance or to another one that told it, and configVouchedAt only
+	// has not changed, to this instance or to another one that told it, and configPeerConfirmedAt only
 	// the latter.
-	configConfirmedAt, configVouchedAt atomic.Pointer[time.Time]
+	configConfirmedAt, configPeerConfirmedAt atomic.Pointer[time.Time]
 	// configErrorLoggedAt is when a failed read of the configuration was last logged.
 	configErrorLoggedAt atomic.Pointer[time.Time]
 	badRows             *badRows
--- a/cluster/passive.go
+++ b/cluster/passive.go
@@ -29,7 +29,7 @@
 // passive reports whether this instance relies on what others have heard from the store. In a small
 // fleet all instances ask the store, so that a change reaches each of them directly.
 func (n *Instance) passive(now time.Time) bool {
-	confirmed := n.configVouchedAt.Load()
+	confirmed := n.configPeerConfirmedAt.Load()
 	return confirmed != nil && now.Sub(*confirmed) < passiveWindow && len(n.ownCells()) == 0 && n.members.addrCount() > smallFleet
 }
 
@@ -42,9 +42,13 @@
 	return n.storeClient.DirectlyReachable()
 }
 
-// vouch adds to a greeting what this instance knows of the configuration and the store.
-func (n *Instance) vouch(g *wire.Greeting, now time.Time) {
-	if at := n.configConfirmedAt.Load(); at != nil && g.ConfigVersion > 0 && now.Sub(*at) < passiveWindow {
+// addStoreState adds to a greeting what this instance knows of the configuration and the store. The
+// time of the confirmation is read before the version: a version that comes in between is newer than
+// the one confirmed, for which the earlier time is correct too.
+func (n *Instance) addStoreState(g *wire.Greeting, now time.Time) {
+	at := n.configConfirmedAt.Load()
+	g.ConfigVersion, g.StoreOk = n.config.Version(), n.reachesStore(now)
+	if at != nil && g.ConfigVersion > 0 && now.Sub(*at) < passiveWindow {
 		g.ConfigAgeUs = 1 + uint64(now.Sub(*at).Microseconds())
 	}
 	if n.storeClient.DirectlyReachable() {
@@ -52,11 +56,11 @@
 	}
 }
 
-// applyVouch applies what the sender of a greeting knows of the configuration and the store.
-func (n *Instance) applyVouch(g *wire.Greeting, now time.Time) {
+// applyStoreState applies what the sender of a greeting knows of the configuration and the store.
+func (n *Instance) applyStoreState(g *wire.Greeting, now time.Time) {
 	if g.GetConfigAgeUs() > 0 && g.GetConfigVersion() == n.config.Version() {
 		at := now.Add(-time.Duration(g.GetConfigAgeUs()) * time.Microsecond)
-		raise(&n.configVouchedAt, at)
+		raise(&n.configPeerConfirmedAt, at)
 		raise(&n.configConfirmedAt, at)
 	}
 	if g.GetStoreAgeUs() > 0 {
--- a/cluster/passive_test.go
+++ b/cluster/passive_test.go
@@ -98,7 +98,7 @@
 		g := ownerGreeting(3)
 		n.applyGreeting(g)
 		Expect(n.passive(time.Now())).To(BeTrue())
-		n.configVouchedAt.Store(nil)
+		n.configPeerConfirmedAt.Store(nil)
 		change(n, g)
 		n.applyGreeting(g)
 		Expect(n.passive(time.Now())).To(BeFalse())
--- a/driver/outage_test.go
+++ b/driver/outage_test.go
@@ -50,7 +50,7 @@
 
 // Hold implements Workers.
 func (w *cutWorkers) Hold(ctx context.Context, o HoldOrder) (HoldAnswer, error) {
-	first := slices.Index(strings.Split("abcdefghij", ""), o.Worker[len(o.Worker)-1:]) < outage.MinSilentWorkers
+	first := slices.Index(strings.Split("abcdefghij", ""), o.Worker[len(o.Worker)-1:]) < outage.MinFailedWorkers
 	for end := time.Now().Add(o.Wait); time.Now().Before(end) && ctx.Err() == nil; time.Sleep(5 * time.Millisecond) {
 		if first && w.cut(o.Worker) {
 			return HoldAnswer{}, kind.New(kind.Lost, "connection reset")
--- a/outage/outage.go
+++ b/outage/outage.go
@@ -4,10 +4,10 @@
 
 import "time"
 
-// MinSilentWorkers is how many workers of a hall must have failed to answer, and none answered since,
-// for the hall to be suspect. One worker that fails says nothing of the others, and two may share
+// MinFailedWorkers is how many workers of a hall must not have answered, with no answer of the hall
+// since, for the hall to be suspect. One worker that fails says nothing of the others, and two may share
 // what broke.
-const MinSilentWorkers = 3
+const MinFailedWorkers = 3
 
 // Detector is what an owner observes of the halls of its workers. The zero value has observed
 // nothing.
@@ -19,9 +19,9 @@
 
 // observation is what was observed of one hall.
 type observation struct {
-	// silent are the workers that failed to answer since one of the hall last did, and since is when
-	// the first of them did.
-	silent map[string]bool
+	// failed are the workers that did not answer since one of the hall last did, and since is when
+	// that was found for the first of them.
+	failed map[string]bool
 	since  time.Time
 }
 
@@ -35,13 +35,13 @@
 func (d *Detector) Failed(hall, worker string, now time.Time) {
 	o := d.halls[hall]
 	if o == nil {
-		o = &observation{silent: make(map[string]bool), since: now}
+		o = &observation{failed: make(map[string]bool), since: now}
 		if d.halls == nil {
 			d.halls = make(map[string]*observation)
 		}
 		d.halls[hall] = o
 	}
-	o.silent[worker] = true
+	o.failed[worker] = true
 }
 
 // Suspect reports whether a hall may be cut off: several of its workers have failed and none has
@@ -49,5 +49,5 @@
 // off or did not run, which says nothing of the hall.
 func (d *Detector) Suspect(hall string) bool {
 	o := d.halls[hall]
-	return o != nil && len(o.silent) >= MinSilentWorkers && d.answeredAt.After(o.since)
+	return o != nil && len(o.failed) >= MinFailedWorkers && d.answeredAt.After(o.since)
 }
--- a/outage/outage_test.go
+++ b/outage/outage_test.go
@@ -73,8 +73,8 @@
 		with, suspected := cut{perHall, true}.lost(4 * time.Second)
 		without, _ := cut{perHall, false}.lost(4 * time.Second)
 		t.Logf("%d workers a hall: %d orders lost, %d without detection", perHall, with, without)
-		g.Expect(with).To(BeNumerically("<=", MinSilentWorkers))
-		g.Expect(without).To(BeNumerically(">", 2*MinSilentWorkers), "the replay shows the failure")
+		g.Expect(with).To(BeNumerically("<=", MinFailedWorkers))
+		g.Expect(without).To(BeNumerically(">", 2*MinFailedWorkers), "the replay shows the failure")
 		g.Expect(suspected).To(BeZero())
 	}
 }
