cluster: the cells of jobs and the candidates in files of their own

A field that nothing read is gone. The table of instances by processor share is named for that, as candidates are cells here.

--- a/cluster/choice.go
+++ b/cluster/choice.go
@@ -2,6 +2,39 @@
 
 package cluster
 
+import "time"
+
+const (
+	// loadWindow is the time within which queued work should find room; it weighs queued work when
+	// the loads of cells are compared.
+	loadWindow = 2 * time.Second
+	// localityBonus is by how much the load of a cell counts as less for a job whose data is there.
+	localityBonus = 0.5
+	// unusableLoad is the load of a cell without workers.
+	unusableLoad = 1e9
+)
+
+// candidate is a cell that may take a job.
+type candidate struct {
+	cell string
+	// name is that of the owner, empty if it is this instance.
+	name string
+	load float64
+	// local says that the cell contains a rack with the job's data.
+	local bool
+}
+
+// relativeLoad returns how full a cell is: the fraction of its room in use, plus the queued work
+// (waiting, in ms of one processor) relative to what the cell processes in loadWindow. room and
+// free are in thousandths of a processor.
+func relativeLoad(room, free, waiting int64) float64 {
+	if room <= 0 {
+		return unusableLoad
+	}
+	used := float64(room-free) / float64(room)
+	return used + float64(waiting)/(float64(room)/1000*float64(loadWindow.Milliseconds()))
+}
+
 // drawCandidate chooses a cell for a job among candidates that are sorted by load, the least loaded
 // first: the better of two that are drawn by the job's id.
 //
--- a/cluster/jobs.go
+++ b/cluster/jobs.go
@@ -3,10 +3,7 @@
 package cluster
 
 import (
-	"cmp"
 	"context"
-	"slices"
-	"sync"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -17,176 +14,14 @@
 	"dewpass.org/internal/clock"
 	"dewpass.org/kind"
 	"dewpass.org/rows"
-	"dewpass.org/sched"
 	"dewpass.org/wire"
 )
 
 const (
 	askTimeout    = 700 * time.Millisecond
 	cancelTimeout = 2500 * time.Millisecond
-	// loadWindow is the time within which queued work should find room; it weighs queued work when
-	// the loads of cells are compared.
-	loadWindow = 2 * time.Second
 )
 
-// jobCells is a bounded cache of the cells that run a job, its home cell first, and of who may use
-// it. When current is full it becomes previous, and the previous half is dropped.
-type jobCells struct {
-	mu       sync.Mutex
-	current  map[string]knownJob
-	previous map[string]knownJob
-}
-
-// knownJob is what is remembered of a job.
-type knownJob struct {
-	// cells is nil if they are not known.
-	cells  []string
-	access driver.Access
-	// rowRead says that the job's home row has been read, which does not name the account if access
-	// is not known.
-	rowRead bool
-}
-
-const maxJobCells = 20_000
-
-func (h *jobCells) set(id string, cells []string) {
-	h.update(id, func(j *knownJob) { j.cells = cells })
-}
-
-// setAccess records who may use a job.
-func (h *jobCells) setAccess(id string, a driver.Access) {
-	h.update(id, func(j *knownJob) { j.access = a })
-}
-
-// setRow records the content of a job's home row. A row that does not name the account does not
-// replace what is known of it.
-func (h *jobCells) setRow(id string, cells []string, a driver.Access) {
-	h.update(id, func(j *knownJob) {
-		j.cells, j.rowRead = cells, true
-		if a.Known() {
-			j.access = a
-		}
-	})
-}
-
-// setStored records a job that was just stored.
-func (h *jobCells) setStored(id string, k storedJob) {
-	if !k.access.Known() {
-		h.set(id, k.cells)
-		return
-	}
-	h.setRow(id, k.cells, k.access)
-}
-
-func (h *jobCells) update(id string, change func(*knownJob)) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	j := h.lookup(id)
-	change(&j)
-	if h.current == nil || len(h.current) >= maxJobCells {
-		h.current, h.previous = make(map[string]knownJob), h.current
-	}
-	h.current[id] = j
-}
-
-func (h *jobCells) drop(id string) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	delete(h.current, id)
-	delete(h.previous, id)
-}
-
-// lookup returns what is remembered of a job. The caller must hold h.mu.
-func (h *jobCells) lookup(id string) knownJob {
-	if j, ok := h.current[id]; ok {
-		return j
-	}
-	return h.previous[id]
-}
-
-// get returns the cells of a job, nil if they are not known.
-func (h *jobCells) get(id string) []string {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.lookup(id).cells
-}
-
-// access returns who may use a job, and whether the job's home row has been read.
-func (h *jobCells) access(id string) (a driver.Access, rowRead bool) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	j := h.lookup(id)
-	return j.access, j.rowRead
-}
-
-// candidate is a cell that may take a job.
-type candidate struct {
-	cell string
-	// addr is empty for a cell that this instance owns.
-	addr string
-	name string
-	load float64
-	// local says that the cell contains a rack with the job's data.
-	local bool
-}
-
-// candidates returns the cells that may take a job, the best first.
-func (n *Instance) candidates(spec *flow.Spec) []candidate {
-	var out []candidate
-	add := func(c candidate) {
-		gain := n.localityGain(spec, c.cell)
-		c.load, c.local = c.load-gain, gain > 0
-		out = append(out, c)
-	}
-	own := n.ownCells()
-	for name, c := range own {
-		if !c.driver.Ready() {
-			continue
-		}
-		l := c.driver.Load()
-		add(candidate{cell: name, load: relativeLoad(l.Room[sched.MilliCPU], l.Free[sched.MilliCPU], l.Waiting)})
-	}
-	for _, o := range n.members.cells(clock.Now()) {
-		if !o.cell.Ready || own[o.cell.Name] != nil {
-			continue
-		}
-		add(candidate{
-			cell: o.cell.Name, addr: o.addr, name: o.name,
-			load: relativeLoad(o.cell.Room, o.cell.Free, o.cell.Waiting+o.sentWork),
-		})
-	}
-	slices.SortStableFunc(out, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(a.load, b.load), cmp.Compare(a.cell, b.cell))
-	})
-	return out
-}
-
-const localityBonus = 0.5
-
-// relativeLoad returns how full a cell is: the fraction of its room in use, plus the queued work
-// (waiting, in ms of one processor) relative to what the cell processes in loadWindow. room and
-// free are in thousandths of a processor.
-func relativeLoad(room, free, waiting int64) float64 {
-	if room <= 0 {
-		return unusableLoad
-	}
-	used := float64(room-free) / float64(room)
-	return used + float64(waiting)/(float64(room)/1000*float64(loadWindow.Milliseconds()))
-}
-
-// localityGain returns the bonus for a cell that contains the racks with a job's data.
-func (n *Instance) localityGain(spec *flow.Spec, cell string) float64 {
-	gain := 0.0
-	for i := range spec.Steps {
-		if rack := spec.Steps[i].PreferredRack; rack != "" && n.division.hashCell(rack) == cell {
-			gain += localityBonus / float64(len(spec.Steps))
-		}
-	}
-	return gain
-}
-
-const unusableLoad = 1e9
-
 // State returns the state of a job. Its error is of kind NotFound if there is no such job, or only
 // one of another client account.
 func (n *Instance) State(ctx context.Context, id string) (flow.State, error) {
--- a/cluster/register.go
+++ b/cluster/register.go
@@ -24,10 +24,10 @@
 // they exchange greetings. What all instances read together then grows with their number, not with
 // its square.
 const (
-	// membersTable is the list of instances by name, and candidatesTable the same by processor
+	// membersTable is the list of instances by name, and rankedTable the same by processor
 	// share, the strongest first.
 	membersTable        = "members"
-	candidatesTable     = "candidates"
+	rankedTable         = "ranked"
 	membersReadInterval = 5 * time.Second
 	// Lists of up to smallFleet instances are read every membersReadInterval, longer ones
 	// accordingly less often. An instance that starts writes itself into the list, reads it and
@@ -39,8 +39,8 @@
 	maxMembersWritePause = 2400 * time.Millisecond
 	// manyMembers is the length from which a list is read every maxMembersReadInterval.
 	manyMembers = smallFleet * int(maxMembersReadInterval/membersReadInterval)
-	// maxCandidates is how many of the strongest instances are read: more than there are cells.
-	maxCandidates = 64
+	// maxStrongest is how many of the strongest instances are read: more than there are cells.
+	maxStrongest = 64
 	// maxNeighbors is how many instances are read that follow by name: those that are greeted,
 	// and some more in case they are gone.
 	maxNeighbors = 16
@@ -52,7 +52,7 @@
 	Hall string `json:"hall"`
 	// Processor is the share of a processor, in thousandths.
 	Processor uint32 `json:"processor,omitempty"`
-	// Ranked says that the instance is also in the table of candidates. Earlier builds wrote only
+	// Ranked says that the instance is also in the ranked table. Earlier builds wrote only
 	// the list by name.
 	Ranked bool `json:"ranked,omitempty"`
 	// name is the name of the instance, which is part of the row's key.
@@ -73,9 +73,9 @@
 	return memberRow{Addr: n.settings.Listen.Peer, Hall: n.settings.Hall, Processor: n.processor(), Ranked: true}
 }
 
-// candidateName returns the name of an instance's row in the table of candidates: stronger instances
+// rankedName returns the name of an instance's row in the ranked table: stronger instances
 // come first.
-func candidateName(processor uint32, instance string) string {
+func rankedName(processor uint32, instance string) string {
 	return fmt.Sprintf("%010d %s", math.MaxUint32-processor, instance)
 }
 
@@ -94,7 +94,7 @@
 	}
 	put := rows.Tx{Put: []rows.Row{
 		{Key: rows.Key{Table: membersTable, Name: name}, Value: value},
-		{Key: rows.Key{Table: candidatesTable, Name: candidateName(own.Processor, name)}, Value: value},
+		{Key: rows.Key{Table: rankedTable, Name: rankedName(own.Processor, name)}, Value: value},
 	}}
 	written := time.Time{}
 	for ctx.Err() == nil {
@@ -139,7 +139,7 @@
 // readMembers reads the part of the list of instances that this instance needs, with its own row if
 // that exists. fleet is the number of instances as far as it is known, or manyMembers.
 func (n *Instance) readMembers(ctx context.Context) (listed []rows.Row, fleet int, ok bool) {
-	strongest, err := n.storeClient.Get(ctx, rows.Range{Table: candidatesTable, Limit: maxCandidates})
+	strongest, err := n.storeClient.Get(ctx, rows.Range{Table: rankedTable, Limit: maxStrongest})
 	if err != nil {
 		return nil, 0, false
 	}
--- a/cluster/register_test.go
+++ b/cluster/register_test.go
@@ -25,7 +25,7 @@
 		name := fmt.Sprintf("i%04d", i)
 		_, _ = s.Tx(context.Background(), rows.Tx{Put: []rows.Row{
 			{Key: rows.Key{Table: membersTable, Name: name}, Value: flow.Encode(m)},
-			{Key: rows.Key{Table: candidatesTable, Name: candidateName(m.Processor, name)}, Value: flow.Encode(m)},
+			{Key: rows.Key{Table: rankedTable, Name: rankedName(m.Processor, name)}, Value: flow.Encode(m)},
 		}})
 	}
 }
@@ -59,7 +59,7 @@
 			s.rowsReturned()
 			listed, fleet, ok := n.readMembers(ctx)
 			Expect(ok).To(BeTrue())
-			Expect(s.rowsReturned()).To(BeNumerically("<=", maxCandidates+2*maxNeighbors), "of %d", size)
+			Expect(s.rowsReturned()).To(BeNumerically("<=", maxStrongest+2*maxNeighbors), "of %d", size)
 			Expect(membersReadPause(fleet)).To(Equal(maxMembersReadInterval))
 			Expect(listed[0].Name).To(Equal(n.settings.Instance))
 			Expect(n.members.listedAbove(700)).To(BeTrue(), "the strongest are known")
@@ -98,7 +98,7 @@
 			go n.register(ctx)
 			Eventually(s.written.Load, 3*time.Second, time.Millisecond).Should(BeTrue())
 			cancel()
-			Expect(s.rowsReturned()).To(BeNumerically("<=", maxCandidates+2*maxNeighbors), "after %d refused writes", refused)
+			Expect(s.rowsReturned()).To(BeNumerically("<=", maxStrongest+2*maxNeighbors), "after %d refused writes", refused)
 		}
 	})
 
@@ -113,7 +113,7 @@
 		ctx, cancel := context.WithCancel(ctx)
 		defer cancel()
 		go n.register(ctx)
-		key := rows.Key{Table: candidatesTable, Name: candidateName(own.Processor, "me")}
+		key := rows.Key{Table: rankedTable, Name: rankedName(own.Processor, "me")}
 		Eventually(func() []rows.Row {
 			page, _ := s.Get(ctx, rows.KeyRange(key))
 			return page.Rows
