cluster: instances that are gone leave the store's list

Cause: entries were never removed. Since instances read a part of the list, those that were replaced would in time fill that part, and a new instance would find nobody who lives in it. Change: the owner of the first cell removes the entries of instances that it has not heard for 10 minutes, on the condition that they were not written again.

--- a/cluster/fleetstore_test.go
+++ b/cluster/fleetstore_test.go
@@ -35,6 +35,9 @@
 		r.Ver = s.ver
 		s.rows[r.Key] = r
 	}
+	for _, k := range t.Remove {
+		delete(s.rows, k)
+	}
 	return rows.Result{Ver: s.ver}, nil
 }
 
--- a/cluster/members.go
+++ b/cluster/members.go
@@ -80,6 +80,8 @@
 
 	mu    sync.Mutex
 	known map[string]*member
+	// listedSince is when the store was first found to list an instance.
+	listedSince map[string]time.Time
 	// addrs are addresses at which an instance may listen, with when each was first heard of.
 	addrs map[string]time.Time
 	// lastPending holds the last known counts of pending jobs of each cell.
@@ -98,7 +100,7 @@
 }
 
 func newMembers(self, hall string, peers []string, selfAddr string, now time.Time) *members {
-	m := &members{self: self, hall: hall, addr: selfAddr, known: make(map[string]*member), addrs: make(map[string]time.Time), lastPending: make(map[string]pendingReport)}
+	m := &members{self: self, hall: hall, addr: selfAddr, known: make(map[string]*member), addrs: make(map[string]time.Time), listedSince: make(map[string]time.Time), lastPending: make(map[string]pendingReport)}
 	for _, a := range peers {
 		if a != selfAddr {
 			m.addrs[a] = now
@@ -176,10 +178,28 @@
 			continue
 		}
 		m.addAddr(row.Addr, now)
+		if _, ok := m.listedSince[row.name]; !ok {
+			m.listedSince[row.name] = now
+		}
 		m.maxListedProcessor = max(m.maxListedProcessor, row.Processor)
 	}
 }
 
+// silence returns for how long a listed instance was not heard: at most since it was first found in
+// the list.
+func (m *members) silence(name string, now time.Time) time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	since, ok := m.listedSince[name]
+	if !ok {
+		return 0
+	}
+	if k := m.known[name]; k != nil && k.heardAt.After(since) {
+		since = k.heardAt
+	}
+	return now.Sub(since)
+}
+
 // listedAbove reports whether the store lists an instance with a larger processor share.
 func (m *members) listedAbove(processor uint32) bool {
 	m.mu.Lock()
--- a/cluster/register.go
+++ b/cluster/register.go
@@ -14,6 +14,8 @@
 	"strings"
 	"time"
 
+	"github.com/go-kit/log/level"
+
 	"dewpass.org/internal/clock"
 	"dewpass.org/rows"
 )
@@ -39,6 +41,9 @@
 	maxMembersWritePause = 2400 * time.Millisecond
 	// manyMembers is the length from which a list is read every maxMembersReadInterval.
 	manyMembers = smallFleet * int(maxMembersReadInterval/membersReadInterval)
+	// goneAfter is how long an instance must not have been heard before its entry is removed. One
+	// that lives after all writes it again.
+	goneAfter = 10 * time.Minute
 	// maxStrongest is how many of the strongest instances are read: more than there are cells.
 	maxStrongest = 64
 	// maxNeighbors is how many instances are read that follow by name: those that are greeted,
@@ -146,6 +151,7 @@
 	n.addMembers(strongest.Rows)
 	if len(n.ownCells()) > 0 {
 		listed, ok = n.readAllMembers(ctx)
+		n.removeGone(ctx, listed, clock.Now())
 		return listed, len(listed), ok
 	}
 	// The range begins with the own row. At the end of the list it continues at the beginning.
@@ -177,6 +183,28 @@
 	return all, true
 }
 
+// removeGone removes the entries of instances that were not heard for goneAfter. Otherwise those that
+// are replaced would, over time, fill the part of the list that the others read. The owner of the first
+// cell does that, as it greets everybody.
+func (n *Instance) removeGone(ctx context.Context, listed []rows.Row, now time.Time) {
+	cells := n.division.cells()
+	if len(cells) == 0 || n.ownDriver(cells[0]) == nil {
+		return
+	}
+	for _, r := range listed {
+		m, err := decodeMember(r.Value)
+		if err != nil || r.Name == n.settings.Instance || n.members.silence(r.Name, now) < goneAfter {
+			continue
+		}
+		_, err = n.storeClient.Tx(ctx, rows.Tx{
+			// An instance that has written its entry again meanwhile keeps it.
+			Expect: []rows.Check{{Key: r.Key, Ver: r.Ver}},
+			Remove: []rows.Key{r.Key, {Table: rankedTable, Name: rankedName(m.Processor, r.Name)}},
+		})
+		level.Info(n.kit.Log).Log("event", "instance_removed", "peer", r.Name, "err", err)
+	}
+}
+
 // addMembers records instances that the store lists.
 func (n *Instance) addMembers(listed []rows.Row) {
 	var valid []memberRow
--- a/cluster/register_test.go
+++ b/cluster/register_test.go
@@ -11,8 +11,11 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"dewpass.org/claim"
+	"dewpass.org/driver"
 	"dewpass.org/flow"
 	"dewpass.org/rows"
+	"dewpass.org/wire"
 )
 
 // listFleet writes rows of instances into a store: every fourth one is strong.
@@ -83,6 +86,35 @@
 		Expect(membersReadPause(fleet)).To(Equal(membersReadInterval))
 	})
 
+	// Guards against a list that fills with instances that were replaced, so that a new one finds nobody
+	// who lives in the part that it reads.
+	It("loses the instances that were not heard for long, by the owner of the first cell", func(ctx context.Context) {
+		s := newFleetStore()
+		listFleet(s, 8)
+		n, _ := instanceOnOwnedStore()
+		n.storeClient.Direct = s
+		now := time.Now()
+		listed, _ := n.readAllMembers(ctx)
+		n.members.applyGreeting(&wire.Greeting{Instance: "i0002", Hall: "h", Boot: "b", Addr: "a"}, now.Add(time.Minute))
+		names := func() (out []string) {
+			for _, table := range []string{membersTable, rankedTable} {
+				page, _ := s.Get(ctx, rows.Range{Table: table})
+				for _, r := range page.Rows {
+					out = append(out, instanceOf(r.Name))
+				}
+			}
+			return out
+		}
+		n.removeGone(ctx, listed, now.Add(goneAfter+time.Second))
+		Expect(names()).To(HaveLen(16), "it owns no cell")
+		n.cells["cell-0"] = &ownCell{driver: driver.New(driver.Config{Name: "cell-0", Claim: &claim.Claim{}})}
+		n.removeGone(ctx, listed, now.Add(goneAfter-time.Second))
+		Expect(names()).To(HaveLen(16), "they may be cut off")
+		_, _ = s.Tx(ctx, rows.Tx{Put: []rows.Row{listed[3]}})
+		n.removeGone(ctx, listed, now.Add(goneAfter+time.Second))
+		Expect(names()).To(ConsistOf("i0002", "i0003", "i0002", "i0003"), "one was heard, one has written its entry again")
+	})
+
 	// Guards against a start of all at which each refused write made its instance read the list again:
 	// 1,365 of 2,024 writes were refused.
 	It("is not read again after each write that the store refuses", func(ctx context.Context) {
