cluster: a reader of the directory that is new to it reads it once for all owners

Change: an owner that is asked and has no recent read makes one, for which the others wait for up to a second, or as long as their own listing is recent. An owner that the store does not answer says so. Measured (spec, 4, 8 and 16 cells whose owners ask at once): one read in each.

--- a/cluster/listing.go
+++ b/cluster/listing.go
@@ -31,6 +31,8 @@
 	listingTimeout = listingWait + 150*time.Millisecond
 	// maxListingAge is the age from which a listing of the reader is not used any more.
 	maxListingAge = 4 * time.Second
+	// firstListingWait is how long an owner without a listing waits for that of the reader.
+	firstListingWait = time.Second
 	// recentListing is the age up to which the cells of one instance use the same read.
 	recentListing = 400 * time.Millisecond
 	// failedReaderPause is how long an owner that returned no listing is not asked again.
@@ -102,10 +104,11 @@
 	l.replaced = make(chan struct{})
 }
 
-// await returns the last listing once its number is not have, or after listingWait.
+// await returns the last listing once it is a recent one whose number is not have, or after
+// listingWait.
 func (l *listings) await(ctx context.Context, have uint64) *numberedListing {
 	last, replaced := l.latest()
-	if last != nil && last.number != have {
+	if last != nil && last.number != have && clock.Since(last.Begun) <= maxListingAge {
 		return last
 	}
 	select {
@@ -136,11 +139,27 @@
 	return listing, err
 }
 
+// readOnDemand reads the directory because an owner asks for it, unless this instance has read it
+// lately: the reader before it is gone, or the store has turned it away.
+func (n *Instance) readOnDemand(ctx context.Context) {
+	if last, _ := n.listings.latest(); last != nil && clock.Since(last.Begun) < maxListingAge {
+		return
+	}
+	go func() {
+		// The owner's query may end before the read does, which the other owners need as well.
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), maxListingAge)
+		defer cancel()
+		_, _ = n.readListing(ctx, n.Directory(n.storeClient))
+	}()
+}
+
 // cellLister lists the workers of one cell.
 type cellLister struct {
 	n         *Instance
 	cell      string
 	directory driver.Directory
+	// begun is when the last listing began.
+	begun time.Time
 
 	// reader is the boot of the instance that returned the last listing, and have its number.
 	reader string
@@ -153,24 +172,42 @@
 // list returns the next listing of the reader, or reads the directory if this instance is the reader
 // or gets no listing.
 func (l *cellLister) list(ctx context.Context) (driver.Listing, error) {
-	for ctx.Err() == nil {
+	listing, ok := l.fromReader(ctx)
+	var err error
+	if !ok {
+		listing, err = l.n.readListing(ctx, l.directory)
+	}
+	if err == nil {
+		l.begun = listing.Begun
+	}
+	return listing, err
+}
+
+// fromReader waits for the next listing of the reader, as long as that answers and the listing from
+// before is not too old. ok is false if there is none.
+func (l *cellLister) fromReader(ctx context.Context) (listing driver.Listing, ok bool) {
+	until := l.begun.Add(maxListingAge)
+	if first := clock.Now().Add(firstListingWait); first.After(until) {
+		until = first
+	}
+	for ctx.Err() == nil && clock.Now().Before(until) {
 		r := l.n.directoryReader(clock.Now())
 		if r == nil || (r.boot == l.failed && clock.Since(l.failedAt) < failedReaderPause) {
-			break
+			return listing, false
 		}
 		listing, fresh, err := l.query(ctx, r)
 		if err != nil {
 			l.failed, l.failedAt = r.boot, clock.Now()
 			level.Info(l.n.kit.Log).Log("event", "workers_not_listed", "cell", l.cell, "reader", r.name, "err", err)
-			break
+			return listing, false
 		}
 		if fresh {
-			return listing, nil
+			return listing, true
 		}
 		// The reader has answered, and is still reading.
 		stall.Progress(ctx)
 	}
-	return l.n.readListing(ctx, l.directory)
+	return listing, false
 }
 
 // query asks the reader for its next listing. fresh is false if it has only the one that this
@@ -217,9 +254,14 @@
 
 // handleWorkers answers an owner's query for the workers of its cell.
 func (n *Instance) handleWorkers(ctx context.Context, q *wire.WorkersQuery) (*wire.Reply, error) {
+	if len(n.ownCells()) == 0 || !n.storeClient.DirectlyReachable() {
+		return nil, kind.New(kind.Unavailable, "this instance does not read the directory")
+	}
+	n.readOnDemand(ctx)
 	last := n.listings.await(ctx, q.Have)
 	if last == nil || clock.Since(last.Begun) > maxListingAge {
-		return nil, kind.New(kind.Unavailable, "this instance has not read the directory lately")
+		// The read is not over yet.
+		return &wire.Reply{Body: &wire.Reply_Workers{Workers: &wire.WorkerListing{Read: q.Have}}}, nil
 	}
 	out := &wire.WorkerListing{Read: last.number, AgeUs: uint64(clock.Since(last.Begun).Microseconds()), Workers: uint32(last.Workers)}
 	if last.number != q.Have {
--- a/cluster/listing_test.go
+++ b/cluster/listing_test.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"net"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -56,6 +57,10 @@
 	GinkgoHelper()
 	f := &directoryFleet{directory: &countedDirectory{racks: 8 * cells}, cells: cells, reader: testInstance(&fakePolicy{})}
 	f.reader.division.set(cells)
+	f.reader.Directory = func(rows.Store) driver.Directory { return f.directory }
+	f.reader.cells["cell-0"] = &ownCell{driver: driver.New(driver.Config{Name: "cell-0", Claim: &claim.Claim{}})}
+	f.reader.storeClient.Direct = staticStore{}
+	f.answer()
 	if h == nil {
 		h = f.reader
 	}
@@ -66,6 +71,13 @@
 	return f
 }
 
+// answer lets the store answer the reader.
+func (f *directoryFleet) answer() {
+	GinkgoHelper()
+	_, err := f.reader.storeClient.Get(context.Background(), rows.Range{Table: "t"})
+	Expect(err).NotTo(HaveOccurred())
+}
+
 // owner returns the lister of a cell whose owner has heard the reader.
 func (f *directoryFleet) owner(cellName string) *cellLister {
 	n := testInstance(&fakePolicy{})
@@ -98,6 +110,7 @@
 			owners = append(owners, f.owner(fmt.Sprint("cell-", i)))
 		}
 		for range reads {
+			f.answer()
 			_, err := f.reader.readListing(ctx, f.directory)
 			Expect(err).NotTo(HaveOccurred())
 			for _, o := range owners {
@@ -131,12 +144,33 @@
 		Expect(l.Begun).To(And(BeTemporally("<=", all.Begun), BeTemporally(">", before.Add(-time.Second))), "never later than the read began")
 	})
 
-	It("is read by the owner itself if the reader has not read it lately", func(ctx context.Context) {
+	// Guards against reads by all owners whenever the reader changes: 13 of them, twice, when the store
+	// had turned the first one away for a while.
+	It("is read once for all owners by a reader that has not read it lately", func(ctx context.Context) {
+		for _, cells := range []int{4, 8, 16} {
+			f := newDirectoryFleet(cells, nil)
+			_, err := f.reader.readListing(ctx, f.directory)
+			Expect(err).NotTo(HaveOccurred())
+			last, _ := f.reader.listings.latest()
+			last.Begun = time.Now().Add(-maxListingAge - time.Second)
+			var wg sync.WaitGroup
+			for i := 1; i < cells; i++ {
+				o := f.owner(fmt.Sprint("cell-", i))
+				wg.Go(func() {
+					defer GinkgoRecover()
+					l, err := o.list(ctx)
+					Expect(err).NotTo(HaveOccurred())
+					Expect(time.Since(l.Begun)).To(BeNumerically("<", time.Second))
+				})
+			}
+			wg.Wait()
+			Expect(f.directory.returned.Load()).To(BeEquivalentTo(2*(f.directory.racks+1)), "with %d cells", cells)
+		}
+	})
+
+	It("is read by the owner itself if the store does not answer the reader", func(ctx context.Context) {
 		f := newDirectoryFleet(2, nil)
-		_, err := f.reader.readListing(ctx, f.directory)
-		Expect(err).NotTo(HaveOccurred())
-		last, _ := f.reader.listings.latest()
-		last.Begun = time.Now().Add(-maxListingAge - time.Second)
+		time.Sleep(time.Second)
 		l, err := f.owner("cell-1").list(ctx)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(l.Entries).To(HaveLen(f.directory.racks + 1))
