--- a/cluster/accept.go
+++ b/cluster/accept.go
@@ -262,7 +262,11 @@
 			if !n.storeClient.Reachable() {
 				return storedJob{}, kind.Of(err).WithUnknownOutcome(spec.ID)
 			}
-		case !uncertain && !n.storeClient.Reachable():
+		case !n.storeClient.Reachable():
+			if uncertain {
+				// An earlier attempt may have stored the job. Waiting here tells the caller nothing.
+				return storedJob{}, kind.New(kind.Lost, "the store is not reached any more").WithUnknownOutcome(spec.ID)
+			}
 			return storedJob{}, kind.Of(err).WithRetryAfter(n.retryAfter(spec.ID))
 		}
 		sleep(ctx, acceptRetryPause)
--- a/cluster/accept_test.go
+++ b/cluster/accept_test.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -12,6 +13,7 @@
 
 	"dewpass.org/driver"
 	"dewpass.org/flow"
+	"dewpass.org/kind"
 	"dewpass.org/rows"
 	"dewpass.org/wire"
 )
@@ -62,6 +64,37 @@
 	return rows.Result{Refused: true, Rows: []rows.Row{{Key: t.home, Value: []byte("cell-0"), Ver: 5}}}, nil
 }
 
+// lostThenRefused is a store that does not answer the first write, and then refuses everything.
+type lostThenRefused struct {
+	unavailableStore
+	writes atomic.Int32
+}
+
+// Tx implements rows.Store.
+func (s *lostThenRefused) Tx(context.Context, rows.Tx) (rows.Result, error) {
+	if s.writes.Add(1) == 1 {
+		return rows.Result{}, kind.New(kind.Lost, "reset")
+	}
+	return rows.Result{}, errBusy
+}
+
+// Guards against callers that are held until their time is over although nothing more can be found
+// out: a write had no answer when their hall was cut off, and further attempts were refused for 2.2 s.
+var _ = Describe("a job whose write had no answer before the store was lost", func() {
+	It("is answered as unknown once the store is not reached any more", func(ctx context.Context) {
+		n := testInstance(&fakePolicy{})
+		n.division.set(1)
+		n.storeClient.Direct = staticStore{}
+		_, err := n.storeClient.Get(ctx, rows.Range{})
+		Expect(err).NotTo(HaveOccurred())
+		n.storeClient.Direct = &lostThenRefused{}
+		begun := time.Now()
+		err = n.Submit(ctx, &flow.Spec{ID: "j", Steps: []flow.Step{{Count: 1}}})
+		Expect(kind.Is(err, kind.Lost)).To(BeTrue())
+		Expect(time.Since(begun)).To(BeNumerically("<", acceptTimeout*2/3))
+	})
+})
+
 var _ = Describe("a job that is already stored", func() {
 	It("is sent to the owner as the store has it, not as it was submitted again", func(ctx context.Context) {
 		told := make(chan *flow.Spec, 1)
