--- a/cluster/division.go
+++ b/cluster/division.go
@@ -57,7 +57,8 @@
 type divisionRow struct {
 	Cells   int `json:"cells"`
 	Workers int `json:"workers,omitempty"`
-	// CountedBy is the instance that counts, which updates Workers as it does.
+	// CountedBy is the instance that counts, which updates Workers as it does; empty once the division
+	// is decided.
 	CountedBy string `json:"counted_by,omitempty"`
 }
 
@@ -246,6 +247,7 @@
 		}
 		row.Cells = cellCount(row.Workers)
 	}
+	row.CountedBy = ""
 	err = n.writeDivision(ctx, row, c)
 	level.Info(n.kit.Log).Log("event", "division_decided", "cells", row.Cells, "workers", row.Workers, "err", err)
 	return true
