--- a/cluster/elect_test.go
+++ b/cluster/elect_test.go
@@ -6,14 +6,12 @@
 	"context"
 	"fmt"
 	"net"
-	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
 	"dewpass.org/claim"
-	"dewpass.org/rows"
 	"dewpass.org/wire"
 )
 
@@ -52,7 +50,7 @@
 	It("tries to read one cell lease at a time, and all once the store answers", func(ctx context.Context) {
 		for _, cells := range []int{5, 10, 20} {
 			n, s := instanceOnOwnedStore()
-			away := &countedAway{}
+			away := &countingUnavailableStore{}
 			n.storeClient.Direct = away
 			n.division.set(cells)
 			vacant := make(map[string]*vacancy)
@@ -72,17 +70,6 @@
 	})
 })
 
-// countedAway is a store that refuses all calls. It counts them.
-type countedAway struct {
-	staticStore
-	reads atomic.Int32
-}
-
-func (s *countedAway) Get(context.Context, rows.Range) (rows.Page, error) {
-	s.reads.Add(1)
-	return rows.Page{}, errBusy
-}
-
 // Guards against instances that all try to take the same cell, of which all but one fail.
 var _ = Describe("the order in which vacant cells are taken", func() {
 	It("begins with each cell on about as many instances", func() {
