--- a/cluster/choice.go
+++ b/cluster/choice.go
@@ -10,7 +10,7 @@
 	loadWindow = 2 * time.Second
 	// localityBonus is by how much the load of a cell counts as less for a job whose data is there.
 	localityBonus = 0.5
-	// unusableLoad is the load of a cell without workers.
+	// unusableLoad is the load of a cell without workers, above any other.
 	unusableLoad = 1e9
 )
 
--- a/cluster/passive.go
+++ b/cluster/passive.go
@@ -14,8 +14,8 @@
 // Owners follow the configuration and call the store all the time, and greet everybody. A greeting
 // states which version of the configuration the store had, and that it answers, with the age of both.
 // As long as an instance hears that, it is passive: it reads no configuration and seldom checks
-// whether the store answers. What passive instances ask of the store does not grow with the number of
-// changes, and hardly with their own number.
+// whether the store answers. So transfers of the configuration grow with owners times changes, not
+// with instances times changes.
 const (
 	// passiveWindow is the age of the last confirmation of the configuration from which an instance
 	// asks the store itself: the owners' wait for a change, a few greetings, and some allowance.
