review: case 1, tasks run twice after a change of owner

Cause: the next owner takes a worker whose list of ends was cut at 500 rows for one of which it knows everything. The tasks whose ends come behind the 500th count as never started.

The code of the project is as it was.

--- /dev/null
+++ b/review/bed/main.go
@@ -0,0 +1,76 @@
+// SPDX-License-Identifier: Apache-2.0
+
+// Command bed plays one case of the review: it starts the project's entry instances as separate
+// processes, with stand-ins of the platform's store, its machines, its workers and its clients, and
+// checks one rule on what these have seen.
+package main
+
+import (
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+)
+
+// The results of a case.
+const (
+	held      = 0
+	broken    = 1
+	cannotRun = 2
+)
+
+// limit is how long a case may take.
+const limit = 115 * time.Second
+
+// playedCase is a case with the size of its deployment.
+type playedCase struct {
+	instances, workers int
+	play               func(b *bed, trouble bool) int
+}
+
+// cases holds the cases by name; each file of a case adds its own.
+var cases = make(map[string]playedCase)
+
+func main() {
+	if len(os.Args) != 3 {
+		fmt.Fprintln(os.Stderr, "usage: bed CASE RECORD")
+		os.Exit(cannotRun)
+	}
+	c, ok := cases[os.Args[1]]
+	if !ok {
+		fmt.Fprintln(os.Stderr, "no such case")
+		os.Exit(cannotRun)
+	}
+	out, err := os.Create(os.Args[2])
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(cannotRun)
+	}
+	root, err := os.Getwd()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(cannotRun)
+	}
+	b, err := start(out, root, c.instances, c.workers)
+	result := make(chan int, 1)
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, os.Interrupt, syscall.SIGTERM)
+	code := cannotRun
+	if err != nil {
+		fmt.Fprintln(out, "the case cannot run:", err)
+	} else {
+		go func() { result <- c.play(b, os.Getenv("TROUBLE") != "0") }()
+		select {
+		case code = <-result:
+		case <-stop:
+		case <-time.After(limit):
+			b.book.note("the case took too long")
+		}
+	}
+	if b != nil {
+		b.close(os.Getenv("REVIEW_LOGS"))
+		b.book.note("result: %d", code)
+	}
+	os.Exit(code)
+}
--- /dev/null
+++ b/review/build.sh
@@ -0,0 +1,6 @@
+#!/usr/bin/env bash
+# SPDX-License-Identifier: Apache-2.0
+# Builds the stand-ins that the scripts of the review start. The build of deploy/system.toml comes first.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+go build -o target/review-bed ./review/bed
