--- a/review/bed/takeover.go
+++ b/review/bed/takeover.go
@@ -12,10 +12,10 @@
 // playTakeover freezes the instance that gives the orders while the tasks of a wide step are about to
 // end. The rule is TWICE.
 func playTakeover(b *bed, trouble bool) int {
-	const tasks, length = 750, 4 * time.Second
+	const tasks, length = 1500, 4 * time.Second
 	time.Sleep(4 * time.Second)
 	id := newID()
-	if !b.submit(id, "ms=4000", step{"count": tasks, "cpu": 20, "mem_mb": 16, "estimate_ms": length.Milliseconds()}) {
+	if !b.submit(id, "ms=4000", step{"count": tasks, "cpu": 10, "mem_mb": 16, "estimate_ms": length.Milliseconds()}) {
 		return cannotRun
 	}
 	if !waitFor(15*time.Second, func() bool { return b.running(id) == tasks }) {
@@ -25,7 +25,7 @@
 	first, last := b.book.starts(id)
 	w, most := b.busiest(id)
 	b.book.note("%d tasks run, %d of them on %s; they were started within %.3f s", tasks, most, w.id, last.Sub(first).Seconds())
-	time.Sleep(time.Until(first.Add(length - 300*time.Millisecond)))
+	time.Sleep(time.Until(first.Add(length - 200*time.Millisecond)))
 	if trouble {
 		e := b.leader()
 		if e == nil {
