--- a/review/bed/main.go
+++ b/review/bed/main.go
@@ -60,7 +60,7 @@
 	if err != nil {
 		fmt.Fprintln(out, "the case cannot run:", err)
 	} else {
-		go func() { result <- c.play(b, os.Getenv("TROUBLE") != "0") }()
+		go func() { result <- playSafely(b, c.play) }()
 		select {
 		case code = <-result:
 		case <-stop:
@@ -74,3 +74,14 @@
 	}
 	os.Exit(code)
 }
+
+// playSafely plays a case. If the play panics, the processes are ended all the same.
+func playSafely(b *bed, play func(b *bed, trouble bool) int) (code int) {
+	defer func() {
+		if p := recover(); p != nil {
+			b.book.note("the case cannot run: %v", p)
+			code = cannotRun
+		}
+	}()
+	return play(b, os.Getenv("TROUBLE") != "0")
+}
