--- a/review/bed/bed.go
+++ b/review/bed/bed.go
@@ -33,7 +33,10 @@
 	portPlatform, portWorker                          = 8169, 8080
 )
 
-var zones = []string{"naas-hall", "athy-hall", "carlow-hall"}
+var zones = []string{"kutaisi-a", "kutaisi-b", "zestafoni"}
+
+// instanceZones are the zones of the instances, as in the site file.
+var instanceZones = []int{0, 0, 1, 1, 1, 2}
 
 // bed is a deployment: the project's own processes, and stand-ins for all else.
 type bed struct {
@@ -64,8 +67,8 @@
 
 func at(ip string, port int) string { return net.JoinHostPort(ip, strconv.Itoa(port)) }
 
-// start starts the stand-ins and the instances: workers and instances are spread over the zones.
-func start(out io.Writer, root string, instances, workers int) (*bed, error) {
+// start starts the stand-ins and the instances. The workers are spread over the zones.
+func start(out io.Writer, root string, workers int) (*bed, error) {
 	dir, err := os.MkdirTemp("", "review")
 	if err != nil {
 		return nil, err
@@ -74,7 +77,7 @@
 	b.store = newStore(b.book)
 	for range 50 {
 		b.net = 20 + rand.IntN(200)
-		if b.free(instances, workers) {
+		if b.free(workers) {
 			break
 		}
 	}
@@ -89,9 +92,10 @@
 			return b, err
 		}
 	}
-	for i := range instances {
-		zone := i % len(zones)
-		e := &instance{name: fmt.Sprintf("frontend-%s-%d", zones[zone], 1+i/len(zones)), zone: zones[zone], ip: b.ip(1+zone, 10+i)}
+	count := make(map[int]int)
+	for i, zone := range instanceZones {
+		count[zone]++
+		e := &instance{name: fmt.Sprintf("frontend-%s-%d", zones[zone], count[zone]), zone: zones[zone], ip: b.ip(1+zone, 10+i)}
 		if err := b.serve(at(b.ip(200, 10+i), portPlatform), b.store.forCaller(e.name)); err != nil {
 			return b, err
 		}
@@ -110,10 +114,10 @@
 }
 
 // free reports whether all addresses of the deployment are free.
-func (b *bed) free(instances, workers int) bool {
+func (b *bed) free(workers int) bool {
 	var all []string
-	for i := range instances {
-		ip := b.ip(1+i%len(zones), 10+i)
+	for i, zone := range instanceZones {
+		ip := b.ip(1+zone, 10+i)
 		all = append(all, at(ip, portFrontend), at(ip, portReady), at(ip, portControl), at(ip, portMetrics), at(b.ip(200, 10+i), portPlatform))
 	}
 	for i := range workers {
--- a/review/bed/cutoff.go
+++ b/review/bed/cutoff.go
@@ -7,7 +7,7 @@
 	"time"
 )
 
-func init() { cases["cutoff"] = playedCase{7, 48, playCutoff} }
+func init() { cases["cutoff"] = playedCase{48, playCutoff} }
 
 // playCutoff cuts a worker off for a few seconds under a steady load of short tasks. The rule is LOST:
 // from 4 s after the cut nothing disturbs the deployment, and still jobs have nothing running.
@@ -32,7 +32,7 @@
 		defer tick.Stop()
 		for {
 			id := newID()
-			if !b.submit(id, "ms=2000", step{"count": tasks, "cpu": 10, "mem_mb": 16, "estimate_ms": 2000, "affinity": "r1-0"}) {
+			if !b.submit(id, "ms=2000", step{"count": tasks, "cpu": 20, "mem_mb": 32, "estimate_ms": 2000, "affinity": "r1-0"}) {
 				refused = true
 			}
 			jobs = append(jobs, id)
--- a/review/bed/main.go
+++ b/review/bed/main.go
@@ -23,10 +23,10 @@
 // limit is how long a case may take.
 const limit = 115 * time.Second
 
-// playedCase is a case with the size of its deployment.
+// playedCase is a case with the number of its workers.
 type playedCase struct {
-	instances, workers int
-	play               func(b *bed, trouble bool) int
+	workers int
+	play    func(b *bed, trouble bool) int
 }
 
 // cases holds the cases by name; each file of a case adds its own.
@@ -52,7 +52,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(cannotRun)
 	}
-	b, err := start(out, root, c.instances, c.workers)
+	b, err := start(out, root, c.workers)
 	result := make(chan int, 1)
 	stop := make(chan os.Signal, 1)
 	signal.Notify(stop, os.Interrupt, syscall.SIGTERM)
--- a/review/bed/record.go
+++ b/review/bed/record.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-func init() { cases["record"] = playedCase{7, 48, playRecord} }
+func init() { cases["record"] = playedCase{48, playRecord} }
 
 // playRecord crashes the worker that runs a wide step. The rule is LOST: from 4 s after the worker is
 // back nothing disturbs the deployment, and still the job has nothing running.
@@ -16,13 +16,13 @@
 	var lasting []string
 	for range 4 {
 		id := newID()
-		if !b.submit(id, "lasts", step{"count": 1, "cpu": 100, "mem_mb": 16, "long_running": true}) {
+		if !b.submit(id, "lasts", step{"count": 1, "cpu": 200, "mem_mb": 32, "long_running": true}) {
 			return cannotRun
 		}
 		lasting = append(lasting, id)
 	}
 	id := newID()
-	if !b.submit(id, "ms=15000", step{"count": tasks, "cpu": 10, "mem_mb": 16, "estimate_ms": 15000}) {
+	if !b.submit(id, "ms=15000", step{"count": tasks, "cpu": 20, "mem_mb": 32, "estimate_ms": 15000}) {
 		return cannotRun
 	}
 	if !waitFor(12*time.Second, func() bool { return b.running(id) == tasks }) {
--- a/review/bed/takeover.go
+++ b/review/bed/takeover.go
@@ -7,7 +7,7 @@
 	"time"
 )
 
-func init() { cases["takeover"] = playedCase{7, 48, playTakeover} }
+func init() { cases["takeover"] = playedCase{48, playTakeover} }
 
 // playTakeover freezes the instance that gives the orders while the tasks of a wide step are about to
 // end. The rule is TWICE.
@@ -15,7 +15,7 @@
 	const tasks, length = 1500, 4 * time.Second
 	time.Sleep(4 * time.Second)
 	id := newID()
-	if !b.submit(id, "ms=4000", step{"count": tasks, "cpu": 10, "mem_mb": 16, "estimate_ms": length.Milliseconds()}) {
+	if !b.submit(id, "ms=4000", step{"count": tasks, "cpu": 20, "mem_mb": 32, "estimate_ms": length.Milliseconds()}) {
 		return cannotRun
 	}
 	if !waitFor(15*time.Second, func() bool { return b.running(id) == tasks }) {
--- a/review/bed/worker.go
+++ b/review/bed/worker.go
@@ -13,15 +13,15 @@
 	"time"
 )
 
-// The bounds of the workers, as SYSTEM.md gives them for Comhar Dathanna, and what PROTOCOL.md says
+// The bounds of the workers, as SYSTEM.md gives them for Kartvela, and what PROTOCOL.md says
 // of a worker's lists.
 const (
 	holdMax        = 10 * time.Second
 	heartbeat      = 1500 * time.Millisecond
 	finishedAtOnce = 500
 	maxWait        = 2 * time.Second
-	workerCPU      = 16000
-	workerMem      = 32768
+	workerCPU      = 32000
+	workerMem      = 65536
 	saveInterval   = 500 * time.Millisecond
 	workerTick     = 10 * time.Millisecond
 	// silentBeats is how many heartbeats of silence remove a worker's entry.
