--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -9,4 +9,5 @@
   echo "first run the build of deploy/system.toml and review/build.sh" >&2
   exit 2
 fi
-exec target/review-bed takeover "$folder/record.txt"
+export REVIEW_CASE=takeover REVIEW_RECORD="$folder/record.txt"
+exec target/review-bed
--- a/review/bed/worker.go
+++ b/review/bed/worker_test.go
@@ -1,6 +1,6 @@
 // SPDX-License-Identifier: Apache-2.0
 
-package main
+package bed
 
 import (
 	"encoding/json"
