standin: the limits that the platform's pages name

The stand-ins listed all ends of a worker at once and took rows, keys and transactions of any length, so that no suite saw what happens beyond the limits: 500 ends in a list, 65,536 bytes in a row, 200 in a key, 1 MB in a transaction or a page, 100 workers in a question, a hold of 2 s.

--- a/internal/standin/world/policy.go
+++ b/internal/standin/world/policy.go
@@ -111,7 +111,7 @@
 // ServeHTTP implements http.Handler.
 func (c *policyCaller) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	var q policyQuery
-	if err := json.NewDecoder(r.Body).Decode(&q); err != nil {
+	if err := json.NewDecoder(r.Body).Decode(&q); err != nil || len(q.Workers) > maxPolicyWorkers {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
--- a/internal/standin/world/store.go
+++ b/internal/standin/world/store.go
@@ -288,16 +288,18 @@
 	return http.StatusOK, s.page(nil)
 }
 
-// validTx reports whether a transaction is valid: 1 to 100 rows, all in one part unless
-// it is marked as cross-part.
+// validTx reports whether a transaction is valid: at least one row and no more than the limits
+// allow, all in one part unless it is marked as cross-part.
 func validTx(t *storeTx) bool {
 	all := slices.Concat(t.Expect, t.Put, t.Remove)
+	size := 0
 	for i := range all {
-		if all[i].Part != all[0].Part && !t.CrossPart {
+		if !all[i].withinLimits() || (all[i].Part != all[0].Part && !t.CrossPart) {
 			return false
 		}
+		size += len(all[i].Value)
 	}
-	return len(all) > 0 && len(all) <= 100
+	return len(all) > 0 && len(all) <= maxTxRows && size <= maxTxBytes
 }
 
 func (s *Store) page(rows []storeRow) storePage {
@@ -307,8 +309,6 @@
 	return storePage{Rows: rows, Ver: s.ver, Now: time.Since(s.begun).Milliseconds()}
 }
 
-const pageRows = 500
-
 func (s *Store) handleGet(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
 	limit, _ := strconv.Atoi(q.Get("limit"))
@@ -331,8 +331,8 @@
 		}
 	}
 	slices.SortFunc(found, func(a, b storeRow) int { return strings.Compare(a.Key, b.Key) })
-	page := s.page(found[:min(len(found), limit)])
-	page.More = len(found) > limit
+	page := s.page(firstPage(found, limit))
+	page.More = len(found) > len(page.Rows)
 	return page
 }
 
--- a/internal/standin/world/worker.go
+++ b/internal/standin/world/worker.go
@@ -177,7 +177,7 @@
 		return
 	}
 	if r.URL.Path == "/dewpass/hold" && status == http.StatusOK && !a.dropped && len(a.Finished) == 0 && o.Wait > 0 {
-		w.awaitEnd(r, time.Duration(o.Wait)*time.Millisecond)
+		w.awaitEnd(r, time.Duration(min(o.Wait, maxHoldWaitMS))*time.Millisecond)
 		status, a = w.handle(r.URL.Path, &o)
 	}
 	if a.dropped {
@@ -349,7 +349,7 @@
 		}
 		a.Running = append(a.Running, []any{r.task, r.number, r.checkpoint, percent, r.cpu})
 	}
-	for _, e := range w.ends {
+	for _, e := range w.ends[:min(len(w.ends), maxEndsListed)] {
 		a.Finished = append(a.Finished, []any{e.number, e.task, e.run, e.outcome, e.checkpoint})
 	}
 }
