cell: a worker's list of ends is read to its end before anything is concluded

Cause: a worker lists 500 ends at once, the oldest that it was not told to forget. Attached took the first such list for all that a worker has to say: the worker counted as settled, and what a former owner had started there and was not in the list was started again. Where the list was known to be cut, nothing could resolve a run whose order was lost; and while there is such a run Observed was 0, so that the worker listed the same 500 for ever. Each of the two waited for the other.

Change: a list is a page. Ends are taken in page by page, and each page is asked for once the store has the one before. Only the last one settles a worker and resolves the runs that were ordered before it was attached; until then it is given nothing new. Observed is held back only by orders that may still be executed, those sent since the attach: earlier ones are refused by the incarnation that took the newer fence. So an order that was lost no longer keeps the pages from being read, and the pages show what became of it. The next page is asked for without a wait, also where the last one is empty (500, 1,000, 1,500 ends).

Why a guard on settled alone is none: with a recorded start that the worker never got, it was never settled, and every restored job of the hall waited.

Some rigs said Truncated for lists that leave out runs. That has a field of its own now (RunsIncomplete, which a relay's short answer has too); what they check is unchanged.

--- a/cell/ask_unanswered_test.go
+++ b/cell/ask_unanswered_test.go
@@ -127,7 +127,7 @@
 	task := flow.TaskID{Job: id}
 	t.attach(w, 1, Running{Task: task, Run: formerRun})
 	t.after(until, func() {
-		t.Listed(w.ID, Lists{Finished: []Finished{{Number: 1, Task: task, Run: formerRun, How: flow.EndDone}}, Truncated: true}, t.now, t.now)
+		t.Listed(w.ID, Lists{Finished: []Finished{{Number: 1, Task: task, Run: formerRun, How: flow.EndDone}}, RunsIncomplete: true}, t.now, t.now)
 		t.replay.workers[w.ID].ends = 1
 	})
 }
--- a/cell/cell_test.go
+++ b/cell/cell_test.go
@@ -81,7 +81,7 @@
 // end lists the end of a run.
 func (r *rig) end(s Start, how flow.End) {
 	r.ends[s.Worker]++
-	r.Listed(s.Worker, Lists{Finished: []Finished{{Number: r.ends[s.Worker], Task: s.Task, Run: s.Run, How: how}}, Truncated: true}, r.now, r.now)
+	r.Listed(s.Worker, Lists{Finished: []Finished{{Number: r.ends[s.Worker], Task: s.Task, Run: s.Run, How: how}}, RunsIncomplete: true}, r.now, r.now)
 }
 
 var _ = Describe("a job", func() {
@@ -381,7 +381,7 @@
 		starts := r.startAll()
 		Expect(starts).To(HaveLen(3))
 		for _, s := range starts {
-			r.Listed(s.Worker, Lists{Running: []Running{{Task: s.Task, Run: s.Run, Percent: 100}}, Truncated: true}, r.now, r.now)
+			r.Listed(s.Worker, Lists{Running: []Running{{Task: s.Task, Run: s.Run, Percent: 100}}, RunsIncomplete: true}, r.now, r.now)
 		}
 		r.heard(starts[0].Worker, func(w *Worker) { w.Draining, w.Remaining = true, time.Second })
 		Expect(r.place().Stops).To(HaveLen(1))
--- a/cell/crash.go
+++ b/cell/crash.go
@@ -266,9 +266,9 @@
 	return false
 }
 
-// noteInheritedLoss records that a worker of a former owner had gone when this owner took over.
+// noteInheritedLoss records that a worker of a former owner was lost before all of its ends were read.
 func (c *Cell) noteInheritedLoss(w *worker, how Loss) {
-	if w.inherited && !w.everAttached && how != LossPlanned {
+	if w.inherited && !w.endsRead && how != LossPlanned {
 		c.InheritLost(w.Hall, []string{w.ID})
 	}
 }
--- a/cell/evacuate_test.go
+++ b/cell/evacuate_test.go
@@ -14,7 +14,7 @@
 var _ = Describe("a worker under evacuation", func() {
 	const patience = 2 * time.Second
 	atWork := func(r *rig, s Start) {
-		r.Listed(s.Worker, Lists{Running: []Running{{Task: s.Task, Run: s.Run, Percent: 100}}, Truncated: true}, r.now, r.now)
+		r.Listed(s.Worker, Lists{Running: []Running{{Task: s.Task, Run: s.Run, Percent: 100}}, RunsIncomplete: true}, r.now, r.now)
 	}
 
 	It("gets nothing new, and may be taken down when nothing runs there", func() {
--- a/cell/incarnation_test.go
+++ b/cell/incarnation_test.go
@@ -110,7 +110,7 @@
 		hear(r, after)
 		Expect(r.startAll()).To(HaveLen(1), "only the lost run starts again")
 		r.Listed("w0", Lists{Born: after, Running: []Running{row(starts[0])}, Finished: []Finished{end(1, starts[1], flow.EndDone)}}, r.now, r.now)
-		r.Listed("w0", Lists{Born: after, Finished: []Finished{end(2, starts[0], flow.EndDone)}, Truncated: true}, r.now, r.now)
+		r.Listed("w0", Lists{Born: after, Finished: []Finished{end(2, starts[0], flow.EndDone)}, RunsIncomplete: true}, r.now, r.now)
 		Expect(r.startAll()).To(BeEmpty())
 	})
 
--- a/cell/leave_test.go
+++ b/cell/leave_test.go
@@ -136,7 +136,7 @@
 			if m.now.Sub(m.begun[runName(r.task(), r.number)]) >= m.warmUp {
 				percent = 100
 			}
-			m.Listed(w.ID, Lists{Running: []Running{{Task: r.task(), Run: r.number, Percent: percent}}, Truncated: true}, m.now, m.now)
+			m.Listed(w.ID, Lists{Running: []Running{{Task: r.task(), Run: r.number, Percent: percent}}, RunsIncomplete: true}, m.now, m.now)
 		}
 	}
 	if s := m.stage(flow.StepID{Job: "j"}); s != nil {
--- a/cell/recorded.go
+++ b/cell/recorded.go
@@ -186,7 +186,8 @@
 }
 
 // restoreStart restores a run that a former owner may have started. Whether its worker has it shows
-// when that worker is attached; the former owner stopped listing a worker only after it was lost.
+// when all ends of that worker were read; the former owner stopped listing a worker only after it was
+// lost.
 func (c *Cell) restoreStart(s *stage, index int, st flow.RunStart, now time.Time) {
 	if index >= len(s.tasks) || slices.Contains(s.tasks[index].failedRuns, st.Run) || s.job.state.Final() {
 		return
@@ -197,18 +198,19 @@
 	}
 	w := c.workers[st.Worker]
 	switch {
-	case w == nil, !w.everAttached && w.settled, w.incarnation != 0 && st.Born != 0 && w.incarnation != st.Born:
+	case w == nil, !w.endsRead && w.settled, w.incarnation != 0 && st.Born != 0 && w.incarnation != st.Born:
 		crash := flow.Crash{Run: st.Run, Blame: flow.BlameUnlikely, Inherited: true}
 		if t.suspect() {
 			crash.Blame = flow.BlameShared
 		}
 		c.addInheritedCrash(s, index, crash, []string{st.Worker}, now)
-	case w.everAttached:
+	case w.endsRead:
 		// If the worker has the run it has listed it.
 	default:
 		r := &run{
 			stage: s, index: index, number: st.Run, worker: w, decidedAt: now, room: s.def.Reservation(),
 			checkpoint: t.checkpoint, recorded: true, stored: true, inherited: true,
+			orderedBefore: w.attached,
 		}
 		w.addRun(r)
 		c.bind(r, now)
--- a/cell/replay_test.go
+++ b/cell/replay_test.go
@@ -299,7 +299,7 @@
 	delete(w.runs, runKey{run.start.Task, run.start.Run})
 	w.ends++
 	f := Finished{Number: w.ends, Task: run.start.Task, Run: run.start.Run, How: how, Checkpoint: saved}
-	r.Listed(w.id, Lists{Finished: []Finished{f}, Truncated: true}, r.now, r.now)
+	r.Listed(w.id, Lists{Finished: []Finished{f}, RunsIncomplete: true}, r.now, r.now)
 }
 
 func (r *replay) stopped(s Stop) {
--- a/cell/reserve_test.go
+++ b/cell/reserve_test.go
@@ -55,7 +55,7 @@
 	It("has nothing stopped where room comes free just as soon", func() {
 		r, starts := full("later", small)
 		for _, s := range starts {
-			r.Listed(s.Worker, Lists{Running: []Running{{Task: s.Task, Run: s.Run, Percent: 50}}, Truncated: true}, r.now, r.now)
+			r.Listed(s.Worker, Lists{Running: []Running{{Task: s.Task, Run: s.Run, Percent: 50}}, RunsIncomplete: true}, r.now, r.now)
 		}
 		r.now = r.now.Add(estimate*time.Millisecond - minYieldGain)
 		submit(r, "b", "q", large)
--- a/cell/run.go
+++ b/cell/run.go
@@ -44,9 +44,11 @@
 	// store has that record, and unsent that the order to start the run waits for it. leftOut means
 	// that the record has no room for it.
 	recorded, stored, unsent, leftOut bool
-	// inherited means that a former owner recorded the run and that its worker has not listed
-	// anything to this owner.
+	// inherited means that a former owner recorded the run and that its worker has not listed it.
 	inherited bool
+	// orderedBefore means that the order to start the run was sent before the worker was last
+	// attached: the worker will not execute it any more.
+	orderedBefore bool
 	// listSeq is the cell's listSeq when the run was last listed.
 	listSeq int
 	// trialUntil is the end of the period in which the run is watched because it may crash its
--- a/cell/share_test.go
+++ b/cell/share_test.go
@@ -136,7 +136,7 @@
 		c.play(100 * time.Millisecond)
 		other := c.cells[1]
 		task := flow.TaskID{Job: "j", Index: 2}
-		other.Listed("w1-0", Lists{Running: []Running{{Task: task, Run: 1}}, Truncated: true}, c.now, c.now)
+		other.Listed("w1-0", Lists{Running: []Running{{Task: task, Run: 1}}, RunsIncomplete: true}, c.now, c.now)
 		stops := other.Place(c.now, c.now, 0).Stops
 		Expect(stops).To(HaveLen(1))
 		Expect(stops[0].Task).To(Equal(task))
@@ -149,7 +149,7 @@
 		one := c.cells[2]
 		for _, w := range one.sortedWorkers {
 			for _, r := range w.runList {
-				one.Listed(w.ID, Lists{Running: []Running{{Task: r.task(), Run: r.number, Percent: 100}}, Truncated: true}, c.now, c.now)
+				one.Listed(w.ID, Lists{Running: []Running{{Task: r.task(), Run: r.number, Percent: 100}}, RunsIncomplete: true}, c.now, c.now)
 				w.Draining, w.Remaining, w.lastHeard = true, time.Minute, c.now
 			}
 		}
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -66,6 +66,9 @@
 	seenEnd, savingEnd, observedEnd int
 	health                          health
 	speed                           workerSpeed
+	// moreEnds means that the worker has ends after those that it has listed, and endsRead that all of
+	// them were listed at some time.
+	moreEnds, endsRead bool
 	// settled means that whatever a former owner left running here is known.
 	settled bool
 	// throttlePercent is the reduction of the speed of the filler runs here, in percent, and
@@ -116,8 +119,11 @@
 	Born     int64
 	Running  []Running
 	Finished []Finished
-	// Truncated means that there were more ends than the worker lists at once.
+	// Truncated means that there may be more ends than the worker lists at once: Finished is not the
+	// last page.
 	Truncated bool
+	// RunsIncomplete means that Running does not name all runs.
+	RunsIncomplete bool
 }
 
 // Heard updates the cell from a worker's entry.
@@ -160,7 +166,7 @@
 
 // usable reports whether tasks may be placed on w now.
 func (w *worker) usable() bool {
-	return w.attached && !w.unlisted && !w.silent && !w.leaving() && !w.Gone && w.unknownRuns == 0 && w.described()
+	return w.attached && !w.moreEnds && !w.unlisted && !w.silent && !w.leaving() && !w.Gone && w.unknownRuns == 0 && w.described()
 }
 
 // inService reports whether w counts for the capacity of its pool.
@@ -267,17 +273,6 @@
 	return out
 }
 
-// Observed returns the number of the last end of a worker that the store has. It returns 0 while
-// the worker has an unconfirmed run, which may have been started by another incarnation: that
-// incarnation would discard ends of its own if it were told this number.
-func (c *Cell) Observed(id string) int {
-	w := c.workers[id]
-	if w == nil || slices.ContainsFunc(w.runList, func(r *run) bool { return r.confirmedAt.IsZero() && !r.unsent }) {
-		return 0
-	}
-	return w.observedEnd
-}
-
 // Unsaved reports whether a worker has listed ends that the store does not have yet.
 func (c *Cell) Unsaved(id string) bool {
 	w := c.workers[id]
@@ -293,17 +288,16 @@
 	}
 	w = c.incarnationThatLists(w, &l, now)
 	c.takeLists(w, l, now)
-	for _, r := range slices.Clone(w.runList) {
+	for _, r := range w.runList {
 		if r.throttlePercent != w.throttlePercent || r.throttlePercent != 0 {
 			// The last order to set its pace may have been lost.
 			r.throttlePercent = -1
 		}
-		if r.confirmedAt.IsZero() && !l.Truncated {
-			c.notBegun(r, now)
-		}
+		r.orderedBefore = !r.unsent
 	}
-	w.attached, w.everAttached, w.settled = true, true, true
+	w.attached, w.everAttached = true, true
 	w.hungUp, w.disconnectSeen = false, false
+	c.takePage(w, &l, now)
 }
 
 // notBegun removes a run of which it is certain that the order to start it had no effect.
@@ -321,13 +315,14 @@
 		return
 	}
 	turn := c.takeLists(w, l, now)
+	if w.attached {
+		c.takePage(w, &l, now)
+	}
+	if l.Truncated || l.RunsIncomplete {
+		return
+	}
 	for _, r := range slices.Clone(w.runList) {
-		if r.inherited && !l.Truncated {
-			// The lists at the time of the attach were truncated.
-			c.notBegun(r, now)
-			continue
-		}
-		if r.listSeq != turn && !l.Truncated && !r.confirmedAt.IsZero() && r.confirmedAt.Before(sent) {
+		if r.listSeq != turn && !r.confirmedAt.IsZero() && r.confirmedAt.Before(sent) {
 			c.lostRuns = append(c.lostRuns, r.lostRun(LossMissing, now))
 			c.counts.Lapsed++
 			c.noteChange(r, RunMissing)
@@ -337,9 +332,8 @@
 	}
 }
 
-// EndsListed updates the cell from the ends in an answer that does not tell what runs on the worker
-// now: the answer came under an earlier fencing token, or the list of runs was left out. An end is
-// final under any fencing token. Ends of another incarnation are ignored, as they are numbered
+// EndsListed updates the cell from the ends in an answer under an earlier fencing token, whose list of
+// runs is out of date. An end is final under any fencing token. Ends of another incarnation are ignored, as they are numbered
 // anew: those that the earlier incarnation listed were lost with it, and those of the new one are
 // listed again when it is attached.
 func (c *Cell) EndsListed(id string, l Lists, now time.Time) {
@@ -384,8 +378,8 @@
 	return c.listSeq
 }
 
-// takeEnds processes the ends that are new. A worker lists all ends in order, from the first one
-// that it was not told to discard, so that none is missed.
+// takeEnds processes the ends that are new. A worker lists its ends in order, from the first one that
+// it was not told to discard, so that none is missed.
 func (c *Cell) takeEnds(w *worker, ends []Finished, now time.Time) {
 	for _, f := range ends {
 		if f.Number <= w.seenEnd {
--- a/cluster/relay.go
+++ b/cluster/relay.go
@@ -144,7 +144,7 @@
 	if err := wire.ErrorOf(m.GetError()); err != nil {
 		return driver.HoldAnswer{}, err
 	}
-	a := driver.HoldAnswer{ClockMS: m.GetClockMs(), Lists: cell.Lists{Born: m.GetBornMs(), Truncated: m.GetCut()}, EndsOnly: m.GetBrief()}
+	a := driver.HoldAnswer{ClockMS: m.GetClockMs(), Lists: cell.Lists{Born: m.GetBornMs(), Truncated: m.GetCut(), RunsIncomplete: m.GetBrief()}}
 	for _, r := range m.GetRunning() {
 		a.Lists.Running = append(a.Lists.Running, cell.Running{
 			Task: taskID(r.Task), Run: int(r.Run), Checkpoint: r.Saved, Percent: int(r.Percent), Tail: r.Tail,
--- a/cluster/relay_test.go
+++ b/cluster/relay_test.go
@@ -100,7 +100,7 @@
 		}
 		a, err := hold("good", true)
 		Expect(err).NotTo(HaveOccurred())
-		Expect(a.EndsOnly).To(BeFalse())
+		Expect(a.Lists.RunsIncomplete).To(BeFalse())
 		Expect(a.Lists.Truncated).To(BeTrue())
 		Expect(a.ClockMS).To(Equal(int64(7)))
 		Expect(a.Lists.Running).To(Equal([]cell.Running{{Task: flow.TaskID{Job: "j", Round: 1, Step: 2, Index: 3}, Run: 4, Checkpoint: "s", Percent: 50, Tail: 9}}))
@@ -110,7 +110,7 @@
 		Expect(a.Lists.Running).To(HaveLen(1))
 		a, err = hold("good", true)
 		Expect(err).NotTo(HaveOccurred())
-		Expect(a.EndsOnly).To(BeTrue())
+		Expect(a.Lists.RunsIncomplete).To(BeTrue())
 		Expect(a.Lists.Running).To(BeEmpty())
 		Expect(a.Lists.Finished).To(Equal(w.finished))
 		_, err = hold("gone", true)
--- a/driver/hold.go
+++ b/driver/hold.go
@@ -54,7 +54,8 @@
 	if !attach && d.mayOrder(now) {
 		o.LeaseUntilMS = d.newLeaseEnd(l, now)
 	}
-	if !attach && !unsaved {
+	// The next page of ends is there already, or there is none, which is to be known at once.
+	if !attach && !unsaved && !d.cell.MoreEnds(l.id) {
 		o.Wait = d.holdWait(l, now)
 		o.EndsOnly = now.Sub(l.listedAt) < o.Wait
 	}
@@ -69,6 +70,7 @@
 		return d.ignoreOldAddress(l, o.Addr, err)
 	}
 	d.waitPersisted(ctx, l)
+	d.waitForNextPage(ctx, l, o.Observed)
 	return nil
 }
 
@@ -188,12 +190,11 @@
 			d.replaceIncarnation(l, o, &a, now)
 		}
 		d.workerAttached(l, &a, now)
-	case a.EndsOnly:
-		d.cell.EndsListed(l.id, a.Lists, now)
-		l.updateClock(a.ClockMS, now)
 	default:
 		d.cell.Listed(l.id, a.Lists, sent, now)
-		l.listedAt = now
+		if !a.Lists.RunsIncomplete {
+			l.listedAt = now
+		}
 		l.updateClock(a.ClockMS, now)
 	}
 	l.answeredAt = now
@@ -275,6 +276,26 @@
 	}
 }
 
+// nextPageRetry is how long a link waits before it holds a worker again whose next page of ends it can
+// not ask for yet. It is a little longer than orders usually take.
+const nextPageRetry = 20 * time.Millisecond
+
+// waitForNextPage waits for nextPageRetry if the worker has more ends and can't be told yet to forget
+// those that it has listed: it would only list them again. observed is what it was told last.
+func (d *Driver) waitForNextPage(ctx context.Context, l *link, observed int) {
+	d.mu.Lock()
+	wait := l.attached && d.cell.MoreEnds(l.id) && d.cell.Observed(l.id) <= observed
+	d.mu.Unlock()
+	if !wait {
+		return
+	}
+	select {
+	case <-time.After(nextPageRetry):
+	case <-l.retryNow:
+	case <-ctx.Done():
+	}
+}
+
 // holdFailed handles a hold without an answer, and reports whether the link has ended.
 func (d *Driver) holdFailed(l *link, err error) bool {
 	if kind.Is(err, kind.NotFound) {
--- a/driver/lease_end_test.go
+++ b/driver/lease_end_test.go
@@ -31,7 +31,7 @@
 	}
 	o.Wait = min(o.Wait, 20*time.Millisecond)
 	a, err := w.restartingWorker.Hold(ctx, o)
-	a.Lists.Truncated = true
+	a.Lists.RunsIncomplete = true
 	return a, err
 }
 
--- a/driver/ports.go
+++ b/driver/ports.go
@@ -74,8 +74,6 @@
 type HoldAnswer struct {
 	ClockMS int64
 	Lists   cell.Lists
-	// EndsOnly says that the running runs are omitted.
-	EndsOnly bool
 }
 
 // Workers sends orders to workers. Errors are of kind Fenced (the worker has seen a higher fence),
--- a/driver/relay_test.go
+++ b/driver/relay_test.go
@@ -217,7 +217,7 @@
 	answer := func(d *Driver, endsOnly bool, fence uint64) {
 		l := d.links["w"]
 		o := HoldOrder{Target: Target{Worker: "w", Fence: fence}, Wait: time.Second}
-		d.holdAnswered(l, o, HoldAnswer{ClockMS: 1, EndsOnly: endsOnly, Lists: cell.Lists{Finished: []cell.Finished{
+		d.holdAnswered(l, o, HoldAnswer{ClockMS: 1, Lists: cell.Lists{RunsIncomplete: endsOnly, Finished: []cell.Finished{
 			{Number: 1, Task: flow.TaskID{Job: "0"}, Run: 1, How: flow.EndDone},
 		}}}, time.Now(), false)
 	}
--- a/driver/suspend_test.go
+++ b/driver/suspend_test.go
@@ -38,7 +38,7 @@
 	case <-time.After(o.Wait):
 	case <-ctx.Done():
 	}
-	return HoldAnswer{ClockMS: 1, EndsOnly: o.EndsOnly}, ctx.Err()
+	return HoldAnswer{ClockMS: 1, Lists: cell.Lists{RunsIncomplete: o.EndsOnly}}, ctx.Err()
 }
 
 func (w *obedientWorker) All(context.Context) ([]Entry, error) {
