cell: a worker with further pages of ends is not empty

A leaving worker that runs nothing and whose listed ends are stored was taken off the list of workers for the next owner, and one under evacuation could be taken down, while it had ends that it had not listed yet: 200 of 700 in the test. Tasks whose ends it had were known to nobody then, and a next owner would have started them again without waiting for it.

Drained and Evacuated ask for the last page as well, the latter up to its deadline.

--- a/cell/endpages_test.go
+++ b/cell/endpages_test.go
@@ -207,6 +207,24 @@
 	g.Expect(r.started()).To(Equal(map[string]int{"j": 200}))
 }
 
+// Guards against a worker that is taken off the list for the next owner, or down for upkeep, while it
+// has ends that it has not listed.
+func TestWorkerWithFurtherPagesIsNotEmpty(t *testing.T) {
+	g := NewWithT(t)
+	r := newPagedRig()
+	r.heard("old", func(w *Worker) { w.Draining = true })
+	r.Evacuate([]string{"old"}, time.Minute, r.now)
+	r.restore("j", 700, nil)
+	r.old.endAll("j", 0, 700)
+	r.attach()
+	for page, empty := range []bool{false, true} {
+		r.save()
+		g.Expect(r.Drained("old")).To(Equal(empty), "page %d", page)
+		g.Expect(r.Evacuated("old", r.now)).To(Equal(empty), "page %d", page)
+		r.readPage()
+	}
+}
+
 // Guards against steady traffic that keeps a worker from ever being told to forget its ends.
 func TestWorkerWithFurtherPagesIsGivenNothing(t *testing.T) {
 	g := NewWithT(t)
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -257,7 +257,7 @@
 // all its ends are stored, and it is given nothing more.
 func (c *Cell) Drained(id string) bool {
 	w := c.workers[id]
-	return w != nil && w.Draining && w.attached && len(w.runs) == 0 && w.seenEnd == w.observedEnd
+	return w != nil && w.Draining && w.attached && len(w.runs) == 0 && !w.moreEnds && w.seenEnd == w.observedEnd
 }
 
 // Runs returns what runs on a worker, as it was last listed.
