cell: a restarted worker's ends are read to the end before runs are lost

A worker that restarts under its id may have been given orders before anybody knew of the restart. What it lists of them is no loss; all else of the incarnation before is. With more ends than it lists at once, what stands behind the first page was taken as lost and started again: 200 of 700 tasks in the test, all of them done.

The earlier incarnation is kept until the last page shows which of its runs the new one was given, or until the new one is lost as well. Found by reading; the test is red without the change.

--- a/cell/endpages.go
+++ b/cell/endpages.go
@@ -23,6 +23,10 @@
 		return
 	}
 	w.endsRead, w.settled = true, true
+	if w.previous != nil {
+		c.loseRuns(w.previous, LossReborn, now)
+		w.previous = nil
+	}
 	for _, r := range slices.Clone(w.runList) {
 		if r.orderedBefore && r.confirmedAt.IsZero() {
 			c.notBegun(r, now)
--- a/cell/endpages_test.go
+++ b/cell/endpages_test.go
@@ -225,6 +225,35 @@
 	}
 }
 
+// Guards against running tasks twice after a worker has restarted under its id: orders for the
+// earlier incarnation reached the new one, which has more ends of them than it lists at once.
+func TestEndsOfARestartedWorkerBehindTheFirstPageAreNotStartedAgain(t *testing.T) {
+	g := NewWithT(t)
+	r := newPagedRig()
+	r.onlyOld()
+	r.heard("old", func(w *Worker) { w.Born = 1000 })
+	r.old.born = 1000
+	r.attach()
+	r.add("j", smallTasks(800))
+	given := r.start()
+	g.Expect(given).To(HaveLen(800))
+	r.starts = nil
+	r.old = &pagedWorker{id: "old", born: 2000}
+	for _, s := range given[:700] {
+		r.old.end("j", s.Task.Index, s.Run, flow.EndDone)
+	}
+	r.Detached("old", r.now)
+	r.attach()
+	r.heard("old", func(w *Worker) { w.Born = 2000 })
+	g.Expect(r.starts).To(BeEmpty())
+	r.readPages()
+	g.Expect(r.LostRuns()).To(HaveLen(100), "what the new incarnation was never given")
+	for _, s := range r.starts {
+		g.Expect(s.Task.Index).To(BeNumerically(">=", 700))
+	}
+	g.Expect(r.starts).NotTo(BeEmpty())
+}
+
 // Guards against steady traffic that keeps a worker from ever being told to forget its ends.
 func TestWorkerWithFurtherPagesIsGivenNothing(t *testing.T) {
 	g := NewWithT(t)
--- a/cell/ends.go
+++ b/cell/ends.go
@@ -18,6 +18,7 @@
 		c.noteChange(r, RunEndListed)
 		c.removeRun(r)
 	}
+	c.forgetRun(w.previous, runKey{f.Task, f.Run})
 	if !c.Known(f.Task.Job) {
 		c.addUnmatchedEnd(w, f, now)
 		return
--- a/cell/incarnation.go
+++ b/cell/incarnation.go
@@ -26,7 +26,7 @@
 }
 
 // incarnationThatLists returns the worker of the incarnation that sent l under a newer fencing
-// token. If that is not w, then w and its runs are lost.
+// token. If that is not w, then w is lost, with the runs that the new incarnation does not list.
 func (c *Cell) incarnationThatLists(w *worker, l *Lists, now time.Time) *worker {
 	if !w.isOtherIncarnation(l.Born) {
 		w.incarnation = l.Born
@@ -40,8 +40,12 @@
 	for i := range l.Finished {
 		c.forgetRun(w, runKey{l.Finished[i].Task, l.Finished[i].Run})
 	}
-	c.loseRuns(w, LossReborn, now)
 	next := newWorker(w.Worker, now)
+	if l.Truncated {
+		next.previous = w
+	} else {
+		c.loseRuns(w, LossReborn, now)
+	}
 	next.incarnation, next.lastHeard, next.unlisted = l.Born, w.lastHeard, w.unlisted
 	if !next.described() {
 		next.Draining, next.Remaining = false, 0
@@ -53,9 +57,12 @@
 	return next
 }
 
-// forgetRun removes a run from w so that the same run of the next incarnation can take its place.
+// forgetRun removes a run from w and the incarnations before it, so that the same run of the next
+// incarnation can take its place. w may be nil.
 func (c *Cell) forgetRun(w *worker, key runKey) {
-	if r := w.runs[key]; r != nil {
-		c.removeRun(r)
+	for ; w != nil; w = w.previous {
+		if r := w.runs[key]; r != nil {
+			c.removeRun(r)
+		}
 	}
 }
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -69,6 +69,9 @@
 	// moreEnds means that the worker has ends after those that it has listed, and endsRead that all of
 	// them were listed at some time.
 	moreEnds, endsRead bool
+	// previous is the incarnation before this one, until the last page of ends shows which of its runs
+	// this one was given.
+	previous *worker
 	// settled means that whatever a former owner left running here is known.
 	settled bool
 	// throttlePercent is the reduction of the speed of the filler runs here, in percent, and
@@ -213,6 +216,10 @@
 // loseRuns takes all runs on w as lost, blames tasks for the loss of w, and requeues the tasks.
 func (c *Cell) loseRuns(w *worker, how Loss, now time.Time) {
 	w.settled = true
+	if w.previous != nil {
+		c.loseRuns(w.previous, LossReborn, now)
+		w.previous = nil
+	}
 	c.noteInheritedLoss(w, how)
 	for _, r := range slices.Clone(w.runList) {
 		if r.unsent {
