driver: unknown jobs are looked for as soon as workers list ends of them

Ends of jobs that are not known yet are kept on their workers, since the next owner would need them: until the jobs are found, or are known to be over. The search for them runs every 1.2 s. A worker with 500 such ends lists nothing after them meanwhile, each such page takes a search of its own, and with a new owner all restored jobs of the hall wait for the last page: more than 3 s with three pages of them, in the test.

The search runs at once now, at most every 0.1 s, while there are such ends. It is one read of the changes of a small table.

--- a/cell/unmatched_ends.go
+++ b/cell/unmatched_ends.go
@@ -52,6 +52,12 @@
 	c.unmatchedEnds = slices.DeleteFunc(c.unmatchedEnds, func(e unmatchedEnd) bool { return e.at.Before(at) })
 }
 
+// HasUnmatchedEnds reports whether there are ends that workers may not be told to discard because
+// their jobs may still become known.
+func (c *Cell) HasUnmatchedEnds() bool {
+	return slices.ContainsFunc(c.unmatchedEnds, func(e unmatchedEnd) bool { return e.decides() })
+}
+
 // setSavingEnds sets, for each worker, up to which end it may be told to discard its ends once all
 // present changes are stored: the last end taken in, or the one before the first that matters to a
 // job that may still become known.
--- a/driver/driver.go
+++ b/driver/driver.go
@@ -127,6 +127,7 @@
 
 	placeNow  chan struct{}
 	commitNow chan struct{}
+	scanNow   chan struct{}
 }
 
 const (
@@ -160,6 +161,7 @@
 		persisted:   make(chan struct{}),
 		placeNow:    make(chan struct{}, 1),
 		commitNow:   make(chan struct{}, 1),
+		scanNow:     make(chan struct{}, 1),
 		startedAt:   clock.Now(),
 	}
 	d.cell.Name, d.cell.FairSharing, d.cell.Headroom = c.Name, c.FairSharing, c.Headroom
--- a/driver/hold.go
+++ b/driver/hold.go
@@ -197,6 +197,9 @@
 		}
 		l.updateClock(a.ClockMS, now)
 	}
+	if d.cell.HasUnmatchedEnds() {
+		notify(d.scanNow)
+	}
 	l.answeredAt = now
 	d.outages.Answered(l.hall, now)
 	l.lastObserved = o.Observed
--- a/driver/incarnation_test.go
+++ b/driver/incarnation_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -18,6 +19,9 @@
 
 const bornBefore, bornAfter = 1000, 2000
 
+// endsPerPage is how many ends a worker lists at once.
+const endsPerPage = 500
+
 // restartingWorker implements Workers for a worker that can be restarted under its id, and a
 // directory with its entry. Its runs end at once.
 type restartingWorker struct {
@@ -89,10 +93,11 @@
 		}
 		w.mu.Lock()
 	}
-	for _, f := range w.ends {
+	page := slices.Clone(w.ends[:min(len(w.ends), endsPerPage)])
+	for _, f := range page {
 		w.listed = max(w.listed, f.Number)
 	}
-	return HoldAnswer{ClockMS: w.clock(), Lists: cell.Lists{Born: w.born, Finished: append([]cell.Finished(nil), w.ends...)}}, nil
+	return HoldAnswer{ClockMS: w.clock(), Lists: cell.Lists{Born: w.born, Finished: page, Truncated: len(page) == endsPerPage}}, nil
 }
 
 func (w *restartingWorker) All(context.Context) ([]Entry, error) {
--- a/driver/scan.go
+++ b/driver/scan.go
@@ -14,8 +14,13 @@
 	"dewpass.org/rows"
 )
 
-// scanInterval is the interval between searches for jobs of which this owner was not told.
-const scanInterval = 1200 * time.Millisecond
+const (
+	// scanInterval is the interval between searches for jobs of which this owner was not told.
+	scanInterval = 1200 * time.Millisecond
+	// minScanInterval is the shortest interval, used while workers list ends of unknown jobs. A worker
+	// can't be told to forget these, nor does it list what follows them, until the jobs were looked for.
+	minScanInterval = 100 * time.Millisecond
+)
 
 // maxFeedRows is how many changes the store returns at once. A full page means that there may be
 // more.
@@ -62,7 +67,7 @@
 	// last one.
 	var progress loadProgress
 	for d.ctx.Err() == nil {
-		d.sleep(scanInterval)
+		d.awaitScan()
 		if d.isOutdated(readAt) {
 			ver = 0
 		}
@@ -99,6 +104,16 @@
 	}
 }
 
+// awaitScan waits until the next search for jobs is due.
+func (d *Driver) awaitScan() {
+	d.sleep(minScanInterval)
+	select {
+	case <-d.scanNow:
+	case <-time.After(scanInterval - minScanInterval):
+	case <-d.ctx.Done():
+	}
+}
+
 // markJobsRead notes that all jobs are known that the store had at the given time.
 func (d *Driver) markJobsRead(at time.Time) {
 	d.mu.Lock()
