driver: logs say whether a worker has further pages of ends

The lines worker_attached and held at level debug tell whether the list was the last page, so that a log shows what an owner waits for after a change of owner. The package pages of cell and driver name the pages.

--- a/cell/doc.go
+++ b/cell/doc.go
@@ -12,7 +12,8 @@
 // A run occupies room on its worker from the decision to start it until its end is listed or it is
 // certain that it never began. A worker whose answer to an order was lost is detached: nothing is
 // placed there until it has listed its runs under a newer fencing token, which no earlier order can
-// pass. An unreachable worker keeps its runs until their leases have certainly expired or a new
+// pass. Such a list may be one page of the worker's ends: until the last page was read, a run that is
+// not listed may have ended, and is not started again. An unreachable worker keeps its runs until their leases have certainly expired or a new
 // incarnation of the worker has been seen.
 //
 // # Order
--- a/driver/doc.go
+++ b/driver/doc.go
@@ -8,7 +8,8 @@
 // link attaches the worker: it sends a hold order under a fencing token (fence)
 // above all earlier ones, and the worker answers with everything that runs there.
 // Further holds are long polls that renew the lease of the worker's runs and
-// return the runs that have ended. If the answer to any order is lost, the link
+// return the runs that have ended, a limited number at once: the worker lists the
+// next ones when it is told to forget these. If the answer to any order is lost, the link
 // attaches the worker again under the next fence.
 //
 // A worker may restart under the same id. Each run of the worker's process is
--- a/driver/events.go
+++ b/driver/events.go
@@ -131,7 +131,7 @@
 		last = a.Lists.Finished[n-1].Number
 	}
 	level.Debug(d.Log).Log("event", "held", "worker", l.id, "born", a.Lists.Born, "fence", o.Fence, "newest_fence", l.fence,
-		"observed", o.Observed, "last_end", last, "kept", d.cell.Observed(l.id), "running", len(a.Lists.Running),
+		"observed", o.Observed, "last_end", last, "more_ends", a.Lists.Truncated, "kept", d.cell.Observed(l.id), "running", len(a.Lists.Running),
 		"wait_ms", o.Wait.Milliseconds(), "took_ms", took.Milliseconds())
 }
 
--- a/driver/hold.go
+++ b/driver/hold.go
@@ -236,7 +236,7 @@
 		l.cancelAbandoned()
 		l.cancelAbandoned = nil
 	}
-	level.Debug(d.Log).Log("event", "worker_attached", "worker", l.id, "born", l.born, "fence", l.fence, "running", len(a.Lists.Running), "finished", len(a.Lists.Finished))
+	level.Debug(d.Log).Log("event", "worker_attached", "worker", l.id, "born", l.born, "fence", l.fence, "running", len(a.Lists.Running), "finished", len(a.Lists.Finished), "more_ends", a.Lists.Truncated)
 }
 
 // relist puts a worker whose leases had expired back on the worker list. Nothing is placed there
