driver: one record that the store refuses does not stop the others

Cause: platform.Store made of every status but 200 and 412 an error that says "not now", and Claim.Commit sends such a transaction again until the owner ends. A 400 says that it is invalid and will be refused each time.

The driver's groups then have half as many records, and nothing else, until the refused group is a single record, which is sent once more; its job is ended as failed, whose record is small. A store client does not ask a peer after a 400, and takes a peer's own for "unavailable": it may be of another version. A job that is handed in and larger than the store takes is refused at once.

--- a/cell/job.go
+++ b/cell/job.go
@@ -376,6 +376,14 @@
 	return over || c.jobs[id] != nil
 }
 
+// Fail ends a job as failed, unless it has ended, because its record cannot be stored. That of an
+// ended job is small.
+func (c *Cell) Fail(id string, now time.Time) {
+	if j := c.jobs[id]; j != nil && !j.state.Final() {
+		c.finish(j, flow.Failed, now)
+	}
+}
+
 // finish ends a job. The next Place stops its runs.
 func (c *Cell) finish(j *job, state flow.State, now time.Time) {
 	j.state, j.ended = state, now
--- a/claim/claim.go
+++ b/claim/claim.go
@@ -272,7 +272,8 @@
 
 // Commit writes t together with the lease and retries until ctx ends. If a row does not have the
 // expected version it returns the rows' current versions and an error of kind Conflict; if the
-// lease is lost, an error of kind Fenced.
+// lease is lost, an error of kind Fenced; if the store refuses t as invalid, so that another attempt
+// would be in vain, one of kind BadRequest.
 func (c *Claim) Commit(ctx context.Context, t rows.Tx) (rows.Result, error) {
 	return c.write(ctx, c.Owner, t)
 }
@@ -304,7 +305,7 @@
 			c.lastWriteTook = clock.Since(begun)
 			c.lastWrite.Store(&Write{Begun: begun, Ver: c.ver, Valid: valid, Absent: lease.Absent})
 		}
-		if err == nil || kind.Is(err, kind.Fenced) || kind.Is(err, kind.Conflict) {
+		if err == nil || kind.Is(err, kind.Fenced) || kind.Is(err, kind.Conflict) || kind.Is(err, kind.BadRequest) {
 			return res, err
 		}
 		if err := sleep(ctx, retryDelay); err != nil {
--- a/cluster/accept.go
+++ b/cluster/accept.go
@@ -43,8 +43,9 @@
 // Submit stores a job and notifies the owner of its cell. It also returns nil if the job was stored
 // before. Errors are of kind Unavailable (the job was not accepted and never runs), QueueFull (the
 // same, because of the work that waits before it; see admit), KeyReused (the id belongs to another
-// client account) or Lost (not known whether it was accepted). Submit needs
-// the store but no owner: a job that is submitted while its cell changes owners waits in the store.
+// client account), BadRequest (the job is larger than the store takes) or Lost (not known whether it
+// was accepted). Submit needs the store but no owner: a job that is submitted while its cell changes
+// owners waits in the store.
 func (n *Instance) Submit(ctx context.Context, spec *flow.Spec) error {
 	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
 	defer cancel()
@@ -257,6 +258,8 @@
 		case err == nil:
 			// Some cell has the job, by this write or by an earlier one.
 			return withStoredCells(res, home, storedJob{cells: spec.Cells(), fresh: uncertain}), nil
+		case kind.Is(err, kind.BadRequest):
+			return storedJob{}, kind.New(kind.BadRequest, "the job is larger than the store takes")
 		case !kind.Is(err, kind.Unavailable):
 			uncertain = true
 			if !n.storeClient.Reachable() {
--- a/cluster/accept_test.go
+++ b/cluster/accept_test.go
@@ -95,6 +95,29 @@
 	})
 })
 
+// invalidWriteStore refuses all writes as invalid.
+type invalidWriteStore struct{ staticStore }
+
+// Tx implements rows.Store.
+func (invalidWriteStore) Tx(context.Context, rows.Tx) (rows.Result, error) {
+	return rows.Result{}, kind.New(kind.BadRequest, "a value is too long")
+}
+
+// Guards against callers that are held, and told to come back, with a job that can never be stored.
+var _ = Describe("a job that is larger than the store takes", func() {
+	It("is refused at once", func(ctx context.Context) {
+		n := testInstance(&fakePolicy{})
+		n.division.set(1)
+		n.storeClient.Direct = invalidWriteStore{staticStore{}}
+		_, err := n.storeClient.Get(ctx, rows.Range{})
+		Expect(err).NotTo(HaveOccurred())
+		begun := time.Now()
+		err = n.Submit(ctx, &flow.Spec{ID: "j", Steps: []flow.Step{{Count: 1}}})
+		Expect(kind.Is(err, kind.BadRequest)).To(BeTrue())
+		Expect(time.Since(begun)).To(BeNumerically("<", acceptTimeout/3))
+	})
+})
+
 var _ = Describe("a job that is already stored", func() {
 	It("is sent to the owner as the store has it, not as it was submitted again", func(ctx context.Context) {
 		told := make(chan *flow.Spec, 1)
--- a/driver/commit.go
+++ b/driver/commit.go
@@ -94,14 +94,17 @@
 
 // collectGroup collects the pending changes, and reports whether there are any. The lock is held.
 func (d *Driver) collectGroup() (commitGroup, bool) {
-	g := commitGroup{saves: d.cell.Saves(maxSavesPerCommit), workerList: d.workerListChanged}
+	searching := d.refusals.searching()
+	g := commitGroup{saves: d.cell.Saves(d.refusals.limit()), workerList: d.workerListChanged && !searching}
 	if !d.cell.Dirty() {
 		g.lost, d.lostWorkers = d.lostWorkers, nil
 	}
-	if g.workerList {
+	switch {
+	case searching:
+	case g.workerList:
 		g.listed = d.putWorkerList(&g.tx)
 		d.workerListChanged = false
-	} else {
+	default:
 		// The worker list's rows use up the entries reserved for these.
 		g.stale = d.staleRecords[:min(len(d.staleRecords), maxStalePerCommit)]
 		d.staleRecords = d.staleRecords[len(g.stale):]
@@ -129,6 +132,7 @@
 	d.mu.Unlock()
 	begun := clock.Now()
 	_, err := d.Claim.Commit(d.ctx, g.tx)
+	err = d.confirmRefusal(&g, err)
 	if kind.Is(err, kind.Fenced) {
 		d.leaseLost("another instance holds the cell lease")
 	}
@@ -136,6 +140,9 @@
 	d.Scope.Counter("write_rows_total").Inc(int64(len(g.tx.Put)))
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if kind.Is(err, kind.BadRequest) {
+		d.groupRefused(&g)
+	}
 	d.committed(g, err == nil)
 	return err == nil
 }
@@ -150,6 +157,7 @@
 		d.lostWorkers = mergeLost(g.lost, d.lostWorkers)
 		return
 	}
+	d.refusals.accepted(g.jobs())
 	if g.workerList {
 		d.workersListed(&g)
 	}
--- a/driver/driver.go
+++ b/driver/driver.go
@@ -92,6 +92,7 @@
 	// staleRecords holds the ids of jobs whose records are to be removed.
 	staleRecords []string
 	archives     archives
+	refusals     refusals
 	// unarchived holds the jobs that have ended and whose end is not archived yet.
 	unarchived []cell.EndedJob
 	frozen     bool
--- a/rows/client.go
+++ b/rows/client.go
@@ -244,6 +244,10 @@
 				o.deliver()
 				return nil
 			}
+			if kind.Is(o.err, kind.BadRequest) {
+				// The store would refuse it over the other route as well.
+				return o.err
+			}
 			if callErr == nil || !kind.Is(o.err, kind.Unavailable) {
 				callErr = o.err
 			}
@@ -392,7 +396,11 @@
 	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
 	defer cancel()
 	reply, err := c.Relay(ctx, raw)
-	if err != nil {
+	switch {
+	case kind.Is(err, kind.BadRequest):
+		// A peer of another version may refuse what the store would accept.
+		return nil, kind.Wrap(kind.Unavailable, err, "relayed call to the store")
+	case err != nil:
 		return nil, err
 	}
 	var a RelayedAnswer
