flow: a step may name a step before it more than once

Cause: pendingDeps counted what is named, and a step that is done counts once. Dependencies returns each once; the spec is red without it.

--- a/cell/cell_test.go
+++ b/cell/cell_test.go
@@ -103,6 +103,16 @@
 		Expect(s).To(Equal(flow.Succeeded))
 	})
 
+	// Guards against a job that is pending for ever: its step was counted once as done and twice as
+	// awaited.
+	It("opens a step that names the step before it twice", func() {
+		r := newRig(1)
+		one := flow.Step{Count: 1, Demand: demand(1000)}
+		r.add("j", one, flow.Step{Count: 1, Demand: demand(1000), DependsOn: []int{0, 0}})
+		r.end(r.startAll()[0], flow.EndDone)
+		Expect(r.startAll()).To(HaveLen(1))
+	})
+
 	It("keeps its state when it is submitted again after its end", func() {
 		r := newRig(1)
 		r.add("j", flow.Step{Count: 1, Demand: demand(1000)})
--- a/cell/job.go
+++ b/cell/job.go
@@ -274,7 +274,7 @@
 		return j
 	}
 	for _, s := range j.stages {
-		for _, b := range s.def.DependsOn {
+		for _, b := range s.def.Dependencies() {
 			if j.stage(s.time, b).tasksLeft > 0 {
 				s.pendingDeps++
 			}
--- a/flow/flow.go
+++ b/flow/flow.go
@@ -140,6 +140,11 @@
 	return v
 }
 
+// Dependencies returns the numbers of the steps that must be done before s starts, each once.
+func (s *Step) Dependencies() []int {
+	return slices.Compact(slices.Sorted(slices.Values(s.DependsOn)))
+}
+
 // Estimate returns the estimated run time of a task of s, at least 1 ms.
 func (s *Step) Estimate() time.Duration {
 	return time.Duration(max(s.EstimateMS, 1)) * time.Millisecond
