cell: limits of attempts hold for failures of before the configuration

Cause: takeFailure compares with the queue's limit when the end comes in, and only if the queue is configured then.

Jobs that wait are compared again after each configuration and each restore, before anything is started. The spec, for a task and a gang, under the same and the next owner, is red without it.

--- a/cell/cell.go
+++ b/cell/cell.go
@@ -141,6 +141,8 @@
 	// checked.
 	runsNeedCheck bool
 	runsCheckedAt time.Time
+	// attemptsNeedCheck means that jobs may have failed by the present limits of their queues.
+	attemptsNeedCheck bool
 	// completed is the work completed lately, and queueLoads the last result of QueueLoads.
 	completed  completedWork
 	queueLoads QueueLoads
@@ -176,6 +178,7 @@
 	for i := range queues {
 		c.queues[queues[i].Name] = &queues[i]
 	}
+	c.attemptsNeedCheck = true
 	c.firstPriority = c.mostUrgent()
 	c.configureHeadroom()
 }
--- a/cell/cell_test.go
+++ b/cell/cell_test.go
@@ -113,6 +113,32 @@
 		Expect(r.startAll()).To(HaveLen(1))
 	})
 
+	// Guards against a start beyond the limit of attempts: the last failure was listed while the queue
+	// was not configured.
+	It("fails by failures that were listed while its queue was not configured", func() {
+		queue := Queue{Name: "q", Pool: "p", MaxAttempts: 2}
+		for _, gang := range []bool{false, true} {
+			r := newRig(1)
+			r.add("j", flow.Step{Count: 1, Demand: demand(1000), Gang: gang})
+			r.end(r.startAll()[0], flow.EndFailed)
+			second := r.startAll()[0]
+			r.Configure(nil)
+			r.end(second, flow.EndFailed)
+			Expect(r.startAll()).To(BeEmpty())
+			r.save()
+			rec := r.jobs["j"].save().Record
+			next := newRig(1)
+			next.Restore(r.jobs["j"].spec, rec, next.now, next.now)
+			r.Configure([]Queue{queue})
+			for _, owner := range []*rig{r, next} {
+				Expect(owner.startAll()).To(BeEmpty())
+				owner.save()
+				s, _ := owner.State("j")
+				Expect(s).To(Equal(flow.Failed))
+			}
+		}
+	})
+
 	It("keeps its state when it is submitted again after its end", func() {
 		r := newRig(1)
 		r.add("j", flow.Step{Count: 1, Demand: demand(1000)})
--- a/cell/ends.go
+++ b/cell/ends.go
@@ -149,23 +149,43 @@
 	}
 	t.failedRuns, t.accounted = append(t.failedRuns, f.Run), true
 	c.markDirty(s.job)
-	attempts := len(t.failedRuns)
 	if s.def.Gang {
 		if s.gangFailedRuns == nil {
 			s.gangFailedRuns = make(map[int]bool)
 		}
 		s.gangFailedRuns[f.Run] = true
-		attempts = len(s.gangFailedRuns)
 	}
-	if t.state == taskDone || s.job.state.Final() {
-		return
-	}
-	q := c.queues[s.job.spec.Queue]
-	if q != nil && attempts >= max(q.MaxAttempts, 1) {
+	if !s.job.state.Final() && c.attemptsUsedUp(s, f.Task.Index) {
 		c.finish(s.job, flow.Failed, now)
 	}
 }
 
+// attemptsUsedUp reports whether a task, or its gang, has failed as often as its queue allows. A queue
+// that is not configured allows nothing and forbids nothing: it may be configured again.
+func (c *Cell) attemptsUsedUp(s *stage, index int) bool {
+	q, t := c.queues[s.job.spec.Queue], &s.tasks[index]
+	if q == nil || s.def.LongRunning || t.state == taskDone {
+		return false
+	}
+	attempts := len(t.failedRuns)
+	if s.def.Gang {
+		attempts = len(s.gangFailedRuns)
+	}
+	return attempts >= max(q.MaxAttempts, 1)
+}
+
+// endFailedJobs ends the jobs with a waiting task that has failed as often as its queue allows: the
+// queue was configured, or allowed more, only after the last failure.
+func (c *Cell) endFailedJobs(now time.Time) {
+	for _, s := range c.openStages {
+		for i := range s.tasks {
+			if len(s.tasks[i].failedRuns) > 0 && !s.job.state.Final() && c.attemptsUsedUp(s, i) {
+				c.finish(s.job, flow.Failed, now)
+			}
+		}
+	}
+}
+
 // Outcome is the outcome of an order to start a run.
 type Outcome uint8
 
--- a/cell/job.go
+++ b/cell/job.go
@@ -233,6 +233,7 @@
 	}
 	j := c.add(spec, rec, arrived, now)
 	j.stored, j.restored = true, true
+	c.attemptsNeedCheck = true
 	j.storedState = flow.Pending
 	if rec != nil {
 		j.storedState = rec.State
--- a/cell/place.go
+++ b/cell/place.go
@@ -46,6 +46,10 @@
 	c.examined = 0
 	c.places++
 	c.observeUrgent(now, wall)
+	if c.attemptsNeedCheck {
+		c.attemptsNeedCheck = false
+		c.endFailedJobs(now)
+	}
 	c.sendRecorded(&a, now)
 	if c.runsNeedCheck || now.Sub(c.runsCheckedAt) >= runCheckInterval {
 		c.runsNeedCheck, c.runsCheckedAt = false, now
