--- a/cell/job.go
+++ b/cell/job.go
@@ -417,10 +417,3 @@
 	}
 	return false
 }
-
-// heldUp reports whether a former owner may have started tasks of s on a worker that has not listed
-// its runs to this owner yet.
-func (c *Cell) heldUp(s *stage, unsettled *unsettled) bool {
-	return s.job.restored && (unsettled.any ||
-		unsettled.halls[s.job.spec.Hall] || slices.ContainsFunc(s.inheritedHalls, func(h string) bool { return unsettled.halls[h] }))
-}
--- a/cell/successes.go
+++ b/cell/successes.go
@@ -10,15 +10,14 @@
 )
 
 // While the store does not accept the end of a job, the end is known to the cell and to the
-// workers, which list it until it is stored. Callers should not have to wait for the store: while
-// it was away for 5.6 s, those whose jobs ended in that time were told up to 5 s late. The end may
-// be shown once another instance knows it too, so that losing the owner and a worker together does
-// not undo it. This applies only to success, which is a fact. A failure or a cancel is a decision
+// workers, which list it until it is stored. Callers should not have to wait for the store. The end
+// may be shown once another instance knows it too, so that losing the owner and a worker together
+// does not undo it. This applies only to success, which is a fact. A failure or a cancel is a decision
 // that the store records first.
 
 const (
 	// minUnstoredAge is how long the store may take to write an end before other instances are
-	// told: several times the usual time of about 20 ms.
+	// told: several times what a group commit usually takes.
 	minUnstoredAge = 100 * time.Millisecond
 	// maxUnstoredAge is how long after its end other instances are told of a job repeatedly; longer
 	// only while none is known to have received it.
--- a/claim/claim.go
+++ b/claim/claim.go
@@ -44,8 +44,8 @@
 
 // AbsentTakeoverDelay is the extra time for which an instance that the lease names as absent must
 // wait before it takes the lease. For as long, an owner without access to the store may go on
-// although the absent instances do not answer it: before this, an instance that was lost shortly
-// before a store outage blocked all orders for the length of the outage (4.2 s).
+// although the absent instances do not answer it: an instance that is lost shortly before an outage
+// of the store would otherwise block all orders until the outage is over.
 const AbsentTakeoverDelay = 8 * time.Second
 
 // DefaultExpiry is how long a lease that states no validity may go unwritten before it may be
--- a/cluster/relay.go
+++ b/cluster/relay.go
@@ -67,7 +67,7 @@
 }
 
 // maxRelayedOrders is how many orders an instance that has the text of a job may have in progress
-// before the text is sent to another one: 32 orders of 1 KB take 0.13 s on a link of 2 Mbit/s.
+// before the text is sent to another one, which takes as much of its link as one order.
 const maxRelayedOrders = 32
 
 // relayFor chooses the instance that relays orders to the workers of a hall, nil if there is none:
--- a/driver/hold.go
+++ b/driver/hold.go
@@ -135,8 +135,7 @@
 
 const (
 	// For each latenessStep of lateness the polling interval grows by its normal length, up to
-	// maxHoldWait, a third of the shortest lease. 0.15 s of lateness leaves about a third of the
-	// polls.
+	// maxHoldWait, a third of the shortest lease.
 	latenessStep = 50 * time.Millisecond
 	maxHoldWait  = 2 * time.Second
 )
--- a/driver/link.go
+++ b/driver/link.go
@@ -17,17 +17,16 @@
 const (
 	// An order whose answer takes much longer than usual for its worker is considered lost, between
 	// minOrderTimeout and maxOrderTimeout after it was sent: the worker is attached again at once
-	// under the next fence, and runs that did not begin are started again. Answers take 2 to 12 ms
-	// between halls; an owner with little CPU time needs some tens of milliseconds to read them.
+	// under the next fence, and runs that did not begin are started again. The lower bound leaves an
+	// owner with little CPU time the time to read the answers.
 	minOrderTimeout = 100 * time.Millisecond
 	maxOrderTimeout = 700 * time.Millisecond
-	// maxAttaching is how many workers of one hall are attached at once. Each answer lists the
-	// running runs, about 1 KB. The answers of five halls together take 0.16 s on a 2 Mbit/s link,
-	// within the timeout of a first answer, and all 220 workers of a hall are attached in 0.2 s on
-	// a fast one. The limit is per hall so that an unreachable hall does not delay the others.
+	// maxAttaching is how many workers of one hall are attached at once. Each answer lists the runs
+	// and ends of a worker, and those of all halls together have to arrive within the timeout of a
+	// first answer, also over a thin link. The limit is per hall so that an unreachable hall does not
+	// delay the others.
 	maxAttaching = 8
 	// overdueAfter is how long an order may have no answer before its worker gets no new runs.
-	// Answers take a few milliseconds.
 	overdueAfter = 150 * time.Millisecond
 	// minRetryDelay and maxRetryDelay bound the backoff between attempts to reach a worker.
 	minRetryDelay = 20 * time.Millisecond
--- a/driver/relay.go
+++ b/driver/relay.go
@@ -20,17 +20,17 @@
 
 // The instance that decides need not be the one that sends. A start order contains the
 // specification of its job, so the orders of a wide step take many times the traffic of the
-// decision: 155 starts per second of 1 KB each fill more than two thirds of a 2 Mbit/s link, next
-// to everything else that an owner sends. While orders are held back, another instance in the
-// workers' hall (a relay) receives the specification once and sends the orders for a few workers.
-// They bear the owner's fences: an order whose relay fails is simply an order without an answer.
+// decision, and fill a thin link beside everything else that an owner sends. While orders are held
+// back, another instance in the workers' hall (a relay) receives the specification once and sends
+// the orders for a few workers. They bear the owner's fences: an order whose relay fails is simply an
+// order without an answer.
 
 const (
 	// relayPeriod is for how long orders are relayed after some were last held back. It exceeds the
 	// gaps between the steps of a load that causes throttling.
 	relayPeriod = 2 * time.Second
-	// maxRelayBatch is how many orders a relay gets at once: 16 KB at 1 KB each, 64 ms of a
-	// relay's 2 Mbit/s link, and few enough that the loss of a relay affects few workers.
+	// maxRelayBatch is how many orders a relay gets at once: a fraction of a second of a thin link,
+	// and few enough that the loss of a relay affects few workers.
 	maxRelayBatch = 16
 	// relayOverhead is the extra time for an answer through a relay: a round trip between halls
 	// plus scheduling delays at both ends.
