driver: a worker that left empty is not waited for by the next owner

Cause: the list of workers for the next owner leaves out a leaving worker that runs nothing and whose ends are stored, but only while it is attached. Once it had left it did not answer, was named again, and the next owner held up all jobs that it found for a whole lease; so did the one after.

Change: Drained asks whether all was read instead of whether the worker is attached. Nothing can have started there since: it is given nothing, an order without an answer is on the books, orders of before the attach are refused.

Evidence: two specs, red without the change.

--- a/cell/evacuate_test.go
+++ b/cell/evacuate_test.go
@@ -45,6 +45,19 @@
 		Expect(r.Drained("w0")).To(BeFalse(), "the end is not stored")
 		r.save()
 		Expect(r.Drained("w0")).To(BeTrue())
+		r.Detached("w0", r.now)
+		Expect(r.Drained("w0")).To(BeTrue(), "nothing can have started there since")
+	})
+
+	It("is not drained while an order to it has no answer", func() {
+		r := newRig(1)
+		r.add("j", flow.Step{Count: 1, Demand: demand(1000)})
+		r.place()
+		r.heard("w0", func(w *Worker) { w.Draining, w.Remaining = true, time.Second })
+		r.Detached("w0", r.now)
+		Expect(r.Drained("w0")).To(BeFalse())
+		r.Attached("w0", Lists{}, r.now)
+		Expect(r.Drained("w0")).To(BeTrue())
 	})
 
 	It("may finish its tasks until the deadline", func() {
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -224,11 +224,11 @@
 	return w != nil && len(w.runs) > 0
 }
 
-// Drained reports whether a leaving worker has nothing more to do: it is attached and runs nothing,
-// all its ends are stored, and it is given nothing more.
+// Drained reports whether a leaving worker has nothing more to do: it runs nothing, all its ends are
+// stored, and it is given nothing more. That is still so when it does not answer any more.
 func (c *Cell) Drained(id string) bool {
 	w := c.workers[id]
-	return w != nil && w.Draining && w.attached && len(w.runs) == 0 && !w.moreEnds && w.seenEnd == w.observedEnd
+	return w != nil && w.Draining && w.endsRead && len(w.runs) == 0 && !w.moreEnds && w.seenEnd == w.observedEnd
 }
 
 // Runs returns what runs on a worker, as it was last listed.
--- a/driver/workerlist.go
+++ b/driver/workerlist.go
@@ -57,7 +57,7 @@
 // mayRun reports whether a worker may have runs now or later. It has none if its leases have
 // expired, or if it leaves and is empty. The lock is held.
 func (d *Driver) mayRun(l *link) bool {
-	return !l.lapsed && (len(l.pendingOrders) > 0 || !l.attached || !d.cell.Drained(l.id))
+	return !l.lapsed && (len(l.pendingOrders) > 0 || !d.cell.Drained(l.id))
 }
 
 // workerList returns the workers that may have runs, which the next owner must know of. The lock is
--- a/driver/workerlist_test.go
+++ b/driver/workerlist_test.go
@@ -57,6 +57,29 @@
 		Expect(starts(d)).To(HaveLen(1))
 	})
 
+	// Guards against next owners that wait for the lease of a worker that left with nothing on it: it
+	// was named again once it did not answer any more.
+	ginkgo.It("does not name a worker again that was empty when it left", func(ctx context.Context) {
+		d := withJobs(ctx, 0)
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		names := func() []string {
+			var ids []string
+			for _, e := range d.workerList() {
+				ids = append(ids, e.ID)
+			}
+			return ids
+		}
+		Expect(names()).To(ConsistOf("w"))
+		now := time.Now()
+		d.applyEntry(Entry{Worker: cell.Worker{ID: "w", Addr: "w", Pool: "p", Hall: "h", Room: room, Draining: true, Remaining: time.Second}, Ver: 2}, now, now)
+		d.links["w"].attached = true
+		Expect(names()).To(BeEmpty())
+		d.links["w"].attached = false
+		d.cell.Detached("w", now)
+		Expect(names()).To(BeEmpty())
+	})
+
 	// Guards against losses that a next owner takes for starts that never happened: the list went
 	// without the worker while the last records of what was lost with it were still to be written.
 	ginkgo.It("comes with a lost worker until all records of its runs are written", func(ctx context.Context) {
