cell: tests for workers that are lost or restart between pages, docs

Guards that were taken out on a scratch copy without turning a test red have one now: the loss of a worker before its last page counts as inherited, for starts on record that became known before and after it; the runs of an earlier incarnation are lost with the one after it; a worker that has listed all once is not empty while it has further pages again.

--- a/cell/endpages_test.go
+++ b/cell/endpages_test.go
@@ -53,6 +53,7 @@
 
 func newPagedRig() *pagedRig {
 	r := &pagedRig{rig: newRig(1), old: &pagedWorker{id: "old"}}
+	r.Heard(Worker{ID: "old", Hall: "h", Gone: true}, r.now)
 	r.heard("old", func(*Worker) {})
 	return r
 }
@@ -202,9 +203,15 @@
 	r.restore("j", 700, nil)
 	r.old.endAll("j", 0, 700)
 	r.attach()
+	r.restore("known", 1, map[int][]flow.RunStart{0: {{Run: formerRun, Worker: "old"}}})
 	r.WorkerLost("old", LossSilent, r.now)
-	r.start()
-	g.Expect(r.started()).To(Equal(map[string]int{"j": 200}))
+	r.restore("late", 1, map[int][]flow.RunStart{0: {{Run: formerRun, Worker: "old"}}})
+	for _, id := range []string{"j", "known", "late"} {
+		tasks := r.jobs[id].stages[0].tasks
+		r.start()
+		g.Expect(tasks[len(tasks)-1].crashes).To(HaveLen(1), "a run of %s may have been lost with the worker", id)
+	}
+	g.Expect(r.started()).To(Equal(map[string]int{"j": 200, "known": 1, "late": 1}))
 }
 
 // Guards against a worker that is taken off the list for the next owner, or down for upkeep, while it
@@ -217,18 +224,27 @@
 	r.restore("j", 700, nil)
 	r.old.endAll("j", 0, 700)
 	r.attach()
-	for page, empty := range []bool{false, true} {
-		r.save()
-		g.Expect(r.Drained("old")).To(Equal(empty), "page %d", page)
-		g.Expect(r.Evacuated("old", r.now)).To(Equal(empty), "page %d", page)
-		r.readPage()
+	emptyAfter := func(pages ...bool) {
+		for page, empty := range pages {
+			r.save()
+			g.Expect(r.Drained("old")).To(Equal(empty), "page %d", page)
+			g.Expect(r.Evacuated("old", r.now)).To(Equal(empty), "page %d", page)
+			r.readPage()
+		}
+	}
+	emptyAfter(false, true)
+	// Runs that nobody wanted have been stopped there meanwhile.
+	for i := range 700 {
+		r.old.end("gone", i, formerRun, flow.EndStopped)
 	}
+	r.Detached("old", r.now)
+	r.attach()
+	emptyAfter(false, true)
 }
 
-// Guards against running tasks twice after a worker has restarted under its id: orders for the
-// earlier incarnation reached the new one, which has more ends of them than it lists at once.
-func TestEndsOfARestartedWorkerBehindTheFirstPageAreNotStartedAgain(t *testing.T) {
-	g := NewWithT(t)
+// restartedWithPages returns a rig whose paged worker has restarted under its id. It was given 800
+// tasks, of which 700 have ended in the new incarnation: orders for the earlier one reached it.
+func restartedWithPages(g *WithT) *pagedRig {
 	r := newPagedRig()
 	r.onlyOld()
 	r.heard("old", func(w *Worker) { w.Born = 1000 })
@@ -246,6 +262,14 @@
 	r.attach()
 	r.heard("old", func(w *Worker) { w.Born = 2000 })
 	g.Expect(r.starts).To(BeEmpty())
+	return r
+}
+
+// Guards against running tasks twice: what stands behind the first page of a restarted worker was
+// taken for lost with its earlier incarnation.
+func TestEndsOfARestartedWorkerBehindTheFirstPageAreNotStartedAgain(t *testing.T) {
+	g := NewWithT(t)
+	r := restartedWithPages(g)
 	r.readPages()
 	g.Expect(r.LostRuns()).To(HaveLen(100), "what the new incarnation was never given")
 	for _, s := range r.starts {
@@ -254,6 +278,15 @@
 	g.Expect(r.starts).NotTo(BeEmpty())
 }
 
+// Guards against tasks that wait for good: the new incarnation was lost as well, before it had listed
+// all of its ends.
+func TestRunsOfAWorkerThatRestartedAndIsLostBetweenPagesAreLost(t *testing.T) {
+	g := NewWithT(t)
+	r := restartedWithPages(g)
+	r.WorkerLost("old", LossSilent, r.now)
+	g.Expect(r.LostRuns()).To(HaveLen(300), "all but the first page")
+}
+
 // Guards against steady traffic that keeps a worker from ever being told to forget its ends.
 func TestWorkerWithFurtherPagesIsGivenNothing(t *testing.T) {
 	g := NewWithT(t)
