driver, cell: two guards that no test held

Taken out on a scratch copy they left all tests green: that a record is sent once more before its job is ended, and that limits of attempts are compared when a job is restored. Both are red now without the guard.

--- a/cell/cell_test.go
+++ b/cell/cell_test.go
@@ -128,6 +128,7 @@
 			r.save()
 			rec := r.jobs["j"].save().Record
 			next := newRig(1)
+			next.place()
 			next.Restore(r.jobs["j"].spec, rec, next.now, next.now)
 			r.Configure([]Queue{queue})
 			for _, owner := range []*rig{r, next} {
--- a/driver/refusals_test.go
+++ b/driver/refusals_test.go
@@ -19,16 +19,20 @@
 	"dewpass.org/sched"
 )
 
-// recordRefusingStore refuses the record of one job as invalid as long as it has steps.
+// recordRefusingStore refuses the record of one job as invalid as long as it has steps, up to a number
+// of times.
 type recordRefusingStore struct {
 	*memStore
-	job string
+	job   string
+	times int
 }
 
 func (s *recordRefusingStore) Tx(ctx context.Context, tx rows.Tx) (rows.Result, error) {
-	if slices.ContainsFunc(tx.Put, func(r rows.Row) bool {
+	refused := slices.ContainsFunc(tx.Put, func(r rows.Row) bool {
 		return r.Key == RecordKey("c", s.job) && bytes.Contains(r.Value, []byte("stages"))
-	}) {
+	})
+	if refused && s.times > 0 {
+		s.times--
 		return rows.Result{}, kind.New(kind.BadRequest, "a value is too long")
 	}
 	return s.memStore.Tx(ctx, tx)
@@ -37,9 +41,9 @@
 // Guards against a cell that stores nothing more: the store refused the record of one job, and with it
 // the transaction with the changes of all others, which was sent again for as long as the owner lived.
 var _ = ginkgo.Describe("a record that the store refuses", func() {
-	ginkgo.DescribeTable("ends its own job alone", func(ctx context.Context, others int) {
+	ginkgo.DescribeTable("ends its own job alone", func(ctx context.Context, others, times int) {
 		t := newMemStore()
-		s := &recordRefusingStore{t, "a"}
+		s := &recordRefusingStore{t, "a", times}
 		d := newDriver(ctx, t, func() {})
 		ginkgo.DeferCleanup(d.Close)
 		d.Store, d.Claim.Store = s, s
@@ -66,14 +70,15 @@
 			Expect(t.has(RecordKey("c", id))).To(BeTrue(), id)
 		}
 		state, _ := d.State("a")
-		Expect(state).To(Equal(flow.Failed))
+		Expect(state == flow.Failed).To(Equal(times > 1), "in state %q", state)
 		d.mu.Lock()
 		defer d.mu.Unlock()
 		Expect(d.frozen).To(BeFalse(), "the cell lease is kept")
 		Expect(d.refusals.searching()).To(BeFalse())
 	},
-		ginkgo.Entry("no other job", 0),
-		ginkgo.Entry("a few others", 5),
-		ginkgo.Entry("more than a group", 3*maxSavesPerCommit),
+		ginkgo.Entry("no other job", 0, maxSearchGroups),
+		ginkgo.Entry("a few others", 5, maxSearchGroups),
+		ginkgo.Entry("more than a group", 3*maxSavesPerCommit, maxSearchGroups),
+		ginkgo.Entry("not after a single wrong response", 0, 1),
 	)
 })
