driver: the search for a refused record ends when nothing is left to write

While the record that the store refuses is looked for, the worker list is not written. A suspect that was forgotten meanwhile, with nothing else to write, left the search open until it had run out of groups, 25 s of renewals by the code. It ends with the first group that has no records.

--- a/cell/ends.go
+++ b/cell/ends.go
@@ -175,7 +175,7 @@
 }
 
 // endFailedJobs ends the jobs with a waiting task that has failed as often as its queue allows: the
-// queue was configured, or allowed more, only after the last failure.
+// queue was configured, or its limit was lowered, only after the last failure.
 func (c *Cell) endFailedJobs(now time.Time) {
 	for _, s := range c.openStages {
 		for i := range s.tasks {
--- a/cell/lists.go
+++ b/cell/lists.go
@@ -98,9 +98,9 @@
 }
 
 // EndsListed updates the cell from the ends in an answer under an earlier fencing token, whose list of
-// runs is out of date. An end is final under any fencing token. Ends of another incarnation are ignored, as they are numbered
-// anew: those that the earlier incarnation listed were lost with it, and those of the new one are
-// listed again when it is attached.
+// runs is out of date. An end is final under any fencing token. Ends of another incarnation are
+// ignored, as they are numbered anew: those that the earlier incarnation listed were lost with it, and
+// those of the new one are listed again when it is attached.
 func (c *Cell) EndsListed(id string, l Lists, now time.Time) {
 	if w := c.workers[id]; w != nil && !w.isOtherIncarnation(l.Born) {
 		c.takeEnds(w, l.Finished, now)
--- a/driver/commit.go
+++ b/driver/commit.go
@@ -94,8 +94,13 @@
 
 // collectGroup collects the pending changes, and reports whether there are any. The lock is held.
 func (d *Driver) collectGroup() (commitGroup, bool) {
+	g := commitGroup{saves: d.cell.Saves(d.refusals.limit())}
+	if len(g.saves) == 0 {
+		// A job whose record may have been refused is always dirty, unless it was forgotten.
+		d.refusals.found()
+	}
 	searching := d.refusals.searching()
-	g := commitGroup{saves: d.cell.Saves(d.refusals.limit()), workerList: d.workerListChanged && !searching}
+	g.workerList = d.workerListChanged && !searching
 	if !d.cell.Dirty() {
 		g.lost, d.lostWorkers = d.lostWorkers, nil
 	}
--- a/driver/hold.go
+++ b/driver/hold.go
@@ -278,11 +278,11 @@
 	}
 }
 
-// nextPageRetry is how long a link waits before it holds a worker again whose next page of ends it can
-// not ask for yet. It is a little longer than orders usually take.
+// nextPageRetry is how long a link waits before it holds a worker again whose next page of ends it
+// cannot ask for yet. It is a little longer than orders usually take.
 const nextPageRetry = 20 * time.Millisecond
 
-// waitForNextPage waits for nextPageRetry if the worker has more ends and can't be told yet to forget
+// waitForNextPage waits for nextPageRetry if the worker has more ends and cannot be told yet to forget
 // those that it has listed: it would only list them again. observed is what it was told last.
 func (d *Driver) waitForNextPage(ctx context.Context, l *link, observed int) {
 	d.mu.Lock()
--- a/driver/scan.go
+++ b/driver/scan.go
@@ -18,7 +18,8 @@
 	// scanInterval is the interval between searches for jobs of which this owner was not told.
 	scanInterval = 1200 * time.Millisecond
 	// minScanInterval is the shortest interval, used while workers list ends of unknown jobs. A worker
-	// can't be told to forget these, nor does it list what follows them, until the jobs were looked for.
+	// cannot be told to forget these, nor does it list what follows them, until the jobs were looked
+	// for.
 	minScanInterval = 100 * time.Millisecond
 )
 
