internal/pack: one place that compresses texts

It is a package of its own now. Nothing else changes: suites of config, flow and of the record's tests in cell green.

--- a/cluster/configs.go
+++ b/cluster/configs.go
@@ -10,6 +10,7 @@
 
 	"dewpass.org/config"
 	"dewpass.org/internal/clock"
+	"dewpass.org/internal/pack"
 	"dewpass.org/kind"
 	"dewpass.org/retry"
 	"dewpass.org/telemetry"
@@ -222,7 +223,7 @@
 	if err != nil || len(reply.GetConfig().GetDoc()) == 0 {
 		return nil, err
 	}
-	raw, err := config.Decompress(reply.GetConfig().Doc)
+	raw, err := pack.Decompress(reply.GetConfig().Doc)
 	if err != nil {
 		return nil, err
 	}
--- a/cluster/configs_test.go
+++ b/cluster/configs_test.go
@@ -12,6 +12,7 @@
 	. "github.com/onsi/gomega"
 
 	"dewpass.org/config"
+	"dewpass.org/internal/pack"
 	"dewpass.org/kind"
 	"dewpass.org/link"
 	"dewpass.org/wire"
@@ -286,7 +287,7 @@
 			return reply.GetConfig().GetDoc()
 		}
 		Expect(len(ask(6))).To(BeNumerically("<", len(raw)/10))
-		back, err := config.Decompress(ask(6))
+		back, err := pack.Decompress(ask(6))
 		Expect(err).NotTo(HaveOccurred())
 		Expect(back).To(Equal(raw))
 		Expect(ask(7)).To(BeEmpty())
--- a/config/config.go
+++ b/config/config.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"dewpass.org/cell"
+	"dewpass.org/internal/pack"
 )
 
 // Queue is a job queue with the host and the path prefix at which clients reach it.
@@ -51,7 +52,7 @@
 // Compressed returns the compressed document, for sending it to other instances. Documents with
 // thousands of similar queues become several times smaller.
 func (c *Config) Compressed() []byte {
-	c.compressOnce.Do(func() { c.compressed = compress(c.Raw) })
+	c.compressOnce.Do(func() { c.compressed = pack.Compress(c.Raw) })
 	return c.compressed
 }
 
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -8,6 +8,8 @@
 	"testing"
 
 	. "github.com/onsi/gomega"
+
+	"dewpass.org/internal/pack"
 )
 
 func TestCompressedDocumentIsSmallAndComplete(t *testing.T) {
@@ -19,24 +21,24 @@
 	c := &Config{Raw: raw.Bytes()}
 	packed := c.Compressed()
 	g.Expect(len(packed)).To(BeNumerically("<", raw.Len()/3))
-	back, err := Decompress(packed)
+	back, err := pack.Decompress(packed)
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(back).To(Equal(raw.Bytes()))
 }
 
 func TestDecompressRejectsTruncatedAndOversizedDocuments(t *testing.T) {
 	g := NewWithT(t)
-	_, err := Decompress((&Config{Raw: []byte("{}")}).Compressed()[:2])
+	_, err := pack.Decompress((&Config{Raw: []byte("{}")}).Compressed()[:2])
 	g.Expect(err).To(HaveOccurred())
-	_, err = Decompress((&Config{Raw: []byte("{}")}).Compressed()[:12])
+	_, err = pack.Decompress((&Config{Raw: []byte("{}")}).Compressed()[:12])
 	g.Expect(err).To(HaveOccurred())
-	_, err = Decompress((&Config{Raw: make([]byte, maxDecompressedBytes+1)}).Compressed())
+	_, err = pack.Decompress((&Config{Raw: make([]byte, pack.MaxBytes+1)}).Compressed())
 	g.Expect(err).To(HaveOccurred())
 }
 
 func TestDecompressAcceptsAnUncompressedDocument(t *testing.T) {
 	g := NewWithT(t)
-	raw, err := Decompress([]byte(`{"version":3}`))
+	raw, err := pack.Decompress([]byte(`{"version":3}`))
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(string(raw)).To(Equal(`{"version":3}`))
 }
--- a/flow/record.go
+++ b/flow/record.go
@@ -3,13 +3,11 @@
 package flow
 
 import (
-	"bytes"
-	"compress/gzip"
 	"encoding/json"
-	"io"
 	"slices"
 	"strconv"
 
+	"dewpass.org/internal/pack"
 	"dewpass.org/kind"
 )
 
@@ -19,14 +17,8 @@
 	// compressFrom is the size in bytes from which a record is compressed. Shorter ones stay readable
 	// to operators and to earlier versions.
 	compressFrom = 48 << 10
-	// maxDecodedRecord limits the size of a decompressed record in bytes: several times that of a job
-	// with as many tasks as a job may have.
-	maxDecodedRecord = 64 << 20
 )
 
-// gzipMagic are the first bytes of a compressed record. No JSON text begins with them.
-var gzipMagic = []byte{0x1f, 0x8b}
-
 // Record is the durable state of a job beside its Spec.
 type Record struct {
 	State State `json:"state"`
@@ -129,37 +121,13 @@
 	if len(raw) < compressFrom {
 		return raw
 	}
-	var out bytes.Buffer
-	// Writes to a buffer do not fail, and the level is valid.
-	w, _ := gzip.NewWriterLevel(&out, gzip.BestSpeed)
-	_, _ = w.Write(raw)
-	_ = w.Close()
-	return out.Bytes()
-}
-
-// decompress returns the JSON text of a record.
-func decompress(raw []byte) ([]byte, error) {
-	if !bytes.HasPrefix(raw, gzipMagic) {
-		return raw, nil
-	}
-	r, err := gzip.NewReader(bytes.NewReader(raw))
-	if err != nil {
-		return nil, kind.Wrap(kind.Damaged, err, "compressed record")
-	}
-	text, err := io.ReadAll(io.LimitReader(r, maxDecodedRecord+1))
-	switch {
-	case err != nil:
-		return nil, kind.Wrap(kind.Damaged, err, "compressed record")
-	case len(text) > maxDecodedRecord:
-		return nil, kind.New(kind.Damaged, "compressed record is too long")
-	}
-	return text, nil
+	return pack.Compress(raw)
 }
 
 // DecodeRecord decodes and validates the row of a Record.
 func DecodeRecord(raw []byte) (*Record, error) {
 	r := new(Record)
-	raw, err := decompress(raw)
+	raw, err := pack.Decompress(raw)
 	if err != nil {
 		return r, err
 	}
