--- a/test/cluster/endpages_test.go
+++ b/test/cluster/endpages_test.go
@@ -17,6 +17,8 @@
 const (
 	// shortTask is how long the tasks of these jobs run.
 	shortTask = 2 * time.Second
+	// endsPerPage is how many ends a worker lists at once.
+	endsPerPage = 500
 	// calmTime is how long after a disturbance a job may still have nothing running.
 	calmTime = 4 * time.Second
 )
@@ -129,7 +131,7 @@
 		}
 		send(2 * shortTask)
 		w, running := b.busiest()
-		Expect(running).To(BeNumerically(">", 700))
+		Expect(running).To(BeNumerically(">", endsPerPage))
 		changed := make(chan struct{})
 		go func() {
 			defer GinkgoRecover()
