test/cluster: specs of many ends prepare them without a deadline

The checks after it were not reached.

The tasks of the wide job run for 6 s on the only worker that has their label, all have to be started before the owner changes, and what they need to end is in the bound as before, twice their length beside the 7 s. The spec of steady traffic counts the starts on its worker.

--- a/test/cluster/endpages_test.go
+++ b/test/cluster/endpages_test.go
@@ -15,21 +15,32 @@
 )
 
 const (
-	// shortTask is how long the tasks of these jobs run.
+	// shortTask is how long the tasks of steady traffic run, and wideTask those of a wide job: longer
+	// than it takes to start all of them.
 	shortTask = 2 * time.Second
+	wideTask  = 6 * time.Second
 	// endsPerPage is how many ends a worker lists at once.
 	endsPerPage = 500
 	// calmTime is how long after a disturbance a job may still have nothing running.
 	calmTime = 4 * time.Second
 )
 
-// shortTasks returns a job of one step whose tasks all fit on one worker, in the first rack if they
-// do.
-func shortTasks(count int) string {
-	return fmt.Sprintf(`{"spec":"ms=%d cpu=5 mem=5","steps":[{"count":%d,"cpu":5,"mem_mb":5,"estimate_ms":%d,"affinity":"north-r0"}]}`,
-		shortTask.Milliseconds(), count, shortTask.Milliseconds())
+// smallTasks returns a job of one step whose tasks all fit on one worker. where says which one.
+func smallTasks(count int, length time.Duration, where string) string {
+	return fmt.Sprintf(`{"spec":"ms=%d cpu=5 mem=5","steps":[{"count":%d,"cpu":5,"mem_mb":5,"estimate_ms":%d%s}]}`,
+		length.Milliseconds(), count, length.Milliseconds(), where)
 }
 
+const (
+	// onFirstWorker has the tasks run on the only worker of the first rack, nearFirstRack there if they
+	// find room.
+	onFirstWorker = `,"requirements":"north-r0"`
+	nearFirstRack = `,"affinity":"north-r0"`
+)
+
+// oneWorkerPerHall leaves one worker that has the label of its rack.
+func oneWorkerPerHall(o *world.Options) { o.WorkersPerHall = 1 }
+
 // busiest returns the worker on which most tasks were started, and the number of runs on it now.
 func (b *testbed) busiest() (*world.Worker, int) {
 	var most *world.Worker
@@ -75,10 +86,10 @@
 }
 
 // wantEndedSoon checks that nothing ran twice and that no job waited: all have ended once their
-// tasks had the time to.
-func (b *testbed) wantEndedSoon(ids []string) {
+// tasks, of the given length, had the time to.
+func (b *testbed) wantEndedSoon(ids []string, length time.Duration) {
 	GinkgoHelper()
-	deadline := time.Now().Add(calmTime + maxIdle + 2*shortTask)
+	deadline := time.Now().Add(calmTime + maxIdle + 2*length)
 	for _, id := range ids {
 		Eventually(func() string { return b.state(id) }, time.Until(deadline)).Should(Equal("succeeded"), id)
 	}
@@ -101,16 +112,16 @@
 	const wide = 1500
 
 	DescribeTable("has each of its tasks run once after a change of owner", func(change func(b *testbed, w *world.Worker)) {
-		b := start()
-		ids := []string{b.submit(shortTasks(wide))}
-		var w *world.Worker
-		Eventually(func() (running int) { w, running = b.busiest(); return running }, "5s", 5*time.Millisecond).Should(BeNumerically(">", wide/2))
-		time.Sleep(time.Until(b.firstStart(ids[0]).Add(shortTask - 200*time.Millisecond)))
+		b := start(oneWorkerPerHall)
+		ids := []string{b.submit(smallTasks(wide, wideTask, onFirstWorker))}
+		Eventually(func() int { return len(b.world.Book.Starts()) }, "20s").Should(Equal(wide))
+		w, _ := b.busiest()
+		time.Sleep(time.Until(b.firstStart(ids[0]).Add(wideTask - 200*time.Millisecond)))
 		change(b, w)
 		begun := time.Now()
-		ids = append(ids, b.submit(shortTasks(2)))
+		ids = append(ids, b.submit(smallTasks(2, shortTask, "")))
 		Eventually(func() time.Time { return b.firstStart(ids[1]) }, maxIdle, 5*time.Millisecond).Should(BeTemporally(">", begun), "a new job starts at once")
-		b.wantEndedSoon(ids)
+		b.wantEndedSoon(ids, wideTask)
 	},
 		Entry("the owner is killed", func(b *testbed, _ *world.Worker) { b.killOwner() }),
 		Entry("the owner and its successor are killed", func(b *testbed, _ *world.Worker) { b.killOwner(); b.killOwner() }),
@@ -126,12 +137,12 @@
 		var ids []string
 		send := func(d time.Duration) {
 			for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(250 * time.Millisecond) {
-				ids = append(ids, b.submit(shortTasks(150)))
+				ids = append(ids, b.submit(smallTasks(150, shortTask, nearFirstRack)))
 			}
 		}
 		send(2 * shortTask)
-		w, running := b.busiest()
-		Expect(running).To(BeNumerically(">", endsPerPage))
+		w, _ := b.busiest()
+		Expect(b.startsOn(w)).To(BeNumerically(">", endsPerPage))
 		changed := make(chan struct{})
 		go func() {
 			defer GinkgoRecover()
@@ -140,7 +151,7 @@
 		}()
 		send(4500 * time.Millisecond)
 		Eventually(changed, "10s").Should(BeClosed())
-		b.wantEndedSoon(ids)
+		b.wantEndedSoon(ids, shortTask)
 	},
 		Entry("after it was cut off", func(_ *testbed, w *world.Worker) { cutOff(w, 3500*time.Millisecond) }),
 		Entry("after the owner was killed while it was cut off", func(b *testbed, w *world.Worker) {
--- a/test/cluster/largerecord_test.go
+++ b/test/cluster/largerecord_test.go
@@ -33,8 +33,8 @@
 	It("goes on after its worker has crashed with all of them", func() {
 		const tasks = 1500
 		// Only one worker has the label, and the tasks outlast the start of all.
-		b := start(func(o *world.Options) { o.WorkersPerHall = 1 })
-		id := b.submit(fmt.Sprintf(`{"spec":"ms=40000 cpu=5 mem=5","steps":[{"count":%d,"cpu":5,"mem_mb":5,"estimate_ms":40000,"requirements":"north-r0"}]}`, tasks))
+		b := start(oneWorkerPerHall)
+		id := b.submit(smallTasks(tasks, 40*time.Second, onFirstWorker))
 		var w *world.Worker
 		Eventually(func() (running int) { w, running = b.busiest(); return running }, "20s").Should(Equal(tasks))
 		b.world.Crash(w, world.Restart{Down: time.Second})
