all: a request's client account is called so in the code

Reason: the glossary names four words of this project, one of them the client account; the code of the product's own path said shop, the name of the field on its API, in some 80 places, beside Account for the same thing elsewhere. Change: fields, parameters and one log field are renamed. The column SHOP of the command line stays as well, after the API's field.

--- a/cmd/dewpass/jobs.go
+++ b/cmd/dewpass/jobs.go
@@ -53,7 +53,7 @@
 func jobTable(jobs ...job.Job) *table {
 	t := &table{header: []string{"ID", "WORKLOAD", "SHOP", "STATE", "ATTEMPT", "RACK", "WORKER", "SUBMITTED", "WHY"}}
 	for _, j := range jobs {
-		t.add(j.ID, j.Workload, j.Shop, j.State, j.Attempt, j.Rack, orDash(j.Worker),
+		t.add(j.ID, j.Workload, j.Account, j.State, j.Attempt, j.Rack, orDash(j.Worker),
 			j.Submitted.Format(time.RFC3339), orDash(j.Why))
 	}
 	return t
--- a/entry/services.go
+++ b/entry/services.go
@@ -28,7 +28,7 @@
 	servicesAuditInterval = time.Minute
 	replicaPrefix         = "svc-"
 	replicaPageSize       = 500
-	serviceShop           = "dewpass"
+	serviceAccount        = "dewpass"
 )
 
 // runServices keeps services at their replica counts until ctx ends. One instance
@@ -136,8 +136,8 @@
 	want := e.localReplicas(c, w)
 	for i := len(live); i < want; i++ {
 		row := job.Job{
-			ID:   fmt.Sprintf("%s%s", prefix, uid.New()),
-			Shop: serviceShop, Workload: w.Path, Repeat: ports.RepeatSafe,
+			ID:      fmt.Sprintf("%s%s", prefix, uid.New()),
+			Account: serviceAccount, Workload: w.Path, Repeat: ports.RepeatSafe,
 			Service: true, Payload: []byte(`{"service":true}`), Submitted: clock.Wall().UTC(),
 		}
 		if _, err := e.front.Place(ctx, row, w); err != nil {
--- a/expiry/expiry.go
+++ b/expiry/expiry.go
@@ -101,7 +101,7 @@
 	if err != nil {
 		return err
 	}
-	rows, err := s.Table.Get(ctx, job.RowKey(e.ID), job.RequestKeyRowKey(e.Shop, e.Key))
+	rows, err := s.Table.Get(ctx, job.RowKey(e.ID), job.RequestKeyRowKey(e.Account, e.Key))
 	if err != nil {
 		return err
 	}
--- a/expiry/expiry_test.go
+++ b/expiry/expiry_test.go
@@ -66,7 +66,7 @@
 	put := func(puts ...ports.Put) { table.Table.Commit(ports.Txn{Puts: puts}) }
 	// add writes the rows and the object of a job as its owner does.
 	add := func(id string, state job.State, expires time.Time) {
-		row := job.Job{ID: id, Shop: "s", Key: "k-" + id, Hall: "h", State: state, Expires: &expires, AnswerObject: "answer/" + id}
+		row := job.Job{ID: id, Account: "s", Key: "k-" + id, Hall: "h", State: state, Expires: &expires, AnswerObject: "answer/" + id}
 		store.Put(row.AnswerObject, []byte("x"))
 		put(ports.Put{Key: job.RowKey(id), Value: job.Encode(row)},
 			ports.Put{Key: job.RequestKeyRowKey("s", row.Key), Value: job.Encode(job.RequestKey{ID: id})},
@@ -87,7 +87,7 @@
 			add(fmt.Sprintf("due-%03d", i), job.Done, now.Add(-time.Duration(i+1)*time.Second))
 		}
 		add("later", job.Done, now.Add(time.Second))
-		refused := job.Expiry{Hall: "h", At: now.Add(-time.Hour), Shop: "s", Key: "refused"}
+		refused := job.Expiry{Hall: "h", At: now.Add(-time.Hour), Account: "s", Key: "refused"}
 		put(refused.Put(), ports.Put{Key: job.RequestKeyRowKey("s", "refused"), Value: job.Encode(job.RequestKey{Refused: true})})
 		table.Set(func(l *standin.Local) {
 			l.BeforeCommit = func(ports.Txn) error { time.Sleep(2 * time.Millisecond); return nil }
--- a/front/calls.go
+++ b/front/calls.go
@@ -22,7 +22,7 @@
 type Answer struct {
 	ID       string          `json:"id"`
 	Workload string          `json:"workload"`
-	Shop     string          `json:"shop"`
+	Account  string          `json:"shop"`
 	Worker   string          `json:"worker,omitempty"`
 	WaitedUS int64           `json:"waited_us"`
 	Length   int64           `json:"length"`
@@ -63,7 +63,7 @@
 // gets no result, its key decides the answer.
 func (f *Front) executeCall(ctx context.Context, req *request, w *tree.Workload) (*Answer, error) {
 	c := &wire.Call{
-		Id: uid.New(), Shop: req.Shop, Key: req.Key, Workload: w.Path,
+		Id: uid.New(), Account: req.Account, Key: req.Key, Workload: w.Path,
 		Payload: req.Payload, Once: req.Once, FirstTry: req.FirstTry,
 	}
 	var reply *wire.CallReply
@@ -134,7 +134,7 @@
 		return nil, kind.Of(err).WithUnknownOutcome(reply.Id)
 	}
 	return &Answer{
-		ID: reply.Id, Workload: req.Workload, Shop: req.Shop, Worker: reply.Worker,
+		ID: reply.Id, Workload: req.Workload, Account: req.Account, Worker: reply.Worker,
 		WaitedUS: reply.WaitedUs, Length: reply.Length, Digest: reply.Digest, Answer: reply.Body,
 	}, nil
 }
@@ -168,7 +168,7 @@
 			return nil, err
 		}
 		return &Answer{
-			ID: row.ID, Workload: req.Workload, Shop: req.Shop, Worker: row.Worker,
+			ID: row.ID, Workload: req.Workload, Account: req.Account, Worker: row.Worker,
 			Length: int64(row.Answer.Length), Digest: row.Answer.Digest, Answer: row.Answer.Body,
 		}, nil
 	case job.Refused:
--- a/front/jobs.go
+++ b/front/jobs.go
@@ -76,7 +76,7 @@
 
 func (f *Front) newJob(req *request, w *tree.Workload, now time.Time) job.Job {
 	row := job.Job{
-		ID: uid.New(), Shop: req.Shop, Key: req.Key, Workload: w.Path,
+		ID: uid.New(), Account: req.Account, Key: req.Key, Workload: w.Path,
 		Payload: req.Payload, Repeat: req.repeat(), Submitted: now.UTC(),
 		Deadline: req.Deadline,
 	}
--- a/front/refusal.go
+++ b/front/refusal.go
@@ -44,7 +44,7 @@
 }
 
 // refusedKey identifies a refused request.
-type refusedKey struct{ shop, key string }
+type refusedKey struct{ account, key string }
 
 // add records a refusal. It returns false if the limit is reached.
 func (s *refusals) add(r refusedKey, digest string) bool {
@@ -86,7 +86,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if _, ok := s.pending[refusedKey{req.Shop, req.Key}]; ok {
+	if _, ok := s.pending[refusedKey{req.Account, req.Key}]; ok {
 		return kind.New(kind.Cancelled, "this key was refused before")
 	}
 	return nil
@@ -101,7 +101,7 @@
 		if len(out) == n {
 			break
 		}
-		out = append(out, &wire.Refusal{Shop: r.shop, Key: r.key, Digest: digest})
+		out = append(out, &wire.Refusal{Account: r.account, Key: r.key, Digest: digest})
 	}
 	return out
 }
@@ -113,7 +113,7 @@
 // reaches the table writes them.
 func (f *Front) AddRefusals(list []*wire.Refusal) {
 	for _, r := range list {
-		f.refusals.add(refusedKey{r.Shop, r.Key}, r.Digest)
+		f.refusals.add(refusedKey{r.Account, r.Key}, r.Digest)
 	}
 }
 
@@ -134,7 +134,7 @@
 		return job.Job{}, cause
 	case kind.Is(err, kind.Conflict):
 		return f.findByKey(ctx, req, digest, cause)
-	case req.FirstTry && kind.Is(err, kind.Unavailable) && f.refusals.add(refusedKey{req.Shop, req.Key}, digest):
+	case req.FirstTry && kind.Is(err, kind.Unavailable) && f.refusals.add(refusedKey{req.Account, req.Key}, digest):
 		return job.Job{}, cause
 	}
 	unknown := kind.Wrap(e.Kind, cause, "and the table cannot be read for earlier requests with the key")
@@ -145,13 +145,13 @@
 // closeKeyChange returns the change that closes a key until the retention time of
 // keys is over.
 func (f *Front) closeKeyChange(req *request, digest, why string) commit.Change {
-	key := job.RequestKeyRowKey(req.Shop, req.Key)
+	key := job.RequestKeyRowKey(req.Account, req.Key)
 	value := job.Encode(job.RequestKey{Digest: digest, Refused: true, Why: why})
 	keep := tree.DefaultKeep
 	if w := f.Tree.Current().Workloads[req.Workload]; w != nil {
 		keep = w.Keep
 	}
-	e := job.Expiry{Hall: f.Hall, At: clock.Wall().Add(keep), Shop: req.Shop, Key: req.Key}
+	e := job.Expiry{Hall: f.Hall, At: clock.Wall().Add(keep), Account: req.Account, Key: req.Key}
 	return commit.Change{
 		Checks: []ports.Check{{Key: key}},
 		Puts:   []ports.Put{{Key: key, Value: value}, e.Put()},
@@ -161,7 +161,7 @@
 // findByKey returns the row of the first request with the key, or cause if the key
 // is not in the table.
 func (f *Front) findByKey(ctx context.Context, req *request, digest string, cause error) (job.Job, error) {
-	rows, err := f.Table.Get(ctx, job.RequestKeyRowKey(req.Shop, req.Key))
+	rows, err := f.Table.Get(ctx, job.RequestKeyRowKey(req.Account, req.Key))
 	if err != nil {
 		return job.Job{}, kind.Wrap(kind.Of(err).Kind, err, "cannot look up earlier requests with the key").WithUnknownOutcome("")
 	}
@@ -201,7 +201,7 @@
 		return
 	}
 	for _, r := range f.refusals.first(maxRefusalsPerHello) {
-		req := &request{Shop: r.Shop, Key: r.Key}
+		req := &request{Account: r.Account, Key: r.Key}
 		ctx, cancel := context.WithTimeout(ctx, refusalTimeout)
 		_, err := f.Journal.Commit(ctx, f.closeKeyChange(req, r.Digest, "refused while the table was out of reach"))
 		cancel()
@@ -210,9 +210,9 @@
 			return
 		}
 		if err != nil && !allRefused(conflict) {
-			level.Warn(f.Log).Log("msg", "refused key turned out to be in use", "shop", r.Shop, "key", r.Key)
+			level.Warn(f.Log).Log("msg", "refused key turned out to be in use", "account", r.Account, "key", r.Key)
 		}
-		f.refusals.markWritten(refusedKey{r.Shop, r.Key}, time.Now())
+		f.refusals.markWritten(refusedKey{r.Account, r.Key}, time.Now())
 	}
 }
 
--- a/front/request.go
+++ b/front/request.go
@@ -30,7 +30,7 @@
 // request is the body of a call or a job.
 type request struct {
 	Workload string `json:"workload"`
-	Shop     string `json:"shop"`
+	Account  string `json:"shop"`
 	// Key makes it safe to retry the request.
 	Key string `json:"key"`
 	// Once is set for work that must not be repeated.
@@ -96,7 +96,7 @@
 // return false for a valid request.
 func quicklyValid(r *request) bool {
 	return r.Workload != "" && len(r.Workload) <= 256 &&
-		r.Shop != "" && isToken(r.Shop, 64, "._-") &&
+		r.Account != "" && isToken(r.Account, 64, "._-") &&
 		isToken(r.Key, 128, "._:-") &&
 		(r.DeadlineMS == nil || *r.DeadlineMS > 0 && *r.DeadlineMS <= maxDeadlineMS)
 }
--- a/front/request_test.go
+++ b/front/request_test.go
@@ -97,7 +97,7 @@
 	f.Add([]byte(`{"workload":"a","shop":"s","expires":"2026-01-01T00:00:00Z"}`))
 	f.Fuzz(func(t *testing.T, raw []byte) {
 		req, err := parseRequest(raw)
-		if err == nil && (req.Workload == "" || req.Shop == "" || strings.ContainsAny(req.Shop+req.Key, "/ ")) {
+		if err == nil && (req.Workload == "" || req.Account == "" || strings.ContainsAny(req.Account+req.Key, "/ ")) {
 			t.Fatalf("accepted %q", raw)
 		}
 		if err != nil && kind.Of(err).Outcome != kind.NotRun {
--- a/internal/fault/off.go
+++ b/internal/fault/off.go
@@ -9,8 +9,8 @@
 // At marks a step of the program at which tests can inject a failure.
 func At(Point) {}
 
-// AtTask is like At, for a step of one task: a rule may be limited to the task's worker and shop.
-func AtTask(p Point, worker, shop string) {}
+// AtTask is like At, for a step of one task: a rule may be limited to the task's worker and client account.
+func AtTask(p Point, worker, account string) {}
 
 // Link returns an error if a test has cut the link to addr.
 func Link(string) error { return nil }
--- a/internal/fault/on.go
+++ b/internal/fault/on.go
@@ -28,10 +28,10 @@
 // At marks a step of the program at which tests can inject a failure.
 func At(p Point) { AtTask(p, "", "") }
 
-// AtTask is like At, for a step of one task: a rule may be limited to the task's worker and shop.
-func AtTask(p Point, worker, shop string) {
+// AtTask is like At, for a step of one task: a rule may be limited to the task's worker and client account.
+func AtTask(p Point, worker, account string) {
 	matches := func(r *Rule) bool {
-		return r.Point == p && strings.HasPrefix(worker, r.Worker) && (r.Shop == "" || r.Shop == shop)
+		return r.Point == p && strings.HasPrefix(worker, r.Worker) && (r.Account == "" || r.Account == account)
 	}
 	if r, ok := takeRule(matches); ok {
 		apply(r)
--- a/internal/fault/rule.go
+++ b/internal/fault/rule.go
@@ -6,10 +6,10 @@
 type Rule struct {
 	// Point is the step at which the rule applies, "" for a rule on links or on the clock.
 	Point Point `json:"point,omitempty"`
-	// Worker and Shop limit a rule on a point to tasks of workers whose names start with
-	// Worker, and to tasks of that shop. "" matches all.
-	Worker string `json:"worker,omitempty"`
-	Shop   string `json:"shop,omitempty"`
+	// Worker and Account limit a rule on a point to tasks of workers whose names start with
+	// Worker, and to tasks of that client account. "" matches all.
+	Worker  string `json:"worker,omitempty"`
+	Account string `json:"shop,omitempty"`
 	// Addr selects the links of a rule on links: those whose addresses contain it.
 	Addr string `json:"addr,omitempty"`
 	// Skip is how many matches are ignored before the rule applies.
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -41,8 +41,8 @@
 
 // Body is the answer of a task.
 type Body struct {
-	Task string `json:"task"`
-	Shop string `json:"shop"`
+	Task    string `json:"task"`
+	Account string `json:"shop"`
 	// Sum is the digest of the payload.
 	Sum string `json:"sum"`
 	// Filler brings the answer to the size that the payload asks for.
@@ -353,7 +353,7 @@
 		w.end(t, ports.TaskFailed, "failed")
 		return
 	}
-	body, _ := json.Marshal(Body{Task: t.task.ID, Shop: t.task.Shop, Sum: ports.Digest(t.task.Payload), Filler: Filler(t.task.ID, t.payload.Bytes)})
+	body, _ := json.Marshal(Body{Task: t.task.ID, Account: t.task.Account, Sum: ports.Digest(t.task.Payload), Filler: Filler(t.task.ID, t.payload.Bytes)})
 	t.answer = &ports.Answer{
 		ID: t.task.ID, Attempt: t.task.Attempt,
 		Length: len(body), Digest: ports.Digest(body), Body: body,
--- a/job/expiry.go
+++ b/job/expiry.go
@@ -17,14 +17,14 @@
 	Hall string    `json:"-"`
 	At   time.Time `json:"at"`
 	// ID is the job's ID, "" for a request key that was refused.
-	ID   string `json:"id,omitempty"`
-	Shop string `json:"shop,omitempty"`
-	Key  string `json:"key,omitempty"`
+	ID      string `json:"id,omitempty"`
+	Account string `json:"shop,omitempty"`
+	Key     string `json:"key,omitempty"`
 }
 
 // ExpiryOf returns the expiry row of a job that has ended.
 func ExpiryOf(j Job) Expiry {
-	e := Expiry{Hall: j.Hall, ID: j.ID, Shop: j.Shop, Key: j.Key}
+	e := Expiry{Hall: j.Hall, ID: j.ID, Account: j.Account, Key: j.Key}
 	if j.Expires != nil {
 		e.At = *j.Expires
 	}
@@ -48,7 +48,7 @@
 func (e Expiry) Put() ports.Put {
 	name := e.ID
 	if name == "" {
-		name = RequestKeyRowKey(e.Shop, e.Key)
+		name = RequestKeyRowKey(e.Account, e.Key)
 	}
 	return ports.Put{Key: ExpiryBound(e.Hall, e.At) + name, Value: Encode(e)}
 }
--- a/job/job.go
+++ b/job/job.go
@@ -54,7 +54,7 @@
 // Job is the row of a job.
 type Job struct {
 	ID       string          `json:"id"`
-	Shop     string          `json:"shop"`
+	Account  string          `json:"shop"`
 	Key      string          `json:"key,omitempty"`
 	Workload string          `json:"workload"`
 	Payload  json.RawMessage `json:"payload,omitempty"`
@@ -139,7 +139,7 @@
 func IndexKey(rack, id string) string { return IndexPrefix(rack) + id }
 
 // RequestKeyRowKey returns the row key of a request key.
-func RequestKeyRowKey(shop, key string) string { return keyPrefix + shop + "/" + key }
+func RequestKeyRowKey(account, key string) string { return keyPrefix + account + "/" + key }
 
 // IDFromIndexKey extracts the job's ID from the row key of its index row.
 func IDFromIndexKey(rack, key string) string { return key[len(IndexPrefix(rack)):] }
--- a/owner/call.go
+++ b/owner/call.go
@@ -113,7 +113,7 @@
 	}
 	now := o.now()
 	o.cell.RecordCallArrival(w.Demand, now)
-	spec := ports.Task{ID: req.Id, Attempt: 1, Shop: req.Shop, Call: true, Payload: req.Payload, Repeat: ports.RepeatSafe}
+	spec := ports.Task{ID: req.Id, Attempt: 1, Account: req.Account, Call: true, Payload: req.Payload, Repeat: ports.RepeatSafe}
 	if req.Once {
 		spec.Repeat = ports.RepeatNever
 	}
--- a/owner/jobs.go
+++ b/owner/jobs.go
@@ -125,7 +125,7 @@
 		return
 	}
 	t := o.newTask(w, ports.Task{
-		ID: js.row.ID, Attempt: js.row.Attempt + 1, Shop: js.row.Shop,
+		ID: js.row.ID, Attempt: js.row.Attempt + 1, Account: js.row.Account,
 		Repeat: js.row.Repeat, Payload: js.row.Payload, Checkpoint: js.row.Checkpoint,
 	})
 	t.job, t.rack = js, js.rack
@@ -157,7 +157,7 @@
 	o.mu.Unlock()
 	err := fault.Link("worker/" + w.name)
 	if err == nil {
-		fault.AtTask(fault.Sent, w.name, t.spec.Shop)
+		fault.AtTask(fault.Sent, w.name, t.spec.Account)
 		_, err = api.Start(ctx, cmd, t.spec, o.TaskLease)
 	}
 	fault.At(fault.Accepted)
--- a/owner/owner_test.go
+++ b/owner/owner_test.go
@@ -151,7 +151,7 @@
 var _ = Describe("an owner", func() {
 	submit := func(ctx context.Context, o *owner.Owner) job.Job {
 		row := job.Job{
-			ID: "j1", Shop: "s", Workload: "batch", Repeat: ports.RepeatSafe, Hall: "h", Rack: "r",
+			ID: "j1", Account: "s", Workload: "batch", Repeat: ports.RepeatSafe, Hall: "h", Rack: "r",
 			Payload: []byte(`{"ms":60000}`), Submitted: time.Now(),
 		}
 		row, err := o.Submit(ctx, row)
@@ -183,7 +183,7 @@
 		c := newFixture()
 		o := c.startOwner("o1", 1, connect, c.workers)
 		call := func(id string) (*wire.CallReply, error) {
-			return o.Call(ctx, &wire.Call{Id: id, Shop: "s", Key: id, Workload: "order", Once: true, LeftUs: 2e6, Payload: []byte(`{"ms":5}`), Queue: true})
+			return o.Call(ctx, &wire.Call{Id: id, Account: "s", Key: id, Workload: "order", Once: true, LeftUs: 2e6, Payload: []byte(`{"ms":5}`), Queue: true})
 		}
 		_, err := call("k1")
 		Expect(err).NotTo(HaveOccurred())
@@ -230,7 +230,7 @@
 			l.AfterCommit = func(ports.Txn) error { return kind.New(kind.Lost, "test") }
 			l.BeforeRead = func() error { return kind.New(kind.Unavailable, "test") }
 		})
-		_, err := o.Call(ctx, &wire.Call{Id: "k1", Shop: "s", Key: "k1", Workload: "order", Once: true, LeftUs: 3e6, Queue: true})
+		_, err := o.Call(ctx, &wire.Call{Id: "k1", Account: "s", Key: "k1", Workload: "order", Once: true, LeftUs: 3e6, Queue: true})
 		Expect(kind.Of(err).Outcome).To(Equal(kind.Unknown), "%v", err)
 		c.table.Set(func(l *standin.Local) { l.AfterCommit, l.BeforeRead = nil, nil })
 		Eventually(func() job.State {
@@ -255,7 +255,7 @@
 		})
 	}
 	order := func(ctx context.Context, o *owner.Owner, id string) (*wire.CallReply, error) {
-		return o.Call(ctx, &wire.Call{Id: id, Shop: "s", Key: id, Workload: "order", Once: true, LeftUs: 3e6, Payload: []byte(`{"ms":5}`)})
+		return o.Call(ctx, &wire.Call{Id: id, Account: "s", Key: id, Workload: "order", Once: true, LeftUs: 3e6, Payload: []byte(`{"ms":5}`)})
 	}
 	stateOf := func(c *fixture, id string) job.State {
 		row, _ := job.Decode(c.table.Table.Get(job.RowKey(id))[0].Value)
@@ -336,7 +336,7 @@
 			// Gives the scan of the index time to end; a longer sleep would do no harm.
 			time.Sleep(50 * time.Millisecond)
 		})
-		_, err := o.Call(ctx, &wire.Call{Id: "k1", Shop: "s", Key: "k1", Workload: "order", Once: true, LeftUs: 3e6, Payload: []byte(`{"ms":400}`)})
+		_, err := o.Call(ctx, &wire.Call{Id: "k1", Account: "s", Key: "k1", Workload: "order", Once: true, LeftUs: 3e6, Payload: []byte(`{"ms":400}`)})
 		Expect(err).NotTo(HaveOccurred())
 	})
 })
--- a/owner/report_test.go
+++ b/owner/report_test.go
@@ -133,7 +133,7 @@
 func stopWithLateReport(c *fixture, l *lateWatch) {
 	o := c.startOwner("o1", 1, l.connect, c.workers)
 	_, err := o.Submit(context.Background(), job.Job{
-		ID: "j1", Shop: "s", Workload: "saving", Repeat: ports.RepeatSafe, Hall: "h", Rack: "r",
+		ID: "j1", Account: "s", Workload: "saving", Repeat: ports.RepeatSafe, Hall: "h", Rack: "r",
 		// The task saves a checkpoint once, so that a watch reports it. What is left then is
 		// too short for the next attempt to save one as well.
 		Payload: []byte(`{"ms":1900,"save_ms":1000}`), Submitted: time.Now(),
--- a/owner/save.go
+++ b/owner/save.go
@@ -50,7 +50,7 @@
 	if row.Key == "" {
 		return c
 	}
-	key := job.RequestKeyRowKey(row.Shop, row.Key)
+	key := job.RequestKeyRowKey(row.Account, row.Key)
 	c.Checks = append(c.Checks, ports.Check{Key: key})
 	value := job.Encode(job.RequestKey{ID: row.ID, Digest: digest})
 	c.Puts = append(c.Puts, ports.Put{Key: key, Value: value})
@@ -162,7 +162,7 @@
 	o.mu.Lock()
 	r := t.rack
 	row := job.Job{
-		ID: req.Id, Shop: req.Shop, Key: req.Key, Workload: req.Workload, Payload: req.Payload,
+		ID: req.Id, Account: req.Account, Key: req.Key, Workload: req.Workload, Payload: req.Payload,
 		Repeat: ports.RepeatNever, Call: true, Hall: o.Hall, Rack: r.name,
 		State: job.Dispatched, Attempt: 1, Worker: t.worker.name, Incarnation: t.worker.incarnation,
 		Submitted: clock.Wall().UTC(),
--- a/owner/send.go
+++ b/owner/send.go
@@ -141,7 +141,7 @@
 	if err := fault.Link("worker/" + w.name); err != nil {
 		return nil, o.handleStartError(t, err)
 	}
-	fault.AtTask(fault.Sent, w.name, t.spec.Shop)
+	fault.AtTask(fault.Sent, w.name, t.spec.Account)
 	rep, err := api.Start(ctx, cmd, t.spec, o.TaskLease)
 	if err != nil {
 		return nil, o.handleStartError(t, err)
--- a/ports/types.go
+++ b/ports/types.go
@@ -118,7 +118,7 @@
 	ID       string          `json:"id"`
 	Attempt  uint32          `json:"attempt"`
 	Workload string          `json:"workload"`
-	Shop     string          `json:"shop"`
+	Account  string          `json:"shop"`
 	Repeat   Repeat          `json:"repeat,omitempty"`
 	Call     bool            `json:"call,omitempty"`
 	Demand   sched.Vec       `json:"demand"`
--- a/test/load/item.go
+++ b/test/load/item.go
@@ -26,7 +26,7 @@
 	Workload string
 	Job      bool
 	Once     bool
-	Shop     string
+	Account  string
 	Key      string
 	Payload  standin.Payload
 	// FirstTry tells dewpass that the request was not sent before.
@@ -40,7 +40,7 @@
 func NewItem(workload string, ran time.Duration) Item {
 	tag := ulid.Make().String()
 	return Item{
-		Workload: workload, Shop: "shop-" + tag[20:], Key: "key-" + tag,
+		Workload: workload, Account: "shop-" + tag[20:], Key: "key-" + tag,
 		Payload: standin.Payload{MS: ran.Milliseconds(), Tag: tag},
 	}
 }
@@ -48,7 +48,7 @@
 // requestBody is the JSON body of a request.
 type requestBody struct {
 	Workload   string          `json:"workload"`
-	Shop       string          `json:"shop"`
+	Account    string          `json:"shop"`
 	Key        string          `json:"key,omitempty"`
 	Once       bool            `json:"once,omitempty"`
 	FirstTry   bool            `json:"first_try,omitempty"`
@@ -59,7 +59,7 @@
 func (it *Item) body() (requestBody, error) {
 	raw, err := json.Marshal(it.Payload)
 	return requestBody{
-		Workload: it.Workload, Shop: it.Shop, Key: it.Key, Once: it.Once,
+		Workload: it.Workload, Account: it.Account, Key: it.Key, Once: it.Once,
 		FirstTry: it.FirstTry, DeadlineMS: it.Deadline.Milliseconds(), Payload: raw,
 	}, err
 }
@@ -142,7 +142,7 @@
 	if err := json.Unmarshal(answer, &got); err != nil {
 		return errors.Wrap(ErrWrong, err.Error())
 	}
-	want := standin.Body{Task: id, Shop: it.Shop, Sum: ports.Digest(payload), Filler: standin.Filler(id, it.Payload.Bytes)}
+	want := standin.Body{Task: id, Account: it.Account, Sum: ports.Digest(payload), Filler: standin.Filler(id, it.Payload.Bytes)}
 	if got != want {
 		return errors.Wrap(ErrWrong, fmt.Sprintf("got %+v, want %+v", got, want))
 	}
--- a/test/measure/slopes.go
+++ b/test/measure/slopes.go
@@ -283,7 +283,7 @@
 	c := b.Entries[0].Client()
 	for i := range calls {
 		began := time.Now()
-		if _, err := load.Call(ctx, c, load.Item{Workload: "call", Shop: "s", Deadline: time.Second}); err != nil {
+		if _, err := load.Call(ctx, c, load.Item{Workload: "call", Account: "s", Deadline: time.Second}); err != nil {
 			return err
 		}
 		if i >= calls/warmupDivisor {
--- a/test/proof/failure_test.go
+++ b/test/proof/failure_test.go
@@ -114,11 +114,11 @@
 		}
 		// trace submits jobs until one is assigned to the rack, because the front
 		// chooses the rack.
-		trace := func(shop string) load.Response {
+		trace := func(account string) load.Response {
 			GinkgoHelper()
 			for {
 				it := load.NewItem("tracing/trace", 25*time.Second)
-				it.Shop = shop
+				it.Account = account
 				row, err := load.Submit(ctx, other.Client(), it)
 				Expect(err).NotTo(HaveOccurred())
 				if row.Rack == rack {
@@ -143,7 +143,7 @@
 		// The rule pauses the owner only at the start of the second job, not at
 		// one of a service or of a job on another of its racks.
 		const stopped = "second-depot"
-		stop := rule{Point: "sent", Worker: rack + "-", Shop: stopped, Stop: true, DelayMS: 500}
+		stop := rule{Point: "sent", Worker: rack + "-", Account: stopped, Stop: true, DelayMS: 500}
 		Expect(owner.SetFaultRules(ctx, []rule{stop})).To(Succeed())
 		second := trace(stopped)
 		Eventually(func() error {
@@ -180,7 +180,7 @@
 		setPlatform(ctx, b, standin.Faults{})
 		Eventually(func(g Gomega) {
 			var rows []ports.Row
-			path := "/record/rows?prefix=" + job.RequestKeyRowKey(it.Shop, it.Key)
+			path := "/record/rows?prefix=" + job.RequestKeyRowKey(it.Account, it.Key)
 			g.Expect(b.Admin.Do(ctx, http.MethodGet, path, nil, &rows)).To(Succeed())
 			g.Expect(rows).To(HaveLen(1))
 		}).Should(Succeed())
