driver, claim: a planned release hands on when the leases of silent workers end

An owner that finds a worker there gives it a whole lease from its own start, 6.45 s, and owners were stopped faster than that. The first of them had even waited the lease out: it was stopped 9 ms later, before it had written the list without the worker. Change: the transaction that releases a cell as planned says for how much longer the leases of workers may last that do not answer, 0 where they are over. It is a duration from before the release, which the next owner counts from when it took the cell, so that no clocks are compared; only the next epoch believes it. A frozen owner sends nothing, and the end of a lease is fixed when its order is sent.

--- a/claim/claim.go
+++ b/claim/claim.go
@@ -264,9 +264,9 @@
 	return err
 }
 
-// Release gives the lease up, so that another instance can take it immediately.
-func (c *Claim) Release(ctx context.Context) error {
-	_, err := c.write(ctx, "", rows.Tx{})
+// Release gives the lease up together with t, so that another instance can take it immediately.
+func (c *Claim) Release(ctx context.Context, t rows.Tx) error {
+	_, err := c.write(ctx, "", t)
 	return err
 }
 
--- a/claim/claim_test.go
+++ b/claim/claim_test.go
@@ -237,7 +237,7 @@
 		Expect(err).To(HaveOccurred())
 		t.faults = nil
 		t.apply(t.delayed[0])
-		Expect(a.Release(ctx)).To(Succeed())
+		Expect(a.Release(ctx, rows.Tx{})).To(Succeed())
 		lease, _ := a.Read(ctx)
 		Expect(lease.Owner).To(BeEmpty())
 	})
--- a/cluster/yield.go
+++ b/cluster/yield.go
@@ -101,7 +101,7 @@
 	d.Freeze()
 	ctx, cancel := context.WithTimeout(context.Background(), handoverTimeout)
 	defer cancel()
-	if err := c.Release(ctx); err != nil {
+	if err := c.Release(ctx, d.Handover()); err != nil {
 		level.Warn(n.kit.Log).Log("event", "cell_lease_not_released", "cell", name, "err", err)
 	}
 	n.dropDriver(name, d)
@@ -125,7 +125,7 @@
 func (n *Instance) handOver(ctx context.Context, cells map[string]*ownCell) {
 	for name, c := range cells {
 		c.driver.Freeze()
-		if err := c.claim.Release(ctx); err != nil {
+		if err := c.claim.Release(ctx, c.driver.Handover()); err != nil {
 			level.Warn(n.kit.Log).Log("event", "cell_lease_not_released", "cell", name, "err", err)
 		}
 		n.dropDriver(name, c.driver)
--- a/driver/load.go
+++ b/driver/load.go
@@ -37,6 +37,7 @@
 	records    rows.RangeReader
 	workerList rows.RangeReader
 	lost       rows.RangeReader
+	leaseEnds  rows.RangeReader
 }
 
 // jobs returns the specifications of all parts.
@@ -79,6 +80,7 @@
 	})
 	reads.Go(func() error { return r.workerList.Read(ctx, d.Store, d.workerListRange()) })
 	reads.Go(func() error { return r.lost.Read(ctx, d.Store, rows.KeyRange(d.lostWorkersKey())) })
+	reads.Go(func() error { return r.leaseEnds.Read(ctx, d.Store, rows.KeyRange(d.leaseEndsKey())) })
 	return reads.Wait()
 }
 
@@ -115,6 +117,7 @@
 	defer d.mu.Unlock()
 	d.restoreWorkerList(r.workerList.Rows)
 	d.restoreLostWorkers(r.lost.Rows)
+	d.restoreLeaseEnds(r.leaseEnds.Rows)
 	d.restoreJobs(r.jobs(), r.records.Rows, r.records.BadRows)
 }
 
