driver, platform: nothing is started in a hall that operators have cordoned

Change: an owner reads which halls are cordoned with its cell's jobs, before its first decision, and every second from then on; workers there get nothing more until the row is gone. What runs there goes on. While the store is away, the halls read last stay cordoned. Cell.Silent had another meaning by now and is SetUnschedulable.

--- a/cell/cell.go
+++ b/cell/cell.go
@@ -213,7 +213,7 @@
 		l.Attached++
 		l.Room = l.Room.Add(w.Room)
 		l.Free = l.Free.Add(w.free)
-		if !w.silent {
+		if !w.unschedulable {
 			l.Halls[w.Hall] += max(w.free[sched.MilliCPU], 0)
 		}
 	}
--- a/cell/cell_test.go
+++ b/cell/cell_test.go
@@ -325,10 +325,10 @@
 
 	It("gets nothing more while an order is unanswered", func() {
 		r := newRig(1)
-		r.Silent("w0", true)
+		r.SetUnschedulable("w0", true)
 		r.add("j", flow.Step{Count: 1, Demand: demand(1000)})
 		Expect(r.startAll()).To(BeEmpty())
-		r.Silent("w0", false)
+		r.SetUnschedulable("w0", false)
 		Expect(r.startAll()).To(HaveLen(1))
 	})
 
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -80,8 +80,8 @@
 	// unlisted means that the stored worker list does not name the worker, so that a next owner might
 	// not know that there was one.
 	unlisted bool
-	// silent means that an order has been unanswered for longer than answers take.
-	silent bool
+	// unschedulable means that nothing more is to be placed here for now.
+	unschedulable bool
 	// lastHeard is when the worker's entry was last read.
 	lastHeard time.Time
 	// hungUp means that the worker's side has closed or refused the connection since the worker was
@@ -123,17 +123,17 @@
 	return w.Remaining - now.Sub(w.lastHeard)
 }
 
-// Silent sets whether an order to a worker has been unanswered for longer than answers take.
-// Nothing more is placed there meanwhile.
-func (c *Cell) Silent(id string, silent bool) {
+// SetUnschedulable sets whether nothing more is to be placed on a worker for now, because it or its
+// hall may not answer, or because operators want nothing more to be started there.
+func (c *Cell) SetUnschedulable(id string, unschedulable bool) {
 	if w := c.workers[id]; w != nil {
-		w.silent = silent
+		w.unschedulable = unschedulable
 	}
 }
 
 // usable reports whether tasks may be placed on w now.
 func (w *worker) usable() bool {
-	return w.attached && !w.moreEnds && !w.unlisted && !w.silent && !w.leaving() && !w.Gone && w.unknownRuns == 0 && w.described()
+	return w.attached && !w.moreEnds && !w.unlisted && !w.unschedulable && !w.leaving() && !w.Gone && w.unknownRuns == 0 && w.described()
 }
 
 // inService reports whether w counts for the capacity of its pool.
--- a/cluster/instance.go
+++ b/cluster/instance.go
@@ -45,6 +45,8 @@
 	RelayWorkers driver.Workers
 	Directory    func(rows.Store) driver.Directory
 	Configs      func(rows.Store) ConfigSource
+	// Cordons is nil if the platform's operators cannot cordon halls.
+	Cordons func(rows.Store) driver.Cordons
 	// Upkeep is nil if the platform has no list of machines.
 	Upkeep func(rows.Store) upkeep.Platform
 	// ParseConfig parses a configuration received from a peer.
--- a/cluster/own.go
+++ b/cluster/own.go
@@ -48,7 +48,7 @@
 		LinkRate: n.settings.Cluster.LinkRate(), FairSharing: n.settings.Cluster.FairSharing, Headroom: n.settings.Cluster.Headroom,
 		WorkerSpeed: n.settings.Cluster.WorkerSpeed,
 		Claim:       c, Store: n.storeClient, StoreReachable: n.storeClient.Reachable,
-		Workers: n.Workers, Relays: relays{n}, Directory: directory, List: lister.list,
+		Workers: n.Workers, Relays: relays{n}, Directory: directory, List: lister.list, Cordons: n.cordons(),
 		Advise: n.advise, AskLimit: n.adviceConcurrency, HeardByAll: func() bool { return n.answeredByAll(c.LastWrite()) }, ReportedSuccesses: n.successes.all,
 		OnLeaseLost:   func() { n.dropDriver(name, d) },
 		OnLoadTimeout: func() { n.giveUpCell(name, d, c) },
@@ -65,6 +65,14 @@
 	go n.greetNewly()
 }
 
+// cordons returns the source of the cordoned halls, nil if there is none.
+func (n *Instance) cordons() driver.Cordons {
+	if n.Cordons == nil {
+		return nil
+	}
+	return n.Cordons(n.storeClient)
+}
+
 // greetNewly greets everybody after this instance has become an owner. Instances that answer can ask
 // the policy for this owner at once.
 func (n *Instance) greetNewly() {
--- a/driver/decide.go
+++ b/driver/decide.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -103,7 +104,7 @@
 		return
 	}
 	for id, l := range d.links {
-		d.cell.Silent(id, l.hasOverdueOrder(now) || d.outages.Suspect(l.hall))
+		d.cell.SetUnschedulable(id, l.hasOverdueOrder(now) || d.outages.Suspect(l.hall) || slices.Contains(d.cordoned, l.hall))
 		if !l.attached {
 			d.cell.LeaseEnds(id, l.leasesEnd)
 		}
--- a/driver/driver.go
+++ b/driver/driver.go
@@ -49,6 +49,8 @@
 	// nil.
 	Relays    Relays
 	Directory Directory
+	// Cordons is nil if halls cannot be cordoned.
+	Cordons Cordons
 	// List returns a listing that this instance, or the owner of another cell, has just read. If it
 	// is nil, the Directory is read.
 	List func(ctx context.Context) (Listing, error)
@@ -121,6 +123,8 @@
 	throttledAt time.Time
 	// outages tells which halls may be cut off. Nothing is started there.
 	outages outage.Detector
+	// cordoned holds the halls in which operators want nothing more to be started, sorted.
+	cordoned []string
 	// attachSlots limits, by hall, how many workers are attached at once.
 	attachSlots map[string]chan struct{}
 	// persisted is closed and replaced whenever the store has accepted a write.
@@ -172,6 +176,7 @@
 			d.spawn(d.scan)
 			d.spawn(d.sweep)
 			d.spawn(d.watchShares)
+			d.spawn(d.watchCordons)
 			d.placeLoop()
 		}
 	})
--- a/driver/load.go
+++ b/driver/load.go
@@ -80,6 +80,7 @@
 	})
 	reads.Go(func() error { return r.workerList.Read(ctx, d.Store, d.workerListRange()) })
 	reads.Go(func() error { return r.lost.Read(ctx, d.Store, rows.KeyRange(d.lostWorkersKey())) })
+	reads.Go(func() error { return d.readCordons(ctx) })
 	reads.Go(func() error { return r.leaseEnds.Read(ctx, d.Store, rows.KeyRange(d.leaseEndsKey())) })
 	return reads.Wait()
 }
