--- a/driver/cordon_test.go
+++ b/driver/cordon_test.go
@@ -35,10 +35,13 @@
 // that takes the cell afterwards, and against a hall that stays empty once the cordon is lifted.
 var _ = ginkgo.Describe("a cordoned hall", func() {
 	ginkgo.It("gets no task until the cordon is lifted", func(ctx context.Context) {
-		const tasks = 20
-		t, w, cordon := newMemStore(), &cutWorkers{}, &switchedCordon{hall: hallThatIsCut}
+		const (
+			tasks    = 20
+			cordoned = hallThatIsCut // Nothing is cut off here.
+		)
+		t, w, cordon := newMemStore(), &cutWorkers{}, &switchedCordon{hall: cordoned}
 		job := func(id string) *flow.Spec {
-			return &flow.Spec{ID: id, Cell: "c", Queue: "q", Hall: hallThatIsCut, AcceptedMS: time.Now().UnixMilli(),
+			return &flow.Spec{ID: id, Cell: "c", Queue: "q", Hall: cordoned, AcceptedMS: time.Now().UnixMilli(),
 				Steps: []flow.Step{{Count: tasks, EstimateMS: 60_000, Demand: sched.Vec{sched.MilliCPU: 1000, sched.MemoryMiB: 1}}}}
 		}
 		_, err := t.Tx(ctx, rows.Tx{Put: []rows.Row{{Key: SpecKey("1"), Value: flow.Encode(job("1"))}}})
@@ -55,11 +58,11 @@
 		}
 		Eventually(func() int { return len(started()) }, "5s").Should(BeNumerically(">=", tasks))
 		Expect(started()).To(HaveEach(HavePrefix("near")))
-		Expect(d.Load().Halls).NotTo(HaveKey(hallThatIsCut))
+		Expect(d.Load().Halls).NotTo(HaveKey(cordoned))
 
 		cordon.lifted.Store(true)
-		Eventually(func() int64 { return d.Load().Halls[hallThatIsCut] }, "5s").Should(BeNumerically(">", 0))
+		Eventually(func() int64 { return d.Load().Halls[cordoned] }, "5s").Should(BeNumerically(">", 0))
 		Expect(d.Adopt(job("2"), 1<<40)).To(Succeed())
-		Eventually(started, "5s").Should(ContainElement(HavePrefix(hallThatIsCut)))
+		Eventually(started, "5s").Should(ContainElement(HavePrefix(cordoned)))
 	})
 })
