cell: crash.go and ask.go are three files each

Reason: the two largest files of the package held three jobs each. crash.go keeps who is blamed for a lost worker; verdict.go has when a task is given up, inherited_loss.go the losses of former owners. ask.go keeps the questions to a policy; ask_limit.go has which may be sent, ask_candidates.go the workers that they name. Nothing but the place of the code changes: no line is missing, and only package clauses, imports and one comment are new.

--- a/cell/ask.go
+++ b/cell/ask.go
@@ -3,7 +3,6 @@
 package cell
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -21,19 +20,6 @@
 	askRoomFactor = 2
 	// longAskThreshold is the duration above which a question is long.
 	longAskThreshold = 150 * time.Millisecond
-	// oldestAskDivisor sets the part of the long questions in flight, 1 in oldestAskDivisor, that
-	// is reserved for the steps that have waited longest to be asked about. By rank alone the last
-	// steps were never asked about, while others for which there was no room were asked about again
-	// and again.
-	oldestAskDivisor = 4
-	// askPartDivisor sets the part of the questions in flight, 1 in askPartDivisor, that long
-	// questions leave to short ones and short ones to long ones. After a total power loss, for
-	// example, every step has to be asked about again: long questions would hold up many calls that
-	// users wait for, and the calls would keep the workers of the batch jobs idle.
-	askPartDivisor = 3
-	// earlyAskDivisor sets the part of the long questions in flight, 1 in earlyAskDivisor, that may
-	// be about steps for which there is no room yet.
-	earlyAskDivisor = 2
 	// askRetryDelay is the pause after a question that was not answered.
 	askRetryDelay = 100 * time.Millisecond
 	// candidateRetryDelay is the pause after a search that found no worker to ask about.
@@ -80,60 +66,6 @@
 // mayBeLong reports whether the answer to the widest question is expected to take long.
 func (a *Advice) mayBeLong() bool { return a.Decide+maxAskWorkers*a.Each > longAskThreshold }
 
-// askReason is why a question may be sent before others.
-type askReason uint8
-
-const (
-	// byRank: the step comes first by rank, and there is room for it that no step before it is
-	// likely to use.
-	byRank askReason = iota
-	// byAge: the step has waited longest for a question.
-	byAge
-	// early: there is no room for the step yet, and no other question to send.
-	early
-)
-
-// maySend reports whether a question may be sent, with about asks questions allowed in flight.
-func (c *Cell) maySend(a *Ask, asks int, why askReason) bool {
-	if !a.Long() {
-		return c.maySendShort(asks)
-	}
-	return c.maySendLong(asks, why)
-}
-
-// maySendAny reports whether some question to a policy may be sent.
-func (c *Cell) maySendAny(advice *Advice, asks int, why askReason) bool {
-	return !advice.alwaysLong() && c.maySendShort(asks) || advice.mayBeLong() && c.maySendLong(asks, why)
-}
-
-func (c *Cell) maySendLong(asks int, why askReason) bool {
-	limit := c.longLimit(asks)
-	forOldest := max(limit/oldestAskDivisor, 1)
-	switch {
-	case c.longAsks >= limit:
-		return false
-	case why == byAge:
-		return c.oldestAsks < forOldest
-	case why == early:
-		return c.longAsks < max(limit/earlyAskDivisor, 1)
-	case limit == 1:
-		return !c.oldestNext
-	}
-	return c.longAsks-c.oldestAsks < limit-forOldest
-}
-
-// longLimit returns how many long questions may be in flight: what the short ones leave, but at
-// least their part and at most all but the part of the short ones.
-func (c *Cell) longLimit(asks int) int {
-	part := asks / askPartDivisor
-	return max(min(asks-(c.asks-c.longAsks), asks-part), part, 1)
-}
-
-func (c *Cell) maySendShort(asks int) bool {
-	part := asks / askPartDivisor
-	return asks > 0 && c.asks-c.longAsks < max(min(asks-c.longAsks, asks-part), part, 1)
-}
-
 // askAhead asks the policy about a step that is about to open, or whose tasks have to move, unless
 // the step already holds a ticket. Whether the permitted workers suffice is checked when the step
 // is placed. Asking on until every worker had been asked about took 6 questions for such a step,
@@ -227,19 +159,6 @@
 	}
 }
 
-// startCandidates returns the workers worth asking about s if tasks of s can start after the
-// answer, otherwise none.
-func (c *Cell) startCandidates(s *stage, q *Queue, now time.Time) []askCandidate {
-	if c.heldBack(s) || len(s.reservation.workers) == 0 && c.unclaimedFits(s, q) < s.startsTogether() {
-		return nil
-	}
-	candidates := c.askCandidates(s, q, now)
-	if !s.canStartOn(candidates, now) {
-		return nil
-	}
-	return candidates
-}
-
 // startsTogether returns how many tasks of s have to find room for one to start.
 func (s *stage) startsTogether() int {
 	if s.def.Gang {
@@ -248,18 +167,6 @@
 	return 1
 }
 
-// sortCandidates sorts the workers known to be permitted first, then those with the most unclaimed
-// room.
-func sortCandidates(candidates []askCandidate) {
-	for i := range candidates {
-		w := &candidates[i]
-		w.cpu = w.free[sched.MilliCPU] - w.reserved[sched.MilliCPU] - w.claimed[sched.MilliCPU]
-	}
-	slices.SortStableFunc(candidates, func(x, y askCandidate) int {
-		return cmp.Or(compareBools(y.known, x.known), cmp.Compare(y.cpu, x.cpu))
-	})
-}
-
 // unclaimedFits returns at most how many of the tasks of s that have to start together find room
 // beside what earlier steps are likely to use.
 func (c *Cell) unclaimedFits(s *stage, q *Queue) int {
@@ -322,20 +229,6 @@
 	a.Asks = append(a.Asks, *ask)
 }
 
-// countAsk counts a question that is now in flight (by is 1) or no longer is (by is -1).
-func (c *Cell) countAsk(a *Ask, by int) {
-	c.asks += by
-	if a.Long() && by > 0 {
-		c.oldestNext = !a.oldest
-	}
-	if a.Long() {
-		c.longAsks += by
-	}
-	if a.Long() && a.oldest {
-		c.oldestAsks += by
-	}
-}
-
 // mayAsk reports whether a question about s may be due.
 func (s *stage) mayAsk(q *Queue, now time.Time) bool {
 	return q.Advice != nil && !s.advice.asking && !now.Before(s.advice.notBefore) && (s.waiting > 0 || s.needsMove)
@@ -394,96 +287,3 @@
 		}
 	}
 }
-
-// canStartOn reports whether tasks of s can start once the policy has answered about the
-// candidates: one of them has room for a task or, for a gang, they and the workers with a ticket
-// have room for all of its tasks.
-func (s *stage) canStartOn(candidates []askCandidate, now time.Time) bool {
-	need := s.startsTogether()
-	for _, w := range candidates {
-		need -= s.fits(w.worker)
-		if w.soon {
-			need -= s.reservation.workers[w.worker]
-		}
-		if need <= 0 {
-			return true
-		}
-	}
-	if len(candidates) == 0 {
-		return false
-	}
-	for _, t := range s.advice.tickets {
-		if now.Before(t.until) && t.worker.usable() {
-			need -= s.fits(t.worker)
-		}
-	}
-	return need <= 0
-}
-
-// fits returns how many of the waiting tasks of s fit on w.
-func (s *stage) fits(w *worker) int {
-	room := s.def.Reservation()
-	// A step whose tasks have to move may have none that waits yet.
-	most := max(s.waiting, 1)
-	if s.def.MaxPerWorker > 0 {
-		most = min(most, s.def.MaxPerWorker-s.runsByWorker[w])
-	}
-	free := w.unclaimed()
-	n := 0
-	for ; n < most && free.Covers(&room); n++ {
-		free = free.Sub(room)
-	}
-	return n
-}
-
-// askCandidates returns the workers worth asking about. The first question may name any suitable worker; later ones name
-// workers that have room now, hold no valid ticket and were not found unfit.
-func (c *Cell) askCandidates(s *stage, q *Queue, now time.Time) []askCandidate {
-	first := s.advice.asked == nil
-	room := s.def.Reservation()
-	var out []askCandidate
-	c.examined += len(c.sortedWorkers)
-	for _, w := range c.sortedWorkers {
-		if !w.usable() || !w.suits(s, q) {
-			continue
-		}
-		if first {
-			out = append(out, askCandidate{worker: w})
-			continue
-		}
-		soon := !w.hasRoom(&room) && c.soonFree(s, w, q, now)
-		if !w.hasRoom(&room) && !soon || !w.health.allows(len(w.runs), now) || s.atPerWorkerLimit(w) || c.heldBackOn(s, w) {
-			continue
-		}
-		at, known := s.advice.findTicket(w)
-		if s.advice.asked[w] && (!known || now.Before(s.advice.tickets[at].until)) {
-			continue
-		}
-		out = append(out, askCandidate{worker: w, known: known, soon: soon})
-	}
-	return out
-}
-
-// askCandidate is a worker worth asking about. known means that the policy has permitted it to run
-// the step before, and soon that it has no room yet but will have by the time of the answer.
-type askCandidate struct {
-	*worker
-	known, soon bool
-	// cpu is the worker's unclaimed processor room while candidates are sorted.
-	cpu int64
-}
-
-// soonFree reports whether w, which is reserved for s, will have room by the time the policy has
-// answered.
-func (c *Cell) soonFree(s *stage, w *worker, q *Queue, now time.Time) bool {
-	if s.reservation.workers[w] == 0 {
-		return false
-	}
-	o := c.offer(w, s, q, now)
-	return o.tasks > 0 && o.wait <= c.askLeadTime(q)
-}
-
-// atPerWorkerLimit reports whether w runs as many tasks of s as one worker may.
-func (s *stage) atPerWorkerLimit(w *worker) bool {
-	return s.def.MaxPerWorker > 0 && s.runsByWorker[w] >= s.def.MaxPerWorker
-}
--- a/cell/crash.go
+++ b/cell/crash.go
@@ -41,24 +41,6 @@
 	maxWorkersInDoubt = 2
 )
 
-// These limits set how many lost workers give a task up. Two losses at about the same young age,
-// with no other run to blame, are beyond chance; so are three such losses at any age, or one of
-// them together with three at about the same age for which other runs may be to blame. A task that
-// crashes every worker must not be started three more times after the third loss, so a total of
-// five also gives it up if it was blamed for most of them.
-const (
-	youngSoleLimit = 2
-	soleLimit      = 3
-	alikeLimit     = 4
-	totalLimit     = 5
-	blamedLimit    = 3
-	// Two ages are alike if they differ by at most minAlikeTolerance, or by at most 1/alikeDivisor
-	// of the age: a task takes about the same time to crash its worker on each attempt, while
-	// workers that fail by themselves do so at any time.
-	minAlikeTolerance = 100 * time.Millisecond
-	alikeDivisor      = 8
-)
-
 // workerLoss is a recent loss of a worker.
 type workerLoss struct {
 	id string
@@ -95,19 +77,6 @@
 	return t.suspect() && r.age(at) <= max(youngRunAge, 2*t.longestCrashAge())
 }
 
-// GivenUpTask is a task that is not started any more because its workers crashed.
-type GivenUpTask struct {
-	Task    flow.TaskID
-	Crashes []flow.Crash
-}
-
-// GivenUpTasks returns the tasks given up since the last call.
-func (c *Cell) GivenUpTasks() []GivenUpTask {
-	out := c.givenUps
-	c.givenUps = nil
-	return out
-}
-
 // HungUp reports to the cell that the worker's side closed or refused the connection, as it does
 // when the worker's process ends. just means that the connection was open until now, so that this
 // is the moment of the disconnect.
@@ -266,95 +235,6 @@
 	return false
 }
 
-// noteInheritedLoss records that a worker of a former owner was lost before all of its ends were read.
-func (c *Cell) noteInheritedLoss(w *worker, how Loss) {
-	if w.inherited && !w.endsRead && how != LossPlanned {
-		c.InheritLost(w.Hall, []string{w.ID})
-	}
-}
-
-// countInheritedLoss counts a presumed loss against a task whose first run, which no record names, a
-// former owner may have started on a worker that was lost while the owner changed.
-func (c *Cell) countInheritedLoss(s *stage, index int, now time.Time) {
-	t := &s.tasks[index]
-	if !s.job.restored || t.accounted {
-		return
-	}
-	var lost []string
-	for _, hall := range s.startHalls() {
-		lost = append(lost, c.inheritedWorkersLost[hall]...)
-	}
-	if len(lost) > 0 {
-		t.accounted = true
-		c.addInheritedCrash(s, index, flow.Crash{Run: c.runBase, Blame: flow.BlameUnlikely, Inherited: true}, lost, now)
-	}
-}
-
-// InheritLost tells the cell of workers in a hall that were lost under former owners with runs that
-// may not be on record.
-func (c *Cell) InheritLost(hall string, ids []string) {
-	if c.inheritedWorkersLost == nil {
-		c.inheritedWorkersLost = make(map[string][]string)
-	}
-	c.inheritedWorkersLost[hall] = append(c.inheritedWorkersLost[hall], ids...)
-}
-
-// InheritedLost returns, by hall, the lost workers of former owners, as long as there is a task that
-// may have been lost with one of them and whose record does not say so yet. The next owner must know
-// of them.
-func (c *Cell) InheritedLost() map[string][]string {
-	out := make(map[string][]string)
-	for _, s := range c.openStages {
-		if len(out) == len(c.inheritedWorkersLost) {
-			break
-		}
-		if !s.job.restored || s.job.state.Final() || !s.mayHaveUnrecordedLoss() {
-			continue
-		}
-		for _, hall := range s.startHalls() {
-			if ids := c.inheritedWorkersLost[hall]; len(ids) > 0 {
-				out[hall] = ids
-			}
-		}
-	}
-	return out
-}
-
-// mayHaveUnrecordedLoss reports whether a run of a task of s by a former owner may have been lost
-// without the stored record saying so.
-func (s *stage) mayHaveUnrecordedLoss() bool {
-	for i := range s.tasks {
-		t := &s.tasks[i]
-		if t.state == taskWaiting && !t.inStore && (!t.accounted || len(t.crashes) > 0) {
-			return true
-		}
-	}
-	return false
-}
-
-// startHalls returns the halls in which a former owner may have started tasks of s, and the empty
-// name of workers whose hall is not known.
-func (s *stage) startHalls() []string {
-	halls := append([]string{"", s.job.spec.Hall}, s.inheritedHalls...)
-	slices.Sort(halls)
-	return slices.Compact(halls)
-}
-
-// addInheritedCrash counts a loss of a former owner against a task. workers are those with which the
-// run may have been lost.
-func (c *Cell) addInheritedCrash(s *stage, index int, crash flow.Crash, workers []string, now time.Time) {
-	t := &s.tasks[index]
-	if slices.ContainsFunc(t.crashes, func(o flow.Crash) bool { return o.Run == crash.Run }) {
-		return
-	}
-	t.crashes = append(t.crashes, crash)
-	c.inheritedLosses = append(c.inheritedLosses, InheritedLoss{
-		Task: s.taskID(index), Run: crash.Run, Blame: crash.Blame, Crashes: len(t.crashes), Workers: workers,
-	})
-	c.markDirty(s.job)
-	c.giveUpIfCrashing(s, index, now)
-}
-
 // addCrash records against its task that a run was lost with its worker.
 func (c *Cell) addCrash(r *run, crash flow.Crash) {
 	t := &r.stage.tasks[r.index]
@@ -382,84 +262,6 @@
 	return time.Duration(longest) * time.Millisecond
 }
 
-// crashesOf returns the losses counted against a task. The members of a gang are lost together, so
-// their losses are combined.
-func (s *stage) crashesOf(index int) []flow.Crash {
-	if !s.def.Gang {
-		return s.tasks[index].crashes
-	}
-	var out []flow.Crash
-	for i := range s.tasks {
-		for _, c := range s.tasks[i].crashes {
-			at := slices.IndexFunc(out, func(o flow.Crash) bool { return o.Run == c.Run })
-			if at < 0 {
-				out = append(out, c)
-			} else if c.Blame == flow.BlameSole || out[at].Blame == flow.BlameUnlikely {
-				out[at] = c
-			}
-		}
-	}
-	return out
-}
-
-// mustGiveUp reports whether the losses are enough to give a task up.
-func mustGiveUp(crashes []flow.Crash) bool {
-	sole, blamed := 0, 0
-	for _, c := range crashes {
-		if c.Blame != flow.BlameUnlikely {
-			blamed++
-		}
-		if c.Blame != flow.BlameSole {
-			continue
-		}
-		sole++
-		all, alone := countAlike(crashes, c)
-		if all >= alikeLimit || (alone >= youngSoleLimit && c.AgeMS <= youngRunAge.Milliseconds()) {
-			return true
-		}
-	}
-	return sole >= soleLimit || (blamed >= blamedLimit && len(crashes) >= totalLimit)
-}
-
-// countAlike counts the losses at about the same age as c, c included, and those among them for
-// which no other run is to blame.
-func countAlike(crashes []flow.Crash, c flow.Crash) (all, alone int) {
-	within := max(minAlikeTolerance.Milliseconds(), c.AgeMS/alikeDivisor)
-	for _, o := range crashes {
-		if o.Inherited || o.AgeMS < c.AgeMS-within || o.AgeMS > c.AgeMS+within {
-			continue
-		}
-		all++
-		if o.Blame == flow.BlameSole {
-			alone++
-		}
-	}
-	return all, alone
-}
-
-// giveUpIfCrashing gives a task up, and with it its job, if its workers have crashed too often. A
-// cell that runs a part of another cell's job gives up only the task: the job's own cell decides
-// about the job.
-func (c *Cell) giveUpIfCrashing(s *stage, index int, now time.Time) {
-	if s.unknown {
-		return
-	}
-	t := &s.tasks[index]
-	if t.state == taskDone || t.state == taskGivenUp || s.job.state.Final() || !mustGiveUp(s.crashesOf(index)) {
-		return
-	}
-	c.givenUps = append(c.givenUps, GivenUpTask{Task: s.taskID(index), Crashes: s.crashesOf(index)})
-	if s.job.share.OwnedElsewhere() {
-		if t.state == taskWaiting {
-			s.setWaiting(t, false)
-		}
-		t.state = taskGivenUp
-		c.markDirty(s.job)
-		return
-	}
-	c.finish(s.job, flow.Failed, now)
-}
-
 // stagesInDoubt returns the steps with young runs on several workers whose connections have just
 // been closed. Further tasks of such a step might crash more workers before the first losses are
 // established.
