rows: the slow transfer of a spec begins at once

Cause, by a run: the rig's first data came after 100 ms and the client asks a peer as well when nothing has come after 120 ms. Change: the first part comes at once, as the head of a large response over a slow link does; the others every 100 ms as before.

--- a/rows/client_test.go
+++ b/rows/client_test.go
@@ -128,8 +128,8 @@
 	})
 })
 
-// slowTransferStore sends its response in parts at intervals of 100 ms, and may stall after the
-// last one.
+// slowTransferStore sends its response in parts at intervals of 100 ms, the first of them at once,
+// and may stall after the last one.
 type slowTransferStore struct {
 	Store
 	parts int
@@ -138,9 +138,9 @@
 
 func (t *slowTransferStore) Get(ctx context.Context, _ Range) (Page, error) {
 	for range t.parts {
+		stall.Progress(ctx)
 		select {
 		case <-time.After(100 * time.Millisecond):
-			stall.Progress(ctx)
 		case <-ctx.Done():
 			return Page{}, kind.Wrap(kind.Lost, ctx.Err(), "store")
 		}
