review: the stand-in of the second review is in test files below testdata

Change: review/rig is review/4/testdata/rig, with the build tag review, as in the first review; review/build-2.sh builds it.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,7 @@
-#!/bin/bash
-# Builds what the scripts of the second review start beside the programs of the deploy file.
-set -e
+#!/usr/bin/env bash
+# SPDX-License-Identifier: Apache-2.0
+# Builds the stand-ins that the scripts of the second review start. The build of deploy/system.toml comes
+# first.
+set -euo pipefail
 cd "$(dirname "$0")/.."
-go build -o target/review-2 ./review/rig
+go test -c -tags review -o target/review-2 ./review/4/testdata/rig
