cluster: leases that are written, but whose owners are not heard, are read less and less often

Cause: an instance that hears no owner of a cell reads the cell's lease in each round of the election, every 60 ms. After a hall was cut off by dropped packets its instances reach the store at once, and owners have greeted them a second later.

Change: a lease that is found in a higher version than at the last read has an owner that is alive. It is read after pauses that double up to about a second, drawn at random, but no later than it may be over. A lease that stands still is read as before.

Ruled out: that owners take so long to greet again (1.0 s: a dial that was begun during the cut).

--- a/cluster/elect.go
+++ b/cluster/elect.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"sync/atomic"
 	"syscall"
@@ -42,6 +43,9 @@
 	// the store lists: the time that those take to start and to claim a cell.
 	startupDelay     = 700 * time.Millisecond
 	dialProbeTimeout = 250 * time.Millisecond
+	// maxLeaseReadPause is the longest mean pause between reads of the lease of a cell whose owner is
+	// not heard, although it writes the lease.
+	maxLeaseReadPause = 16 * electInterval
 )
 
 // leaseWrite is the last known write of a cell's lease.
@@ -76,8 +80,36 @@
 // vacancy is the state of a cell whose owner is not heard.
 type vacancy struct {
 	since time.Time
-	// claiming is true while this instance tries to take the cell lease.
+	// claiming is true while this instance tries to take the cell lease. Meanwhile only that attempt
+	// uses the fields below.
 	claiming atomic.Bool
+	// ver is the version of the lease when it was last read, pause the mean pause after which it is
+	// read again, and nextRead when that is.
+	ver      uint64
+	pause    time.Duration
+	nextRead time.Time
+}
+
+// noteRead records that the lease was read and not taken. A version that is higher than at the last
+// read shows that the owner is alive: the lease is then read less and less often, and again when it may
+// be over. Instances that hear the owner notice at once when it is gone. Without this, all instances of
+// a hall that was cut off read the leases of the other halls' cells in each round until owners have
+// greeted them again.
+func (v *vacancy) noteRead(r leaseRead, now time.Time) {
+	if v.ver > 0 && r.ver > v.ver {
+		v.pause = min(max(2*v.pause, 2*electInterval), maxLeaseReadPause)
+	}
+	v.ver, v.nextRead = max(v.ver, r.ver), now
+	if v.pause > 0 {
+		v.nextRead = now.Add(min(v.pause/2+rand.N(v.pause), max(r.left, 0)))
+	}
+}
+
+// leaseRead is what a read of a cell lease has shown. The zero value is a read that failed.
+type leaseRead struct {
+	ver uint64
+	// left is how long it takes at least until the lease may be taken, unless its owner's process ends.
+	left time.Duration
 }
 
 // electLoop claims cells that have no live owner until ctx ends.
@@ -114,13 +146,16 @@
 			v = &vacancy{since: now}
 			vacant[name] = v
 		}
-		if attempts == 0 || n.defersToStronger(now) || now.Sub(v.since) < n.electionDelay(name, now) || !v.claiming.CompareAndSwap(false, true) {
+		if attempts == 0 || n.defersToStronger(now) || now.Sub(v.since) < n.electionDelay(name, now) || v.claiming.Load() || now.Before(v.nextRead) {
 			continue
 		}
 		attempts--
+		v.claiming.Store(true)
 		go func() {
 			defer v.claiming.Store(false)
-			n.takeLease(ctx, name, owned)
+			if r := n.takeLease(ctx, name, owned); r.ver > 0 {
+				v.noteRead(r, clock.Now())
+			}
 		}()
 	}
 }
@@ -167,37 +202,41 @@
 	return now.Sub(n.startedAt) < startupDelay && n.members.listedAbove(n.strongerThreshold())
 }
 
-// takeLease takes the cell lease if its owner is gone. owned is the number of own cells for which the
-// election delay has passed: with more of them, the cell is left to others for longer.
-func (n *Instance) takeLease(ctx context.Context, name string, owned int) {
+// takeLease takes the cell lease if its owner is gone, and returns what it has read. owned is the number
+// of own cells for which the election delay has passed: with more of them, the cell is left to others
+// for longer.
+func (n *Instance) takeLease(ctx context.Context, name string, owned int) leaseRead {
 	ctx, cancel := context.WithTimeout(ctx, electTimeout)
 	defer cancel()
 	c := n.newClaim(name)
 	lease, err := c.Read(ctx)
 	if err != nil {
-		return
+		return leaseRead{}
 	}
 	now := clock.Now()
 	watched := n.watchedUnwritten(name, lease.Ver, now)
-	why := n.vacancyReason(ctx, lease.Lease, n.knownUnwritten(lease, watched)-n.electionDelay(name, now))
+	unwritten := n.knownUnwritten(lease, watched)
+	read := leaseRead{ver: lease.Ver, left: lease.TakeoverAfter(n.settings.Instance) - unwritten}
+	why := n.vacancyReason(ctx, lease.Lease, unwritten-n.electionDelay(name, now))
 	if why == "" || n.ownerHeard(name, clock.Now(), ownerActiveTime) {
-		return
+		return read
 	}
 	if !n.taking.CompareAndSwap(false, true) {
-		return
+		return read
 	}
 	defer n.taking.Store(false)
 	if len(n.ownCells()) > owned {
-		return
+		return read
 	}
 	if err := c.Take(ctx, lease); err != nil {
 		level.Info(n.kit.Log).Log("event", "cell_lease_not_taken", "cell", name, "err", err)
-		return
+		return read
 	}
 	n.kit.Scope.Tagged(map[string]string{"why": why}).Counter("cell_leases_taken_total").Inc(1)
 	level.Info(n.kit.Log).Log("event", "cell_lease_taken", "cell", name, "epoch", c.Epoch(), "before", lease.Owner, "why", why,
 		"unwritten_ms", lease.Age.Milliseconds(), "watched_ms", watched.Milliseconds(), "absent", len(lease.Absent))
 	n.startDriver(name, c, formerOwnerTime(why, lease.Lease, watched))
+	return read
 }
 
 // newClaim returns a claim of this instance to a cell.
