cluster: owners are spread over the halls

Cause: a vacant cell goes to whoever finds it first.

Change: each cell has a hall, by the order of names; instances of other halls leave a vacant cell to it for 120 ms, if the hall has instances as strong, is heard, and has not just lost its owners. In the cell's hall only its own instances count for the order of attempts. Who may take a cell is as before. With one cell or one hall nothing changes. Also: a lease that names the reader as absent is read after a second at once.

Ruled out: the order of attempts by hash; it is even, but instances that poll earlier win.

--- a/cluster/elect.go
+++ b/cluster/elect.go
@@ -92,11 +92,14 @@
 
 // noteRead records that the lease was read and not taken. A version that is higher than at the last
 // read shows that the owner is alive: the lease is then read less and less often, and again when it may
-// be over. Instances that hear the owner notice at once when it is gone. Without this, all instances of
+// be over. One that names this instance as absent has been written lately and is left to others. Instances that hear the owner notice at once when it is gone. Without this, all instances of
 // a hall that was cut off read the leases of the other halls' cells in each round until owners have
 // greeted them again.
 func (v *vacancy) noteRead(r leaseRead, now time.Time) {
-	if v.ver > 0 && r.ver > v.ver {
+	switch {
+	case r.absent:
+		v.pause = maxLeaseReadPause
+	case v.ver > 0 && r.ver > v.ver:
 		v.pause = min(max(2*v.pause, 2*electInterval), maxLeaseReadPause)
 	}
 	v.ver, v.nextRead = max(v.ver, r.ver), now
@@ -110,6 +113,8 @@
 	ver uint64
 	// left is how long it takes at least until the lease may be taken, unless its owner's process ends.
 	left time.Duration
+	// absent means that the lease names this instance as absent.
+	absent bool
 }
 
 // electLoop claims cells that have no live owner until ctx ends.
@@ -177,14 +182,18 @@
 	return o != nil && o.activeWithin(now, within)
 }
 
-// electionDelay returns how long this instance leaves a vacant cell to instances that own none:
-// those with a much larger processor share, and those that precede it in an order drawn by hash.
+// electionDelay returns how long this instance leaves a vacant cell to instances that own none: those
+// of the cell's hall, those with a much larger processor share, and those that precede it in an order
+// drawn by hash.
 func (n *Instance) electionDelay(name string, now time.Time) time.Duration {
+	hall := n.cellHall(name)
 	// Greetings reach only some of the others; the store lists all.
 	ownHash, rank, stronger := hash32(name+"/"+n.settings.Instance), 0, n.members.listedAbove(n.strongerThreshold())
 	for _, k := range n.members.list(now, (*member).free) {
 		stronger = stronger || k.processor > n.strongerThreshold()
-		if k.processor >= n.processor() && hash32(name+"/"+k.name) < ownHash {
+		// Those of other halls wait for the instances of the cell's hall.
+		precedes := hall != n.settings.Hall || k.hall == hall
+		if precedes && k.processor >= n.processor() && hash32(name+"/"+k.name) < ownHash {
 			rank++
 		}
 	}
@@ -192,6 +201,9 @@
 	if stronger {
 		pause += strongerDelay
 	}
+	if n.leftToHall(hall, now) {
+		pause += otherHallDelay
+	}
 	return pause + time.Duration(len(n.ownCells()))*ownedCellDelay
 }
 
@@ -216,7 +228,10 @@
 	now := clock.Now()
 	watched := n.watchedUnwritten(name, lease.Ver, now)
 	unwritten := n.knownUnwritten(lease, watched)
-	read := leaseRead{ver: lease.Ver, left: lease.TakeoverAfter(n.settings.Instance) - unwritten}
+	read := leaseRead{
+		ver: lease.Ver, left: lease.TakeoverAfter(n.settings.Instance) - unwritten,
+		absent: slices.Contains(lease.Absent, n.settings.Instance),
+	}
 	why := n.vacancyReason(ctx, lease.Lease, unwritten-n.electionDelay(name, now))
 	if why == "" || n.ownerHeard(name, clock.Now(), ownerActiveTime) {
 		return read
--- a/cluster/members.go
+++ b/cluster/members.go
@@ -78,10 +78,12 @@
 	// maxListedProcessor is the largest processor share of the other instances that the store
 	// lists.
 	maxListedProcessor uint32
+	// listedHalls holds the largest processor share of the listed instances of each hall.
+	listedHalls map[string]uint32
 }
 
 func newMembers(self, hall string, peers []string, selfAddr string, now time.Time) *members {
-	m := &members{self: self, hall: hall, addr: selfAddr, known: make(map[string]*member), addrs: make(map[string]time.Time), listedSince: make(map[string]time.Time), lastPending: make(map[string]pendingReport)}
+	m := &members{self: self, hall: hall, addr: selfAddr, known: make(map[string]*member), addrs: make(map[string]time.Time), listedSince: make(map[string]time.Time), lastPending: make(map[string]pendingReport), listedHalls: make(map[string]uint32)}
 	for _, a := range peers {
 		if a != selfAddr {
 			m.addrs[a] = now
@@ -156,6 +158,9 @@
 			m.listedSince[row.name] = now
 		}
 		m.maxListedProcessor = max(m.maxListedProcessor, row.Processor)
+		if row.Hall != "" {
+			m.listedHalls[row.Hall] = max(m.listedHalls[row.Hall], row.Processor)
+		}
 	}
 }
 
