cluster: owners ask the next reader of the directory when one refuses

Change: a reader that refuses at once is passed over for 3 s, and the next one by number is asked in the same read. One that does not answer is not followed by another: the owner reads itself, as before.

--- a/cluster/listing.go
+++ b/cluster/listing.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -22,7 +23,8 @@
 // return the whole directory. If each owner read it, the reads would grow with the number of workers
 // times the number of cells. So one owner reads it, the reader, and the others ask the reader for
 // their part of each read. The reader is the owner of the first cell, by number, whose owner is
-// heard and reaches the store. Whoever gets no answer reads the directory itself.
+// heard and reaches the store. If it refuses, the next one is asked; whoever gets no answer reads the
+// directory itself.
 const (
 	// listingWait is how long the reader waits for its next read before it answers a query.
 	listingWait = 300 * time.Millisecond
@@ -37,6 +39,9 @@
 	recentListing = 400 * time.Millisecond
 	// failedReaderPause is how long an owner that returned no listing is not asked again.
 	failedReaderPause = 3 * time.Second
+	// fastRefusal is the time within which a reader has to refuse for the next one to be asked in the
+	// same read. It is far below listingTimeout.
+	fastRefusal = listingTimeout / 4
 )
 
 // numberedListing is a listing with its number among those of this process.
@@ -164,9 +169,8 @@
 	// reader is the boot of the instance that returned the last listing, and have its number.
 	reader string
 	have   uint64
-	// failed is the boot of the reader that returned no listing at failedAt.
-	failed   string
-	failedAt time.Time
+	// failed holds the boots of the readers that returned no listing, with when that was.
+	failed map[string]time.Time
 }
 
 // list returns the next listing of the reader, or reads the directory if this instance is the reader
@@ -184,22 +188,28 @@
 }
 
 // fromReader waits for the next listing of the reader, as long as that answers and the listing from
-// before is not too old. ok is false if there is none.
+// before is not too old. ok is false if there is none. A reader that refuses at once is passed over, as
+// when the store has turned it away: whoever comes after it reads the directory for all. One that does
+// not answer has taken the time in which another one could be asked.
 func (l *cellLister) fromReader(ctx context.Context) (listing driver.Listing, ok bool) {
 	until := l.begun.Add(maxListingAge)
 	if first := clock.Now().Add(firstListingWait); first.After(until) {
 		until = first
 	}
 	for ctx.Err() == nil && clock.Now().Before(until) {
-		r := l.n.directoryReader(clock.Now())
-		if r == nil || (r.boot == l.failed && clock.Since(l.failedAt) < failedReaderPause) {
+		asked := clock.Now()
+		r := l.n.directoryReaderExcept(asked, l.passedOver)
+		if r == nil {
 			return listing, false
 		}
 		listing, fresh, err := l.query(ctx, r)
 		if err != nil {
-			l.failed, l.failedAt = r.boot, clock.Now()
+			l.passOver(r.boot, clock.Now())
 			level.Info(l.n.kit.Log).Log("event", "workers_not_listed", "cell", l.cell, "reader", r.name, "err", err)
-			return listing, false
+			if clock.Since(asked) > fastRefusal {
+				return listing, false
+			}
+			continue
 		}
 		if fresh {
 			return listing, true
@@ -210,6 +220,21 @@
 	return listing, false
 }
 
+// passOver has a reader not be asked for failedReaderPause.
+func (l *cellLister) passOver(boot string, now time.Time) {
+	if l.failed == nil {
+		l.failed = make(map[string]time.Time)
+	}
+	maps.DeleteFunc(l.failed, func(_ string, at time.Time) bool { return now.Sub(at) >= failedReaderPause })
+	l.failed[boot] = now
+}
+
+// passedOver reports whether a reader is not asked, because it returned no listing a moment ago.
+func (l *cellLister) passedOver(boot string) bool {
+	at, ok := l.failed[boot]
+	return ok && clock.Since(at) < failedReaderPause
+}
+
 // query asks the reader for its next listing. fresh is false if it has only the one that this
 // instance has already.
 func (l *cellLister) query(ctx context.Context, r *member) (listing driver.Listing, fresh bool, err error) {
@@ -240,12 +265,17 @@
 // does or none is known. An owner that the store does not answer is passed over, also by itself: it
 // would have to read the directory through a peer.
 func (n *Instance) directoryReader(now time.Time) *member {
+	return n.directoryReaderExcept(now, func(string) bool { return false })
+}
+
+// directoryReaderExcept is directoryReader without the instances whose boot is passed over.
+func (n *Instance) directoryReaderExcept(now time.Time, passedOver func(boot string) bool) *member {
 	own, heard := n.ownCells(), n.members.cellsByName(now)
 	for _, name := range n.division.cells() {
 		if own[name] != nil && n.storeClient.DirectlyReachable() {
 			return nil
 		}
-		if o, ok := heard[name]; ok && o.cell.Ready && o.storeOK && o.responsive(now) {
+		if o, ok := heard[name]; ok && o.cell.Ready && o.storeOK && o.responsive(now) && !passedOver(o.boot) {
 			return &o.member
 		}
 	}
