cluster, driver, cell: jobs go to cells that can run them, and leave those that cannot

Cause: a job got its cell when it was accepted, by how much of all its workers' processors was free, and never another one. Racks are dealt to cells by a hash; that a cell has no worker of the job's pool, with its label or of its size was looked at neither then nor later.

With jobs that were accepted before the rack was lost, choosing well cannot help.

Change: owners report the classes of their workers, in few greetings. Acceptance prefers cells that can run the job. A job that none of its cell's workers can run for 0.6 s, and of which nothing runs or may run there, moves: first its record, bound to the cell lease, says that it moves and where to; then the job's own rows name the other cell, on the condition that they have not changed. Neither owner can start a task of it between the two, whoever is killed, frozen or late. Builds that know nothing of moves cannot read what would mislead them, and no job moves while one is live. One cell writes, asks and sends nothing more.

--- a/cell/cell.go
+++ b/cell/cell.go
@@ -235,7 +235,7 @@
 
 func (c *Cell) stage(id flow.StepID) *stage {
 	j := c.jobs[id.Job]
-	if j == nil {
+	if j == nil || j.movingTo != "" {
 		return nil
 	}
 	return j.stage(id.Round, id.Step)
--- a/cell/ends.go
+++ b/cell/ends.go
@@ -34,7 +34,7 @@
 	}
 	s.job.began = true
 	t := &s.tasks[f.Task.Index]
-	t.lastRun = max(t.lastRun, f.Run-c.runBase)
+	t.lastRun = max(t.lastRun, f.Run-c.runBaseOf(s.job))
 	if f.Checkpoint != "" {
 		t.checkpoint = f.Checkpoint
 	}
--- a/cell/inherited_loss.go
+++ b/cell/inherited_loss.go
@@ -32,7 +32,7 @@
 	}
 	if len(lost) > 0 {
 		t.accounted = true
-		c.addInheritedCrash(s, index, flow.Crash{Run: c.runBase, Blame: flow.BlameUnlikely, Inherited: true}, lost, now)
+		c.addInheritedCrash(s, index, flow.Crash{Run: c.runBaseOf(s.job), Blame: flow.BlameUnlikely, Inherited: true}, lost, now)
 	}
 }
 
--- a/cell/job.go
+++ b/cell/job.go
@@ -49,6 +49,10 @@
 	hall string
 	// restored means that a former owner knew the job.
 	restored bool
+	// strandedSince is when the cell was first found unable to run the job, zero while it can.
+	strandedSince time.Time
+	// movingTo names the cell to which the job moves. Nothing of it is started here any more.
+	movingTo string
 	// activeTrials counts the job's runs on trial, and trialsPassed its trials that went well.
 	activeTrials, trialsPassed int
 }
@@ -103,6 +107,7 @@
 	j.storedState = flow.Pending
 	if rec != nil {
 		j.storedState = rec.State
+		j.movingTo = rec.To
 		c.restoreStarts(j, rec, now)
 	}
 }
@@ -122,8 +127,8 @@
 	j.beyondShare = j.account.takeShare(arrived)
 	c.joinHeadroom(j)
 	if rec != nil {
-		j.state, j.cancelled = rec.State, rec.Canceled
-		j.began = rec.State != flow.Pending
+		j.state, j.cancelled = rec.Shown(), rec.Canceled
+		j.began = j.state != flow.Pending
 	}
 	c.jobs[spec.ID] = j
 	for k := range spec.Rounds() {
@@ -158,13 +163,13 @@
 	return j
 }
 
-// Cancel cancels a job. It reports whether the job is known.
+// Cancel cancels a job, unless it is on its way to another cell. It reports whether the job is known.
 func (c *Cell) Cancel(id string, now time.Time) bool {
 	j := c.jobs[id]
 	if j == nil {
 		return c.Known(id)
 	}
-	if !j.state.Final() {
+	if !j.state.Final() && j.movingTo == "" {
 		j.cancelled = true
 		c.finish(j, flow.Canceled, now)
 	}
@@ -206,6 +211,10 @@
 
 // finish ends a job. The next Place stops its runs.
 func (c *Cell) finish(j *job, state flow.State, now time.Time) {
+	if j.movingTo != "" {
+		// The other cell ends it.
+		return
+	}
 	j.state, j.ended = state, now
 	c.finished = append(c.finished, j)
 	c.runsNeedCheck = true
--- a/cell/lists.go
+++ b/cell/lists.go
@@ -174,7 +174,7 @@
 		t.state = taskActive
 	}
 	t.runs, t.accounted = append(t.runs, r), true
-	t.lastRun = max(t.lastRun, r.number-c.runBase)
+	t.lastRun = max(t.lastRun, r.number-c.runBaseOf(s.job))
 	s.countRunOn(r.worker, 1)
 	c.startTrialIfNeeded(r, now)
 }
--- a/cell/place.go
+++ b/cell/place.go
@@ -206,7 +206,7 @@
 // pruneOpenStages removes the stages that have nothing left to place.
 func (c *Cell) pruneOpenStages() {
 	c.openStages = slices.DeleteFunc(c.openStages, func(s *stage) bool {
-		s.open = (s.waiting > 0 || s.needsMove) && !s.job.state.Final()
+		s.open = (s.waiting > 0 || s.needsMove) && !s.job.state.Final() && s.job.movingTo == ""
 		return !s.open
 	})
 }
--- a/cell/save.go
+++ b/cell/save.go
@@ -152,9 +152,9 @@
 
 // record returns the record of j and the number of tasks of which it names starts or losses.
 func (j *job) record(d detail) (*flow.Record, int) {
-	r := &flow.Record{State: j.state, Canceled: j.cancelled}
-	if !j.state.Final() && j.began {
-		r.State = flow.Running
+	r := &flow.Record{State: j.stateNow(), Canceled: j.cancelled, Moves: j.spec.Moves}
+	if j.movingTo != "" {
+		r.State, r.Was, r.To = flow.Moving, r.State, j.movingTo
 	}
 	if j.state.Final() {
 		return r, 0
--- a/cell/start.go
+++ b/cell/start.go
@@ -125,7 +125,7 @@
 	t := &s.tasks[index]
 	s.setWaiting(t, false)
 	t.state, t.accounted = taskActive, true
-	r := &run{stage: s, index: index, number: n + c.runBase, worker: p.worker, decidedAt: now, room: s.def.Reservation(), checkpoint: t.checkpoint}
+	r := &run{stage: s, index: index, number: n + c.runBaseOf(s.job), worker: p.worker, decidedAt: now, room: s.def.Reservation(), checkpoint: t.checkpoint}
 	t.runs = append(t.runs, r)
 	p.worker.addRun(r)
 	c.updateUnits(p.worker)
--- a/cluster/accept.go
+++ b/cluster/accept.go
@@ -63,7 +63,7 @@
 	begun := clock.Now()
 	spec.AcceptedMS = clock.Wall().UnixMilli()
 	spec.Hall = n.startHall(cell, spec.ID)
-	spec.Shares = n.division.sharedWith(spec, cell)
+	spec.Shares = n.runnableIn(n.division.sharedWith(spec, cell), spec)
 	k, err := n.storeJob(ctx, cell, spec)
 	if err != nil {
 		level.Info(n.kit.Log).Log("event", "not_kept", "job", spec.ID, "cell", cell, "err", err, "last", true)
@@ -182,7 +182,7 @@
 // hash while no owner is heard. The owner is "" if it is this instance or not known. The cell is ""
 // while the cells are not known.
 func (n *Instance) chooseCell(spec *flow.Spec) (cell, owner string) {
-	if p := n.candidates(spec); len(p) > 0 {
+	if p := n.candidates(n.capacityJob(spec)); len(p) > 0 {
 		c := drawCandidate(p, spec.ID)
 		return c.cell, c.name
 	}
@@ -319,9 +319,11 @@
 
 // notifyOwner sends a job to the owner of a cell until that has it or ctx ends.
 func (n *Instance) notifyOwner(ctx context.Context, cell string, ver uint64, spec *flow.Spec) {
-	raw := flow.Encode(spec)
+	raw := flow.EncodeSpec(spec)
 	for ctx.Err() == nil {
-		if n.notifyOwnerOnce(ctx, cell, ver, spec, raw) == nil {
+		err := n.notifyOwnerOnce(ctx, cell, ver, spec, raw)
+		if err == nil || kind.Is(err, kind.Conflict) {
+			// The owner has it, or has moved it to another cell since.
 			return
 		}
 		sleep(ctx, notifyRetryPause)
--- a/cluster/cancel.go
+++ b/cluster/cancel.go
@@ -61,6 +61,9 @@
 		if kind.Is(err, kind.NotFound) {
 			err = n.notifyAndCancel(ctx, cell, id, row)
 		}
+		if err != nil && len(cells) == 1 {
+			n.forgetCells(id)
+		}
 		if i > 0 && kind.Is(err, kind.NotFound) {
 			// It had ended there before.
 			continue
--- a/cluster/candidates.go
+++ b/cluster/candidates.go
@@ -6,17 +6,20 @@
 	"cmp"
 	"slices"
 
+	"dewpass.org/capacity"
 	"dewpass.org/flow"
 	"dewpass.org/internal/clock"
 	"dewpass.org/sched"
 )
 
-// candidates returns the cells that may take a job, the best first.
-func (n *Instance) candidates(spec *flow.Spec) []candidate {
+// candidates returns the cells that may take a job, the best first: those that suit it best or, with
+// several of these, the least loaded.
+func (n *Instance) candidates(job capacity.Job) []candidate {
 	var out []candidate
+	known := n.knownWorkers(clock.Now())
 	add := func(c candidate) {
-		gain := n.localityGain(spec, c.cell)
-		c.load, c.local = c.load-gain, gain > 0
+		gain := n.localityGain(job.Spec, c.cell)
+		c.load, c.local, c.fit = c.load-gain, gain > 0, n.fit(job, c.cell, known)
 		out = append(out, c)
 	}
 	own := n.ownCells()
@@ -37,7 +40,7 @@
 		})
 	}
 	slices.SortStableFunc(out, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(a.load, b.load), cmp.Compare(a.cell, b.cell))
+		return cmp.Or(cmp.Compare(b.fit, a.fit), cmp.Compare(a.load, b.load), cmp.Compare(a.cell, b.cell))
 	})
 	return out
 }
--- a/cluster/choice.go
+++ b/cluster/choice.go
@@ -2,7 +2,11 @@
 
 package cluster
 
-import "time"
+import (
+	"time"
+
+	"dewpass.org/capacity"
+)
 
 const (
 	// loadWindow is the time within which queued work should find room; it weighs queued work when
@@ -20,6 +24,8 @@
 	// name is that of the owner, empty if it is this instance.
 	name string
 	load float64
+	// fit is how well the cell's workers suit the job.
+	fit capacity.Fit
 	// local says that the cell contains a rack with the job's data.
 	local bool
 }
@@ -35,8 +41,8 @@
 	return used + float64(waiting)/(float64(room)/1000*float64(loadWindow.Milliseconds()))
 }
 
-// drawCandidate chooses a cell for a job among candidates that are sorted by load, the least loaded
-// first: the better of two that are drawn by the job's id.
+// drawCandidate chooses a cell for a job among candidates that are sorted, those that suit the job best
+// first and of these the least loaded: the better of two that are drawn by the job's id.
 //
 // The reports of owners are a fraction of a second old, and the same at all instances. If each
 // instance chose the least loaded cell, all jobs of that time would go there, and the more instances
@@ -51,7 +57,7 @@
 		return sorted[0]
 	}
 	usable := 0
-	for usable < len(sorted) && sorted[usable].load < unusableLoad {
+	for usable < len(sorted) && sorted[usable].load < unusableLoad && sorted[usable].fit == sorted[0].fit {
 		usable++
 	}
 	if usable < 3 {
--- a/cluster/division.go
+++ b/cluster/division.go
@@ -84,6 +84,9 @@
 	return nil
 }
 
+// several reports whether there are several cells.
+func (d *division) several() bool { return len(d.cells()) > 1 }
+
 // set sets the number of cells.
 func (d *division) set(count int) {
 	names := make([]string, count)
--- a/cluster/greet.go
+++ b/cluster/greet.go
@@ -28,7 +28,7 @@
 func (n *Instance) greeting() *wire.Greeting {
 	g := &wire.Greeting{
 		Instance: n.settings.Instance, Hall: n.settings.Hall, Boot: n.boot, Addr: n.settings.Listen.Peer,
-		Processor: n.processor(), Leaving: n.leaving.Load(),
+		Processor: n.processor(), Leaving: n.leaving.Load(), MovesJobs: n.division.several(),
 	}
 	n.addStoreState(g, clock.Now())
 	for name, c := range n.ownCells() {
@@ -42,6 +42,7 @@
 		sum.Pending = pendingOf(load)
 		sum.Halls = hallRooms(load)
 		sum.Queues = queueLoads(d.QueueLoads())
+		sum.Workers = n.workersToReport(name, d, clock.Now())
 		g.Cells = append(g.Cells, sum)
 	}
 	return g
--- a/cluster/instance.go
+++ b/cluster/instance.go
@@ -107,6 +107,7 @@
 	taking   atomic.Bool
 	division division
 	listings *listings
+	reports  workerReports
 
 	mu    sync.Mutex
 	cells map[string]*ownCell
--- a/cluster/jobs.go
+++ b/cluster/jobs.go
@@ -41,6 +41,14 @@
 	return n.readCellsOf(ctx, id)
 }
 
+// forgetCells forgets which cells run a job, since the owner of one does not know the job: it may have
+// moved to another cell.
+func (n *Instance) forgetCells(id string) {
+	if n.division.several() {
+		n.jobCells.drop(id)
+	}
+}
+
 // readCellsOf reads from the store which cells run a job.
 func (n *Instance) readCellsOf(ctx context.Context, id string) ([]string, error) {
 	row, err := n.readJobRow(ctx, driver.HomeKey(id))
--- a/cluster/members.go
+++ b/cluster/members.go
@@ -30,6 +30,8 @@
 	storeOK bool
 	// processor is its share of a processor, in thousandths.
 	processor uint32
+	// movesJobs says that its build knows of jobs that move between cells.
+	movesJobs bool
 	config    uint64
 	cells     []*wire.CellSummary
 	heardAt   time.Time
@@ -73,6 +75,8 @@
 	addrs map[string]time.Time
 	// lastPending holds the last known counts of pending jobs of each cell.
 	lastPending map[string]pendingReport
+	// workers holds what owners last reported of the workers of their cells, by cell.
+	workers map[string]workerReport
 	// roundCount is the number of rounds of greetings sent.
 	roundCount int
 	// maxListedProcessor is the largest processor share of the other instances that the store
@@ -83,7 +87,7 @@
 }
 
 func newMembers(self, hall string, peers []string, selfAddr string, now time.Time) *members {
-	m := &members{self: self, hall: hall, addr: selfAddr, known: make(map[string]*member), addrs: make(map[string]time.Time), listedSince: make(map[string]time.Time), lastPending: make(map[string]pendingReport), listedHalls: make(map[string]uint32)}
+	m := &members{self: self, hall: hall, addr: selfAddr, known: make(map[string]*member), addrs: make(map[string]time.Time), listedSince: make(map[string]time.Time), lastPending: make(map[string]pendingReport), listedHalls: make(map[string]uint32), workers: make(map[string]workerReport)}
 	for _, a := range peers {
 		if a != selfAddr {
 			m.addrs[a] = now
@@ -109,7 +113,8 @@
 	k.hall, k.boot, k.addr = g.Hall, g.Boot, g.Addr
 	k.leaving, k.storeOK, k.config = g.Leaving, g.StoreOk, g.ConfigVersion
 	k.cells, k.heardAt, k.sentWork = g.Cells, now, 0
-	k.processor = g.Processor
+	k.processor, k.movesJobs = g.Processor, g.MovesJobs
+	m.keepWorkers(g.Cells)
 	m.addrs[g.Addr] = now
 	for _, c := range g.Cells {
 		// An owner that has not loaded its jobs yet cannot report any.
--- a/cluster/own.go
+++ b/cluster/own.go
@@ -50,6 +50,7 @@
 		Claim:       c, Store: n.storeClient, StoreReachable: n.storeClient.Reachable,
 		Workers: n.Workers, Relays: relays{n}, Directory: directory, List: lister.list, Cordons: n.cordons(),
 		Advise: n.advise, AskLimit: n.adviceConcurrency, HeardByAll: func() bool { return n.answeredByAll(c.LastWrite()) },
+		Elsewhere:     n.elsewhere(),
 		OnLeaseLost:   func() { n.dropDriver(name, d) },
 		OnLoadTimeout: func() { n.giveUpCell(name, d, c) },
 		Log:           n.kit.Log, Scope: n.kit.Scope,
--- a/cluster/state.go
+++ b/cluster/state.go
@@ -48,6 +48,8 @@
 			return n.combinedState(ctx, id, s, likely, n.jobCells.get(id)), fromOwner, nil
 		} else if kind.Is(err, kind.Unauthorized) {
 			return "", "", err
+		} else if kind.Is(err, kind.NotFound) {
+			n.forgetCells(id)
 		}
 	}
 	remembered := n.jobCells.get(id) != nil
@@ -125,7 +127,7 @@
 		if err != nil {
 			return "", kind.Wrap(kind.Damaged, err, "the job's record")
 		}
-		state = rec.State
+		state = rec.Shown()
 	}
 	if state.Final() {
 		return state, nil
--- a/driver/commit.go
+++ b/driver/commit.go
@@ -111,6 +111,8 @@
 		d.workerListChanged = false
 	default:
 		// The worker list's rows use up the entries reserved for these.
+		// A job may have been moved away and back since.
+		d.staleRecords = slices.DeleteFunc(d.staleRecords, d.cell.Holds)
 		g.stale = d.staleRecords[:min(len(d.staleRecords), maxStalePerCommit)]
 		d.staleRecords = d.staleRecords[len(g.stale):]
 	}
--- a/driver/driver.go
+++ b/driver/driver.go
@@ -11,6 +11,7 @@
 	"github.com/go-kit/log/level"
 	"github.com/uber-go/tally/v4"
 
+	"dewpass.org/capacity"
 	"dewpass.org/cell"
 	"dewpass.org/claim"
 	"dewpass.org/flow"
@@ -60,6 +61,9 @@
 	Headroom bool
 	// WorkerSpeed enables learning the speeds of workers and choosing workers by them.
 	WorkerSpeed bool
+	// Elsewhere finds other cells for jobs that this one cannot run; it is nil if there is no other
+	// cell.
+	Elsewhere Elsewhere
 	// Advise asks the policy, and AskLimit returns how many such requests may be in flight at once.
 	Advise   func(ctx context.Context, a cell.Ask) (Tickets, error)
 	AskLimit func() int
@@ -96,6 +100,11 @@
 	unarchived []cell.EndedJob
 	frozen     bool
 	loaded     bool
+	// workers are those that could run tasks a moment ago, if workersKnown is set.
+	workers      capacity.Workers
+	workersKnown bool
+	// moved holds the jobs that were moved to another cell.
+	moved map[string]movedJob
 	// scannedVer is the version of the store up to which the jobs have been read.
 	scannedVer uint64
 	// badSpecs holds the jobs whose specifications could not be read then. They are left to a next
@@ -181,6 +190,9 @@
 			d.spawn(d.sweep)
 			d.spawn(d.watchShares)
 			d.spawn(d.watchCordons)
+			if d.Elsewhere != nil {
+				d.spawn(d.watchMoves)
+			}
 			d.placeLoop()
 		}
 	})
@@ -283,11 +295,15 @@
 }
 
 // Cancel cancels a job and returns once the cancellation is persisted. It returns an error of kind
-// NotFound if the cell does not have the job, and one of kind Lost if the driver is closed before.
+// NotFound if the cell does not have the job, one of kind Unavailable if the job is on its way to another
+// cell, and one of kind Lost if the driver is closed before.
 func (d *Driver) Cancel(ctx context.Context, id string) error {
 	d.mu.Lock()
-	known := d.cell.Cancel(id, clock.Now())
+	moving, known := d.cell.Moving(id), d.cell.Cancel(id, clock.Now())
 	d.mu.Unlock()
+	if moving {
+		return kind.New(kind.Unavailable, "the job is being moved to another cell")
+	}
 	if !known {
 		return kind.New(kind.NotFound, "the cell has no such job")
 	}
--- a/driver/load.go
+++ b/driver/load.go
@@ -170,7 +170,7 @@
 	// The order of jobs decides which are within the share of their client account.
 	slices.SortStableFunc(jobs, func(a, b *flow.Spec) int { return cmp.Compare(a.AcceptedMS, b.AcceptedMS) })
 	for _, spec := range jobs {
-		rec := byID[spec.ID]
+		rec := progressOf(spec, byID[spec.ID])
 		d.cell.Restore(spec, rec, arrivedAt(spec, now), now)
 		d.logRestored(spec.ID, rec, versions[spec.ID])
 		if rec != nil && rec.State.Final() {
--- a/driver/scan.go
+++ b/driver/scan.go
@@ -29,13 +29,16 @@
 
 // Adopt adds a job that the store accepted at version ver. A job that was in the store when this
 // owner read its jobs and that the cell does not have has ended, and is ignored. The error is of
-// kind Unavailable if the cell is not loaded yet.
+// kind Unavailable if the cell is not loaded yet, and of kind Conflict if the job belongs to another one.
 func (d *Driver) Adopt(spec *flow.Spec, ver uint64) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if !d.loaded || d.frozen {
 		return kind.New(kind.Unavailable, "the jobs of the cell are not loaded yet")
 	}
+	if !d.runsTasksOf(spec) {
+		return kind.New(kind.Conflict, "the job belongs to another cell")
+	}
 	if d.isNew(spec.ID, ver) {
 		d.addJob(spec, clock.Now())
 		notify(d.placeNow)
@@ -46,11 +49,16 @@
 // isNew reports whether a job was accepted after this owner read its jobs and is not in the cell.
 // The lock is held.
 func (d *Driver) isNew(id string, ver uint64) bool {
-	return ver > d.scannedVer && !d.cell.Known(id) && !d.badSpecs[id]
+	return ver > d.scannedVer && ver > d.moved[id].ver && !d.cell.Known(id) && !d.badSpecs[id]
 }
 
 // addJob adds a job that no former owner can have started. The lock is held.
 func (d *Driver) addJob(spec *flow.Spec, now time.Time) {
+	if spec.Moves > 0 {
+		level.Info(d.Log).Log("event", "job_moved_in", "job", spec.ID, "cell", d.Name, "epoch", d.Claim.Epoch(), "moves", spec.Moves)
+		d.cell.MovedIn(spec, arrivedAt(spec, now), now)
+		return
+	}
 	d.cell.Submit(spec, arrivedAt(spec, now), now)
 	d.cell.JobStored(spec.ID)
 }
--- a/driver/tidy.go
+++ b/driver/tidy.go
@@ -141,6 +141,7 @@
 			d.forgetEnd(x.ID, x.Age, "kept")
 		}
 	}
+	d.forgetMoved(now)
 	if len(d.staleRecords) > 0 {
 		notify(d.commitNow)
 	}
--- a/flow/flow.go
+++ b/flow/flow.go
@@ -32,6 +32,11 @@
 	Canceled  State = "canceled"
 )
 
+// Moving is the state in the record of a job that its cell has given up for another one. Clients are
+// shown the state before it. Builds that do not know it leave the job alone, as its record is not
+// readable to them.
+const Moving State = "moving"
+
 // Final reports whether a job in state s has ended.
 func (s State) Final() bool { return s == Succeeded || s == Failed || s == Canceled }
 
@@ -91,6 +96,14 @@
 	EveryMS int64 `json:"every_ms,omitempty"`
 	// AcceptedMS is when the job was accepted, in milliseconds since 1970.
 	AcceptedMS int64 `json:"accepted_ms,omitempty"`
+	// Moves counts how often the job was moved to another cell. The fields after it are those of a
+	// moved job.
+	Moves int `json:"moves,omitempty"`
+	// RunsBelow is added to the numbers of the job's runs, so that they are above all numbers given in
+	// its former cells.
+	RunsBelow int `json:"runs_below,omitempty"`
+	// Progress is what was done in the former cells. It holds until the cell has a record of its own.
+	Progress *Record `json:"progress,omitempty"`
 }
 
 // Step is a number of equal tasks.
--- a/flow/record.go
+++ b/flow/record.go
@@ -25,6 +25,11 @@
 	State State `json:"state"`
 	// Canceled says that the job was cancelled; no more of its tasks are started.
 	Canceled bool `json:"cancelled,omitempty"`
+	// To names the cell to which the job is being moved, and Was its state before, if State is Moving.
+	To  string `json:"to,omitempty"`
+	Was State  `json:"was,omitempty"`
+	// Moves is that of the Spec. A record with a lower number was left in a former cell.
+	Moves int `json:"moves,omitempty"`
 	// Halls names halls as those of each StageRecord, for all steps together. It takes their place in
 	// a record that would be too long with them.
 	Halls []string `json:"halls,omitempty"`
@@ -124,8 +129,43 @@
 	return raw
 }
 
+// Shown returns the state of the job as clients may see it.
+func (r *Record) Shown() State {
+	if r.State == Moving {
+		return r.Was
+	}
+	return r.State
+}
+
+// movedSpec is the stored form of a Spec that was moved. Builds that do not know of moves cannot decode
+// it and leave the job alone: they would start again what was done in its former cells.
+type movedSpec struct {
+	Moved *Spec `json:"moved,omitempty"`
+}
+
+// EncodeSpec returns the stored representation of s. That of a moved job may be longer than
+// MaxRecordBytes.
+func EncodeSpec(s *Spec) []byte {
+	if s.Moves == 0 {
+		return Encode(s)
+	}
+	raw := Encode(movedSpec{Moved: s})
+	if len(raw) < compressFrom {
+		return raw
+	}
+	return pack.Compress(raw)
+}
+
 // DecodeSpec decodes and validates the row of a Spec.
 func DecodeSpec(raw []byte) (*Spec, error) {
+	var moved movedSpec
+	raw, err := pack.Decompress(raw)
+	if err != nil {
+		return new(Spec), err
+	}
+	if err := json.Unmarshal(raw, &moved); err == nil && moved.Moved != nil {
+		return moved.Moved, moved.Moved.Check()
+	}
 	s := new(Spec)
 	if err := json.Unmarshal(raw, s); err != nil {
 		return s, err
@@ -153,7 +193,10 @@
 	if err := json.Unmarshal(raw, r); err != nil {
 		return r, err
 	}
-	if !r.State.Final() && r.State != Pending && r.State != Running {
+	if r.State == Moving && (r.To == "" || r.Was != Pending && r.Was != Running) {
+		return r, kind.New(kind.Damaged, "job record that names no cell to move to")
+	}
+	if !r.State.Final() && r.State != Pending && r.State != Running && r.State != Moving {
 		return r, kind.New(kind.Damaged, "job record with unknown state "+strconv.Quote(string(r.State)))
 	}
 	return r, nil
--- a/internal/standin/world/store.go
+++ b/internal/standin/world/store.go
@@ -372,6 +372,19 @@
 	_ = json.NewEncoder(w).Encode(v)
 }
 
+// CountContaining returns the number of rows of a table whose value contains a text.
+func (s *Store) CountContaining(table, text string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for k, row := range s.rows {
+		if k.table == table && strings.Contains(string(row.Value), text) {
+			n++
+		}
+	}
+	return n
+}
+
 // Value returns the value of a row, nil if it is absent.
 func (s *Store) Value(table, part, key string) []byte {
 	s.mu.Lock()
--- a/internal/standin/world/world.go
+++ b/internal/standin/world/world.go
@@ -23,6 +23,8 @@
 	// WorkerAddr returns the address on which a worker listens, also after a restart. If it is nil,
 	// the system chooses a port, which it may give to another process while the worker is down.
 	WorkerAddr func() (string, error)
+	// Label returns the label of a worker beside its rack; if it is nil, all have "a".
+	Label func(hall string, number int) string
 	// Advice has the policy service decide which workers may run a step: two of three. An answer
 	// takes PolicyTime and PolicyTimePerWorker for each worker asked about, by default 10 ms and 1 ms.
 	Advice                          bool
@@ -229,10 +231,14 @@
 	if dead {
 		return
 	}
+	label := "a"
+	if w.options.Label != nil {
+		label = w.options.Label(n.Hall, n.machineNumber)
+	}
 	w.Store.Put("servers", n.ID, map[string]any{
 		"backend": pool, "address": n.Addr, "zone": n.Hall, "version": "v1", "slots": 8, "state": state,
 		"warmup_left_ms": 0, "capacity": map[string]any{"cpu": cpu, "mem_mb": mem, "gpu": 0},
-		"labels": []string{"a", n.Rack}, "clock_ms": clock, "remaining_ms": remaining, "seq": clock, "born": n.born,
+		"labels": []string{label, n.Rack}, "clock_ms": clock, "remaining_ms": remaining, "seq": clock, "born": n.born,
 	})
 }
 
