cluster, driver: "no such job" to a cancel holds against acceptances that are late

Cause: the answer rested on what the store did not have. The acceptance's write was on its way; its condition, that there is no home row, still held when it was carried out.

Change: a cancel that finds no home row writes it, on the acceptance's own condition, before it answers 410. Whichever write the store carries out first decides: the acceptance is refused for good, or the cancel finds the job. The row names the account; to any other one the id is free, and its acceptance replaces the row on the condition that it is unchanged. The account itself gets 409 for the id from then on. A second cancel of the same id writes nothing; nor does a cancel of a job that the store has.

--- a/cluster/accept.go
+++ b/cluster/accept.go
@@ -43,7 +43,7 @@
 // Submit stores a job and notifies the owner of its cell. It also returns nil if the job was stored
 // before. Errors are of kind Unavailable (the job was not accepted and never runs), QueueFull (the
 // same, because of the work that waits before it; see admit), KeyReused (the id belongs to another
-// client account), BadRequest (the job is larger than the store takes) or Lost (not known whether it
+// client account), Cancelled (the account has cancelled the job before the store had it), BadRequest (the job is larger than the store takes) or Lost (not known whether it
 // was accepted). Submit needs the store but no owner: a job that is submitted while its cell changes
 // owners waits in the store.
 func (n *Instance) Submit(ctx context.Context, spec *flow.Spec) error {
@@ -255,6 +255,12 @@
 		switch {
 		case err == nil && !res.Refused:
 			return storedJob{cells: spec.Cells(), access: driver.HomeAccess(value), ver: res.Ver, fresh: true, written: true}, nil
+		case err == nil && withdrawalIn(res, home).Includes(spec.Account):
+			return storedJob{}, kind.New(kind.Cancelled, "the job was cancelled before it was accepted")
+		case err == nil && withdrawalIn(res, home).Any():
+			// Another client account has cancelled an id that it did not get accepted.
+			t.Expect = []rows.Check{{Key: home, Ver: rowIn(res, home).Ver}}
+			t.Remove = []rows.Key{driver.EndedKey(spec.ID)}
 		case err == nil:
 			// Some cell has the job, by this write or by an earlier one.
 			return withStoredCells(res, home, storedJob{cells: spec.Cells(), fresh: uncertain}), nil
@@ -284,34 +290,50 @@
 
 // withStoredCells completes k from the home row of a job that was stored before.
 func withStoredCells(res rows.Result, home rows.Key, k storedJob) storedJob {
+	row := rowIn(res, home)
+	if cells := driver.HomeCells(row.Value); len(cells) > 0 {
+		k.cells, k.access, k.ver = cells, driver.HomeAccess(row.Value), row.Ver
+	}
+	return k
+}
+
+// rowIn returns a row as a refused write shows it; its version is 0 if it is not there.
+func rowIn(res rows.Result, key rows.Key) rows.Row {
 	for _, row := range res.Rows {
-		if cells := driver.HomeCells(row.Value); row.Key == home && len(cells) > 0 {
-			k.cells, k.access, k.ver = cells, driver.HomeAccess(row.Value), row.Ver
+		if row.Key == key {
+			return row
 		}
 	}
-	return k
+	return rows.Row{Key: key}
+}
+
+// withdrawalIn returns which accounts have withdrawn the job of a home row.
+func withdrawalIn(res rows.Result, home rows.Key) driver.Withdrawal {
+	return driver.HomeWithdrawal(rowIn(res, home).Value)
 }
 
 // sendJobTx sends the write once. While there is no answer it checks whether the job is stored.
 func (n *Instance) sendJobTx(ctx context.Context, home rows.Key, t rows.Tx) (rows.Result, error) {
 	send := rows.WriteAttempt{
 		Store: n.storeClient, Tx: t, Interval: acceptCheckInterval, Timeout: n.storeClient.ResendDelay(),
-		Lookup: func(ctx context.Context) (rows.Result, bool, error) { return n.checkJobStored(ctx, home) },
+		Lookup: func(ctx context.Context) (rows.Result, bool, error) {
+			return n.checkJobStored(ctx, home, t.Expect[0].Ver)
+		},
 	}
 	res, _, err := send.Send(ctx)
 	return res, err
 }
 
 // checkJobStored asks the store for a job, and reports whether it is pointless to wait longer for
-// the answer of the write that stores it.
-func (n *Instance) checkJobStored(ctx context.Context, home rows.Key) (rows.Result, bool, error) {
+// the answer of the write that stores it if the home row has a version.
+func (n *Instance) checkJobStored(ctx context.Context, home rows.Key, ver uint64) (rows.Result, bool, error) {
 	if !n.storeClient.Reachable() {
 		return rows.Result{}, true, kind.New(kind.Lost, "the store is not reached any more")
 	}
 	ctx, cancel := context.WithTimeout(ctx, acceptCheckTimeout)
 	defer cancel()
 	page, err := n.storeClient.Get(ctx, rows.KeyRange(home))
-	if err == nil && page.First().Ver > 0 {
+	if err == nil && page.First().Ver > ver {
 		return rows.Result{Refused: true, Rows: page.Rows}, true, nil
 	}
 	return rows.Result{}, false, nil
--- a/cluster/cancel.go
+++ b/cluster/cancel.go
@@ -22,7 +22,7 @@
 )
 
 // Cancel cancels a job. Its error is of kind NotFound if there is no such job, or only one of another
-// client account.
+// client account: no submission of it that the caller sent before takes effect any more then.
 func (n *Instance) Cancel(ctx context.Context, id string) error {
 	ctx, cancel := context.WithTimeout(ctx, cancelTimeout)
 	defer cancel()
@@ -42,6 +42,9 @@
 // shared with. If this instance fails in between, those cells find out by themselves.
 func (n *Instance) cancelOnce(ctx context.Context, id string) error {
 	cells, err := n.cellsOf(ctx, id)
+	if kind.Is(err, kind.NotFound) {
+		return n.withdraw(ctx, id)
+	}
 	if err != nil {
 		return err
 	}
--- a/cluster/jobs.go
+++ b/cluster/jobs.go
@@ -57,7 +57,7 @@
 	}
 	cells := driver.HomeCells(row.Value)
 	switch {
-	case row.Ver == 0:
+	case row.Ver == 0, driver.HomeWithdrawal(row.Value).Any():
 		n.jobCells.drop(id)
 		return nil, kind.New(kind.NotFound, "no job has this id")
 	case len(cells) == 0:
--- a/driver/scan.go
+++ b/driver/scan.go
@@ -134,7 +134,7 @@
 // readMissed reads the jobs of this cell that are in changed home rows but not known here.
 func (d *Driver) readMissed(homes []rows.Row) error {
 	for _, home := range homes {
-		if home.Deleted || !slices.Contains(HomeCells(home.Value), d.Name) || !d.isMissed(home.Name, home.Ver) {
+		if home.Deleted || HomeWithdrawal(home.Value).Any() || !slices.Contains(HomeCells(home.Value), d.Name) || !d.isMissed(home.Name, home.Ver) {
 			continue
 		}
 		page, err := d.Store.Get(d.ctx, rows.KeyRange(SpecKey(home.Name)))
--- a/driver/tidy.go
+++ b/driver/tidy.go
@@ -162,13 +162,15 @@
 		for _, part := range specParts {
 			all, _, err := rows.ReadAll(d.ctx, d.Store, rows.Range{Table: TableEnded, Part: string(part)})
 			if err == nil {
-				d.sweepPart(all, clock.Wall())
+				d.forgetWithdrawn(d.sweepPart(all, clock.Wall()))
 			}
 		}
 	}
 }
 
-func (d *Driver) sweepPart(all []rows.Row, wall time.Time) {
+// sweepPart removes those of all ends of a part that were kept for long enough, but for those of
+// withdrawn jobs, which it returns.
+func (d *Driver) sweepPart(all []rows.Row, wall time.Time) (withdrawn []rows.Row) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, r := range all {
@@ -176,8 +178,13 @@
 		if err != nil || e.Cell != d.Name || d.cell.Known(r.Name) {
 			continue
 		}
-		if age := wall.Sub(time.UnixMilli(e.AtMS)); age > d.Retention+maxClockSkew {
+		switch age := wall.Sub(time.UnixMilli(e.AtMS)); {
+		case age <= d.Retention+maxClockSkew:
+		case e.Withdrawn:
+			withdrawn = append(withdrawn, r)
+		default:
 			d.forgetEnd(r.Name, age, "swept")
 		}
 	}
+	return withdrawn
 }
--- a/flow/record.go
+++ b/flow/record.go
@@ -82,6 +82,8 @@
 	Cell string `json:"cell"`
 	// AtMS is when the record was written, in milliseconds since 1970.
 	AtMS int64 `json:"at_ms"`
+	// Withdrawn says that the job was cancelled before it was accepted. Clients are shown no such job.
+	Withdrawn bool `json:"withdrawn,omitempty"`
 }
 
 // DecodeFinalRecord decodes and validates the row of a FinalRecord.
--- a/internal/standin/world/store.go
+++ b/internal/standin/world/store.go
@@ -52,6 +52,8 @@
 	// effect only after Late if it is set.
 	Lose float64
 	Late time.Duration
+	// LoseTables restricts Lose to writes that put a row into one of these tables; empty means all.
+	LoseTables []string
 	// PartWrites is the number of writes that each part handles per second, one after
 	// another; 0 means no limit. Writes are refused while more than a second's worth
 	// is queued.
@@ -217,7 +219,7 @@
 	}
 	time.Sleep(wait)
 	s.mu.Lock()
-	lose := f.Lose > 0 && s.random.Float64() < f.Lose
+	lose := f.Lose > 0 && t.puts(f.LoseTables) && s.random.Float64() < f.Lose
 	s.mu.Unlock()
 	if lose && f.Late > 0 {
 		time.AfterFunc(f.Late, func() { s.applyIfExpected(&t) })
@@ -260,6 +262,11 @@
 	return free.Add(cost).Sub(now), true
 }
 
+// puts reports whether a transaction puts a row into one of some tables, or whether these are empty.
+func (t *storeTx) puts(tables []string) bool {
+	return len(tables) == 0 || slices.ContainsFunc(t.Put, func(r storeRow) bool { return slices.Contains(tables, r.Table) })
+}
+
 // parts returns the distinct parts of the rows of a transaction.
 func (t *storeTx) parts() []string {
 	var out []string
