quota, cell, driver: cells lend each other shares of a client account's limit

The other way, tasks as large as the limit ran in several cells at once, and a limit below the number of cells was none (QUOTA).

Cause: the limit over all workers was kept as fixed, equal parts of the cells. A gang starts only within the part of its cell; it is accepted by the whole. Integer division made small parts 0, which is "no limit", and a task larger than the part could start in each cell that ran nothing else.

Change: a cell holds shares of each limit, at first equally many, and asks the others for more when a step waits only for the limit. What a cell has ever given and received only rises and stands in its own part of the store, written under its cell lease before the taker is told. So a share that is lost on its way is in no cell until the next question, and never in two, whoever is killed, frozen, late or new. Shares are parts of whatever the limit is, so a change of it moves none. Of two gangs that lack each other's shares the earlier one gets them. What was lent goes back when it is claimed, or not used for 2 s. While an instance of an earlier build is live, nobody lends. One cell writes, reads, asks and sends nothing more. Weights stay divided equally.

--- a/cell/account.go
+++ b/cell/account.go
@@ -5,6 +5,7 @@
 import (
 	"time"
 
+	"dewpass.org/quota"
 	"dewpass.org/sched"
 )
 
@@ -13,7 +14,7 @@
 	Name string
 	// Weight is the account's share of a full cell, in jobs per second; 0 means no limit.
 	Weight float64
-	// Limit bounds the account's running tasks; 0 in a dimension means no limit.
+	// Limit bounds the account's running tasks in all cells together; 0 in a dimension means no limit.
 	Limit sched.Vec
 }
 
@@ -26,6 +27,15 @@
 // share are placed after the equally urgent jobs of all other accounts.
 type account struct {
 	Account
+	// shares are those of the limit that this cell has, and part is what they allow.
+	shares quota.Ledger
+	part   sched.Vec
+	// claimedUntil is until when another cell that has lent shares claims some back, and claimed, during
+	// Place, whether one does.
+	claimedUntil time.Time
+	claimed      bool
+	// borrowedAt is when shares of other cells were last received or in use.
+	borrowedAt time.Time
 	// used is the demand of all recorded runs of the account.
 	used sched.Vec
 	// possiblyUsed is, during Place, the demand of tasks that a former owner may have started on
@@ -60,7 +70,7 @@
 	}
 	reserved := a.urgentPeak.Max(a.previousUrgentPeak)
 	for d := range reserved {
-		reserved[d] = max(min(reserved[d], a.Limit[d]/urgentDivisor)-a.urgentUsed[d], 0)
+		reserved[d] = max(min(reserved[d], a.part[d]/urgentDivisor)-a.urgentUsed[d], 0)
 	}
 	return reserved
 }
@@ -106,7 +116,9 @@
 	}
 	a := c.accounts[name]
 	if a == nil {
-		a = &account{Account: c.configured[name], urgentPriority: c.firstPriority}
+		a = &account{Account: c.configured[name], urgentPriority: c.firstPriority, shares: quota.Ledger{Cells: c.CellCount}}
+		a.Name, a.shares.Damaged = name, c.QuotaDamaged != nil && c.QuotaDamaged(name)
+		a.updatePart()
 		c.accounts[name] = a
 	}
 	return a
@@ -129,6 +141,7 @@
 		c.configured[conf.Name] = conf
 		if a := c.accounts[conf.Name]; a != nil {
 			a.Account = conf
+			a.updatePart()
 		}
 	}
 }
@@ -165,15 +178,38 @@
 
 // allows reports whether a may start more, from a queue with a priority, within its limit.
 func (a *account) allows(more sched.Vec, priority int) bool {
+	return a.covers(a.withMore(more, priority))
+}
+
+// withMore returns what a uses with more, from a queue with a priority, and with what has to be left to
+// its urgent jobs, in the dimensions that more uses.
+func (a *account) withMore(more sched.Vec, priority int) sched.Vec {
 	sum := a.used.Add(a.possiblyUsed).Add(more).Add(a.reservedForUrgent(priority))
 	for d, n := range more {
 		if n == 0 {
 			sum[d] = 0
 		}
 	}
-	return a.LimitCovers(sum)
+	return sum
+}
+
+// covers reports whether a may run the given amount in this cell.
+func (a *account) covers(use sched.Vec) bool {
+	part := a.part
+	if a.claimed {
+		part = part.Min(a.shares.AtFirst().Part(a.Limit))
+	}
+	for d := range use {
+		if a.Limit[d] > 0 && use[d] > part[d] {
+			return false
+		}
+	}
+	return true
 }
 
+// updatePart updates the part of the limit after a change of the limit or the shares.
+func (a *account) updatePart() { a.part = a.shares.Part(a.Limit) }
+
 // idle reports whether nothing of a is running or may be running.
 func (a *account) idle() bool { return a.used.IsZero() && a.possiblyUsed.IsZero() }
 
@@ -183,6 +219,7 @@
 func (c *Cell) countPossiblyUsed(u *unsettled, now time.Time) {
 	for _, a := range c.accounts {
 		a.possiblyUsed = sched.Vec{}
+		a.claimed = now.Before(a.claimedUntil)
 		a.trackUrgentPeak(now)
 	}
 	if len(c.accounts) == 0 || !u.any && len(u.halls) == 0 {
@@ -200,22 +237,30 @@
 
 // accountAtLimit reports whether the limit of its account prevents any task of s from starting, or
 // all of a gang from starting together. A single task larger than the limit may start when nothing
-// else of the account is running.
+// else of the account is running, in any cell.
 func (s *stage) accountAtLimit() bool {
 	a := s.job.account
 	switch {
 	case a == nil:
 		return false
-	case s.def.Gang:
-		return !a.allows(s.def.Demand.Scale(int64(len(s.tasks))), s.job.priority)
+	case !s.def.Gang && a.idle() && (a.shares.Sole() || a.covers(s.def.Demand)):
+		return false
+	}
+	return !a.allows(s.startsAtOnce(), s.job.priority)
+}
+
+// startsAtOnce returns what starts of s together: a task, or all of a gang.
+func (s *stage) startsAtOnce() sched.Vec {
+	if s.def.Gang {
+		return s.def.Demand.Scale(int64(len(s.tasks)))
 	}
-	return !a.idle() && !a.allows(s.def.Demand, s.job.priority)
+	return s.def.Demand
 }
 
-// AccountUse is an account with its use of the cell.
+// AccountUse is an account with its use of the cell, and the part of its limit that it has here.
 type AccountUse struct {
 	Account
-	Used, PossiblyUsed sched.Vec
+	Used, PossiblyUsed, Part sched.Vec
 }
 
 // usage returns the use of the cell by a, which may be nil.
@@ -223,7 +268,7 @@
 	if a == nil {
 		return AccountUse{}
 	}
-	return AccountUse{Account: a.Account, Used: a.used, PossiblyUsed: a.possiblyUsed}
+	return AccountUse{Account: a.Account, Used: a.used, PossiblyUsed: a.possiblyUsed, Part: a.part}
 }
 
 // ExclusiveAccount returns the only account that may query and cancel a job, "" if all may: the
--- a/cell/cell.go
+++ b/cell/cell.go
@@ -46,6 +46,11 @@
 	FairSharing bool
 	// Headroom means that pools keep room for their most urgent queues. It is set before Configure.
 	Headroom bool
+	// CellCount is the number of cells of the deployment, over which the limits of client accounts hold;
+	// 0 counts as 1. It is set before jobs are added.
+	CellCount int
+	// QuotaDamaged reports whether the stored shares of an account cannot be read; nil stands for none.
+	QuotaDamaged func(account string) bool
 
 	queues map[string]*Queue
 	// firstPriority is the priority of the most urgent queue.
@@ -84,6 +89,8 @@
 	// oldestNext means that the last long question was sent for its step's rank. With one long
 	// question at a time, the next one is for the step that has waited longest.
 	oldestNext bool
+	// dirtyQuotas are the accounts whose shares have to be saved.
+	dirtyQuotas []string
 	// policyStats holds statistics of the policies' answers, by queue.
 	policyStats map[string]*policyStats
 	// unasked collects, during Place, the steps that were left without a question, and tooEarly those
--- a/cluster/greet.go
+++ b/cluster/greet.go
@@ -28,7 +28,7 @@
 func (n *Instance) greeting() *wire.Greeting {
 	g := &wire.Greeting{
 		Instance: n.settings.Instance, Hall: n.settings.Hall, Boot: n.boot, Addr: n.settings.Listen.Peer,
-		Processor: n.processor(), Leaving: n.leaving.Load(), MovesJobs: n.division.several(),
+		Processor: n.processor(), Leaving: n.leaving.Load(), MovesJobs: n.division.several(), LendsLimits: n.division.several(),
 	}
 	n.addStoreState(g, clock.Now())
 	for name, c := range n.ownCells() {
--- a/cluster/members.go
+++ b/cluster/members.go
@@ -32,9 +32,11 @@
 	processor uint32
 	// movesJobs says that its build knows of jobs that move between cells.
 	movesJobs bool
-	config    uint64
-	cells     []*wire.CellSummary
-	heardAt   time.Time
+	// lendsLimits says that its build knows of shares of client accounts' limits.
+	lendsLimits bool
+	config      uint64
+	cells       []*wire.CellSummary
+	heardAt     time.Time
 	// bootSince is when its current process (boot) was first heard.
 	bootSince time.Time
 	// refusedAt is when its address last refused a connection.
@@ -113,7 +115,7 @@
 	k.hall, k.boot, k.addr = g.Hall, g.Boot, g.Addr
 	k.leaving, k.storeOK, k.config = g.Leaving, g.StoreOk, g.ConfigVersion
 	k.cells, k.heardAt, k.sentWork = g.Cells, now, 0
-	k.processor, k.movesJobs = g.Processor, g.MovesJobs
+	k.processor, k.movesJobs, k.lendsLimits = g.Processor, g.MovesJobs, g.LendsLimits
 	m.keepWorkers(g.Cells)
 	m.addrs[g.Addr] = now
 	for _, c := range g.Cells {
--- a/cluster/own.go
+++ b/cluster/own.go
@@ -50,7 +50,7 @@
 		Claim:       c, Store: n.storeClient, StoreReachable: n.storeClient.Reachable,
 		Workers: n.Workers, Relays: relays{n}, Directory: directory, List: lister.list, Cordons: n.cordons(),
 		Advise: n.advise, AskLimit: n.adviceConcurrency, HeardByAll: func() bool { return n.answeredByAll(c.LastWrite()) },
-		Elsewhere:     n.elsewhere(),
+		Cells: len(n.division.cells()), Elsewhere: n.elsewhere(),
 		OnLeaseLost:   func() { n.dropDriver(name, d) },
 		OnLoadTimeout: func() { n.giveUpCell(name, d, c) },
 		Log:           n.kit.Log, Scope: n.kit.Scope,
@@ -85,9 +85,7 @@
 	}
 }
 
-// configure applies the newest configuration to a cell. Each cell has an equal part of the limits
-// of client accounts, so that no owner has to ask another one before a start, nor to know for how
-// long one that is cut off continues to start tasks.
+// configure applies the newest configuration to a cell.
 func (n *Instance) configure(d *driver.Driver) {
 	if conf := n.config.Load(); conf != nil {
 		d.Configure(conf.CellQueues(), conf.CellAccounts(len(n.division.cells()))...)
--- a/config/account.go
+++ b/config/account.go
@@ -59,16 +59,12 @@
 	return account, ok || q.Open || !c.KeysRequired
 }
 
-// CellAccounts returns the accounts for each of a number of cells, with weights and limits
-// divided equally among them.
+// CellAccounts returns the accounts for each of a number of cells, with weights divided equally among
+// them. Limits hold for all cells together.
 func (c *Config) CellAccounts(cells int) []cell.Account {
-	parts := int64(max(cells, 1))
 	out := make([]cell.Account, len(c.Accounts))
 	for i, a := range c.Accounts {
-		a.Weight /= float64(parts)
-		for d := range a.Limit {
-			a.Limit[d] /= parts
-		}
+		a.Weight /= float64(max(cells, 1))
 		out[i] = a
 	}
 	return out
--- a/driver/commit.go
+++ b/driver/commit.go
@@ -89,7 +89,9 @@
 	listed []workerListEntry
 	// lost holds, by hall, the workers of whose runs the last records are written.
 	lost map[string][]string
-	tx   rows.Tx
+	// quotas are the shares of client accounts' limits that are written.
+	quotas []quotaRow
+	tx     rows.Tx
 }
 
 // collectGroup collects the pending changes, and reports whether there are any. The lock is held.
@@ -113,7 +115,7 @@
 		// The worker list's rows use up the entries reserved for these.
 		// A job may have been moved away and back since.
 		d.staleRecords = slices.DeleteFunc(d.staleRecords, d.cell.Holds)
-		g.stale = d.staleRecords[:min(len(d.staleRecords), maxStalePerCommit)]
+		g.stale = d.staleRecords[:min(len(d.staleRecords), maxStalePerCommit-d.putQuotas(&g))]
 		d.staleRecords = d.staleRecords[len(g.stale):]
 	}
 	for _, id := range g.stale {
@@ -122,7 +124,7 @@
 	for _, s := range g.saves {
 		g.tx.Put = append(g.tx.Put, rows.Row{Key: RecordKey(d.Name, s.ID), Value: s.Row})
 	}
-	return g, len(g.saves)+len(g.stale) > 0 || g.workerList
+	return g, len(g.saves)+len(g.stale)+len(g.quotas) > 0 || g.workerList
 }
 
 // commitOnce writes one group, and an empty one only if renew is set. It reports whether the store
@@ -157,6 +159,7 @@
 // committed applies the result of a group commit. The lock is held.
 func (d *Driver) committed(g commitGroup, ok bool) {
 	d.cell.Saved(g.saves, ok)
+	d.quotasCommitted(g.quotas, ok)
 	notify(d.placeNow)
 	if !ok {
 		d.staleRecords = slices.Concat(g.stale, d.staleRecords)
@@ -170,7 +173,7 @@
 	}
 	d.signalPersisted()
 	d.logEnded(g.saves)
-	if d.cell.Dirty() {
+	if d.cell.Dirty() || d.cell.QuotasDirty() {
 		notify(d.commitNow)
 	}
 }
--- a/driver/driver.go
+++ b/driver/driver.go
@@ -20,6 +20,7 @@
 	"dewpass.org/internal/window"
 	"dewpass.org/kind"
 	"dewpass.org/outage"
+	"dewpass.org/quota"
 	"dewpass.org/rows"
 	"dewpass.org/sched"
 )
@@ -61,8 +62,9 @@
 	Headroom bool
 	// WorkerSpeed enables learning the speeds of workers and choosing workers by them.
 	WorkerSpeed bool
-	// Elsewhere finds other cells for jobs that this one cannot run; it is nil if there is no other
-	// cell.
+	// Cells is the number of cells; 0 counts as 1. Elsewhere stands for the others; it is nil if there
+	// are none.
+	Cells     int
 	Elsewhere Elsewhere
 	// Advise asks the policy, and AskLimit returns how many such requests may be in flight at once.
 	Advise   func(ctx context.Context, a cell.Ask) (Tickets, error)
@@ -100,6 +102,8 @@
 	unarchived []cell.EndedJob
 	frozen     bool
 	loaded     bool
+	// storedQuotas holds the shares of client accounts' limits that the store has.
+	storedQuotas map[string]quota.Ledger
 	// workers are those that could run tasks a moment ago, if workersKnown is set.
 	workers      capacity.Workers
 	workersKnown bool
@@ -167,9 +171,11 @@
 		commitNow:   make(chan struct{}, 1),
 		scanNow:     make(chan struct{}, 1),
 		badSpecs:    make(map[string]bool),
-		startedAt:   clock.Now(),
+
+		storedQuotas: make(map[string]quota.Ledger),
+		startedAt:    clock.Now(),
 	}
-	d.cell.Name, d.cell.FairSharing, d.cell.Headroom = c.Name, c.FairSharing, c.Headroom
+	d.cell.Name, d.cell.FairSharing, d.cell.Headroom, d.cell.CellCount = c.Name, c.FairSharing, c.Headroom, c.Cells
 	d.cell.UseSpeeds(c.WorkerSpeed)
 	d.startWindow.Rate = d.LinkRate
 	if d.Relays == nil {
@@ -192,6 +198,7 @@
 			d.spawn(d.watchCordons)
 			if d.Elsewhere != nil {
 				d.spawn(d.watchMoves)
+				d.spawn(d.watchQuotas)
 			}
 			d.placeLoop()
 		}
--- a/driver/driver_test.go
+++ b/driver/driver_test.go
@@ -37,6 +37,8 @@
 	// failReads is how many further reads of a part of the jobs fail.
 	failReads map[string]int
 	reads     map[string]int
+	// rangesRead are all ranges that were read.
+	rangesRead []rows.Range
 }
 
 // maxRowBytes is the row size limit of the users' store.
@@ -76,6 +78,7 @@
 func (t *memStore) Get(_ context.Context, r rows.Range) (rows.Page, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.rangesRead = append(t.rangesRead, r)
 	if r.Table == TableSpecs {
 		t.reads[r.Part]++
 		if t.failReads[r.Part] > 0 {
--- a/driver/events.go
+++ b/driver/events.go
@@ -26,8 +26,8 @@
 			"unasked", w.Unasked.All, "unasked_room", w.Unasked.Room, "unasked_yield", w.Unasked.Yield,
 			"unfit", w.Unfit.All, "unfit_room", w.Unfit.Room,
 			"account", w.Account.Name, "beyond_share", w.BeyondShare, "share_level", w.ShareLevel,
-			"account_cpu", w.Account.Used[sched.MilliCPU], "maybe_cpu", w.Account.PossiblyUsed[sched.MilliCPU], "limit_cpu", w.Account.Limit[sched.MilliCPU],
-			"account_mem", w.Account.Used[sched.MemoryMiB], "maybe_mem", w.Account.PossiblyUsed[sched.MemoryMiB], "limit_mem", w.Account.Limit[sched.MemoryMiB])
+			"account_cpu", w.Account.Used[sched.MilliCPU], "maybe_cpu", w.Account.PossiblyUsed[sched.MilliCPU], "limit_cpu", w.Account.Part[sched.MilliCPU],
+			"account_mem", w.Account.Used[sched.MemoryMiB], "maybe_mem", w.Account.PossiblyUsed[sched.MemoryMiB], "limit_mem", w.Account.Part[sched.MemoryMiB])
 	}
 }
 
--- a/driver/load.go
+++ b/driver/load.go
@@ -38,6 +38,7 @@
 	workerList rows.RangeReader
 	lost       rows.RangeReader
 	leaseEnds  rows.RangeReader
+	quotas     rows.RangeReader
 }
 
 // jobs returns the specifications of all parts.
@@ -93,6 +94,9 @@
 	reads.Go(func() error { return r.workerList.Read(ctx, d.Store, d.workerListRange()) })
 	reads.Go(func() error { return r.lost.Read(ctx, d.Store, rows.KeyRange(d.lostWorkersKey())) })
 	reads.Go(func() error { return d.readCordons(ctx) })
+	if d.Elsewhere != nil {
+		reads.Go(func() error { return r.quotas.Read(ctx, d.Store, d.quotaRange()) })
+	}
 	reads.Go(func() error { return r.leaseEnds.Read(ctx, d.Store, rows.KeyRange(d.leaseEndsKey())) })
 	return reads.Wait()
 }
@@ -130,6 +134,7 @@
 	d.restoreWorkerList(r.workerList.Rows)
 	d.restoreLostWorkers(r.lost.Rows)
 	d.restoreLeaseEnds(r.leaseEnds.Rows)
+	d.restoreQuotas(&r.quotas)
 	d.badSpecs = r.undecodedSpecs()
 	d.restoreJobs(r.jobs(), r.records.Rows, r.records.BadRows)
 }
--- a/driver/move.go
+++ b/driver/move.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"context"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -13,6 +14,7 @@
 	"dewpass.org/flow"
 	"dewpass.org/internal/clock"
 	"dewpass.org/kind"
+	"dewpass.org/quota"
 	"dewpass.org/rows"
 )
 
@@ -34,7 +36,7 @@
 	moveParallelism = 4
 )
 
-// Elsewhere is what a driver needs to know of other cells to move jobs there.
+// Elsewhere is what a driver needs of other cells.
 type Elsewhere interface {
 	// Cell returns a cell that can run a job, "" if none is known.
 	Cell(j capacity.Job) string
@@ -42,6 +44,11 @@
 	Hall(cell, id string) string
 	// Moved is called with a job that another cell has from a version of the store on.
 	Moved(spec *flow.Spec, ver uint64)
+	// AskQuota asks all other cells for shares of an account's limit that a cell needs, or takes some
+	// that were offered. Cells that do not answer in time are left out of the result.
+	AskQuota(ctx context.Context, from string, n quota.Need, takes []quota.Offered) []QuotaAnswer
+	// AllLend reports whether all instances that may own a cell know of shares.
+	AllLend() bool
 }
 
 // movedJob is a job that was moved away: rows up to a version are those from before.
--- a/driver/move_test.go
+++ b/driver/move_test.go
@@ -13,15 +13,21 @@
 	"dewpass.org/capacity"
 	"dewpass.org/flow"
 	"dewpass.org/kind"
+	"dewpass.org/quota"
 	"dewpass.org/rows"
 )
 
 // otherCell is an Elsewhere with one other cell.
 type otherCell struct{ moved []string }
 
-func (o *otherCell) Cell(capacity.Job) string         { return "other" }
-func (o *otherCell) Hall(string, string) string       { return "h" }
-func (o *otherCell) Moved(spec *flow.Spec, _ uint64)  { o.moved = append(o.moved, spec.ID) }
+func (o *otherCell) Cell(capacity.Job) string        { return "other" }
+func (o *otherCell) Hall(string, string) string      { return "h" }
+func (o *otherCell) Moved(spec *flow.Spec, _ uint64) { o.moved = append(o.moved, spec.ID) }
+func (o *otherCell) AllLend() bool                   { return true }
+func (o *otherCell) AskQuota(context.Context, string, quota.Need, []quota.Offered) []QuotaAnswer {
+	return nil
+}
+
 func mustPut(t *memStore, all ...rows.Row) (v uint64) { return mustTx(t, rows.Tx{Put: all}) }
 
 func mustTx(t *memStore, tx rows.Tx) uint64 {
--- a/test/cluster/move_test.go
+++ b/test/cluster/move_test.go
@@ -28,16 +28,16 @@
 )
 
 // specialJob returns a job of several steps, one after another, that requires the label.
-func specialJob(steps int) string {
+func specialJob(steps, cpu, ms int) string {
 	var list []map[string]any
 	for i := range steps {
-		s := map[string]any{"count": 2, "cpu": 100, "mem_mb": 10, "estimate_ms": specialTime, "requirements": special}
+		s := map[string]any{"count": 2, "cpu": cpu, "mem_mb": 10, "estimate_ms": ms, "requirements": special}
 		if i > 0 {
 			s["depends_on"] = []int{i - 1}
 		}
 		list = append(list, s)
 	}
-	raw, err := json.Marshal(map[string]any{"spec": fmt.Sprintf("ms=%d cpu=100 mem=10", specialTime), "steps": list})
+	raw, err := json.Marshal(map[string]any{"spec": fmt.Sprintf("ms=%d cpu=%d mem=10", ms, cpu), "steps": list})
 	Expect(err).NotTo(HaveOccurred())
 	return string(raw)
 }
@@ -92,7 +92,7 @@
 	GinkgoHelper()
 	var ids []string
 	for range specialJobs {
-		ids = append(ids, b.submit(specialJob(steps)))
+		ids = append(ids, b.submit(specialJob(steps, 100, specialTime)))
 	}
 	return ids
 }
@@ -146,7 +146,7 @@
 		Entry("the owner of their cell is frozen while jobs move", func(b *testbed, _ []string) {
 			for range 3 {
 				b.awaitMoving()
-				b.freezeOwners(2 * time.Second)
+				b.freeze(2*time.Second, b.ownerOf("cell-0"), b.ownerOf("cell-1"))
 			}
 		}),
 	)
@@ -199,9 +199,8 @@
 
 var movedJobsLine = regexp.MustCompile(`(?m)^dewpass_jobs_moved_total\{.*\} (\d+)$`)
 
-// freezeOwners stops the processes that own cells for a time.
-func (b *testbed) freezeOwners(t time.Duration) {
-	frozen := []*instance{b.ownerOf("cell-0"), b.ownerOf("cell-1")}
+// freeze stops processes for a time.
+func (b *testbed) freeze(t time.Duration, frozen ...*instance) {
 	for _, e := range frozen {
 		e.signal(syscall.SIGSTOP)
 	}
