test/cluster: a soak with several cells

The soak had one cell, workers that are all alike, and clients that cancel what was accepted. This one has three cells, a label that few workers have, gangs, and cancels of jobs that were not accepted.

--- a/test/cluster/soak_lost_test.go
+++ b/test/cluster/soak_lost_test.go
@@ -70,10 +70,10 @@
 	}
 	var out []stall
 	for _, j := range s.jobs {
-		if !j.accepted || j.cancelled || j.crashes {
+		if !j.accepted || j.cancelled || j.crashes || j.special {
 			continue
 		}
-		for _, p := range stallsOf(idleIntervals(byJob[j.id], j.acceptedAt), calm, account[j.key]) {
+		for _, p := range stallsOf(idleIntervals(byJob[j.id], j.acceptedAt), calm, account[j.key], s.lostBelow()) {
 			out = append(out, stall{j.id, p})
 		}
 	}
@@ -81,23 +81,23 @@
 }
 
 // stallsOf returns the parts of a job's idle intervals that are calm, in which its account was below
-// its limit, and that are too long.
-func stallsOf(idle, calm []interval, account []world.Entry) []interval {
+// a number of tasks, and that are too long.
+func stallsOf(idle, calm []interval, account []world.Entry, below int) []interval {
 	var out []interval
 	for _, i := range idle {
 		for _, c := range calm {
-			out = append(out, belowLimit(account, i.intersect(c))...)
+			out = append(out, belowLimit(account, i.intersect(c), below)...)
 		}
 	}
 	return slices.DeleteFunc(out, func(p interval) bool { return p.duration() < maxStall })
 }
 
-// belowLimit returns the parts of an interval in which an account ran fewer tasks than its limit.
-func belowLimit(starts []world.Entry, p interval) []interval {
+// belowLimit returns the parts of an interval in which an account ran fewer tasks than a limit.
+func belowLimit(starts []world.Entry, p interval, limit int) []interval {
 	var out []interval
 	from := p.from
 	for at := p.from; at.Before(p.to); at = at.Add(limitCheckInterval) {
-		if running(starts, at) >= accountTaskLimit {
+		if running(starts, at) >= limit {
 			out = append(out, interval{from, at})
 			from = at.Add(limitCheckInterval)
 		}
--- a/test/cluster/soak_test.go
+++ b/test/cluster/soak_test.go
@@ -83,6 +83,9 @@
 	// slowPolicy is true if a slow policy decides which workers may run a step, and ownerChange if
 	// the owner is killed just before the calm.
 	slowPolicy, ownerChange bool
+	// several is true if there are several cells. Clients then also submit gangs and jobs that only some
+	// workers can run, and cancel jobs that they did not get accepted.
+	several bool
 	// clients is the number of clients with a valid key.
 	clients int
 	// submitInterval is the mean pause of a client between two jobs.
@@ -99,9 +102,11 @@
 type soakJob struct {
 	id string
 	// key is the API key of its client.
-	key      string
-	body     string
-	crashes  bool
+	key     string
+	body    string
+	crashes bool
+	// special means that only some workers can run the job.
+	special  bool
 	accepted bool
 	// acceptedAt is when a client was told that the job is accepted.
 	acceptedAt time.Time
@@ -169,6 +174,9 @@
 		if random.IntN(12) == 0 && s.inLastBout() {
 			j.crashes, j.body = true, crashingJob(2, time.Duration(random.IntN(150))*time.Millisecond, random.IntN(2))
 		}
+		if s.several && !j.crashes {
+			j.drawKind(random)
+		}
 		c.trySubmit(j, random)
 		if j.accepted {
 			p.add(j.id)
@@ -182,6 +190,9 @@
 				j.cancelAcked = time.Now()
 			}
 		}
+		if s.several && !j.accepted && random.IntN(2) == 0 {
+			j.cancelUnaccepted(c, random)
+		}
 		if len(jobs) > 0 && random.IntN(2) == 0 {
 			c.state(jobs[random.IntN(len(jobs))].id)
 		}
@@ -273,14 +284,17 @@
 func hasSlowPolicy(seed uint64) bool { return seed%slowPolicyEvery == 0 && seed%largeEvery != 0 }
 
 // newSoak starts a testbed for a seed, with limits for the client accounts.
-func newSoak(seed uint64) *soak {
+func newSoak(seed uint64, cells int) *soak {
 	GinkgoHelper()
 	s := &soak{
-		random: rand.New(rand.NewPCG(seed, 7)), outageRandom: rand.New(rand.NewPCG(seed, 9)), busyTargets: make(map[any]bool), version: 1,
+		several: cells > 1,
+		random:  rand.New(rand.NewPCG(seed, 7)), outageRandom: rand.New(rand.NewPCG(seed, 9)), busyTargets: make(map[any]bool), version: 1,
 		clients: soakClients, submitInterval: meanSubmitInterval, bouts: []time.Duration{soakDuration}, started: time.Now(),
 	}
 	variant := func(*world.Options) {}
 	switch {
+	case s.several:
+		variant = severalCellsVariant
 	case seed%largeEvery == 0:
 		s.clients *= 2
 		variant = func(o *world.Options) { o.WorkersPerHall = largeHallWorkers }
@@ -292,7 +306,7 @@
 			o.Advice, o.PolicyTime, o.PolicyTimePerWorker = true, slowPolicyTime, slowPolicyTimePerWorker
 		}
 	}
-	s.testbed = newTestbed(1, s.proxies.interceptAll, variant, s.drawRestarts(seed))
+	s.testbed = newTestbed(cells, s.proxies.interceptAll, variant, s.drawRestarts(seed))
 	if s.slowPolicy {
 		s.separatePolicyCallers()
 	}
@@ -319,14 +333,15 @@
 }
 
 var _ = Describe("a soak", Label("soak"), func() {
-	play := func(seed uint64, ownerChange bool) *soak {
-		s := newSoak(seed)
+	playCells := func(seed uint64, ownerChange bool, cells int) *soak {
+		s := newSoak(seed, cells)
 		s.ownerChange = ownerChange
 		DeferCleanup(func() { fmt.Fprintln(GinkgoWriter, strings.Join(s.log, "\n")) })
 		s.run()
 		s.check()
 		return s
 	}
+	play := func(seed uint64, ownerChange bool) *soak { return playCells(seed, ownerChange, 1) }
 	// The store may have an end before the owner knows: an instance that does not hear the owner shows
 	// the end, and the owner does not yet.
 	for _, seed := range []uint64{4, 16, 19} {
@@ -341,4 +356,7 @@
 			It(soakName(seed)+", after a change of owner", func() { play(seed, true) })
 		}
 	}
+	for _, seed := range severalCellsSeeds() {
+		It(fmt.Sprintf("keeps every promise in several cells, seed %d", seed), func() { playCells(seed, false, soakCells) })
+	}
 })
