cluster, capacity: the choice among cells is pure and apart; submissions in steps

What is chosen across cells moves from cluster to capacity, beside what cells can run: Candidate, Load, Sort and Draw, as they were. storeJob, of 45 lines with seven outcomes in one switch, is a submission that applies answers and errors in functions of their own. The summary of a cell is built in one place. No change of behaviour; suites of cluster and capacity green.

--- a/cluster/accept.go
+++ b/cluster/accept.go
@@ -15,7 +15,6 @@
 	"dewpass.org/internal/clock"
 	"dewpass.org/kind"
 	"dewpass.org/retry"
-	"dewpass.org/rows"
 	"dewpass.org/telemetry"
 	"dewpass.org/wire"
 )
@@ -184,7 +183,7 @@
 func (n *Instance) chooseCell(spec *flow.Spec) (cell, owner string) {
 	if p := n.candidates(n.capacityJob(spec)); len(p) > 0 {
 		c := drawCandidate(p, spec.ID)
-		return c.cell, c.name
+		return c.Cell, c.Owner
 	}
 	return n.division.hashCell(spec.ID), ""
 }
@@ -227,118 +226,6 @@
 	return ""
 }
 
-// storedJob is the result of storing a job: the cells that run it, its home cell first; who may use
-// it, if its home row says; the version at which the store took it; whether it may be new; and
-// whether this write is known to have stored it.
-type storedJob struct {
-	cells   []string
-	access  driver.Access
-	ver     uint64
-	fresh   bool
-	written bool
-}
-
-// storeJob writes a job on the condition that no cell has it.
-func (n *Instance) storeJob(ctx context.Context, cell string, spec *flow.Spec) (storedJob, error) {
-	spec.Cell = cell
-	home, value := driver.HomeKey(spec.ID), n.homeValue(spec)
-	t := rows.Tx{
-		Expect: []rows.Check{{Key: home}},
-		Put: []rows.Row{
-			{Key: home, Value: value},
-			{Key: driver.SpecKey(spec.ID), Value: flow.Encode(spec)},
-		},
-	}
-	uncertain := false
-	for {
-		res, err := n.sendJobTx(ctx, home, t)
-		switch {
-		case err == nil && !res.Refused:
-			return storedJob{cells: spec.Cells(), access: driver.HomeAccess(value), ver: res.Ver, fresh: true, written: true}, nil
-		case err == nil && withdrawalIn(res, home).Includes(spec.Account):
-			return storedJob{}, kind.New(kind.Cancelled, "the job was cancelled before it was accepted")
-		case err == nil && withdrawalIn(res, home).Any():
-			// Another client account has cancelled an id that it did not get accepted.
-			t.Expect = []rows.Check{{Key: home, Ver: rowIn(res, home).Ver}}
-			t.Remove = []rows.Key{driver.EndedKey(spec.ID)}
-		case err == nil:
-			// Some cell has the job, by this write or by an earlier one.
-			return withStoredCells(res, home, storedJob{cells: spec.Cells(), fresh: uncertain}), nil
-		case kind.Is(err, kind.BadRequest):
-			return storedJob{}, kind.New(kind.BadRequest, "the job is larger than the store takes")
-		case !kind.Is(err, kind.Unavailable):
-			uncertain = true
-			if !n.storeClient.Reachable() {
-				return storedJob{}, kind.Of(err).WithUnknownOutcome(spec.ID)
-			}
-		case !n.storeClient.Reachable():
-			if uncertain {
-				// An earlier attempt may have stored the job. Waiting here tells the caller nothing.
-				return storedJob{}, kind.New(kind.Lost, "the store is not reached any more").WithUnknownOutcome(spec.ID)
-			}
-			return storedJob{}, kind.Of(err).WithRetryAfter(n.retryAfter(spec.ID))
-		}
-		sleep(ctx, acceptRetryPause)
-		if ctx.Err() != nil && !uncertain {
-			return storedJob{}, kind.New(kind.Unavailable, "the store accepts no writes at present").WithRetryAfter(n.retryAfter(spec.ID))
-		}
-		if ctx.Err() != nil {
-			return storedJob{}, kind.New(kind.Lost, "the store has not answered").WithUnknownOutcome(spec.ID)
-		}
-	}
-}
-
-// withStoredCells completes k from the home row of a job that was stored before.
-func withStoredCells(res rows.Result, home rows.Key, k storedJob) storedJob {
-	row := rowIn(res, home)
-	if cells := driver.HomeCells(row.Value); len(cells) > 0 {
-		k.cells, k.access, k.ver = cells, driver.HomeAccess(row.Value), row.Ver
-	}
-	return k
-}
-
-// rowIn returns a row as a refused write shows it; its version is 0 if it is not there.
-func rowIn(res rows.Result, key rows.Key) rows.Row {
-	for _, row := range res.Rows {
-		if row.Key == key {
-			return row
-		}
-	}
-	return rows.Row{Key: key}
-}
-
-// withdrawalIn returns which accounts have withdrawn the job of a home row.
-func withdrawalIn(res rows.Result, home rows.Key) driver.Withdrawal {
-	return driver.HomeWithdrawal(rowIn(res, home).Value)
-}
-
-// sendJobTx sends the write once. While there is no answer it checks whether the job is stored.
-func (n *Instance) sendJobTx(ctx context.Context, home rows.Key, t rows.Tx) (rows.Result, error) {
-	send := rows.WriteAttempt{
-		Store: n.storeClient, Tx: t, Interval: acceptCheckInterval, Timeout: n.storeClient.ResendDelay(),
-		Lookup: func(ctx context.Context) (rows.Result, bool, error) {
-			return n.checkJobStored(ctx, home, t.Expect[0].Ver)
-		},
-	}
-	res, _, err := send.Send(ctx)
-	return res, err
-}
-
-// checkJobStored asks the store for a job, and reports whether it is pointless to wait longer for
-// the answer of the write that stores it if the home row has a version.
-func (n *Instance) checkJobStored(ctx context.Context, home rows.Key, ver uint64) (rows.Result, bool, error) {
-	if !n.storeClient.Reachable() {
-		return rows.Result{}, true, kind.New(kind.Lost, "the store is not reached any more")
-	}
-	ctx, cancel := context.WithTimeout(ctx, acceptCheckTimeout)
-	defer cancel()
-	page, err := n.storeClient.Get(ctx, rows.KeyRange(home))
-	if err == nil && page.First().Ver > ver {
-		return rows.Result{Refused: true, Rows: page.Rows}, true, nil
-	}
-	return rows.Result{}, false, nil
-}
-
 // notifyOwner sends a job to the owner of a cell until that has it or ctx ends.
 func (n *Instance) notifyOwner(ctx context.Context, cell string, ver uint64, spec *flow.Spec) {
 	raw := flow.EncodeSpec(spec)
--- a/cluster/candidates.go
+++ b/cluster/candidates.go
@@ -3,24 +3,22 @@
 package cluster
 
 import (
-	"cmp"
-	"slices"
-
 	"dewpass.org/capacity"
 	"dewpass.org/flow"
 	"dewpass.org/internal/clock"
 	"dewpass.org/sched"
 )
 
-// candidates returns the cells that may take a job, the best first: those that suit it best or, with
-// several of these, the least loaded.
-func (n *Instance) candidates(job capacity.Job) []candidate {
-	var out []candidate
+// localityBonus is by how much the load of a cell counts as less for a job whose data is there.
+const localityBonus = 0.5
+
+// candidates returns the cells that may take a job, the best first.
+func (n *Instance) candidates(job capacity.Job) []capacity.Candidate {
+	var out []capacity.Candidate
 	known := n.knownWorkers(clock.Now())
-	add := func(c candidate) {
-		gain := n.localityGain(job.Spec, c.cell)
-		c.load, c.local, c.fit = c.load-gain, gain > 0, n.fit(job, c.cell, known)
-		out = append(out, c)
+	add := func(cell, owner string, load float64) {
+		gain := n.localityGain(job.Spec, cell)
+		out = append(out, capacity.Candidate{Cell: cell, Owner: owner, Load: load - gain, Local: gain > 0, Fit: n.fit(job, cell, known)})
 	}
 	own := n.ownCells()
 	for name, c := range own {
@@ -28,20 +26,15 @@
 			continue
 		}
 		l := c.driver.Load()
-		add(candidate{cell: name, load: relativeLoad(l.Room[sched.MilliCPU], l.Free[sched.MilliCPU], l.Waiting)})
+		add(name, "", capacity.Load(l.Room[sched.MilliCPU], l.Free[sched.MilliCPU], l.Waiting))
 	}
 	for _, o := range n.members.cells(clock.Now()) {
 		if !o.cell.Ready || own[o.cell.Name] != nil {
 			continue
 		}
-		add(candidate{
-			cell: o.cell.Name, name: o.name,
-			load: relativeLoad(o.cell.Room, o.cell.Free, o.cell.Waiting+o.sentWork),
-		})
+		add(o.cell.Name, o.name, capacity.Load(o.cell.Room, o.cell.Free, o.cell.Waiting+o.sentWork))
 	}
-	slices.SortStableFunc(out, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(b.fit, a.fit), cmp.Compare(a.load, b.load), cmp.Compare(a.cell, b.cell))
-	})
+	capacity.Sort(out)
 	return out
 }
 
@@ -55,3 +48,8 @@
 	}
 	return gain
 }
+
+// drawCandidate chooses a cell for a job among sorted candidates.
+func drawCandidate(sorted []capacity.Candidate, id string) capacity.Candidate {
+	return capacity.Draw(sorted, hash32(id+"/first"), hash32(id+"/second"))
+}
--- a/cluster/cellworkers.go
+++ b/cluster/cellworkers.go
@@ -189,14 +189,14 @@
 		return ""
 	}
 	known := e.n.knownWorkers(now)
-	able := slices.DeleteFunc(e.n.candidates(j), func(c candidate) bool {
-		_, ok := known[c.cell]
-		return !ok || c.fit == capacity.None || c.cell == j.Spec.Cell
+	able := slices.DeleteFunc(e.n.candidates(j), func(c capacity.Candidate) bool {
+		_, ok := known[c.Cell]
+		return !ok || c.Fit == capacity.None || c.Cell == j.Spec.Cell
 	})
 	if len(able) == 0 {
 		return ""
 	}
-	return drawCandidate(able, j.Spec.ID).cell
+	return drawCandidate(able, j.Spec.ID).Cell
 }
 
 // Hall implements driver.Elsewhere.
--- a/cluster/greet.go
+++ b/cluster/greet.go
@@ -32,22 +32,24 @@
 	}
 	n.addStoreState(g, clock.Now())
 	for name, c := range n.ownCells() {
-		d, written := c.driver, c.claim.LastWrite()
-		load := d.Load()
-		sum := &wire.CellSummary{
-			Name: name, Epoch: d.Claim.Epoch(), Ready: d.Ready(), Keeps: n.storeClient.Reachable(),
-			Room: load.Room[sched.MilliCPU], Free: load.Free[sched.MilliCPU], Waiting: load.Waiting,
-			LeaseVer: written.Ver, LeaseAgeUs: uint64(clock.Since(written.Begun).Microseconds()),
-		}
-		sum.Pending = pendingOf(load)
-		sum.Halls = hallRooms(load)
-		sum.Queues = queueLoads(d.QueueLoads())
-		sum.Workers = n.workersToReport(name, d, clock.Now())
-		g.Cells = append(g.Cells, sum)
+		g.Cells = append(g.Cells, n.summary(name, c))
 	}
 	return g
 }
 
+// summary returns the summary of an own cell.
+func (n *Instance) summary(name string, c *ownCell) *wire.CellSummary {
+	d, written := c.driver, c.claim.LastWrite()
+	load := d.Load()
+	return &wire.CellSummary{
+		Name: name, Epoch: d.Claim.Epoch(), Ready: d.Ready(), Keeps: n.storeClient.Reachable(),
+		Room: load.Room[sched.MilliCPU], Free: load.Free[sched.MilliCPU], Waiting: load.Waiting,
+		LeaseVer: written.Ver, LeaseAgeUs: uint64(clock.Since(written.Begun).Microseconds()),
+		Pending: pendingOf(load), Halls: hallRooms(load), Queues: queueLoads(d.QueueLoads()),
+		Workers: n.workersToReport(name, d, clock.Now()),
+	}
+}
+
 // pendingOf returns the number of pending jobs of each queue.
 func pendingOf(load cell.Load) []*wire.QueuePending {
 	out := make([]*wire.QueuePending, 0, len(load.Pending))
