upkeep: whether orders may be given is asked again once the slot is taken

Cause: the owner asked before it wrote the slot into the wave's record, and froze while it waited for the answer.

Change: it asks again after the write. The slot stays taken, so that whoever has the cell orders in a next step. The new spec of upkeep fails without the change.

--- a/upkeep/runner.go
+++ b/upkeep/runner.go
@@ -169,6 +169,11 @@
 	if err := r.writeRecord(ctx, w.Number, p, m.Name, &slot); err != nil {
 		return err
 	}
+	if !r.Cell.Evacuated(m.Worker) {
+		// The write may have taken long, or this process was paused: another owner may have the cell by
+		// now, and have ordered. The slot stays taken, so whoever has the cell orders in a next step.
+		return kind.New(kind.Unavailable, "no orders may be given since the record of the wave was written")
+	}
 	a, err := r.Platform.Begin(ctx, Order{Machine: m.Name, Wave: w.Number, Holder: r.Holder, Fence: r.Fence})
 	level.Info(r.Log).Log("event", "upkeep", "wave", w.Number, "machine", m.Name, "worker", m.Worker, "fence", r.Fence, "answer", int(a), "err", err)
 	switch {
--- a/upkeep/upkeep_test.go
+++ b/upkeep/upkeep_test.go
@@ -90,6 +90,17 @@
 	return rows.Result{Refused: true}, nil
 }
 
+// pausingStore calls a function after each write.
+type pausingStore struct {
+	*fakeStore
+	written func()
+}
+
+func (s pausingStore) Tx(ctx context.Context, t rows.Tx) (rows.Result, error) {
+	defer s.written()
+	return s.fakeStore.Tx(ctx, t)
+}
+
 var _ = Describe("a wave", func() {
 	var s *fakePlatform
 	var c *fakeCell
@@ -180,6 +191,19 @@
 		Expect(s.orders[3].Machine).To(Equal("m1"), "m0 is up, so its upkeep is over")
 	})
 
+	// An owner that was paused while it took the slot ordered after the next owner had, under a lower fence.
+	It("orders nothing if it may not any more once the slot is taken", func() {
+		store := &fakeStore{}
+		r.Store = pausingStore{store, func() { c.busy["w0"] = true }}
+		Expect(step()).NotTo(Succeed())
+		Expect(s.orders).To(BeEmpty())
+		Expect(string(store.row.Value)).To(ContainSubstring("m0"), "the slot stays taken")
+		c.busy["w0"] = false
+		r.Store = store
+		Expect(step()).To(Succeed())
+		Expect(s.orders).To(HaveLen(1))
+	})
+
 	It("waits until a worker is evacuated", func() {
 		c.busy["w0"] = true
 		Expect(step()).To(Succeed())
