cell: a job whose policy refuses all workers of its cell moves as well

Related to the jobs in cells that cannot run them: a cell may have few workers for a job, none of which its policy permits, while another cell has some that it does. The owner learns that as it asks; the policy's answer about a worker does not change. The job moves with the names of the cells that were in vain, to which it does not come back for that.

--- a/cell/job.go
+++ b/cell/job.go
@@ -51,6 +51,8 @@
 	restored bool
 	// strandedSince is when the cell was first found unable to run the job, zero while it can.
 	strandedSince time.Time
+	// refusedHere means that the policy permits none of the workers here that could run the job.
+	refusedHere bool
 	// movingTo names the cell to which the job moves. Nothing of it is started here any more.
 	movingTo string
 	// activeTrials counts the job's runs on trial, and trialsPassed its trials that went well.
--- a/cell/move.go
+++ b/cell/move.go
@@ -42,6 +42,7 @@
 type presentWorkers struct {
 	capacity.Workers
 	racks map[string]bool
+	all   []*worker
 }
 
 func (c *Cell) presentWorkers(except []string, now time.Time) presentWorkers {
@@ -50,11 +51,32 @@
 		if !w.Gone && !w.leaving() && !slices.Contains(except, w.Hall) && (w.attached || now.Sub(w.detachedSince) < reachTimeout) {
 			p.Add(w.Pool, w.Labels, w.Rack, w.Room)
 			p.racks[w.Rack] = true
+			p.all = append(p.all, w)
 		}
 	}
 	return p
 }
 
+// canRun reports whether the workers can run tasks of s, and whether only the policy forbids it: it was
+// asked about all that suit, and its answer about a worker does not change.
+func (p *presentWorkers) canRun(s *stage, q *Queue) (can, refused bool) {
+	rack := p.racks[s.def.RequiredLabel]
+	if !p.CanRun(s.def, q.Pool, rack) {
+		return false, false
+	}
+	if q.Advice == nil || len(s.advice.asked) == 0 {
+		return true, false
+	}
+	var open capacity.Workers
+	for _, w := range p.all {
+		if _, permitted := s.advice.findTicket(w); (permitted || !s.advice.asked[w]) && w.suits(s, q) {
+			open.Add(w.Pool, w.Labels, w.Rack, w.Room)
+		}
+	}
+	can = open.CanRun(s.def, q.Pool, rack)
+	return can, !can
+}
+
 // Stranded returns the jobs that this cell has been unable to run for a while, of which nothing runs
 // or may run here. Nothing is started in the halls of except.
 func (c *Cell) Stranded(except []string, now, wall time.Time) []capacity.Job {
@@ -67,11 +89,12 @@
 	seen := make(map[*job]bool)
 	for _, s := range c.openStages {
 		j := s.job
-		if seen[j] {
+		if seen[j] || j.movingTo != "" {
 			continue
 		}
 		seen[j] = true
-		if !c.canRunNothing(j, &present, &u, wall) {
+		stranded, refused := c.canRunNothing(j, &present, &u, wall)
+		if j.refusedHere = refused; !stranded {
 			j.strandedSince = time.Time{}
 			continue
 		}
@@ -94,27 +117,27 @@
 	return min(d, maxMoveDelay)
 }
 
-// canRunNothing reports whether some step of j should run and the workers can run none, and whether it
-// is certain that nothing of j runs here.
-func (c *Cell) canRunNothing(j *job, present *presentWorkers, u *unsettled, wall time.Time) bool {
+// canRunNothing reports whether some step of j should run and the workers can run none, and it is certain
+// that nothing of j runs here; and whether the policy refuses a step that they could run.
+func (c *Cell) canRunNothing(j *job, present *presentWorkers, u *unsettled, wall time.Time) (stranded, refused bool) {
 	q := c.queues[j.spec.Queue]
 	if q == nil || !j.mayMove() {
-		return false
+		return false, false
 	}
-	waits := false
 	for _, s := range j.stages {
 		if s.tasksLeft > 0 && c.heldUp(s, u) {
-			return false
+			return false, false
 		}
 		if s.waiting == 0 || !s.ready() || s.due.After(wall) {
 			continue
 		}
-		if present.CanRun(s.def, q.Pool, present.racks[s.def.RequiredLabel]) {
-			return false
+		can, byPolicy := present.canRun(s, q)
+		if can {
+			return false, false
 		}
-		waits = true
+		stranded, refused = true, refused || byPolicy
 	}
-	return waits
+	return stranded, refused
 }
 
 // mayMove reports whether j belongs to this cell alone and has no runs.
@@ -177,6 +200,9 @@
 	spec := *j.spec
 	spec.Cell, spec.Hall = to, ""
 	spec.Moves++
+	if j.refusedHere {
+		spec.RefusedIn = append(slices.Clone(spec.RefusedIn), c.Name)
+	}
 	spec.RunsBelow = c.runBaseOf(j)
 	for _, s := range j.stages {
 		for i := range s.tasks {
--- a/cell/move_test.go
+++ b/cell/move_test.go
@@ -3,6 +3,8 @@
 package cell
 
 import (
+	"time"
+
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -85,6 +87,31 @@
 		Expect(r.strandedIDs()).To(Equal([]string{"j"}))
 	})
 
+	// A cell with few workers for a job may have none that the policy permits.
+	It("is stranded once the policy has refused all workers that could run it", func() {
+		r := newRig(0)
+		r.Name = "here"
+		r.Configure([]Queue{{Name: "q", Pool: "p", MaxAttempts: 2, Stretch: 1.5, Target: time.Second, Advice: &Advice{Decide: time.Millisecond, Each: time.Millisecond, Valid: time.Second}}})
+		for _, id := range []string{"a", "b"} {
+			r.heard(id, func(w *Worker) { w.Labels = []string{"x"} })
+			r.Attached(id, Lists{}, r.now)
+		}
+		r.add("j", labeled("x", one))
+		asks := r.place().Asks
+		Expect(asks).NotTo(BeEmpty())
+		Expect(r.strandedIDs()).To(BeEmpty(), "the policy has not answered")
+		for len(asks) > 0 {
+			r.Advised(asks[0], nil, time.Second, r.now)
+			asks = append(asks[1:], r.place().Asks...)
+			r.now = r.now.Add(time.Second)
+		}
+		Expect(r.strandedIDs()).To(Equal([]string{"j"}))
+		Expect(r.Move("j", "there")).To(BeTrue())
+		r.save()
+		Expect(r.Stranded(nil, r.now, r.now)).To(BeEmpty())
+		Expect(r.Moves()[0].RefusedIn).To(Equal([]string{"here"}))
+	})
+
 	It("waits longer for each move before", func() {
 		Expect(moveDelay(0)).To(Equal(strandedDelay))
 		Expect(moveDelay(1)).To(Equal(2 * strandedDelay))
--- a/cluster/cells_test.go
+++ b/cluster/cells_test.go
@@ -48,6 +48,9 @@
 		Expect(n.candidates(job("y"))[0].Cell).To(Equal("cell-1"))
 		Expect(elsewhere{n}.Cell(job("y"))).To(Equal("cell-1"))
 		Expect(elsewhere{n}.Cell(job("z"))).To(BeEmpty(), "no cell can run it")
+		refused := job("y")
+		refused.Spec.RefusedIn = []string{"cell-1"}
+		Expect(elsewhere{n}.Cell(refused)).To(BeEmpty(), "its policy permits none of the workers there")
 		Expect(n.runnableIn([]string{"cell-0", "cell-1", "cell-2"}, job("y").Spec)).To(Equal([]string{"cell-2"}), "the pool of its queue is not known: only a cell without a report is able")
 	})
 
--- a/cluster/cellworkers.go
+++ b/cluster/cellworkers.go
@@ -191,7 +191,7 @@
 	known := e.n.knownWorkers(now)
 	able := slices.DeleteFunc(e.n.candidates(j), func(c capacity.Candidate) bool {
 		_, ok := known[c.Cell]
-		return !ok || c.Fit == capacity.None || c.Cell == j.Spec.Cell
+		return !ok || c.Fit == capacity.None || c.Cell == j.Spec.Cell || slices.Contains(j.Spec.RefusedIn, c.Cell)
 	})
 	if len(able) == 0 {
 		return ""
--- a/flow/flow.go
+++ b/flow/flow.go
@@ -99,6 +99,8 @@
 	// Moves counts how often the job was moved to another cell. The fields after it are those of a
 	// moved job.
 	Moves int `json:"moves,omitempty"`
+	// RefusedIn names the former cells that have workers for the job, none of which its policy permits.
+	RefusedIn []string `json:"refused_in,omitempty"`
 	// RunsBelow is added to the numbers of the job's runs, so that they are above all numbers given in
 	// its former cells.
 	RunsBelow int `json:"runs_below,omitempty"`
