cluster, cell: no copy of the list of instances to ask whether any is of an earlier build

The question is asked ten times a second for each cell where there are several; the list was copied and sorted each time. What a cell has borrowed is looked at before its workers are. No change of behaviour; the specs of both packages that use them are green.

--- a/cell/quota.go
+++ b/cell/quota.go
@@ -126,11 +126,8 @@
 // ReturnQuota gives back to other cells what they lent and was not used for a time. In this cell it would
 // be out of reach for all while the cell has no owner.
 func (c *Cell) ReturnQuota(after time.Duration, now time.Time) {
-	if c.anyUnsettled() {
-		return
-	}
 	for _, a := range c.accounts {
-		if a.shares.Excess() <= 0 {
+		if a.shares.Excess() <= 0 || c.anyUnsettled() {
 			continue
 		}
 		if a.unusedShares() < a.shares.Excess() {
--- a/cluster/cellworkers.go
+++ b/cluster/cellworkers.go
@@ -108,7 +108,7 @@
 // allMoveJobs reports whether all live instances know of jobs that move between cells. Those that do
 // not could neither run such a job nor find its cell.
 func (m *members) allMoveJobs(now time.Time) bool {
-	return len(m.list(now, func(k *member) bool { return !k.movesJobs })) == 0
+	return !m.anyLive(now, func(k *member) bool { return !k.movesJobs })
 }
 
 // knownWorkers returns the workers of the cells of which they are known, nil if there is only one cell.
--- a/cluster/members.go
+++ b/cluster/members.go
@@ -209,6 +209,18 @@
 	return 1 + len(m.list(now, func(k *member) bool { return k.hall == m.hall }))
 }
 
+// anyLive reports whether match returns true for a live member.
+func (m *members) anyLive(now time.Time, match func(*member) bool) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, k := range m.known {
+		if m.live(k, now) && match(k) {
+			return true
+		}
+	}
+	return false
+}
+
 // list returns copies of the live members for which keep returns true, sorted by name.
 func (m *members) list(now time.Time, keep func(*member) bool) []member {
 	m.mu.Lock()
--- a/cluster/quota.go
+++ b/cluster/quota.go
@@ -18,7 +18,7 @@
 
 // allLend reports whether all live instances know of shares of limits.
 func (m *members) allLend(now time.Time) bool {
-	return len(m.list(now, func(k *member) bool { return !k.lendsLimits })) == 0
+	return !m.anyLive(now, func(k *member) bool { return !k.lendsLimits })
 }
 
 // AllLend implements driver.Elsewhere.
