quota, driver: cells tell each other what they have given, so that no share stays in none

Cause: a taker learned of what it was given from answers to its own questions alone. A cell took all shares, was handed over 0.09 s later before it had noted them, and its next owner needed none: it never asked, and the others found nothing to take. What goes back to a lender unasked had the same way to be lost, and so had an answer without a reply to a step that is cancelled meanwhile.

Change: two cells exchange all that they have ever given to each other when one has a new owner, after an answer that was lost and after shares were given back, until both have heard it. The numbers only rise, so hearing them twice, late or out of order changes nothing. One cell exchanges nothing.

--- a/cell/quota.go
+++ b/cell/quota.go
@@ -123,9 +123,9 @@
 	return true
 }
 
-// ReturnQuota gives back to other cells what they lent and was not used for a time. In this cell it would
-// be out of reach for all while the cell has no owner.
-func (c *Cell) ReturnQuota(after time.Duration, now time.Time) {
+// ReturnQuota gives back to other cells what they lent and was not used for a time, and returns these
+// cells. In this cell it would be out of reach for all while the cell has no owner.
+func (c *Cell) ReturnQuota(after time.Duration, now time.Time) (returned []string) {
 	for _, a := range c.accounts {
 		if a.shares.Excess() <= 0 || c.anyUnsettled() {
 			continue
@@ -141,9 +141,22 @@
 			if n := min(lent[cell], a.unusedShares(), a.shares.Excess()); n > 0 {
 				a.shares.Give(cell, n)
 				c.quotaChanged(a)
+				returned = append(returned, cell)
 			}
 		}
 	}
+	return returned
+}
+
+// QuotaGifts returns how many shares of each account this cell has ever given to another one.
+func (c *Cell) QuotaGifts(to string) map[string]int64 {
+	out := make(map[string]int64)
+	for name, a := range c.accounts {
+		if n := a.shares.Given[to]; n > 0 {
+			out[name] = n
+		}
+	}
+	return out
 }
 
 func (c *Cell) quotaChanged(a *account) {
--- a/cluster/peers.go
+++ b/cluster/peers.go
@@ -44,6 +44,8 @@
 		return n.handleWorkers(ctx, b.Workers)
 	case *wire.Request_Quota:
 		return n.handleQuota(ctx, b.Quota)
+	case *wire.Request_QuotaGifts:
+		return n.handleGifts(ctx, b.QuotaGifts)
 	case *wire.Request_Store:
 		answer, err := n.storeClient.ServeRelayed(ctx, b.Store.Call)
 		return &wire.Reply{Body: &wire.Reply_Store{Store: &wire.StoreAnswer{Answer: answer}}}, err
--- a/driver/driver.go
+++ b/driver/driver.go
@@ -104,6 +104,8 @@
 	loaded     bool
 	// storedQuotas holds the shares of client accounts' limits that the store has.
 	storedQuotas map[string]quota.Ledger
+	// giftsKnown holds the cells with which this one has exchanged what they have given to each other.
+	giftsKnown map[string]bool
 	// workers are those that could run tasks a moment ago, if workersKnown is set.
 	workers      capacity.Workers
 	workersKnown bool
@@ -173,6 +175,7 @@
 		badSpecs:    make(map[string]bool),
 
 		storedQuotas: make(map[string]quota.Ledger),
+		giftsKnown:   make(map[string]bool),
 		startedAt:    clock.Now(),
 	}
 	d.cell.Name, d.cell.FairSharing, d.cell.Headroom, d.cell.CellCount = c.Name, c.FairSharing, c.Headroom, c.Cells
--- a/driver/move.go
+++ b/driver/move.go
@@ -47,6 +47,9 @@
 	// AskQuota asks all other cells for shares of an account's limit that a cell needs, or takes some
 	// that were offered. Cells that do not answer in time are left out of the result.
 	AskQuota(ctx context.Context, from string, n quota.Need, takes []quota.Offered) []QuotaAnswer
+	// ExchangeGifts exchanges with the cells for which due returns true what they and the cell of d have
+	// given to each other. Cells that do not answer are left out of the result.
+	ExchangeGifts(ctx context.Context, d *Driver, due func(cell string) bool) []Gifts
 	// AllLend reports whether all instances that may own a cell know of shares.
 	AllLend() bool
 }
--- a/driver/move_test.go
+++ b/driver/move_test.go
@@ -24,6 +24,9 @@
 func (o *otherCell) Hall(string, string) string      { return "h" }
 func (o *otherCell) Moved(spec *flow.Spec, _ uint64) { o.moved = append(o.moved, spec.ID) }
 func (o *otherCell) AllLend() bool                   { return true }
+func (o *otherCell) ExchangeGifts(context.Context, *Driver, func(string) bool) []Gifts {
+	return nil
+}
 func (o *otherCell) AskQuota(context.Context, string, quota.Need, []quota.Offered) []QuotaAnswer {
 	return nil
 }
--- a/driver/quota.go
+++ b/driver/quota.go
@@ -7,6 +7,8 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -44,6 +46,10 @@
 	quotaNameBytes = 12
 )
 
+// Whatever a cell gives has to become known to the taker, or nobody can use it. Cells therefore exchange
+// what they have given to each other when a cell has a new owner, after an answer that was lost, and after
+// shares were given back, until each has heard it from the other.
+
 // QuotaAnswer is the answer of a cell that was asked for shares.
 type QuotaAnswer struct {
 	Cell string
@@ -113,6 +119,7 @@
 // watchQuotas asks other cells for the shares that steps here wait for.
 func (d *Driver) watchQuotas() {
 	pauses := make(map[quotaCase]quotaPause)
+	var exchanged quotaPause
 	for d.ctx.Err() == nil {
 		d.sleep(quotaInterval)
 		if !d.Elsewhere.AllLend() {
@@ -122,23 +129,91 @@
 			continue
 		}
 		d.returnQuotas(quotaReturnDelay)
+		if now := clock.Now(); d.exchangeDue() && now.After(exchanged.until) {
+			exchanged.next(now, d.exchangeGifts())
+		}
 		for _, n := range d.quotaNeeds() {
 			at := quotaCase{n.Account, n.Wide}
 			p, now := pauses[at], clock.Now()
 			if now.Before(p.until) {
 				continue
 			}
-			if d.askForQuota(n) {
-				delete(pauses, at)
-				continue
-			}
-			p.length = min(max(2*p.length, quotaInterval), maxQuotaPause)
-			p.until = now.Add(p.length)
+			p.next(now, d.askForQuota(n))
 			pauses[at] = p
 		}
 	}
 }
 
+// next sets the pause after an attempt.
+func (p *quotaPause) next(now time.Time, ok bool) {
+	if ok {
+		*p = quotaPause{}
+		return
+	}
+	p.length = min(max(2*p.length, quotaInterval), maxQuotaPause)
+	p.until = now.Add(p.length)
+}
+
+// exchangeDue reports whether some cell has yet to tell what it has given to this one, or to hear what
+// this one has given to it.
+func (d *Driver) exchangeDue() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.loaded && !d.frozen && len(d.giftsKnown) < d.Config.Cells-1
+}
+
+// exchangeGifts exchanges with the other cells what they and this one have given to each other, and
+// reports whether all have answered.
+func (d *Driver) exchangeGifts() bool {
+	ctx, cancel := context.WithTimeout(d.ctx, quotaTimeout)
+	defer cancel()
+	d.mu.Lock()
+	known := maps.Clone(d.giftsKnown)
+	d.mu.Unlock()
+	for _, g := range d.Elsewhere.ExchangeGifts(ctx, d, func(cell string) bool { return !known[cell] }) {
+		d.ReceiveGifts(g.Cell, g.Gifts)
+	}
+	return !d.exchangeDue()
+}
+
+// Gifts are the shares of each account that a cell has ever given to another one.
+type Gifts struct {
+	Cell  string
+	Gifts map[string]int64
+}
+
+// GiftsTo returns how many shares of each account this cell has ever given to another one, once the store
+// has that.
+func (d *Driver) GiftsTo(ctx context.Context, to string) (map[string]int64, error) {
+	d.mu.Lock()
+	ready, given := d.loaded && !d.frozen, d.cell.QuotaGifts(to)
+	d.mu.Unlock()
+	if !ready {
+		return nil, errCellNotLoaded()
+	}
+	for account, n := range given {
+		if _, err := d.awaitGift(ctx, account, to, n); err != nil {
+			return nil, err
+		}
+	}
+	return given, nil
+}
+
+// ReceiveGifts records how many shares of each account another cell says that it has ever given to this
+// one.
+func (d *Driver) ReceiveGifts(from string, gifts map[string]int64) {
+	for account, given := range gifts {
+		d.receiveQuota(account, []QuotaAnswer{{Cell: from, Given: given}})
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.giftsKnown[from] = true
+}
+
+func errCellNotLoaded() error {
+	return kind.New(kind.Unavailable, "the jobs of the cell are not loaded yet")
+}
+
 // quotaCase tells the needs of an account that are asked for separately, and quotaPause is for how long
 // one of them is not asked for.
 type quotaCase struct {
@@ -167,7 +242,9 @@
 	if !d.loaded || d.frozen {
 		return
 	}
-	d.cell.ReturnQuota(after, clock.Now())
+	for _, cell := range d.cell.ReturnQuota(after, clock.Now()) {
+		delete(d.giftsKnown, cell)
+	}
 	if d.cell.QuotasDirty() {
 		notify(d.commitNow)
 	}
@@ -191,12 +268,25 @@
 	if len(takes) == 0 {
 		return false
 	}
-	got := d.receiveQuota(n.Account, d.Elsewhere.AskQuota(ctx, d.Name, n, takes))
+	answers = d.Elsewhere.AskQuota(ctx, d.Name, n, takes)
+	d.noteUnanswered(takes, answers)
+	got := d.receiveQuota(n.Account, answers)
 	level.Info(d.Log).Log("event", "quota_taken", "cell", d.Name, "epoch", d.Claim.Epoch(), "account", n.Account, "job", n.Order.Job,
 		"wide", n.Wide, "needed", n.Least, "wanted", n.Shares, "cells", len(takes), "got", got)
 	return got
 }
 
+// noteUnanswered notes which cells may have given shares without this one knowing.
+func (d *Driver) noteUnanswered(takes []quota.Offered, answers []QuotaAnswer) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, t := range takes {
+		if !slices.ContainsFunc(answers, func(a QuotaAnswer) bool { return a.Cell == t.Cell }) {
+			delete(d.giftsKnown, t.Cell)
+		}
+	}
+}
+
 // receiveQuota records what other cells have given, and reports whether that was more than was known.
 func (d *Driver) receiveQuota(account string, answers []QuotaAnswer) bool {
 	d.mu.Lock()
@@ -219,7 +309,7 @@
 	d.mu.Lock()
 	if !d.loaded || d.frozen {
 		d.mu.Unlock()
-		return QuotaAnswer{}, kind.New(kind.Unavailable, "the jobs of the cell are not loaded yet")
+		return QuotaAnswer{}, errCellNotLoaded()
 	}
 	now, wall := clock.Now(), clock.Wall()
 	if given := d.cell.GiveQuota(n, to, take, now, wall); given > 0 {
@@ -229,17 +319,25 @@
 	a := QuotaAnswer{Cell: d.Name, Offer: d.cell.OfferQuota(n, now, wall)}
 	given := d.cell.Quota(n.Account).Given[to]
 	d.mu.Unlock()
+	var err error
+	a.Given, err = d.awaitGift(ctx, n.Account, to, given)
+	return a, err
+}
+
+// awaitGift waits until the store has that this cell has given so many shares of an account to another
+// one, and returns how many it has.
+func (d *Driver) awaitGift(ctx context.Context, account, to string, given int64) (int64, error) {
 	for {
 		kept := d.persistedSignal()
-		if a.Given = d.storedGift(n.Account, to); a.Given >= given {
-			return a, nil
+		if stored := d.storedGift(account, to); stored >= given {
+			return stored, nil
 		}
 		select {
 		case <-kept:
 		case <-d.ctx.Done():
-			return QuotaAnswer{}, kind.New(kind.Unavailable, "the cell has been given up")
+			return 0, kind.New(kind.Unavailable, "the cell has been given up")
 		case <-ctx.Done():
-			return QuotaAnswer{}, kind.Wrap(kind.Unavailable, ctx.Err(), "shares")
+			return 0, kind.Wrap(kind.Unavailable, ctx.Err(), "shares")
 		}
 	}
 }
--- a/driver/quota_test.go
+++ b/driver/quota_test.go
@@ -25,6 +25,23 @@
 	old    bool
 }
 
+func (l *lender) ExchangeGifts(ctx context.Context, d *Driver, due func(string) bool) (out []Gifts) {
+	for _, o := range l.others {
+		if !due(o.Name) {
+			continue
+		}
+		given, err := d.GiftsTo(ctx, o.Name)
+		if err != nil {
+			continue
+		}
+		o.ReceiveGifts(d.Name, given)
+		if gifts, err := o.GiftsTo(ctx, d.Name); err == nil {
+			out = append(out, Gifts{Cell: o.Name, Gifts: gifts})
+		}
+	}
+	return out
+}
+
 func (l *lender) AllLend() bool { return !l.old }
 
 func (l *lender) AskQuota(ctx context.Context, from string, n quota.Need, takes []quota.Offered) (out []QuotaAnswer) {
@@ -96,6 +113,42 @@
 		Expect(l.Excess()).To(Equal(int64(100)))
 	})
 
+	// A cell whose new owner did not know that it had all shares, and needed none, left all others waiting
+	// for ever.
+	ginkgo.It("are known to a next owner of the taker that needs none", func(ctx context.Context) {
+		t := newMemStore()
+		giver := newLendingOwner(ctx, t, "giver", &lender{})
+		e := &lender{others: []*Driver{giver}}
+		Expect(giver.cell.GiveQuota(need, "taker", 100, time.Now(), time.Now())).To(Equal(int64(100)))
+		Expect(giver.commitOnce(false)).To(BeTrue())
+		taker := newLendingOwner(ctx, t, "taker", e)
+		Expect(taker.exchangeDue()).To(BeTrue())
+		Expect(taker.exchangeGifts()).To(BeTrue())
+		l := taker.cell.Quota("a")
+		Expect(l.Excess()).To(Equal(int64(100)))
+	})
+
+	ginkgo.It("are known to the cell that gets them back, and after an answer that was lost", func(ctx context.Context) {
+		t := newMemStore()
+		giver := newLendingOwner(ctx, t, "giver", &lender{})
+		taker := newLendingOwner(ctx, t, "taker", &lender{others: []*Driver{giver}})
+		Expect(taker.exchangeGifts()).To(BeTrue())
+		Expect(giver.exchangeDue()).To(BeFalse(), "it was told in the same exchange")
+		taker.noteUnanswered([]quota.Offered{{Cell: "giver", Shares: 100}}, nil)
+		Expect(giver.cell.GiveQuota(need, "taker", 100, time.Now(), time.Now())).To(Equal(int64(100)))
+		Expect(giver.commitOnce(false)).To(BeTrue())
+		Expect(taker.exchangeDue()).To(BeTrue())
+		Expect(taker.exchangeGifts()).To(BeTrue())
+		taker.returnQuotas(0)
+		Expect(taker.exchangeDue()).To(BeTrue())
+		Expect(taker.commitOnce(false)).To(BeTrue())
+		Expect(taker.exchangeGifts()).To(BeTrue())
+		for _, d := range []*Driver{giver, taker} {
+			l := d.cell.Quota("a")
+			Expect(l.Excess()).To(BeZero(), d.Name)
+		}
+	})
+
 	ginkgo.It("are kept as given after a commit that was refused", func(ctx context.Context) {
 		t := newMemStore()
 		d := newLendingOwner(ctx, t, "giver", &lender{})
--- a/test/cluster/quota_test.go
+++ b/test/cluster/quota_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"syscall"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -132,6 +133,17 @@
 			}
 			b.waitReady()
 		}),
+		// The next owner of a cell did not know of shares that had just been received, and needed none.
+		Entry("owners are stopped as planned", func(b *testbed) {
+			for i := range 6 {
+				if e := b.ownerOf(fmt.Sprint("cell-", i%4)); e != nil {
+					e.signal(syscall.SIGTERM)
+					_ = e.cmd.Wait()
+					e.start()
+				}
+			}
+			b.waitReady()
+		}),
 		Entry("owners are frozen", func(b *testbed) {
 			for i := range 6 {
 				if e := b.ownerOf(fmt.Sprint("cell-", i%4)); e != nil {
