driver: a cell that does not answer does not keep others' shares from being taken

What callers would see: steps wait for their account's limit while one cell is heard but does not answer, as its part of the store is silent with a gift unsaved. Found by reading, not seen in a play.

Cause: the question to all cells and the taking that follows shared 0.4 s; a cell without an answer used it up.

Change: each has a time of its own. The new spec is red without the change and green with it.

--- a/driver/quota.go
+++ b/driver/quota.go
@@ -30,7 +30,7 @@
 	// between two for an account that got nothing: a step may wait for 3 s at the most.
 	quotaInterval = 100 * time.Millisecond
 	maxQuotaPause = 800 * time.Millisecond
-	// quotaTimeout limits a round: some answers of the store.
+	// quotaTimeout limits a question: some answers of the store.
 	quotaTimeout = 400 * time.Millisecond
 	// quotaReturnDelay is after what time without use shares go back to the cells that lent them, so that
 	// gangs that follow one another do not ask each time.
@@ -253,9 +253,7 @@
 // askForQuota asks the other cells for shares, takes what they offer if it is enough, and reports whether
 // it got any.
 func (d *Driver) askForQuota(n quota.Need) bool {
-	ctx, cancel := context.WithTimeout(d.ctx, quotaTimeout)
-	defer cancel()
-	answers := d.Elsewhere.AskQuota(ctx, d.Name, n, nil)
+	answers := d.askCells(n, nil)
 	if d.receiveQuota(n.Account, answers) {
 		// An answer of before was lost. With what it brought, less may be needed.
 		return true
@@ -268,7 +266,7 @@
 	if len(takes) == 0 {
 		return false
 	}
-	answers = d.Elsewhere.AskQuota(ctx, d.Name, n, takes)
+	answers = d.askCells(n, takes)
 	d.noteUnanswered(takes, answers)
 	got := d.receiveQuota(n.Account, answers)
 	level.Info(d.Log).Log("event", "quota_taken", "cell", d.Name, "epoch", d.Claim.Epoch(), "account", n.Account, "job", n.Order.Job,
@@ -276,6 +274,14 @@
 	return got
 }
 
+// askCells asks the other cells for shares, or takes some. Each question has a time of its own: a cell that
+// does not answer must not keep this one from taking what others offer.
+func (d *Driver) askCells(n quota.Need, takes []quota.Offered) []QuotaAnswer {
+	ctx, cancel := context.WithTimeout(d.ctx, quotaTimeout)
+	defer cancel()
+	return d.Elsewhere.AskQuota(ctx, d.Name, n, takes)
+}
+
 // noteUnanswered notes which cells may have given shares without this one knowing.
 func (d *Driver) noteUnanswered(takes []quota.Offered, answers []QuotaAnswer) {
 	d.mu.Lock()
--- a/driver/quota_test.go
+++ b/driver/quota_test.go
@@ -59,6 +59,17 @@
 	return out
 }
 
+// silentBeside is a lender beside a cell that answers no question.
+type silentBeside struct{ lender }
+
+func (s *silentBeside) AskQuota(ctx context.Context, from string, n quota.Need, takes []quota.Offered) []QuotaAnswer {
+	out := s.lender.AskQuota(ctx, from, n, takes)
+	if len(takes) == 0 {
+		<-ctx.Done()
+	}
+	return out
+}
+
 // newLendingOwner returns an owner of one of two cells that has read its part of a store.
 func newLendingOwner(ctx context.Context, t *memStore, name string, e Elsewhere) *Driver {
 	ginkgo.GinkgoHelper()
@@ -113,6 +124,18 @@
 		Expect(l.Excess()).To(Equal(int64(100)))
 	})
 
+	// A cell that did not answer used up the time in which shares of others were to be taken.
+	ginkgo.It("are taken from cells that answer, beside one that does not", func(ctx context.Context) {
+		t := newMemStore()
+		giver := newLendingOwner(ctx, t, "giver", &lender{})
+		giver.spawn(giver.commitLoop)
+		defer giver.Close()
+		taker := newLendingOwner(ctx, t, "taker", &silentBeside{lender{others: []*Driver{giver}}})
+		Expect(taker.askForQuota(need)).To(BeTrue())
+		l := taker.cell.Quota("a")
+		Expect(l.Excess()).To(Equal(int64(100)))
+	})
+
 	// A cell whose new owner did not know that it had all shares, and needed none, left all others waiting
 	// for ever.
 	ginkgo.It("are known to a next owner of the taker that needs none", func(ctx context.Context) {
