--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -4,3 +4,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 go test -c -o target/review-3 ./review/testdata/cases3
+go test -c -o target/cases3b ./review/testdata/cases3b
--- a/review/testdata/cases3b/bed_test.go
+++ b/review/testdata/cases3b/bed_test.go
@@ -1,7 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 
-// Package cases3b holds the stand-ins of the cases of the second sitting of the third review. It is
-// built with `go test -c` by review/build-3.sh and started by the run.sh of a case.
+// Package cases3b holds the stand-ins of review/9: two halls with links between them that can be cut. It
+// is built with `go test -c` by review/build-3.sh and started by review/9/run.sh.
 package cases3b
 
 import (
@@ -74,10 +74,9 @@
 	instances   []*instance
 	links       []*link
 	http        *http.Client
-	options     world.Options
 
 	mu sync.Mutex
-	// hidden holds the halls and workers that are cut off.
+	// hidden holds the halls that are cut off.
 	hidden map[string]bool
 	jobs   int
 }
@@ -86,7 +85,6 @@
 type instance struct {
 	name, hall, ip           string
 	front, peer, ready, file string
-	lease                    string
 	log                      *os.File
 	cmd                      *exec.Cmd
 	done                     chan struct{}
@@ -133,9 +131,9 @@
 }
 
 // start starts the platform and the instances of both halls.
-func (b *bed) start(workersPerHall, instancesPerHall int, change func(*world.Options)) {
+func (b *bed) start(workersPerHall, instancesPerHall int) {
 	workers := 0
-	b.options = world.Options{
+	o := world.Options{
 		Halls: []string{north, south}, WorkersPerHall: workersPerHall, CPU: 8000, Mem: 16000, Seed: 7, Host: "127.0.0.1",
 		WorkerAddr: func() (string, error) {
 			// The workers of the first hall are started before those of the second.
@@ -146,10 +144,7 @@
 			return freeAddr(southReal, southSeen)
 		},
 	}
-	if change != nil {
-		change(&b.options)
-	}
-	w, err := world.Start(b.options)
+	w, err := world.Start(o)
 	b.must(err)
 	b.world = w
 	w.Configure(1, host, prefix)
@@ -162,7 +157,7 @@
 		if i%2 == 1 {
 			hall, real, seen = south, southReal, southSeen
 		}
-		e := &instance{name: fmt.Sprintf("%s-%d", hall, i/2+1), hall: hall, ip: real, lease: "6s", done: make(chan struct{})}
+		e := &instance{name: fmt.Sprintf("%s-%d", hall, i/2+1), hall: hall, ip: real, done: make(chan struct{})}
 		for _, a := range []*string{&e.front, &e.peer, &e.ready} {
 			addr, err := freeAddr(real, seen)
 			b.must(err)
@@ -200,7 +195,7 @@
 		"peers": b.seenFrom(e.hall, seeds), "memory-limit-mib": 284, "log": map[string]any{"level": "info"},
 		"cluster": map[string]any{
 			"store": store, "machines": "127.0.0.1:" + port, "ready": e.ready, "processor": 0.4, "link-mbps": 1000.0,
-			"fair-sharing": true, "headroom": false, "lease": e.lease, "lease-most": "10000ms", "keep": "120s", "grace": "6s",
+			"fair-sharing": true, "headroom": false, "lease-most": "10000ms", "keep": "120s", "grace": "6s",
 			"admission": false, "worker-speed": true,
 		},
 	}, "", "  ")
--- a/review/testdata/cases3b/cut_test.go
+++ b/review/testdata/cases3b/cut_test.go
@@ -13,7 +13,7 @@
 // playCut cuts the hall of the cell's owner off for longer than the owner remembers the instances of
 // the other hall.
 func playCut(b *bed) []string {
-	b.start(4, 2, nil)
+	b.start(4, 2)
 	ids := b.submitLong()
 	b.sleepUntil(12 * time.Second)
 	owner := b.owner()
--- a/review/testdata/cases3b/links_test.go
+++ b/review/testdata/cases3b/links_test.go
@@ -170,7 +170,7 @@
 	}
 }
 
-// isCut reports whether a hall, or a worker by its id, is cut off.
+// isCut reports whether a hall is cut off.
 func (b *bed) isCut(hall string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -209,18 +209,18 @@
 	return l.Addr().String()
 }
 
-// lapsed reports whether a row is the entry of a worker that cannot write it, as it or its hall is cut off.
-func (b *bed) lapsed(table, id string, value []byte) bool {
+// lapsed reports whether a row is the entry of a worker that cannot write it, as its hall is cut off.
+func (b *bed) lapsed(table string, value []byte) bool {
 	if table != "servers" {
 		return false
 	}
 	var entry struct{ Zone string }
-	return json.Unmarshal(value, &entry) == nil && b.isCut(entry.Zone) || b.isCut(id)
+	return json.Unmarshal(value, &entry) == nil && b.isCut(entry.Zone)
 }
 
 // translateRows translates the values of the rows in a request to the store or in its answer, and
 // leaves rows out.
-func translateRows(raw []byte, t translation, leaveOut func(table, id string, value []byte) bool) []byte {
+func translateRows(raw []byte, t translation, leaveOut func(table string, value []byte) bool) []byte {
 	var doc map[string]json.RawMessage
 	if json.Unmarshal(raw, &doc) != nil {
 		return raw
@@ -239,8 +239,7 @@
 				var plain []byte
 				if json.Unmarshal([]byte(`"`+value+`"`), &plain) == nil {
 					table, _ := row["table"].(string)
-					id, _ := row["key"].(string)
-					if leaveOut != nil && leaveOut(table, id, plain) {
+					if leaveOut != nil && leaveOut(table, plain) {
 						continue
 					}
 					row["value"] = t.apply(plain)
