review: the stand-ins stand beside their cases

Cause: they stood beside the cases' folders, and the scripts passed TROUBLE on unseen. In case 9 the list of machines stayed in reach of a hall that was cut off, and entries of its workers lapsed at once.

--- a/review/testdata/cases3b/bed_test.go
+++ b/review/9/testdata/halls/bed_test.go
@@ -1,8 +1,8 @@
 // SPDX-License-Identifier: Apache-2.0
 
-// Package cases3b holds the stand-ins of review/9: two halls with links between them that can be cut. It
+// Package halls holds the stand-ins of review/9: two halls with links between them that can be cut. It
 // is built with `go test -c` by review/build-3.sh and started by review/9/run.sh.
-package cases3b
+package halls
 
 import (
 	"bytes"
@@ -78,6 +78,8 @@
 	mu sync.Mutex
 	// hidden holds the halls that are cut off.
 	hidden map[string]bool
+	// cutSince holds since when.
+	cutSince map[string]time.Time
 	jobs   int
 }
 
@@ -96,7 +98,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(2)
 	}
-	b := &bed{binary: binary, record: f, begun: time.Now(), http: &http.Client{Timeout: 4 * time.Second}, hidden: make(map[string]bool)}
+	b := &bed{binary: binary, record: f, begun: time.Now(), http: &http.Client{Timeout: 4 * time.Second}, hidden: make(map[string]bool), cutSince: make(map[string]time.Time)}
 	if b.dir, err = os.MkdirTemp("", "review3b"); err != nil {
 		b.cannot("%v", err)
 	}
@@ -169,8 +171,9 @@
 		seeds = append(seeds, e.peer)
 	}
 	stores := map[string]string{north: b.storeFor(north), south: b.storeFor(south)}
+	machines := map[string]string{north: b.machinesFor(north), south: b.machinesFor(south)}
 	for _, e := range b.instances {
-		b.writeSettings(e, stores[e.hall], seeds[:1])
+		b.writeSettings(e, stores[e.hall], machines[e.hall], seeds[:1])
 		b.startInstance(e)
 	}
 	for _, e := range b.instances {
@@ -188,13 +191,12 @@
 }
 
 // writeSettings fills the fields of deploy/settings.json.
-func (b *bed) writeSettings(e *instance, store string, seeds []string) {
-	_, port, _ := net.SplitHostPort(b.world.MachinesAddr)
+func (b *bed) writeSettings(e *instance, store, machines string, seeds []string) {
 	raw, err := json.MarshalIndent(map[string]any{
 		"instance": e.name, "hall": e.hall, "listen": map[string]any{"http": e.front, "peer": e.peer},
 		"peers": b.seenFrom(e.hall, seeds), "memory-limit-mib": 284, "log": map[string]any{"level": "info"},
 		"cluster": map[string]any{
-			"store": store, "machines": "127.0.0.1:" + port, "ready": e.ready, "processor": 0.4, "link-mbps": 1000.0,
+			"store": store, "machines": machines, "ready": e.ready, "processor": 0.4, "link-mbps": 1000.0,
 			"fair-sharing": true, "headroom": false, "lease-most": "10000ms", "keep": "120s", "grace": "6s",
 			"admission": false, "worker-speed": true,
 		},
@@ -209,7 +211,7 @@
 	b.must(err)
 	e.log = log
 	e.cmd = exec.Command(b.binary, "entry")
-	e.cmd.Env = append(os.Environ(), "DEWPASS_BOOT="+e.file)
+	e.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + b.dir, "DEWPASS_BOOT=" + e.file}
 	e.cmd.Stdout, e.cmd.Stderr = log, log
 	b.must(e.cmd.Start())
 	cmd, done := e.cmd, e.done
--- a/review/testdata/cases3b/links_test.go
+++ b/review/9/testdata/halls/links_test.go
@@ -1,6 +1,6 @@
 // SPDX-License-Identifier: Apache-2.0
 
-package cases3b
+package halls
 
 import (
 	"bytes"
@@ -159,6 +159,7 @@
 func (b *bed) cutHall(hall string, cut bool) {
 	b.mu.Lock()
 	b.hidden[hall] = cut
+	b.cutSince[hall] = time.Now()
 	b.mu.Unlock()
 	for _, l := range b.links {
 		l.setCut(cut)
@@ -209,13 +210,41 @@
 	return l.Addr().String()
 }
 
+// threeHeartbeats of the stand-in's workers are how long the entry of one that is silent stays.
+const threeHeartbeats = 1500 * time.Millisecond
+
+// silentFor returns for how long a hall has been cut off.
+func (b *bed) silentFor(hall string) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.hidden[hall] {
+		return 0
+	}
+	return time.Since(b.cutSince[hall])
+}
+
+// machinesFor serves the platform's list of machines to the instances of a hall.
+func (b *bed) machinesFor(hall string) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	b.must(err)
+	h := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if b.isCut(hall) {
+			<-r.Context().Done()
+			return
+		}
+		b.world.Machines.ServeHTTP(w, r)
+	})
+	go func() { _ = (&http.Server{Handler: h}).Serve(l) }()
+	return l.Addr().String()
+}
+
 // lapsed reports whether a row is the entry of a worker that cannot write it, as its hall is cut off.
 func (b *bed) lapsed(table string, value []byte) bool {
 	if table != "servers" {
 		return false
 	}
 	var entry struct{ Zone string }
-	return json.Unmarshal(value, &entry) == nil && b.isCut(entry.Zone)
+	return json.Unmarshal(value, &entry) == nil && b.silentFor(entry.Zone) > threeHeartbeats
 }
 
 // translateRows translates the values of the rows in a request to the store or in its answer, and
--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -3,5 +3,5 @@
 # Builds what the scripts of the third review start, beside what the build line of deploy/system.toml makes.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-go test -c -o target/review-3 ./review/testdata/cases3
-go test -c -o target/cases3b ./review/testdata/cases3b
+go test -c -o target/review-3 ./review/10/testdata/cases
+go test -c -o target/review-3-halls ./review/9/testdata/halls
