--- a/review/9/testdata/halls/bed_test.go
+++ b/review/9/testdata/halls/bed_test.go
@@ -80,7 +80,7 @@
 	hidden map[string]bool
 	// cutSince holds since when.
 	cutSince map[string]time.Time
-	jobs   int
+	jobs     int
 }
 
 // instance is an entry process.
