cell: a task on trial is waited for only as long as a trial that tells little

On an idle service two workers crash 2 s apart, each with a task of one job that has run for 14 s. One task is back after 1 s, the other one after 27 s. Cause: a task that a loss names is watched on its next worker for twice as long as the lost run had lasted, up to a minute, and others waited for the whole watch: those of its job, and by the limit of a quarter of the workers all. Evidence: the simulation of package cell on, all back after 27 s (two tasks), 25 s (three), 55 s (six). Change: others wait for a trial for 1.5 s; the watch itself, with nothing else on its worker, stays. If a trial crashes its worker, which shows 0.25 s after the connection was closed, the other trials of the job are stopped, and each is awaited to its end until one has gone well. Gangs, and tasks of a step of which no more may be away, cannot be stopped and wait as before. Why it works: a sound task needs no other's watch. A job that crashes all that it touches has the others stopped before they reach the age at which the first one crashed. Measured: TestTasksOfCrashedWorkersAreBackSoon, red before.

--- a/cell/cell.go
+++ b/cell/cell.go
@@ -112,8 +112,9 @@
 	unsent []*run
 	// recentLosses holds the workers lost within lossRetention.
 	recentLosses []workerLoss
-	// activeTrials is the number of trials under watch, and maxTrials the limit, both set by Place.
-	activeTrials, maxTrials int
+	// activeTrials is the number of trials that have just begun, and watchedTrials that of all under
+	// watch; maxTrials and maxWatched are their limits. All are set by Place.
+	activeTrials, watchedTrials, maxTrials, maxWatched int
 	// inheritedWorkersLost are, by hall, the workers of former owners that were lost with runs that may
 	// not be on record.
 	inheritedWorkersLost map[string][]string
--- a/cell/change.go
+++ b/cell/change.go
@@ -19,6 +19,8 @@
 	RunMoving RunEvent = "moving"
 	// RunStalled: the run made no progress and is stopped.
 	RunStalled RunEvent = "stalled"
+	// RunTrialStopped: another trial of the job has probably crashed its worker, so the run is stopped.
+	RunTrialStopped RunEvent = "trial_stopped"
 	// RunEndListed: the worker listed the end of the run.
 	RunEndListed RunEvent = "over"
 	// RunMissing: the worker does not list the run any more.
--- a/cell/crash.go
+++ b/cell/crash.go
@@ -155,6 +155,7 @@
 			r.stage.blamedLosses++
 			steps = append(steps, r.stage)
 		}
+		r.loseTrial(b)
 		c.addCrash(r, flow.Crash{Run: r.number, Blame: b, AgeMS: r.age(at).Milliseconds(), Inherited: r.inherited})
 	}
 	c.recentLosses = slices.DeleteFunc(c.recentLosses, func(l workerLoss) bool { return now.Sub(l.at) > lossRetention })
--- a/cell/job.go
+++ b/cell/job.go
@@ -55,8 +55,11 @@
 	refusedHere bool
 	// movingTo names the cell to which the job moves. Nothing of it is started here any more.
 	movingTo string
-	// activeTrials counts the job's runs on trial, and trialsPassed its trials that went well.
-	activeTrials, trialsPassed int
+	// trials are the job's runs on trial, and trialsPassed counts those that went well. trialLost
+	// means that one was lost with its worker, and none has gone well since.
+	trials       []*run
+	trialsPassed int
+	trialLost    bool
 }
 
 // stage returns the stage of a step in the k-th repetition, nil if there is none.
--- a/cell/recorded.go
+++ b/cell/recorded.go
@@ -141,7 +141,7 @@
 	case t.runs[0] != r && t.runs[0].worker.attached:
 		// The worker of the first run is back, so no copy is needed.
 		return false
-	case s.needsTrial(t) && r.trialUntil.IsZero():
+	case s.needsTrial(t) && !r.onTrial():
 		return false
 	}
 	q := c.queues[s.job.spec.Queue]
--- a/cell/run.go
+++ b/cell/run.go
@@ -54,6 +54,10 @@
 	// trialUntil is the end of the period in which the run is watched because it may crash its
 	// worker, zero if it is not on trial.
 	trialUntil time.Time
+	// trialAwaited is until when the job's other trials wait for this one. trialPassed means that it
+	// has counted as one that went well.
+	trialAwaited time.Time
+	trialPassed  bool
 	// urgentIn is the pool whose urgent runs include this one, nil if none do.
 	urgentIn *poolHeadroom
 }
--- a/cell/stop.go
+++ b/cell/stop.go
@@ -44,6 +44,7 @@
 
 // decideStops stops runs that are no longer wanted, that stall, or that have to move.
 func (c *Cell) decideStops(a *Actions, now time.Time) {
+	c.stopTrialsInDoubt(now)
 	for _, w := range c.sortedWorkers {
 		if !w.attached {
 			c.requeueForCopies(w, now)
@@ -157,7 +158,7 @@
 	}
 	if s.def.MaxUnavailable > 0 {
 		// The limit is divided equally among the cells that run parts of the step.
-		return s.tasksAway() < s.def.MaxUnavailable/max(s.job.share.Count, 1)
+		return s.tasksAway() < s.maxAway()
 	}
 	leaving, moving := 0, 0
 	for i := range s.tasks {
@@ -207,6 +208,9 @@
 	return n
 }
 
+// maxAway returns how many tasks of a step that limits it may be away in this cell.
+func (s *stage) maxAway() int { return s.def.MaxUnavailable / max(s.job.share.Count, 1) }
+
 // tasksAway counts the tasks of a long-running step that are not at work.
 func (s *stage) tasksAway() int {
 	n := 0
--- a/cell/trial_test.go
+++ b/cell/trial_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -119,3 +120,104 @@
 	g.Expect(state(s, "j")).To(Equal(flow.Running))
 	g.Expect(s.starts[flow.TaskID{Job: "j"}]).To(Equal(6))
 }
+
+// crashWorkerOf crashes the worker on which a task runs.
+func (s *crashSim) crashWorkerOf(task flow.TaskID) {
+	for _, p := range s.hosts {
+		if slices.ContainsFunc(p.runs, func(r simRun) bool { return r.Task == task }) {
+			s.crash(p)
+			return
+		}
+	}
+}
+
+// runningTasks returns the tasks that run now.
+func (s *crashSim) runningTasks() map[flow.TaskID]bool {
+	out := make(map[flow.TaskID]bool)
+	for _, p := range s.hosts {
+		for _, r := range p.runs {
+			out[r.Task] = true
+		}
+	}
+	return out
+}
+
+// Guards against sound tasks that wait for each other's trials: a task whose worker had crashed after
+// 14 s was watched for 28 s, and the next one of its job was not started before.
+func TestTasksOfCrashedWorkersAreBackSoon(t *testing.T) {
+	for _, k := range []struct {
+		what               string
+		jobs, tasks, limit int
+		lasting            bool
+		lived, apart       time.Duration
+	}{
+		{"two tasks of one job", 1, 2, 0, true, 14 * time.Second, 2 * time.Second},
+		{"three tasks of one job", 1, 3, 0, true, 14 * time.Second, 2 * time.Second},
+		{"six tasks of one job", 1, 6, 0, true, 14 * time.Second, 2 * time.Second},
+		{"two tasks of one job, of which one may be away", 1, 2, 1, true, 14 * time.Second, 2 * time.Second},
+		{"five jobs", 5, 1, 0, true, 14 * time.Second, 2 * time.Second},
+		{"tasks that end", 1, 2, 0, false, 14 * time.Second, 2 * time.Second},
+		{"shortly after they started", 1, 3, 0, true, 4 * time.Second, 2 * time.Second},
+		{"long after they started", 1, 3, 0, true, 24 * time.Second, 2 * time.Second},
+	} {
+		g := NewWithT(t)
+		s := newCrashSim(1, 5, 3)
+		s.length = endless
+		if !k.lasting {
+			s.length = 60 * time.Second
+		}
+		var tasks []flow.TaskID
+		for j := range k.jobs {
+			id := fmt.Sprint("j", j)
+			s.add(id, flow.Step{Count: k.tasks, Demand: demand(4000), LongRunning: k.lasting, MaxPerWorker: 1, MaxUnavailable: k.limit, EstimateMS: s.length.Milliseconds()})
+			for i := range k.tasks {
+				tasks = append(tasks, flow.TaskID{Job: id, Index: i})
+			}
+		}
+		s.run(k.lived)
+		for i, task := range tasks {
+			if i > 0 {
+				s.run(k.apart)
+			}
+			s.crashWorkerOf(task)
+		}
+		s.run(s.downFor + 3*time.Second)
+		g.Expect(s.runningTasks()).To(HaveLen(len(tasks)), k.what)
+	}
+}
+
+// Guards against trials side by side that cost more workers: without a stop of the others when one
+// fails, a job of which each task crashes its worker would take one for each task once more.
+func TestTrialsSideBySideCostNoMoreWorkers(t *testing.T) {
+	for _, k := range []struct {
+		what           string
+		tasks, bad     int
+		after, stagger time.Duration
+		limit, workers int
+	}{
+		{"all at the same time after the start", 4, 4, 5 * time.Second, 0, 0, 13},
+		{"one after the other", 4, 4, 5 * time.Second, 200 * time.Millisecond, 0, 6},
+		{"late", 4, 4, 14 * time.Second, 200 * time.Millisecond, 0, 6},
+		{"many", 20, 20, 14 * time.Second, 200 * time.Millisecond, 0, 22},
+		{"three of six", 6, 3, 5 * time.Second, 300 * time.Millisecond, 0, 5},
+		{"one of six", 6, 1, 5 * time.Second, 0, 0, 3},
+		{"of which one may be away", 6, 6, 14 * time.Second, 300 * time.Millisecond, 1, 8},
+		{"of which two may be away", 6, 6, 5 * time.Second, 300 * time.Millisecond, 2, 8},
+	} {
+		g := NewWithT(t)
+		s := newCrashSim(1, 6, 4)
+		s.length = endless
+		s.crashAfter = func(t flow.TaskID) time.Duration {
+			if t.Index >= k.bad {
+				return 0
+			}
+			return k.after + time.Duration(t.Index)*k.stagger
+		}
+		s.add("bad", flow.Step{Count: k.tasks, Demand: demand(4000), LongRunning: true, MaxPerWorker: 1, MaxUnavailable: k.limit})
+		g.Expect(s.run(5*time.Minute, "bad")).To(BeTrue(), k.what)
+		g.Expect(state(s, "bad")).To(Equal(flow.Failed), k.what)
+		sum, _ := s.crashTotals()
+		g.Expect(sum).To(BeNumerically("<=", k.workers), k.what)
+		g.Expect(s.maxLateStarts()).To(BeNumerically("<=", allowedLateStarts), k.what)
+	}
+}
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -89,6 +89,8 @@
 	hungUp, disconnectSeen bool
 	// trialUntil is the end of the period in which nothing is started here beside a trial.
 	trialUntil time.Time
+	// trialAwaited is until when that trial counts against the limit of trials.
+	trialAwaited time.Time
 	// evacuateBy is the deadline of the worker's evacuation, zero if it is not being evacuated.
 	evacuateBy time.Time
 }
