cluster: a new owner contests its cell from the first moment, and a contested owner stops no takeover

Reason: read once more. Between the answer to the write that takes a cell and the start of its driver the new owner did not contest the cell: a greeting of the former owner in that moment (microseconds) got an answer that it could rely on. And an owner that may not go on because of an instance's answer still had that instance leave the cell to it. Change: the epoch is recorded before the takeover ends; an owner whose cell is contested does not count as one that may go on. takeLease is split in two.

--- a/claim/owners_sim_test.go
+++ b/claim/owners_sim_test.go
@@ -39,10 +39,11 @@
 
 	peers    Peers
 	contests Contests
-	// ownerHeard is when an owner with the highest known epoch was last heard.
-	ownerHeard time.Time
-	heardEpoch uint64
-	greeted    time.Time
+	// ownerHeard is when an owner with the highest known epoch was last heard, and heardVer the version
+	// of the lease that it had written last.
+	ownerHeard           time.Time
+	heardEpoch, heardVer uint64
+	greeted              time.Time
 
 	owner bool
 	epoch uint64
@@ -180,11 +181,14 @@
 	}
 	to.contests.Learned(simCell, from.epoch)
 	if from.epoch >= to.heardEpoch {
-		to.heardEpoch, to.ownerHeard = from.epoch, w.now
+		to.heardEpoch, to.heardVer, to.ownerHeard = from.epoch, from.last.Ver, w.now
 	}
 }
 
-func (w *simWorld) hears(i *simInstance) bool { return w.now.Sub(i.ownerHeard) < OwnerActiveTime }
+// hears reports whether an instance hears an owner whose cell it does not contest.
+func (w *simWorld) hears(i *simInstance) bool {
+	return w.now.Sub(i.ownerHeard) < OwnerActiveTime && !i.contests.Contested(simCell, i.heardEpoch, i.heardVer)
+}
 
 // elect begins a takeover if the lease has expired and nobody hears the owner.
 func (w *simWorld) elect(i *simInstance) {
--- a/cluster/takeover.go
+++ b/cluster/takeover.go
@@ -38,13 +38,13 @@
 		return leaseRead{}
 	}
 	now := clock.Now()
+	n.learnEpoch(name, lease.Epoch)
 	watched := n.watchedUnwritten(name, lease.Ver, now)
 	unwritten := n.knownUnwritten(lease, watched)
 	read := leaseRead{
 		ver: lease.Ver, left: lease.TakeoverAfter(n.settings.Instance) - unwritten,
 		absent: slices.Contains(lease.Absent, n.settings.Instance),
 	}
-	n.learnEpoch(name, lease.Epoch)
 	why := n.vacancyReason(ctx, lease.Lease, unwritten-n.electionDelay(name, now))
 	if why == "" || !n.taking.CompareAndSwap(false, true) {
 		return read
@@ -53,25 +53,19 @@
 	if len(n.ownCells()) > owned || !n.beginTakeover(name, lease.Ver) {
 		return read
 	}
-	asked := hallReply{}
+	var asked hallReply
 	if mayStillOrder(why) {
 		asked = n.askHall(ctx, name, lease)
 	}
-	if asked.ownerHeard || n.ownerHeard(name, clock.Now(), claim.OwnerActiveTime) {
+	if asked.ownerHeard {
 		n.endTakeover(name)
-		read.ownerHeard = asked.ownerHeard
+		read.ownerHeard = true
 		level.Info(n.kit.Log).Log("event", "cell_lease_left", "cell", name, "epoch", lease.Epoch, "owner", lease.Owner, "why", why, "heard_by", asked.by)
 		return read
 	}
-	if err := c.Take(ctx, lease); err != nil {
-		if !kind.Is(err, kind.Fenced) && !kind.Is(err, kind.Conflict) && !kind.Is(err, kind.BadRequest) {
-			n.takeoverPossible(name, lease.Ver)
-		}
-		n.endTakeover(name)
-		level.Info(n.kit.Log).Log("event", "cell_lease_not_taken", "cell", name, "err", err)
+	if !n.writeTakeover(ctx, c, lease) {
 		return read
 	}
-	n.endTakeover(name)
 	n.kit.Scope.Tagged(map[string]string{"why": why}).Counter("cell_leases_taken_total").Inc(1)
 	level.Info(n.kit.Log).Log("event", "cell_lease_taken", "cell", name, "epoch", c.Epoch(), "before", lease.Owner, "why", why,
 		"unwritten_ms", lease.Age.Milliseconds(), "watched_ms", watched.Milliseconds(), "absent", len(lease.Absent), "asked", asked.asked, "unanswered", asked.unanswered)
@@ -79,13 +73,39 @@
 	return read
 }
 
+// writeTakeover writes the lease of a cell of which the takeover has begun, and reports whether this
+// instance owns the cell now.
+func (n *Instance) writeTakeover(ctx context.Context, c *claim.Claim, lease claim.Snapshot) bool {
+	err := c.Take(ctx, lease)
+	switch {
+	case err == nil:
+		// Before the end of the takeover: the cell remains contested against its former owner.
+		n.learnEpoch(c.Cell, c.Epoch())
+	case !kind.Is(err, kind.Fenced) && !kind.Is(err, kind.Conflict) && !kind.Is(err, kind.BadRequest):
+		n.takeoverPossible(c.Cell, lease.Ver)
+	}
+	n.endTakeover(c.Cell)
+	if err != nil {
+		level.Info(n.kit.Log).Log("event", "cell_lease_not_taken", "cell", c.Cell, "err", err)
+	}
+	return err == nil
+}
+
+// ownerMayOrder reports whether an owner was heard that may go on because of this instance's answer. An
+// owner whose cell this instance contests may not. The lock is held.
+func (n *Instance) ownerMayOrder(name string) bool {
+	now := clock.Now()
+	o, ok := n.members.cellsByName(now)[name]
+	return ok && o.activeWithin(now, claim.OwnerActiveTime) && !n.contests.Contested(name, o.cell.Epoch, o.cell.LeaseVer)
+}
+
 // beginTakeover records that this instance is about to take a cell lease, which it has read at a
 // version. It returns false if the owner is active. From then on this instance contests the cell, so
 // that an owner which greets it in the meantime does not rely on its answer.
 func (n *Instance) beginTakeover(name string, ver uint64) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.ownerHeard(name, clock.Now(), claim.OwnerActiveTime) {
+	if n.ownerMayOrder(name) {
 		return false
 	}
 	n.contests.Attempt(name, ver)
@@ -171,7 +191,7 @@
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	heard = heard || n.ownerHeard(q.Cell, clock.Now(), claim.OwnerActiveTime)
+	heard = heard || n.ownerMayOrder(q.Cell)
 	if !heard {
 		n.contests.Possible(q.Cell, q.LeaseVer)
 	}
