--- a/cell/ask_candidates.go
+++ b/cell/ask_candidates.go
@@ -19,8 +19,8 @@
 	cpu int64
 }
 
-// askCandidates returns the workers worth asking about. The first question may name any suitable worker; later ones name
-// workers that have room now, hold no valid ticket and were not found unfit.
+// askCandidates returns the workers worth asking about. The first question may name any suitable
+// worker; later ones name workers that have room now, hold no valid ticket and were not found unfit.
 func (c *Cell) askCandidates(s *stage, q *Queue, now time.Time) []askCandidate {
 	first := s.advice.asked == nil
 	room := s.def.Reservation()
--- a/cell/doc.go
+++ b/cell/doc.go
@@ -13,8 +13,8 @@
 // certain that it never began. A worker whose answer to an order was lost is detached: nothing is
 // placed there until it has listed its runs under a newer fencing token, which no earlier order can
 // pass. Such a list may be one page of the worker's ends: until the last page was read, a run that is
-// not listed may have ended, and is not started again. An unreachable worker keeps its runs until their leases have certainly expired or a new
-// incarnation of the worker has been seen.
+// not listed may have ended, and is not started again. An unreachable worker keeps its runs until their
+// leases have certainly expired or a new incarnation of the worker has been seen.
 //
 // # Order
 //
--- a/cell/stop.go
+++ b/cell/stop.go
@@ -69,6 +69,12 @@
 	c.askBeforeLeaseEnds(now)
 }
 
+// markForStop has an order to stop r sent, for the given reason.
+func (c *Cell) markForStop(r *run, why RunEvent) {
+	r.stopping, r.stopSent = true, time.Time{}
+	c.noteChange(r, why)
+}
+
 // unwanted reports whether r should be stopped.
 func (r *run) unwanted(now time.Time) bool {
 	s := r.stage
@@ -88,9 +94,7 @@
 	if r.confirmedAt.IsZero() || r.percent >= 100 || r.lastListed.Sub(r.lastProgress) < r.stallAfter() {
 		return
 	}
-	r.stopping = true
-	r.stopSent = time.Time{}
-	c.noteChange(r, RunStalled)
+	c.markForStop(r, RunStalled)
 	r.worker.health.runStalled(now)
 	r.stage.tasks[r.index].avoidWorkers = append(r.stage.tasks[r.index].avoidWorkers, r.worker.ID)
 }
@@ -125,9 +129,7 @@
 	if !last && !c.hasPlaceToMove(s, now) {
 		return
 	}
-	r.stopping = true
-	r.stopSent = time.Time{}
-	c.noteChange(r, RunMoving)
+	c.markForStop(r, RunMoving)
 }
 
 // hasPlaceToMove reports whether another worker has room for a task of s that is still running, and
--- a/cell/trial.go
+++ b/cell/trial.go
@@ -184,8 +184,7 @@
 			}
 			for _, r := range failed.stage.job.trials {
 				if r.worker.attached && !r.stopping && r.stage.mayStopTrial(failed) {
-					r.stopping, r.stopSent = true, time.Time{}
-					c.noteChange(r, RunTrialStopped)
+					c.markForStop(r, RunTrialStopped)
 				}
 			}
 		}
--- a/claim/peers.go
+++ b/claim/peers.go
@@ -24,8 +24,8 @@
 	Instance, Hall, Boot string
 	// Sent is when the greeting was sent.
 	Sent time.Time
-	// StatesContests means that the build of the instance fills Contested, and asks the instances of
-	// its hall before it takes a cell.
+	// StatesContests means that the build of the instance fills Contested, and asks others of its hall
+	// before it takes a cell.
 	StatesContests bool
 	// Contested are those of the owner's cells that may have, or soon get, another owner.
 	Contested []string
--- a/cluster/accept.go
+++ b/cluster/accept.go
@@ -42,9 +42,9 @@
 // Submit stores a job and notifies the owner of its cell. It also returns nil if the job was stored
 // before. Errors are of kind Unavailable (the job was not accepted and never runs), QueueFull (the
 // same, because of the work that waits before it; see admit), KeyReused (the id belongs to another
-// client account), Cancelled (the account has cancelled the job before the store had it), BadRequest (the job is larger than the store takes) or Lost (not known whether it
-// was accepted). Submit needs the store but no owner: a job that is submitted while its cell changes
-// owners waits in the store.
+// client account), Cancelled (the account has cancelled the job before the store had it), BadRequest
+// (the job is larger than the store takes) or Lost (not known whether it was accepted). Submit needs
+// the store but no owner: a job that is submitted while its cell changes owners waits in the store.
 func (n *Instance) Submit(ctx context.Context, spec *flow.Spec) error {
 	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
 	defer cancel()
--- a/cluster/instance.go
+++ b/cluster/instance.go
@@ -191,9 +191,9 @@
 	}
 }
 
-// reload applies the settings that may change at run time: the duration of leases, how long
-// ended jobs are kept, the shutdown grace, and whether jobs are refused for a long wait. A new lease duration holds for cells that are
-// taken from then on.
+// reload applies the settings that may change at run time: the duration of leases, how long ended jobs
+// are kept, the shutdown grace, and whether jobs are refused for a long wait. A new lease duration
+// holds for cells that are taken from then on.
 func (n *Instance) reload(s *settings.Settings) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/cluster/takeover.go
+++ b/cluster/takeover.go
@@ -24,6 +24,9 @@
 	// takeoverAskTimeout is how long an instance waits for the others of its hall before it takes a
 	// cell. Those that are there answer within milliseconds.
 	takeoverAskTimeout = 100 * time.Millisecond
+	// maxTakeoverAsked is how many it asks at the most. An owner greets all instances, so that each of
+	// them that is alive can tell.
+	maxTakeoverAsked = 16
 )
 
 // takeLease takes the cell lease if its owner is gone, and returns what it has read. owned is the number
@@ -135,7 +138,7 @@
 	by         string
 }
 
-// askHall asks the other instances of this one's hall whether they hear the owner of a cell. An owner
+// askHall asks other instances of this one's hall whether they hear the owner of a cell. An owner
 // without the store goes on without the answer of an instance as long as another one of its hall
 // answers: this one may have been paused, or be cut off by itself.
 func (n *Instance) askHall(ctx context.Context, name string, lease claim.Snapshot) hallReply {
@@ -165,14 +168,14 @@
 	return out
 }
 
-// takeoverAddrs returns the addresses, but for the owner's, of the other instances of this one's hall,
-// and those of which the hall is not known.
+// takeoverAddrs returns addresses, but for the owner's, of other instances of this one's hall and of
+// those of which the hall is not known: those that were heard last first, maxTakeoverAsked at the most.
 func (m *members) takeoverAddrs(owner string) []string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	otherHall := make(map[string]bool)
+	heardAt, otherHall := make(map[string]time.Time), make(map[string]bool)
 	for _, k := range m.known {
-		otherHall[k.addr] = k.hall != m.hall
+		heardAt[k.addr], otherHall[k.addr] = k.heardAt, k.hall != m.hall
 	}
 	var out []string
 	for addr := range m.addrs {
@@ -180,7 +183,8 @@
 			out = append(out, addr)
 		}
 	}
-	return out
+	slices.SortFunc(out, func(a, b string) int { return heardAt[b].Compare(heardAt[a]) })
+	return out[:min(len(out), maxTakeoverAsked)]
 }
 
 // handleTakeover answers an instance that is about to take a cell lease.
--- a/cluster/takeover_test.go
+++ b/cluster/takeover_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"time"
 
@@ -80,6 +81,28 @@
 		Expect(n.ownDriver("cell-0").FormerGrace).To(Equal(claim.Lease{ValidMS: 400}.Expiry()))
 	})
 
+	It("asks those of its hall and of unknown halls, but the owner, those that it heard last first", func() {
+		n := testInstance(&fakePolicy{})
+		now := time.Now()
+		hear := func(name, hall string, ago time.Duration) {
+			n.members.applyGreeting(&wire.Greeting{Instance: name, Hall: hall, Boot: name, Addr: name}, now.Add(-ago))
+		}
+		hear("owner", "h", 0)
+		hear("far", "other", 0)
+		for i := range 2 * maxTakeoverAsked {
+			hear(fmt.Sprintf("mate%02d", i), "h", time.Duration(i+1)*time.Second)
+		}
+		n.members.addListed([]memberRow{{name: "unknown", Addr: "unknown", Hall: "h"}}, now)
+		asked := n.members.takeoverAddrs("owner")
+		Expect(asked).To(HaveLen(maxTakeoverAsked))
+		Expect(asked[0]).To(Equal("mate00"))
+		Expect(asked).NotTo(ContainElements("owner"))
+		Expect(asked).NotTo(ContainElements("far"))
+		n = testInstance(&fakePolicy{})
+		n.members.addListed([]memberRow{{name: "unknown", Addr: "unknown", Hall: "h"}}, now)
+		Expect(n.members.takeoverAddrs("owner")).To(Equal([]string{"unknown"}))
+	})
+
 	It("contests it while its takeover is under way, and does not begin one while the owner is heard", func() {
 		n, _ := expiredLease()
 		Expect(n.beginTakeover("cell-0", 5)).To(BeTrue())
