claim: instances that were replaced do not count as silent half

Reason: found by reading. After a rolling replacement of most instances half of those it knew were silent, so that it would have stopped in an outage of the store and named none as absent. Change: those that have said that they stop are left out where half of all is asked for; another one of their hall still has to answer. Measured: a spec of three that are replaced; suites of claim and, of cluster, the specs of owners and takeovers green.

--- a/claim/peers.go
+++ b/claim/peers.go
@@ -55,6 +55,8 @@
 	accountedSince time.Time
 	statesContests bool
 	contested      []string
+	// leaving means that its process has said that it stops.
+	leaving bool
 }
 
 // Heard records that a process of an instance was heard.
@@ -70,11 +72,19 @@
 	if k.boot != boot {
 		k.boot, k.bootHeard = boot, now
 		// What the former process has said of itself does not hold for this one.
-		k.statesContests, k.contested = false, nil
+		k.statesContests, k.contested, k.leaving = false, nil, false
 	}
 	k.hall, k.heard = hall, now
 }
 
+// Leaving records that the process of an instance that was heard has said that it stops. One that is
+// silent then tells nothing of the network.
+func (p *Peers) Leaving(instance string) {
+	if k := p.peers[instance]; k != nil {
+		k.leaving = true
+	}
+}
+
 // Listed records that the store lists an instance, which may be alive although it was never heard.
 func (p *Peers) Listed(instance, hall string, now time.Time) {
 	if p.peers[instance] == nil {
@@ -163,7 +173,7 @@
 		switch {
 		case reason == "" || (reason != Contested && slices.Contains(exempt, name)):
 		case reason != Contested && (k.statesContests || k.boot == "") && view.vouching[k.hall]:
-			if reason == Silent {
+			if reason == Silent && !k.leaving {
 				silent++
 			}
 		default:
@@ -234,20 +244,27 @@
 }
 
 // Absent returns the names of the instances that have neither answered nor been heard for a time,
-// sorted. It returns none if these are half of all or more: this instance may then be the one that is
-// cut off, and the others should take its cells without delay.
+// sorted. It returns none if these are half of all or more, those that have said that they stop left
+// out: this instance may then be the one that is cut off, and the others should take its cells without
+// delay.
 func (p *Peers) Absent(now time.Time, silence time.Duration) []string {
-	all, silent := 0, []string(nil)
+	staying, silentStaying, silent := 0, 0, []string(nil)
 	for name, k := range p.peers {
 		if k.goneFor(now) > PeerRetention {
 			continue
 		}
-		all++
-		if now.Sub(k.answered) > silence && now.Sub(k.heard) > silence {
+		isSilent := now.Sub(k.answered) > silence && now.Sub(k.heard) > silence
+		if isSilent {
 			silent = append(silent, name)
 		}
+		if !k.leaving {
+			staying++
+			if isSilent {
+				silentStaying++
+			}
+		}
 	}
-	if 2*len(silent) >= all {
+	if 2*silentStaying >= staying {
 		return nil
 	}
 	slices.Sort(silent)
--- a/claim/peers_test.go
+++ b/claim/peers_test.go
@@ -91,6 +91,23 @@
 		Expect(objection().Reason).To(Equal(MostSilent))
 	})
 
+	It("goes on after most instances were replaced by others", func() {
+		for _, name := range []string{"n2", "s1", "s2"} {
+			peers.Leaving(name)
+		}
+		for _, name := range []string{"n3", "s3", "s4"} {
+			answer(name, "first")
+		}
+		pass(10*time.Second, "n3", "s3", "s4")
+		Expect(peers.Absent(now, time.Second)).To(Equal([]string{"n2", "s1", "s2"}))
+		Expect(objection()).To(BeZero())
+		for _, name := range []string{"n2", "s1", "s2"} {
+			peers.Heard(name, name[:1], "second", now.Add(-2*time.Second))
+		}
+		Expect(peers.Absent(now, time.Second)).To(BeEmpty(), "they are back, and silent")
+		Expect(objection().Reason).NotTo(BeEmpty())
+	})
+
 	It("goes on without one of its own hall while others have answered all the time", func() {
 		pass(40*time.Second, "s1", "s2")
 		Expect(objection()).To(BeZero())
--- a/cluster/members.go
+++ b/cluster/members.go
@@ -118,6 +118,9 @@
 	k.cells, k.heardAt, k.sentWork = g.Cells, now, 0
 	k.processor, k.movesJobs, k.lendsLimits = g.Processor, g.MovesJobs, g.LendsLimits
 	m.answers.Heard(g.Instance, g.Hall, g.Boot, now)
+	if g.Leaving {
+		m.answers.Leaving(g.Instance)
+	}
 	m.keepWorkers(g.Cells)
 	m.addrs[g.Addr] = now
 	for _, c := range g.Cells {
