cell: a worker that leaves as announced fails no trial

Reason: found by reading. It closes its connection as one that crashes does, and so the other trials of the job would have been stopped. Measured: TestOnlyAFailedTrialStopsTheOthers, red without the condition; the tests of trials green.

--- a/cell/trial.go
+++ b/cell/trial.go
@@ -73,7 +73,7 @@
 // trialFailed reports whether r, a trial, has probably crashed its worker, which is not established yet.
 func (r *run) trialFailed(now time.Time) bool {
 	w := r.worker
-	return !r.unsent && !w.attached && w.hungUp && now.Sub(w.detachedSince) >= hangUpConfirmation
+	return !r.unsent && !w.attached && w.hungUp && now.Sub(w.detachedSince) >= hangUpConfirmation && !w.leftAsAnnounced(w.detachedSince)
 }
 
 // countTrials counts the trials under watch and sets their limits.
--- a/cell/trial_test.go
+++ b/cell/trial_test.go
@@ -221,3 +221,53 @@
 		g.Expect(s.maxLateStarts()).To(BeNumerically("<=", allowedLateStarts), k.what)
 	}
 }
+
+// Guards against trials that are stopped although no worker has crashed: a worker that leaves as it has
+// announced closes its connection as one that crashes does.
+func TestOnlyAFailedTrialStopsTheOthers(t *testing.T) {
+	for _, k := range []struct {
+		what    string
+		prepare func(s *crashSim, p *simHost)
+		hangsUp bool
+		stopped int
+	}{
+		{"the worker has crashed", func(*crashSim, *simHost) {}, true, 1},
+		{"the worker is out of reach", func(*crashSim, *simHost) {}, false, 0},
+		{"the worker leaves", func(s *crashSim, p *simHost) {
+			s.heard(p.name(), func(w *Worker) { w.Draining, w.Remaining = true, 0 })
+		}, true, 0},
+	} {
+		g := NewWithT(t)
+		s := newCrashSim(1, 3, 2)
+		s.length, s.downFor = endless, time.Minute
+		s.add("j", flow.Step{Count: 2, Demand: demand(4000), LongRunning: true, MaxPerWorker: 1})
+		s.run(5 * time.Second)
+		for i := range 2 {
+			s.crashWorkerOf(flow.TaskID{Job: "j", Index: i})
+			s.run(time.Second)
+		}
+		for _, p := range s.hosts {
+			if !p.downUntil.IsZero() {
+				p.downUntil = s.now
+			}
+		}
+		s.run(maxTrialWatch + time.Second)
+		g.Expect(s.jobs["j"].trials).To(HaveLen(2), k.what)
+		p := s.hostOf(s.jobs["j"].trials[0].worker.ID)
+		k.prepare(s, p)
+		s.Detached(p.name(), s.now)
+		if k.hangsUp {
+			s.HungUp(p.name(), true)
+		}
+		p.runs, p.downUntil = nil, s.now.Add(time.Minute)
+		s.Changes()
+		s.run(hangUpConfirmation + 200*time.Millisecond)
+		stopped := 0
+		for _, e := range s.Changes() {
+			if e.Event == RunTrialStopped {
+				stopped++
+			}
+		}
+		g.Expect(stopped).To(Equal(k.stopped), k.what)
+	}
+}
