cluster: an owner that may not go on logs that once

Reason: found by reading. With several silent instances the one that is named changes from question to question, and each change was a line: many a second in an outage. Package docs name the two halves of the rule. Change: a line when the owner stops or goes on. Measured: a spec of ten questions, red before by nine lines more; specs of owners and takeovers green.

--- a/claim/doc.go
+++ b/claim/doc.go
@@ -14,4 +14,8 @@
 //   - other instances see that the owner is alive and for how long its lease is
 //     valid. The lease records the store's own time of the write, so a single read
 //     shows how long ago it was last written.
+//
+// An owner that does not reach the store gives orders after its lease has expired only while no other
+// instance can have taken the cell. Peers decides that for the owner, by what the others answer;
+// Contests is what each instance answers. docs/design/takeover.md says why that is enough.
 package claim
--- a/cluster/answers.go
+++ b/cluster/answers.go
@@ -102,21 +102,22 @@
 }
 
 // logObjection logs when the owner of a cell, whose lease has expired, has to stop giving orders, or
-// may go on.
+// may go on. Which of several instances prevents it may change with each question and is logged once.
 func (n *Instance) logObjection(name string, epoch uint64, age time.Duration, o claim.Objection) {
+	stopped := o != claim.Objection{}
 	n.mu.Lock()
 	c := n.cells[name]
-	changed := c != nil && (c.objection == nil || *c.objection != o)
+	changed := c != nil && (!c.asked || c.stopped != stopped)
 	if changed {
-		c.objection = &o
+		c.asked, c.stopped = true, stopped
 	}
 	n.mu.Unlock()
 	if !changed {
 		return
 	}
-	event := "orders_stopped"
-	if (o == claim.Objection{}) {
-		event = "orders_without_lease"
+	event := "orders_without_lease"
+	if stopped {
+		event = "orders_stopped"
 	}
 	level.Info(n.kit.Log).Log("event", event, "cell", name, "epoch", epoch, "unwritten_ms", age.Milliseconds(), "peer", o.Peer, "why", string(o.Reason))
 }
--- a/cluster/doc.go
+++ b/cluster/doc.go
@@ -13,6 +13,7 @@
 //
 // Instances exchange greetings, a gossip protocol: owners greet every instance, others greet a
 // few. A greeting carries the sender's identity, whether it reaches the store, and the load of
-// the cells that it owns. Greetings are hints about whom to ask; no decision rests on them
-// alone. The store decides who holds a cell lease, and the workers decide what runs.
+// the cells that it owns. Greetings are hints about whom to ask. One decision rests on them: whether
+// an owner that does not reach the store may go on (claim.Peers). Otherwise the store decides who
+// holds a cell lease, and the workers decide what runs.
 package cluster
--- a/cluster/outage_test.go
+++ b/cluster/outage_test.go
@@ -3,11 +3,14 @@
 package cluster
 
 import (
+	"bytes"
 	"context"
 	"net"
+	"strings"
 	"sync/atomic"
 	"time"
 
+	"github.com/go-kit/log"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -134,3 +137,22 @@
 		Expect(n.members.objection("c", last, now.Add(claim.AnswerMaxAge))).To(BeZero(), "nor does it stop this instance")
 	})
 })
+
+// Guards against a line in the log for each question while several instances are silent.
+var _ = Describe("an owner that may not go on without its lease", func() {
+	It("logs that once, whichever instance prevents it, and when it may go on", func() {
+		n := testInstance(&fakePolicy{})
+		var lines bytes.Buffer
+		n.kit.Log = log.NewLogfmtLogger(&lines)
+		n.cells["c"] = &ownCell{}
+		for range 5 {
+			n.logObjection("c", 1, time.Second, claim.Objection{Peer: "a", Reason: claim.Silent})
+			n.logObjection("c", 1, time.Second, claim.Objection{Peer: "b", Reason: claim.Contested})
+		}
+		for range 5 {
+			n.logObjection("c", 1, time.Second, claim.Objection{})
+		}
+		Expect(strings.Count(lines.String(), "event=orders_stopped")).To(Equal(1))
+		Expect(strings.Count(lines.String(), "event=orders_without_lease")).To(Equal(1))
+	})
+})
--- a/cluster/own.go
+++ b/cluster/own.go
@@ -16,8 +16,9 @@
 type ownCell struct {
 	driver *driver.Driver
 	claim  *claim.Claim
-	// objection is the last known reason not to go on without a valid lease; nil if none was sought.
-	objection *claim.Objection
+	// asked means that it was asked whether this instance may go on without a valid lease, and stopped
+	// that it last was not allowed to.
+	asked, stopped bool
 }
 
 // ownCells returns the cells that this instance owns, by name.
